Add the contracts, the hybrid logical clock and the connections between processes

The root package holds the tables, messages, events and interfaces of design.md. rpc keeps notifications in order and closes a connection that can't be written to; the tests fail without the outbound queue and the write timeout.

--- /dev/null
+++ b/internal/peer/rpc/rpc_test.go
@@ -0,0 +1,128 @@
+package rpc
+
+import (
+	"context"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/jonboulle/clockwork"
+	"go.uber.org/goleak"
+
+	"github.com/mulberryspool/mulberryspool/internal/observe/hlc"
+)
+
+type numbered struct {
+	Number int `json:"number"`
+}
+
+func newEndpoint() *Endpoint {
+	wall := clockwork.NewRealClock()
+	return &Endpoint{Clock: wall, Stamps: &hlc.Clock{Wall: wall}}
+}
+
+func serve(t *testing.T, e *Endpoint) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- e.Serve(ctx, listener) }()
+	t.Cleanup(func() {
+		cancel()
+		if err := <-done; err != nil {
+			t.Error(err)
+		}
+	})
+	return listener.Addr().String()
+}
+
+// Guards against notifications that overtake each other or the reply before them.
+func TestNotificationsKeepTheirOrder(t *testing.T) {
+	const count = 500
+	server, client := newEndpoint(), newEndpoint()
+	server.Handle = func(m Message) {
+		_ = m.Reply(numbered{Number: 7})
+		for i := range count {
+			_ = m.Conn.Notify("test.number", numbered{Number: i})
+		}
+	}
+	numbers := make(chan int, count)
+	client.Handle = func(m Message) {
+		var n numbered
+		if err := m.Decode(&n); err != nil {
+			t.Error(err)
+		}
+		numbers <- n.Number
+	}
+	c, err := client.Dial(context.Background(), serve(t, server))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	var reply numbered
+	if err := c.Call(context.Background(), "test.start", numbered{}, &reply); err != nil {
+		t.Fatal(err)
+	}
+	if reply.Number != 7 {
+		t.Fatalf("reply is %d, want 7", reply.Number)
+	}
+	for i := range count {
+		if n := <-numbers; n != i {
+			t.Fatalf("notification %d arrived in place of %d", n, i)
+		}
+	}
+}
+
+// Guards against a sender that blocks for good on a peer that stopped reading.
+func TestStalledPeerClosesConnection(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer listener.Close()
+	client := newEndpoint()
+	client.WriteTimeout = 50 * time.Millisecond
+	c, err := client.Dial(context.Background(), listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	large := make([]byte, 1<<20)
+	for c.Notify("test.large", large) == nil {
+		select {
+		case <-c.Done():
+			return
+		default:
+		}
+	}
+	<-c.Done()
+}
+
+// Guards against calls that wait for ever after the peer is gone, and leaked goroutines.
+func TestCallEndsWhenConnectionCloses(t *testing.T) {
+	defer goleak.VerifyNone(t)
+	server, client := newEndpoint(), newEndpoint()
+	server.Handle = func(m Message) { m.Conn.Close() }
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- server.Serve(ctx, listener) }()
+	c, err := client.Dial(ctx, listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := c.Call(ctx, "test.call", numbered{}, nil); !errors.Is(err, ErrClosed) {
+		t.Fatalf("call on a closed connection returned %v, want ErrClosed", err)
+	}
+	<-c.Done()
+	cancel()
+	if err := <-done; err != nil {
+		t.Fatal(err)
+	}
+}
--- /dev/null
+++ b/origin.go
@@ -0,0 +1,21 @@
+package mulberryspool
+
+import "context"
+
+type (
+	// Origin holds the content of versions as files.
+	Origin interface {
+		// ReadRange returns exactly size bytes at the offset.
+		ReadRange(ctx context.Context, path string, offset, size int64) ([]byte, error)
+		// Size returns the length of the content in bytes.
+		Size(ctx context.Context, path string) (int64, error)
+	}
+
+	// WeightStore is the platform's rate-limited store of chunks.
+	WeightStore interface {
+		// ReadChunk returns the chunk, unverified; ErrNotFound if absent.
+		ReadChunk(ctx context.Context, digest Digest) ([]byte, error)
+		// WriteChunk stores the chunk under its digest.
+		WriteChunk(ctx context.Context, digest Digest, data []byte) error
+	}
+)
