Add the object API's client and stand-in

The client has one call budget per process, full jitter after failures and shared reads; a write is repeated only while it certainly had no effect. The stand-in has versions, watches, rate limits and faults.

--- /dev/null
+++ b/internal/platform/objectapi/client_test.go
@@ -0,0 +1,269 @@
+package objectapi
+
+import (
+	"bytes"
+	"context"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/jonboulle/clockwork"
+	"github.com/uber-go/tally/v4"
+	"go.uber.org/goleak"
+
+	"github.com/mulberryspool/mulberryspool"
+	"github.com/mulberryspool/mulberryspool/internal/standin/fault"
+	standin "github.com/mulberryspool/mulberryspool/internal/standin/objectapi"
+	"github.com/mulberryspool/mulberryspool/internal/standin/serve"
+)
+
+func TestMain(m *testing.M) {
+	goleak.VerifyTestMain(m)
+}
+
+func startServer(t testing.TB, s *standin.Server) string {
+	t.Helper()
+	s.Clock = clockwork.NewRealClock()
+	running, err := serve.Start(s.Handler(), "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(running.Close)
+	return running.URL
+}
+
+func newClient(t testing.TB, url, caller string, seed uint64) *Client {
+	t.Helper()
+	c := &Client{
+		BaseURL:        url,
+		Caller:         caller,
+		Clock:          clockwork.NewRealClock(),
+		Random:         rand.New(rand.NewPCG(seed, 0)),
+		CallsPerSecond: 10_000,
+		Burst:          10_000,
+		BackoffMin:     time.Millisecond,
+		BackoffMax:     10 * time.Millisecond,
+	}
+	t.Cleanup(c.Close)
+	return c
+}
+
+func addFault(t testing.TB, s *standin.Server, rule fault.Rule) {
+	t.Helper()
+	if err := s.Faults.Add(rule); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// Guards against wrong mapping of answers to the errors of the contract.
+func TestObjectLifeCycle(t *testing.T) {
+	ctx := context.Background()
+	c := newClient(t, startServer(t, &standin.Server{}), "one", 1)
+	const name = "a/b c%2F?é"
+	if _, err := c.Get(ctx, "kind", name); !errors.Is(err, mulberryspool.ErrNotFound) {
+		t.Fatalf("get of a missing object returned %v, want ErrNotFound", err)
+	}
+	if _, err := c.Update(ctx, "kind", name, []byte("x"), 1); !errors.Is(err, mulberryspool.ErrConflict) {
+		t.Fatalf("update of a missing object returned %v, want ErrConflict", err)
+	}
+	created, err := c.Create(ctx, "kind", name, []byte("one"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := c.Create(ctx, "kind", name, []byte("two")); !errors.Is(err, mulberryspool.ErrConflict) {
+		t.Fatalf("second create returned %v, want ErrConflict", err)
+	}
+	updated, err := c.Update(ctx, "kind", name, []byte("two"), created.Version)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if updated.Version <= created.Version {
+		t.Fatalf("version went from %d to %d", created.Version, updated.Version)
+	}
+	if _, err := c.Update(ctx, "kind", name, []byte("three"), created.Version); !errors.Is(err, mulberryspool.ErrConflict) {
+		t.Fatalf("update of an old version returned %v, want ErrConflict", err)
+	}
+	got, err := c.Get(ctx, "kind", name)
+	if err != nil || !bytes.Equal(got.Value, []byte("two")) || got.Version != updated.Version || got.Name != name {
+		t.Fatalf("get returned %+v, %v", got, err)
+	}
+	if _, err := c.Create(ctx, "kind", "b", nil); err != nil {
+		t.Fatal(err)
+	}
+	list, err := c.List(ctx, "kind", "a/")
+	if err != nil || len(list) != 1 || list[0].Name != name || string(list[0].Value) != "two" {
+		t.Fatalf("list returned %+v, %v", list, err)
+	}
+	if err := c.Delete(ctx, "kind", name, created.Version); !errors.Is(err, mulberryspool.ErrConflict) {
+		t.Fatalf("delete of an old version returned %v, want ErrConflict", err)
+	}
+	if err := c.Delete(ctx, "kind", name, updated.Version); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := c.Get(ctx, "kind", name); !errors.Is(err, mulberryspool.ErrNotFound) {
+		t.Fatalf("get of a deleted object returned %v, want ErrNotFound", err)
+	}
+	large := make([]byte, MaxValueBytes+1)
+	if _, err := c.Create(ctx, "kind", "large", large); err == nil || errors.Is(err, mulberryspool.ErrUnavailable) {
+		t.Fatalf("create of a too large value returned %v, want a permanent error", err)
+	}
+	if _, err := c.Create(ctx, "kind", "large", large[1:]); err != nil {
+		t.Fatalf("create of the largest value: %v", err)
+	}
+}
+
+// Guards against a write that is reported as refused though it took effect,
+// or as uncertain though it certainly had none.
+func TestWriteOutcomes(t *testing.T) {
+	for _, test := range []struct {
+		name    string
+		rule    fault.Rule
+		want    error
+		applied bool
+	}{
+		{"answer lost", fault.Rule{Kind: fault.LoseAnswer, Calls: 1}, mulberryspool.ErrUncertain, true},
+		{"answer late", fault.Rule{Kind: fault.HangAnswer, Calls: 1}, mulberryspool.ErrUncertain, true},
+		{"connection closed", fault.Rule{Kind: fault.Refuse, Calls: 1}, mulberryspool.ErrUncertain, false},
+		{"hang", fault.Rule{Kind: fault.Hang, Calls: 1}, mulberryspool.ErrUncertain, false},
+		{"refused once", fault.Rule{Kind: fault.Unavailable, Calls: 1}, nil, true},
+		{"refused", fault.Rule{Kind: fault.Unavailable}, mulberryspool.ErrUnavailable, false},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			s := &standin.Server{}
+			c := newClient(t, startServer(t, s), "one", 2)
+			c.AttemptTimeout, c.CallTimeout = 100*time.Millisecond, 300*time.Millisecond
+			addFault(t, s, test.rule)
+			_, err := c.Create(context.Background(), "kind", "a", []byte("x"))
+			if !errors.Is(err, test.want) {
+				t.Errorf("create returned %v, want %v", err, test.want)
+			}
+			if test.want == nil && err != nil {
+				t.Errorf("create returned %v", err)
+			}
+			if applied := len(s.Objects("kind")) == 1; applied != test.applied {
+				t.Errorf("create took effect: %v, want %v", applied, test.applied)
+			}
+		})
+	}
+}
+
+// Guards against an outage with no listener that is reported as uncertain.
+func TestWriteWithoutConnectionHadNoEffect(t *testing.T) {
+	s := &standin.Server{Clock: clockwork.NewRealClock()}
+	running, err := serve.Start(s.Handler(), "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	running.Close()
+	c := newClient(t, running.URL, "one", 3)
+	c.CallTimeout = 100 * time.Millisecond
+	_, err = c.Create(context.Background(), "kind", "a", nil)
+	if !errors.Is(err, mulberryspool.ErrUnavailable) || errors.Is(err, mulberryspool.ErrUncertain) {
+		t.Fatalf("create returned %v, want only ErrUnavailable", err)
+	}
+}
+
+// Guards against reads that fail though a repetition would have answered them.
+func TestReadsAreRepeated(t *testing.T) {
+	for _, kind := range []fault.Kind{fault.Refuse, fault.Unavailable, fault.LoseAnswer, fault.Hang} {
+		t.Run(string(kind), func(t *testing.T) {
+			s := &standin.Server{}
+			c := newClient(t, startServer(t, s), "one", 4)
+			c.AttemptTimeout = 100 * time.Millisecond
+			s.Put("kind", "a", []byte("x"))
+			addFault(t, s, fault.Rule{Kind: kind, Calls: 2})
+			if got, err := c.Get(context.Background(), "kind", "a"); err != nil || string(got.Value) != "x" {
+				t.Fatalf("get returned %+v, %v", got, err)
+			}
+		})
+	}
+}
+
+// Guards against watches that miss a change, end early or outlive their deadline.
+func TestWatch(t *testing.T) {
+	s := &standin.Server{}
+	c := newClient(t, startServer(t, s), "one", 5)
+	c.WatchTimeout = 50 * time.Millisecond
+	first := s.Put("kind", "a", []byte("one"))
+	ctx := context.Background()
+	if got, err := c.Watch(ctx, "kind", "a", 0); err != nil || got.Version != first.Version {
+		t.Fatalf("watch below the version returned %+v, %v", got, err)
+	}
+	if _, err := c.Watch(ctx, "kind", "a", first.Version); !errors.Is(err, mulberryspool.ErrNotModified) {
+		t.Fatalf("watch without a change returned %v, want ErrNotModified", err)
+	}
+	// Ends the backoff of a failure with a probe that does not wait.
+	c.WatchTimeout = time.Minute
+	addFault(t, s, fault.Rule{Kind: fault.Refuse, Calls: 3})
+	type answer struct {
+		object mulberryspool.Object
+		err    error
+	}
+	answers := make(chan answer, 1)
+	go func() {
+		object, err := c.Watch(ctx, "kind", "a", first.Version)
+		answers <- answer{object, err}
+	}()
+	for s.Counts().Watches == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	second := s.Put("kind", "a", []byte("two"))
+	if got := <-answers; got.err != nil || got.object.Version != second.Version || string(got.object.Value) != "two" {
+		t.Fatalf("watch returned %+v, want version %d", got, second.Version)
+	}
+}
+
+// Guards against a watch that goes on at the object API after its caller left.
+func TestCancelledWatchEnds(t *testing.T) {
+	s := &standin.Server{}
+	c := newClient(t, startServer(t, s), "one", 6)
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() {
+		_, err := c.Watch(ctx, "kind", "a", 0)
+		ended <- err
+	}()
+	for s.Counts().Watches == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	cancel()
+	if err := <-ended; !errors.Is(err, context.Canceled) {
+		t.Fatalf("watch returned %v, want context.Canceled", err)
+	}
+	for s.Counts().Watches > 0 {
+		time.Sleep(time.Millisecond)
+	}
+}
+
+// Guards against reads that are not shared, and against shared reads that
+// return a value older than one that was written before the read began.
+func TestCoalescedReadsAreNeverStale(t *testing.T) {
+	s := &standin.Server{}
+	metrics := tally.NewTestScope("", nil)
+	c := newClient(t, startServer(t, s), "one", 7)
+	c.Metrics = metrics
+	addFault(t, s, fault.Rule{Kind: fault.Slow, Operations: []string{standin.OperationGet}, Delay: time.Millisecond})
+	s.Put("kind", "a", nil)
+	const readers, rounds = 16, 50
+	var group sync.WaitGroup
+	for range readers {
+		group.Go(func() {
+			for range rounds {
+				written := s.Put("kind", "a", nil)
+				got, err := c.Get(context.Background(), "kind", "a")
+				if err != nil || got.Version < written.Version {
+					t.Errorf("get returned version %d, %v after version %d was written", got.Version, err, written.Version)
+				}
+			}
+		})
+	}
+	group.Wait()
+	if calls := s.Counts().Total(standin.OperationGet); calls > readers*rounds/2 {
+		t.Errorf("%d gets caused %d calls, want at most half", readers*rounds, calls)
+	}
+	if metrics.Snapshot().Counters()["objectAPICalls+cause=coalesced,operation=get"] == nil {
+		t.Error("no get was counted as coalesced")
+	}
+}
--- /dev/null
+++ b/internal/standin/serve/serve.go
@@ -0,0 +1,99 @@
+// Package serve runs a stand-in's HTTP handler on an address and holds the
+// answers that all stand-ins have in common.
+package serve
+
+import (
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+
+	"github.com/cockroachdb/errors"
+)
+
+const (
+	// CallerHeader names the instance that calls.
+	CallerHeader = "X-Caller"
+	// RequestIDHeader carries the ID of a live request.
+	RequestIDHeader = "X-Request-ID"
+
+	maxAdminBytes = 1 << 20
+)
+
+type (
+	// Server is a running HTTP server.
+	Server struct {
+		// URL is the base URL, without a final slash.
+		URL string
+		// Address is the IP address and port.
+		Address string
+
+		server *http.Server
+		done   chan struct{}
+	}
+
+	// ErrorBody is the body of an answer that reports an error.
+	ErrorBody struct {
+		Error Error `json:"error"`
+	}
+
+	// Error says what went wrong.
+	Error struct {
+		Code    string `json:"code"`
+		Message string `json:"message"`
+	}
+)
+
+// Start serves the handler on an address such as 127.0.0.1:0.
+func Start(handler http.Handler, address string) (*Server, error) {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, errors.Wrapf(err, "listen on %s", address)
+	}
+	bound := listener.Addr().String()
+	s := &Server{
+		URL:     "http://" + bound,
+		Address: bound,
+		server:  &http.Server{Handler: handler},
+		done:    make(chan struct{}),
+	}
+	go func() {
+		defer close(s.done)
+		_ = s.server.Serve(listener)
+	}()
+	return s, nil
+}
+
+// Close closes the listener and all connections.
+func (s *Server) Close() {
+	_ = s.server.Close()
+	<-s.done
+}
+
+// WriteJSON answers with a JSON body.
+func WriteJSON(w http.ResponseWriter, status int, body any) {
+	encoded, err := json.Marshal(body)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_, _ = w.Write(encoded)
+}
+
+// WriteError answers with an error body.
+func WriteError(w http.ResponseWriter, status int, code, message string) {
+	WriteJSON(w, status, ErrorBody{Error: Error{Code: code, Message: message}})
+}
+
+// ReadJSON decodes the request's body, or answers 400 and returns false.
+func ReadJSON(w http.ResponseWriter, r *http.Request, body any) bool {
+	decoder := json.NewDecoder(io.LimitReader(r.Body, maxAdminBytes))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(body); err != nil {
+		WriteError(w, http.StatusBadRequest, "invalidBody", err.Error())
+		return false
+	}
+	return true
+}
