--- /dev/null
+++ b/internal/platform/instancelist/instancelist_test.go
@@ -0,0 +1,92 @@
+package instancelist
+
+import (
+	"context"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"go.uber.org/goleak"
+
+	"github.com/mulberryspool/mulberryspool"
+	"github.com/mulberryspool/mulberryspool/internal/standin/fault"
+	standin "github.com/mulberryspool/mulberryspool/internal/standin/instancelist"
+	"github.com/mulberryspool/mulberryspool/internal/standin/serve"
+)
+
+func TestMain(m *testing.M) {
+	goleak.VerifyTestMain(m)
+}
+
+func start(t *testing.T, handler http.Handler) *Client {
+	t.Helper()
+	running, err := serve.Start(handler, "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	c := &Client{BaseURL: running.URL, Caller: "one", Clock: clockwork.NewRealClock()}
+	t.Cleanup(running.Close)
+	t.Cleanup(c.Close)
+	return c
+}
+
+// Guards against changes that show before their lag, out of order or never.
+func TestListLags(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	s := &standin.Server{Clock: clock}
+	c := start(t, s.Handler())
+	expect := func(want ...mulberryspool.InstanceState) {
+		t.Helper()
+		got, err := c.Instances(context.Background())
+		if err != nil || len(got) != len(want) {
+			t.Fatalf("list is %+v, %v, want states %v", got, err, want)
+		}
+		for i := range want {
+			if got[i].State != want[i] || got[i].Incarnation != "" || got[i].Pool != "p" {
+				t.Fatalf("row %d is %+v, want state %s", i, got[i], want[i])
+			}
+		}
+	}
+	expect()
+	s.Register(mulberryspool.Identity{Instance: "a", Incarnation: "x", Role: mulberryspool.RoleAgent, Pool: "p"})
+	expect(mulberryspool.InstanceLive)
+	s.SetLag(10 * time.Second)
+	s.Leave("a")
+	s.SetLag(time.Second)
+	s.Register(mulberryspool.Identity{Instance: "b", Role: mulberryspool.RoleAgent, Pool: "p"})
+	clock.Advance(9 * time.Second)
+	expect(mulberryspool.InstanceLive)
+	clock.Advance(time.Second)
+	expect(mulberryspool.InstanceLeaving, mulberryspool.InstanceLive)
+	s.Remove("a")
+	expect(mulberryspool.InstanceLeaving, mulberryspool.InstanceLive)
+	clock.Advance(time.Second)
+	expect(mulberryspool.InstanceLive)
+	if s.Remove("a") || s.Leave("a") {
+		t.Fatal("a removed instance is still known")
+	}
+}
+
+// Guards against an error or a foreign answer that is taken for an empty list.
+func TestFailureIsNotAnEmptyList(t *testing.T) {
+	s := &standin.Server{Clock: clockwork.NewRealClock()}
+	c := start(t, s.Handler())
+	c.Timeout = 100 * time.Millisecond
+	for _, kind := range []fault.Kind{fault.Refuse, fault.Unavailable, fault.Hang} {
+		if err := s.Faults.Add(fault.Rule{Kind: kind, Calls: 1}); err != nil {
+			t.Fatal(err)
+		}
+		if got, err := c.Instances(context.Background()); err == nil {
+			t.Errorf("%s: list is %+v, want an error", kind, got)
+		}
+	}
+	for _, body := range []string{"", "{}", `{"instances":[{"instance":"a"}]}`, `{"instances":[{"state":"live"}]}`} {
+		foreign := start(t, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			_, _ = w.Write([]byte(body))
+		}))
+		if got, err := foreign.Instances(context.Background()); err == nil {
+			t.Errorf("body %q: list is %+v, want an error", body, got)
+		}
+	}
+}
--- a/internal/platform/objectapi/attempt.go
+++ b/internal/platform/objectapi/attempt.go
@@ -117,7 +117,7 @@
 func (c *Client) answer(parent context.Context, r call, response *http.Response) result {
 	switch status := response.StatusCode; status {
 	case http.StatusOK, http.StatusCreated, http.StatusNoContent:
-		if err := r.accept(response); err != nil {
+		if err := r.accept(response.Header, response.Body); err != nil {
 			return c.failure(parent, r, err, true)
 		}
 		return result{cause: "ok", health: healthUp}
@@ -153,13 +153,13 @@
 	}
 }
 
-func acceptObject(kind, name string, object *mulberryspool.Object) func(*http.Response) error {
-	return func(response *http.Response) error {
-		version, err := versionOf(response)
+func acceptObject(kind, name string, object *mulberryspool.Object) func(http.Header, io.Reader) error {
+	return func(header http.Header, body io.Reader) error {
+		version, err := versionOf(header)
 		if err != nil {
 			return err
 		}
-		value, err := readAll(response, MaxValueBytes)
+		value, err := readAll(body, MaxValueBytes)
 		if err != nil {
 			return err
 		}
@@ -168,14 +168,14 @@
 	}
 }
 
-func acceptList(list *[]mulberryspool.Object) func(*http.Response) error {
-	return func(response *http.Response) error {
-		body, err := readAll(response, maxListBytes)
+func acceptList(list *[]mulberryspool.Object) func(http.Header, io.Reader) error {
+	return func(_ http.Header, body io.Reader) error {
+		encoded, err := readAll(body, maxListBytes)
 		if err != nil {
 			return err
 		}
 		var decoded listing
-		if err := json.Unmarshal(body, &decoded); err != nil {
+		if err := json.Unmarshal(encoded, &decoded); err != nil {
 			return errors.Wrap(err, "decode list of objects")
 		}
 		*list = decoded.Objects
@@ -183,22 +183,22 @@
 	}
 }
 
-func readAll(response *http.Response, limit int64) ([]byte, error) {
-	body, err := io.ReadAll(io.LimitReader(response.Body, limit+1))
+func readAll(body io.Reader, limit int64) ([]byte, error) {
+	data, err := io.ReadAll(io.LimitReader(body, limit+1))
 	if err != nil {
 		return nil, errors.Wrap(err, "read answer")
 	}
-	if int64(len(body)) > limit {
+	if int64(len(data)) > limit {
 		return nil, errors.Newf("answer has more than %d bytes", limit)
 	}
-	return body, nil
+	return data, nil
 }
 
-func versionOf(response *http.Response) (mulberryspool.Revision, error) {
-	header := response.Header.Get("ETag")
-	version, err := strconv.ParseUint(strings.Trim(header, `"`), 10, 64)
+func versionOf(header http.Header) (mulberryspool.Revision, error) {
+	tag := header.Get("ETag")
+	version, err := strconv.ParseUint(strings.Trim(tag, `"`), 10, 64)
 	if err != nil {
-		return 0, errors.Newf("ETag %q of the answer is not a version", header)
+		return 0, errors.Newf("ETag %q of the answer is not a version", tag)
 	}
 	return mulberryspool.Revision(version), nil
 }
--- a/internal/platform/objectapi/client.go
+++ b/internal/platform/objectapi/client.go
@@ -10,6 +10,7 @@
 
 import (
 	"context"
+	"io"
 	"math/rand/v2"
 	"net/http"
 	"net/url"
@@ -27,9 +28,10 @@
 const (
 	// MaxValueBytes is the largest value, one megabyte.
 	MaxValueBytes = 1_000_000
-	// DefaultCallsPerSecond and DefaultBurst are the call budget of a process.
+	// DefaultCallsPerSecond is the call budget of a process.
 	DefaultCallsPerSecond = 20
-	DefaultBurst          = 20
+	// DefaultBurst is the budget that an idle process saves up.
+	DefaultBurst = 20
 	// DefaultWriteCost is the ratio of the object API's rates for reads and
 	// writes, so that budgets which add up to the rate of reads add up to
 	// the rate of writes as well.
@@ -41,9 +43,10 @@
 	DefaultCallTimeout = 5 * time.Second
 	// DefaultWatchTimeout bounds a watch.
 	DefaultWatchTimeout = 30 * time.Second
-	// DefaultBackoffMin and DefaultBackoffMax bound the pause after a failure.
-	DefaultBackoffMin = 100 * time.Millisecond
-	DefaultBackoffMax = 3 * time.Second
+	// DefaultMinBackoff bounds the pause after the first failure.
+	DefaultMinBackoff = 100 * time.Millisecond
+	// DefaultMaxBackoff bounds the pause after repeated failures.
+	DefaultMaxBackoff = 3 * time.Second
 
 	// maxListBytes bounds the answer to a list.
 	maxListBytes = 256 << 20
@@ -77,8 +80,8 @@
 		AttemptTimeout time.Duration
 		CallTimeout    time.Duration
 		WatchTimeout   time.Duration
-		BackoffMin     time.Duration
-		BackoffMax     time.Duration
+		MinBackoff     time.Duration
+		MaxBackoff     time.Duration
 
 		once      sync.Once
 		transport *http.Transport
@@ -98,8 +101,8 @@
 		// ifNoneMatch is set for a create.
 		ifNoneMatch string
 		writing     bool
-		// accept decodes the answer; its error counts as a failed try.
-		accept func(*http.Response) error
+		// accept decodes a successful answer; its error counts as a failed try.
+		accept func(http.Header, io.Reader) error
 		// sending is called with true before each try, and with false before
 		// the pause that follows a failed one; nil for none.
 		sending func(bool)
@@ -177,8 +180,8 @@
 	w.url = c.objectURL(kind, name)
 	w.body = value
 	w.writing = true
-	w.accept = func(response *http.Response) error {
-		version, err := versionOf(response)
+	w.accept = func(header http.Header, _ io.Reader) error {
+		version, err := versionOf(header)
 		object.Version = version
 		return err
 	}
@@ -219,8 +222,8 @@
 		setDefault(&c.AttemptTimeout, DefaultAttemptTimeout)
 		setDefault(&c.CallTimeout, DefaultCallTimeout)
 		setDefault(&c.WatchTimeout, DefaultWatchTimeout)
-		setDefault(&c.BackoffMin, DefaultBackoffMin)
-		setDefault(&c.BackoffMax, DefaultBackoffMax)
+		setDefault(&c.MinBackoff, DefaultMinBackoff)
+		setDefault(&c.MaxBackoff, DefaultMaxBackoff)
 		if c.Metrics == nil {
 			c.Metrics = tally.NoopScope
 		}
--- a/internal/platform/objectapi/client_test.go
+++ b/internal/platform/objectapi/client_test.go
@@ -43,8 +43,8 @@
 		Random:         rand.New(rand.NewPCG(seed, 0)),
 		CallsPerSecond: 10_000,
 		Burst:          10_000,
-		BackoffMin:     time.Millisecond,
-		BackoffMax:     10 * time.Millisecond,
+		MinBackoff:     time.Millisecond,
+		MaxBackoff:     10 * time.Millisecond,
 	}
 	t.Cleanup(c.Close)
 	return c
--- a/internal/platform/objectapi/pacer.go
+++ b/internal/platform/objectapi/pacer.go
@@ -18,8 +18,8 @@
 	// all calls pause; then one of them probes while the others wait for it.
 	pacer struct {
 		clock      mulberryspool.Clock
-		backoffMin time.Duration
-		backoffMax time.Duration
+		minBackoff time.Duration
+		maxBackoff time.Duration
 
 		mu      sync.Mutex
 		random  *rand.Rand
@@ -61,7 +61,7 @@
 
 func (p *pacer) init(c *Client) {
 	p.clock, p.random = c.Clock, c.Random
-	p.backoffMin, p.backoffMax = c.BackoffMin, c.BackoffMax
+	p.minBackoff, p.maxBackoff = c.MinBackoff, c.MaxBackoff
 	p.limiter = rate.NewLimiter(rate.Limit(c.CallsPerSecond), c.Burst)
 	p.changed = make(chan struct{})
 }
@@ -160,9 +160,9 @@
 	if t.epoch != p.epoch {
 		return
 	}
-	ceiling := p.backoffMax
-	if p.failures < 32 && p.backoffMin<<p.failures < ceiling {
-		ceiling = p.backoffMin << p.failures
+	ceiling := p.maxBackoff
+	if p.failures < 32 && p.minBackoff<<p.failures < ceiling {
+		ceiling = p.minBackoff << p.failures
 	}
 	p.failures++
 	// Full jitter spreads the processes over the whole pause.
--- /dev/null
+++ b/internal/platform/origin/origin.go
@@ -0,0 +1,149 @@
+// Package origin is the client of the origin that holds the weights.
+//
+//	ReadRange --GET with Range--> check status, Content-Range and length --> exactly the bytes asked for
+package origin
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/mulberryspool/mulberryspool"
+	"github.com/mulberryspool/mulberryspool/internal/platform/transfer"
+)
+
+// MaxRangeBytes bounds one range, because it is held in memory.
+const MaxRangeBytes = 256 << 20
+
+// Client implements mulberryspool.Origin. It makes one try for each call:
+// whoever calls knows other sources. Set the exported fields before the
+// first call.
+type Client struct {
+	// BaseURL is the origin's URL without a final slash.
+	BaseURL string
+	// Caller is the name under which the origin counts the calls.
+	Caller string
+	Clock  mulberryspool.Clock
+	// StallTimeout ends a call when no byte arrives for that long;
+	// transfer.DefaultStallTimeout when it is 0.
+	StallTimeout time.Duration
+
+	once   sync.Once
+	client transfer.Client
+}
+
+var _ mulberryspool.Origin = (*Client)(nil)
+
+// ReadRange implements mulberryspool.Origin.
+func (c *Client) ReadRange(ctx context.Context, path string, offset, size int64) ([]byte, error) {
+	c.init()
+	data, err := c.readRange(ctx, path, offset, size)
+	return data, mulberryspool.AtStep(err, fmt.Sprintf("read %s bytes %d+%d", path, offset, size), c.BaseURL)
+}
+
+func (c *Client) readRange(ctx context.Context, path string, offset, size int64) ([]byte, error) {
+	if offset < 0 || size <= 0 || size > MaxRangeBytes {
+		return nil, errors.Newf("range must start at 0 or above and have 1 to %d bytes", MaxRangeBytes)
+	}
+	request, err := http.NewRequest(http.MethodGet, c.contentURL(path), nil)
+	if err != nil {
+		return nil, errors.Wrap(err, "make request")
+	}
+	request.Header.Set("Range", fmt.Sprintf("bytes=%d-%d", offset, offset+size-1))
+	response, err := c.client.Do(ctx, request)
+	if err != nil {
+		return nil, err
+	}
+	defer response.Body.Close()
+	if err := checkRange(response, offset, size); err != nil {
+		return nil, err
+	}
+	data := make([]byte, size)
+	if _, err := io.ReadFull(response.Body, data); err != nil {
+		return nil, errors.Wrap(err, "read content")
+	}
+	return data, nil
+}
+
+// checkRange accepts an answer only if it announces exactly the bytes that
+// were asked for.
+func checkRange(response *http.Response, offset, size int64) error {
+	switch response.StatusCode {
+	case http.StatusPartialContent:
+	case http.StatusOK:
+		if offset > 0 || response.ContentLength != size {
+			return errors.Newf("origin sent the whole content of %d bytes in place of a range", response.ContentLength)
+		}
+		return nil
+	default:
+		return transfer.StatusError(response)
+	}
+	header := response.Header.Get("Content-Range")
+	want := fmt.Sprintf("bytes %d-%d/", offset, offset+size-1)
+	if total, found := strings.CutPrefix(header, want); !found || !isTotal(total, offset+size) {
+		return errors.Newf("origin sent Content-Range %q, want %q and the total", header, want)
+	}
+	if response.ContentLength != size {
+		return errors.Newf("origin sent Content-Length %d, want %d", response.ContentLength, size)
+	}
+	return nil
+}
+
+// isTotal accepts "*" for a total that is not known.
+func isTotal(text string, least int64) bool {
+	if text == "*" {
+		return true
+	}
+	total, err := strconv.ParseInt(text, 10, 64)
+	return err == nil && total >= least
+}
+
+// Size implements mulberryspool.Origin.
+func (c *Client) Size(ctx context.Context, path string) (int64, error) {
+	c.init()
+	size, err := c.size(ctx, path)
+	return size, mulberryspool.AtStep(err, "read size of "+path, c.BaseURL)
+}
+
+func (c *Client) size(ctx context.Context, path string) (int64, error) {
+	request, err := http.NewRequest(http.MethodHead, c.contentURL(path), nil)
+	if err != nil {
+		return 0, errors.Wrap(err, "make request")
+	}
+	response, err := c.client.Do(ctx, request)
+	if err != nil {
+		return 0, err
+	}
+	defer response.Body.Close()
+	if response.StatusCode != http.StatusOK {
+		return 0, transfer.StatusError(response)
+	}
+	if response.ContentLength < 0 {
+		return 0, errors.New("origin does not say how long the content is")
+	}
+	return response.ContentLength, nil
+}
+
+// Close closes idle connections.
+func (c *Client) Close() {
+	c.init()
+	c.client.Close()
+}
+
+func (c *Client) init() {
+	c.once.Do(func() {
+		c.client = transfer.Client{Caller: c.Caller, Clock: c.Clock, StallTimeout: c.StallTimeout}
+	})
+}
+
+func (c *Client) contentURL(path string) string {
+	return c.BaseURL + "/content/" + (&url.URL{Path: strings.TrimPrefix(path, "/")}).EscapedPath()
+}
--- /dev/null
+++ b/internal/standin/instancelist/instancelist.go
@@ -0,0 +1,226 @@
+// Package instancelist stands in for the platform's list of live and leaving
+// instances, which shows a change only after a settable lag.
+//
+// The HTTP interface is described in docs/protocols.md.
+package instancelist
+
+import (
+	"cmp"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/gorilla/mux"
+
+	"github.com/mulberryspool/mulberryspool"
+	"github.com/mulberryspool/mulberryspool/internal/standin/fault"
+	"github.com/mulberryspool/mulberryspool/internal/standin/serve"
+)
+
+// OperationList is the only operation, as used by fault rules.
+const OperationList = "list"
+
+type (
+	// Server is the stand-in. Set the exported fields before the first call.
+	Server struct {
+		Clock mulberryspool.Clock
+		// Faults are the faults that are switched on.
+		Faults fault.Switch
+
+		once    sync.Once
+		mu      sync.Mutex
+		lag     time.Duration
+		current map[mulberryspool.InstanceID]mulberryspool.ListedInstance
+		visible map[mulberryspool.InstanceID]mulberryspool.ListedInstance
+		pending []change
+		calls   map[string]int
+	}
+
+	// Listing is the body of GET /instances.
+	Listing struct {
+		Instances []mulberryspool.ListedInstance `json:"instances"`
+	}
+
+	// Lag is the body of PUT /admin/lag.
+	Lag struct {
+		// Lag applies to later changes, in nanoseconds.
+		Lag time.Duration `json:"lag"`
+	}
+
+	// change becomes visible at a time.
+	change struct {
+		at       time.Time
+		instance mulberryspool.ListedInstance
+		removed  bool
+	}
+)
+
+// Handler returns the HTTP interface, with the admin interface below /admin/.
+func (s *Server) Handler() http.Handler {
+	s.init()
+	router := mux.NewRouter()
+	s.Faults.Register(router)
+	router.HandleFunc("/instances", s.Faults.Wrap(OperationList, s.list)).Methods(http.MethodGet)
+	router.HandleFunc("/admin/counts", func(w http.ResponseWriter, _ *http.Request) {
+		serve.WriteJSON(w, http.StatusOK, s.Calls())
+	}).Methods(http.MethodGet)
+	router.HandleFunc("/admin/lag", s.putLag).Methods(http.MethodPut)
+	router.HandleFunc("/admin/instances/{instance}", s.putInstance).Methods(http.MethodPut)
+	router.HandleFunc("/admin/instances/{instance}", func(w http.ResponseWriter, r *http.Request) {
+		answerKnown(w, s.Remove(mulberryspool.InstanceID(mux.Vars(r)["instance"])))
+	}).Methods(http.MethodDelete)
+	router.HandleFunc("/admin/instances/{instance}/leave", func(w http.ResponseWriter, r *http.Request) {
+		answerKnown(w, s.Leave(mulberryspool.InstanceID(mux.Vars(r)["instance"])))
+	}).Methods(http.MethodPost)
+	return router
+}
+
+// Register adds an instance, or replaces the row of one.
+func (s *Server) Register(identity mulberryspool.Identity) {
+	s.init()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	identity.Incarnation = ""
+	instance := mulberryspool.ListedInstance{Identity: identity, State: mulberryspool.InstanceLive}
+	s.current[identity.Instance] = instance
+	s.change(change{instance: instance})
+}
+
+// Leave marks an instance as leaving. It returns false for an unknown one.
+func (s *Server) Leave(id mulberryspool.InstanceID) bool {
+	s.init()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	instance, found := s.current[id]
+	if !found {
+		return false
+	}
+	instance.State = mulberryspool.InstanceLeaving
+	s.current[id] = instance
+	s.change(change{instance: instance})
+	return true
+}
+
+// Remove takes an instance out. It returns false for an unknown one.
+func (s *Server) Remove(id mulberryspool.InstanceID) bool {
+	s.init()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	instance, found := s.current[id]
+	if !found {
+		return false
+	}
+	delete(s.current, id)
+	s.change(change{instance: instance, removed: true})
+	return true
+}
+
+// SetLag changes the time after which later changes become visible.
+func (s *Server) SetLag(lag time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.lag = max(0, lag)
+}
+
+// Instances returns the visible rows, sorted by instance.
+func (s *Server) Instances() []mulberryspool.ListedInstance {
+	s.init()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.settle()
+	instances := make([]mulberryspool.ListedInstance, 0, len(s.visible))
+	for _, instance := range s.visible {
+		instances = append(instances, instance)
+	}
+	slices.SortFunc(instances, func(a, b mulberryspool.ListedInstance) int {
+		return cmp.Compare(a.Instance, b.Instance)
+	})
+	return instances
+}
+
+// Calls returns the number of lists by the X-Caller header.
+func (s *Server) Calls() map[string]int {
+	s.init()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	calls := make(map[string]int, len(s.calls))
+	for caller, n := range s.calls {
+		calls[caller] = n
+	}
+	return calls
+}
+
+func (s *Server) init() {
+	s.once.Do(func() {
+		s.Faults.Clock = s.Clock
+		s.current = make(map[mulberryspool.InstanceID]mulberryspool.ListedInstance)
+		s.visible = make(map[mulberryspool.InstanceID]mulberryspool.ListedInstance)
+		s.calls = make(map[string]int)
+	})
+}
+
+// change needs the lock. Changes become visible in their order.
+func (s *Server) change(c change) {
+	c.at = s.Clock.Now().Add(s.lag)
+	if n := len(s.pending); n > 0 && s.pending[n-1].at.After(c.at) {
+		c.at = s.pending[n-1].at
+	}
+	s.pending = append(s.pending, c)
+	s.settle()
+}
+
+// settle needs the lock.
+func (s *Server) settle() {
+	now := s.Clock.Now()
+	for len(s.pending) > 0 && !s.pending[0].at.After(now) {
+		c := s.pending[0]
+		s.pending = s.pending[1:]
+		if c.removed {
+			delete(s.visible, c.instance.Instance)
+		} else {
+			s.visible[c.instance.Instance] = c.instance
+		}
+	}
+}
+
+func (s *Server) list(w http.ResponseWriter, r *http.Request, _ fault.Effect) {
+	s.mu.Lock()
+	s.calls[r.Header.Get(serve.CallerHeader)]++
+	s.mu.Unlock()
+	serve.WriteJSON(w, http.StatusOK, Listing{Instances: s.Instances()})
+}
+
+func (s *Server) putLag(w http.ResponseWriter, r *http.Request) {
+	var body Lag
+	if !serve.ReadJSON(w, r, &body) {
+		return
+	}
+	if body.Lag < 0 {
+		serve.WriteError(w, http.StatusBadRequest, "invalidLag", "the lag must not be negative")
+		return
+	}
+	s.SetLag(body.Lag)
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (s *Server) putInstance(w http.ResponseWriter, r *http.Request) {
+	var identity mulberryspool.Identity
+	if !serve.ReadJSON(w, r, &identity) {
+		return
+	}
+	if name := mux.Vars(r)["instance"]; string(identity.Instance) != name {
+		serve.WriteError(w, http.StatusBadRequest, "invalidInstance", "the body names another instance than the path")
+		return
+	}
+	s.Register(identity)
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func answerKnown(w http.ResponseWriter, known bool) {
+	if !known {
+		serve.WriteError(w, http.StatusNotFound, "notFound", "there is no such instance")
+		return
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
--- a/internal/standin/objectapi/server.go
+++ b/internal/standin/objectapi/server.go
@@ -30,8 +30,9 @@
 	MaxNameBytes = 512
 	// MaxWatchTimeout bounds the time that a watch waits.
 	MaxWatchTimeout = 5 * time.Minute
-	// DefaultReadsPerSecond and DefaultWritesPerSecond are the platform's stated rates.
-	DefaultReadsPerSecond  = 2000
+	// DefaultReadsPerSecond is the platform's stated rate of reads.
+	DefaultReadsPerSecond = 2000
+	// DefaultWritesPerSecond stands for the platform's "several hundred" writes.
 	DefaultWritesPerSecond = 400
 	// DefaultRetryAfter is the hint sent with 429 and 503.
 	DefaultRetryAfter = time.Second
