Add clients and stand-ins of model engines and plain services

A request is sent on a new connection, because net/http repeats some requests on a connection that was closed. A stream is complete only after [DONE]. The text of an answer depends on the request's body and the loaded digest, token by token, so that a test can tell an answer made with mixed weights.

--- /dev/null
+++ b/internal/backend/call/call.go
@@ -0,0 +1,147 @@
+// Package call sends live requests to a backend server over HTTP, each at
+// most once, and tells a complete answer from one that broke off.
+//
+//	BackendRequest --> new connection --> head of the answer --> body that
+//	ends with io.EOF only when it is complete
+package call
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptrace"
+	"slices"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/jonboulle/clockwork"
+
+	"github.com/mulberryspool/mulberryspool"
+)
+
+const (
+	// RequestIDHeader carries the request's ID.
+	RequestIDHeader = "X-Request-ID"
+	// PriorityHeader carries the request's priority.
+	PriorityHeader = "X-Priority"
+	// WorkspaceHeader carries the request's workspace.
+	WorkspaceHeader = "X-Workspace"
+
+	maxErrorBytes = 4 << 10
+)
+
+// Client sends requests to one backend server. Set the fields before the
+// first call.
+type Client struct {
+	// BaseURL is the backend server's URL without a final slash.
+	BaseURL string
+	// Streams is set for backend servers whose server-sent events end with [DONE].
+	Streams bool
+}
+
+// transport opens a connection for each request. On a connection that was
+// used before, net/http sends some requests a second time by itself when the
+// connection turns out to be closed. It follows no redirects.
+var transport = &http.Transport{DisableKeepAlives: true, DisableCompression: true}
+
+// Submit sends a request and returns the head of its answer. The error is
+// mulberryspool.ErrUnavailable if the request was certainly not sent, and
+// mulberryspool.ErrUncertain if it may have been.
+func (c *Client) Submit(ctx context.Context, request mulberryspool.BackendRequest) (mulberryspool.BackendAnswer, error) {
+	outbound, err := http.NewRequest(request.Method, c.BaseURL+request.Path, bytes.NewReader(request.Body))
+	if err != nil {
+		err = fmt.Errorf("%w: make request: %w", mulberryspool.ErrUnavailable, err)
+		return mulberryspool.BackendAnswer{}, mulberryspool.AtStep(err, "submit request", c.BaseURL)
+	}
+	outbound.Header.Set(RequestIDHeader, string(request.RequestID))
+	outbound.Header.Set(PriorityHeader, strconv.Itoa(request.Priority))
+	if request.Workspace != "" {
+		outbound.Header.Set(WorkspaceHeader, request.Workspace)
+	}
+	if request.ContentType != "" {
+		outbound.Header.Set("Content-Type", request.ContentType)
+	}
+	response, err := Send(ctx, outbound)
+	if err != nil {
+		return mulberryspool.BackendAnswer{}, mulberryspool.AtStep(err, "submit request", c.BaseURL)
+	}
+	contentType := response.Header.Get("Content-Type")
+	return mulberryspool.BackendAnswer{
+		Status:      response.StatusCode,
+		ContentType: contentType,
+		Body:        newBody(response, c.Streams && isEventStream(contentType)),
+	}, nil
+}
+
+// Send sends a request once. The error is mulberryspool.ErrUnavailable or
+// ErrUncertain as in Submit. The response's body must be closed.
+func Send(ctx context.Context, request *http.Request) (*http.Response, error) {
+	var connected atomic.Bool
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
+	})
+	response, err := transport.RoundTrip(request.WithContext(ctx))
+	if err == nil {
+		return response, nil
+	}
+	if connected.Load() {
+		return nil, fmt.Errorf("%w: %w", mulberryspool.ErrUncertain, err)
+	}
+	return nil, fmt.Errorf("%w: %w", mulberryspool.ErrUnavailable, err)
+}
+
+// Control sends a request whose answer is short, within the timeout, and
+// returns its status and body.
+func Control(ctx context.Context, clock mulberryspool.Clock, timeout time.Duration, request *http.Request, maxBytes int64) (int, []byte, error) {
+	if timeout > 0 {
+		var cancel context.CancelFunc
+		ctx, cancel = clockwork.WithTimeout(ctx, clock, timeout)
+		defer cancel()
+	}
+	response, err := Send(ctx, request)
+	if err != nil {
+		return 0, nil, err
+	}
+	defer response.Body.Close()
+	body, err := io.ReadAll(io.LimitReader(response.Body, maxBytes+1))
+	if err != nil {
+		return 0, nil, fmt.Errorf("%w: read answer: %w", mulberryspool.ErrUncertain, err)
+	}
+	if int64(len(body)) > maxBytes {
+		return 0, nil, errors.Newf("answer has more than %d bytes", maxBytes)
+	}
+	return response.StatusCode, body, nil
+}
+
+// StatusError describes an answer that is not the expected one. It is
+// mulberryspool.ErrNotFound for 404, and ErrUnavailable for 429 and 503,
+// which say that the call had no effect.
+func StatusError(status int, body []byte) error {
+	text := strings.TrimSpace(string(body[:min(len(body), maxErrorBytes)]))
+	err := errors.Newf("answered %d %s", status, text)
+	switch status {
+	case http.StatusNotFound:
+		return fmt.Errorf("%w: %w", mulberryspool.ErrNotFound, err)
+	case http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return fmt.Errorf("%w: %w", mulberryspool.ErrUnavailable, err)
+	default:
+		return err
+	}
+}
+
+func isEventStream(contentType string) bool {
+	mediaType, _, _ := strings.Cut(contentType, ";")
+	return strings.EqualFold(strings.TrimSpace(mediaType), "text/event-stream")
+}
+
+// endsByItself reports whether the answer shows where it ends. Without a
+// length or chunks it ends with the connection, like one that broke off.
+func endsByItself(response *http.Response) bool {
+	return response.ContentLength >= 0 || slices.Contains(response.TransferEncoding, "chunked") ||
+		response.Request.Method == http.MethodHead
+}
--- /dev/null
+++ b/internal/standin/engine/engine.go
@@ -0,0 +1,195 @@
+// Package engine stands in for a model engine with continuous batching.
+//
+//	POST /v1/chat/completions --> fault --> batch (capacity, priorities)
+//	     --> prefix cache --> tokens at a rate, each made from body and loaded digest
+//	POST /engine/load --> fencing --> stream from the order's source, SHA-256 --> swap
+//	test --> /admin/, or the Go methods: faults, executions, orders, settings
+//
+// The HTTP interface is described in docs/protocols.md.
+package engine
+
+import (
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/gorilla/mux"
+
+	"github.com/mulberryspool/mulberryspool"
+	"github.com/mulberryspool/mulberryspool/internal/standin/fault"
+	"github.com/mulberryspool/mulberryspool/internal/standin/pace"
+	"github.com/mulberryspool/mulberryspool/internal/standin/serve"
+)
+
+// Operations, as used by fault rules.
+const (
+	OperationComplete    = "complete"
+	OperationCancel      = "cancel"
+	OperationLoad        = "load"
+	OperationLoaded      = "loaded"
+	OperationReport      = "report"
+	OperationCacheEvents = "cacheEvents"
+)
+
+const (
+	// DefaultCapacity is the number of requests that run at once.
+	DefaultCapacity = 8
+	// DefaultMaxWaiting bounds the requests that wait for a place in the batch.
+	DefaultMaxWaiting = 1024
+	// DefaultCacheBlocks bounds the prefix cache.
+	DefaultCacheBlocks = 4096
+	// DefaultMaxExecutions bounds the record; the oldest ones are dropped.
+	DefaultMaxExecutions = 1 << 17
+
+	// PriorityHeader carries the priority, higher for what runs first.
+	PriorityHeader = "X-Priority"
+	// WorkspaceHeader carries the workspace.
+	WorkspaceHeader = "X-Workspace"
+)
+
+type (
+	// Server is the stand-in. Set the exported fields before the first call.
+	Server struct {
+		Clock mulberryspool.Clock
+		// Random is the source of gaps in the cache events; the server is its
+		// only user. It may be nil if CacheEventLoss is 0.
+		Random *rand.Rand
+		// Initial is what the engine serves at first; without a digest it
+		// serves nothing.
+		Initial mulberryspool.Loaded
+		// TokensPerSecond is the rate of one running request; 0 is unlimited.
+		TokensPerSecond float64
+		// PrefillTokensPerSecond is the rate at which the part of a prompt
+		// that is not in the prefix cache is read; 0 is unlimited.
+		PrefillTokensPerSecond float64
+		// Capacity, MaxWaiting, CacheBlocks and MaxExecutions are the
+		// defaults when they are 0.
+		Capacity      int
+		MaxWaiting    int
+		CacheBlocks   int
+		MaxExecutions int
+		// CacheEventDelay is the time until a cache event can be read.
+		CacheEventDelay time.Duration
+		// CacheEventLoss is the share of cache events that are never seen, 0 to 1.
+		CacheEventLoss float64
+		// ReportLag is the age of load reports.
+		ReportLag time.Duration
+		// LoadBytesPerSecond limits the reading of weights; 0 is unlimited.
+		LoadBytesPerSecond int64
+		// RefusesStaleOrders is set for an engine that checks fencing numbers.
+		RefusesStaleOrders bool
+		// Faults are the faults that are switched on.
+		Faults fault.Switch
+
+		once      sync.Once
+		batch     batch
+		cache     cache
+		reports   reports
+		records   records
+		loadLimit *pace.Limit
+		// loading holds one value while an order streams.
+		loading chan struct{}
+
+		mu       sync.Mutex
+		loaded   mulberryspool.Loaded
+		orders   []OrderRecord
+		settings Settings
+	}
+
+	// Settings can be changed while the engine runs.
+	Settings struct {
+		TokensPerSecond        float64 `json:"tokensPerSecond"`
+		PrefillTokensPerSecond float64 `json:"prefillTokensPerSecond"`
+	}
+)
+
+// Handler returns the HTTP interface, with the admin interface below /admin/.
+func (s *Server) Handler() http.Handler {
+	s.init()
+	router := mux.NewRouter()
+	s.Faults.Register(router)
+	router.HandleFunc("/v1/chat/completions", s.Faults.Wrap(OperationComplete, s.complete)).Methods(http.MethodPost)
+	router.HandleFunc("/v1/requests/{requestID}/cancel", s.Faults.Wrap(OperationCancel, s.cancel)).Methods(http.MethodPost)
+	router.HandleFunc("/engine/load", s.Faults.Wrap(OperationLoad, s.load)).Methods(http.MethodPost)
+	router.HandleFunc("/engine/loaded", s.Faults.Wrap(OperationLoaded, func(w http.ResponseWriter, _ *http.Request, _ fault.Effect) {
+		serve.WriteJSON(w, http.StatusOK, s.Loaded())
+	})).Methods(http.MethodGet)
+	router.HandleFunc("/engine/report", s.Faults.Wrap(OperationReport, func(w http.ResponseWriter, _ *http.Request, _ fault.Effect) {
+		serve.WriteJSON(w, http.StatusOK, s.reports.lagged(s.Clock.Now()))
+	})).Methods(http.MethodGet)
+	router.HandleFunc("/engine/cache-events", s.Faults.Wrap(OperationCacheEvents, s.cacheEvents)).Methods(http.MethodGet)
+	router.HandleFunc("/admin/executions", func(w http.ResponseWriter, r *http.Request) {
+		serve.WriteJSON(w, http.StatusOK, s.records.read(mulberryspool.RequestID(r.URL.Query().Get("requestID"))))
+	}).Methods(http.MethodGet)
+	router.HandleFunc("/admin/orders", func(w http.ResponseWriter, _ *http.Request) {
+		serve.WriteJSON(w, http.StatusOK, s.Orders())
+	}).Methods(http.MethodGet)
+	router.HandleFunc("/admin/settings", func(w http.ResponseWriter, r *http.Request) {
+		var body Settings
+		if !serve.ReadJSON(w, r, &body) {
+			return
+		}
+		s.SetSettings(body)
+		w.WriteHeader(http.StatusNoContent)
+	}).Methods(http.MethodPut)
+	return router
+}
+
+// Executions returns the record of one request, or of all for an empty ID.
+func (s *Server) Executions(id mulberryspool.RequestID) []Execution {
+	s.init()
+	return s.records.read(id).Executions
+}
+
+// Loaded returns what the engine serves now.
+func (s *Server) Loaded() mulberryspool.Loaded {
+	s.init()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.loaded
+}
+
+// SetSettings changes the rates of later tokens.
+func (s *Server) SetSettings(settings Settings) {
+	s.init()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.settings = settings
+}
+
+func (s *Server) init() {
+	s.once.Do(func() {
+		s.Faults.Clock = s.Clock
+		s.batch.init(orDefault(s.Capacity, DefaultCapacity), orDefault(s.MaxWaiting, DefaultMaxWaiting))
+		s.cache.init(s)
+		s.reports.init(s)
+		s.batch.changed = s.reports.note
+		s.records.init(orDefault(s.MaxExecutions, DefaultMaxExecutions))
+		s.loadLimit = pace.NewLimit(s.Clock, s.LoadBytesPerSecond)
+		s.loading = make(chan struct{}, 1)
+		s.loaded = s.Initial
+		s.settings = Settings{TokensPerSecond: s.TokensPerSecond, PrefillTokensPerSecond: s.PrefillTokensPerSecond}
+	})
+}
+
+func orDefault(value, preset int) int {
+	if value > 0 {
+		return value
+	}
+	return preset
+}
+
+func (s *Server) currentSettings() Settings {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.settings
+}
+
+func (s *Server) cancel(w http.ResponseWriter, r *http.Request, _ fault.Effect) {
+	if !s.records.cancel(mulberryspool.RequestID(mux.Vars(r)["requestID"])) {
+		serve.WriteError(w, http.StatusNotFound, "notFound", "no such request runs or waits")
+		return
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
--- a/internal/standin/fault/fault.go
+++ b/internal/standin/fault/fault.go
@@ -44,6 +44,8 @@
 	Stall Kind = "stall"
 	// Truncate sends half of the content, then closes the connection.
 	Truncate Kind = "truncate"
+	// EndEarly sends half of the content, then ends the answer as if it were complete.
+	EndEarly Kind = "endEarly"
 	// Corrupt changes a byte of the content.
 	Corrupt Kind = "corrupt"
 	// Fail lets the operation fail with the stand-in's own error.
@@ -93,7 +95,7 @@
 	}
 )
 
-var kinds = []Kind{Refuse, Unavailable, Hang, Slow, LoseAnswer, HangAnswer, Stall, Truncate, Corrupt, Fail}
+var kinds = []Kind{Refuse, Unavailable, Hang, Slow, LoseAnswer, HangAnswer, Stall, Truncate, EndEarly, Corrupt, Fail}
 
 // Add switches a fault on.
 func (s *Switch) Add(rule Rule) error {
--- /dev/null
+++ b/internal/standin/plainservice/plainservice.go
@@ -0,0 +1,205 @@
+// Package plainservice stands in for a plain HTTP service whose calls must
+// not be repeated. It records every execution.
+//
+// The HTTP interface is described in docs/protocols.md.
+package plainservice
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/gorilla/mux"
+
+	"github.com/mulberryspool/mulberryspool"
+	"github.com/mulberryspool/mulberryspool/internal/standin/fault"
+	"github.com/mulberryspool/mulberryspool/internal/standin/serve"
+)
+
+// OperationCall is the only operation, as used by fault rules.
+const OperationCall = "call"
+
+const (
+	// DefaultMaxExecutions bounds the record; the oldest ones are dropped.
+	DefaultMaxExecutions = 1 << 17
+
+	adminPrefix     = "/admin/"
+	maxRequestBytes = 16 << 20
+)
+
+type (
+	// Server is the stand-in. Set the exported fields before the first call.
+	Server struct {
+		Clock mulberryspool.Clock
+		// Delay is the time that a call takes.
+		Delay time.Duration
+		// MaxExecutions is DefaultMaxExecutions when it is 0.
+		MaxExecutions int
+		// Faults are the faults that are switched on. Fail answers 500 after
+		// the call has taken effect.
+		Faults fault.Switch
+
+		once       sync.Once
+		mu         sync.Mutex
+		delay      time.Duration
+		executions []*Execution
+		dropped    int
+	}
+
+	// Execution is one call. It has taken effect when it is recorded.
+	Execution struct {
+		RequestID mulberryspool.RequestID `json:"requestID"`
+		Method    string                  `json:"method"`
+		Path      string                  `json:"path"`
+		// Body is the digest of the request's body.
+		Body    mulberryspool.Digest `json:"body"`
+		Started time.Time            `json:"started"`
+		// Ended is zero while the call runs, or if its caller went away.
+		Ended time.Time `json:"ended"`
+		// Status is the answer's; 0 if there was none.
+		Status int `json:"status"`
+	}
+
+	// ExecutionList is the body of GET /admin/executions.
+	ExecutionList struct {
+		Executions []Execution `json:"executions"`
+		// Dropped counts the oldest ones that are no longer kept.
+		Dropped int `json:"dropped"`
+	}
+
+	// Answer is the body of the answer to a call.
+	Answer struct {
+		RequestID mulberryspool.RequestID `json:"requestID"`
+		Method    string                  `json:"method"`
+		Path      string                  `json:"path"`
+		// Body is the digest of the request's body.
+		Body mulberryspool.Digest `json:"body"`
+	}
+
+	// Settings is the body of PUT /admin/settings.
+	Settings struct {
+		// Delay is in nanoseconds.
+		Delay time.Duration `json:"delay"`
+	}
+)
+
+// Handler returns the HTTP interface: all paths except for those below
+// /admin/, which are the admin interface.
+func (s *Server) Handler() http.Handler {
+	s.init()
+	router := mux.NewRouter().SkipClean(true)
+	s.Faults.Register(router)
+	router.HandleFunc("/admin/executions", func(w http.ResponseWriter, r *http.Request) {
+		serve.WriteJSON(w, http.StatusOK, s.list(mulberryspool.RequestID(r.URL.Query().Get("requestID"))))
+	}).Methods(http.MethodGet)
+	router.HandleFunc("/admin/settings", func(w http.ResponseWriter, r *http.Request) {
+		var body Settings
+		if !serve.ReadJSON(w, r, &body) {
+			return
+		}
+		s.SetDelay(body.Delay)
+		w.WriteHeader(http.StatusNoContent)
+	}).Methods(http.MethodPut)
+	router.NotFoundHandler = s.Faults.Wrap(OperationCall, s.call)
+	return router
+}
+
+// Executions returns the record of one request, or of all for an empty ID.
+func (s *Server) Executions(id mulberryspool.RequestID) []Execution {
+	return s.list(id).Executions
+}
+
+// SetDelay changes the time that later calls take.
+func (s *Server) SetDelay(delay time.Duration) {
+	s.init()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.delay = delay
+}
+
+// Digest returns the digest under which a body is recorded.
+func Digest(body []byte) mulberryspool.Digest {
+	sum := sha256.Sum256(body)
+	return mulberryspool.Digest(hex.EncodeToString(sum[:]))
+}
+
+func (s *Server) init() {
+	s.once.Do(func() {
+		s.Faults.Clock = s.Clock
+		s.delay = s.Delay
+		if s.MaxExecutions <= 0 {
+			s.MaxExecutions = DefaultMaxExecutions
+		}
+	})
+}
+
+func (s *Server) list(id mulberryspool.RequestID) ExecutionList {
+	s.init()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	found := ExecutionList{Executions: []Execution{}, Dropped: s.dropped}
+	for _, e := range s.executions {
+		if id == "" || e.RequestID == id {
+			found.Executions = append(found.Executions, *e)
+		}
+	}
+	return found
+}
+
+func (s *Server) call(w http.ResponseWriter, r *http.Request, effect fault.Effect) {
+	if strings.HasPrefix(r.URL.Path, adminPrefix) {
+		serve.WriteError(w, http.StatusNotFound, "notFound", "there is no such admin call")
+		return
+	}
+	body, err := io.ReadAll(io.LimitReader(r.Body, maxRequestBytes+1))
+	if err != nil || len(body) > maxRequestBytes {
+		serve.WriteError(w, http.StatusBadRequest, "invalidBody", "the body was not received completely or is too large")
+		return
+	}
+	answer := Answer{
+		RequestID: mulberryspool.RequestID(r.Header.Get(serve.RequestIDHeader)),
+		Method:    r.Method,
+		Path:      r.URL.Path,
+		Body:      Digest(body),
+	}
+	execution, delay := s.start(answer)
+	if !fault.Sleep(r.Context(), s.Clock, delay) {
+		panic(http.ErrAbortHandler)
+	}
+	status := http.StatusOK
+	if effect.Kind == fault.Fail {
+		status = http.StatusInternalServerError
+	}
+	s.mu.Lock()
+	execution.Ended, execution.Status = s.Clock.Now(), status
+	s.mu.Unlock()
+	if status != http.StatusOK {
+		serve.WriteError(w, status, "failed", "the call failed because of a fault")
+		return
+	}
+	serve.WriteJSON(w, status, answer)
+}
+
+// start records the execution before the delay, because the call of a caller
+// that goes away has taken effect all the same.
+func (s *Server) start(answer Answer) (*Execution, time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	execution := &Execution{
+		RequestID: answer.RequestID,
+		Method:    answer.Method,
+		Path:      answer.Path,
+		Body:      answer.Body,
+		Started:   s.Clock.Now(),
+	}
+	s.executions = append(s.executions, execution)
+	if len(s.executions) > s.MaxExecutions {
+		s.executions = s.executions[1:]
+		s.dropped++
+	}
+	return execution, s.delay
+}
