Add manifests.fetch, LeavingParams, Heartbeat.Settled and Conn.Flush

manifests.fetch lets an agent continue an accepted rollout while the object API is down. Settled tells the successor in a chain of a rolling update that all agents before it serve the target; that the predecessor serves it is not enough, because it may have joined with the target. Flush lets a leaving process write its last answers before it closes a connection.

--- a/internal/peer/rpc/conn.go
+++ b/internal/peer/rpc/conn.go
@@ -113,6 +113,26 @@
 	}), method, c.peer)
 }
 
+// Flush returns when all messages queued before it have been written.
+func (c *Conn) Flush(ctx context.Context) error {
+	written := make(chan struct{})
+	err := c.enqueue(func(context.Context) error {
+		close(written)
+		return nil
+	})
+	if err != nil {
+		return mulberryspool.AtStep(err, "flush", c.peer)
+	}
+	select {
+	case <-written:
+		return nil
+	case <-c.Done():
+		return mulberryspool.AtStep(ErrClosed, "flush", c.peer)
+	case <-ctx.Done():
+		return mulberryspool.AtStep(ctx.Err(), "flush", c.peer)
+	}
+}
+
 // Decode decodes the parameters.
 func (m Message) Decode(params any) error {
 	return mulberryspool.AtStep(json.Unmarshal(m.params, params), m.Method, m.Conn.peer)
--- a/messages.go
+++ b/messages.go
@@ -14,6 +14,8 @@
 	MethodCancel      = "request.cancel"
 	MethodTablesFetch = "tables.fetch"
 	MethodChunksHave  = "chunks.have"
+	// MethodManifestFetch lets an agent read a manifest while the object API is down.
+	MethodManifestFetch = "manifests.fetch"
 )
 
 type (
@@ -110,6 +112,15 @@
 		Load          LoadReport `json:"load"`
 		Revision      Revision   `json:"revision"`
 		Leaving       bool       `json:"leaving,omitempty"`
+		// Settled is set while this agent and all before it in its chain of
+		// the rolling update serve Target; its successor may then swap.
+		Settled bool `json:"settled,omitempty"`
+	}
+
+	// LeavingParams tells connected entries that an agent takes no new work.
+	LeavingParams struct {
+		Instance    InstanceID  `json:"instance"`
+		Incarnation Incarnation `json:"incarnation"`
 	}
 
 	// StartParams asks an agent to run a request.
@@ -195,6 +206,12 @@
 		Above Revision `json:"above"`
 	}
 
+	// ManifestFetchParams asks for the manifest of a version; the answer is a
+	// Manifest, with an empty version if the agent does not have it.
+	ManifestFetchParams struct {
+		Version string `json:"version"`
+	}
+
 	// ChunksHaveParams tells an agent which chunks of a manifest the sender holds.
 	ChunksHaveParams struct {
 		Instance InstanceID `json:"instance"`
