Add the agent process

One event loop owns the gate and the rollout; adapters run their effects against the backend server, the object API, the stager and other agents.

--- /dev/null
+++ b/internal/agent/process/process_test.go
@@ -0,0 +1,227 @@
+package process
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/jonboulle/clockwork"
+	"github.com/rs/zerolog"
+	"go.uber.org/goleak"
+
+	"github.com/mulberryspool/mulberryspool"
+	"github.com/mulberryspool/mulberryspool/internal/observe/hlc"
+	"github.com/mulberryspool/mulberryspool/internal/peer/rpc"
+)
+
+const poolName = "draft-models"
+
+func enginePool(version string) mulberryspool.Pool {
+	return mulberryspool.Pool{Name: poolName, Kind: mulberryspool.PoolEngine, Version: version}
+}
+
+// runningAgent is a Process under test with its fakes.
+type runningAgent struct {
+	*Process
+	engine *fakeEngine
+	tables *fakeTables
+	stop   func()
+}
+
+type agentOptions struct {
+	instance  mulberryspool.InstanceID
+	run       string
+	engine    *fakeEngine
+	store     *fakeStore
+	instances *fakeInstances
+	change    func(*Process)
+}
+
+func startAgent(t *testing.T, o agentOptions) *runningAgent {
+	t.Helper()
+	control, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	clock := clockwork.NewRealClock()
+	tables := &fakeTables{}
+	identity := mulberryspool.Identity{
+		Instance: o.instance, Incarnation: mulberryspool.Incarnation(string(o.instance) + "/" + o.run),
+		Role: mulberryspool.RoleAgent, FailureDomain: "surat-a", Pool: poolName, Control: control.Addr().String(),
+	}
+	if o.instances == nil {
+		o.instances = &fakeInstances{}
+	}
+	o.instances.add(identity)
+	p := &Process{
+		Identity: identity, Clock: clock, Backend: o.engine, Store: o.store, Instances: o.instances,
+		Tables: tables, Stager: newStager(), Logger: zerolog.Nop(),
+		Endpoint: &rpc.Endpoint{Clock: clock, Stamps: &hlc.Clock{Wall: clock}}, Control: control,
+		ReadBackInterval: 20 * time.Millisecond, RetryInterval: 50 * time.Millisecond,
+		HeartbeatInterval: 20 * time.Millisecond, InstancesInterval: 50 * time.Millisecond,
+		MaxOrderDelay: 20 * time.Millisecond, LeaseDuration: 300 * time.Millisecond,
+	}
+	if o.change != nil {
+		o.change(p)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- p.Run(ctx) }()
+	var once sync.Once
+	a := &runningAgent{Process: p, engine: o.engine, tables: tables}
+	a.stop = func() {
+		once.Do(func() {
+			cancel()
+			if err := <-done; err != nil {
+				t.Error(err)
+			}
+		})
+	}
+	t.Cleanup(a.stop)
+	return a
+}
+
+// await polls until the condition holds; the test's own timeout bounds it.
+func await(t *testing.T, what string, condition func() bool) {
+	t.Helper()
+	t.Log("waiting until " + what)
+	for !condition() {
+		time.Sleep(2 * time.Millisecond)
+	}
+}
+
+func (a *runningAgent) awaitServing(t *testing.T, version string) {
+	t.Helper()
+	await(t, string(a.Identity.Instance)+" serves "+version, func() bool {
+		status := a.Status()
+		return status.ServedVersion == version && status.Served == manifestOf(version).Digest
+	})
+}
+
+// testEntry is a client that collects answers.
+type testEntry struct {
+	mu     sync.Mutex
+	conn   *rpc.Conn
+	status mulberryspool.Heartbeat
+	data   map[mulberryspool.RequestID][]byte
+	ends   chan mulberryspool.EndNotice
+	chunks chan mulberryspool.ChunkNotice
+	left   chan struct{}
+}
+
+func dialEntry(t *testing.T, address string) *testEntry {
+	t.Helper()
+	clock := clockwork.NewRealClock()
+	e := &testEntry{
+		data:   make(map[mulberryspool.RequestID][]byte),
+		ends:   make(chan mulberryspool.EndNotice, 100),
+		chunks: make(chan mulberryspool.ChunkNotice, 1000),
+		left:   make(chan struct{}, 10),
+	}
+	endpoint := &rpc.Endpoint{Clock: clock, Stamps: &hlc.Clock{Wall: clock}, Handle: e.handle}
+	conn, err := endpoint.Dial(t.Context(), address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(conn.Close)
+	e.conn = conn
+	var hello mulberryspool.HelloResult
+	params := mulberryspool.HelloParams{Identity: mulberryspool.Identity{Instance: "entry-1", Role: mulberryspool.RoleEntry}}
+	if err := conn.Call(t.Context(), mulberryspool.MethodHello, params, &hello); err != nil {
+		t.Fatal(err)
+	}
+	e.status = hello.Status
+	return e
+}
+
+func (e *testEntry) handle(m rpc.Message) {
+	switch m.Method {
+	case mulberryspool.MethodChunk:
+		var notice mulberryspool.ChunkNotice
+		if m.Decode(&notice) == nil {
+			e.mu.Lock()
+			e.data[notice.RequestID] = append(e.data[notice.RequestID][:notice.Offset], notice.Data...)
+			e.mu.Unlock()
+			e.chunks <- notice
+		}
+	case mulberryspool.MethodEnd:
+		var notice mulberryspool.EndNotice
+		if m.Decode(&notice) == nil {
+			e.ends <- notice
+		}
+	case mulberryspool.MethodLeaving:
+		e.left <- struct{}{}
+		_ = m.Reply(struct{}{})
+	}
+}
+
+func (e *testEntry) start(t *testing.T, id mulberryspool.RequestID) mulberryspool.StartResult {
+	t.Helper()
+	var status mulberryspool.Heartbeat
+	if err := e.conn.Call(t.Context(), mulberryspool.MethodHeartbeat, mulberryspool.HeartbeatParams{Instance: "entry-1"}, &status); err != nil {
+		t.Fatal(err)
+	}
+	e.status = status
+	var result mulberryspool.StartResult
+	params := mulberryspool.StartParams{
+		RequestID: id, Incarnation: status.Incarnation, AgentTime: status.AgentTime, Pool: poolName,
+		Remaining: time.Minute, Method: "POST", Path: "/v1/chat/completions", Body: []byte("{}"),
+	}
+	if err := e.conn.Call(t.Context(), mulberryspool.MethodStart, params, &result); err != nil {
+		t.Fatal(err)
+	}
+	return result
+}
+
+// checkAnswer compares an end with the bytes that arrived.
+func (e *testEntry) checkAnswer(t *testing.T, version string) {
+	t.Helper()
+	end := <-e.ends
+	want := fmt.Sprintf("first part from %s;last part", version)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	data := e.data[end.RequestID]
+	if end.Outcome != mulberryspool.OutcomeDone || end.Weights != manifestOf(version).Digest {
+		t.Fatalf("answer ended as %+v", end)
+	}
+	if !bytes.Equal(data, []byte(want)) || end.Length != int64(len(want)) || end.Checksum != xxhash.Sum64String(want) {
+		t.Fatalf("answer is %q, end %+v, want %q", data, end, want)
+	}
+}
+
+// Guards against an agent that does not load, serve, answer, or that breaks
+// off a request when it leaves, and against leaked goroutines.
+func TestServesAndLeaves(t *testing.T) {
+	defer goleak.VerifyNone(t, goleak.IgnoreCurrent())
+	engine := newEngine()
+	engine.hold = make(chan struct{})
+	a := startAgent(t, agentOptions{instance: "surat-1", run: "1", engine: engine, store: newStore("v1")})
+	a.tables.set(1, enginePool("v1"))
+	a.awaitServing(t, "v1")
+	entry := dialEntry(t, a.Identity.Control)
+	if result := entry.start(t, "r1"); !result.Accepted {
+		t.Fatalf("start was refused: %+v", result)
+	}
+	<-entry.chunks
+	left := make(chan struct{})
+	go func() {
+		defer close(left)
+		a.stop()
+	}()
+	<-entry.left
+	if result := entry.start(t, "r2"); result.Refusal != mulberryspool.RefusalLeaving {
+		t.Fatalf("a leaving agent answered %+v", result)
+	}
+	close(engine.hold)
+	entry.checkAnswer(t, "v1")
+	<-left
+	<-entry.conn.Done()
+	if loads := engine.loadCount(); loads != 1 {
+		t.Fatalf("%d loads, want 1", loads)
+	}
+}
--- /dev/null
+++ b/internal/agent/process/rolloutadapters.go
@@ -0,0 +1,163 @@
+package process
+
+import (
+	"context"
+	"encoding/json"
+	"sync/atomic"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/mulberryspool/mulberryspool"
+	"github.com/mulberryspool/mulberryspool/internal/agent/rollout"
+)
+
+// manifestTries bounds the peers that are asked for one manifest.
+const manifestTries = 4
+
+// followTables passes the newest view on. The subscription must not block, so
+// it only keeps the view and wakes the task up.
+func (p *Process) followTables() {
+	var newest atomic.Pointer[mulberryspool.TablesView]
+	wake := make(chan struct{}, 1)
+	p.Tables.Subscribe(func(view mulberryspool.TablesView) {
+		newest.Store(&view)
+		select {
+		case wake <- struct{}{}:
+		default:
+		}
+	})
+	p.tasks.Go(func() {
+		for {
+			select {
+			case <-wake:
+				if view := newest.Load(); view != nil {
+					p.post(tablesChanged(*view, p.Identity.Pool))
+				}
+			case <-p.running.Done():
+				return
+			}
+		}
+	})
+}
+
+// tablesChanged takes the agent's row out of a view.
+func tablesChanged(view mulberryspool.TablesView, name string) rollout.TablesChanged {
+	event := rollout.TablesChanged{Revision: view.Revision}
+	if view.Tables == nil {
+		return event
+	}
+	event.Pool, event.Exists = view.Tables.Pool(name)
+	for _, change := range view.Tables.Changes {
+		for _, row := range change.Rows {
+			if row.Table == "pools" && row.Row == name {
+				event.Change = change.ID
+			}
+		}
+	}
+	return event
+}
+
+// readManifest reads a manifest from the object API, or from a peer while the
+// object API is down. Manifests never change, so any copy is as good.
+func (p *Process) readManifest(version string) {
+	addresses := p.manifestPeers(version)
+	p.tasks.Go(func() {
+		ctx, cancel := context.WithTimeout(p.running, callTimeout)
+		defer cancel()
+		manifest, err := p.fetchManifest(ctx, version)
+		if err != nil && !errors.Is(err, mulberryspool.ErrNotFound) {
+			if copied, ok := p.fetchManifestFromPeers(addresses, version); ok {
+				manifest, err = copied, nil
+			}
+		}
+		p.post(func() {
+			event := rollout.ManifestRead{Version: version, Manifest: manifest}
+			if err != nil {
+				event.Error = err.Error()
+			} else {
+				p.manifests[version] = manifest
+			}
+			p.stepRollout(event)
+		})
+	})
+}
+
+// manifestPeers returns the addresses of a few agents of the pool, which
+// differ from agent to agent.
+func (p *Process) manifestPeers(version string) []string {
+	var addresses []string
+	for _, instance := range rollout.Order(version+"/"+string(p.Identity.Instance), p.members) {
+		if row, ok := p.listed[instance]; ok && instance != p.Identity.Instance && len(addresses) < manifestTries {
+			addresses = append(addresses, row.Control)
+		}
+	}
+	return addresses
+}
+
+func (p *Process) fetchManifest(ctx context.Context, version string) (mulberryspool.Manifest, error) {
+	var manifest mulberryspool.Manifest
+	object, err := p.Store.Get(ctx, mulberryspool.ManifestKind, version)
+	if err != nil {
+		return manifest, mulberryspool.AtStep(err, "read manifest "+version, "object API")
+	}
+	if err := json.Unmarshal(object.Value, &manifest); err != nil {
+		return manifest, mulberryspool.AtStep(err, "decode manifest "+version, "object API")
+	}
+	if manifest.Version != version || manifest.Digest == "" {
+		return manifest, mulberryspool.AtStep(errors.Newf("object describes version %q with digest %q", manifest.Version, manifest.Digest),
+			"read manifest "+version, "object API")
+	}
+	return manifest, nil
+}
+
+func (p *Process) fetchManifestFromPeers(addresses []string, version string) (mulberryspool.Manifest, bool) {
+	for _, address := range addresses {
+		manifest, err := p.fetchManifestFrom(address, version)
+		if err != nil {
+			p.Logger.Debug().Err(err).Str("peer", address).Str("version", version).Msg("manifest not read from peer")
+			continue
+		}
+		if manifest.Version == version && manifest.Digest != "" {
+			return manifest, true
+		}
+	}
+	return mulberryspool.Manifest{}, false
+}
+
+func (p *Process) fetchManifestFrom(address, version string) (mulberryspool.Manifest, error) {
+	ctx, cancel := context.WithTimeout(p.running, p.SuspectAfter)
+	defer cancel()
+	var manifest mulberryspool.Manifest
+	conn, err := p.Endpoint.Dial(ctx, address)
+	if err != nil {
+		return manifest, err
+	}
+	defer conn.Close()
+	err = conn.Call(ctx, mulberryspool.MethodManifestFetch, mulberryspool.ManifestFetchParams{Version: version}, &manifest)
+	return manifest, err
+}
+
+// stage runs a transfer until it is done or stopped.
+func (p *Process) stage(manifest mulberryspool.Manifest) {
+	ctx, cancel := context.WithCancel(p.running)
+	p.stages[manifest.Digest] = cancel
+	p.tasks.Go(func() {
+		defer cancel()
+		err := p.Stager.Stage(ctx, manifest)
+		if ctx.Err() != nil {
+			return
+		}
+		event := rollout.Staged{Digest: manifest.Digest}
+		if err != nil {
+			event.Error = err.Error()
+		}
+		p.post(event)
+	})
+}
+
+func (p *Process) stopStaging(digest mulberryspool.Digest) {
+	if stop, ok := p.stages[digest]; ok {
+		stop()
+		delete(p.stages, digest)
+	}
+}
