Add the entry: reducer, HTTP front, claims, deferred submissions and process

The entry takes callers' requests, chooses an agent and forwards its answer over jsonrpc2 connections.

--- /dev/null
+++ b/internal/entry/entrytest/pools.go
@@ -0,0 +1,219 @@
+package entrytest
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/mulberryspool/mulberryspool"
+)
+
+type (
+	// Router takes the first ready agent by name.
+	Router struct {
+		agents map[mulberryspool.InstanceID]mulberryspool.Candidate
+	}
+
+	// Admission admits up to Limit requests and queues up to Queue more.
+	Admission struct {
+		Limit, Queue int
+		// Retries is the number of retries left; negative means no bound.
+		Retries int
+
+		admitted map[mulberryspool.RequestID]bool
+		queued   []mulberryspool.AdmissionRequest
+	}
+
+	// Tables holds a view that tests change.
+	Tables struct {
+		mu      sync.Mutex
+		view    mulberryspool.TablesView
+		changed []func(mulberryspool.TablesView)
+		heard   []mulberryspool.Revision
+	}
+
+	// Instances is an instance list that tests change.
+	Instances struct {
+		mu   sync.Mutex
+		list []mulberryspool.ListedInstance
+	}
+
+	// Events keeps what was recorded.
+	Events struct {
+		mu   sync.Mutex
+		list []mulberryspool.Event
+	}
+)
+
+// Update implements mulberryspool.Router.
+func (r *Router) Update(c mulberryspool.Candidate) {
+	if r.agents == nil {
+		r.agents = make(map[mulberryspool.InstanceID]mulberryspool.Candidate)
+	}
+	r.agents[c.Instance] = c
+}
+
+// Remove implements mulberryspool.Router.
+func (r *Router) Remove(id mulberryspool.InstanceID) {
+	delete(r.agents, id)
+}
+
+// Choose implements mulberryspool.Router.
+func (r *Router) Choose(request mulberryspool.RoutingRequest) (mulberryspool.InstanceID, bool) {
+	var ready []mulberryspool.InstanceID
+	for id, c := range r.agents {
+		if c.Ready && !slices.Contains(request.Exclude, id) {
+			ready = append(ready, id)
+		}
+	}
+	if len(ready) == 0 {
+		return "", false
+	}
+	return slices.Min(ready), true
+}
+
+// Started implements mulberryspool.Router.
+func (r *Router) Started(mulberryspool.InstanceID, int, time.Time) {}
+
+// Ended implements mulberryspool.Router.
+func (r *Router) Ended(mulberryspool.InstanceID, mulberryspool.RoutingResult) {}
+
+// SetCapacity implements mulberryspool.Admission.
+func (a *Admission) SetCapacity(int, float64) {}
+
+// Offer implements mulberryspool.Admission.
+func (a *Admission) Offer(request mulberryspool.AdmissionRequest, _ time.Time) mulberryspool.AdmissionDecision {
+	if a.admitted == nil {
+		a.admitted = make(map[mulberryspool.RequestID]bool)
+	}
+	switch {
+	case len(a.admitted) < a.Limit:
+		a.admitted[request.ID] = true
+		return mulberryspool.AdmissionDecision{Admitted: true}
+	case len(a.queued) < a.Queue:
+		a.queued = append(a.queued, request)
+		return mulberryspool.AdmissionDecision{Queued: true}
+	}
+	return mulberryspool.AdmissionDecision{Reason: "full", RetryAfter: time.Second}
+}
+
+// Next implements mulberryspool.Admission.
+func (a *Admission) Next(now time.Time) (admitted, expired []mulberryspool.RequestID) {
+	var waiting []mulberryspool.AdmissionRequest
+	for _, request := range a.queued {
+		switch {
+		case !request.Deadline.After(now):
+			expired = append(expired, request.ID)
+		case len(a.admitted) < a.Limit:
+			a.admitted[request.ID] = true
+			admitted = append(admitted, request.ID)
+		default:
+			waiting = append(waiting, request)
+		}
+	}
+	a.queued = waiting
+	return admitted, expired
+}
+
+// Release implements mulberryspool.Admission.
+func (a *Admission) Release(id mulberryspool.RequestID, _ time.Time) {
+	delete(a.admitted, id)
+	a.queued = slices.DeleteFunc(a.queued, func(r mulberryspool.AdmissionRequest) bool { return r.ID == id })
+}
+
+// AllowRetry implements mulberryspool.Admission.
+func (a *Admission) AllowRetry(time.Time) bool {
+	if a.Retries == 0 {
+		return false
+	}
+	a.Retries--
+	return true
+}
+
+// InUse counts the admitted and queued requests.
+func (a *Admission) InUse() int {
+	return len(a.admitted) + len(a.queued)
+}
+
+// Set puts a view in force.
+func (t *Tables) Set(view mulberryspool.TablesView) {
+	t.mu.Lock()
+	t.view = view
+	changed := slices.Clone(t.changed)
+	t.mu.Unlock()
+	for _, f := range changed {
+		f(view)
+	}
+}
+
+// Current implements mulberryspool.TablesSource.
+func (t *Tables) Current() (mulberryspool.TablesView, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.view, t.view.Tables != nil
+}
+
+// Subscribe implements mulberryspool.TablesSource.
+func (t *Tables) Subscribe(changed func(mulberryspool.TablesView)) {
+	t.mu.Lock()
+	t.changed = append(t.changed, changed)
+	view := t.view
+	t.mu.Unlock()
+	if view.Tables != nil {
+		changed(view)
+	}
+}
+
+// Heard implements mulberryspool.TablesSource.
+func (t *Tables) Heard(revision mulberryspool.Revision, _ func(ctx context.Context) (mulberryspool.TablesDocument, error)) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.heard = append(t.heard, revision)
+}
+
+// HeardOf returns the revisions that peers were said to have.
+func (t *Tables) HeardOf() []mulberryspool.Revision {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return slices.Clone(t.heard)
+}
+
+// Document implements mulberryspool.TablesSource.
+func (t *Tables) Document(mulberryspool.Revision) (mulberryspool.TablesDocument, bool) {
+	return mulberryspool.TablesDocument{}, false
+}
+
+// Set replaces the list.
+func (i *Instances) Set(list ...mulberryspool.ListedInstance) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.list = list
+}
+
+// Instances implements mulberryspool.InstanceList.
+func (i *Instances) Instances(context.Context) ([]mulberryspool.ListedInstance, error) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return slices.Clone(i.list), nil
+}
+
+// Record implements mulberryspool.Recorder.
+func (e *Events) Record(event mulberryspool.Event) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.list = append(e.list, event)
+}
+
+// Count returns how many events of the kind were recorded.
+func (e *Events) Count(kind mulberryspool.EventKind) int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	n := 0
+	for _, event := range e.list {
+		if event.Kind == kind {
+			n++
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/internal/entry/process/exchanges.go
@@ -0,0 +1,101 @@
+package process
+
+import (
+	"context"
+	"sync"
+
+	"github.com/mulberryspool/mulberryspool"
+	"github.com/mulberryspool/mulberryspool/internal/entry/callers"
+	"github.com/mulberryspool/mulberryspool/internal/entry/deferred"
+	"github.com/mulberryspool/mulberryspool/internal/entry/dispatch"
+)
+
+// exchanges finds the callers that wait for answers.
+type exchanges struct {
+	mu   sync.Mutex
+	open map[mulberryspool.RequestID]*callers.Exchange
+}
+
+// submit starts a request; it returns false if its ID is in use.
+func (p *Process) submit(sub dispatch.Submission, exchange *callers.Exchange) bool {
+	p.exchanges.mu.Lock()
+	defer p.exchanges.mu.Unlock()
+	if p.exchanges.open[sub.ID] != nil {
+		return false
+	}
+	p.exchanges.open[sub.ID] = exchange
+	// Posting under the lock keeps the order of submissions and departures of one ID.
+	p.inbox.post(dispatch.Submitted{Submission: sub})
+	return true
+}
+
+// leave does nothing for a request that has ended.
+func (p *Process) leave(id mulberryspool.RequestID) {
+	p.exchanges.mu.Lock()
+	defer p.exchanges.mu.Unlock()
+	if p.exchanges.open[id] == nil {
+		return
+	}
+	delete(p.exchanges.open, id)
+	p.inbox.post(dispatch.CallerLeft{ID: id})
+}
+
+// tell passes an effect on to the caller that it is for.
+func (x *exchanges) tell(p *Process, effect dispatch.Effect) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	switch e := effect.(type) {
+	case dispatch.CallerHead:
+		if exchange := x.open[e.ID]; exchange != nil {
+			exchange.Head(e.Status, e.ContentType)
+		}
+	case dispatch.CallerBytes:
+		if exchange := x.open[e.ID]; exchange != nil {
+			exchange.Bytes(e.Data)
+		}
+	case dispatch.CallerReset:
+		if exchange := x.open[e.ID]; exchange != nil {
+			exchange.Reset()
+		}
+	case dispatch.CallerEnd:
+		if exchange := x.open[e.ID]; exchange != nil {
+			exchange.End(e.Weights, e.Version)
+			delete(x.open, e.ID)
+		}
+		p.Metrics.Tagged(map[string]string{"outcome": string(mulberryspool.OutcomeDone)}).Counter("requests_ended").Inc(1)
+	case dispatch.CallerError:
+		if exchange := x.open[e.ID]; exchange != nil {
+			exchange.Fail(e.Error)
+			delete(x.open, e.ID)
+		}
+		p.Metrics.Tagged(map[string]string{"outcome": string(e.Error.Outcome)}).Counter("requests_ended").Inc(1)
+	}
+}
+
+// execute runs a deferred submission to its end.
+func (p *Process) execute(_ context.Context, sub dispatch.Submission) (deferred.Answer, *dispatch.Error) {
+	exchange := callers.NewExchange(0, nil)
+	if !p.submit(sub, exchange) {
+		return deferred.Answer{}, &dispatch.Error{Outcome: mulberryspool.OutcomeNotRun, Code: dispatch.CodeDuplicateID,
+			Message: "a request with this ID is in progress"}
+	}
+	// The request has a deadline, so its end always comes while the process runs.
+	answer, err := exchange.Collect(p.calls)
+	if err != nil {
+		return deferred.Answer{}, &dispatch.Error{Outcome: mulberryspool.OutcomeUnknown, Code: dispatch.CodeStopping,
+			Message: "the entry stopped before the end"}
+	}
+	if answer.Err != nil {
+		return deferred.Answer{}, answer.Err
+	}
+	return deferred.Answer{
+		Status: answer.Status, ContentType: answer.ContentType, Body: answer.Data,
+		Weights: answer.Weights, Version: answer.Version,
+	}, nil
+}
+
+func (p *Process) serving(route string) bool {
+	serving := false
+	p.look(func(r *dispatch.Reducer) { serving = r.Serving(route) })
+	return serving
+}
--- /dev/null
+++ b/internal/entry/process/process_test.go
@@ -0,0 +1,166 @@
+package process
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/rs/zerolog"
+
+	"github.com/mulberryspool/mulberryspool"
+	"github.com/mulberryspool/mulberryspool/internal/entry/entrytest"
+	"github.com/mulberryspool/mulberryspool/internal/observe/hlc"
+	"github.com/mulberryspool/mulberryspool/internal/peer/rpc"
+)
+
+// system is an entry with fakes around it.
+type system struct {
+	process   *Process
+	store     *entrytest.Store
+	tables    *entrytest.Tables
+	instances *entrytest.Instances
+	events    *entrytest.Events
+	url       string
+	stop      context.CancelFunc
+	done      chan error
+}
+
+// reply is a read HTTP answer.
+type reply struct {
+	status          int
+	header, trailer http.Header
+	body            []byte
+}
+
+var testTables = &mulberryspool.Tables{
+	Routes: []mulberryspool.Route{
+		{Name: "scribe", Kind: mulberryspool.RouteChat, Pool: "engines", Priority: 5},
+		{Name: "ledger", Kind: mulberryspool.RoutePlain, Pool: "engines"},
+		{Name: "reader", Kind: mulberryspool.RoutePlain, Pool: "engines", Idempotent: true},
+		{Name: "orders", Kind: mulberryspool.RoutePlain, Pool: "engines", Deferred: true},
+	},
+	Pools: []mulberryspool.Pool{{Name: "engines", Kind: mulberryspool.PoolEngine, Version: "v1"}},
+}
+
+func agentNamed(name string) *entrytest.Agent {
+	return &entrytest.Agent{
+		Identity: mulberryspool.Identity{
+			Instance: mulberryspool.InstanceID(name), Incarnation: mulberryspool.Incarnation(name + "-1"),
+			Pool: "engines", FailureDomain: "north",
+		},
+		Answer: []byte("answer of " + name), ContentType: "text/plain",
+	}
+}
+
+// run starts an entry in front of the agents and waits until all are ready.
+func run(t *testing.T, agents ...*entrytest.Agent) *system {
+	t.Helper()
+	var rows []mulberryspool.ListedInstance
+	for _, a := range agents {
+		rows = append(rows, a.Serve(t))
+	}
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	wall := clockwork.NewRealClock()
+	s := &system{
+		store: &entrytest.Store{}, tables: &entrytest.Tables{}, instances: &entrytest.Instances{}, events: &entrytest.Events{},
+		url: "http://" + listener.Addr().String(), done: make(chan error, 1),
+	}
+	s.tables.Set(mulberryspool.TablesView{Revision: 1, Tables: testTables})
+	s.instances.Set(rows...)
+	s.process = &Process{
+		Identity:     mulberryspool.Identity{Instance: "entry-1", Incarnation: "e1", Role: mulberryspool.RoleEntry},
+		Clock:        wall,
+		Store:        s.store,
+		Instances:    s.instances,
+		Tables:       s.tables,
+		NewRouter:    func(string) mulberryspool.Router { return &entrytest.Router{} },
+		NewAdmission: func(string) mulberryspool.Admission { return &entrytest.Admission{Limit: 100, Retries: -1} },
+		Recorder:     s.events,
+		Logger:       zerolog.Nop(),
+		Endpoint:     &rpc.Endpoint{Clock: wall, Stamps: &hlc.Clock{Wall: wall}},
+		Callers:      listener,
+
+		InstancePoll: 20 * time.Millisecond, HeartbeatInterval: 50 * time.Millisecond,
+		SuspicionFloor: 200 * time.Millisecond, SuspicionCap: 500 * time.Millisecond,
+		Grace: 50 * time.Millisecond, DeferredScan: 100 * time.Millisecond,
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	s.stop = cancel
+	go func() { s.done <- s.process.Run(ctx) }()
+	t.Cleanup(func() {
+		cancel()
+		if err := <-s.done; err != nil {
+			t.Error(err)
+		}
+	})
+	s.await(t, func() bool {
+		ready := 0
+		for _, a := range s.process.Status().Agents {
+			if a.Ready {
+				ready++
+			}
+		}
+		return ready == len(agents)
+	})
+	return s
+}
+
+func (s *system) await(t *testing.T, condition func() bool) {
+	t.Helper()
+	for range 2000 {
+		if condition() {
+			return
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	t.Fatal("the awaited condition did not come")
+}
+
+func (s *system) send(t *testing.T, method, path, body string, headers ...string) (reply, error) {
+	t.Helper()
+	request, err := http.NewRequestWithContext(context.Background(), method, s.url+path, strings.NewReader(body))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for i := 0; i+1 < len(headers); i += 2 {
+		request.Header.Set(headers[i], headers[i+1])
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return reply{}, err
+	}
+	defer response.Body.Close()
+	content, err := io.ReadAll(response.Body)
+	return reply{response.StatusCode, response.Header, response.Trailer, content}, err
+}
+
+// Guards against an answer that lacks bytes, trailers or the request's own ID.
+func TestAnswerIsCompleteAndNamed(t *testing.T) {
+	a := agentNamed("agent-1")
+	s := run(t, a)
+	got, err := s.send(t, http.MethodPost, "/ledger/entries?page=2", "hello", "X-Request-ID", "r-1")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got.status != http.StatusOK || !bytes.Equal(got.body, a.Answer) {
+		t.Fatalf("answer is %d %q", got.status, got.body)
+	}
+	if id := got.header.Get("X-Request-ID"); id != "r-1" {
+		t.Errorf("answer names request %q", id)
+	}
+	if weights := got.trailer.Get("X-Weights-Digest"); weights != string(entrytest.Weights) {
+		t.Errorf("trailer names weights %q", weights)
+	}
+	if starts := a.Starts(); len(starts) != 1 || starts[0].Path != "/entries?page=2" || string(starts[0].Body) != "hello" {
+		t.Errorf("agent got %+v", starts)
+	}
+}
