--- a/internal/entry/dispatch/answers.go
+++ b/internal/entry/dispatch/answers.go
@@ -157,7 +157,12 @@
 // neverSeen takes an agent's word that it refuses the request from now on,
 // unless that contradicts what it said before.
 func (r *Reducer) neverSeen(q *request) {
+	a := r.agents[q.agent]
+	// An agent forgets answers after a while, so its word counts only near the start.
+	age := a.status.AgentTime + r.now.Sub(a.statusAt) - q.agentTime
 	switch {
+	case age > r.Settings.NeverSeenTrust:
+		r.lose(q, CodeAnswerLost)
 	case q.attached:
 		r.takeOver(q)
 	case q.accepted || q.offset > 0:
--- a/internal/entry/dispatch/keyed.go
+++ b/internal/entry/dispatch/keyed.go
@@ -134,9 +134,7 @@
 
 // takeOver runs the request in place of one that never arrived at its agent.
 func (r *Reducer) takeOver(q *request) {
-	a := r.agents[q.agent]
-	fresh := a.status.AgentTime-q.agentTime <= r.Settings.NeverSeenTrust
-	if q.claim.Outcome != "" || q.offset > 0 || !fresh {
+	if q.claim.Outcome != "" || q.offset > 0 {
 		r.loseAttached(q, CodeAnswerLost)
 		return
 	}
--- a/internal/entry/dispatch/requests.go
+++ b/internal/entry/dispatch/requests.go
@@ -271,6 +271,7 @@
 func (r *Reducer) repeat(q *request, outcome mulberryspool.Outcome) {
 	r.cancel(q)
 	r.unbind(q, outcome)
+	q.mayHaveRun = true
 	if q.head || q.offset > 0 {
 		r.tell(q, CallerReset{ID: q.sub.ID})
 	}
@@ -345,6 +346,9 @@
 	if q.phase == phaseClaiming {
 		r.abandoned[claimKey{q.sub.ID, q.attempt}] = struct{}{}
 	}
+	if q.mayHaveRun && err.Outcome == mulberryspool.OutcomeNotRun {
+		err.Outcome = mulberryspool.OutcomeUnknown
+	}
 	if err.Outcome == mulberryspool.OutcomeNotRun || err.Outcome == mulberryspool.OutcomeFailed {
 		r.endClaim(q, err.Outcome)
 	}
--- a/internal/entry/dispatch/state.go
+++ b/internal/entry/dispatch/state.go
@@ -88,13 +88,15 @@
 		sent bool
 		// accepted is set once the agent has said that it runs the request.
 		accepted bool
-		resolves int
-		offset   int64
-		sum      *xxhash.Digest
-		head     bool
-		tried    []triedAgent
-		refusal  mulberryspool.Refusal
-		claim    *claims.Claim
+		// mayHaveRun is set once an earlier attempt may have run the request.
+		mayHaveRun bool
+		resolves   int
+		offset     int64
+		sum        *xxhash.Digest
+		head       bool
+		tried      []triedAgent
+		refusal    mulberryspool.Refusal
+		claim      *claims.Claim
 		// attached requests read the answer of an earlier one with the same key.
 		attached bool
 		// left is set when the caller is gone but the request goes on.
