--- /dev/null
+++ b/internal/agent/fetch/effects.go
@@ -0,0 +1,136 @@
+package fetch
+
+import (
+	"context"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/mulberryspool/mulberryspool"
+	"github.com/mulberryspool/mulberryspool/internal/agent/bitset"
+	"github.com/mulberryspool/mulberryspool/internal/agent/staging"
+	"github.com/mulberryspool/mulberryspool/internal/agent/swarm"
+	"github.com/mulberryspool/mulberryspool/internal/peer/chunks"
+)
+
+// apply runs an effect of the planner. It does not block.
+func (f *Fetcher) apply(ctx context.Context, effect swarm.Effect) {
+	switch e := effect.(type) {
+	case swarm.Fetch:
+		ctx, cancel := context.WithCancel(ctx)
+		f.cancels[e.Attempt] = cancel
+		f.tasks.Go(func() {
+			defer cancel()
+			f.fetch(ctx, e)
+		})
+	case swarm.Cancel:
+		if cancel := f.cancels[e.Attempt]; cancel != nil {
+			cancel()
+		}
+	case swarm.Tell:
+		f.tasks.Go(func() { f.tell(ctx, e) })
+	case swarm.Record:
+		f.Logger.Warn().Str("step", e.Event.Step).Str("peer", e.Event.Peer).Str("version", e.Event.Version).Msg(e.Event.Detail)
+		if f.Recorder != nil {
+			f.Recorder.Record(e.Event)
+		}
+	case swarm.Complete:
+		f.end(e.Manifest, nil)
+	}
+}
+
+// fetch runs one attempt and reports how it ended.
+func (f *Fetcher) fetch(ctx context.Context, e swarm.Fetch) {
+	data, err := f.read(ctx, e)
+	if err == nil {
+		err = f.store.Put(e.Chunk.Digest, data)
+	}
+	if err != nil {
+		reason := reasonOf(err)
+		if reason != swarm.Busy && reason != swarm.NotHeld && ctx.Err() == nil {
+			f.noteFailure(e, err)
+		}
+		f.send(swarm.Failed{Attempt: e.Attempt, Reason: reason, Err: err})
+		return
+	}
+	f.noteStored(e)
+	f.send(swarm.Fetched{Attempt: e.Attempt, Chunk: e.Chunk.Digest})
+}
+
+// read returns the bytes of a chunk, unverified.
+func (f *Fetcher) read(ctx context.Context, e swarm.Fetch) ([]byte, error) {
+	switch e.Source.Kind {
+	case swarm.FromOrigin:
+		data, err := f.Origin.ReadRange(ctx, e.Path, e.Offset, e.Chunk.Size)
+		return f.arrived(ctx, data, mulberryspool.AtStep(err, "read chunk", "origin"))
+	case swarm.FromWeightStore:
+		data, err := f.WeightStore.ReadChunk(ctx, e.Chunk.Digest)
+		return f.arrived(ctx, data, mulberryspool.AtStep(err, "read chunk", "weight store"))
+	}
+	listed, ok := f.instance(e.Source.Instance)
+	if !ok {
+		return nil, errors.Newf("instance %s is not in the instance list", e.Source.Instance)
+	}
+	held, _ := f.store.Held(e.Manifest)
+	request := chunks.Request{
+		Address:  listed.Chunks,
+		Chunk:    e.Chunk,
+		Have:     mulberryspool.ChunksHaveParams{Instance: f.Identity.Instance, Manifest: e.Manifest, Have: held},
+		Received: func(int) { f.offer(swarm.Progressed{Attempt: e.Attempt}) },
+	}
+	if e.Source.Kind == swarm.FromRegion && f.RegionLink != nil {
+		request.Limiter = f.RegionLink(listed.Region)
+	}
+	answer, err := f.client.Fetch(ctx, request)
+	if answer.Have != nil {
+		f.offer(swarm.Have{Instance: e.Source.Instance, Manifest: e.Manifest, Held: bitset.Set(answer.Have.Have), Told: held})
+	}
+	return answer.Data, err
+}
+
+// arrived waits until the downlink has room for data that was read as a whole.
+func (f *Fetcher) arrived(ctx context.Context, data []byte, err error) ([]byte, error) {
+	if err != nil || f.Downlink == nil {
+		return data, err
+	}
+	return data, f.Downlink.Wait(ctx, len(data))
+}
+
+func reasonOf(err error) swarm.Reason {
+	switch {
+	case errors.Is(err, chunks.ErrBusy):
+		return swarm.Busy
+	case errors.Is(err, chunks.ErrNotHeld), errors.Is(err, mulberryspool.ErrNotFound):
+		return swarm.NotHeld
+	case errors.Is(err, staging.ErrDigest):
+		return swarm.WrongDigest
+	}
+	return swarm.Unreachable
+}
+
+func (f *Fetcher) noteFailure(e swarm.Fetch, err error) {
+	f.Metrics.Counter("chunk_fetch_failures").Inc(1)
+	f.Logger.Debug().Err(err).Str("step", "fetch chunk").Str("peer", e.Source.String()).Msg("fetch failed")
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.transfer != nil && f.transfer.manifest.Digest == e.Manifest {
+		f.transfer.progress.reason = err.Error()
+	}
+}
+
+func (f *Fetcher) noteStored(e swarm.Fetch) {
+	f.Metrics.Tagged(map[string]string{"source": sourceNames[e.Source.Kind]}).Counter("chunk_bytes").Inc(e.Chunk.Size)
+	f.Metrics.Gauge("staged_bytes").Update(float64(f.store.Bytes()))
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.transfer != nil && f.transfer.manifest.Digest == e.Manifest {
+		f.transfer.progress.add(f.Clock.Now(), e.Source.Kind, e.Chunk.Size)
+	}
+}
+
+// sourceNames are the values of the metric tag "source".
+var sourceNames = map[swarm.SourceKind]string{
+	swarm.FromOrigin:      "origin",
+	swarm.FromWeightStore: "weightStore",
+	swarm.FromRegion:      "region",
+	swarm.FromPeer:        "peer",
+}
--- /dev/null
+++ b/internal/agent/fetch/fleet_test.go
@@ -0,0 +1,277 @@
+package fetch
+
+import (
+	"context"
+	"encoding/binary"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/jonboulle/clockwork"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/mulberryspool/mulberryspool"
+	"github.com/mulberryspool/mulberryspool/internal/agent/staging"
+	"github.com/mulberryspool/mulberryspool/internal/agent/swarm"
+	"github.com/mulberryspool/mulberryspool/internal/observe/hlc"
+	"github.com/mulberryspool/mulberryspool/internal/peer/chunks"
+	"github.com/mulberryspool/mulberryspool/internal/peer/rpc"
+)
+
+type (
+	// fakeOrigin serves contents by path at a limited rate.
+	fakeOrigin struct {
+		link  *chunks.Link
+		bytes atomic.Int64
+		down  atomic.Bool
+
+		mu       sync.Mutex
+		contents map[string][]byte
+	}
+
+	fakeList struct {
+		mu   sync.Mutex
+		rows []mulberryspool.ListedInstance
+	}
+
+	fakeRecorder struct {
+		mu     sync.Mutex
+		events []mulberryspool.Event
+	}
+
+	// fleet is a set of agents in one process, joined by loopback.
+	fleet struct {
+		t       testing.TB
+		origin  *fakeOrigin
+		list    *fakeList
+		agents  []*testAgent
+		regions []string
+		// configure changes a fetcher before it runs; it may be nil.
+		configure func(*Fetcher)
+	}
+
+	testAgent struct {
+		*Fetcher
+		recorder *fakeRecorder
+		control  net.Listener
+		ctx      context.Context
+		kill     context.CancelFunc
+		running  bool
+		done     chan struct{}
+	}
+)
+
+func (o *fakeOrigin) set(path string, content []byte) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.contents == nil {
+		o.contents = make(map[string][]byte)
+	}
+	o.contents[path] = content
+}
+
+func (o *fakeOrigin) content(path string) ([]byte, error) {
+	if o.down.Load() {
+		return nil, errors.New("origin is down")
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	content, ok := o.contents[path]
+	if !ok {
+		return nil, mulberryspool.ErrNotFound
+	}
+	return content, nil
+}
+
+func (o *fakeOrigin) ReadRange(ctx context.Context, path string, offset, size int64) ([]byte, error) {
+	content, err := o.content(path)
+	if err != nil {
+		return nil, err
+	}
+	if err := o.link.Wait(ctx, int(size)); err != nil {
+		return nil, err
+	}
+	o.bytes.Add(size)
+	return append([]byte(nil), content[offset:offset+size]...), nil
+}
+
+func (o *fakeOrigin) Size(_ context.Context, path string) (int64, error) {
+	content, err := o.content(path)
+	return int64(len(content)), err
+}
+
+func (l *fakeList) Instances(context.Context) ([]mulberryspool.ListedInstance, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return append([]mulberryspool.ListedInstance(nil), l.rows...), nil
+}
+
+func (l *fakeList) add(identity mulberryspool.Identity) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.rows = append(l.rows, mulberryspool.ListedInstance{Identity: identity, State: mulberryspool.InstanceLive})
+}
+
+func (r *fakeRecorder) Record(event mulberryspool.Event) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.events = append(r.events, event)
+}
+
+// newContent returns repeatable random bytes.
+func newContent(seed uint64, size int) []byte {
+	var key [32]byte
+	binary.LittleEndian.PutUint64(key[:], seed)
+	content := make([]byte, size)
+	_, _ = rand.NewChaCha8(key).Read(content)
+	return content
+}
+
+func manifestOf(version, path string, content []byte, chunkBytes int) mulberryspool.Manifest {
+	manifest := mulberryspool.Manifest{Version: version, OriginPath: path, Size: int64(len(content)), Digest: staging.DigestOf(content)}
+	for offset := 0; offset < len(content); offset += chunkBytes {
+		data := content[offset:min(len(content), offset+chunkBytes)]
+		manifest.Chunks = append(manifest.Chunks, mulberryspool.Chunk{Digest: staging.DigestOf(data), Size: int64(len(data))})
+	}
+	return manifest
+}
+
+func newFleet(t testing.TB) *fleet {
+	f := &fleet{
+		t:       t,
+		origin:  &fakeOrigin{link: &chunks.Link{Clock: clockwork.NewRealClock()}},
+		list:    &fakeList{},
+		regions: []string{"east", "west", "south"},
+	}
+	t.Cleanup(f.stop)
+	return f
+}
+
+// start adds agents, spread over the regions, and puts them on the list
+// before the first one runs.
+func (f *fleet) start(count int) []*testAgent {
+	var added []*testAgent
+	for range count {
+		added = append(added, f.listen())
+	}
+	for _, a := range added {
+		f.run(a)
+	}
+	return added
+}
+
+// listen makes an agent that is on the list but does not run yet.
+func (f *fleet) listen() *testAgent {
+	number := len(f.agents)
+	region := f.regions[number%len(f.regions)]
+	clock := clockwork.NewRealClock()
+	a := &testAgent{recorder: &fakeRecorder{}, control: f.port(), done: make(chan struct{})}
+	listener := f.port()
+	a.Fetcher = &Fetcher{
+		Identity: mulberryspool.Identity{
+			Instance: mulberryspool.InstanceID(fmt.Sprintf("agent-%03d", number)), Role: mulberryspool.RoleAgent,
+			FailureDomain: region + "-a", Region: region, Pool: "models",
+			Control: a.control.Addr().String(), Chunks: listener.Addr().String(),
+		},
+		Clock: clock, Origin: f.origin, Instances: f.list, Listener: listener,
+		Recorder: a.recorder, Seed: uint64(number),
+		Limits:       quickLimits(),
+		ListInterval: 100 * time.Millisecond,
+	}
+	a.Endpoint = &rpc.Endpoint{Clock: clock, Stamps: &hlc.Clock{Wall: clock}, Handle: a.handle}
+	if f.configure != nil {
+		f.configure(a.Fetcher)
+	}
+	a.ctx, a.kill = context.WithCancel(context.Background())
+	f.list.add(a.Identity)
+	f.agents = append(f.agents, a)
+	return a
+}
+
+func (f *fleet) port() net.Listener {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	return listener
+}
+
+func (f *fleet) run(a *testAgent) {
+	var group errgroup.Group
+	group.Go(func() error { return a.Endpoint.Serve(a.ctx, a.control) })
+	group.Go(func() error { return a.Run(a.ctx) })
+	a.running = true
+	go func() {
+		defer close(a.done)
+		if err := group.Wait(); err != nil {
+			f.t.Error(err)
+		}
+	}()
+}
+
+// stop ends all agents.
+func (f *fleet) stop() {
+	for _, a := range f.agents {
+		a.kill()
+		if !a.running {
+			a.control.Close()
+			a.Listener.Close()
+		}
+	}
+	for _, a := range f.agents {
+		if a.running {
+			<-a.done
+		}
+	}
+}
+
+// handle answers chunks.have as the process of an agent does.
+func (a *testAgent) handle(m rpc.Message) {
+	var params mulberryspool.ChunksHaveParams
+	if err := m.Decode(&params); err != nil {
+		_ = m.ReplyError(1, err.Error())
+		return
+	}
+	_ = m.Reply(a.Have(params))
+}
+
+// stage starts the transfer on all given agents and returns when it has ended
+// on those that were not killed.
+func (f *fleet) stage(ctx context.Context, agents []*testAgent, manifest mulberryspool.Manifest) {
+	f.t.Helper()
+	var group errgroup.Group
+	for _, a := range agents {
+		group.Go(func() error {
+			err := a.Stage(ctx, manifest)
+			if a.ctx.Err() != nil {
+				return nil
+			}
+			return errors.Wrapf(err, "agent %s", a.Identity.Instance)
+		})
+	}
+	if err := group.Wait(); err != nil {
+		f.t.Fatal(err)
+	}
+}
+
+// quickLimits are the defaults with waits suited to transfers of a few seconds.
+func quickLimits() swarm.Limits {
+	return swarm.Limits{
+		OriginBias:       swarm.DefaultOriginBias,
+		TakeoverShortest: 200 * time.Millisecond,
+		TakeoverLongest:  4 * time.Second,
+		TellInterval:     80 * time.Millisecond,
+		StartWait:        300 * time.Millisecond,
+		ProbeWait:        300 * time.Millisecond,
+		ProgressTimeout:  2 * time.Second,
+		BusyWait:         20 * time.Millisecond,
+		AvoidFor:         300 * time.Millisecond,
+		SuspectFor:       time.Second,
+		OriginRetry:      100 * time.Millisecond,
+	}
+}
--- /dev/null
+++ b/internal/agent/swarm/peers.go
@@ -0,0 +1,260 @@
+package swarm
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/mulberryspool/mulberryspool"
+	"github.com/mulberryspool/mulberryspool/internal/agent/bitset"
+)
+
+// peer is what is known of another agent.
+type peer struct {
+	Member
+	neighbour bool
+	// greeted is set once the first exchange of this transfer has ended.
+	greeted bool
+	// held is nil until the agent said what it holds.
+	held bitset.Set
+	told bitset.Set
+	// toldAt is the time of the last message sent.
+	toldAt   time.Time
+	inflight int
+	// strikes counts bad data and broken transfers since the last good chunk.
+	strikes      int
+	busyUntil    time.Time
+	avoidUntil   time.Time
+	suspectUntil time.Time
+	absentUntil  time.Time
+}
+
+// peer returns the state for a member, made at the first use.
+func (p *Planner) peer(m Member) *peer {
+	if known := p.peers[m.Instance]; known != nil {
+		known.Member = m
+		return known
+	}
+	if len(p.known) >= knownPerNeighbour*p.limits.Neighbours {
+		p.forgetOne()
+	}
+	added := &peer{Member: m}
+	p.peers[m.Instance] = added
+	p.known = append(p.known, added)
+	return added
+}
+
+// forgetOne makes room for another peer; those in use stay.
+func (p *Planner) forgetOne() {
+	i := slices.IndexFunc(p.known, func(k *peer) bool {
+		return !k.neighbour && k.inflight == 0 && k.strikes == 0 && !k.suspectUntil.After(p.now)
+	})
+	if i >= 0 {
+		delete(p.peers, p.known[i].Instance)
+		p.known = slices.Delete(p.known, i, i+1)
+	}
+}
+
+func (p *Planner) setMembers(live []Member) {
+	p.members, p.listed = p.members[:0], true
+	p.regions = map[string]bool{p.Self.Region: true}
+	listed := make(map[mulberryspool.InstanceID]bool, len(live))
+	for _, m := range live {
+		if m.Instance != p.Self.Instance {
+			p.members = append(p.members, m)
+			p.regions[m.Region] = true
+			listed[m.Instance] = true
+		}
+	}
+	// Agents that left the list and hold nothing for this one are forgotten.
+	p.known = slices.DeleteFunc(p.known, func(k *peer) bool {
+		gone := !listed[k.Instance] && k.inflight == 0 && k.suspectUntil.After(p.now)
+		if gone {
+			delete(p.peers, k.Instance)
+		}
+		return gone
+	})
+	p.rolesStale = true
+	if p.active {
+		p.chooseNeighbours(p.now)
+		p.probePools()
+	}
+}
+
+// member finds an agent in the instance list or among the peers.
+func (p *Planner) member(id mulberryspool.InstanceID) (Member, bool) {
+	if known := p.peers[id]; known != nil {
+		return known.Member, true
+	}
+	i := slices.IndexFunc(p.members, func(m Member) bool { return m.Instance == id })
+	if i < 0 {
+		return Member{}, false
+	}
+	return p.members[i], true
+}
+
+func (p *Planner) have(e Have) {
+	m, ok := p.member(e.Instance)
+	if !ok || !p.active || e.Manifest != p.manifest.Digest {
+		return
+	}
+	peer := p.peer(m)
+	peer.greeted = true
+	delete(p.cut, m.Region)
+	if peer.suspectUntil.After(p.now) {
+		peer.suspectUntil = time.Time{}
+		p.rolesStale = true
+	}
+	if len(e.Held) == 0 {
+		peer.held = nil
+		peer.absentUntil = p.now.Add(p.limits.SuspectFor)
+		p.rolesStale = true
+		return
+	}
+	if peer.absentUntil.After(p.now) || !p.pools[m.Pool] {
+		peer.absentUntil = time.Time{}
+		p.pools[m.Pool] = true
+		p.rolesStale = true
+	}
+	held := e.Held.Fit(len(p.manifest.Chunks))
+	p.restartWaits(peer, held)
+	peer.held = held
+	if e.Told != nil {
+		peer.told = e.Told.Clone()
+		peer.toldAt = p.now
+	}
+}
+
+// restartWaits lets successors wait anew for an agent that brings chunks of
+// which it is the head.
+func (p *Planner) restartWaits(from *peer, held bitset.Set) {
+	if !held.Exceeds(from.held) {
+		return
+	}
+	brought := slices.ContainsFunc(p.wanted, func(c *chunk) bool {
+		return c.expects(from.Instance) && held.Has(c.indexes[0]) && !from.held.Has(c.indexes[0])
+	})
+	if !brought {
+		return
+	}
+	for _, c := range p.wanted {
+		if !c.held && c.since.Before(p.now) && c.expects(from.Instance) {
+			c.since = p.now
+		}
+	}
+}
+
+// expects reports whether the agent is to bring the chunk into a region.
+func (c *chunk) expects(id mulberryspool.InstanceID) bool {
+	return slices.ContainsFunc(c.role.heads, func(h head) bool { return h.instance == id })
+}
+
+func (p *Planner) lost(id mulberryspool.InstanceID) {
+	m, ok := p.member(id)
+	if !ok {
+		return
+	}
+	peer := p.peer(m)
+	peer.greeted = true
+	p.suspect(peer)
+}
+
+// suspect takes an agent out of the roles for a time.
+func (p *Planner) suspect(peer *peer) {
+	peer.suspectUntil = p.now.Add(p.limits.SuspectFor)
+	p.rolesStale = true
+	p.wake(peer.suspectUntil)
+	if peer.Region == p.Self.Region {
+		return
+	}
+	cut := p.cut[peer.Region]
+	cut.failures++
+	if cut.failures >= cutFailures {
+		cut.until = p.now.Add(p.limits.SuspectFor)
+	}
+	p.cut[peer.Region] = cut
+}
+
+func (p *Planner) failed(e Failed) {
+	a := p.attempts[e.Attempt]
+	if a == nil {
+		return
+	}
+	p.drop(a)
+	detail := ""
+	if e.Err != nil {
+		detail = e.Err.Error()
+	}
+	p.blame(a, e.Reason, detail)
+}
+
+// blame holds back the source of a failed attempt.
+func (p *Planner) blame(a *attempt, reason Reason, detail string) {
+	if reason == WrongDigest {
+		p.record(a, detail)
+	}
+	if a.source.Instance == "" {
+		p.blameStore(a, reason)
+		return
+	}
+	peer := p.peers[a.source.Instance]
+	if peer == nil {
+		return
+	}
+	switch reason {
+	case Busy:
+		peer.busyUntil = p.now.Add(p.jitter(p.limits.BusyWait))
+	case NotHeld:
+		for _, i := range a.chunk.indexes {
+			peer.held.Remove(i)
+		}
+	case WrongDigest:
+		peer.avoidUntil = p.now.Add(backoff(p.limits.AvoidFor, peer.strikes, maximumBackoff))
+		peer.strikes++
+	case Unreachable:
+		peer.strikes++
+		p.suspect(peer)
+	}
+}
+
+// blameStore holds back the origin or the weight store: as a whole when it
+// does not answer, for one chunk when the chunk is absent or wrong.
+func (p *Planner) blameStore(a *attempt, reason Reason) {
+	kind := a.source.Kind
+	if reason == Unreachable || reason == Busy {
+		s := &p.sources[kind]
+		s.until = p.now.Add(p.jitter(backoff(p.limits.OriginRetry, s.failures, maximumOriginRetry)))
+		s.failures++
+		return
+	}
+	a.chunk.retryAt[kind] = p.now.Add(backoff(p.limits.OriginRetry, a.chunk.tries[kind], maximumBackoff))
+	a.chunk.tries[kind]++
+}
+
+func (p *Planner) record(a *attempt, detail string) {
+	text := fmt.Sprintf("chunk %s at offset %d: %s", a.chunk.Digest, a.chunk.offset, detail)
+	if a.source.Kind == FromOrigin {
+		text = "content at the origin does not match the manifest: " + text
+	}
+	p.effects = append(p.effects, Record{Event: mulberryspool.Event{
+		Kind:    mulberryspool.EventChunkCorrupted,
+		Version: p.manifest.Version,
+		Step:    "fetch chunk",
+		Peer:    a.source.String(),
+		Detail:  text,
+	}})
+}
+
+// jitter returns a random duration between half and one and a half of the mean.
+func (p *Planner) jitter(mean time.Duration) time.Duration {
+	return mean/2 + time.Duration(p.random.Int64N(int64(mean)))
+}
+
+// backoff doubles the first wait with each earlier failure, up to the longest.
+func backoff(first time.Duration, failures int, longest time.Duration) time.Duration {
+	wait := first
+	for range failures {
+		wait = min(2*wait, longest)
+	}
+	return wait
+}
--- /dev/null
+++ b/internal/agent/swarm/plan.go
@@ -0,0 +1,311 @@
+package swarm
+
+import (
+	"time"
+
+	"github.com/mulberryspool/mulberryspool"
+)
+
+// plan starts fetches up to the limits and sends what others need to know.
+func (p *Planner) plan() {
+	if p.rolesStale || !p.rolesUntil.IsZero() && p.reached(p.rolesUntil) {
+		p.assignRoles(p.now)
+		p.chooseNeighbours(p.now)
+	}
+	if p.missing > 0 {
+		p.fetchFromPeers()
+		p.fetchIntoRegion()
+		p.askSecondSources()
+	}
+	p.tellPeers()
+}
+
+// usable lists the agents from which a further chunk may be fetched now.
+func (p *Planner) usable(ownRegion bool) []*peer {
+	var usable []*peer
+	for _, k := range p.known {
+		if k.held == nil || (k.Region == p.Self.Region) != ownRegion || k.inflight >= p.limits.PerPeer {
+			continue
+		}
+		if until := latest(k.busyUntil, k.avoidUntil, k.suspectUntil); until.After(p.now) {
+			p.wake(until)
+			continue
+		}
+		usable = append(usable, k)
+	}
+	return usable
+}
+
+// fetchFromPeers fills the pipeline from the own region, rarest chunk first.
+func (p *Planner) fetchFromPeers() {
+	running := p.running(FromPeer)
+	for running < p.limits.Pipeline {
+		peers := p.usable(true)
+		c := p.rarest(peers)
+		if c == nil {
+			return
+		}
+		p.fetch(c, Source{Kind: FromPeer, Instance: leastLoaded(peers, c).Instance})
+		running++
+	}
+}
+
+// rarest returns the chunk that the fewest known agents of the region hold and
+// one of the peers can give.
+func (p *Planner) rarest(peers []*peer) *chunk {
+	if len(peers) == 0 {
+		return nil
+	}
+	var best *chunk
+	bestCount := 0
+	for _, c := range p.wanted {
+		if c.held || c.attempts > 0 || leastLoaded(peers, c) == nil {
+			continue
+		}
+		count := p.holders(c)
+		if best == nil || count < bestCount || count == bestCount && c.key < best.key {
+			best, bestCount = c, count
+		}
+	}
+	return best
+}
+
+// holders counts the known agents of the own region that hold the chunk.
+func (p *Planner) holders(c *chunk) int {
+	count := 0
+	for _, k := range p.known {
+		if k.Region == p.Self.Region && k.held.Has(c.indexes[0]) {
+			count++
+		}
+	}
+	return count
+}
+
+func leastLoaded(peers []*peer, c *chunk) *peer {
+	var best *peer
+	for _, k := range peers {
+		if k.held.Has(c.indexes[0]) && (best == nil || k.inflight < best.inflight) {
+			best = k
+		}
+	}
+	return best
+}
+
+// fetchIntoRegion brings chunks that no known agent of the region holds from
+// another region or the origin, when it is this agent's turn.
+func (p *Planner) fetchIntoRegion() {
+	greeted := p.greeted()
+	fromRegion := p.running(FromRegion)
+	fromStore := p.running(FromOrigin) + p.running(FromWeightStore)
+	for _, c := range p.wanted {
+		if c.held || c.attempts > 0 || p.holders(c) > 0 && !p.unusableHolders(c) {
+			continue
+		}
+		first, after := p.turn(c)
+		if !after {
+			continue
+		}
+		if !first && p.fetchFromRegion(c, &fromRegion) {
+			continue
+		}
+		if first && greeted && fromStore < p.limits.OriginPipeline && p.fetchFromStore(c) {
+			fromStore++
+		}
+	}
+}
+
+// unusableHolders reports whether all known holders in the region sent bad
+// data or are gone, so that waiting for them is in vain.
+func (p *Planner) unusableHolders(c *chunk) bool {
+	for _, k := range p.known {
+		if k.Region == p.Self.Region && k.held.Has(c.indexes[0]) &&
+			!k.avoidUntil.After(p.now) && !k.suspectUntil.After(p.now) {
+			return false
+		}
+	}
+	return true
+}
+
+// turn reports whether this agent brings the chunk into its region now, and
+// whether it does so from the origin. Agents ask those before them before
+// they take their place.
+func (p *Planner) turn(c *chunk) (origin, own bool) {
+	takeover := p.limits.takeoverWait()
+	own = c.role.rank == 0
+	if !own {
+		head := c.role.heads[c.role.own].instance
+		p.askAt(head, c.since.Add(time.Duration(c.role.rank)*p.limits.ProbeWait))
+		own = p.reached(c.since.Add(time.Duration(c.role.rank) * takeover))
+	}
+	if !own {
+		return false, false
+	}
+	if c.role.own == 0 {
+		return p.reached(c.due), true
+	}
+	before := c.role.heads[c.role.own-1].instance
+	p.askAt(before, c.since.Add(p.limits.ProbeWait))
+	return p.reached(c.since.Add(time.Duration(c.role.own+c.role.rank) * takeover)), true
+}
+
+// reached reports whether the time has come, else it asks for a tick then.
+func (p *Planner) reached(at time.Time) bool {
+	if at.After(p.now) {
+		p.wake(at)
+		return false
+	}
+	return true
+}
+
+// askAt tells an agent what is held, for the sake of its answer, from the
+// time on and then once in each ProbeWait.
+func (p *Planner) askAt(id mulberryspool.InstanceID, at time.Time) {
+	if !p.reached(at) {
+		return
+	}
+	m, ok := p.member(id)
+	if !ok {
+		return
+	}
+	if peer := p.peer(m); p.reached(peer.toldAt.Add(p.limits.ProbeWait)) {
+		p.tell(peer)
+	}
+}
+
+func (p *Planner) fetchFromRegion(c *chunk, running *int) bool {
+	if *running >= p.limits.RegionPipeline {
+		return true
+	}
+	source := leastLoaded(p.usable(false), c)
+	if source == nil {
+		return false
+	}
+	p.fetch(c, Source{Kind: FromRegion, Instance: source.Instance})
+	*running++
+	return true
+}
+
+// fetchFromStore asks the origin, or the weight store while the origin is held back.
+func (p *Planner) fetchFromStore(c *chunk) bool {
+	kinds := []SourceKind{FromOrigin}
+	if p.HasWeightStore {
+		kinds = append(kinds, FromWeightStore)
+	}
+	for _, kind := range kinds {
+		until := latest(p.sources[kind].until, c.retryAt[kind])
+		if p.reached(until) {
+			p.fetch(c, Source{Kind: kind})
+			return true
+		}
+	}
+	return false
+}
+
+// askSecondSources repeats slow fetches near the end at another agent.
+func (p *Planner) askSecondSources() {
+	if p.missing > p.limits.SecondSource || p.duration == 0 {
+		return
+	}
+	for _, id := range p.attemptIDs() {
+		a := p.attempts[id]
+		if a.chunk.attempts != 1 || a.source.Kind != FromPeer || !p.reached(a.begun.Add(slowFactor*p.duration)) {
+			continue
+		}
+		var others []*peer
+		for _, k := range p.usable(true) {
+			if k.Instance != a.source.Instance {
+				others = append(others, k)
+			}
+		}
+		if second := leastLoaded(others, a.chunk); second != nil {
+			p.fetch(a.chunk, Source{Kind: FromPeer, Instance: second.Instance})
+		}
+	}
+}
+
+func (p *Planner) fetch(c *chunk, source Source) {
+	p.last++
+	a := &attempt{id: p.last, chunk: c, source: source, begun: p.now, deadline: p.now.Add(p.limits.ProgressTimeout)}
+	p.attempts[a.id] = a
+	c.attempts++
+	if peer := p.peers[source.Instance]; peer != nil {
+		peer.inflight++
+	}
+	p.wake(a.deadline)
+	p.effects = append(p.effects, Fetch{
+		Attempt: a.id, Source: source, Manifest: p.manifest.Digest, Chunk: c.Chunk, Path: p.manifest.OriginPath, Offset: c.offset,
+	})
+}
+
+func (p *Planner) running(kind SourceKind) int {
+	count := 0
+	for _, a := range p.attempts {
+		if a.source.Kind == kind {
+			count++
+		}
+	}
+	return count
+}
+
+// greeted reports whether the neighbours have answered, so that chunks held in
+// the region are known before the origin is asked. Without an instance list
+// the agent would take itself for the only one, so it waits as a successor does.
+func (p *Planner) greeted() bool {
+	if !p.listed {
+		return p.reached(p.started.Add(p.limits.takeoverWait()))
+	}
+	for _, k := range p.known {
+		if k.neighbour && !k.greeted {
+			return p.reached(p.started.Add(p.limits.StartWait))
+		}
+	}
+	return true
+}
+
+// passOn tells the head of the next region that it can fetch the chunk here.
+func (p *Planner) passOn(c *chunk) {
+	next := c.role.own + 1
+	if c.role.rank > 0 || next >= len(c.role.heads) {
+		return
+	}
+	if m, ok := p.member(c.role.heads[next].instance); ok {
+		peer := p.peer(m)
+		if !peer.held.Has(c.indexes[0]) {
+			p.tell(peer)
+		}
+	}
+}
+
+// tellPeers tells the known agents of the region about chunks that they miss.
+func (p *Planner) tellPeers() {
+	for _, k := range p.known {
+		if k.Region != p.Self.Region || !k.neighbour && k.held == nil || k.suspectUntil.After(p.now) || k.absentUntil.After(p.now) {
+			continue
+		}
+		news := p.held.Clone()
+		for i := range news {
+			if i < len(k.held) {
+				news[i] &^= k.held[i]
+			}
+		}
+		if news.Exceeds(k.told) && p.reached(k.toldAt.Add(p.limits.TellInterval)) {
+			p.tell(k)
+		}
+	}
+}
+
+func (p *Planner) tell(k *peer) {
+	k.toldAt = p.now
+	k.told = p.held.Clone()
+	p.effects = append(p.effects, Tell{Instance: k.Instance, Manifest: p.manifest.Digest, Held: k.told})
+}
+
+func latest(times ...time.Time) time.Time {
+	var last time.Time
+	for _, t := range times {
+		if t.After(last) {
+			last = t
+		}
+	}
+	return last
+}
--- /dev/null
+++ b/internal/agent/swarm/planner.go
@@ -0,0 +1,312 @@
+package swarm
+
+import (
+	"cmp"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/mulberryspool/mulberryspool"
+	"github.com/mulberryspool/mulberryspool/internal/agent/bitset"
+)
+
+type (
+	// Planner is the state of one agent's transfer. Set the exported fields
+	// before the first Step.
+	Planner struct {
+		Self Member
+		// Seed makes the random choices repeatable.
+		Seed uint64
+		// Limits may be left zero.
+		Limits Limits
+		// HasWeightStore is set when chunks may be fetched from the weight store.
+		HasWeightStore bool
+
+		limits   Limits
+		random   *rand.Rand
+		selfHash uint64
+		now      time.Time
+		effects  []Effect
+		wakeAt   time.Time
+
+		members []Member
+		// listed is set once the instance list was read.
+		listed  bool
+		regions map[string]bool
+		// pools are those whose agents want the manifest.
+		pools map[string]bool
+		peers map[mulberryspool.InstanceID]*peer
+		// known lists the peers in the order in which they became known.
+		known []*peer
+		cut   map[string]regionCut
+
+		manifest mulberryspool.Manifest
+		active   bool
+		started  time.Time
+		held     bitset.Set
+		// wanted holds each distinct chunk once.
+		wanted   []*chunk
+		byDigest map[mulberryspool.Digest]*chunk
+		missing  int
+		attempts map[Attempt]*attempt
+		last     Attempt
+		// duration is the moving mean of the time that fetches from peers take.
+		duration   time.Duration
+		rolesStale bool
+		// rolesUntil is when the first excluded agent counts again.
+		rolesUntil time.Time
+		sources    [2]sourceState
+	}
+
+	chunk struct {
+		mulberryspool.Chunk
+		offset int64
+		// indexes are the places of the chunk in the manifest.
+		indexes []int
+		hash    uint64
+		// key orders equally rare chunks differently on each agent.
+		key uint64
+		// due is when the origin is asked for the chunk at the pace of its link.
+		due  time.Time
+		held bool
+		role role
+		// since is when the wait of a successor began.
+		since    time.Time
+		attempts int
+		// retryAt and tries hold back the origin and the weight store for this chunk.
+		retryAt [2]time.Time
+		tries   [2]int
+	}
+
+	attempt struct {
+		id       Attempt
+		chunk    *chunk
+		source   Source
+		begun    time.Time
+		deadline time.Time
+	}
+
+	// sourceState holds back origin or weight store while it does not answer.
+	sourceState struct {
+		until    time.Time
+		failures int
+	}
+
+	regionCut struct {
+		failures int
+		until    time.Time
+	}
+)
+
+// Step takes in an event and returns what is to be done, in order.
+func (p *Planner) Step(now time.Time, event Event) []Effect {
+	p.prepare()
+	p.now, p.effects = now, nil
+	switch e := event.(type) {
+	case Start:
+		p.start(e)
+	case Stop:
+		p.stop()
+	case Members:
+		p.setMembers(e.Live)
+	case Have:
+		p.have(e)
+	case Lost:
+		p.lost(e.Instance)
+	case Progressed:
+		p.progressed(e.Attempt)
+	case Fetched:
+		p.fetched(e)
+	case Failed:
+		p.failed(e)
+	case Tick:
+		p.wakeAt = time.Time{}
+	}
+	if p.active {
+		p.expire()
+		p.plan()
+	}
+	return p.effects
+}
+
+// Missing returns how many distinct chunks are not held.
+func (p *Planner) Missing() int {
+	return p.missing
+}
+
+func (p *Planner) prepare() {
+	if p.random != nil {
+		return
+	}
+	p.limits = p.Limits.WithDefaults()
+	p.selfHash = xxhash.Sum64String(string(p.Self.Instance))
+	p.random = rand.New(rand.NewPCG(p.Seed, p.selfHash))
+	p.peers = make(map[mulberryspool.InstanceID]*peer)
+	p.attempts = make(map[Attempt]*attempt)
+	p.cut = make(map[string]regionCut)
+	p.regions = map[string]bool{p.Self.Region: true}
+}
+
+func (p *Planner) start(e Start) {
+	p.manifest, p.active, p.started = e.Manifest, true, p.now
+	p.held = e.Held.Fit(len(e.Manifest.Chunks))
+	p.pools = map[string]bool{p.Self.Pool: true}
+	p.sources = [2]sourceState{}
+	p.index()
+	for _, id := range p.attemptIDs() {
+		a := p.attempts[id]
+		if c := p.byDigest[a.chunk.Digest]; c != nil && !c.held {
+			a.chunk = c
+			c.attempts++
+			continue
+		}
+		p.cancel(a)
+	}
+	for _, peer := range p.known {
+		peer.held, peer.told, peer.greeted = nil, nil, false
+		peer.absentUntil = time.Time{}
+	}
+	p.rolesStale = true
+	p.chooseNeighbours(p.now)
+	for _, peer := range p.known {
+		if peer.neighbour {
+			p.tell(peer)
+		}
+	}
+	p.probePools()
+	p.finishIfComplete()
+}
+
+// index lists the distinct chunks of the manifest.
+func (p *Planner) index() {
+	p.byDigest = make(map[mulberryspool.Digest]*chunk, len(p.manifest.Chunks))
+	p.wanted, p.missing = nil, 0
+	var offset int64
+	for i, m := range p.manifest.Chunks {
+		c := p.byDigest[m.Digest]
+		if c == nil {
+			hash := xxhash.Sum64String(string(m.Digest))
+			c = &chunk{Chunk: m, offset: offset, hash: hash, key: score(p.Seed^p.selfHash, hash), since: p.now, held: p.held.Has(i)}
+			p.byDigest[m.Digest] = c
+			p.wanted = append(p.wanted, c)
+			if !c.held {
+				p.missing++
+			}
+		}
+		c.indexes = append(c.indexes, i)
+		offset += m.Size
+	}
+	p.pace()
+}
+
+// pace spreads the requests to the origin over the time that its link needs,
+// in an order that is the same on all agents.
+func (p *Planner) pace() {
+	ordered := slices.Clone(p.wanted)
+	slices.SortFunc(ordered, func(a, b *chunk) int { return cmp.Compare(a.hash, b.hash) })
+	due := p.now
+	for _, c := range ordered {
+		if c.held {
+			continue
+		}
+		c.due, c.since = due, due
+		if p.limits.OriginBytesPerSecond > 0 {
+			due = due.Add(time.Duration(float64(c.Size) / float64(p.limits.OriginBytesPerSecond) * float64(time.Second)))
+		}
+	}
+}
+
+func (p *Planner) stop() {
+	for _, id := range p.attemptIDs() {
+		p.cancel(p.attempts[id])
+	}
+	p.active = false
+}
+
+func (p *Planner) attemptIDs() []Attempt {
+	ids := make([]Attempt, 0, len(p.attempts))
+	for id := range p.attempts {
+		ids = append(ids, id)
+	}
+	slices.Sort(ids)
+	return ids
+}
+
+func (p *Planner) cancel(a *attempt) {
+	p.drop(a)
+	p.effects = append(p.effects, Cancel{Attempt: a.id})
+}
+
+// drop forgets an attempt and frees its place in the pipelines.
+func (p *Planner) drop(a *attempt) {
+	delete(p.attempts, a.id)
+	a.chunk.attempts--
+	if peer := p.peers[a.source.Instance]; peer != nil {
+		peer.inflight--
+	}
+}
+
+func (p *Planner) fetched(e Fetched) {
+	if a := p.attempts[e.Attempt]; a != nil {
+		p.drop(a)
+		if peer := p.peers[a.source.Instance]; peer != nil {
+			peer.strikes = 0
+			p.duration = (7*p.duration + p.now.Sub(a.begun)) / 8
+		}
+		if a.source.Instance == "" {
+			p.sources[a.source.Kind] = sourceState{}
+		}
+	}
+	c := p.byDigest[e.Chunk]
+	if !p.active || c == nil || c.held {
+		return
+	}
+	c.held = true
+	p.missing--
+	for _, i := range c.indexes {
+		p.held.Add(i)
+	}
+	for _, id := range p.attemptIDs() {
+		if a := p.attempts[id]; a.chunk == c {
+			p.cancel(a)
+		}
+	}
+	p.passOn(c)
+	p.finishIfComplete()
+}
+
+func (p *Planner) finishIfComplete() {
+	if p.missing == 0 {
+		p.effects = append(p.effects, Complete{Manifest: p.manifest.Digest})
+	}
+}
+
+func (p *Planner) progressed(id Attempt) {
+	if a := p.attempts[id]; a != nil {
+		a.deadline = p.now.Add(p.limits.ProgressTimeout)
+	}
+}
+
+// expire ends attempts without progress.
+func (p *Planner) expire() {
+	for _, id := range p.attemptIDs() {
+		a := p.attempts[id]
+		if a.deadline.After(p.now) {
+			p.wake(a.deadline)
+			continue
+		}
+		p.cancel(a)
+		p.blame(a, Unreachable, "no bytes within the progress timeout")
+	}
+}
+
+// wake asks for a tick at the time unless an earlier one is due.
+func (p *Planner) wake(at time.Time) {
+	if !p.wakeAt.IsZero() && !at.Before(p.wakeAt) {
+		return
+	}
+	p.wakeAt = at
+	p.effects = append(p.effects, Wake{At: at})
+}
--- /dev/null
+++ b/internal/peer/chunks/client.go
@@ -0,0 +1,147 @@
+package chunks
+
+import (
+	"context"
+	"encoding/base64"
+	"fmt"
+	"io"
+	"net/http"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/mulberryspool/mulberryspool"
+)
+
+// Errors of a Client. Test for them with errors.Is.
+var (
+	// ErrBusy says that all upload slots of the peer are taken.
+	ErrBusy = errors.New("peer has no free upload slot")
+	// ErrNotHeld says that the peer does not hold the chunk.
+	ErrNotHeld = errors.New("peer does not hold the chunk")
+)
+
+type (
+	// Client fetches chunks from other agents. It is safe for concurrent use.
+	Client struct {
+		// HTTP is the client used; it must not have a total timeout.
+		HTTP *http.Client
+		// Downlink limits what is received; nil means no limit.
+		Downlink Limiter
+	}
+
+	// Request asks a peer for one chunk.
+	Request struct {
+		// Address is the peer's IP address and port for chunks.
+		Address string
+		Chunk   mulberryspool.Chunk
+		// Offset skips bytes that the caller has already.
+		Offset int64
+		// Have is told to the peer.
+		Have mulberryspool.ChunksHaveParams
+		// Limiter limits this transfer beside the downlink; nil means no limit.
+		Limiter Limiter
+		// Received is called with the bytes of each piece; it may be nil.
+		Received func(n int)
+	}
+
+	// Answer is what a peer sent.
+	Answer struct {
+		// Data holds the bytes from the offset on. They are not verified.
+		Data []byte
+		// Have is what the peer holds; nil if it did not say.
+		Have *mulberryspool.ChunksHaveResult
+	}
+)
+
+// Fetch reads a chunk, or its rest. After an error the answer holds the bytes
+// that arrived before it.
+func (c *Client) Fetch(ctx context.Context, request Request) (Answer, error) {
+	answer, err := c.fetch(ctx, request)
+	return answer, mulberryspool.AtStep(err, "fetch chunk", request.Address)
+}
+
+func (c *Client) fetch(ctx context.Context, request Request) (Answer, error) {
+	url := fmt.Sprintf("http://%s/chunks/%s", request.Address, request.Chunk.Digest)
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return Answer{}, err
+	}
+	want := http.StatusOK
+	if request.Offset > 0 {
+		r.Header.Set("Range", fmt.Sprintf("bytes=%d-", request.Offset))
+		want = http.StatusPartialContent
+	}
+	if request.Have.Manifest != "" {
+		r.Header.Set(headerInstance, string(request.Have.Instance))
+		r.Header.Set(headerManifest, string(request.Have.Manifest))
+		r.Header.Set(headerHave, base64.StdEncoding.EncodeToString(request.Have.Have))
+	}
+	response, err := c.HTTP.Do(r)
+	if err != nil {
+		return Answer{}, err
+	}
+	defer response.Body.Close()
+	answer := Answer{Have: haveOf(response)}
+	if response.StatusCode != want {
+		// The short error text is read so that the connection is used again.
+		_, _ = io.CopyN(io.Discard, response.Body, pieceBytes)
+	}
+	switch response.StatusCode {
+	case want:
+	case http.StatusServiceUnavailable:
+		return answer, ErrBusy
+	case http.StatusNotFound:
+		return answer, ErrNotHeld
+	default:
+		return answer, errors.Newf("peer answered %s", response.Status)
+	}
+	answer.Data, err = c.read(ctx, response.Body, request)
+	return answer, err
+}
+
+func (c *Client) read(ctx context.Context, body io.Reader, request Request) ([]byte, error) {
+	size := request.Chunk.Size - request.Offset
+	data := make([]byte, size)
+	filled := 0
+	for filled < len(data) {
+		n, err := io.ReadFull(body, data[filled:min(len(data), filled+pieceBytes)])
+		filled += n
+		if err != nil {
+			return data[:filled], err
+		}
+		if request.Received != nil {
+			request.Received(n)
+		}
+		if err := c.wait(ctx, request.Limiter, n); err != nil {
+			return data[:filled], err
+		}
+	}
+	var extra [1]byte
+	if n, _ := body.Read(extra[:]); n > 0 {
+		return nil, errors.Newf("peer sent more than the %d bytes of the chunk", request.Chunk.Size)
+	}
+	return data, nil
+}
+
+func (c *Client) wait(ctx context.Context, limiter Limiter, n int) error {
+	if limiter != nil {
+		if err := limiter.Wait(ctx, n); err != nil {
+			return err
+		}
+	}
+	if c.Downlink != nil {
+		return c.Downlink.Wait(ctx, n)
+	}
+	return nil
+}
+
+func haveOf(response *http.Response) *mulberryspool.ChunksHaveResult {
+	if response.Header.Get(headerManifest) == "" {
+		return nil
+	}
+	have, err := base64.StdEncoding.DecodeString(response.Header.Get(headerHave))
+	if err != nil {
+		return nil
+	}
+	return &mulberryspool.ChunksHaveResult{Have: have}
+}
