--- a/internal/agent/bitset/bitset.go
+++ b/internal/agent/bitset/bitset.go
@@ -2,7 +2,10 @@
 // tell each other which chunks they hold.
 package bitset
 
-import "math/bits"
+import (
+	"iter"
+	"math/bits"
+)
 
 // Set has bit i%8 of byte i/8 set when i is in the set. Its length bounds
 // the integers that it can hold.
@@ -39,14 +42,40 @@
 	return count
 }
 
+// Differences returns the integers that are in exactly one of the sets.
+func (s Set) Differences(other Set) iter.Seq[int] {
+	return func(yield func(int) bool) {
+		for i := range max(len(s), len(other)) {
+			for rest := s.at(i) ^ other.at(i); rest != 0; rest &= rest - 1 {
+				if !yield(8*i + bits.TrailingZeros8(rest)) {
+					return
+				}
+			}
+		}
+	}
+}
+
+func (s Set) at(i int) byte {
+	if i < len(s) {
+		return s[i]
+	}
+	return 0
+}
+
 // Exceeds reports whether the set holds an integer that other does not.
 func (s Set) Exceeds(other Set) bool {
 	for i, b := range s {
-		var o byte
-		if i < len(other) {
-			o = other[i]
+		if b&^other.at(i) != 0 {
+			return true
 		}
-		if b&^o != 0 {
+	}
+	return false
+}
+
+// ExceedsBoth reports whether the set holds an integer that neither of the others does.
+func (s Set) ExceedsBoth(first, second Set) bool {
+	for i, b := range s {
+		if b&^(first.at(i)|second.at(i)) != 0 {
 			return true
 		}
 	}
--- a/internal/agent/fetch/fetcher.go
+++ b/internal/agent/fetch/fetcher.go
@@ -41,6 +41,8 @@
 	idleListFactor = 6
 	// eventQueue bounds the events that wait for the planner.
 	eventQueue = 4096
+	// eventBatch bounds the events that the planner takes in one step.
+	eventBatch = 64
 )
 
 // ErrSuperseded ends a Stage whose manifest was replaced by that of a later call.
@@ -180,17 +182,18 @@
 	timer := f.Clock.NewTimer(time.Hour)
 	defer timer.Stop()
 	for {
-		var event swarm.Event
+		batch := make([]swarm.Event, 0, eventBatch)
 		select {
 		case <-ctx.Done():
 			return
-		case event = <-f.events:
-			f.forget(event)
+		case event := <-f.events:
+			batch = f.drain(append(batch, event))
 		case <-timer.Chan():
-			event = swarm.Tick{}
+			batch = append(batch, swarm.Tick{})
 		}
+		f.forget(batch)
 		now := f.Clock.Now()
-		for _, effect := range f.planner.Step(now, event) {
+		for _, effect := range f.planner.Step(now, batch...) {
 			if w, ok := effect.(swarm.Wake); ok {
 				timer.Reset(max(0, w.At.Sub(now)))
 				continue
@@ -200,13 +203,28 @@
 	}
 }
 
-// forget drops the cancel function of an attempt that has ended.
-func (f *Fetcher) forget(event swarm.Event) {
-	switch e := event.(type) {
-	case swarm.Fetched:
-		delete(f.cancels, e.Attempt)
-	case swarm.Failed:
-		delete(f.cancels, e.Attempt)
+// drain adds the events that wait already, so that they are planned for at once.
+func (f *Fetcher) drain(batch []swarm.Event) []swarm.Event {
+	for len(batch) < eventBatch {
+		select {
+		case event := <-f.events:
+			batch = append(batch, event)
+		default:
+			return batch
+		}
+	}
+	return batch
+}
+
+// forget drops the cancel functions of attempts that have ended.
+func (f *Fetcher) forget(batch []swarm.Event) {
+	for _, event := range batch {
+		switch e := event.(type) {
+		case swarm.Fetched:
+			delete(f.cancels, e.Attempt)
+		case swarm.Failed:
+			delete(f.cancels, e.Attempt)
+		}
 	}
 }
 
--- a/internal/agent/fetch/fleet_test.go
+++ b/internal/agent/fetch/fleet_test.go
@@ -265,7 +265,7 @@
 		OriginBias:       swarm.DefaultOriginBias,
 		TakeoverShortest: 200 * time.Millisecond,
 		TakeoverLongest:  4 * time.Second,
-		TellInterval:     80 * time.Millisecond,
+		TellInterval:     160 * time.Millisecond,
 		StartWait:        300 * time.Millisecond,
 		ProbeWait:        300 * time.Millisecond,
 		ProgressTimeout:  2 * time.Second,
--- /dev/null
+++ b/internal/agent/fetch/rollout_bench_test.go
@@ -0,0 +1,315 @@
+package fetch
+
+import (
+	"context"
+	"fmt"
+	"runtime"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/jonboulle/clockwork"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/mulberryspool/mulberryspool"
+	"github.com/mulberryspool/mulberryspool/internal/agent/swarm"
+	"github.com/mulberryspool/mulberryspool/internal/peer/chunks"
+)
+
+// The links are in the proportions of the design page: in the time allowed
+// the origin's link carries four copies and each machine's link two in each
+// direction. A region pair carries one copy in each direction.
+const (
+	benchTime       = 10 * time.Second
+	benchBytes      = 4 << 20
+	benchChunk      = 32 << 10
+	originCopies    = 4
+	machineCopies   = 2
+	pairCopies      = 1
+	benchSeed       = 7
+	treeChildren    = 2
+	treeWorkers     = 4
+	sharedPercent   = 90
+	killedFraction  = 10
+	originOnlyScale = 2
+)
+
+type (
+	// rollout is one run of the benchmark.
+	rollout struct {
+		agents    int
+		content   []byte
+		manifest  mulberryspool.Manifest
+		fleet     *fleet
+		pairs     pairLinks
+		began     time.Time
+		cpuBefore time.Duration
+	}
+
+	// pairLinks holds one limit for each direction between two regions.
+	pairLinks struct {
+		mu    sync.Mutex
+		links map[[2]string]*countedLink
+	}
+
+	countedLink struct {
+		chunks.Link
+		mu    sync.Mutex
+		bytes int64
+	}
+)
+
+// Wait implements chunks.Limiter.
+func (l *countedLink) Wait(ctx context.Context, n int) error {
+	l.mu.Lock()
+	l.bytes += int64(n)
+	l.mu.Unlock()
+	return l.Link.Wait(ctx, n)
+}
+
+func (l *pairLinks) get(from, to string) *countedLink {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.links == nil {
+		l.links = make(map[[2]string]*countedLink)
+	}
+	key := [2]string{from, to}
+	if l.links[key] == nil {
+		l.links[key] = &countedLink{Link: chunks.Link{Clock: clockwork.NewRealClock(), BytesPerSecond: copiesPerTime(pairCopies)}}
+	}
+	return l.links[key]
+}
+
+// copiesPerTime returns the rate of a link that carries this many copies in the time allowed.
+func copiesPerTime(copies int64) int64 {
+	return int64(float64(copies*benchBytes) / benchTime.Seconds())
+}
+
+func newRollout(b *testing.B, agents, bytes int, change func(*swarm.Limits)) *rollout {
+	r := &rollout{agents: agents, content: newContent(benchSeed, bytes), fleet: newFleet(b)}
+	r.manifest = manifestOf("v1", "v1", r.content, benchChunk)
+	r.fleet.origin.set("v1", r.content)
+	r.fleet.origin.link.BytesPerSecond = copiesPerTime(originCopies)
+	r.fleet.configure = func(f *Fetcher) {
+		clock := clockwork.NewRealClock()
+		f.Uplink = &chunks.Link{Clock: clock, BytesPerSecond: copiesPerTime(machineCopies)}
+		f.Downlink = &chunks.Link{Clock: clock, BytesPerSecond: copiesPerTime(machineCopies)}
+		f.RegionLink = func(from string) chunks.Limiter { return r.pairs.get(from, f.Identity.Region) }
+		f.Limits.OriginBytesPerSecond = copiesPerTime(originCopies)
+		if change != nil {
+			change(&f.Limits)
+		}
+	}
+	r.fleet.start(agents)
+	runtime.GC()
+	r.cpuBefore = cpuTime(b)
+	r.began = time.Now()
+	return r
+}
+
+// report computes the metrics. The bound is the time in which one machine's
+// link takes in a copy; the page docs/measurements-rollout.md derives it.
+func (r *rollout) report(b *testing.B, fresh int64) {
+	elapsed := time.Since(r.began)
+	cpu := cpuTime(b) - r.cpuBefore
+	bound := float64(fresh) / float64(copiesPerTime(machineCopies))
+	size := float64(len(r.content))
+	b.ReportMetric(elapsed.Seconds()/bound, "x-bound")
+	b.ReportMetric(float64(r.fleet.origin.bytes.Load())/size, "origin-copies")
+	into := make(map[string]int64)
+	for key, link := range r.pairs.links {
+		into[key[1]] += link.bytes
+	}
+	var most int64
+	for _, bytes := range into {
+		most = max(most, bytes)
+	}
+	b.ReportMetric(float64(most)/size, "cross-region-copies")
+	var messages, bytes int64
+	for _, a := range r.fleet.agents {
+		traffic := a.Endpoint.Traffic()
+		messages += traffic.MessagesOut
+		bytes += traffic.BytesIn + traffic.BytesOut
+	}
+	perAgent := float64(r.agents) * elapsed.Seconds()
+	b.ReportMetric(float64(messages)/perAgent, "control-msgs/s")
+	b.ReportMetric(float64(bytes)/perAgent, "control-B/s")
+	b.ReportMetric(100*cpu.Seconds()/perAgent, "cpu-%")
+	b.ReportMetric(float64(r.heapBesidesChunks())/float64(r.agents), "heap-B")
+	b.ReportMetric(0, "ns/op")
+}
+
+// heapBesidesChunks returns the live heap without the staged chunks and the content.
+func (r *rollout) heapBesidesChunks() int64 {
+	runtime.GC()
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	heap := int64(stats.HeapAlloc) - int64(len(r.content))
+	for _, a := range r.fleet.agents {
+		heap -= a.store.Bytes()
+	}
+	return heap
+}
+
+func cpuTime(b *testing.B) time.Duration {
+	var usage syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &usage); err != nil {
+		b.Fatal(err)
+	}
+	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
+}
+
+// BenchmarkRollout measures the time until all agents hold a version, against
+// the bound computed from the links.
+func BenchmarkRollout(b *testing.B) {
+	for _, agents := range []int{8, 32, 128} {
+		b.Run(fmt.Sprintf("agents=%d", agents), func(b *testing.B) { benchSwarm(b, agents, nil) })
+	}
+	b.Run("killed/agents=128", func(b *testing.B) { benchKilled(b, 128) })
+	b.Run("shared/agents=128", func(b *testing.B) { benchShared(b, 128) })
+	b.Run("exchange/agents=32", func(b *testing.B) {
+		benchSwarm(b, 32, func(l *swarm.Limits) { l.OriginRegions = []string{"east"} })
+	})
+	b.Run("plain/agents=32", func(b *testing.B) {
+		benchSwarm(b, 32, func(l *swarm.Limits) { l.OriginRegions, l.DirectRegions = []string{"east"}, true })
+	})
+	for _, agents := range []int{8, 32, 128} {
+		b.Run(fmt.Sprintf("origin-only/agents=%d", agents), func(b *testing.B) { benchOriginOnly(b, agents) })
+	}
+	for _, agents := range []int{8, 32, 128} {
+		b.Run(fmt.Sprintf("tree/agents=%d", agents), func(b *testing.B) { benchTree(b, agents) })
+	}
+}
+
+func benchSwarm(b *testing.B, agents int, change func(*swarm.Limits)) {
+	for range b.N {
+		r := newRollout(b, agents, benchBytes, change)
+		r.fleet.stage(context.Background(), r.fleet.agents, r.manifest)
+		r.report(b, r.manifest.Size)
+		r.fleet.stop()
+	}
+}
+
+// benchKilled kills a tenth of the agents when half of the bound has passed.
+func benchKilled(b *testing.B, agents int) {
+	for range b.N {
+		r := newRollout(b, agents, benchBytes, nil)
+		killer := time.AfterFunc(benchTime/machineCopies/2, func() {
+			for i := range agents / killedFraction {
+				r.fleet.agents[i*killedFraction].kill()
+			}
+		})
+		r.fleet.stage(context.Background(), r.fleet.agents, r.manifest)
+		killer.Stop()
+		r.report(b, r.manifest.Size)
+		r.fleet.stop()
+	}
+}
+
+// benchShared rolls out a version of which the agents hold nine tenths already.
+func benchShared(b *testing.B, agents int) {
+	for range b.N {
+		r := newRollout(b, agents, benchBytes, nil)
+		fresh := r.preload(b)
+		r.began, r.cpuBefore = time.Now(), cpuTime(b)
+		r.fleet.stage(context.Background(), r.fleet.agents, r.manifest)
+		r.report(b, fresh)
+		r.fleet.stop()
+	}
+}
+
+// preload stages another version on all agents and returns the bytes that the
+// measured version does not share with it.
+func (r *rollout) preload(b *testing.B) int64 {
+	before := append([]byte(nil), r.content...)
+	var fresh int64
+	for i, c := range r.manifest.Chunks {
+		if i%(100/(100-sharedPercent)) == 0 {
+			before[i*benchChunk] ^= 0xff
+			fresh += c.Size
+		}
+	}
+	manifest := manifestOf("v0", "v0", before, benchChunk)
+	for _, a := range r.fleet.agents {
+		if err := a.store.Retain(manifest); err != nil {
+			b.Fatal(err)
+		}
+		for i, c := range manifest.Chunks {
+			data := append([]byte(nil), before[i*benchChunk:i*benchChunk+int(c.Size)]...)
+			if err := a.store.Put(c.Digest, data); err != nil {
+				b.Fatal(err)
+			}
+		}
+	}
+	return fresh
+}
+
+// benchOriginOnly lets every agent read everything from the origin. The
+// content is smaller so that a run takes the same time for any number of
+// agents; the ratio to the bound does not depend on it.
+func benchOriginOnly(b *testing.B, agents int) {
+	for range b.N {
+		r := newRollout(b, agents, max(benchChunk, originOnlyScale*benchBytes/agents), nil)
+		r.each(b, func(a *testAgent, index int, c mulberryspool.Chunk, offset int64) error {
+			return a.baseline(swarm.Fetch{Source: swarm.Source{Kind: swarm.FromOrigin}, Path: r.manifest.OriginPath, Chunk: c, Offset: offset})
+		})
+		r.report(b, r.manifest.Size)
+		r.fleet.stop()
+	}
+}
+
+// benchTree joins the agents of each region in a tree whose root reads from the origin.
+func benchTree(b *testing.B, agents int) {
+	for range b.N {
+		r := newRollout(b, agents, benchBytes, nil)
+		regions := len(r.fleet.regions)
+		r.each(b, func(a *testAgent, index int, c mulberryspool.Chunk, offset int64) error {
+			fetch := swarm.Fetch{Source: swarm.Source{Kind: swarm.FromOrigin}, Path: r.manifest.OriginPath, Chunk: c, Offset: offset}
+			if place := index / regions; place > 0 {
+				parent := r.fleet.agents[(place-1)/treeChildren*regions+index%regions]
+				fetch.Source = swarm.Source{Kind: swarm.FromPeer, Instance: parent.Identity.Instance}
+			}
+			return a.baseline(fetch)
+		})
+		r.report(b, r.manifest.Size)
+		r.fleet.stop()
+	}
+}
+
+// each fetches all chunks in order on all agents.
+func (r *rollout) each(b *testing.B, fetch func(a *testAgent, index int, c mulberryspool.Chunk, offset int64) error) {
+	var group errgroup.Group
+	for index, a := range r.fleet.agents {
+		if err := a.store.Retain(r.manifest); err != nil {
+			b.Fatal(err)
+		}
+		group.Go(func() error {
+			var chunkGroup errgroup.Group
+			chunkGroup.SetLimit(treeWorkers)
+			for i, c := range r.manifest.Chunks {
+				chunkGroup.Go(func() error { return fetch(a, index, c, int64(i*benchChunk)) })
+			}
+			return chunkGroup.Wait()
+		})
+	}
+	if err := group.Wait(); err != nil {
+		b.Fatal(err)
+	}
+}
+
+// baseline repeats one fetch until the source has the chunk.
+func (a *testAgent) baseline(fetch swarm.Fetch) error {
+	for {
+		data, err := a.read(a.ctx, fetch)
+		if errors.Is(err, chunks.ErrNotHeld) || errors.Is(err, chunks.ErrBusy) {
+			time.Sleep(5 * time.Millisecond)
+			continue
+		}
+		if err != nil {
+			return err
+		}
+		return a.store.Put(fetch.Chunk.Digest, data)
+	}
+}
--- a/internal/agent/swarm/limits.go
+++ b/internal/agent/swarm/limits.go
@@ -56,6 +56,13 @@
 	// are asked for at this pace in one order, so that the first ones arrive
 	// early instead of all at the same late time. 0 means no pace.
 	OriginBytesPerSecond int64
+	// OriginRegions are the regions that read from the origin; the others get
+	// all chunks from them. Empty means all regions.
+	OriginRegions []string
+	// DirectRegions makes every region fetch from the region that read from
+	// the origin, instead of passing each chunk on from region to region. It
+	// loads the links of one region only and exists for comparison.
+	DirectRegions bool
 	// Neighbours is the number of agents of the own region that this agent chooses.
 	Neighbours int
 	// Pipeline, RegionPipeline and OriginPipeline bound the fetches at one time
--- a/internal/agent/swarm/peers.go
+++ b/internal/agent/swarm/peers.go
@@ -12,7 +12,9 @@
 // peer is what is known of another agent.
 type peer struct {
 	Member
-	neighbour bool
+	// neighbour is set for agents chosen by this one, choseUs for those that
+	// chose this one.
+	neighbour, choseUs bool
 	// greeted is set once the first exchange of this transfer has ended.
 	greeted bool
 	// held is nil until the agent said what it holds.
@@ -47,9 +49,10 @@
 // forgetOne makes room for another peer; those in use stay.
 func (p *Planner) forgetOne() {
 	i := slices.IndexFunc(p.known, func(k *peer) bool {
-		return !k.neighbour && k.inflight == 0 && k.strikes == 0 && !k.suspectUntil.After(p.now)
+		return !k.neighbour && !k.choseUs && k.inflight == 0 && k.strikes == 0 && !k.suspectUntil.After(p.now)
 	})
 	if i >= 0 {
+		p.setHeld(p.known[i], nil)
 		delete(p.peers, p.known[i].Instance)
 		p.known = slices.Delete(p.known, i, i+1)
 	}
@@ -57,11 +60,13 @@
 
 func (p *Planner) setMembers(live []Member) {
 	p.members, p.listed = p.members[:0], true
+	p.memberOf = make(map[mulberryspool.InstanceID]Member, len(live))
 	p.regions = map[string]bool{p.Self.Region: true}
 	listed := make(map[mulberryspool.InstanceID]bool, len(live))
 	for _, m := range live {
 		if m.Instance != p.Self.Instance {
 			p.members = append(p.members, m)
+			p.memberOf[m.Instance] = m
 			p.regions[m.Region] = true
 			listed[m.Instance] = true
 		}
@@ -70,6 +75,7 @@
 	p.known = slices.DeleteFunc(p.known, func(k *peer) bool {
 		gone := !listed[k.Instance] && k.inflight == 0 && k.suspectUntil.After(p.now)
 		if gone {
+			p.setHeld(k, nil)
 			delete(p.peers, k.Instance)
 		}
 		return gone
@@ -86,11 +92,24 @@
 	if known := p.peers[id]; known != nil {
 		return known.Member, true
 	}
-	i := slices.IndexFunc(p.members, func(m Member) bool { return m.Instance == id })
-	if i < 0 {
-		return Member{}, false
+	m, ok := p.memberOf[id]
+	return m, ok
+}
+
+// setHeld takes in what a peer holds and keeps the counts of holders.
+func (p *Planner) setHeld(peer *peer, held bitset.Set) {
+	if peer.Region == p.Self.Region {
+		for i := range held.Differences(peer.held) {
+			if c := p.at[i]; c.indexes[0] != i {
+				continue
+			} else if held.Has(i) {
+				c.holders++
+			} else {
+				c.holders--
+			}
+		}
 	}
-	return p.members[i], true
+	peer.held = held
 }
 
 func (p *Planner) have(e Have) {
@@ -106,7 +125,7 @@
 		p.rolesStale = true
 	}
 	if len(e.Held) == 0 {
-		peer.held = nil
+		p.setHeld(peer, nil)
 		peer.absentUntil = p.now.Add(p.limits.SuspectFor)
 		p.rolesStale = true
 		return
@@ -118,7 +137,7 @@
 	}
 	held := e.Held.Fit(len(p.manifest.Chunks))
 	p.restartWaits(peer, held)
-	peer.held = held
+	p.setHeld(peer, held)
 	if e.Told != nil {
 		peer.told = e.Told.Clone()
 		peer.toldAt = p.now
@@ -137,8 +156,8 @@
 	if !brought {
 		return
 	}
-	for _, c := range p.wanted {
-		if !c.held && c.since.Before(p.now) && c.expects(from.Instance) {
+	for _, c := range p.lacking {
+		if c.since.Before(p.now) && c.expects(from.Instance) {
 			c.since = p.now
 		}
 	}
@@ -205,9 +224,11 @@
 	case Busy:
 		peer.busyUntil = p.now.Add(p.jitter(p.limits.BusyWait))
 	case NotHeld:
+		held := peer.held.Clone()
 		for _, i := range a.chunk.indexes {
-			peer.held.Remove(i)
+			held.Remove(i)
 		}
+		p.setHeld(peer, held)
 	case WrongDigest:
 		peer.avoidUntil = p.now.Add(backoff(p.limits.AvoidFor, peer.strikes, maximumBackoff))
 		peer.strikes++
--- a/internal/agent/swarm/plan.go
+++ b/internal/agent/swarm/plan.go
@@ -57,28 +57,20 @@
 		return nil
 	}
 	var best *chunk
-	bestCount := 0
-	for _, c := range p.wanted {
-		if c.held || c.attempts > 0 || leastLoaded(peers, c) == nil {
+	for _, c := range p.lacking {
+		if c.attempts > 0 || c.holders == 0 || best != nil && !c.before(best) {
 			continue
 		}
-		count := p.holders(c)
-		if best == nil || count < bestCount || count == bestCount && c.key < best.key {
-			best, bestCount = c, count
+		if leastLoaded(peers, c) != nil {
+			best = c
 		}
 	}
 	return best
 }
 
-// holders counts the known agents of the own region that hold the chunk.
-func (p *Planner) holders(c *chunk) int {
-	count := 0
-	for _, k := range p.known {
-		if k.Region == p.Self.Region && k.held.Has(c.indexes[0]) {
-			count++
-		}
-	}
-	return count
+// before orders chunks by rarity.
+func (c *chunk) before(other *chunk) bool {
+	return c.holders < other.holders || c.holders == other.holders && c.key < other.key
 }
 
 func leastLoaded(peers []*peer, c *chunk) *peer {
@@ -97,8 +89,8 @@
 	greeted := p.greeted()
 	fromRegion := p.running(FromRegion)
 	fromStore := p.running(FromOrigin) + p.running(FromWeightStore)
-	for _, c := range p.wanted {
-		if c.held || c.attempts > 0 || p.holders(c) > 0 && !p.unusableHolders(c) {
+	for _, c := range p.lacking {
+		if c.attempts > 0 || c.holders > 0 && !p.unusableHolders(c) {
 			continue
 		}
 		first, after := p.turn(c)
@@ -143,8 +135,7 @@
 	if c.role.own == 0 {
 		return p.reached(c.due), true
 	}
-	before := c.role.heads[c.role.own-1].instance
-	p.askAt(before, c.since.Add(p.limits.ProbeWait))
+	p.askAt(p.before(c.role).instance, c.since.Add(p.limits.ProbeWait))
 	return p.reached(c.since.Add(time.Duration(c.role.own+c.role.rank) * takeover)), true
 }
 
@@ -262,38 +253,47 @@
 	return true
 }
 
-// passOn tells the head of the next region that it can fetch the chunk here.
+// passOn tells the heads of the next regions that they can fetch the chunk here.
 func (p *Planner) passOn(c *chunk) {
-	next := c.role.own + 1
-	if c.role.rank > 0 || next >= len(c.role.heads) {
+	if c.role.rank > 0 {
 		return
 	}
-	if m, ok := p.member(c.role.heads[next].instance); ok {
-		peer := p.peer(m)
-		if !peer.held.Has(c.indexes[0]) {
+	for _, next := range p.after(c.role) {
+		m, ok := p.member(next.instance)
+		if !ok {
+			continue
+		}
+		if peer := p.peer(m); !peer.held.Has(c.indexes[0]) {
 			p.tell(peer)
 		}
 	}
 }
 
-// tellPeers tells the known agents of the region about chunks that they miss.
+// tellPeers tells the chosen neighbours, and those that chose this agent,
+// about chunks that they miss.
 func (p *Planner) tellPeers() {
 	for _, k := range p.known {
-		if k.Region != p.Self.Region || !k.neighbour && k.held == nil || k.suspectUntil.After(p.now) || k.absentUntil.After(p.now) {
+		if !k.neighbour && !k.choseUs || k.suspectUntil.After(p.now) || k.absentUntil.After(p.now) {
 			continue
 		}
-		news := p.held.Clone()
-		for i := range news {
-			if i < len(k.held) {
-				news[i] &^= k.held[i]
+		if at := k.toldAt.Add(p.limits.TellInterval); at.After(p.now) {
+			// A tick is needed only if there is something to tell then.
+			if p.hasNews(k) {
+				p.wake(at)
 			}
+			continue
 		}
-		if news.Exceeds(k.told) && p.reached(k.toldAt.Add(p.limits.TellInterval)) {
+		if p.hasNews(k) {
 			p.tell(k)
 		}
 	}
 }
 
+// hasNews reports whether a chunk is held that the agent neither holds nor was told of.
+func (p *Planner) hasNews(k *peer) bool {
+	return p.held.ExceedsBoth(k.held, k.told)
+}
+
 func (p *Planner) tell(k *peer) {
 	k.toldAt = p.now
 	k.told = p.held.Clone()
--- a/internal/agent/swarm/planner.go
+++ b/internal/agent/swarm/planner.go
@@ -30,8 +30,11 @@
 		now      time.Time
 		effects  []Effect
 		wakeAt   time.Time
+		// changed is set when an event may change the plan.
+		changed bool
 
-		members []Member
+		members  []Member
+		memberOf map[mulberryspool.InstanceID]Member
 		// listed is set once the instance list was read.
 		listed  bool
 		regions map[string]bool
@@ -46,8 +49,10 @@
 		active   bool
 		started  time.Time
 		held     bitset.Set
-		// wanted holds each distinct chunk once.
-		wanted   []*chunk
+		// wanted holds each distinct chunk once, lacking those not held.
+		wanted, lacking []*chunk
+		// at has the chunk of each place in the manifest.
+		at       []*chunk
 		byDigest map[mulberryspool.Digest]*chunk
 		missing  int
 		attempts map[Attempt]*attempt
@@ -71,7 +76,9 @@
 		// due is when the origin is asked for the chunk at the pace of its link.
 		due  time.Time
 		held bool
-		role role
+		// holders counts the known agents of the own region that hold the chunk.
+		holders int
+		role    role
 		// since is when the wait of a successor began.
 		since    time.Time
 		attempts int
@@ -100,10 +107,27 @@
 	}
 )
 
-// Step takes in an event and returns what is to be done, in order.
-func (p *Planner) Step(now time.Time, event Event) []Effect {
+// Step takes in events, oldest first, and returns what is to be done, in order.
+func (p *Planner) Step(now time.Time, events ...Event) []Effect {
 	p.prepare()
-	p.now, p.effects = now, nil
+	p.now, p.effects, p.changed = now, nil, false
+	for _, e := range events {
+		p.take(e)
+	}
+	if p.active && p.changed {
+		p.expire()
+		p.plan()
+	}
+	return p.effects
+}
+
+func (p *Planner) take(event Event) {
+	// The bytes of a fetch change only its deadline.
+	if e, ok := event.(Progressed); ok {
+		p.progressed(e.Attempt)
+		return
+	}
+	p.changed = true
 	switch e := event.(type) {
 	case Start:
 		p.start(e)
@@ -115,8 +139,6 @@
 		p.have(e)
 	case Lost:
 		p.lost(e.Instance)
-	case Progressed:
-		p.progressed(e.Attempt)
 	case Fetched:
 		p.fetched(e)
 	case Failed:
@@ -124,11 +146,6 @@
 	case Tick:
 		p.wakeAt = time.Time{}
 	}
-	if p.active {
-		p.expire()
-		p.plan()
-	}
-	return p.effects
 }
 
 // Missing returns how many distinct chunks are not held.
@@ -182,7 +199,8 @@
 // index lists the distinct chunks of the manifest.
 func (p *Planner) index() {
 	p.byDigest = make(map[mulberryspool.Digest]*chunk, len(p.manifest.Chunks))
-	p.wanted, p.missing = nil, 0
+	p.wanted, p.lacking, p.missing = nil, nil, 0
+	p.at = make([]*chunk, len(p.manifest.Chunks))
 	var offset int64
 	for i, m := range p.manifest.Chunks {
 		c := p.byDigest[m.Digest]
@@ -192,9 +210,11 @@
 			p.byDigest[m.Digest] = c
 			p.wanted = append(p.wanted, c)
 			if !c.held {
+				p.lacking = append(p.lacking, c)
 				p.missing++
 			}
 		}
+		p.at[i] = c
 		c.indexes = append(c.indexes, i)
 		offset += m.Size
 	}
@@ -204,13 +224,10 @@
 // pace spreads the requests to the origin over the time that its link needs,
 // in an order that is the same on all agents.
 func (p *Planner) pace() {
-	ordered := slices.Clone(p.wanted)
+	ordered := slices.Clone(p.lacking)
 	slices.SortFunc(ordered, func(a, b *chunk) int { return cmp.Compare(a.hash, b.hash) })
 	due := p.now
 	for _, c := range ordered {
-		if c.held {
-			continue
-		}
 		c.due, c.since = due, due
 		if p.limits.OriginBytesPerSecond > 0 {
 			due = due.Add(time.Duration(float64(c.Size) / float64(p.limits.OriginBytesPerSecond) * float64(time.Second)))
@@ -265,6 +282,7 @@
 	}
 	c.held = true
 	p.missing--
+	p.lacking = slices.DeleteFunc(p.lacking, func(l *chunk) bool { return l == c })
 	for _, i := range c.indexes {
 		p.held.Add(i)
 	}
@@ -291,10 +309,20 @@
 
 // expire ends attempts without progress.
 func (p *Planner) expire() {
+	expired := false
+	for _, a := range p.attempts {
+		if a.deadline.After(p.now) {
+			p.wake(a.deadline)
+			continue
+		}
+		expired = true
+	}
+	if !expired {
+		return
+	}
 	for _, id := range p.attemptIDs() {
 		a := p.attempts[id]
 		if a.deadline.After(p.now) {
-			p.wake(a.deadline)
 			continue
 		}
 		p.cancel(a)
--- a/internal/agent/swarm/roles.go
+++ b/internal/agent/swarm/roles.go
@@ -40,10 +40,8 @@
 func (p *Planner) assignRoles(now time.Time) {
 	p.rolesStale, p.rolesUntil = false, time.Time{}
 	taking := p.takingPart(now)
-	for _, c := range p.wanted {
-		if !c.held {
-			c.role = p.roleFor(c.hash, taking)
-		}
+	for _, c := range p.lacking {
+		c.role = p.roleFor(c.hash, taking)
 	}
 }
 
@@ -62,11 +60,43 @@
 			r.heads[i] = head{instance: t.member.Instance, region: t.member.Region, score: s}
 		}
 	}
-	slices.SortFunc(r.heads, func(a, b head) int { return cmp.Compare(b.score, a.score) })
+	slices.SortFunc(r.heads, func(a, b head) int {
+		if first := cmp.Compare(p.originOrder(a), p.originOrder(b)); first != 0 {
+			return first
+		}
+		return cmp.Compare(b.score, a.score)
+	})
 	r.own = slices.IndexFunc(r.heads, func(h head) bool { return h.region == p.Self.Region })
 	return r
 }
 
+// originOrder is 0 for heads of regions that read from the origin, else 1.
+func (p *Planner) originOrder(h head) int {
+	if len(p.limits.OriginRegions) == 0 || slices.Contains(p.limits.OriginRegions, h.region) {
+		return 0
+	}
+	return 1
+}
+
+// before returns the head that the own region gets the chunk from.
+func (p *Planner) before(r role) head {
+	if p.limits.DirectRegions {
+		return r.heads[0]
+	}
+	return r.heads[r.own-1]
+}
+
+// after returns the heads that get the chunk from the own region.
+func (p *Planner) after(r role) []head {
+	switch {
+	case p.limits.DirectRegions && r.own == 0:
+		return r.heads[1:]
+	case p.limits.DirectRegions || r.own+1 >= len(r.heads):
+		return nil
+	}
+	return r.heads[r.own+1 : r.own+2]
+}
+
 // takingPart returns this agent and all members that may want the manifest and
 // are not known to be gone.
 func (p *Planner) takingPart(now time.Time) []scored {
@@ -100,26 +130,38 @@
 	return true
 }
 
-// chooseNeighbours picks agents of the own region. The choice differs between
-// agents and changes little with the members.
+// chooseNeighbours picks agents of the own region, and finds those that pick
+// this agent. The choice differs between agents and changes little with the members.
 func (p *Planner) chooseNeighbours(now time.Time) {
-	type candidate struct {
-		member Member
-		score  uint64
-	}
-	var candidates []candidate
+	candidates := []scored{{member: p.Self, hash: p.selfHash}}
 	for _, m := range p.members {
 		if m.Region == p.Self.Region && p.pools[m.Pool] && !p.excluded(m, now) {
-			candidates = append(candidates, candidate{member: m, score: score(p.selfHash, xxhash.Sum64String(string(m.Instance)))})
+			candidates = append(candidates, scored{member: m, hash: xxhash.Sum64String(string(m.Instance))})
 		}
 	}
-	slices.SortFunc(candidates, func(a, b candidate) int { return cmp.Compare(b.score, a.score) })
 	for _, peer := range p.known {
-		peer.neighbour = false
+		peer.neighbour, peer.choseUs = false, false
 	}
-	for _, c := range candidates[:min(len(candidates), p.limits.Neighbours)] {
-		p.peer(c.member).neighbour = true
+	for _, c := range candidates[1:] {
+		if preferred(candidates, p.selfHash, c.hash) < p.limits.Neighbours {
+			p.peer(c.member).neighbour = true
+		}
+		if preferred(candidates, c.hash, p.selfHash) < p.limits.Neighbours {
+			p.peer(c.member).choseUs = true
+		}
+	}
+}
+
+// preferred counts the candidates that the chooser prefers to the other agent.
+func preferred(candidates []scored, chooser, other uint64) int {
+	count := 0
+	limit := score(chooser, other)
+	for _, c := range candidates {
+		if c.hash != chooser && score(chooser, c.hash) > limit {
+			count++
+		}
 	}
+	return count
 }
 
 // probePools asks a few agents of each other pool whether they want the manifest.
