--- /dev/null
+++ b/internal/observe/logging/logging.go
@@ -0,0 +1,81 @@
+// Package logging writes JSON log lines with the same fields in every process.
+package logging
+
+import (
+	"io"
+
+	"github.com/cockroachdb/errors"
+	"github.com/rs/zerolog"
+
+	"github.com/mulberryspool/mulberryspool"
+)
+
+// Names of the fields.
+const (
+	FieldInstance      = "instance"
+	FieldFailureDomain = "failureDomain"
+	FieldRoute         = "route"
+	FieldPool          = "pool"
+	FieldVersion       = "version"
+	FieldRequestID     = "requestID"
+	FieldStep          = "step"
+	FieldPeer          = "peer"
+)
+
+// Fields are the fields of a line beside the process's own. Empty ones are left out.
+type Fields struct {
+	Route     string
+	Pool      string
+	Version   string
+	RequestID mulberryspool.RequestID
+	Step      string
+	Peer      string
+}
+
+// New returns a logger that names the process in each line. Level is one of
+// debug, info, warn and error.
+func New(w io.Writer, identity mulberryspool.Identity, level string) (zerolog.Logger, error) {
+	parsed, err := zerolog.ParseLevel(level)
+	if err != nil {
+		return zerolog.Nop(), errors.Newf("log level %q is unknown; expected debug, info, warn or error", level)
+	}
+	return zerolog.New(zerolog.SyncWriter(w)).Level(parsed).With().Timestamp().
+		Str(FieldInstance, string(identity.Instance)).
+		Str(FieldFailureDomain, identity.FailureDomain).
+		Logger(), nil
+}
+
+// MarshalZerologObject implements zerolog.LogObjectMarshaler; use it with
+// Event.EmbedObject.
+func (f Fields) MarshalZerologObject(e *zerolog.Event) {
+	add := func(name, value string) {
+		if value != "" {
+			e.Str(name, value)
+		}
+	}
+	add(FieldRoute, f.Route)
+	add(FieldPool, f.Pool)
+	add(FieldVersion, f.Version)
+	add(FieldRequestID, string(f.RequestID))
+	add(FieldStep, f.Step)
+	add(FieldPeer, f.Peer)
+}
+
+// Err returns the fields with the step and the peer of the innermost
+// mulberryspool.StepError in err, where the fields leave them empty.
+func (f Fields) Err(err error) Fields {
+	for cause := err; cause != nil; cause = errors.UnwrapOnce(cause) {
+		var at *mulberryspool.StepError
+		if !errors.As(cause, &at) {
+			break
+		}
+		if f.Step == "" {
+			f.Step = at.Step
+		}
+		if f.Peer == "" {
+			f.Peer = at.Peer
+		}
+		cause = at
+	}
+	return f
+}
--- /dev/null
+++ b/internal/observe/timeline/merge.go
@@ -0,0 +1,116 @@
+package timeline
+
+import (
+	"cmp"
+	"encoding/json"
+	"fmt"
+	"io"
+	"slices"
+	"strings"
+
+	"github.com/mulberryspool/mulberryspool"
+)
+
+type (
+	// Merged holds the events of many processes in the order of their stamps.
+	Merged struct {
+		Events []mulberryspool.Event `json:"events"`
+		// Sources says what each process contributed, by instance.
+		Sources []Source `json:"sources"`
+	}
+
+	// Source is one process of a merged time line.
+	Source struct {
+		Instance      mulberryspool.InstanceID `json:"instance"`
+		FailureDomain string                   `json:"failureDomain,omitempty"`
+		Events        int                      `json:"events"`
+		Dropped       uint64                   `json:"dropped"`
+		// Error says why the process's events are missing; empty if they are there.
+		Error string `json:"error,omitempty"`
+	}
+)
+
+// Merge orders the events of all dumps by their stamps. A dump that is given
+// twice counts once.
+func Merge(dumps ...Dump) Merged {
+	merged := Merged{Events: []mulberryspool.Event{}, Sources: []Source{}}
+	for _, d := range dumps {
+		merged.Events = append(merged.Events, d.Events...)
+		merged.Sources = append(merged.Sources, Source{
+			Instance: d.Instance, FailureDomain: d.FailureDomain, Events: len(d.Events), Dropped: d.Dropped,
+		})
+	}
+	slices.SortStableFunc(merged.Events, compare)
+	merged.Events = slices.Compact(merged.Events)
+	slices.SortFunc(merged.Sources, func(a, b Source) int { return cmp.Compare(a.Instance, b.Instance) })
+	return merged
+}
+
+// WriteText writes one line for each event.
+func (m Merged) WriteText(w io.Writer) error {
+	for _, e := range m.Events {
+		if _, err := fmt.Fprintln(w, textLine(e)); err != nil {
+			return err
+		}
+	}
+	for _, s := range m.Sources {
+		if s.Error != "" {
+			if _, err := fmt.Fprintf(w, "# events of %s are missing: %s\n", s.Instance, s.Error); err != nil {
+				return err
+			}
+		}
+		if s.Dropped > 0 {
+			if _, err := fmt.Fprintf(w, "# %s no longer holds %d older events\n", s.Instance, s.Dropped); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+// WriteJSON writes the time line as one JSON document.
+func (m Merged) WriteJSON(w io.Writer) error {
+	encoder := json.NewEncoder(w)
+	encoder.SetIndent("", "  ")
+	return encoder.Encode(m)
+}
+
+func compare(a, b mulberryspool.Event) int {
+	return cmp.Or(
+		cmp.Compare(a.Time.Wall, b.Time.Wall),
+		cmp.Compare(a.Time.Logical, b.Time.Logical),
+		cmp.Compare(a.Instance, b.Instance),
+	)
+}
+
+// timeFormat has a fixed width, so that columns line up.
+const timeFormat = "2006-01-02T15:04:05.000000Z"
+
+func textLine(e mulberryspool.Event) string {
+	line := fmt.Sprintf("%s.%03d %-24s %-18s", e.Time.Time().Format(timeFormat), e.Time.Logical, e.Instance, e.Kind)
+	return strings.TrimRight(line+" "+details(e), " ")
+}
+
+// details lists the fields that are set.
+func details(e mulberryspool.Event) string {
+	var parts []string
+	add := func(name, value string) {
+		if value != "" {
+			parts = append(parts, name+"="+value)
+		}
+	}
+	add("request", string(e.RequestID))
+	add("route", e.Route)
+	add("pool", e.Pool)
+	add("version", e.Version)
+	if e.Revision != 0 {
+		add("revision", fmt.Sprint(e.Revision))
+	}
+	add("change", e.Change)
+	add("step", e.Step)
+	add("peer", e.Peer)
+	if e.Detail != "" {
+		parts = append(parts, fmt.Sprintf("detail=%q", e.Detail))
+	}
+	return strings.Join(parts, " ")
+}
--- /dev/null
+++ b/internal/operator/tables/parse.go
@@ -0,0 +1,65 @@
+package tables
+
+import (
+	"os"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/goccy/go-yaml"
+
+	"github.com/mulberryspool/mulberryspool"
+	"github.com/mulberryspool/mulberryspool/internal/settings/decode"
+)
+
+// File is what an operator edits. Durations carry a unit.
+type File struct {
+	// Base is the revision that the file was made from; 0 if it is not known.
+	Base   mulberryspool.Revision `yaml:"base,omitempty"`
+	Routes []mulberryspool.Route  `yaml:"routes" validate:"dive"`
+	Pools  []mulberryspool.Pool   `yaml:"pools" validate:"dive"`
+}
+
+// ReadFile reads an operator's YAML or JSON file. The error names file, line,
+// key and what was expected.
+func ReadFile(name string) (File, error) {
+	data, err := os.ReadFile(name)
+	if err != nil {
+		return File{}, mulberryspool.AtStep(err, "read tables", "")
+	}
+	return Parse(name, data)
+}
+
+// Parse reads an operator's YAML or JSON content. The name is used in errors.
+func Parse(name string, data []byte) (File, error) {
+	var f File
+	err := decode.Bytes(name, data, &f, func(report *decode.Report) {
+		for _, problem := range findProblems(f.Tables()) {
+			report.Add(problem.path, problem.Reason, "")
+		}
+	})
+	return f, err
+}
+
+// Tables returns the rows.
+func (f File) Tables() mulberryspool.Tables {
+	return mulberryspool.Tables{Routes: f.Routes, Pools: f.Pools}
+}
+
+// Format returns the rows at a revision as YAML that Parse reads.
+func Format(t mulberryspool.Tables, revision mulberryspool.Revision) ([]byte, error) {
+	return format(t, revision)
+}
+
+// FormatJSON returns the rows at a revision as JSON that Parse reads.
+func FormatJSON(t mulberryspool.Tables, revision mulberryspool.Revision) ([]byte, error) {
+	return format(t, revision, yaml.JSON())
+}
+
+func format(t mulberryspool.Tables, revision mulberryspool.Revision, options ...yaml.EncodeOption) ([]byte, error) {
+	t = Canonical(t)
+	options = append(options, yaml.CustomMarshaler(func(d time.Duration) ([]byte, error) {
+		return []byte(`"` + d.String() + `"`), nil
+	}))
+	content, err := yaml.MarshalWithOptions(File{Base: revision, Routes: t.Routes, Pools: t.Pools}, options...)
+	return content, errors.Wrap(err, "format tables")
+}
--- /dev/null
+++ b/internal/settings/shared/defaults.go
@@ -0,0 +1,80 @@
+package shared
+
+import "time"
+
+// Defaults of all settings. Sizes are in bytes, rates in bytes a second.
+const (
+	// Limits of the object API per process: at 990 processes (R24) 2 calls a
+	// second each would reach its 2,000 reads a second, so the usual load has
+	// to stay far below; the budget only bounds bursts.
+	DefaultCallsPerSecond = 5
+	DefaultCallTimeout    = 2 * time.Second
+	// DefaultWatchDeadline bounds how long a watch that has gone silent is trusted.
+	DefaultWatchDeadline = 20 * time.Second
+
+	DefaultInstancePoll = 2 * time.Second
+
+	DefaultWatchersPerDomain = 2
+	// DefaultTablesPoll is low because heartbeats carry the revision; polling
+	// only helps a process that no peer talks to.
+	DefaultTablesPoll = 30 * time.Second
+
+	DefaultLogLevel       = "info"
+	DefaultTimelineEvents = 8192
+
+	// DefaultHeartbeatInterval allows two lost heartbeats within the 3 s of R6.
+	DefaultHeartbeatInterval = 500 * time.Millisecond
+	DefaultStartFreshness    = 5 * time.Second
+	DefaultAnswerRetention   = time.Minute
+	DefaultMaxBodySize       = 8 << 20
+	DefaultMaxInFlight       = 256
+	DefaultEntryInFlight     = 4096
+	DefaultGracefulStop      = time.Minute
+
+	DefaultSubsetSize       = 32
+	DefaultRequestTimeout   = 2 * time.Minute
+	DefaultMaxQueuedTokens  = 200_000
+	DefaultRetryBudget      = 0.1
+	DefaultDialTimeout      = time.Second
+	DefaultResolveTimeout   = 10 * time.Second
+	DefaultSuspicionTimeout = 2 * time.Second
+
+	DefaultStagingLimit = 4 << 30
+	// DefaultMachineRate is 10 Gbit/s.
+	DefaultMachineRate = 1250 * 1000 * 1000
+	// DefaultRegionRate is the 20 Mbit/s of a region pair (R22).
+	DefaultRegionRate = 2500 * 1000
+	DefaultLiveShare  = 0.2
+	DefaultOriginBias = 0.5
+	// DefaultOriginPatience is the longest wait for a peer, at originBias 1.
+	DefaultOriginPatience = 10 * time.Second
+	DefaultUploadSlots    = 8
+	DefaultDownloadSlots  = 16
+	DefaultChunkDeadline  = 5 * time.Second
+
+	DefaultLeaseDuration  = 15 * time.Second
+	DefaultMaxOrderDelay  = 5 * time.Second
+	DefaultLoadTimeout    = 5 * time.Minute
+	DefaultBackendTimeout = 5 * time.Second
+	DefaultReportInterval = time.Second
+)
+
+// DefaultObjectAPI returns the section without its URL.
+func DefaultObjectAPI() ObjectAPI {
+	return ObjectAPI{CallsPerSecond: DefaultCallsPerSecond, Timeout: DefaultCallTimeout, WatchDeadline: DefaultWatchDeadline}
+}
+
+// DefaultInstanceList returns the section without its URL.
+func DefaultInstanceList() InstanceList {
+	return InstanceList{PollInterval: DefaultInstancePoll, Timeout: DefaultCallTimeout}
+}
+
+// DefaultTables returns the section.
+func DefaultTables() Tables {
+	return Tables{WatchersPerDomain: DefaultWatchersPerDomain, PollInterval: DefaultTablesPoll}
+}
+
+// DefaultTelemetry returns the section.
+func DefaultTelemetry() Telemetry {
+	return Telemetry{LogLevel: DefaultLogLevel, TimelineEvents: DefaultTimelineEvents}
+}
