--- /dev/null
+++ b/cmd/mulberryspool/main.go
@@ -0,0 +1,31 @@
+// Command mulberryspool runs every role of the system and the operator's tools.
+package main
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/jonboulle/clockwork"
+
+	"github.com/mulberryspool/mulberryspool/internal/operator/command"
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	program := &command.Program{
+		Runners: runners(),
+		Clock:   clockwork.NewRealClock(),
+		Out:     os.Stdout,
+		Err:     os.Stderr,
+	}
+	code := program.Run(ctx, os.Args[1:])
+	stop()
+	os.Exit(code)
+}
+
+// runners puts the parts of the program together.
+func runners() command.Runners {
+	return command.Runners{}
+}
--- a/internal/observe/timeline/merge.go
+++ b/internal/observe/timeline/merge.go
@@ -53,16 +53,9 @@
 			return err
 		}
 	}
-	for _, s := range m.Sources {
-		if s.Error != "" {
-			if _, err := fmt.Fprintf(w, "# events of %s are missing: %s\n", s.Instance, s.Error); err != nil {
-				return err
-			}
-		}
-		if s.Dropped > 0 {
-			if _, err := fmt.Fprintf(w, "# %s no longer holds %d older events\n", s.Instance, s.Dropped); err != nil {
-				return err
-			}
+	for _, note := range m.notes() {
+		if _, err := fmt.Fprintln(w, "#", note); err != nil {
+			return err
 		}
 	}
 	return nil
--- /dev/null
+++ b/internal/operator/command/roles.go
@@ -0,0 +1,77 @@
+package command
+
+import (
+	"context"
+	"fmt"
+
+	"github.com/cockroachdb/errors"
+
+	agentsettings "github.com/mulberryspool/mulberryspool/internal/settings/agent"
+	entrysettings "github.com/mulberryspool/mulberryspool/internal/settings/entry"
+)
+
+func (p *Program) entry(ctx context.Context, a *arguments) error {
+	settings, err := entrysettings.Load(a.Entry.Config, func(s *entrysettings.Settings) {
+		s.ObjectAPI.URL = first(a.ObjectAPI, s.ObjectAPI.URL)
+		s.InstanceList.URL = first(a.Instances, s.InstanceList.URL)
+	})
+	if err != nil {
+		return badSettings(err)
+	}
+	if a.Entry.Check {
+		return p.checked(a.Entry.Config)
+	}
+	if p.Runners.Entry == nil {
+		return errors.New("this build has no entry role")
+	}
+	return p.Runners.Entry(ctx, settings, p.Err)
+}
+
+func (p *Program) agent(ctx context.Context, a *arguments) error {
+	settings, err := agentsettings.Load(a.Agent.Config, func(s *agentsettings.Settings) {
+		s.ObjectAPI.URL = first(a.ObjectAPI, s.ObjectAPI.URL)
+		s.InstanceList.URL = first(a.Instances, s.InstanceList.URL)
+	})
+	if err != nil {
+		return badSettings(err)
+	}
+	if a.Agent.Check {
+		return p.checked(a.Agent.Config)
+	}
+	if p.Runners.Agent == nil {
+		return errors.New("this build has no agent role")
+	}
+	return p.Runners.Agent(ctx, settings, p.Err)
+}
+
+func (p *Program) checked(file string) error {
+	_, err := fmt.Fprintf(p.Out, "%s: settings are valid\n", file)
+	return err
+}
+
+func (p *Program) local(ctx context.Context, a *localArguments) error {
+	if p.Runners.Local == nil {
+		return errors.New("this build has no local system")
+	}
+	return p.Runners.Local(ctx, LocalOptions{Keep: a.Keep}, p.Out)
+}
+
+func (p *Program) weights(ctx context.Context, a *arguments) error {
+	store, err := p.store(a)
+	if err != nil {
+		return err
+	}
+	switch {
+	case a.Weights.Publish != nil && p.Runners.PublishWeights != nil:
+		options, err := a.Weights.Publish.options()
+		if err != nil {
+			return err
+		}
+		return p.Runners.PublishWeights(ctx, store, options, p.Out)
+	case a.Weights.Show != nil && p.Runners.ShowWeights != nil:
+		return p.Runners.ShowWeights(ctx, store, ShowOptions{Version: a.Weights.Show.Version, JSON: a.Weights.Show.JSON}, p.Out)
+	case a.Weights.Publish == nil && a.Weights.Show == nil:
+		return withCode(ExitBadInput, errors.New("weights needs publish or show"))
+	}
+	return errors.New("this build has no weights commands")
+}
--- /dev/null
+++ b/internal/operator/command/tables.go
@@ -0,0 +1,218 @@
+package command
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/mulberryspool/mulberryspool"
+	"github.com/mulberryspool/mulberryspool/internal/operator/tables"
+)
+
+func (p *Program) tables(ctx context.Context, a *arguments) error {
+	if a.Tables.Validate != nil {
+		return p.tablesValidate(a.Tables.Validate)
+	}
+	store, err := p.store(a)
+	if err != nil {
+		return err
+	}
+	switch {
+	case a.Tables.Get != nil:
+		return p.tablesGet(ctx, store, a.Tables.Get)
+	case a.Tables.History != nil:
+		return p.tablesHistory(ctx, store, a.Tables.History)
+	case a.Tables.Apply != nil:
+		return p.tablesApply(ctx, store, a)
+	}
+	return withCode(ExitBadInput, errors.New("tables needs get, apply, validate or history"))
+}
+
+func (p *Program) tablesValidate(a *tablesValidate) error {
+	if _, err := tables.ReadFile(a.File); err != nil {
+		return badSettings(err)
+	}
+	_, err := fmt.Fprintf(p.Out, "%s: tables are valid\n", a.File)
+	return err
+}
+
+func (p *Program) tablesGet(ctx context.Context, store mulberryspool.ObjectStore, a *tablesGet) error {
+	object, err := store.Get(ctx, mulberryspool.TablesKind, mulberryspool.TablesName)
+	if err != nil {
+		return mulberryspool.AtStep(err, "read tables", "")
+	}
+	t, err := tables.Decode(object.Value)
+	if err != nil {
+		return errors.Wrapf(err, "revision %d", object.Version)
+	}
+	format := tables.Format
+	if a.JSON {
+		format = tables.FormatJSON
+	}
+	content, err := format(t, object.Version)
+	if err != nil {
+		return err
+	}
+	_, err = p.Out.Write(content)
+	return err
+}
+
+func (p *Program) tablesHistory(ctx context.Context, store mulberryspool.ObjectStore, a *tablesHistory) error {
+	changes, err := tables.History(ctx, store, a.Limit)
+	if err != nil {
+		return err
+	}
+	if a.JSON {
+		encoder := json.NewEncoder(p.Out)
+		encoder.SetIndent("", "  ")
+		return encoder.Encode(changes)
+	}
+	for i, c := range changes {
+		if err := p.printChange(c, tables.Undid(changes, i)); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (p *Program) printChange(c tables.Accepted, undid []mulberryspool.Revision) error {
+	line := fmt.Sprintf("revision %d by %s at %s, change %s", c.Revision, c.Author, c.Time.UTC().Format(time.RFC3339), c.ID)
+	if c.Reverts != 0 {
+		line += fmt.Sprintf(", reverts %d", c.Reverts)
+	}
+	for _, revision := range undid {
+		if revision != c.Reverts {
+			line += fmt.Sprintf(", undoes %d", revision)
+		}
+	}
+	if _, err := fmt.Fprintln(p.Out, line); err != nil {
+		return err
+	}
+	return p.printRows(c.Rows)
+}
+
+func (p *Program) printRows(rows []mulberryspool.RowChange) error {
+	for _, row := range rows {
+		if _, err := fmt.Fprintf(p.Out, "  %s/%s\n", row.Table, row.Row); err != nil {
+			return err
+		}
+		for _, side := range []struct{ sign, line string }{{"-", row.Before}, {"+", row.After}} {
+			if side.line == "" {
+				continue
+			}
+			if _, err := fmt.Fprintf(p.Out, "  %s %s\n", side.sign, side.line); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+func (p *Program) tablesApply(ctx context.Context, store mulberryspool.ObjectStore, a *arguments) error {
+	edit, err := a.edit()
+	if err != nil {
+		return err
+	}
+	writer := &tables.Writer{Store: store, Clock: p.Clock, Around: p.around(store, a)}
+	bounded, cancel := context.WithTimeout(ctx, a.Timeout)
+	result, err := writer.Apply(bounded, edit)
+	cancel()
+	if err != nil {
+		return applyFailure(err)
+	}
+	for _, c := range result.Merged {
+		if _, err := fmt.Fprintf(p.Out, "merged with revision %d by %s\n", c.Revision, c.Author); err != nil {
+			return err
+		}
+	}
+	if err := p.printRows(result.Change.Rows); err != nil {
+		return err
+	}
+	if _, err := fmt.Fprintln(p.Out, outcome(result, edit)); err != nil {
+		return err
+	}
+	if a.Tables.Apply.Wait && !edit.DryRun {
+		return p.waitInForce(ctx, a, result.Revision)
+	}
+	return nil
+}
+
+func outcome(result tables.Result, edit tables.Edit) string {
+	switch {
+	case len(result.Change.Rows) == 0:
+		return fmt.Sprintf("nothing to change, revision %d", result.Revision)
+	case edit.DryRun:
+		return fmt.Sprintf("dry run, nothing written; compared with revision %d", result.Revision)
+	}
+	return fmt.Sprintf("accepted as revision %d, change %s", result.Revision, result.Change.ID)
+}
+
+func (a *arguments) edit() (tables.Edit, error) {
+	apply := a.Tables.Apply
+	edit := tables.Edit{Revert: apply.Revert, DryRun: apply.DryRun, ReplaceUndecodable: apply.Replace}
+	switch {
+	case apply.File != "":
+		file, err := tables.ReadFile(apply.File)
+		if err != nil {
+			return edit, badSettings(err)
+		}
+		edit.File = file
+	case apply.Revert != 0:
+		edit.UndoOnly = true
+	default:
+		return edit, withCode(ExitBadInput, errors.New("tables apply needs -f FILE, or --revert REV to undo a change"))
+	}
+	if edit.DryRun {
+		return edit, nil
+	}
+	author, err := a.author()
+	edit.Author = author
+	return edit, err
+}
+
+// around returns what a change is checked against: the published versions
+// and, if the instance list is given, the live servers of each pool.
+func (p *Program) around(store mulberryspool.ObjectStore, a *arguments) func(context.Context) (tables.Surroundings, error) {
+	return func(ctx context.Context) (tables.Surroundings, error) {
+		surroundings := tables.Surroundings{Published: func(version string) (bool, error) {
+			_, err := store.Get(ctx, mulberryspool.ManifestKind, version)
+			if errors.Is(err, mulberryspool.ErrNotFound) {
+				return false, nil
+			}
+			return err == nil, err
+		}}
+		if a.Instances == "" || a.Tables.Apply.AllowEmpty {
+			return surroundings, nil
+		}
+		list, err := p.list(a)
+		if err != nil {
+			return surroundings, err
+		}
+		instances, err := list.Instances(ctx)
+		if err != nil {
+			return surroundings, mulberryspool.AtStep(err, "read instance list", "")
+		}
+		surroundings.Live = make(map[string]int)
+		for _, i := range instances {
+			if i.Role == mulberryspool.RoleAgent && i.State == mulberryspool.InstanceLive {
+				surroundings.Live[i.Pool]++
+			}
+		}
+		return surroundings, nil
+	}
+}
+
+func applyFailure(err error) error {
+	if errors.Is(err, mulberryspool.ErrUncertain) {
+		return withCode(ExitUnknown, errors.Wrap(err, "outcome unknown; look for the change in `tables history`"))
+	}
+	var problems tables.Problems
+	var refusals tables.Refusals
+	if errors.As(err, &problems) || errors.As(err, &refusals) || errors.IsAny(err, tables.ErrRevert, tables.ErrBase, tables.ErrTooLarge) {
+		return withCode(ExitRefused, errors.Wrap(err, "refused, nothing written"))
+	}
+	return err
+}
--- a/internal/operator/tables/parse.go
+++ b/internal/operator/tables/parse.go
@@ -32,14 +32,16 @@
 // Parse reads an operator's YAML or JSON content. The name is used in errors.
 func Parse(name string, data []byte) (File, error) {
 	var f File
-	err := decode.Bytes(name, data, &f, func(report *decode.Report) {
-		for _, problem := range findProblems(f.Tables()) {
-			report.Add(problem.path, problem.Reason, "")
-		}
-	})
+	err := decode.Bytes(name, data, &f, decode.Options{Checks: []decode.Check{f.check}})
 	return f, err
 }
 
+func (f *File) check(report *decode.Report) {
+	for _, problem := range findProblems(f.Tables()) {
+		report.Add(problem.path, problem.Reason, "")
+	}
+}
+
 // Tables returns the rows.
 func (f File) Tables() mulberryspool.Tables {
 	return mulberryspool.Tables{Routes: f.Routes, Pools: f.Pools}
--- a/internal/platform/tables/follower.go
+++ b/internal/platform/tables/follower.go
@@ -223,9 +223,9 @@
 // runner is one run of a Follower.
 type runner struct {
 	*Follower
-	ctx     context.Context
-	state   state
-	events  chan event
+	ctx    context.Context
+	state  state
+	events chan event
 	// running counts the goroutines of calls.
 	running sync.WaitGroup
 	// pending is the armed timer, for wakeAt.
--- a/internal/settings/decode/decode.go
+++ b/internal/settings/decode/decode.go
@@ -21,18 +21,27 @@
 // wrong with them.
 type Check func(*Report)
 
+// Options says what is done after the values are decoded.
+type Options struct {
+	// Amend changes values before they are checked, such as with command-line
+	// flags; nil for nothing.
+	Amend func()
+	// Checks run after the validator tags.
+	Checks []Check
+}
+
 // File reads a YAML or JSON file into the struct that into points to, over the
 // defaults that it holds. The error is a Problems value when the content is wrong.
-func File(name string, into any, checks ...Check) error {
+func File(name string, into any, options Options) error {
 	data, err := os.ReadFile(name)
 	if err != nil {
 		return mulberryspool.AtStep(err, "read settings", "")
 	}
-	return Bytes(name, data, into, checks...)
+	return Bytes(name, data, into, options)
 }
 
 // Bytes does what File does for content that has been read already.
-func Bytes(name string, data []byte, into any, checks ...Check) error {
+func Bytes(name string, data []byte, into any, options Options) error {
 	target := reflect.ValueOf(into)
 	if target.Kind() != reflect.Pointer || target.Elem().Kind() != reflect.Struct {
 		return errors.AssertionFailedf("decode into %T, expected a pointer to a struct", into)
@@ -57,8 +66,11 @@
 			return report.err()
 		}
 	}
+	if options.Amend != nil {
+		options.Amend()
+	}
 	report.validate(into)
-	for _, check := range checks {
+	for _, check := range options.Checks {
 		check(report)
 	}
 	return report.err()
