--- a/cmd/mulberryspool/main.go
+++ b/cmd/mulberryspool/main.go
@@ -24,8 +24,3 @@
 	stop()
 	os.Exit(code)
 }
-
-// runners puts the parts of the program together.
-func runners() command.Runners {
-	return command.Runners{}
-}
--- /dev/null
+++ b/cmd/mulberryspool/runners.go
@@ -0,0 +1,98 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"time"
+
+	"github.com/dustin/go-humanize"
+	"github.com/jonboulle/clockwork"
+
+	"github.com/mulberryspool/mulberryspool"
+	"github.com/mulberryspool/mulberryspool/internal/operator/command"
+	"github.com/mulberryspool/mulberryspool/internal/operator/weights"
+	"github.com/mulberryspool/mulberryspool/internal/platform/instancelist"
+	"github.com/mulberryspool/mulberryspool/internal/platform/objectapi"
+	"github.com/mulberryspool/mulberryspool/internal/platform/origin"
+	"github.com/mulberryspool/mulberryspool/internal/platform/weightstore"
+	"github.com/mulberryspool/mulberryspool/internal/role/agent"
+	"github.com/mulberryspool/mulberryspool/internal/role/entry"
+)
+
+// operatorCaller is the name under which the platform counts an operator's calls.
+const operatorCaller = "operator"
+
+// runners puts the parts of the program together.
+func runners() command.Runners {
+	return command.Runners{
+		Entry:          entry.Run,
+		Agent:          agent.Run,
+		PublishWeights: publishWeights,
+		ShowWeights:    showWeights,
+		ObjectStore: func(url string) (mulberryspool.ObjectStore, error) {
+			return &objectapi.Client{
+				BaseURL: url, Caller: operatorCaller, Clock: clockwork.NewRealClock(),
+				Random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+			}, nil
+		},
+		InstanceList: func(url string) (mulberryspool.InstanceList, error) {
+			return &instancelist.Client{BaseURL: url, Caller: operatorCaller, Clock: clockwork.NewRealClock()}, nil
+		},
+	}
+}
+
+func publishWeights(ctx context.Context, store mulberryspool.ObjectStore, options command.PublishOptions, out io.Writer) error {
+	clock := clockwork.NewRealClock()
+	p := &weights.Publisher{
+		Store:  store,
+		Origin: &origin.Client{BaseURL: options.Origin, Caller: operatorCaller, Clock: clock},
+	}
+	if options.WeightStore != "" {
+		p.WeightStore = &weightstore.Client{BaseURL: options.WeightStore, Caller: operatorCaller, Clock: clock}
+	}
+	began := clock.Now()
+	manifest, err := p.Publish(ctx, weights.Request{Version: options.Version, OriginPath: options.Path, ChunkBytes: options.ChunkSize})
+	if err != nil {
+		return err
+	}
+	_, err = fmt.Fprintf(out, "%s: %s in %d chunks, digest %s, published in %v\n", manifest.Version,
+		humanize.Bytes(uint64(manifest.Size)), len(manifest.Chunks), manifest.Digest, clock.Since(began).Round(time.Millisecond))
+	return err
+}
+
+func showWeights(ctx context.Context, store mulberryspool.ObjectStore, options command.ShowOptions, out io.Writer) error {
+	versions := []string{options.Version}
+	if options.Version == "" {
+		objects, err := store.List(ctx, mulberryspool.ManifestKind, "")
+		if err != nil {
+			return err
+		}
+		versions = versions[:0]
+		for _, o := range objects {
+			versions = append(versions, o.Name)
+		}
+	}
+	p := &weights.Publisher{Store: store}
+	for _, version := range versions {
+		manifest, err := p.Show(ctx, version)
+		if err != nil {
+			return err
+		}
+		if err := writeManifest(out, manifest, options.JSON); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func writeManifest(out io.Writer, manifest mulberryspool.Manifest, asJSON bool) error {
+	if asJSON {
+		return json.NewEncoder(out).Encode(manifest)
+	}
+	_, err := fmt.Fprintf(out, "%s\t%s\t%d chunks\tdigest %s\torigin path %s\n", manifest.Version,
+		humanize.Bytes(uint64(manifest.Size)), len(manifest.Chunks), manifest.Digest, manifest.OriginPath)
+	return err
+}
--- a/internal/agent/fetch/rollout_bench_test.go
+++ b/internal/agent/fetch/rollout_bench_test.go
@@ -252,7 +252,7 @@
 func benchOriginOnly(b *testing.B, agents int) {
 	for range b.N {
 		r := newRollout(b, agents, max(benchChunk, originOnlyScale*benchBytes/agents), nil)
-		r.each(b, func(a *testAgent, index int, c mulberryspool.Chunk, offset int64) error {
+		r.each(b, func(a *testAgent, _ int, c mulberryspool.Chunk, offset int64) error {
 			return a.baseline(swarm.Fetch{Source: swarm.Source{Kind: swarm.FromOrigin}, Path: r.manifest.OriginPath, Chunk: c, Offset: offset})
 		})
 		r.report(b, r.manifest.Size)
--- /dev/null
+++ b/internal/role/platform/platform.go
@@ -0,0 +1,144 @@
+// Package platform puts together what the entry and the agent have in common:
+// the platform's clients, the tables follower and the admin listener.
+//
+//	settings --> New --> Clients --> Run (follower, admin listener)
+package platform
+
+import (
+	"context"
+	"io"
+	"math/rand/v2"
+	"net"
+
+	"github.com/google/uuid"
+	"github.com/jonboulle/clockwork"
+	"github.com/rs/zerolog"
+	"github.com/uber-go/tally/v4"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/mulberryspool/mulberryspool"
+	"github.com/mulberryspool/mulberryspool/internal/observe/admin"
+	"github.com/mulberryspool/mulberryspool/internal/observe/hlc"
+	"github.com/mulberryspool/mulberryspool/internal/observe/logging"
+	"github.com/mulberryspool/mulberryspool/internal/observe/timeline"
+	"github.com/mulberryspool/mulberryspool/internal/peer/rpc"
+	"github.com/mulberryspool/mulberryspool/internal/platform/instancelist"
+	"github.com/mulberryspool/mulberryspool/internal/platform/objectapi"
+	"github.com/mulberryspool/mulberryspool/internal/platform/tables"
+	"github.com/mulberryspool/mulberryspool/internal/settings/shared"
+)
+
+type (
+	// Options say how a process reaches the platform.
+	Options struct {
+		// Identity has no incarnation yet; New gives it one.
+		Identity  mulberryspool.Identity
+		ObjectAPI shared.ObjectAPI
+		Instances shared.InstanceList
+		Tables    shared.Tables
+		Telemetry shared.Telemetry
+		// AlwaysWatch makes the process hold a watch on the tables.
+		AlwaysWatch bool
+		Logs        io.Writer
+	}
+
+	// Clients are the parts that both roles need.
+	Clients struct {
+		Identity  mulberryspool.Identity
+		Clock     mulberryspool.Clock
+		Stamps    *hlc.Clock
+		Random    *rand.Rand
+		Endpoint  *rpc.Endpoint
+		Store     *objectapi.Client
+		Instances *instancelist.Client
+		Tables    *tables.Follower
+		Events    *timeline.Ring
+		Logger    zerolog.Logger
+		Metrics   tally.Scope
+		// Admin has no Ready and Status yet.
+		Admin *admin.Server
+
+		closeMetrics io.Closer
+	}
+)
+
+// New makes the clients of one process with a fresh incarnation.
+func New(options Options) (*Clients, error) {
+	identity := options.Identity
+	identity.Incarnation = mulberryspool.Incarnation(uuid.NewString())
+	logger, err := logging.New(options.Logs, identity, options.Telemetry.LogLevel)
+	if err != nil {
+		return nil, mulberryspool.AtStep(err, "set up logging", "")
+	}
+	clock := clockwork.NewRealClock()
+	stamps := &hlc.Clock{Wall: clock}
+	metrics, metricsHandler, closer := admin.NewMetrics(identity)
+	c := &Clients{
+		Identity: identity, Clock: clock, Stamps: stamps, Logger: logger, Metrics: metrics,
+		Random:       newRandom(),
+		Endpoint:     &rpc.Endpoint{Clock: clock, Stamps: stamps},
+		Events:       &timeline.Ring{Identity: identity, Stamps: stamps, Capacity: options.Telemetry.TimelineEvents},
+		closeMetrics: closer,
+	}
+	caller := string(identity.Instance)
+	c.Store = &objectapi.Client{
+		BaseURL: options.ObjectAPI.URL, Caller: caller, Clock: clock, Random: newRandom(), Metrics: metrics,
+		CallsPerSecond: options.ObjectAPI.CallsPerSecond, AttemptTimeout: options.ObjectAPI.Timeout,
+		WatchTimeout: options.ObjectAPI.WatchDeadline,
+	}
+	c.Instances = &instancelist.Client{BaseURL: options.Instances.URL, Caller: caller, Clock: clock, Timeout: options.Instances.Timeout}
+	c.Tables = &tables.Follower{
+		Store: c.Store, Clock: clock, Identity: identity, List: c.Instances, Recorder: c.Events,
+		AlwaysWatch: options.AlwaysWatch, WatchersPerDomain: options.Tables.WatchersPerDomain,
+		PollInterval: options.Tables.PollInterval, WatchDeadline: options.ObjectAPI.WatchDeadline,
+	}
+	c.Admin = &admin.Server{Metrics: metricsHandler, Events: c.Events}
+	return c, nil
+}
+
+// Run serves the admin listener and follows the tables while role runs, and
+// returns role's error. Both go on until role has ended, so that a process
+// that stops can still be watched.
+func (c *Clients) Run(ctx context.Context, adminListener net.Listener, role func(ctx context.Context) error) error {
+	background, stop := context.WithCancel(context.WithoutCancel(ctx))
+	var group errgroup.Group
+	group.Go(func() error { return c.Admin.Serve(background, adminListener) })
+	group.Go(func() error { return c.Tables.Run(background) })
+	c.Events.Record(mulberryspool.Event{Kind: mulberryspool.EventProcessStarted})
+	c.Logger.Info().Str(logging.FieldStep, "start").Msg("process started")
+	err := role(ctx)
+	c.Logger.Info().Str(logging.FieldStep, "stop").Err(err).Msg("process stopped")
+	stop()
+	if backgroundErr := group.Wait(); err == nil {
+		err = backgroundErr
+	}
+	c.Store.Close()
+	c.Instances.Close()
+	if closeErr := c.closeMetrics.Close(); err == nil {
+		err = closeErr
+	}
+	return err
+}
+
+// Listen opens the listeners in the order of the addresses; it closes all of
+// them if one can't be opened.
+func Listen(addresses ...string) ([]net.Listener, error) {
+	listeners := make([]net.Listener, 0, len(addresses))
+	for _, address := range addresses {
+		listener, err := net.Listen("tcp", address)
+		if err != nil {
+			for _, open := range listeners {
+				open.Close()
+			}
+			return nil, mulberryspool.AtStep(err, "listen", address)
+		}
+		listeners = append(listeners, listener)
+	}
+	return listeners, nil
+}
+
+// newRandom is seeded differently in each process; the seeds only spread
+// jitter and choices.
+func newRandom() *rand.Rand {
+	return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+}
--- /dev/null
+++ b/internal/testkit/system/system.go
@@ -0,0 +1,357 @@
+// Package system runs a whole deployment as separate processes on loopback:
+// the platform's stand-ins, backend servers, agents and entries.
+//
+//	Start --> stand-ins --> backend server + agent (+ fault proxy) --> entries
+//
+// Every process is killed at the end of its test.
+package system
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/mulberryspool/mulberryspool"
+	"github.com/mulberryspool/mulberryspool/internal/observe/admin"
+	"github.com/mulberryspool/mulberryspool/internal/standin/origin"
+	"github.com/mulberryspool/mulberryspool/internal/testkit/faultproxy"
+	"github.com/mulberryspool/mulberryspool/internal/testkit/process"
+)
+
+const (
+	module = "github.com/mulberryspool/mulberryspool"
+	// WaitLimit keeps a test from hanging; it is no measure of the system.
+	WaitLimit    = 90 * time.Second
+	pollInterval = 20 * time.Millisecond
+)
+
+type (
+	// System is a running deployment. Set the exported fields before Start.
+	System struct {
+		// Builder is shared by the tests of a package.
+		Builder *process.Builder
+		// Domains are the failure domains, each in a region of its own name
+		// without the suffix; agents and entries take turns.
+		Domains []string
+		// EngineArguments go to each engine stand-in.
+		EngineArguments []string
+		// Timeouts are YAML lines for the settings of agents, such as
+		// "leaseDuration: 2s".
+		AgentTimeouts []string
+		EntryTimeouts []string
+
+		ObjectAPI, InstanceList, Origin string
+		// Platform holds the stand-ins' processes by name.
+		Platform map[string]*process.Process
+		Entries  []*Member
+		Agents   []*Member
+
+		directory string
+		program   string
+		standin   string
+		mu        sync.Mutex
+		ports     map[string]bool
+	}
+
+	// Member is an entry or an agent with its backend server.
+	Member struct {
+		Identity mulberryspool.Identity
+		// Process is replaced by Restart.
+		Process *process.Process
+		// Callers is the base URL of an entry's HTTP front.
+		Callers string
+		// Backend is the base URL of an agent's backend server.
+		Backend        string
+		BackendProcess *process.Process
+		// Proxy stands between entries and an agent's control listener.
+		Proxy *faultproxy.Proxy
+
+		config  string
+		command string
+	}
+)
+
+// Start starts the platform's stand-ins.
+func (s *System) Start(t testing.TB) {
+	t.Helper()
+	s.directory = t.TempDir()
+	s.program = s.Builder.Build(t, module+"/cmd/mulberryspool")
+	s.standin = s.Builder.Build(t, module+"/cmd/standin")
+	s.Platform = make(map[string]*process.Process)
+	s.ports = make(map[string]bool)
+	if len(s.Domains) == 0 {
+		s.Domains = []string{"north-a", "south-a", "west-a"}
+	}
+	s.ObjectAPI = s.startStandin(t, "objectapi")
+	s.InstanceList = s.startStandin(t, "instancelist")
+	s.Origin = s.startStandin(t, "origin")
+}
+
+func (s *System) startStandin(t testing.TB, name string, arguments ...string) string {
+	t.Helper()
+	p, url := s.launch(t, append([]string{name}, arguments...)...)
+	s.Platform[name] = p
+	return url
+}
+
+func (s *System) launch(t testing.TB, arguments ...string) (*process.Process, string) {
+	t.Helper()
+	p := process.Start(t, s.standin, arguments...)
+	var ready struct {
+		URL string `json:"url"`
+	}
+	if err := json.Unmarshal([]byte(p.AwaitLine(t)), &ready); err != nil {
+		t.Fatal(err)
+	}
+	return p, ready.URL
+}
+
+// AddEngineAgent starts an engine and its agent in a pool.
+func (s *System) AddEngineAgent(t testing.TB, pool string) *Member {
+	t.Helper()
+	backend, url := s.launch(t, append([]string{"engine"}, s.EngineArguments...)...)
+	return s.addAgent(t, pool, mulberryspool.PoolEngine, backend, url)
+}
+
+// AddPlainAgent starts a plain service and its agent in a pool.
+func (s *System) AddPlainAgent(t testing.TB, pool string, arguments ...string) *Member {
+	t.Helper()
+	backend, url := s.launch(t, append([]string{"plainservice"}, arguments...)...)
+	return s.addAgent(t, pool, mulberryspool.PoolPlain, backend, url)
+}
+
+func (s *System) addAgent(t testing.TB, pool string, kind mulberryspool.PoolKind, backend *process.Process, url string) *Member {
+	t.Helper()
+	m := &Member{Backend: url, BackendProcess: backend, command: "agent"}
+	m.Identity = s.identity(mulberryspool.RoleAgent, pool, len(s.Agents))
+	control := s.address(t)
+	m.Identity.Chunks, m.Identity.Admin = s.address(t), s.address(t)
+	weights := ""
+	if kind == mulberryspool.PoolEngine {
+		weights = fmt.Sprintf("weights:\n  origin: %s\n  stagingLimit: 256 MiB\n", s.Origin)
+	}
+	s.writeConfig(t, m, fmt.Sprintf(`pool: %s
+listen:
+  control: %s
+  chunks: %s
+  admin: %s
+backend:
+  kind: %s
+  url: %s
+  reportInterval: 200ms
+%s`, pool, control, m.Identity.Chunks, m.Identity.Admin, kind, url, weights), s.AgentTimeouts)
+	m.Process = process.Start(t, s.program, "agent", "--config", m.config)
+	m.Process.AwaitURL(t, "http://"+m.Identity.Admin+"/healthz")
+	proxy, err := faultproxy.Start(control)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(proxy.Close)
+	m.Proxy, m.Identity.Control = proxy, proxy.Address()
+	s.Agents = append(s.Agents, m)
+	s.register(t, m)
+	return m
+}
+
+// AddEntry starts an entry.
+func (s *System) AddEntry(t testing.TB) *Member {
+	t.Helper()
+	m := &Member{command: "entry", Identity: s.identity(mulberryspool.RoleEntry, "", len(s.Entries))}
+	callers := s.address(t)
+	m.Callers = "http://" + callers
+	m.Identity.Control, m.Identity.Admin = s.address(t), s.address(t)
+	s.writeConfig(t, m, fmt.Sprintf("listen:\n  callers: %s\n  control: %s\n  admin: %s\n",
+		callers, m.Identity.Control, m.Identity.Admin), s.EntryTimeouts)
+	m.Process = process.Start(t, s.program, "entry", "--config", m.config)
+	m.Process.AwaitURL(t, "http://"+m.Identity.Admin+"/healthz")
+	s.Entries = append(s.Entries, m)
+	s.register(t, m)
+	return m
+}
+
+// Restart starts a member's process again after it ended, at the same addresses.
+func (s *System) Restart(t testing.TB, m *Member) {
+	t.Helper()
+	<-m.Process.Done()
+	m.Process = process.Start(t, s.program, m.command, "--config", m.config)
+	m.Process.AwaitURL(t, "http://"+m.Identity.Admin+"/healthz")
+}
+
+func (s *System) identity(role mulberryspool.Role, pool string, number int) mulberryspool.Identity {
+	domain := s.Domains[number%len(s.Domains)]
+	return mulberryspool.Identity{
+		Instance: mulberryspool.InstanceID(fmt.Sprintf("%s-%d", role, number)), Role: role, Pool: pool,
+		FailureDomain: domain, Region: domain[:len(domain)-len("-a")],
+	}
+}
+
+func (s *System) writeConfig(t testing.TB, m *Member, body string, timeouts []string) {
+	t.Helper()
+	var text bytes.Buffer
+	fmt.Fprintf(&text, "instance: %s\nfailureDomain: %s\nregion: %s\n", m.Identity.Instance, m.Identity.FailureDomain, m.Identity.Region)
+	fmt.Fprintf(&text, "objectAPI:\n  url: %s\n  callsPerSecond: 50\ninstanceList:\n  url: %s\n  pollInterval: 200ms\n", s.ObjectAPI, s.InstanceList)
+	text.WriteString(body)
+	if len(timeouts) > 0 {
+		text.WriteString("timeouts:\n")
+	}
+	for _, line := range timeouts {
+		fmt.Fprintf(&text, "  %s\n", line)
+	}
+	m.config = filepath.Join(s.directory, string(m.Identity.Instance)+".yaml")
+	if err := os.WriteFile(m.config, text.Bytes(), 0o600); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// address returns a free loopback address that no other member has.
+func (s *System) address(t testing.TB) string {
+	t.Helper()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		address := listener.Addr().String()
+		listener.Close()
+		if !s.ports[address] {
+			s.ports[address] = true
+			return address
+		}
+	}
+}
+
+func (s *System) register(t testing.TB, m *Member) {
+	t.Helper()
+	s.Send(t, http.MethodPut, s.InstanceList+"/admin/instances/"+string(m.Identity.Instance), m.Identity, nil)
+}
+
+// PutContent places generated content at the origin.
+func (s *System) PutContent(t testing.TB, path string, parts ...origin.Generated) {
+	t.Helper()
+	s.Send(t, http.MethodPut, s.Origin+"/admin/content/"+path, origin.Upload{Parts: parts}, nil)
+}
+
+// Run runs an operator's command and returns its output; it fails the test
+// unless the exit code is the expected one.
+func (s *System) Run(t testing.TB, code int, arguments ...string) string {
+	t.Helper()
+	arguments = append([]string{"--object-api", s.ObjectAPI, "--instances", s.InstanceList}, arguments...)
+	p := process.Start(t, s.program, arguments...)
+	if got := p.Wait(); got != code {
+		t.Fatalf("mulberryspool %v ended with %d, want %d\n%s%s", arguments, got, code, p.Stdout(), p.Stderr())
+	}
+	return p.Stdout()
+}
+
+// Apply applies tables and waits until all live processes have them in force.
+func (s *System) Apply(t testing.TB, tables string) {
+	t.Helper()
+	file := filepath.Join(s.directory, "tables.yaml")
+	if err := os.WriteFile(file, []byte(tables), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	s.Run(t, 0, "tables", "apply", "-f", file, "--author", "test", "--wait")
+}
+
+// Publish publishes the content of a path as a version.
+func (s *System) Publish(t testing.TB, version, path, chunkSize string) {
+	t.Helper()
+	s.Run(t, 0, "weights", "publish", version, "--origin", s.Origin, "--path", path, "--chunk-size", chunkSize)
+}
+
+// Status returns a member's status.
+func (m *Member) Status(ctx context.Context) (admin.Status, error) {
+	var status admin.Status
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+m.Identity.Admin+"/status", http.NoBody)
+	if err != nil {
+		return status, err
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return status, err
+	}
+	defer response.Body.Close()
+	return status, json.NewDecoder(response.Body).Decode(&status)
+}
+
+// AwaitServing waits until the agents serve the version.
+func (s *System) AwaitServing(t testing.TB, version string, agents ...*Member) {
+	t.Helper()
+	for _, m := range agents {
+		s.Await(t, fmt.Sprintf("%s serves %s", m.Identity.Instance, version), func(ctx context.Context) bool {
+			status, err := m.Status(ctx)
+			return err == nil && status.Ready && status.Agent.Heartbeat.ServedVersion == version
+		})
+	}
+}
+
+// AwaitAgents waits until each entry may send work to that many agents of a pool.
+func (s *System) AwaitAgents(t testing.TB, pool string, ready int) {
+	t.Helper()
+	for _, m := range s.Entries {
+		s.Await(t, fmt.Sprintf("%s has %d ready agents of %s", m.Identity.Instance, ready, pool), func(ctx context.Context) bool {
+			status, err := m.Status(ctx)
+			if err != nil || !status.Ready {
+				return false
+			}
+			for _, p := range status.Entry.Pools {
+				if p.Pool == pool {
+					return p.Ready == ready
+				}
+			}
+			return false
+		})
+	}
+}
+
+// Await polls until the condition holds.
+func (s *System) Await(t testing.TB, what string, condition func(ctx context.Context) bool) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), WaitLimit)
+	defer cancel()
+	for !condition(ctx) {
+		if ctx.Err() != nil {
+			t.Fatalf("not so after %v: %s", WaitLimit, what)
+		}
+		time.Sleep(pollInterval)
+	}
+}
+
+// Send makes a call with JSON bodies; in and out may be nil.
+func (s *System) Send(t testing.TB, method, url string, in, out any) {
+	t.Helper()
+	body, err := json.Marshal(in)
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), WaitLimit)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, method, url, bytes.NewReader(body))
+	if err != nil {
+		t.Fatal(err)
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer response.Body.Close()
+	if response.StatusCode >= http.StatusMultipleChoices {
+		t.Fatalf("%s %s answered %s", method, url, response.Status)
+	}
+	if out == nil {
+		return
+	}
+	if err := json.NewDecoder(response.Body).Decode(out); err != nil {
+		t.Fatal(err)
+	}
+}
