Add the local command: a whole system in one process

The race detector found that concurrent fetches shared the map of region limits without a lock; they now take one.

--- a/cmd/mulberryspool/runners.go
+++ b/cmd/mulberryspool/runners.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
+	"os"
 	"time"
 
 	"github.com/dustin/go-humanize"
@@ -13,6 +14,7 @@
 
 	"github.com/mulberryspool/mulberryspool"
 	"github.com/mulberryspool/mulberryspool/internal/operator/command"
+	"github.com/mulberryspool/mulberryspool/internal/operator/local"
 	"github.com/mulberryspool/mulberryspool/internal/operator/weights"
 	"github.com/mulberryspool/mulberryspool/internal/platform/instancelist"
 	"github.com/mulberryspool/mulberryspool/internal/platform/objectapi"
@@ -28,8 +30,12 @@
 // runners puts the parts of the program together.
 func runners() command.Runners {
 	return command.Runners{
-		Entry:          entry.Run,
-		Agent:          agent.Run,
+		Entry: entry.Run,
+		Agent: agent.Run,
+		Local: func(ctx context.Context, options command.LocalOptions, out io.Writer) error {
+			system := &local.System{Clock: clockwork.NewRealClock(), Out: out, Logs: os.Stderr, Keep: options.Keep}
+			return system.Run(ctx)
+		},
 		PublishWeights: publishWeights,
 		ShowWeights:    showWeights,
 		ObjectStore: func(url string) (mulberryspool.ObjectStore, error) {
--- /dev/null
+++ b/internal/operator/local/deployment.go
@@ -0,0 +1,168 @@
+package local
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+
+	"github.com/cockroachdb/errors"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/mulberryspool/mulberryspool"
+	"github.com/mulberryspool/mulberryspool/internal/platform/instancelist"
+	objectclient "github.com/mulberryspool/mulberryspool/internal/platform/objectapi"
+	originclient "github.com/mulberryspool/mulberryspool/internal/platform/origin"
+	agentrole "github.com/mulberryspool/mulberryspool/internal/role/agent"
+	entryrole "github.com/mulberryspool/mulberryspool/internal/role/entry"
+	agentsettings "github.com/mulberryspool/mulberryspool/internal/settings/agent"
+	entrysettings "github.com/mulberryspool/mulberryspool/internal/settings/entry"
+	"github.com/mulberryspool/mulberryspool/internal/settings/shared"
+	"github.com/mulberryspool/mulberryspool/internal/standin/engine"
+	instances "github.com/mulberryspool/mulberryspool/internal/standin/instancelist"
+	"github.com/mulberryspool/mulberryspool/internal/standin/objectapi"
+	"github.com/mulberryspool/mulberryspool/internal/standin/origin"
+	"github.com/mulberryspool/mulberryspool/internal/standin/serve"
+)
+
+// loopback is a listener address with a port that the system chooses.
+const loopback = "127.0.0.1:0"
+
+type (
+	// deployment is a whole system in one process.
+	deployment struct {
+		clock     mulberryspool.Clock
+		origin    *origin.Server
+		instances *instances.Server
+		engines   []*engine.Server
+		servers   []*serve.Server
+
+		objectURL, listURL, originURL string
+		// callers are the base URLs of the entries.
+		callers []string
+
+		store  *objectclient.Client
+		list   *instancelist.Client
+		reader *originclient.Client
+		roles  *errgroup.Group
+	}
+)
+
+// start starts the stand-ins, the agents and the entries. The roles run until
+// the context ends.
+func (d *deployment) start(ctx context.Context, logs io.Writer) error {
+	if err := d.startPlatform(); err != nil {
+		return err
+	}
+	d.store = &objectclient.Client{
+		BaseURL: d.objectURL, Caller: "operator", Clock: d.clock,
+		Random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+	}
+	d.list = &instancelist.Client{BaseURL: d.listURL, Caller: "operator", Clock: d.clock}
+	d.reader = &originclient.Client{BaseURL: d.originURL, Caller: "operator", Clock: d.clock}
+	d.roles = &errgroup.Group{}
+	for i := range agentCount {
+		if err := d.startAgent(ctx, i, logs); err != nil {
+			return err
+		}
+	}
+	for i := range entryCount {
+		if err := d.startEntry(ctx, i, logs); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (d *deployment) startPlatform() error {
+	objects := &objectapi.Server{Clock: d.clock}
+	d.instances = &instances.Server{Clock: d.clock}
+	d.origin = &origin.Server{Clock: d.clock, BytesPerSecond: originRate}
+	var err error
+	if d.objectURL, err = d.serve(objects.Handler()); err != nil {
+		return err
+	}
+	if d.listURL, err = d.serve(d.instances.Handler()); err != nil {
+		return err
+	}
+	d.originURL, err = d.serve(d.origin.Handler())
+	return err
+}
+
+func (d *deployment) serve(handler http.Handler) (string, error) {
+	server, err := serve.Start(handler, loopback)
+	if err != nil {
+		return "", err
+	}
+	d.servers = append(d.servers, server)
+	return server.URL, nil
+}
+
+func (d *deployment) startAgent(ctx context.Context, number int, logs io.Writer) error {
+	backend := &engine.Server{Clock: d.clock, TokensPerSecond: tokensPerSecond, RefusesStaleOrders: true}
+	url, err := d.serve(backend.Handler())
+	if err != nil {
+		return err
+	}
+	d.engines = append(d.engines, backend)
+	s := agentsettings.Defaults()
+	s.Instance, s.Pool = fmt.Sprintf("agent-%d", number), poolName
+	s.Region, s.FailureDomain = place(number)
+	s.ObjectAPI.URL, s.InstanceList.URL = d.objectURL, d.listURL
+	s.Backend = agentsettings.Backend{Kind: mulberryspool.PoolEngine, URL: url, ReportInterval: shared.DefaultReportInterval}
+	s.Weights.Origin, s.Weights.MachineRate, s.Weights.RegionRate = d.originURL, machineRate, regionRate
+	s.Telemetry.LogLevel = logLevel
+	if err := freeAddresses(&s.Listen.Control, &s.Listen.Chunks, &s.Listen.Admin); err != nil {
+		return err
+	}
+	d.instances.Register(s.Identity())
+	d.roles.Go(func() error { return agentrole.Run(ctx, s, logs) })
+	return nil
+}
+
+func (d *deployment) startEntry(ctx context.Context, number int, logs io.Writer) error {
+	s := entrysettings.Defaults()
+	s.Instance = fmt.Sprintf("entry-%d", number)
+	s.Region, s.FailureDomain = place(number)
+	s.ObjectAPI.URL, s.InstanceList.URL = d.objectURL, d.listURL
+	s.Telemetry.LogLevel = logLevel
+	if err := freeAddresses(&s.Listen.Callers, &s.Listen.Control, &s.Listen.Admin); err != nil {
+		return err
+	}
+	d.callers = append(d.callers, "http://"+s.Listen.Callers)
+	d.instances.Register(s.Identity())
+	d.roles.Go(func() error { return entryrole.Run(ctx, s, logs) })
+	return nil
+}
+
+// close ends the stand-ins; the roles have ended before.
+func (d *deployment) close() {
+	if d.store != nil {
+		d.store.Close()
+		d.list.Close()
+		d.reader.Close()
+	}
+	for _, s := range d.servers {
+		s.Close()
+	}
+}
+
+func place(number int) (region, failureDomain string) {
+	region = regions[number%len(regions)]
+	return region, region + "-a"
+}
+
+// freeAddresses fills in addresses of loopback ports that are free now.
+func freeAddresses(addresses ...*string) error {
+	for _, address := range addresses {
+		listener, err := net.Listen("tcp", loopback)
+		if err != nil {
+			return errors.Wrap(err, "find a free port")
+		}
+		*address = listener.Addr().String()
+		defer listener.Close()
+	}
+	return nil
+}
--- a/internal/role/agent/agent.go
+++ b/internal/role/agent/agent.go
@@ -5,6 +5,7 @@
 	"context"
 	"io"
 	"net"
+	"sync"
 
 	"github.com/cockroachdb/errors"
 	"golang.org/x/sync/errgroup"
@@ -108,8 +109,12 @@
 	if w.WeightStore != "" {
 		f.WeightStore = &weightstore.Client{BaseURL: w.WeightStore, Caller: caller, Clock: clients.Clock, StallTimeout: w.ChunkDeadline}
 	}
+	// The limits of the region pairs are shared by concurrent fetches.
+	var mu sync.Mutex
 	regions := make(map[string]chunks.Limiter)
 	f.RegionLink = func(from string) chunks.Limiter {
+		mu.Lock()
+		defer mu.Unlock()
 		if _, found := regions[from]; !found {
 			regions[from] = link(int64(w.RegionRate))
 		}
