Give test listeners addresses that no outgoing connection takes

Seen: with a rollout limit of 5 minutes the local system stayed at 11 of 12 agents. Cause, shown by reporting roles that end early: a port that was found free was taken before the agent listened on it (address already in use). Ruled out: the weight transfer, whose 11 other agents were complete. Listeners now get a loopback IP address of their own process and ports below the range of outgoing connections, and a role that ends early ends the run.

--- a/internal/operator/local/deployment.go
+++ b/internal/operator/local/deployment.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
-	"net"
 	"net/http"
 
 	"github.com/cockroachdb/errors"
@@ -22,13 +21,14 @@
 	"github.com/mulberryspool/mulberryspool/internal/settings/shared"
 	"github.com/mulberryspool/mulberryspool/internal/standin/engine"
 	instances "github.com/mulberryspool/mulberryspool/internal/standin/instancelist"
+	"github.com/mulberryspool/mulberryspool/internal/standin/loopback"
 	"github.com/mulberryspool/mulberryspool/internal/standin/objectapi"
 	"github.com/mulberryspool/mulberryspool/internal/standin/origin"
 	"github.com/mulberryspool/mulberryspool/internal/standin/serve"
 )
 
-// loopback is a listener address with a port that the system chooses.
-const loopback = "127.0.0.1:0"
+// anyPort is a listener address with a port that the operating system chooses.
+const anyPort = "127.0.0.1:0"
 
 type (
 	// deployment is a whole system in one process.
@@ -38,6 +38,7 @@
 		instances *instances.Server
 		engines   []*engine.Server
 		servers   []*serve.Server
+		addresses loopback.Allocator
 
 		objectURL, listURL, originURL string
 		// callers are the base URLs of the entries.
@@ -46,7 +47,9 @@
 		store  *objectclient.Client
 		list   *instancelist.Client
 		reader *originclient.Client
-		roles  *errgroup.Group
+		roles  errgroup.Group
+		// failed is called when a role ends before it was told to.
+		failed func(error)
 	}
 )
 
@@ -62,16 +65,13 @@
 	}
 	d.list = &instancelist.Client{BaseURL: d.listURL, Caller: "operator", Clock: d.clock}
 	d.reader = &originclient.Client{BaseURL: d.originURL, Caller: "operator", Clock: d.clock}
-	d.roles = &errgroup.Group{}
 	for i := range agentCount {
 		if err := d.startAgent(ctx, i, logs); err != nil {
 			return err
 		}
 	}
 	for i := range entryCount {
-		if err := d.startEntry(ctx, i, logs); err != nil {
-			return err
-		}
+		d.startEntry(ctx, i, logs)
 	}
 	return nil
 }
@@ -92,7 +92,7 @@
 }
 
 func (d *deployment) serve(handler http.Handler) (string, error) {
-	server, err := serve.Start(handler, loopback)
+	server, err := serve.Start(handler, anyPort)
 	if err != nil {
 		return "", err
 	}
@@ -114,27 +114,33 @@
 	s.Backend = agentsettings.Backend{Kind: mulberryspool.PoolEngine, URL: url, ReportInterval: shared.DefaultReportInterval}
 	s.Weights.Origin, s.Weights.MachineRate, s.Weights.RegionRate = d.originURL, machineRate, regionRate
 	s.Telemetry.LogLevel = logLevel
-	if err := freeAddresses(&s.Listen.Control, &s.Listen.Chunks, &s.Listen.Admin); err != nil {
-		return err
-	}
+	s.Listen = agentsettings.Listen{Control: d.addresses.Address(), Chunks: d.addresses.Address(), Admin: d.addresses.Address()}
 	d.instances.Register(s.Identity())
-	d.roles.Go(func() error { return agentrole.Run(ctx, s, logs) })
+	d.run(ctx, s.Instance, func() error { return agentrole.Run(ctx, s, logs) })
 	return nil
 }
 
-func (d *deployment) startEntry(ctx context.Context, number int, logs io.Writer) error {
+func (d *deployment) startEntry(ctx context.Context, number int, logs io.Writer) {
 	s := entrysettings.Defaults()
 	s.Instance = fmt.Sprintf("entry-%d", number)
 	s.Region, s.FailureDomain = place(number)
 	s.ObjectAPI.URL, s.InstanceList.URL = d.objectURL, d.listURL
 	s.Telemetry.LogLevel = logLevel
-	if err := freeAddresses(&s.Listen.Callers, &s.Listen.Control, &s.Listen.Admin); err != nil {
-		return err
-	}
+	s.Listen = entrysettings.Listen{Callers: d.addresses.Address(), Control: d.addresses.Address(), Admin: d.addresses.Address()}
 	d.callers = append(d.callers, "http://"+s.Listen.Callers)
 	d.instances.Register(s.Identity())
-	d.roles.Go(func() error { return entryrole.Run(ctx, s, logs) })
-	return nil
+	d.run(ctx, s.Instance, func() error { return entryrole.Run(ctx, s, logs) })
+}
+
+// run runs a role in the background.
+func (d *deployment) run(ctx context.Context, instance string, role func() error) {
+	d.roles.Go(func() error {
+		err := errors.Wrapf(role(), "run %s", instance)
+		if ctx.Err() == nil {
+			d.failed(errors.Wrap(err, "role ended early"))
+		}
+		return err
+	})
 }
 
 // close ends the stand-ins; the roles have ended before.
@@ -153,16 +159,3 @@
 	region = regions[number%len(regions)]
 	return region, region + "-a"
 }
-
-// freeAddresses fills in addresses of loopback ports that are free now.
-func freeAddresses(addresses ...*string) error {
-	for _, address := range addresses {
-		listener, err := net.Listen("tcp", loopback)
-		if err != nil {
-			return errors.Wrap(err, "find a free port")
-		}
-		*address = listener.Addr().String()
-		defer listener.Close()
-	}
-	return nil
-}
--- a/internal/operator/local/local.go
+++ b/internal/operator/local/local.go
@@ -49,7 +49,7 @@
 
 	progressInterval = 500 * time.Millisecond
 	// rolloutLimit ends a run whose rollout makes no end.
-	rolloutLimit = 5 * time.Minute
+	rolloutLimit = 2 * time.Minute
 )
 
 var regions = []string{"north", "south", "west"}
@@ -64,12 +64,16 @@
 	Keep bool
 
 	deployment deployment
+	// shown is the last line of progress.
+	shown string
 }
 
 // Run returns an error unless everything that it checks held.
 func (s *System) Run(ctx context.Context) error {
 	rolesCtx, stopRoles := context.WithCancel(context.WithoutCancel(ctx))
-	s.deployment.clock = s.Clock
+	ctx, fail := context.WithCancelCause(ctx)
+	defer fail(nil)
+	s.deployment.clock, s.deployment.failed = s.Clock, fail
 	defer s.deployment.close()
 	if err := s.deployment.start(rolesCtx, &synchronized{out: s.Logs}); err != nil {
 		stopRoles()
@@ -155,7 +159,7 @@
 		}
 		select {
 		case <-ctx.Done():
-			return errors.Newf("version %s is not served by all agents after %v", version, rolloutLimit)
+			return errors.Wrapf(context.Cause(ctx), "version %s is not served by all agents", version)
 		case <-s.Clock.After(progressInterval):
 		}
 	}
@@ -172,9 +176,9 @@
 		if pool.Name != poolName {
 			continue
 		}
-		s.print("  %d of %d serve %s, %d of %d chunks, origin %s, other regions %s, peers %s\n",
+		s.show(fmt.Sprintf("  %d of %d serve %s, %d of %d chunks, origin %s, other regions %s, peers %s\n",
 			pool.Serving, agentCount, pool.Target, pool.Chunks, pool.ChunksTotal, humanize.IBytes(uint64(pool.OriginBytes)),
-			humanize.IBytes(uint64(pool.RegionBytes)), humanize.IBytes(uint64(pool.PeerBytes)))
+			humanize.IBytes(uint64(pool.RegionBytes)), humanize.IBytes(uint64(pool.PeerBytes))))
 		if pool.Target != version || pool.Serving != agentCount {
 			return false
 		}
@@ -238,6 +242,14 @@
 `, d.objectURL, d.listURL, d.callers[0], routeName, d.originURL)
 }
 
+// show prints a line of progress unless it repeats the last one.
+func (s *System) show(line string) {
+	if line != s.shown {
+		s.print("%s", line)
+	}
+	s.shown = line
+}
+
 // print writes progress; a screen that is gone must not end the run.
 func (s *System) print(format string, arguments ...any) {
 	_, _ = fmt.Fprintf(s.Out, format, arguments...)
--- a/internal/testkit/system/system.go
+++ b/internal/testkit/system/system.go
@@ -11,16 +11,15 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"net"
 	"net/http"
 	"os"
 	"path/filepath"
-	"sync"
 	"testing"
 	"time"
 
 	"github.com/mulberryspool/mulberryspool"
 	"github.com/mulberryspool/mulberryspool/internal/observe/admin"
+	"github.com/mulberryspool/mulberryspool/internal/standin/loopback"
 	"github.com/mulberryspool/mulberryspool/internal/standin/origin"
 	"github.com/mulberryspool/mulberryspool/internal/testkit/faultproxy"
 	"github.com/mulberryspool/mulberryspool/internal/testkit/process"
@@ -57,8 +56,6 @@
 		directory string
 		program   string
 		standin   string
-		mu        sync.Mutex
-		ports     map[string]bool
 	}
 
 	// Member is an entry or an agent with its backend server.
@@ -79,6 +76,9 @@
 	}
 )
 
+// addresses are unique among all systems of a test process.
+var addresses loopback.Allocator
+
 // Start starts the platform's stand-ins.
 func (s *System) Start(t testing.TB) {
 	t.Helper()
@@ -86,7 +86,6 @@
 	s.program = s.Builder.Build(t, module+"/cmd/mulberryspool")
 	s.standin = s.Builder.Build(t, module+"/cmd/standin")
 	s.Platform = make(map[string]*process.Process)
-	s.ports = make(map[string]bool)
 	if len(s.Domains) == 0 {
 		s.Domains = []string{"north-a", "south-a", "west-a"}
 	}
@@ -132,8 +131,8 @@
 	t.Helper()
 	m := &Member{Backend: url, BackendProcess: backend, command: "agent"}
 	m.Identity = s.identity(mulberryspool.RoleAgent, pool, len(s.Agents))
-	control := s.address(t)
-	m.Identity.Chunks, m.Identity.Admin = s.address(t), s.address(t)
+	control := addresses.Address()
+	m.Identity.Chunks, m.Identity.Admin = addresses.Address(), addresses.Address()
 	weights := ""
 	if kind == mulberryspool.PoolEngine {
 		weights = fmt.Sprintf("weights:\n  origin: %s\n  stagingLimit: 256 MiB\n", s.Origin)
@@ -165,9 +164,9 @@
 func (s *System) AddEntry(t testing.TB) *Member {
 	t.Helper()
 	m := &Member{command: "entry", Identity: s.identity(mulberryspool.RoleEntry, "", len(s.Entries))}
-	callers := s.address(t)
+	callers := addresses.Address()
 	m.Callers = "http://" + callers
-	m.Identity.Control, m.Identity.Admin = s.address(t), s.address(t)
+	m.Identity.Control, m.Identity.Admin = addresses.Address(), addresses.Address()
 	s.writeConfig(t, m, fmt.Sprintf("listen:\n  callers: %s\n  control: %s\n  admin: %s\n",
 		callers, m.Identity.Control, m.Identity.Admin), s.EntryTimeouts)
 	m.Process = process.Start(t, s.program, "entry", "--config", m.config)
@@ -211,25 +210,6 @@
 	}
 }
 
-// address returns a free loopback address that no other member has.
-func (s *System) address(t testing.TB) string {
-	t.Helper()
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			t.Fatal(err)
-		}
-		address := listener.Addr().String()
-		listener.Close()
-		if !s.ports[address] {
-			s.ports[address] = true
-			return address
-		}
-	}
-}
-
 func (s *System) register(t testing.TB, m *Member) {
 	t.Helper()
 	s.Send(t, http.MethodPut, s.InstanceList+"/admin/instances/"+string(m.Identity.Instance), m.Identity, nil)
