Spread the calls of processes that return from an outage together

After an outage and at a start, the budget begins empty and the first calls are spread.

Cause: processes that started together had budgets in step, because probes waited for the next whole token and the fraction of a token outlived the outage. Ruled out: the jitter of the pause (the waves had the period of the budget, not of the pause) and fault handling in the stand-in.

--- a/internal/platform/objectapi/client.go
+++ b/internal/platform/objectapi/client.go
@@ -70,7 +70,12 @@
 		// Metrics takes the counters; nil for none.
 		Metrics tally.Scope
 
-		// The defaults of this package stand for fields that are 0.
+		// StartSpread is the time over which the first calls of processes
+		// that start together are spread. They then begin with an empty budget.
+		// 0 sends the first call at once.
+		StartSpread time.Duration
+
+		// The defaults of this package stand for the following fields if they are 0.
 
 		// CallsPerSecond and Burst are the call budget of the process. Each try
 		// of a read or watch costs 1, each try of a write costs WriteCost.
--- a/internal/platform/objectapi/pacer.go
+++ b/internal/platform/objectapi/pacer.go
@@ -20,6 +20,8 @@
 		clock      mulberryspool.Clock
 		minBackoff time.Duration
 		maxBackoff time.Duration
+		limit      rate.Limit
+		burst      int
 
 		mu      sync.Mutex
 		random  *rand.Rand
@@ -62,8 +64,14 @@
 func (p *pacer) init(c *Client) {
 	p.clock, p.random = c.Clock, c.Random
 	p.minBackoff, p.maxBackoff = c.MinBackoff, c.MaxBackoff
-	p.limiter = rate.NewLimiter(rate.Limit(c.CallsPerSecond), c.Burst)
+	p.limit, p.burst = rate.Limit(c.CallsPerSecond), c.Burst
+	p.limiter = rate.NewLimiter(p.limit, p.burst)
 	p.changed = make(chan struct{})
+	if c.StartSpread > 0 {
+		// A start counts as the return from an outage.
+		p.failures = 1
+		p.notBefore = p.clock.Now().Add(p.jitter(c.StartSpread))
+	}
 }
 
 // wait returns when the call may be sent. It fails at once if that would be
@@ -118,7 +126,10 @@
 		p.probing = t.ticket.probe
 	case t.ticket.probe:
 		reservation.CancelAt(now)
-		t.pause, t.changed = delay, p.changed
+		// Without jitter, the budgets of processes that started together
+		// would let them probe together.
+		p.notBefore = now.Add(delay + p.jitter(delay))
+		t.pause, t.changed = p.notBefore.Sub(now), p.changed
 	default:
 		t.reservation, t.pause, t.changed = reservation, delay, p.changed
 	}
@@ -166,8 +177,7 @@
 	}
 	p.failures++
 	// Full jitter spreads the processes over the whole pause.
-	pause := retryAfter + time.Duration(p.random.Int64N(int64(ceiling)))
-	p.notBefore = p.clock.Now().Add(pause)
+	p.notBefore = p.clock.Now().Add(retryAfter + p.jitter(ceiling))
 	p.change()
 }
 
@@ -180,10 +190,7 @@
 		return
 	}
 	p.failures = 0
-	now := p.clock.Now()
-	if tokens := int(p.limiter.TokensAt(now)); tokens > 0 {
-		p.limiter.ReserveN(now, tokens)
-	}
+	p.empty()
 	p.change()
 }
 
@@ -199,9 +206,27 @@
 
 // charge takes from the budget for a try that was already sent.
 func (p *pacer) charge(cost int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
 	p.limiter.ReserveN(p.clock.Now(), cost)
 }
 
+// empty starts a budget without tokens. It needs the lock. A new limiter
+// forgets fractions of a token, which would keep the budgets of processes
+// that started together in step.
+func (p *pacer) empty() {
+	p.limiter = rate.NewLimiter(p.limit, p.burst)
+	p.limiter.ReserveN(p.clock.Now(), p.burst)
+}
+
+// jitter needs the lock.
+func (p *pacer) jitter(limit time.Duration) time.Duration {
+	if limit <= 0 {
+		return 0
+	}
+	return time.Duration(p.random.Int64N(int64(limit)))
+}
+
 // change needs the lock.
 func (p *pacer) change() {
 	p.epoch++
