Delay answers in the test of shared reads, so that it can fail

Cause: the stand-in's Slow fault delays a call before it reads the value, so the answer was never old.

--- a/internal/platform/objectapi/client_test.go
+++ b/internal/platform/objectapi/client_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"math/rand/v2"
+	"net/url"
 	"sync"
 	"testing"
 	"time"
@@ -17,6 +18,7 @@
 	"github.com/mulberryspool/mulberryspool/internal/standin/fault"
 	standin "github.com/mulberryspool/mulberryspool/internal/standin/objectapi"
 	"github.com/mulberryspool/mulberryspool/internal/standin/serve"
+	"github.com/mulberryspool/mulberryspool/internal/testkit/faultproxy"
 )
 
 func TestMain(m *testing.M) {
@@ -34,10 +36,10 @@
 	return running.URL
 }
 
-func newClient(t testing.TB, url, caller string, seed uint64) *Client {
+func newClient(t testing.TB, baseURL, caller string, seed uint64) *Client {
 	t.Helper()
 	c := &Client{
-		BaseURL:        url,
+		BaseURL:        baseURL,
 		Caller:         caller,
 		Clock:          clockwork.NewRealClock(),
 		Random:         rand.New(rand.NewPCG(seed, 0)),
@@ -242,9 +244,19 @@
 func TestCoalescedReadsAreNeverStale(t *testing.T) {
 	s := &standin.Server{}
 	metrics := tally.NewTestScope("", nil)
-	c := newClient(t, startServer(t, s), "one", 7)
+	target, err := url.Parse(startServer(t, s))
+	if err != nil {
+		t.Fatal(err)
+	}
+	proxy, err := faultproxy.Start(target.Host)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer proxy.Close()
+	// An answer is on its way for a while after the value was read.
+	proxy.Delay(faultproxy.ToClient, 2*time.Millisecond)
+	c := newClient(t, "http://"+proxy.Address(), "one", 7)
 	c.Metrics = metrics
-	addFault(t, s, fault.Rule{Kind: fault.Slow, Operations: []string{standin.OperationGet}, Delay: time.Millisecond})
 	s.Put("kind", "a", nil)
 	const readers, rounds = 16, 50
 	var group sync.WaitGroup
