Describe the protocols; refuse faults that would have no effect

A rule for an unknown operation or an unsupported kind was accepted and never applied, so that a test with a misspelled operation passed without its fault. The plain service can now break off its answers.

--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -48,6 +48,15 @@
 	WorkspaceHeader = "X-Workspace"
 )
 
+var operations = map[string][]fault.Kind{
+	OperationComplete:    {fault.Stall, fault.Truncate, fault.EndEarly},
+	OperationCancel:      nil,
+	OperationLoad:        {fault.Corrupt, fault.Fail},
+	OperationLoaded:      nil,
+	OperationReport:      nil,
+	OperationCacheEvents: nil,
+}
+
 type (
 	// Server is the stand-in. Set the exported fields before the first call.
 	Server struct {
@@ -161,6 +170,7 @@
 func (s *Server) init() {
 	s.once.Do(func() {
 		s.Faults.Clock = s.Clock
+		s.Faults.Operations = operations
 		s.batch.init(orDefault(s.Capacity, DefaultCapacity), orDefault(s.MaxWaiting, DefaultMaxWaiting))
 		s.cache.init(s)
 		s.reports.init(s)
--- a/internal/standin/fault/fault.go
+++ b/internal/standin/fault/fault.go
@@ -74,6 +74,9 @@
 	Switch struct {
 		// Clock is set before the first use.
 		Clock mulberryspool.Clock
+		// Operations names those of the stand-in, each with the kinds that it
+		// supports besides the general ones. It is set before the first use.
+		Operations map[string][]Kind
 
 		mu      sync.Mutex
 		rules   []Rule
@@ -95,12 +98,13 @@
 	}
 )
 
-var kinds = []Kind{Refuse, Unavailable, Hang, Slow, LoseAnswer, HangAnswer, Stall, Truncate, EndEarly, Corrupt, Fail}
+// general are the kinds that work for each operation.
+var general = []Kind{Refuse, Unavailable, Hang, Slow, LoseAnswer, HangAnswer}
 
 // Add switches a fault on.
 func (s *Switch) Add(rule Rule) error {
-	if !slices.Contains(kinds, rule.Kind) {
-		return errors.Newf("fault kind %q is not one of %q", rule.Kind, kinds)
+	if err := s.check(rule); err != nil {
+		return err
 	}
 	if rule.Calls < 0 || rule.Delay < 0 {
 		return errors.Newf("fault calls %d and delay %v must not be negative", rule.Calls, rule.Delay)
@@ -111,6 +115,25 @@
 	return nil
 }
 
+// check keeps a rule that would never have an effect from being accepted.
+func (s *Switch) check(rule Rule) error {
+	var supported []Kind
+	for operation, special := range s.Operations {
+		if rule.applies(operation) {
+			supported = append(supported, special...)
+		}
+	}
+	for _, operation := range rule.Operations {
+		if _, found := s.Operations[operation]; !found {
+			return errors.Newf("fault is for unknown operation %q", operation)
+		}
+	}
+	if !slices.Contains(general, rule.Kind) && !slices.Contains(supported, rule.Kind) {
+		return errors.Newf("fault kind %q is not supported, want one of %q", rule.Kind, append(supported, general...))
+	}
+	return nil
+}
+
 // Clear switches all faults off and ends the calls that hang.
 func (s *Switch) Clear() {
 	s.mu.Lock()
@@ -236,9 +259,10 @@
 }
 
 func (r Rule) matches(operation, caller string) bool {
-	if r.Caller != "" && r.Caller != caller {
-		return false
-	}
+	return (r.Caller == "" || r.Caller == caller) && r.applies(operation)
+}
+
+func (r Rule) applies(operation string) bool {
 	return len(r.Operations) == 0 || slices.Contains(r.Operations, operation)
 }
 
--- a/internal/standin/instancelist/instancelist.go
+++ b/internal/standin/instancelist/instancelist.go
@@ -154,6 +154,7 @@
 func (s *Server) init() {
 	s.once.Do(func() {
 		s.Faults.Clock = s.Clock
+		s.Faults.Operations = map[string][]fault.Kind{OperationList: nil}
 		s.current = make(map[mulberryspool.InstanceID]mulberryspool.ListedInstance)
 		s.visible = make(map[mulberryspool.InstanceID]mulberryspool.ListedInstance)
 		s.calls = make(map[string]int)
--- a/internal/standin/objectapi/server.go
+++ b/internal/standin/objectapi/server.go
@@ -48,6 +48,11 @@
 	OperationDelete = "delete"
 )
 
+var operations = map[string][]fault.Kind{
+	OperationGet: nil, OperationList: nil, OperationWatch: nil,
+	OperationCreate: nil, OperationUpdate: nil, OperationDelete: nil,
+}
+
 type (
 	// Server is the stand-in. Set the exported fields before the first call.
 	Server struct {
@@ -123,6 +128,7 @@
 func (s *Server) init() {
 	s.once.Do(func() {
 		s.Faults.Clock = s.Clock
+		s.Faults.Operations = operations
 		s.store.init()
 		s.limits.init(s)
 		s.counts.clock = s.Clock
--- a/internal/standin/origin/origin.go
+++ b/internal/standin/origin/origin.go
@@ -165,6 +165,11 @@
 func (s *Server) init() {
 	s.once.Do(func() {
 		s.Faults.Clock = s.Clock
+		if s.Faults.Operations == nil {
+			s.Faults.Operations = make(map[string][]fault.Kind)
+		}
+		s.Faults.Operations[OperationRead] = []fault.Kind{fault.Stall, fault.Truncate, fault.Corrupt}
+		s.Faults.Operations[OperationSize] = nil
 		s.limit = pace.NewLimit(s.Clock, s.BytesPerSecond)
 		s.files = make(map[string]file)
 		s.counts = newCounts()
--- a/internal/standin/plainservice/plainservice.go
+++ b/internal/standin/plainservice/plainservice.go
@@ -7,8 +7,10 @@
 import (
 	"crypto/sha256"
 	"encoding/hex"
+	"encoding/json"
 	"io"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -130,6 +132,7 @@
 func (s *Server) init() {
 	s.once.Do(func() {
 		s.Faults.Clock = s.Clock
+		s.Faults.Operations = map[string][]fault.Kind{OperationCall: {fault.Stall, fault.Truncate, fault.Fail}}
 		s.delay = s.Delay
 		if s.MaxExecutions <= 0 {
 			s.MaxExecutions = DefaultMaxExecutions
@@ -181,7 +184,22 @@
 		serve.WriteError(w, status, "failed", "the call failed because of a fault")
 		return
 	}
-	serve.WriteJSON(w, status, answer)
+	encoded, err := json.Marshal(answer)
+	if err != nil {
+		serve.WriteError(w, http.StatusInternalServerError, "failed", err.Error())
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("Content-Length", strconv.Itoa(len(encoded)))
+	if effect.Kind == fault.Stall || effect.Kind == fault.Truncate {
+		_, _ = w.Write(encoded[:len(encoded)/2])
+		_ = http.NewResponseController(w).Flush()
+		if effect.Kind == fault.Stall {
+			effect.Wait(r.Context())
+		}
+		panic(http.ErrAbortHandler)
+	}
+	_, _ = w.Write(encoded)
 }
 
 // start records the execution before the delay, because the call of a caller
--- a/internal/standin/weightstore/weightstore.go
+++ b/internal/standin/weightstore/weightstore.go
@@ -119,6 +119,7 @@
 			s.MaxBytes = DefaultMaxBytes
 		}
 		s.chunks.Clock, s.chunks.BytesPerSecond = s.Clock, s.BytesPerSecond
+		s.chunks.Faults.Operations = map[string][]fault.Kind{OperationWrite: nil}
 		s.stored = make(map[string]int64)
 	})
 }
