Add late orders, a race build of processes and tests of the stand-ins

An order that was read completely can take effect after its sender is gone, which is what leases and fencing numbers are for. A watch now ends after 3 s unless set, so that one on a silent connection ends within the 6 s in which a change must be in force.

--- a/internal/backend/engine/engine_test.go
+++ b/internal/backend/engine/engine_test.go
@@ -41,9 +41,11 @@
 
 func startEngine(t testing.TB, s *standin.Server) *Client {
 	t.Helper()
-	s.Clock = clockwork.NewRealClock()
+	if s.Clock == nil {
+		s.Clock = clockwork.NewRealClock()
+	}
 	s.Initial = mulberryspool.Loaded{Version: "v1", Digest: firstDigest, Fencing: 1}
-	return &Client{BaseURL: start(t, s.Handler()), Clock: s.Clock}
+	return &Client{BaseURL: start(t, s.Handler()), Clock: clockwork.NewRealClock()}
 }
 
 func chat(id, prompt string, tokens int, stream bool) mulberryspool.BackendRequest {
@@ -327,6 +329,55 @@
 	}
 }
 
+// Guards against an order that takes effect late, after its sender is gone,
+// and that a checking engine obeys in spite of a newer one.
+func TestLateOrder(t *testing.T) {
+	for _, refuses := range []bool{false, true} {
+		clock := clockwork.NewFakeClock()
+		s := &standin.Server{Clock: clock, RefusesStaleOrders: refuses}
+		c := startEngine(t, s)
+		order, manifest := startOrigin(t, 1000)
+		rule := fault.Rule{Kind: fault.Late, Operations: []string{standin.OperationLoad}, Calls: 1, Delay: time.Minute}
+		if err := s.Faults.Add(rule); err != nil {
+			t.Fatal(err)
+		}
+		ctx, cancel := context.WithCancel(context.Background())
+		ended := make(chan error, 1)
+		go func() { ended <- c.Load(ctx, order) }()
+		if err := clock.BlockUntilContext(context.Background(), 1); err != nil {
+			t.Fatal(err)
+		}
+		cancel()
+		if err := <-ended; !errors.Is(err, mulberryspool.ErrUncertain) {
+			t.Errorf("cancelled order returned %v, want ErrUncertain", err)
+		}
+		if refuses {
+			// A newer order that arrives meanwhile and changes nothing else.
+			newer := mulberryspool.LoadOrder{Version: "v1", Fencing: order.Fencing + 1}
+			go func() { ended <- c.Load(context.Background(), newer) }()
+			for s.Loaded().Fencing < newer.Fencing {
+				time.Sleep(time.Millisecond)
+			}
+		}
+		clock.Advance(time.Minute)
+		if refuses {
+			if err := <-ended; err != nil {
+				t.Error(err)
+			}
+		}
+		for s.Orders()[0].Status == 0 {
+			time.Sleep(time.Millisecond)
+		}
+		want := manifest.Digest
+		if refuses {
+			want = firstDigest
+		}
+		if got := s.Loaded().Digest; got != want {
+			t.Errorf("refuses %v: digest %s is loaded, want %s", refuses, got, want)
+		}
+	}
+}
+
 // Guards against a stand-in that hides an order obeyed in spite of its old
 // fencing number, or an answer made with two versions.
 func TestSwapDuringAnswer(t *testing.T) {
--- a/internal/platform/objectapi/client.go
+++ b/internal/platform/objectapi/client.go
@@ -41,8 +41,10 @@
 	DefaultAttemptTimeout = 2 * time.Second
 	// DefaultCallTimeout bounds a call with all its tries.
 	DefaultCallTimeout = 5 * time.Second
-	// DefaultWatchTimeout bounds a watch.
-	DefaultWatchTimeout = 30 * time.Second
+	// DefaultWatchTimeout bounds a watch. A watch on a connection that went
+	// silent ends after this and DefaultAttemptTimeout, which together are
+	// below the 6 s in which a change must be in force everywhere.
+	DefaultWatchTimeout = 3 * time.Second
 	// DefaultMinBackoff bounds the pause after the first failure.
 	DefaultMinBackoff = 100 * time.Millisecond
 	// DefaultMaxBackoff bounds the pause after repeated failures.
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -51,7 +51,7 @@
 var operations = map[string][]fault.Kind{
 	OperationComplete:    {fault.Stall, fault.Truncate, fault.EndEarly},
 	OperationCancel:      nil,
-	OperationLoad:        {fault.Corrupt, fault.Fail},
+	OperationLoad:        {fault.Corrupt, fault.Late, fault.Fail},
 	OperationLoaded:      nil,
 	OperationReport:      nil,
 	OperationCacheEvents: nil,
--- a/internal/standin/engine/load.go
+++ b/internal/standin/engine/load.go
@@ -109,6 +109,9 @@
 	if effect.Kind == fault.Fail {
 		return loaded, "", errors.New("the engine can't use the content because of a fault")
 	}
+	// An order that was read completely may take effect long after whoever
+	// sent it is gone.
+	fault.Sleep(context.WithoutCancel(ctx), s.Clock, effect.Late)
 	loaded, err = s.swap(order, digest)
 	return loaded, adapter, err
 }
--- a/internal/standin/fault/fault.go
+++ b/internal/standin/fault/fault.go
@@ -48,6 +48,9 @@
 	EndEarly Kind = "endEarly"
 	// Corrupt changes a byte of the content.
 	Corrupt Kind = "corrupt"
+	// Late lets the operation take effect after Rule.Delay, even if the
+	// caller has gone away.
+	Late Kind = "late"
 	// Fail lets the operation fail with the stand-in's own error.
 	Fail Kind = "fail"
 )
@@ -65,7 +68,7 @@
 		Caller string `json:"caller,omitempty"`
 		// Calls is how many calls the rule applies to; 0 until it is cleared.
 		Calls int `json:"calls,omitempty"`
-		// Delay is used by Slow, in nanoseconds.
+		// Delay is used by Slow and Late, in nanoseconds.
 		Delay time.Duration `json:"delay,omitempty"`
 	}
 
@@ -86,8 +89,11 @@
 	// Effect is what happens to one call.
 	Effect struct {
 		// Kind is empty for a call without a fault.
-		Kind  Kind
+		Kind Kind
+		// Delay comes before the call takes effect.
 		Delay time.Duration
+		// Late is the delay of a call whose kind is Late.
+		Late time.Duration
 		// Cleared is closed when the rules are cleared.
 		Cleared <-chan struct{}
 	}
@@ -170,6 +176,9 @@
 			effect.Delay += r.Delay
 		} else {
 			effect.Kind = r.Kind
+			if r.Kind == Late {
+				effect.Late = r.Delay
+			}
 		}
 		if r.Calls == 1 {
 			continue
--- a/internal/testkit/process/process.go
+++ b/internal/testkit/process/process.go
@@ -11,6 +11,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"sync"
 	"syscall"
 	"testing"
@@ -33,6 +34,10 @@
 	// Builder builds each program once. Close it when all tests are over,
 	// for example in TestMain.
 	Builder struct {
+		// Race builds with the race detector; a process that finds a race ends
+		// with exit code 66.
+		Race bool
+
 		mu        sync.Mutex
 		directory string
 		built     map[string]error
@@ -65,7 +70,11 @@
 	}
 	file := filepath.Join(b.directory, filepath.Base(importPath))
 	if _, found := b.built[importPath]; !found {
-		text, err := exec.Command("go", "build", "-o", file, importPath).CombinedOutput()
+		arguments := []string{"build", "-o", file, importPath}
+		if b.Race {
+			arguments = slices.Insert(arguments, 1, "-race")
+		}
+		text, err := exec.Command("go", arguments...).CombinedOutput()
 		b.built[importPath] = errors.Wrapf(err, "build %s: %s", importPath, text)
 	}
 	if err := b.built[importPath]; err != nil {
