Cut answers on established connections, share limits between proxies

HTTP clients reuse connections, so a cut that hits new connections only missed their answers. Shorter queues in the proxy keep a limited link from looking faster to its sender than it is.

--- a/internal/platform/objectapi/client_test.go
+++ b/internal/platform/objectapi/client_test.go
@@ -239,6 +239,38 @@
 	}
 }
 
+// Guards against reads that hang or leak when those who share them give up.
+func TestCancelledReadsDoNotBlockOthers(t *testing.T) {
+	s := &standin.Server{}
+	c := newClient(t, startServer(t, s), "one", 9)
+	s.Put("kind", "a", nil)
+	addFault(t, s, fault.Rule{Kind: fault.Slow, Operations: []string{standin.OperationGet}, Delay: time.Millisecond})
+	var group sync.WaitGroup
+	for id := range 16 {
+		random := rand.New(rand.NewPCG(9, uint64(id)))
+		group.Go(func() {
+			for range 50 {
+				ctx, cancel := context.WithCancel(context.Background())
+				timer := time.AfterFunc(time.Duration(random.IntN(3000))*time.Microsecond, cancel)
+				if _, err := c.Get(ctx, "kind", "a"); err != nil && !errors.Is(err, context.Canceled) {
+					t.Errorf("get returned %v, want no error or context.Canceled", err)
+				}
+				timer.Stop()
+				cancel()
+			}
+		})
+	}
+	group.Wait()
+	if _, err := c.Get(context.Background(), "kind", "a"); err != nil {
+		t.Errorf("get after cancelled ones: %v", err)
+	}
+	c.gets.mu.Lock()
+	defer c.gets.mu.Unlock()
+	if n := len(c.gets.lanes); n > 0 {
+		t.Errorf("%d reads are left", n)
+	}
+}
+
 // Guards against reads that are not shared, and against shared reads that
 // return a value older than one that was written before the read began.
 func TestCoalescedReadsAreNeverStale(t *testing.T) {
--- a/internal/standin/content/content.go
+++ b/internal/standin/content/content.go
@@ -13,8 +13,9 @@
 	"github.com/mulberryspool/mulberryspool"
 )
 
-// blockSize is the unit in which generated content is made, in bytes.
-const blockSize = 32 << 10
+// blockSize is the unit in which generated content is made, in bytes. It is
+// that of pace.MaxBlock, so that a reader at full blocks makes each only once.
+const blockSize = 16 << 10
 
 type (
 	// Content can be read at any offset. bytes.Reader and io.SectionReader
--- a/internal/testkit/faultproxy/faultproxy.go
+++ b/internal/testkit/faultproxy/faultproxy.go
@@ -55,7 +55,7 @@
 		silent Direction
 		delay  [3]time.Duration
 		limits [3]*rate.Limiter
-		// cutAnswers is how many connections are cut when their first answer arrives.
+		// cutAnswers is how many connections are cut when bytes come from the target.
 		cutAnswers int
 		// hold is how many connections are kept back to be reordered.
 		hold int
@@ -69,8 +69,7 @@
 		stop chan struct{}
 		once sync.Once
 		// The rest is guarded by the proxy's lock.
-		silent    Direction
-		cutAnswer bool
+		silent Direction
 		// ended counts the directions that ended in the usual way.
 		ended int
 	}
@@ -164,24 +163,25 @@
 	}
 }
 
-// Limit sets the rate of a direction in bytes a second, for all connections
-// together; 0 is unlimited.
-func (p *Proxy) Limit(direction Direction, bytesPerSecond int64) {
+// NewLimit returns a limit in bytes a second for Proxy.Limit.
+func NewLimit(bytesPerSecond int64) *rate.Limiter {
+	return rate.NewLimiter(rate.Limit(bytesPerSecond), blockBytes)
+}
+
+// Limit sets the rate of a direction for all connections together; nil is
+// unlimited. Proxies that share a limit share a link.
+func (p *Proxy) Limit(direction Direction, limit *rate.Limiter) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, d := range []Direction{ToTarget, ToClient} {
-		if direction&d == 0 {
-			continue
-		}
-		p.state.limits[d] = nil
-		if bytesPerSecond > 0 {
-			p.state.limits[d] = rate.NewLimiter(rate.Limit(bytesPerSecond), blockBytes)
+		if direction&d != 0 {
+			p.state.limits[d] = limit
 		}
 	}
 }
 
-// CutAnswers delivers the requests of the next n connections, and cuts each
-// connection when its answer begins to arrive.
+// CutAnswers cuts the next n connections, established or not, on which bytes
+// come from the target. The bytes are lost; the request was delivered.
 func (p *Proxy) CutAnswers(n int) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -243,10 +243,6 @@
 	l := &link{proxy: p, client: client, target: target, stop: make(chan struct{})}
 	p.mu.Lock()
 	l.silent = p.state.silent
-	if p.state.cutAnswers > 0 {
-		p.state.cutAnswers--
-		l.cutAnswer = true
-	}
 	p.links[l] = struct{}{}
 	closing := p.ctx.Err() != nil
 	p.mu.Unlock()
--- a/internal/testkit/faultproxy/faultproxy_test.go
+++ b/internal/testkit/faultproxy/faultproxy_test.go
@@ -164,6 +164,14 @@
 	if err := echo(conn, "next"); err != nil {
 		t.Errorf("the next connection was cut, too: %v", err)
 	}
+	established := dial(t, p)
+	if err := echo(established, "before"); err != nil {
+		t.Fatal(err)
+	}
+	p.CutAnswers(1)
+	if err := echo(established, "answer"); err == nil {
+		t.Error("the answer on an established connection arrived")
+	}
 	p.Cut()
 	if err := echo(conn, "again"); err == nil {
 		t.Error("the connection was not cut")
@@ -200,7 +208,7 @@
 	}
 	<-arrivals
 	p.Delay(Both, 0)
-	p.Limit(ToClient, 1_000_000)
+	p.Limit(ToClient, NewLimit(1_000_000))
 	started = time.Now()
 	if err := echo(conn, string(make([]byte, 100_000))); err != nil {
 		t.Fatal(err)
--- a/internal/testkit/faultproxy/link.go
+++ b/internal/testkit/faultproxy/link.go
@@ -1,6 +1,7 @@
 package faultproxy
 
 import (
+	"bytes"
 	"io"
 	"net"
 	"time"
@@ -9,8 +10,9 @@
 	"golang.org/x/time/rate"
 )
 
-// backlog bounds the blocks that are delayed in one direction.
-const backlog = 256
+// backlog bounds the blocks that wait in one direction. More would hide from
+// the sender that a limited link is full.
+const backlog = 32
 
 // block is a piece of data with the time at which it is passed on.
 type block struct {
@@ -25,15 +27,15 @@
 	blocks := make(chan block, backlog)
 	l.proxy.running.Go(func() { l.deliver(direction, to, blocks) })
 	defer close(blocks)
+	buffer := make([]byte, blockBytes)
 	for {
-		buffer := make([]byte, blockBytes)
 		n, err := from.Read(buffer)
-		silent, cut, delay := l.look(direction)
+		silent, delay := l.look(direction)
 		if silent {
 			<-l.stop
 			return
 		}
-		if cut && n > 0 {
+		if n > 0 && direction == ToClient && l.takeCut() {
 			l.close()
 			return
 		}
@@ -43,7 +45,7 @@
 		}
 		due := time.Now().Add(delay)
 		select {
-		case blocks <- block{data: buffer[:n], due: due, end: err != nil}:
+		case blocks <- block{data: bytes.Clone(buffer[:n]), due: due, end: err != nil}:
 		case <-l.stop:
 			return
 		}
@@ -53,11 +55,22 @@
 	}
 }
 
-func (l *link) look(direction Direction) (silent, cut bool, delay time.Duration) {
+func (l *link) look(direction Direction) (silent bool, delay time.Duration) {
 	p := l.proxy
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return l.silent&direction != 0, l.cutAnswer && direction == ToClient, p.state.delay[direction]
+	return l.silent&direction != 0, p.state.delay[direction]
+}
+
+func (l *link) takeCut() bool {
+	p := l.proxy
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.state.cutAnswers == 0 {
+		return false
+	}
+	p.state.cutAnswers--
+	return true
 }
 
 func (l *link) deliver(direction Direction, to net.Conn, blocks <-chan block) {
@@ -65,7 +78,7 @@
 		if !l.pause(direction, b) {
 			return
 		}
-		if silent, _, _ := l.look(direction); silent {
+		if silent, _ := l.look(direction); silent {
 			<-l.stop
 			return
 		}
