Spread processes that were throttled together; bound connects

Processes that got the same Retry-After came back within the first bound of the pause, 100 ms. They are now spread over that time again. The test of a return from an outage covers calls that hang.

--- a/internal/backend/call/call.go
+++ b/internal/backend/call/call.go
@@ -10,6 +10,7 @@
 	"context"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptrace"
 	"slices"
@@ -32,6 +33,9 @@
 	// WorkspaceHeader carries the request's workspace.
 	WorkspaceHeader = "X-Workspace"
 
+	// dialTimeout bounds the connect to a backend server, which is on the
+	// same machine as its agent.
+	dialTimeout   = 2 * time.Second
 	maxErrorBytes = 4 << 10
 )
 
@@ -47,7 +51,11 @@
 // transport opens a connection for each request. On a connection that was
 // used before, net/http sends some requests a second time by itself when the
 // connection turns out to be closed. It follows no redirects.
-var transport = &http.Transport{DisableKeepAlives: true, DisableCompression: true}
+var transport = &http.Transport{
+	DialContext:        (&net.Dialer{Timeout: dialTimeout}).DialContext,
+	DisableKeepAlives:  true,
+	DisableCompression: true,
+}
 
 // Submit sends a request and returns the head of its answer. The error is
 // mulberryspool.ErrUnavailable if the request was certainly not sent, and
--- a/internal/platform/objectapi/outage_test.go
+++ b/internal/platform/objectapi/outage_test.go
@@ -128,7 +128,7 @@
 // Guards against processes that return from an outage together and drive the
 // object API above its rates, so that it goes down again.
 func TestReturnAfterOutage(t *testing.T) {
-	for _, kind := range []fault.Kind{fault.Refuse, fault.Unavailable} {
+	for _, kind := range []fault.Kind{fault.Refuse, fault.Unavailable, fault.Hang} {
 		t.Run(string(kind), func(t *testing.T) {
 			t.Parallel()
 			f := startFleet(t, fleetSize, func(*Client) {})
--- a/internal/platform/objectapi/pacer.go
+++ b/internal/platform/objectapi/pacer.go
@@ -176,8 +176,9 @@
 		ceiling = p.minBackoff << p.failures
 	}
 	p.failures++
-	// Full jitter spreads the processes over the whole pause.
-	p.notBefore = p.clock.Now().Add(retryAfter + p.jitter(ceiling))
+	// Full jitter spreads the processes over the whole pause. Those that were
+	// told to wait for the same time are spread over that time again.
+	p.notBefore = p.clock.Now().Add(retryAfter + p.jitter(max(ceiling, retryAfter)))
 	p.change()
 }
 
--- a/internal/platform/objectapi/pacer_test.go
+++ b/internal/platform/objectapi/pacer_test.go
@@ -52,6 +52,27 @@
 	}
 }
 
+// Guards against processes that were throttled together and return together.
+func TestRetryAfterIsSpread(t *testing.T) {
+	const processes, retryAfter = 100, 2 * time.Second
+	early := 0
+	for seed := range uint64(processes) {
+		clock := clockwork.NewFakeClock()
+		p := newPacer(clock, seed, 10, 10)
+		p.failed(ticket{}, retryAfter)
+		pause := clock.Until(p.notBefore)
+		if pause < retryAfter || pause >= 2*retryAfter {
+			t.Errorf("pause of %v, want %v to %v", pause, retryAfter, 2*retryAfter)
+		}
+		if pause < 3*retryAfter/2 {
+			early++
+		}
+	}
+	if early < processes/3 || early > processes*2/3 {
+		t.Errorf("%d of %d processes return in the first half of the time", early, processes)
+	}
+}
+
 // Guards against calls above the budget, and calls that wait in vain for it.
 func TestBudget(t *testing.T) {
 	clock := clockwork.NewFakeClock()
