--- a/internal/platform/objectapi/client.go
+++ b/internal/platform/objectapi/client.go
@@ -41,8 +41,10 @@
 	DefaultAttemptTimeout = 2 * time.Second
 	// DefaultCallTimeout bounds a call with all its tries.
 	DefaultCallTimeout = 5 * time.Second
-	// DefaultWatchTimeout bounds a watch.
-	DefaultWatchTimeout = 30 * time.Second
+	// DefaultWatchTimeout bounds a watch. A watch on a connection that went
+	// silent ends after this and DefaultAttemptTimeout, which together are
+	// below the 6 s in which a change must be in force everywhere.
+	DefaultWatchTimeout = 3 * time.Second
 	// DefaultMinBackoff bounds the pause after the first failure.
 	DefaultMinBackoff = 100 * time.Millisecond
 	// DefaultMaxBackoff bounds the pause after repeated failures.
@@ -70,7 +72,12 @@
 		// Metrics takes the counters; nil for none.
 		Metrics tally.Scope
 
-		// The defaults of this package stand for fields that are 0.
+		// StartSpread is the time over which the first calls of processes
+		// that start together are spread. They then begin with an empty budget.
+		// 0 sends the first call at once.
+		StartSpread time.Duration
+
+		// The defaults of this package stand for the following fields if they are 0.
 
 		// CallsPerSecond and Burst are the call budget of the process. Each try
 		// of a read or watch costs 1, each try of a write costs WriteCost.
--- a/internal/standin/fault/fault.go
+++ b/internal/standin/fault/fault.go
@@ -48,6 +48,9 @@
 	EndEarly Kind = "endEarly"
 	// Corrupt changes a byte of the content.
 	Corrupt Kind = "corrupt"
+	// Late lets the operation take effect after Rule.Delay, even if the
+	// caller has gone away.
+	Late Kind = "late"
 	// Fail lets the operation fail with the stand-in's own error.
 	Fail Kind = "fail"
 )
@@ -65,7 +68,7 @@
 		Caller string `json:"caller,omitempty"`
 		// Calls is how many calls the rule applies to; 0 until it is cleared.
 		Calls int `json:"calls,omitempty"`
-		// Delay is used by Slow, in nanoseconds.
+		// Delay is used by Slow and Late, in nanoseconds.
 		Delay time.Duration `json:"delay,omitempty"`
 	}
 
@@ -74,6 +77,9 @@
 	Switch struct {
 		// Clock is set before the first use.
 		Clock mulberryspool.Clock
+		// Operations names those of the stand-in, each with the kinds that it
+		// supports besides the general ones. It is set before the first use.
+		Operations map[string][]Kind
 
 		mu      sync.Mutex
 		rules   []Rule
@@ -83,8 +89,11 @@
 	// Effect is what happens to one call.
 	Effect struct {
 		// Kind is empty for a call without a fault.
-		Kind  Kind
+		Kind Kind
+		// Delay comes before the call takes effect.
 		Delay time.Duration
+		// Late is the delay of a call whose kind is Late.
+		Late time.Duration
 		// Cleared is closed when the rules are cleared.
 		Cleared <-chan struct{}
 	}
@@ -95,12 +104,13 @@
 	}
 )
 
-var kinds = []Kind{Refuse, Unavailable, Hang, Slow, LoseAnswer, HangAnswer, Stall, Truncate, EndEarly, Corrupt, Fail}
+// general are the kinds that work for each operation.
+var general = []Kind{Refuse, Unavailable, Hang, Slow, LoseAnswer, HangAnswer}
 
 // Add switches a fault on.
 func (s *Switch) Add(rule Rule) error {
-	if !slices.Contains(kinds, rule.Kind) {
-		return errors.Newf("fault kind %q is not one of %q", rule.Kind, kinds)
+	if err := s.check(rule); err != nil {
+		return err
 	}
 	if rule.Calls < 0 || rule.Delay < 0 {
 		return errors.Newf("fault calls %d and delay %v must not be negative", rule.Calls, rule.Delay)
@@ -111,6 +121,25 @@
 	return nil
 }
 
+// check keeps a rule that would never have an effect from being accepted.
+func (s *Switch) check(rule Rule) error {
+	var supported []Kind
+	for operation, special := range s.Operations {
+		if rule.applies(operation) {
+			supported = append(supported, special...)
+		}
+	}
+	for _, operation := range rule.Operations {
+		if _, found := s.Operations[operation]; !found {
+			return errors.Newf("fault is for unknown operation %q", operation)
+		}
+	}
+	if !slices.Contains(general, rule.Kind) && !slices.Contains(supported, rule.Kind) {
+		return errors.Newf("fault kind %q is not supported, want one of %q", rule.Kind, append(supported, general...))
+	}
+	return nil
+}
+
 // Clear switches all faults off and ends the calls that hang.
 func (s *Switch) Clear() {
 	s.mu.Lock()
@@ -147,6 +176,9 @@
 			effect.Delay += r.Delay
 		} else {
 			effect.Kind = r.Kind
+			if r.Kind == Late {
+				effect.Late = r.Delay
+			}
 		}
 		if r.Calls == 1 {
 			continue
@@ -236,9 +268,10 @@
 }
 
 func (r Rule) matches(operation, caller string) bool {
-	if r.Caller != "" && r.Caller != caller {
-		return false
-	}
+	return (r.Caller == "" || r.Caller == caller) && r.applies(operation)
+}
+
+func (r Rule) applies(operation string) bool {
 	return len(r.Operations) == 0 || slices.Contains(r.Operations, operation)
 }
 
