Test the gate under disorder; do not refuse starts that may have run

The model test found that a copy of a start which arrives after its request was executed and forgotten was refused as stale, and a refusal claims that the request never runs. Such a copy now ends as unknown. Cause: only the resolve compared the agent time with that of forgotten requests.

--- a/internal/agent/gate/gate.go
+++ b/internal/agent/gate/gate.go
@@ -176,6 +176,12 @@
 		g.refuse(e, known.reason)
 		return
 	}
+	if g.mayBeForgotten(params.AgentTime) {
+		// It is stale, but may have run: a refusal would claim that it never does.
+		g.emit(ReplyStart{Call: e.Call, Result: mulberryspool.StartResult{Accepted: true, Incarnation: g.settings.Incarnation}})
+		g.emit(SendEnd{Conn: e.Conn, Notice: lostNotice(params.RequestID)})
+		return
+	}
 	if reason := g.admit(now, params); reason != "" {
 		g.remember(now, params.RequestID, reason)
 		g.refuse(e, reason)
@@ -236,7 +242,6 @@
 	result := mulberryspool.ResolveResult{Incarnation: g.settings.Incarnation}
 	r, known := g.requests[e.Params.RequestID]
 	_, refused := g.refused[e.Params.RequestID]
-	forgotten := g.hasForgotten && e.Params.AgentTime <= g.forgotten
 	switch {
 	case e.Params.Incarnation != g.settings.Incarnation:
 		result.State = mulberryspool.ResolveIncarnation
@@ -244,7 +249,7 @@
 		result.State = mulberryspool.ResolveDone
 	case known:
 		result.State = mulberryspool.ResolveRunning
-	case !refused && forgotten:
+	case !refused && g.mayBeForgotten(e.Params.AgentTime):
 		// It may have run and been forgotten since, so neverSeen could be wrong.
 		result.State = mulberryspool.ResolveDone
 	default:
--- /dev/null
+++ b/internal/agent/gate/model_test.go
@@ -0,0 +1,420 @@
+package gate
+
+import (
+	"bytes"
+	"flag"
+	"fmt"
+	"os"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"pgregory.net/rapid"
+
+	"github.com/mulberryspool/mulberryspool"
+)
+
+// TestMain fixes the seed, so that every run checks the same cases.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	for name, value := range map[string]string{"rapid.seed": "1", "rapid.checks": "1000", "rapid.steps": "80", "rapid.nofailfile": "true"} {
+		given := false
+		flag.Visit(func(f *flag.Flag) { given = given || f.Name == name })
+		if given {
+			continue
+		}
+		if err := flag.Set(name, value); err != nil {
+			panic(err)
+		}
+	}
+	os.Exit(m.Run())
+}
+
+const (
+	testPool      = "draft-models"
+	testFreshness = 5 * time.Second
+	testRetention = 8 * time.Second
+	testBuffer    = 100
+	testLimit     = 2
+)
+
+// model is the world around a gate: entries, a network that delays, reorders
+// and repeats messages, and an engine whose content may change at any moment.
+type model struct {
+	gate *Gate
+	now  time.Duration
+	// network holds messages that were sent and may arrive at any time, repeatedly.
+	network []Event
+	// answers are replies of the engine that have not arrived.
+	answers []Event
+	engine  mulberryspool.Loaded
+	starts  map[mulberryspool.RequestID]time.Duration
+	// neverRuns holds IDs that the gate said are not executed, now or later.
+	neverRuns map[mulberryspool.RequestID]string
+	jobs      map[mulberryspool.RequestID]*job
+	// gated is what the gate was opened for when it accepted a request.
+	gated map[mulberryspool.RequestID]mulberryspool.Loaded
+	// received holds each connection's bytes of each answer.
+	received map[ConnID]map[mulberryspool.RequestID][]byte
+	// waiting is the connection that is owed the end of an answer.
+	waiting  map[mulberryspool.RequestID]ConnID
+	open     mulberryspool.Loaded
+	nextConn ConnID
+}
+
+// job is a request at the engine.
+type job struct {
+	answer    []byte
+	contents  []mulberryspool.Loaded
+	ended     bool
+	cancelled bool
+	complete  bool
+}
+
+func newModel(readBack bool) *model {
+	engine := mulberryspool.Loaded{Version: "v1", Digest: "d1", Fencing: 1}
+	if !readBack {
+		engine = mulberryspool.Loaded{}
+	}
+	return &model{
+		gate: New(Settings{
+			Incarnation: "run-1", Pool: testPool, ReadBack: readBack, AnswerRetention: testRetention,
+			StartFreshness: testFreshness, BufferBytes: testBuffer, MaxConcurrent: testLimit, MaxRefused: 4,
+		}),
+		engine:    engine,
+		starts:    make(map[mulberryspool.RequestID]time.Duration),
+		neverRuns: make(map[mulberryspool.RequestID]string),
+		jobs:      make(map[mulberryspool.RequestID]*job),
+		gated:     make(map[mulberryspool.RequestID]mulberryspool.Loaded),
+		received:  make(map[ConnID]map[mulberryspool.RequestID][]byte),
+		waiting:   make(map[mulberryspool.RequestID]ConnID),
+		nextConn:  1,
+	}
+}
+
+func (m *model) step(t *rapid.T, event Event) {
+	switch e := event.(type) {
+	case Serving:
+		if e.On {
+			m.open = e.Weights
+		}
+	case ConnLost:
+		for id, conn := range m.waiting {
+			if conn == e.Conn {
+				delete(m.waiting, id)
+			}
+		}
+	}
+	for _, effect := range m.gate.Step(m.now, event) {
+		m.apply(t, event, effect)
+	}
+	if m.gate.InFlight() > testLimit {
+		t.Fatalf("%d requests in flight, limit %d", m.gate.InFlight(), testLimit)
+	}
+	if m.gate.Buffered() > testBuffer {
+		t.Fatalf("%d bytes buffered, limit %d", m.gate.Buffered(), testBuffer)
+	}
+}
+
+func (m *model) apply(t *rapid.T, event Event, effect Effect) {
+	switch e := effect.(type) {
+	case ReplyStart:
+		start := event.(Start)
+		if !e.Result.Accepted {
+			m.claim(t, start.Params.RequestID, string(e.Result.Refusal))
+		} else if _, ok := m.gated[start.Params.RequestID]; !ok {
+			m.gated[start.Params.RequestID] = m.open
+			m.waiting[start.Params.RequestID] = start.Conn
+		}
+	case ReplyResolve:
+		m.resolved(t, event.(Resolve), e.Result.State)
+	case ReadBack:
+		m.answers = append(m.answers, ReadBackDone{ID: e.ID, Before: e.Before})
+	case Submit:
+		id := e.Request.RequestID
+		if reason, ok := m.neverRuns[id]; ok {
+			t.Fatalf("%s was submitted after it was reported as %s", id, reason)
+		}
+		if m.jobs[id] != nil {
+			t.Fatalf("%s was submitted twice", id)
+		}
+		m.jobs[id] = &job{contents: []mulberryspool.Loaded{m.engine}}
+	case CancelBackend:
+		if m.jobs[e.ID] == nil {
+			t.Fatalf("%s was cancelled before it was submitted", e.ID)
+		}
+		m.jobs[e.ID].cancelled = true
+	case SendChunk:
+		m.receive(t, e)
+	case SendEnd:
+		m.receiveEnd(t, e)
+	}
+}
+
+// claim checks that a request which is reported as not executed was not.
+func (m *model) claim(t *rapid.T, id mulberryspool.RequestID, reason string) {
+	if m.jobs[id] != nil {
+		t.Fatalf("%s was reported as %s after it was submitted", id, reason)
+	}
+	m.neverRuns[id] = reason
+}
+
+func (m *model) receive(t *rapid.T, e SendChunk) {
+	id := e.Notice.RequestID
+	job := m.jobs[id]
+	end := e.Notice.Offset + int64(len(e.Notice.Data))
+	if job == nil || end > int64(len(job.answer)) || !bytes.Equal(e.Notice.Data, job.answer[e.Notice.Offset:end]) {
+		t.Fatalf("chunk %q at %d of %s is not part of its answer", e.Notice.Data, e.Notice.Offset, id)
+	}
+	if e.Notice.Offset == 0 && e.Notice.Status != 200 {
+		t.Fatalf("first chunk of %s has status %d", id, e.Notice.Status)
+	}
+	had := m.bytes(e.Conn)[id]
+	if e.Notice.Offset > int64(len(had)) {
+		t.Fatalf("connection %d gets %s at %d, but has only %d bytes", e.Conn, id, e.Notice.Offset, len(had))
+	}
+	m.bytes(e.Conn)[id] = append(slices.Clone(had[:e.Notice.Offset]), e.Notice.Data...)
+}
+
+func (m *model) bytes(conn ConnID) map[mulberryspool.RequestID][]byte {
+	if m.received[conn] == nil {
+		m.received[conn] = make(map[mulberryspool.RequestID][]byte)
+	}
+	return m.received[conn]
+}
+
+// resolved notes what the asking connection has and is owed.
+func (m *model) resolved(t *rapid.T, e Resolve, state mulberryspool.ResolveState) {
+	id := e.Params.RequestID
+	if state == mulberryspool.ResolveNeverSeen {
+		m.claim(t, id, "neverSeen")
+		return
+	}
+	m.waiting[id] = e.Conn
+	if job := m.jobs[id]; job != nil {
+		m.bytes(e.Conn)[id] = slices.Clone(job.answer[:e.Params.Offset])
+	}
+}
+
+func (m *model) receiveEnd(t *rapid.T, e SendEnd) {
+	n := e.Notice
+	job := m.jobs[n.RequestID]
+	if m.waiting[n.RequestID] == e.Conn {
+		delete(m.waiting, n.RequestID)
+	}
+	switch n.Outcome {
+	case mulberryspool.OutcomeNotRun:
+		m.claim(t, n.RequestID, "notRun: "+n.Message)
+	case mulberryspool.OutcomeDone:
+		if job == nil || !job.complete {
+			t.Fatalf("%s is done without a complete answer", n.RequestID)
+		}
+		if n.Length != int64(len(job.answer)) || n.Checksum != xxhash.Sum64(job.answer) {
+			t.Fatalf("end of %s does not match its answer", n.RequestID)
+		}
+		if got := m.bytes(e.Conn)[n.RequestID]; !bytes.Equal(got, job.answer) {
+			t.Fatalf("connection %d has %d bytes of %s at its end, want %d", e.Conn, len(got), n.RequestID, len(job.answer))
+		}
+		if n.Weights != m.gated[n.RequestID].Digest {
+			t.Fatalf("%s names weights %s, but was accepted for %v", n.RequestID, n.Weights, m.gated[n.RequestID])
+		}
+		for _, content := range job.contents {
+			if content.Digest != n.Weights {
+				t.Fatalf("%s names weights %s, but was generated by %v", n.RequestID, n.Weights, job.contents)
+			}
+		}
+	default:
+		if job == nil && n.Outcome == mulberryspool.OutcomeFailed {
+			t.Fatalf("%s failed without having been submitted", n.RequestID)
+		}
+	}
+}
+
+func (m *model) drawID(t *rapid.T) mulberryspool.RequestID {
+	return mulberryspool.RequestID(fmt.Sprintf("r%d", rapid.IntRange(0, 7).Draw(t, "id")))
+}
+
+// send puts a start on the network, as an entry does that has not been told
+// that the request never runs. All copies carry the agent time of the first.
+func (m *model) send(t *rapid.T) {
+	id := m.drawID(t)
+	if m.neverRuns[id] != "" {
+		return
+	}
+	if _, ok := m.starts[id]; !ok {
+		m.starts[id] = m.now
+	}
+	m.network = append(m.network, Start{Conn: m.nextConn, Call: 1, Params: mulberryspool.StartParams{
+		RequestID: id, Incarnation: "run-1", AgentTime: m.starts[id], Pool: testPool,
+		Remaining: time.Duration(rapid.IntRange(0, 6).Draw(t, "seconds")) * time.Second,
+	}})
+}
+
+// deliver lets a message arrive; it may arrive again later.
+func (m *model) deliver(t *rapid.T) {
+	if len(m.network) == 0 {
+		return
+	}
+	m.deliverAt(t, rapid.IntRange(0, len(m.network)-1).Draw(t, "message"))
+}
+
+func (m *model) deliverAt(t *rapid.T, i int) {
+	if i < 0 {
+		return
+	}
+	event := m.network[i]
+	if !rapid.Bool().Draw(t, "repeated") {
+		m.network = slices.Delete(m.network, i, i+1)
+	}
+	m.step(t, event)
+}
+
+func (m *model) resolve(t *rapid.T) {
+	id := m.drawID(t)
+	sent, ok := m.starts[id]
+	if !ok {
+		return
+	}
+	m.nextConn++
+	offset := int64(0)
+	if job := m.jobs[id]; job != nil {
+		offset = rapid.Int64Range(0, int64(len(job.answer))).Draw(t, "offset")
+	}
+	m.network = append(m.network, Resolve{Conn: m.nextConn, Call: 1, Params: mulberryspool.ResolveParams{
+		RequestID: id, Incarnation: "run-1", AgentTime: sent, Offset: offset,
+	}})
+}
+
+// generate lets the engine make a part of an answer.
+func (m *model) generate(t *rapid.T) {
+	id := m.drawID(t)
+	job := m.jobs[id]
+	if job == nil || job.ended {
+		return
+	}
+	if len(job.answer) == 0 {
+		m.step(t, Head{ID: id, Status: 200})
+	}
+	data := []byte(fmt.Sprintf("%s/%d;", id, len(job.answer)))
+	data = bytes.Repeat(data, rapid.IntRange(1, 12).Draw(t, "size"))
+	job.answer = append(job.answer, data...)
+	job.contents = append(job.contents, m.engine)
+	m.step(t, Chunk{ID: id, Data: data})
+}
+
+func (m *model) finishJob(t *rapid.T, id mulberryspool.RequestID, complete bool) {
+	job := m.jobs[id]
+	if job == nil || job.ended {
+		return
+	}
+	job.ended = true
+	job.complete = complete
+	job.contents = append(job.contents, m.engine)
+	end := End{ID: id}
+	if !complete {
+		end.Error = "broken off"
+	}
+	m.step(t, end)
+}
+
+// readBack answers a reading with the content of this moment.
+func (m *model) readBack(t *rapid.T) {
+	if len(m.answers) == 0 {
+		return
+	}
+	i := rapid.IntRange(0, len(m.answers)-1).Draw(t, "reading")
+	answer := m.answers[i].(ReadBackDone)
+	m.answers = slices.Delete(m.answers, i, i+1)
+	answer.Loaded = m.engine
+	if rapid.IntRange(0, 9).Draw(t, "error") == 0 {
+		answer.Error = "engine did not answer"
+	}
+	m.step(t, answer)
+}
+
+// changeEngine swaps the engine's content underneath the gate.
+func (m *model) changeEngine(t *rapid.T) {
+	if !m.gate.settings.ReadBack {
+		return
+	}
+	n := rapid.IntRange(1, 2).Draw(t, "content")
+	m.engine = mulberryspool.Loaded{
+		Version: fmt.Sprintf("v%d", n), Digest: mulberryspool.Digest(fmt.Sprintf("d%d", n)), Fencing: m.engine.Fencing + 1,
+	}
+}
+
+// Guards against a second execution, a notRun or neverSeen for a request that
+// runs, an answer by mixed weights, a truncated or crossed answer, and
+// unbounded memory, under lost, late, repeated and reordered messages.
+func TestGateUnderDisorder(t *testing.T) {
+	for _, readBack := range []bool{true, false} {
+		t.Run(fmt.Sprintf("readBack=%v", readBack), func(t *testing.T) {
+			rapid.Check(t, func(t *rapid.T) { checkDisorder(t, newModel(readBack)) })
+		})
+	}
+}
+
+func checkDisorder(t *rapid.T, m *model) {
+	m.step(t, Serving{On: true, Weights: m.engine})
+	t.Repeat(map[string]func(*rapid.T){
+		"send":     m.send,
+		"deliver":  m.deliver,
+		"deliver2": m.deliver,
+		"begin": func(t *rapid.T) {
+			m.send(t)
+			m.deliverAt(t, len(m.network)-1)
+			m.readBack(t)
+		},
+		"resolve":  m.resolve,
+		"generate": m.generate,
+		"readBack": m.readBack,
+		"complete": func(t *rapid.T) { m.finishJob(t, m.drawID(t), true) },
+		"break":    func(t *rapid.T) { m.finishJob(t, m.drawID(t), false) },
+		"cancel":   func(t *rapid.T) { m.network = append(m.network, Cancel{ID: m.drawID(t)}) },
+		"connLost": func(t *rapid.T) {
+			m.step(t, ConnLost{Conn: ConnID(rapid.IntRange(1, int(m.nextConn)).Draw(t, "conn"))})
+		},
+		"tick": func(t *rapid.T) {
+			m.now += time.Duration(rapid.IntRange(1, 3000).Draw(t, "ms")) * time.Millisecond
+			m.step(t, Tick{})
+		},
+		"engine": func(t *rapid.T) {
+			if rapid.IntRange(0, 2).Draw(t, "rarely") == 0 {
+				m.changeEngine(t)
+			}
+		},
+		"serving": func(t *rapid.T) {
+			on := rapid.IntRange(0, 2).Draw(t, "on") > 0
+			m.step(t, Serving{On: on, Weights: m.engine, Changed: !on && rapid.Bool().Draw(t, "changed")})
+		},
+	})
+	m.finishAll(t)
+}
+
+// finishAll lets everything end that is under way.
+func (m *model) finishAll(t *rapid.T) {
+	m.step(t, Leaving{})
+	for range 3 {
+		for len(m.answers) > 0 {
+			m.readBack(t)
+		}
+		for i := range 8 {
+			m.finishJob(t, mulberryspool.RequestID(fmt.Sprintf("r%d", i)), true)
+		}
+	}
+	if n := m.gate.InFlight(); n != 0 {
+		t.Fatalf("%d requests never end", n)
+	}
+	for len(m.network) > 0 {
+		event := m.network[0]
+		m.network = m.network[1:]
+		m.step(t, event)
+	}
+	if n := m.gate.InFlight(); n != 0 {
+		t.Fatal("a leaving gate accepted a request")
+	}
+	if len(m.waiting) > 0 {
+		t.Fatalf("connections never got the end of these answers: %v", m.waiting)
+	}
+}
--- a/internal/agent/gate/retention.go
+++ b/internal/agent/gate/retention.go
@@ -49,6 +49,12 @@
 	}
 }
 
+// mayBeForgotten reports whether an unknown request with this agent time may
+// have been accepted once.
+func (g *Gate) mayBeForgotten(agentTime time.Duration) bool {
+	return g.hasForgotten && agentTime <= g.forgotten
+}
+
 // boundBuffer drops the buffers of the requests that ended first, then those
 // of the oldest running ones. The requests themselves stay known.
 func (g *Gate) boundBuffer() {
