--- a/internal/agent/rollout/chain.go
+++ b/internal/agent/rollout/chain.go
@@ -15,6 +15,8 @@
 	status    mulberryspool.Heartbeat
 	suspected bool
 	dead      bool
+	// gone is set while the agent is ranked, but no longer a member.
+	gone bool
 }
 
 // Order sorts the agents of a pool by the rendezvous hash of version and
@@ -47,13 +49,43 @@
 	return p
 }
 
+// setMembers keeps the ranks of the target's order: agents that have gone
+// keep theirs, and later ones come last. Otherwise a join or a death in the
+// middle of a rollout would move others to a chain in which it is their turn.
 func (r *Rollout) setMembers(e Members) {
 	r.members = slices.Clone(e.Instances)
-	for instance := range r.peers {
-		if !slices.Contains(r.members, instance) {
+	if !slices.Contains(r.members, r.settings.Instance) {
+		r.members = append(r.members, r.settings.Instance)
+	}
+	var joined []mulberryspool.InstanceID
+	for _, instance := range r.members {
+		if !slices.Contains(r.ranked, instance) {
+			joined = append(joined, instance)
+		}
+	}
+	r.ranked = append(r.ranked, Order(r.target.Version, joined)...)
+	r.forgetPeers()
+}
+
+// rank orders the agents for a new target.
+func (r *Rollout) rank() {
+	if len(r.members) == 0 {
+		r.members = []mulberryspool.InstanceID{r.settings.Instance}
+	}
+	r.ranked = Order(r.target.Version, r.members)
+	r.forgetPeers()
+}
+
+func (r *Rollout) forgetPeers() {
+	for instance, p := range r.peers {
+		p.gone = !slices.Contains(r.members, instance)
+		if p.gone && !slices.Contains(r.ranked, instance) {
 			delete(r.peers, instance)
 		}
 	}
+	for _, instance := range r.ranked {
+		r.peer(instance).gone = !slices.Contains(r.members, instance)
+	}
 }
 
 func (r *Rollout) peerHeard(e PeerHeard) {
@@ -72,27 +104,47 @@
 
 // predecessors returns the agents before this one in its chain, the next one first.
 func (r *Rollout) predecessors() []mulberryspool.InstanceID {
-	members := r.members
-	if !slices.Contains(members, r.settings.Instance) {
-		members = append(slices.Clone(members), r.settings.Instance)
-	}
-	ordered := Order(r.target.Version, members)
-	chains := max(r.pool.MaxUnavailable, 1)
+	chains := r.chains()
 	var before []mulberryspool.InstanceID
-	for rank := slices.Index(ordered, r.settings.Instance) - chains; rank >= 0; rank -= chains {
-		before = append(before, ordered[rank])
+	for rank := slices.Index(r.ranked, r.settings.Instance) - chains; rank >= 0; rank -= chains {
+		before = append(before, r.ranked[rank])
 	}
 	return before
 }
 
+func (r *Rollout) chains() int {
+	return max(r.pool.MaxUnavailable, 1)
+}
+
 // mayDrain reports whether it is this agent's turn.
 func (r *Rollout) mayDrain() bool {
 	if r.goal() == r.target && r.failedPeer != "" {
 		return false
 	}
+	if r.joined && !r.earlierSettled() {
+		return false
+	}
 	return r.predecessorSettled()
 }
 
+// earlierSettled reports whether all chains have got as far as this agent. An
+// agent that came in the middle of a rollout may rank the others differently
+// from them, so its own chain is not enough.
+func (r *Rollout) earlierSettled() bool {
+	settled := 0
+	for rank := slices.Index(r.ranked, r.settings.Instance) - 1; rank >= 0 && settled < r.chains(); rank-- {
+		p := r.peer(r.ranked[rank])
+		if p.absent() {
+			continue
+		}
+		if !r.settled(p) {
+			return false
+		}
+		settled++
+	}
+	return true
+}
+
 // predecessorSettled reports whether all agents before this one in its chain
 // serve the target. That the predecessor serves it is not enough: it may have
 // joined with the target, while one before it has yet to swap. Predecessors
@@ -111,7 +163,7 @@
 // A starting agent does not count as absent, because it may yet find that its
 // engine serves an older version.
 func (p *peer) absent() bool {
-	if p.dead {
+	if p.dead || p.gone {
 		return true
 	}
 	if !p.heard {
@@ -145,6 +197,7 @@
 
 // Watched returns the agents whose heartbeats this one needs: the predecessor
 // in its chain, and those before it while it is suspected or does not count.
+// An agent that came in the middle of a rollout needs one of each chain.
 func (r *Rollout) Watched() []mulberryspool.InstanceID {
 	var watched []mulberryspool.InstanceID
 	if r.settings.Plain || !r.hasRow {
@@ -156,6 +209,19 @@
 			break
 		}
 	}
+	if !r.joined || r.serving && r.current == r.target {
+		return watched
+	}
+	needed := r.chains()
+	for rank := slices.Index(r.ranked, r.settings.Instance) - 1; rank >= 0 && needed > 0; rank-- {
+		instance := r.ranked[rank]
+		if !slices.Contains(watched, instance) {
+			watched = append(watched, instance)
+		}
+		if !r.peer(instance).absent() {
+			needed--
+		}
+	}
 	return watched
 }
 
--- a/internal/agent/rollout/load.go
+++ b/internal/agent/rollout/load.go
@@ -135,7 +135,9 @@
 		return
 	}
 	r.attempts++
-	if r.vanished && r.attempts < loadAttempts {
+	// Another version, without an error, was ordered by someone else.
+	intruder := r.loadError == "" && r.engine.Version != r.ordered.Version
+	if (r.vanished || intruder) && r.attempts < loadAttempts {
 		return
 	}
 	r.fail(now, cause)
--- a/internal/agent/rollout/rollout.go
+++ b/internal/agent/rollout/rollout.go
@@ -29,8 +29,8 @@
 	// unreadableReadings is the number of failed readings in a row after which
 	// an engine counts as gone.
 	unreadableReadings = 2
-	// loadAttempts is the number of loads during which the engine may vanish
-	// before the version is blamed.
+	// loadAttempts is the number of loads during which the engine may vanish,
+	// or be given another version, before the ordered version is blamed.
 	loadAttempts = 2
 	// numberShift leaves room for a million orders of one incarnation.
 	numberShift = 20
@@ -124,7 +124,11 @@
 		failure    *Failure
 		failedPeer mulberryspool.InstanceID
 
-		members  []mulberryspool.InstanceID
+		members []mulberryspool.InstanceID
+		// ranked is the order of the agents for the target.
+		ranked []mulberryspool.InstanceID
+		// joined is set while the target is the first one of this incarnation.
+		joined   bool
 		peers    map[mulberryspool.InstanceID]*peer
 		inFlight int
 		leaving  bool
@@ -227,6 +231,7 @@
 	goal := Goal{Version: e.Pool.Version, Adapter: e.Pool.Adapter, Role: e.Pool.EngineRole}
 	changed := !r.hasRow || goal != r.target || e.Change != "" && e.Change != r.change
 	r.pool = e.Pool
+	r.joined = !r.hasRow || r.joined && !changed
 	r.hasRow = true
 	if e.Change != "" {
 		r.change = e.Change
@@ -240,6 +245,7 @@
 	r.failedPeer = ""
 	r.attempts = 0
 	r.notBefore = 0
+	r.rank()
 }
 
 // manifestRead keeps the manifest; manifests never change.
