Wait for one's turn in two orders; serve a superseded load until the next turn

The model test found a swap beyond the bound when the agents' member lists had differed when the target was set, and the ranks never came together. It must now be an agent's turn both in the order of the target's start and in that of the present members. A load that was verified after it had been superseded is served until the agent's turn for the newer version; before, the engine stayed idle while the newer content was fetched. An order that was refused as stale is never blamed on the version.

--- a/internal/agent/rollout/chain.go
+++ b/internal/agent/rollout/chain.go
@@ -49,9 +49,11 @@
 	return p
 }
 
-// setMembers keeps the ranks of the target's order: agents that have gone
-// keep theirs, and later ones come last. Otherwise a join or a death in the
-// middle of a rollout would move others to a chain in which it is their turn.
+// setMembers keeps two orders. In the present one, an agent that joins or goes
+// may move others to a chain in which it is their turn, although one before
+// them still swaps. In the ranked one nobody moves: agents that have gone keep
+// their rank and later ones come last; but it differs between agents whose
+// views differed when the target was set. It must be an agent's turn in both.
 func (r *Rollout) setMembers(e Members) {
 	r.members = slices.Clone(e.Instances)
 	if !slices.Contains(r.members, r.settings.Instance) {
@@ -64,6 +66,7 @@
 		}
 	}
 	r.ranked = append(r.ranked, Order(r.target.Version, joined)...)
+	r.present = Order(r.target.Version, r.members)
 	r.forgetPeers()
 }
 
@@ -72,7 +75,8 @@
 	if len(r.members) == 0 {
 		r.members = []mulberryspool.InstanceID{r.settings.Instance}
 	}
-	r.ranked = Order(r.target.Version, r.members)
+	r.present = Order(r.target.Version, r.members)
+	r.ranked = slices.Clone(r.present)
 	r.forgetPeers()
 }
 
@@ -102,12 +106,13 @@
 	}
 }
 
-// predecessors returns the agents before this one in its chain, the next one first.
-func (r *Rollout) predecessors() []mulberryspool.InstanceID {
+// predecessors returns the agents before this one in its chain of an order,
+// the next one first.
+func (r *Rollout) predecessors(order []mulberryspool.InstanceID) []mulberryspool.InstanceID {
 	chains := r.chains()
 	var before []mulberryspool.InstanceID
-	for rank := slices.Index(r.ranked, r.settings.Instance) - chains; rank >= 0; rank -= chains {
-		before = append(before, r.ranked[rank])
+	for rank := slices.Index(order, r.settings.Instance) - chains; rank >= 0; rank -= chains {
+		before = append(before, order[rank])
 	}
 	return before
 }
@@ -132,8 +137,8 @@
 // from them, so its own chain is not enough.
 func (r *Rollout) earlierSettled() bool {
 	settled := 0
-	for rank := slices.Index(r.ranked, r.settings.Instance) - 1; rank >= 0 && settled < r.chains(); rank-- {
-		p := r.peer(r.ranked[rank])
+	for rank := slices.Index(r.present, r.settings.Instance) - 1; rank >= 0 && settled < r.chains(); rank-- {
+		p := r.peer(r.present[rank])
 		if p.absent() {
 			continue
 		}
@@ -145,12 +150,16 @@
 	return true
 }
 
-// predecessorSettled reports whether all agents before this one in its chain
+// predecessorSettled reports whether all agents before this one in its chains
 // serve the target. That the predecessor serves it is not enough: it may have
 // joined with the target, while one before it has yet to swap. Predecessors
 // that do not count are passed over, and the next one decides.
 func (r *Rollout) predecessorSettled() bool {
-	for _, instance := range r.predecessors() {
+	return r.firstSettled(r.predecessors(r.ranked)) && r.firstSettled(r.predecessors(r.present))
+}
+
+func (r *Rollout) firstSettled(before []mulberryspool.InstanceID) bool {
+	for _, instance := range before {
 		p := r.peer(instance)
 		if !p.absent() {
 			return r.settled(p)
@@ -199,27 +208,34 @@
 // in its chain, and those before it while it is suspected or does not count.
 // An agent that came in the middle of a rollout needs one of each chain.
 func (r *Rollout) Watched() []mulberryspool.InstanceID {
-	var watched []mulberryspool.InstanceID
 	if r.settings.Plain || !r.hasRow {
 		return nil
 	}
-	for _, instance := range r.predecessors() {
-		watched = append(watched, instance)
-		if p := r.peer(instance); !p.suspected && !p.absent() {
+	watched := r.watch(nil, r.predecessors(r.ranked), 1)
+	watched = r.watch(watched, r.predecessors(r.present), 1)
+	if r.joined && (!r.serving || r.current != r.target) {
+		earlier := slices.Clone(r.present[:slices.Index(r.present, r.settings.Instance)])
+		slices.Reverse(earlier)
+		watched = r.watch(watched, earlier, r.chains())
+	}
+	return watched
+}
+
+// watch adds agents until enough of them count.
+func (r *Rollout) watch(watched, before []mulberryspool.InstanceID, enough int) []mulberryspool.InstanceID {
+	for _, instance := range before {
+		if enough == 0 {
 			break
 		}
-	}
-	if !r.joined || r.serving && r.current == r.target {
-		return watched
-	}
-	needed := r.chains()
-	for rank := slices.Index(r.ranked, r.settings.Instance) - 1; rank >= 0 && needed > 0; rank-- {
-		instance := r.ranked[rank]
+		p := r.peer(instance)
+		if p.gone {
+			continue
+		}
 		if !slices.Contains(watched, instance) {
 			watched = append(watched, instance)
 		}
-		if !r.peer(instance).absent() {
-			needed--
+		if !p.suspected && !p.absent() {
+			enough--
 		}
 	}
 	return watched
--- a/internal/agent/rollout/lease.go
+++ b/internal/agent/rollout/lease.go
@@ -7,10 +7,8 @@
 	held bool
 	// lost is set when a newer incarnation took the lease: this one never
 	// orders again.
-	lost    bool
-	writing bool
-	// check asks for a renewal, because the engine saw a higher number.
-	check      bool
+	lost       bool
+	writing    bool
 	number     uint64
 	validUntil time.Duration
 	ordersFrom time.Duration
@@ -21,7 +19,6 @@
 func (r *Rollout) leaseWritten(e LeaseWritten) {
 	l := &r.lease
 	l.writing = false
-	l.check = false
 	if l.lost {
 		return
 	}
@@ -60,14 +57,16 @@
 	if l.lost || l.writing || now < l.retryAt || !r.engineKnown {
 		return
 	}
-	// The engine has seen the number of an incarnation that the lease has not.
-	behind := r.engine.Fencing>>numberShift >= l.number && r.engine.Fencing > r.fencing && l.held
 	expiring := r.pool.IgnoresFencing && r.swapAhead() && l.validUntil-now < r.settings.LeaseDuration/2
-	if l.held && !behind && !expiring && !l.check {
+	if l.held && !r.behind() && !expiring {
 		return
 	}
 	l.writing = true
-	r.emit(WriteLease{AtLeast: r.engine.Fencing>>numberShift + 1, Renew: l.held})
+	write := WriteLease{Renew: l.held}
+	if !l.held || r.behind() {
+		write.AtLeast = r.engine.Fencing>>numberShift + 1
+	}
+	r.emit(write)
 }
 
 // swapAhead reports whether the engine is to be given an order.
@@ -78,7 +77,7 @@
 // mayOrder reports whether the lease permits an order now.
 func (r *Rollout) mayOrder(now time.Duration) bool {
 	l := &r.lease
-	if !l.held || l.lost || l.check {
+	if !l.held || l.lost || r.behind() {
 		return false
 	}
 	if !r.pool.IgnoresFencing {
@@ -86,3 +85,9 @@
 	}
 	return now >= l.ordersFrom && now < l.validUntil
 }
+
+// behind reports whether the engine has seen an order of an incarnation with
+// a higher number than this one's.
+func (r *Rollout) behind() bool {
+	return r.lease.held && r.engine.Fencing>>numberShift >= r.lease.number && r.engine.Fencing > r.fencing
+}
--- a/internal/agent/rollout/load.go
+++ b/internal/agent/rollout/load.go
@@ -118,12 +118,13 @@
 func (r *Rollout) verify(now time.Duration) {
 	r.step = stepIdle
 	if r.holds(r.ordered) {
+		// It is served until this agent's next turn, even if it was superseded.
+		r.previous, r.hasPrevious = r.ordered, true
 		r.record(mulberryspool.EventEngineReadBack, r.ordered.Version, "loaded")
 		return
 	}
 	if r.engine.Fencing > r.fencing {
 		// Another incarnation has ordered something else. The lease says which one is newer.
-		r.lease.check = true
 		return
 	}
 	cause := r.loadError
--- a/internal/agent/rollout/rollout.go
+++ b/internal/agent/rollout/rollout.go
@@ -125,8 +125,9 @@
 		failedPeer mulberryspool.InstanceID
 
 		members []mulberryspool.InstanceID
-		// ranked is the order of the agents for the target.
-		ranked []mulberryspool.InstanceID
+		// present is the order of the members for the target, and ranked the
+		// one of the members when the target was set.
+		present, ranked []mulberryspool.InstanceID
 		// joined is set while the target is the first one of this incarnation.
 		joined   bool
 		peers    map[mulberryspool.InstanceID]*peer
--- a/internal/agent/rollout/view.go
+++ b/internal/agent/rollout/view.go
@@ -61,7 +61,7 @@
 		return "chunks"
 	case r.lease.lost:
 		return "nothing: a newer incarnation holds the lease"
-	case !r.lease.held || r.lease.check:
+	case !r.lease.held || r.behind():
 		return withCause("lease", r.lease.err)
 	case r.serving && !r.mayDrain():
 		return "its turn"
