--- a/internal/agent/rollout/chain.go
+++ b/internal/agent/rollout/chain.go
@@ -15,6 +15,8 @@
 	status    mulberryspool.Heartbeat
 	suspected bool
 	dead      bool
+	// gone is set while the agent is ranked, but no longer a member.
+	gone bool
 }
 
 // Order sorts the agents of a pool by the rendezvous hash of version and
@@ -47,13 +49,47 @@
 	return p
 }
 
+// setMembers keeps two orders. In the present one, an agent that joins or goes
+// may move others to a chain in which it is their turn, although one before
+// them still swaps. In the ranked one nobody moves: agents that have gone keep
+// their rank and later ones come last; but it differs between agents whose
+// views differed when the target was set. It must be an agent's turn in both.
 func (r *Rollout) setMembers(e Members) {
 	r.members = slices.Clone(e.Instances)
-	for instance := range r.peers {
-		if !slices.Contains(r.members, instance) {
+	if !slices.Contains(r.members, r.settings.Instance) {
+		r.members = append(r.members, r.settings.Instance)
+	}
+	var joined []mulberryspool.InstanceID
+	for _, instance := range r.members {
+		if !slices.Contains(r.ranked, instance) {
+			joined = append(joined, instance)
+		}
+	}
+	r.ranked = append(r.ranked, Order(r.target.Version, joined)...)
+	r.present = Order(r.target.Version, r.members)
+	r.forgetPeers()
+}
+
+// rank orders the agents for a new target.
+func (r *Rollout) rank() {
+	if len(r.members) == 0 {
+		r.members = []mulberryspool.InstanceID{r.settings.Instance}
+	}
+	r.present = Order(r.target.Version, r.members)
+	r.ranked = slices.Clone(r.present)
+	r.forgetPeers()
+}
+
+func (r *Rollout) forgetPeers() {
+	for instance, p := range r.peers {
+		p.gone = !slices.Contains(r.members, instance)
+		if p.gone && !slices.Contains(r.ranked, instance) {
 			delete(r.peers, instance)
 		}
 	}
+	for _, instance := range r.ranked {
+		r.peer(instance).gone = !slices.Contains(r.members, instance)
+	}
 }
 
 func (r *Rollout) peerHeard(e PeerHeard) {
@@ -70,35 +106,60 @@
 	}
 }
 
-// predecessors returns the agents before this one in its chain, the next one first.
-func (r *Rollout) predecessors() []mulberryspool.InstanceID {
-	members := r.members
-	if !slices.Contains(members, r.settings.Instance) {
-		members = append(slices.Clone(members), r.settings.Instance)
-	}
-	ordered := Order(r.target.Version, members)
-	chains := max(r.pool.MaxUnavailable, 1)
+// predecessors returns the agents before this one in its chain of an order,
+// the next one first.
+func (r *Rollout) predecessors(order []mulberryspool.InstanceID) []mulberryspool.InstanceID {
+	chains := r.chains()
 	var before []mulberryspool.InstanceID
-	for rank := slices.Index(ordered, r.settings.Instance) - chains; rank >= 0; rank -= chains {
-		before = append(before, ordered[rank])
+	for rank := slices.Index(order, r.settings.Instance) - chains; rank >= 0; rank -= chains {
+		before = append(before, order[rank])
 	}
 	return before
 }
 
+func (r *Rollout) chains() int {
+	return max(r.pool.MaxUnavailable, 1)
+}
+
 // mayDrain reports whether it is this agent's turn.
 func (r *Rollout) mayDrain() bool {
 	if r.goal() == r.target && r.failedPeer != "" {
 		return false
 	}
+	if r.joined && !r.earlierSettled() {
+		return false
+	}
 	return r.predecessorSettled()
 }
 
-// predecessorSettled reports whether all agents before this one in its chain
+// earlierSettled reports whether all chains have got as far as this agent. An
+// agent that came in the middle of a rollout may rank the others differently
+// from them, so its own chain is not enough.
+func (r *Rollout) earlierSettled() bool {
+	settled := 0
+	for rank := slices.Index(r.present, r.settings.Instance) - 1; rank >= 0 && settled < r.chains(); rank-- {
+		p := r.peer(r.present[rank])
+		if p.absent() {
+			continue
+		}
+		if !r.settled(p) {
+			return false
+		}
+		settled++
+	}
+	return true
+}
+
+// predecessorSettled reports whether all agents before this one in its chains
 // serve the target. That the predecessor serves it is not enough: it may have
 // joined with the target, while one before it has yet to swap. Predecessors
 // that do not count are passed over, and the next one decides.
 func (r *Rollout) predecessorSettled() bool {
-	for _, instance := range r.predecessors() {
+	return r.firstSettled(r.predecessors(r.ranked)) && r.firstSettled(r.predecessors(r.present))
+}
+
+func (r *Rollout) firstSettled(before []mulberryspool.InstanceID) bool {
+	for _, instance := range before {
 		p := r.peer(instance)
 		if !p.absent() {
 			return r.settled(p)
@@ -111,7 +172,7 @@
 // A starting agent does not count as absent, because it may yet find that its
 // engine serves an older version.
 func (p *peer) absent() bool {
-	if p.dead {
+	if p.dead || p.gone {
 		return true
 	}
 	if !p.heard {
@@ -145,16 +206,37 @@
 
 // Watched returns the agents whose heartbeats this one needs: the predecessor
 // in its chain, and those before it while it is suspected or does not count.
+// An agent that came in the middle of a rollout needs one of each chain.
 func (r *Rollout) Watched() []mulberryspool.InstanceID {
-	var watched []mulberryspool.InstanceID
 	if r.settings.Plain || !r.hasRow {
 		return nil
 	}
-	for _, instance := range r.predecessors() {
-		watched = append(watched, instance)
-		if p := r.peer(instance); !p.suspected && !p.absent() {
+	watched := r.watch(nil, r.predecessors(r.ranked), 1)
+	watched = r.watch(watched, r.predecessors(r.present), 1)
+	if r.joined && (!r.serving || r.current != r.target) {
+		earlier := slices.Clone(r.present[:slices.Index(r.present, r.settings.Instance)])
+		slices.Reverse(earlier)
+		watched = r.watch(watched, earlier, r.chains())
+	}
+	return watched
+}
+
+// watch adds agents until enough of them count.
+func (r *Rollout) watch(watched, before []mulberryspool.InstanceID, enough int) []mulberryspool.InstanceID {
+	for _, instance := range before {
+		if enough == 0 {
 			break
 		}
+		p := r.peer(instance)
+		if p.gone {
+			continue
+		}
+		if !slices.Contains(watched, instance) {
+			watched = append(watched, instance)
+		}
+		if !p.suspected && !p.absent() {
+			enough--
+		}
 	}
 	return watched
 }
