--- a/internal/entry/dispatch/reducer_test.go
+++ b/internal/entry/dispatch/reducer_test.go
@@ -17,14 +17,17 @@
 func TestRequestsUnderFaults(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		w := newWorld(t)
+		if rapid.IntRange(0, 3).Draw(t, "late connections") > 0 {
+			w.deliverAll()
+		}
 		t.Repeat(map[string]func(*rapid.T){
 			"submit":    w.submit,
 			"leave":     w.leave,
-			"deliver":   w.deliver,
-			"deliver2":  w.deliver,
-			"deliver3":  w.deliver,
-			"work":      w.workOne,
-			"work2":     w.workOne,
+			"deliver":   w.deliverSome,
+			"deliver2":  w.deliverSome,
+			"deliver3":  w.deliverSome,
+			"work":      w.workSome,
+			"work2":     w.workSome,
 			"advance":   w.advanceSome,
 			"heartbeat": w.beat,
 			"breakConn": w.breakConn,
@@ -64,8 +67,8 @@
 			continue
 		}
 		for _, a := range w.agents {
-			for _, x := range a.executions {
-				w.work(x, 100)
+			for _, id := range sortedKeys(a.executions) {
+				w.work(a.executions[id], 100)
 			}
 		}
 	}
@@ -79,7 +82,7 @@
 		sub.Key = route + rapid.SampledFrom([]string{"a", "b"}).Draw(t, "key")
 		sub.Body = []byte(rapid.SampledFrom([]string{"x", "x", "x", "y"}).Draw(t, "body"))
 	}
-	e := rapid.SampledFrom(w.entries).Draw(t, "entry")
+	e := w.entries[rapid.IntRange(0, len(w.entries)-1).Draw(t, "entry")]
 	w.requests[id] = &modelRequest{sub: sub, entry: e, idempotent: route == "again"}
 	e.step(Submitted{Submission: sub})
 }
@@ -93,18 +96,29 @@
 
 func (w *world) openRequest(t *rapid.T) *modelRequest {
 	var open []mulberryspool.RequestID
-	for id, q := range w.requests {
-		if q.end == nil && q.err == nil && !q.left {
+	for _, id := range sortedKeys(w.requests) {
+		if q := w.requests[id]; q.end == nil && q.err == nil && !q.left {
 			open = append(open, id)
 		}
 	}
 	if len(open) == 0 {
 		return nil
 	}
-	slices.Sort(open)
 	return w.requests[rapid.SampledFrom(open).Draw(t, "request")]
 }
 
+func (w *world) deliverSome(t *rapid.T) {
+	for range rapid.IntRange(1, 6).Draw(t, "deliveries") {
+		w.deliver(t)
+	}
+}
+
+func (w *world) workSome(t *rapid.T) {
+	for range rapid.IntRange(1, 3).Draw(t, "parts") {
+		w.workOne(t)
+	}
+}
+
 // deliver decides about one thing on its way, most often one of the oldest.
 func (w *world) deliver(t *rapid.T) {
 	if len(w.bag) == 0 {
@@ -129,18 +143,18 @@
 }
 
 func (w *world) workOne(t *rapid.T) {
-	a := rapid.SampledFrom(w.agents).Draw(t, "agent")
-	var ids []mulberryspool.RequestID
-	for id, x := range a.executions {
-		if len(x.readers) > 0 {
-			ids = append(ids, id)
+	var busy []*execution
+	for _, a := range w.agents {
+		for _, id := range sortedKeys(a.executions) {
+			if x := a.executions[id]; len(x.readers) > 0 {
+				busy = append(busy, x)
+			}
 		}
 	}
-	if len(ids) == 0 {
+	if len(busy) == 0 {
 		return
 	}
-	slices.Sort(ids)
-	x := a.executions[rapid.SampledFrom(ids).Draw(t, "execution")]
+	x := busy[rapid.IntRange(0, len(busy)-1).Draw(t, "execution")]
 	if x.outcome == "" {
 		x.outcome = rapid.SampledFrom([]mulberryspool.Outcome{mulberryspool.OutcomeDone, mulberryspool.OutcomeDone,
 			mulberryspool.OutcomeDone, mulberryspool.OutcomeFailed, mulberryspool.OutcomeUnknown}).Draw(t, "outcome")
@@ -149,7 +163,8 @@
 }
 
 func (w *world) advanceSome(t *rapid.T) {
-	w.advance(time.Duration(rapid.IntRange(1, 40_000).Draw(t, "milliseconds")) * time.Millisecond)
+	bound := rapid.SampledFrom([]int{100, 1_000, 5_000, 110_000}).Draw(t, "bound")
+	w.advance(time.Duration(rapid.IntRange(1, bound).Draw(t, "milliseconds")) * time.Millisecond)
 }
 
 // advance lets time pass and fires the timers on the way.
@@ -175,17 +190,16 @@
 }
 
 func (w *world) conn(t *rapid.T) *modelConn {
-	e := rapid.SampledFrom(w.entries).Draw(t, "entry")
+	e := w.entries[rapid.IntRange(0, len(w.entries)-1).Draw(t, "entry")]
 	var open []ConnID
-	for id, c := range e.conns {
-		if c.open {
+	for id := ConnID(1); id <= e.reducer.lastConn; id++ {
+		if c := e.conns[id]; c != nil && c.open {
 			open = append(open, id)
 		}
 	}
 	if len(open) == 0 {
 		return nil
 	}
-	slices.Sort(open)
 	return e.conns[rapid.SampledFrom(open).Draw(t, "connection")]
 }
 
@@ -210,19 +224,19 @@
 }
 
 func (w *world) restartOne(t *rapid.T) {
-	a := rapid.SampledFrom(w.agents).Draw(t, "agent")
+	a := w.agents[rapid.IntRange(0, len(w.agents)-1).Draw(t, "agent")]
 	a.restart(w.now)
 	for _, e := range w.entries {
-		for _, c := range e.conns {
-			if c.open && c.agent == a {
-				e.later("closed", ConnClosed{Conn: c.id})
+		for id := ConnID(1); id <= e.reducer.lastConn; id++ {
+			if c := e.conns[id]; c != nil && c.open && c.agent == a {
+				e.later("closed", ConnClosed{Conn: id})
 			}
 		}
 	}
 }
 
 func (w *world) changePhase(t *rapid.T) {
-	a := rapid.SampledFrom(w.agents).Draw(t, "agent")
+	a := w.agents[rapid.IntRange(0, len(w.agents)-1).Draw(t, "agent")]
 	a.serving = !a.serving
 }
 
--- a/internal/entry/dispatch/world_test.go
+++ b/internal/entry/dispatch/world_test.go
@@ -1,13 +1,13 @@
 package dispatch
 
 import (
+	"cmp"
 	"fmt"
 	"slices"
 	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
-	"pgregory.net/rapid"
 
 	"github.com/mulberryspool/mulberryspool"
 	"github.com/mulberryspool/mulberryspool/internal/entry/claims"
@@ -24,7 +24,7 @@
 type (
 	// world is a model of agents, network and object API around two entries.
 	world struct {
-		t       *rapid.T
+		t       failer
 		now     time.Time
 		entries []*modelEntry
 		agents  []*modelAgent
@@ -37,6 +37,11 @@
 		bodies map[mulberryspool.RequestID][]string
 	}
 
+	// failer is a *testing.T or a *rapid.T.
+	failer interface {
+		Fatalf(format string, args ...any)
+	}
+
 	parcel struct {
 		name    string
 		deliver func()
@@ -90,7 +95,7 @@
 	}
 )
 
-func newWorld(t *rapid.T) *world {
+func newWorld(t failer) *world {
 	w := &world{
 		t: t, now: time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC),
 		claims:   make(map[string]claims.Claim),
@@ -341,7 +346,15 @@
 	if x.outcome == "" {
 		x.outcome = mulberryspool.OutcomeDone
 	}
-	for c, from := range x.readers {
+	var readers []*modelConn
+	for c := range x.readers {
+		readers = append(readers, c)
+	}
+	slices.SortFunc(readers, func(a, b *modelConn) int {
+		return cmp.Or(cmp.Compare(a.entry.reducer.Self.Instance, b.entry.reducer.Self.Instance), cmp.Compare(a.id, b.id))
+	})
+	for _, c := range readers {
+		from := x.readers[c]
 		if from >= len(x.body) {
 			delete(x.readers, c)
 			if x.ended.IsZero() {
