Take a refusal only for the incarnation that gives it

The model test found a start that ran, was delivered a second time after the agent's restart and was refused there: the request was told notRun. Cause: the reducer took any refusal as proof.

--- a/internal/entry/dispatch/answers.go
+++ b/internal/entry/dispatch/answers.go
@@ -144,10 +144,12 @@
 	}
 	r.record(r.event(q, mulberryspool.EventRequestResolved, string(e.Result.State)))
 	q.waitUntil = zeroTime
-	switch e.Result.State {
-	case mulberryspool.ResolveRunning, mulberryspool.ResolveDone:
+	switch {
+	case e.Result.Incarnation != q.incarnation:
+		r.lose(q, CodeAgentRestarted)
+	case e.Result.State == mulberryspool.ResolveRunning, e.Result.State == mulberryspool.ResolveDone:
 		q.phase, q.accepted = phaseRunning, true
-	case mulberryspool.ResolveNeverSeen:
+	case e.Result.State == mulberryspool.ResolveNeverSeen:
 		r.neverSeen(q)
 	default:
 		r.lose(q, CodeAgentRestarted)
--- /dev/null
+++ b/internal/entry/dispatch/main_test.go
@@ -0,0 +1,24 @@
+package dispatch
+
+import (
+	"flag"
+	"os"
+	"testing"
+)
+
+// TestMain fixes the seed of the model test and raises its number of runs,
+// unless the command line sets them.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	given := make(map[string]bool)
+	flag.Visit(func(f *flag.Flag) { given[f.Name] = true })
+	for name, value := range map[string]string{"rapid.seed": "1", "rapid.checks": "1500", "rapid.steps": "60", "rapid.nofailfile": "true"} {
+		if given[name] {
+			continue
+		}
+		if err := flag.Set(name, value); err != nil {
+			panic(err)
+		}
+	}
+	os.Exit(m.Run())
+}
--- a/internal/entry/dispatch/requests.go
+++ b/internal/entry/dispatch/requests.go
@@ -202,6 +202,11 @@
 		q.phase, q.accepted = phaseRunning, true
 		return
 	}
+	if e.Result.Incarnation != q.incarnation {
+		// A refusal speaks only for the run of the agent that gives it.
+		r.lose(q, CodeAgentRestarted)
+		return
+	}
 	a := r.agents[q.agent]
 	switch e.Result.Refusal {
 	case mulberryspool.RefusalDuplicate:
