--- a/internal/entry/entrytest/agent.go
+++ b/internal/entry/entrytest/agent.go
@@ -23,11 +23,14 @@
 		// OnStart is called in the order of the starts; nil accepts and
 		// answers with Answer.
 		OnStart func(start *Start)
+		// OnResolve sends the rest of a request that is done; nil sends it from Body.
+		OnResolve func(start *Start, conn *rpc.Conn)
 		// Answer is the body of answers; ContentType its type.
 		Answer      []byte
 		ContentType string
-		// Silent drops all messages on connections opened before the call of Silence.
-		mu      sync.Mutex
+
+		mu sync.Mutex
+		// silent holds the connections on which everything is dropped.
 		silent  map[*rpc.Conn]bool
 		conns   []*rpc.Conn
 		started map[mulberryspool.RequestID]*Start
@@ -258,6 +261,10 @@
 	}
 	a.mu.Unlock()
 	_ = m.Reply(result)
+	if result.State == mulberryspool.ResolveDone && a.OnResolve != nil {
+		a.OnResolve(s, m.Conn)
+		return
+	}
 	if result.State == mulberryspool.ResolveDone {
 		if int(params.Offset) < len(s.Body) {
 			s.SendFrom(m.Conn, int(params.Offset), len(s.Body))
--- a/internal/entry/entrytest/store.go
+++ b/internal/entry/entrytest/store.go
@@ -22,6 +22,7 @@
 		After func(method, kind, name string) error
 
 		mu      sync.Mutex
+		refusal error
 		objects map[string]mulberryspool.Object
 		version mulberryspool.Revision
 		writes  int
@@ -148,7 +149,20 @@
 	return object, nil
 }
 
+// Refuse makes all calls fail with the error until it is called with nil.
+func (s *Store) Refuse(err error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.refusal = err
+}
+
 func (s *Store) before(method, kind, name string) error {
+	s.mu.Lock()
+	refusal := s.refusal
+	s.mu.Unlock()
+	if refusal != nil {
+		return refusal
+	}
 	if s.Before == nil {
 		return nil
 	}
