--- a/internal/agent/fetch/effects.go
+++ b/internal/agent/fetch/effects.go
@@ -46,7 +46,10 @@
 	}
 	if err != nil {
 		reason := reasonOf(err)
-		if reason != swarm.Busy && reason != swarm.NotHeld && ctx.Err() == nil {
+		if ctx.Err() != nil {
+			reason = swarm.Abandoned
+		}
+		if reason == swarm.Unreachable || reason == swarm.WrongDigest || e.Source.Instance == "" {
 			f.noteFailure(e, err)
 		}
 		f.send(swarm.Failed{Attempt: e.Attempt, Reason: reason, Err: err})
@@ -75,7 +78,7 @@
 		Address:  listed.Chunks,
 		Chunk:    e.Chunk,
 		Have:     mulberryspool.ChunksHaveParams{Instance: f.Identity.Instance, Manifest: e.Manifest, Have: held},
-		Received: func(int) { f.offer(swarm.Progressed{Attempt: e.Attempt}) },
+		Received: f.progressReporter(e.Attempt),
 	}
 	if e.Source.Kind == swarm.FromRegion && f.RegionLink != nil {
 		request.Limiter = f.RegionLink(listed.Region)
@@ -87,6 +90,19 @@
 	return answer.Data, err
 }
 
+// progressReporter returns a function that tells the planner of received
+// bytes, at most a few times within its progress timeout.
+func (f *Fetcher) progressReporter(attempt swarm.Attempt) func(int) {
+	interval := f.Limits.WithDefaults().ProgressTimeout / progressReports
+	last := f.Clock.Now()
+	return func(int) {
+		if now := f.Clock.Now(); now.Sub(last) >= interval {
+			last = now
+			f.offer(swarm.Progressed{Attempt: attempt})
+		}
+	}
+}
+
 // arrived waits until the downlink has room for data that was read as a whole.
 func (f *Fetcher) arrived(ctx context.Context, data []byte, err error) ([]byte, error) {
 	if err != nil || f.Downlink == nil {
@@ -103,6 +119,8 @@
 		return swarm.NotHeld
 	case errors.Is(err, staging.ErrDigest):
 		return swarm.WrongDigest
+	case errors.Is(err, staging.ErrUnwanted):
+		return swarm.Abandoned
 	}
 	return swarm.Unreachable
 }
--- a/internal/agent/fetch/fetcher.go
+++ b/internal/agent/fetch/fetcher.go
@@ -79,10 +79,12 @@
 		StagingBytes int64
 		// UploadSlots bounds the uploads at one time; 0 means chunks.DefaultSlots.
 		UploadSlots int
+		// QueueWait bounds the wait for an upload slot; 0 means chunks.DefaultQueueWait.
+		QueueWait time.Duration
 		// Uplink and Downlink limit transfers on the machine's link; nil means no limit.
 		Uplink, Downlink chunks.Limiter
 		// RegionLink returns the limit of fetches from another region to the own
-		// one; nil means no limit.
+		// one, as RegionLinks.From of package chunks does; nil means no limit.
 		RegionLink func(from string) chunks.Limiter
 		// ListInterval is DefaultListInterval when it is 0.
 		ListInterval time.Duration
@@ -128,7 +130,7 @@
 func (f *Fetcher) Run(ctx context.Context) error {
 	f.prepare()
 	group, ctx := errgroup.WithContext(ctx)
-	server := &chunks.Server{Get: f.store.Get, Have: f.Have, Uplink: f.Uplink, Slots: f.UploadSlots}
+	server := &chunks.Server{Get: f.store.Get, Have: f.Have, Uplink: f.Uplink, Slots: f.UploadSlots, QueueWait: f.QueueWait, Clock: f.Clock}
 	group.Go(func() error { return server.Serve(ctx, f.Listener) })
 	group.Go(func() error { f.followList(ctx); return nil })
 	group.Go(func() error { f.loop(ctx); return nil })
@@ -293,6 +295,20 @@
 	f.send(swarm.Members{Live: live})
 }
 
+// RegionAgents returns the number of agents of the own region and pool on the
+// instance list, at least 1. It is meant for chunks.RegionLinks.
+func (f *Fetcher) RegionAgents() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	count := 0
+	for _, listed := range f.listed {
+		if listed.Region == f.Identity.Region && listed.Pool == f.Identity.Pool {
+			count++
+		}
+	}
+	return max(1, count)
+}
+
 func (f *Fetcher) instance(id mulberryspool.InstanceID) (mulberryspool.ListedInstance, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/internal/agent/fetch/progress.go
+++ b/internal/agent/fetch/progress.go
@@ -10,6 +10,8 @@
 const (
 	// digestLength is that of a SHA-256 sum in hexadecimal.
 	digestLength = 64
+	// progressReports is the number of reports within a progress timeout.
+	progressReports = 4
 	// rateWindow is the time over which the recent rate is measured.
 	rateWindow = 5 * time.Second
 	// stalledAfter is the time without bytes after which a transfer counts as stalled.
--- a/internal/agent/swarm/limits.go
+++ b/internal/agent/swarm/limits.go
@@ -28,6 +28,8 @@
 	maximumBackoff = 10 * time.Minute
 	// maximumOriginRetry bounds the wait between two requests to an origin that is down.
 	maximumOriginRetry = 30 * time.Second
+	// busyFactor bounds the growth of BusyWait with repeated refusals.
+	busyFactor = 8
 	// knownPerNeighbour bounds the agents whose chunks are remembered, as a
 	// multiple of Neighbours: those chosen, those that chose this agent, and
 	// the heads that were asked.
--- a/internal/agent/swarm/peers.go
+++ b/internal/agent/swarm/peers.go
@@ -1,6 +1,7 @@
 package swarm
 
 import (
+	"cmp"
 	"fmt"
 	"slices"
 	"time"
@@ -24,7 +25,9 @@
 	toldAt   time.Time
 	inflight int
 	// strikes counts bad data and broken transfers since the last good chunk.
-	strikes      int
+	strikes int
+	// refusals counts those for lack of a slot since the last good chunk.
+	refusals     int
 	busyUntil    time.Time
 	avoidUntil   time.Time
 	suspectUntil time.Time
@@ -59,21 +62,20 @@
 }
 
 func (p *Planner) setMembers(live []Member) {
-	p.members, p.listed = p.members[:0], true
-	p.memberOf = make(map[mulberryspool.InstanceID]Member, len(live))
-	p.regions = map[string]bool{p.Self.Region: true}
-	listed := make(map[mulberryspool.InstanceID]bool, len(live))
-	for _, m := range live {
-		if m.Instance != p.Self.Instance {
-			p.members = append(p.members, m)
-			p.memberOf[m.Instance] = m
-			p.regions[m.Region] = true
-			listed[m.Instance] = true
-		}
+	others := slices.DeleteFunc(slices.Clone(live), func(m Member) bool { return m.Instance == p.Self.Instance })
+	slices.SortFunc(others, func(a, b Member) int { return cmp.Compare(a.Instance, b.Instance) })
+	if p.listed && slices.Equal(others, p.members) {
+		return
 	}
-	// Agents that left the list and hold nothing for this one are forgotten.
+	p.members, p.listed = others, true
+	p.memberOf = make(map[mulberryspool.InstanceID]Member, len(others))
+	for _, m := range others {
+		p.memberOf[m.Instance] = m
+	}
+	// Agents that left the list and can't be reached are forgotten.
 	p.known = slices.DeleteFunc(p.known, func(k *peer) bool {
-		gone := !listed[k.Instance] && k.inflight == 0 && k.suspectUntil.After(p.now)
+		_, listed := p.memberOf[k.Instance]
+		gone := !listed && k.inflight == 0 && k.suspectUntil.After(p.now)
 		if gone {
 			p.setHeld(k, nil)
 			delete(p.peers, k.Instance)
@@ -147,12 +149,13 @@
 // restartWaits lets successors wait anew for an agent that brings chunks of
 // which it is the head.
 func (p *Planner) restartWaits(from *peer, held bitset.Set) {
-	if !held.Exceeds(from.held) {
-		return
+	brought := false
+	for i := range held.Differences(from.held) {
+		if held.Has(i) && p.at[i].expects(from.Instance) {
+			brought = true
+			break
+		}
 	}
-	brought := slices.ContainsFunc(p.wanted, func(c *chunk) bool {
-		return c.expects(from.Instance) && held.Has(c.indexes[0]) && !from.held.Has(c.indexes[0])
-	})
 	if !brought {
 		return
 	}
@@ -200,17 +203,16 @@
 		return
 	}
 	p.drop(a)
-	detail := ""
-	if e.Err != nil {
-		detail = e.Err.Error()
+	if e.Reason == WrongDigest {
+		p.record(a, e.Err)
 	}
-	p.blame(a, e.Reason, detail)
+	p.blame(a, e.Reason)
 }
 
 // blame holds back the source of a failed attempt.
-func (p *Planner) blame(a *attempt, reason Reason, detail string) {
-	if reason == WrongDigest {
-		p.record(a, detail)
+func (p *Planner) blame(a *attempt, reason Reason) {
+	if reason == Abandoned {
+		return
 	}
 	if a.source.Instance == "" {
 		p.blameStore(a, reason)
@@ -222,7 +224,8 @@
 	}
 	switch reason {
 	case Busy:
-		peer.busyUntil = p.now.Add(p.jitter(p.limits.BusyWait))
+		peer.busyUntil = p.now.Add(p.jitter(backoff(p.limits.BusyWait, peer.refusals, busyFactor*p.limits.BusyWait)))
+		peer.refusals++
 	case NotHeld:
 		held := peer.held.Clone()
 		for _, i := range a.chunk.indexes {
@@ -252,8 +255,8 @@
 	a.chunk.tries[kind]++
 }
 
-func (p *Planner) record(a *attempt, detail string) {
-	text := fmt.Sprintf("chunk %s at offset %d: %s", a.chunk.Digest, a.chunk.offset, detail)
+func (p *Planner) record(a *attempt, err error) {
+	text := fmt.Sprintf("chunk %s at offset %d: %v", a.chunk.Digest, a.chunk.offset, err)
 	if a.source.Kind == FromOrigin {
 		text = "content at the origin does not match the manifest: " + text
 	}
--- a/internal/agent/swarm/planner.go
+++ b/internal/agent/swarm/planner.go
@@ -36,8 +36,7 @@
 		members  []Member
 		memberOf map[mulberryspool.InstanceID]Member
 		// listed is set once the instance list was read.
-		listed  bool
-		regions map[string]bool
+		listed bool
 		// pools are those whose agents want the manifest.
 		pools map[string]bool
 		peers map[mulberryspool.InstanceID]*peer
@@ -163,7 +162,6 @@
 	p.peers = make(map[mulberryspool.InstanceID]*peer)
 	p.attempts = make(map[Attempt]*attempt)
 	p.cut = make(map[string]regionCut)
-	p.regions = map[string]bool{p.Self.Region: true}
 }
 
 func (p *Planner) start(e Start) {
@@ -269,7 +267,7 @@
 	if a := p.attempts[e.Attempt]; a != nil {
 		p.drop(a)
 		if peer := p.peers[a.source.Instance]; peer != nil {
-			peer.strikes = 0
+			peer.strikes, peer.refusals = 0, 0
 			p.duration = (7*p.duration + p.now.Sub(a.begun)) / 8
 		}
 		if a.source.Instance == "" {
@@ -326,7 +324,7 @@
 			continue
 		}
 		p.cancel(a)
-		p.blame(a, Unreachable, "no bytes within the progress timeout")
+		p.blame(a, Unreachable)
 	}
 }
 
--- a/internal/agent/swarm/roles.go
+++ b/internal/agent/swarm/roles.go
@@ -11,6 +11,9 @@
 	"github.com/mulberryspool/mulberryspool"
 )
 
+// usualRegions is the number of regions for which space is set aside.
+const usualRegions = 3
+
 type (
 	// head is the agent of a region with the highest score for a chunk.
 	head struct {
@@ -46,7 +49,7 @@
 }
 
 func (p *Planner) roleFor(chunk uint64, taking []scored) role {
-	r := role{heads: make([]head, 0, len(p.regions))}
+	r := role{heads: make([]head, 0, usualRegions)}
 	own := score(chunk, p.selfHash)
 	for _, t := range taking {
 		s := score(chunk, t.hash)
--- a/internal/agent/swarm/swarm.go
+++ b/internal/agent/swarm/swarm.go
@@ -40,6 +40,8 @@
 	NotHeld
 	// WrongDigest means that the data is not that of the chunk.
 	WrongDigest
+	// Abandoned means that the fetch was no longer wanted; nobody is to blame.
+	Abandoned
 )
 
 type (
--- a/internal/peer/chunks/link.go
+++ b/internal/peer/chunks/link.go
@@ -40,6 +40,7 @@
 		// Clock is the source of time.
 		Clock mulberryspool.Clock
 		// BytesPerSecond is the rate of the whole link; 0 means no limit.
+		// SetRate changes it later.
 		BytesPerSecond int64
 		// LiveShare is the part of the link held back for live traffic, from
 		// 0 to below 1. Use DefaultLiveShare unless there is a reason.
@@ -60,9 +61,6 @@
 
 // Wait implements Limiter.
 func (l *Link) Wait(ctx context.Context, n int) error {
-	if l == nil || l.BytesPerSecond <= 0 {
-		return ctx.Err()
-	}
 	for n > 0 {
 		piece := min(n, pieceBytes)
 		if err := l.waitPiece(ctx, piece); err != nil {
@@ -75,21 +73,17 @@
 
 // Rate returns the rate in force in bytes per second; 0 means no limit.
 func (l *Link) Rate() float64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
 	if l.BytesPerSecond <= 0 {
 		return 0
 	}
-	l.mu.Lock()
-	defer l.mu.Unlock()
 	l.adapt(l.Clock.Now())
 	return float64(l.limiter.Limit())
 }
 
 func (l *Link) waitPiece(ctx context.Context, n int) error {
-	l.mu.Lock()
-	now := l.Clock.Now()
-	l.adapt(now)
-	delay := l.limiter.ReserveN(now, n).DelayFrom(now)
-	l.mu.Unlock()
+	delay := l.reserve(n)
 	if delay <= 0 {
 		return ctx.Err()
 	}
@@ -103,11 +97,41 @@
 	}
 }
 
+// SetRate changes the rate of the whole link.
+func (l *Link) SetRate(bytesPerSecond int64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.BytesPerSecond == bytesPerSecond {
+		return
+	}
+	l.BytesPerSecond = bytesPerSecond
+	if l.limiter != nil && bytesPerSecond > 0 {
+		l.limiter.SetLimitAt(l.Clock.Now(), rate.Limit(l.allowed()*l.share))
+	}
+}
+
+// reserve returns how long n bytes have to wait.
+func (l *Link) reserve(n int) time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.BytesPerSecond <= 0 {
+		return 0
+	}
+	now := l.Clock.Now()
+	l.adapt(now)
+	return l.limiter.ReserveN(now, n).DelayFrom(now)
+}
+
+// allowed returns the rate that is left for transfers.
+func (l *Link) allowed() float64 {
+	return float64(l.BytesPerSecond) * (1 - l.LiveShare)
+}
+
+// adapt follows the live latency.
 func (l *Link) adapt(now time.Time) {
-	allowed := float64(l.BytesPerSecond) * (1 - l.LiveShare)
 	if l.limiter == nil {
 		l.share, l.adapted = 1, now
-		l.limiter = rate.NewLimiter(rate.Limit(allowed), 2*pieceBytes)
+		l.limiter = rate.NewLimiter(rate.Limit(l.allowed()), 2*pieceBytes)
 		return
 	}
 	if l.LiveLatency == nil || now.Sub(l.adapted) < adaptInterval {
@@ -123,5 +147,5 @@
 	} else {
 		l.share = min(1, l.share+recoveryStep)
 	}
-	l.limiter.SetLimitAt(now, rate.Limit(allowed*l.share))
+	l.limiter.SetLimitAt(now, rate.Limit(l.allowed()*l.share))
 }
--- a/internal/peer/chunks/server.go
+++ b/internal/peer/chunks/server.go
@@ -25,6 +25,9 @@
 const (
 	// DefaultSlots is the number of chunks that an agent uploads at once.
 	DefaultSlots = 4
+	// DefaultQueueWait is the longest wait for an upload slot. A short queue
+	// keeps the uplink busy between two uploads and saves most refusals.
+	DefaultQueueWait = time.Second
 	// retryAfterSeconds is the hint to a client that found all slots taken.
 	retryAfterSeconds = "1"
 	headerTimeout     = 5 * time.Second
@@ -47,8 +50,14 @@
 		Uplink Limiter
 		// Slots bounds the uploads at one time; 0 means DefaultSlots.
 		Slots int
+		// QueueWait is the longest wait for a slot, in which as many requests
+		// may be as there are slots; 0 means DefaultQueueWait.
+		QueueWait time.Duration
+		// Clock measures QueueWait.
+		Clock mulberryspool.Clock
 
-		slots *semaphore.Weighted
+		// slots are taken by uploads, places also by requests that wait.
+		slots, places *semaphore.Weighted
 	}
 
 	// limitedWriter waits for the link before each piece.
@@ -66,6 +75,7 @@
 		slots = DefaultSlots
 	}
 	s.slots = semaphore.NewWeighted(int64(slots))
+	s.places = semaphore.NewWeighted(2 * int64(slots))
 	router := mux.NewRouter()
 	router.HandleFunc("/chunks/{digest:[0-9a-f]{64}}", s.chunk).Methods(http.MethodGet)
 	server := &http.Server{Handler: router, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
@@ -85,12 +95,12 @@
 		http.Error(w, "chunk is not held", http.StatusNotFound)
 		return
 	}
-	if !s.slots.TryAcquire(1) {
+	if !s.acquire(r.Context()) {
 		w.Header().Set("Retry-After", retryAfterSeconds)
 		http.Error(w, "all upload slots are taken", http.StatusServiceUnavailable)
 		return
 	}
-	defer s.slots.Release(1)
+	defer s.release()
 	w.Header().Set("Content-Type", "application/octet-stream")
 	w.Header().Set("Etag", `"`+string(digest)+`"`)
 	if s.Uplink != nil {
@@ -99,6 +109,34 @@
 	http.ServeContent(w, r, "", time.Time{}, bytes.NewReader(data))
 }
 
+// acquire takes an upload slot, after a wait if all are taken.
+func (s *Server) acquire(ctx context.Context) bool {
+	if !s.places.TryAcquire(1) {
+		return false
+	}
+	if s.slots.TryAcquire(1) {
+		return true
+	}
+	wait := s.QueueWait
+	if wait == 0 {
+		wait = DefaultQueueWait
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	timer := s.Clock.AfterFunc(wait, cancel)
+	defer timer.Stop()
+	if s.slots.Acquire(ctx, 1) != nil {
+		s.places.Release(1)
+		return false
+	}
+	return true
+}
+
+func (s *Server) release() {
+	s.slots.Release(1)
+	s.places.Release(1)
+}
+
 // exchange takes the client's bit set from the request and adds the own one to the answer.
 func (s *Server) exchange(w http.ResponseWriter, r *http.Request) {
 	manifest := r.Header.Get(headerManifest)
