Ask a fetcher before taking its place, search for chunks while the origin is down

A successor could take a chunk from the origin that its fetcher held, because the wait for the takeover could end before the first question; now a takeover needs an answer first. Chunks brought into the region were told of at the slow interval; they are told of four times as often. An agent with the origin's turn never looked at other regions, so with the origin down a chunk held elsewhere was never found; now it asks around.

--- a/internal/agent/swarm/limits.go
+++ b/internal/agent/swarm/limits.go
@@ -37,6 +37,9 @@
 	// cutFailures is the number of agents of a region that have to be
 	// unreachable, with none reachable, before the region counts as cut off.
 	cutFailures = 3
+	// broughtFactor is how much sooner agents are told of chunks that nobody
+	// else in the region holds.
+	broughtFactor = 4
 	// poolProbes is the number of agents of each other pool that are asked
 	// whether they want the manifest.
 	poolProbes = 2
--- a/internal/agent/swarm/peers.go
+++ b/internal/agent/swarm/peers.go
@@ -22,7 +22,9 @@
 	held bitset.Set
 	told bitset.Set
 	// toldAt is the time of the last message sent.
-	toldAt   time.Time
+	toldAt time.Time
+	// heardAt is the time of the last answer.
+	heardAt  time.Time
 	inflight int
 	// strikes counts bad data and broken transfers since the last good chunk.
 	strikes int
@@ -120,7 +122,7 @@
 		return
 	}
 	peer := p.peer(m)
-	peer.greeted = true
+	peer.greeted, peer.heardAt = true, p.now
 	delete(p.cut, m.Region)
 	if peer.suspectUntil.After(p.now) {
 		peer.suspectUntil = time.Time{}
--- a/internal/agent/swarm/plan.go
+++ b/internal/agent/swarm/plan.go
@@ -1,6 +1,7 @@
 package swarm
 
 import (
+	"slices"
 	"time"
 
 	"github.com/mulberryspool/mulberryspool"
@@ -93,16 +94,32 @@
 		if c.attempts > 0 || c.holders > 0 && !p.unusableHolders(c) {
 			continue
 		}
-		first, after := p.turn(c)
-		if !after {
+		origin, own := p.turn(c)
+		if !own || p.fetchFromRegion(c, &fromRegion) || !origin || !greeted || fromStore >= p.limits.OriginPipeline {
 			continue
 		}
-		if !first && p.fetchFromRegion(c, &fromRegion) {
-			continue
-		}
-		if first && greeted && fromStore < p.limits.OriginPipeline && p.fetchFromStore(c) {
+		if p.fetchFromStore(c) {
 			fromStore++
+			continue
 		}
+		p.search(c)
+	}
+}
+
+// search asks other agents for a chunk, one in each ProbeWait, while neither
+// origin nor weight store can be asked. The chunk may be held where the hash
+// does not tell, because somebody took the place of its head.
+func (p *Planner) search(c *chunk) {
+	if len(p.members) == 0 || !p.reached(p.searchAt) {
+		return
+	}
+	p.searchAt = p.now.Add(p.limits.ProbeWait)
+	m := p.members[p.random.IntN(len(p.members))]
+	if h := c.role.heads[p.random.IntN(len(c.role.heads))]; h.region != p.Self.Region && p.random.IntN(2) == 0 {
+		m = p.memberOf[h.instance]
+	}
+	if p.pools[m.Pool] {
+		p.tell(p.peer(m))
 	}
 }
 
@@ -119,60 +136,73 @@
 }
 
 // turn reports whether this agent brings the chunk into its region now, and
-// whether it does so from the origin. Agents ask those before them before
-// they take their place.
+// whether it does so from the origin. It takes the place of another agent
+// only after it has asked that one.
 func (p *Planner) turn(c *chunk) (origin, own bool) {
-	takeover := p.limits.takeoverWait()
-	own = c.role.rank == 0
-	if !own {
-		head := c.role.heads[c.role.own].instance
-		p.askAt(head, c.since.Add(time.Duration(c.role.rank)*p.limits.ProbeWait))
-		own = p.reached(c.since.Add(time.Duration(c.role.rank) * takeover))
-	}
-	if !own {
+	if c.role.rank > 0 && !p.replaces(c, c.role.heads[c.role.own].instance, c.role.rank) {
 		return false, false
 	}
 	if c.role.own == 0 {
 		return p.reached(c.due), true
 	}
-	p.askAt(p.before(c.role).instance, c.since.Add(p.limits.ProbeWait))
-	return p.reached(c.since.Add(time.Duration(c.role.own+c.role.rank) * takeover)), true
+	return p.replaces(c, p.before(c.role).instance, c.role.own+c.role.rank), true
 }
 
-// reached reports whether the time has come, else it asks for a tick then.
-func (p *Planner) reached(at time.Time) bool {
-	if at.After(p.now) {
-		p.wake(at)
+// replaces reports whether the agent has to be replaced as the one that brings
+// the chunk: it was asked, does not hold the chunk, and the time that it is
+// given has passed. The time is longer for successors of higher rank.
+func (p *Planner) replaces(c *chunk, id mulberryspool.InstanceID, rank int) bool {
+	takeover := p.limits.takeoverWait()
+	askAt := c.since.Add(time.Duration(rank) * min(p.limits.ProbeWait, takeover/2))
+	if !p.reached(askAt) || !p.askedSince(id, askAt) {
 		return false
 	}
-	return true
+	return p.reached(c.since.Add(time.Duration(rank) * takeover))
 }
 
-// askAt tells an agent what is held, for the sake of its answer, from the
-// time on and then once in each ProbeWait.
-func (p *Planner) askAt(id mulberryspool.InstanceID, at time.Time) {
-	if !p.reached(at) {
-		return
-	}
+// askedSince reports whether an exchange with the agent began after the time
+// and has ended; if none has begun yet, it begins one.
+func (p *Planner) askedSince(id mulberryspool.InstanceID, at time.Time) bool {
 	m, ok := p.member(id)
 	if !ok {
-		return
+		return true
 	}
-	if peer := p.peer(m); p.reached(peer.toldAt.Add(p.limits.ProbeWait)) {
+	peer := p.peer(m)
+	if peer.toldAt.Before(at) && p.reached(peer.toldAt.Add(p.limits.ProbeWait)) {
 		p.tell(peer)
 	}
+	if !peer.heardAt.Before(at) {
+		// The agent is asked again for as long as the wait lasts.
+		if p.reached(peer.toldAt.Add(p.limits.ProbeWait)) {
+			p.tell(peer)
+		}
+		return true
+	}
+	return !peer.toldAt.Before(at) && p.reached(peer.toldAt.Add(p.limits.ProgressTimeout))
+}
+
+// reached reports whether the time has come, else it asks for a tick then.
+func (p *Planner) reached(at time.Time) bool {
+	if at.After(p.now) {
+		p.wake(at)
+		return false
+	}
+	return true
 }
 
+// fetchFromRegion fetches the chunk from an agent of another region that is
+// known to hold it. It reports whether there is one, be it busy now.
 func (p *Planner) fetchFromRegion(c *chunk, running *int) bool {
-	if *running >= p.limits.RegionPipeline {
-		return true
+	known := slices.ContainsFunc(p.known, func(k *peer) bool {
+		return k.Region != p.Self.Region && k.held.Has(c.indexes[0]) && !latest(k.avoidUntil, k.suspectUntil).After(p.now)
+	})
+	if !known || *running >= p.limits.RegionPipeline {
+		return known
 	}
-	source := leastLoaded(p.usable(false), c)
-	if source == nil {
-		return false
+	if source := leastLoaded(p.usable(false), c); source != nil {
+		p.fetch(c, Source{Kind: FromRegion, Instance: source.Instance})
+		*running++
 	}
-	p.fetch(c, Source{Kind: FromRegion, Instance: source.Instance})
-	*running++
 	return true
 }
 
@@ -276,22 +306,20 @@
 		if !k.neighbour && !k.choseUs || k.suspectUntil.After(p.now) || k.absentUntil.After(p.now) {
 			continue
 		}
-		if at := k.toldAt.Add(p.limits.TellInterval); at.After(p.now) {
-			// A tick is needed only if there is something to tell then.
-			if p.hasNews(k) {
-				p.wake(at)
-			}
-			continue
-		}
-		if p.hasNews(k) {
+		if interval, news := p.news(k); news && p.reached(k.toldAt.Add(interval)) {
 			p.tell(k)
 		}
 	}
 }
 
-// hasNews reports whether a chunk is held that the agent neither holds nor was told of.
-func (p *Planner) hasNews(k *peer) bool {
-	return p.held.ExceedsBoth(k.held, k.told)
+// news reports whether a chunk is held that the agent neither holds nor was
+// told of, and how long after the last message it may be told. Chunks that
+// this agent brought into the region are known to nobody else there.
+func (p *Planner) news(k *peer) (time.Duration, bool) {
+	if p.brought.ExceedsBoth(k.held, k.told) {
+		return p.limits.TellInterval / broughtFactor, true
+	}
+	return p.limits.TellInterval, p.held.ExceedsBoth(k.held, k.told)
 }
 
 func (p *Planner) tell(k *peer) {
--- a/internal/agent/swarm/planner_test.go
+++ b/internal/agent/swarm/planner_test.go
@@ -93,18 +93,20 @@
 	return set
 }
 
-// Guards against a fetcher's chunk that nobody brings after the fetcher died:
-// without takeover the successor would wait for it for ever.
+// Guards against waiting for a dead fetcher as long as for a slow one: here
+// that would be a minute, the run lasts 20 s.
 func TestSuccessorTakesOverFromDeadFetcher(t *testing.T) {
 	manifest := testManifest("v1", numbered("c", 16)...)
 	b := newBench(member("a", "east"), member("b", "east"))
+	b.Planner = &Planner{Self: b.Self, Limits: Limits{OriginBias: 1}}
+	b.step(Members{Live: []Member{member("a", "east"), member("b", "east")}})
 	b.step(Start{Manifest: manifest, Held: bitset.New(16)})
 	b.answer(bitset.New(16))
 	own := len(b.fetches(FromOrigin))
 	if own == 0 || own > DefaultOriginPipeline {
 		t.Fatalf("%d chunks are asked for at the origin, want up to %d", own, DefaultOriginPipeline)
 	}
-	// b never answers again: the first probe is lost.
+	// b never answers again: each message to it is lost.
 	asked := map[mulberryspool.Digest]bool{}
 	for range 400 {
 		var events []Event
@@ -139,13 +141,14 @@
 		for len(waits) == 0 || waits[bias] == 0 {
 			b.now = b.now.Add(100 * time.Millisecond)
 			b.step(Tick{})
-			if more := len(b.fetches(FromOrigin)); more > 0 && own+more == 16 {
+			own += len(b.fetches(FromOrigin))
+			b.answerKeepingEffects()
+			if own += len(b.fetches(FromOrigin)); own == 16 {
 				waits[bias] = b.now.Sub(began)
 			}
 			if b.now.Sub(began) > time.Hour {
 				t.Fatal("the origin is not asked within an hour")
 			}
-			b.answerKeepingEffects()
 		}
 	}
 	if waits[0] < DefaultTakeoverShortest || waits[1] < DefaultTakeoverLongest {
@@ -183,7 +186,7 @@
 	for _, self := range members {
 		b := newBench(self, members...)
 		b.step(Start{Manifest: manifest, Held: bitset.New(count)})
-		for _, c := range b.lacking {
+		for _, c := range slices.Clone(b.lacking) {
 			if c.role.rank > 0 {
 				continue
 			}
@@ -192,6 +195,13 @@
 				continue
 			}
 			into++
+			b.step(Fetched{Chunk: c.Digest})
+			tells := effectsOf[Tell](b)
+			for _, next := range b.after(c.role) {
+				if !slices.ContainsFunc(tells, func(tell Tell) bool { return tell.Instance == next.instance }) {
+					t.Fatalf("%s does not tell %s of chunk %s", self.Instance, next.instance, c.Digest)
+				}
+			}
 			pairs[b.before(c.role).region+">"+self.Region]++
 		}
 	}
@@ -297,32 +307,54 @@
 	}
 }
 
-// Guards against a region that waits for the others while it is cut off from them.
+// Guards against a region that waits for the others while it is cut off from
+// them: asking all 20 of their agents, 2 s each, would take 40 s.
 func TestPartedRegionTurnsToOrigin(t *testing.T) {
-	others := []Member{}
+	var members []Member
 	for i := range 20 {
-		others = append(others, member(fmt.Sprintf("far%d", i), "west"))
-	}
-	manifest := testManifest("v1", numbered("c", 40)...)
-	b := newBench(member("a", "east"), others...)
-	b.step(Start{Manifest: manifest, Held: bitset.New(40)})
-	began := b.now
-	for b.Missing() > 0 && b.now.Sub(began) < DefaultTakeoverShortest+20*time.Second {
-		events := []Event{Tick{}}
+		members = append(members, member(fmt.Sprintf("far%d", i), "west"))
+	}
+	b := newBench(member("a", "east"))
+	b.Planner = &Planner{Self: b.Self, Limits: Limits{OriginBias: 1}}
+	b.step(Members{Live: members})
+	b.step(Start{Manifest: testManifest("v1", numbered("c", 40)...), Held: bitset.New(40)})
+	lost := map[int][]Event{}
+	for tick := 0; b.Missing() > 0 && tick < 300; tick++ {
+		events := append(lost[tick], Tick{})
 		for _, f := range effectsOf[Fetch](b) {
 			events = append(events, Fetched{Attempt: f.Attempt, Chunk: f.Chunk.Digest})
 		}
 		for _, tell := range effectsOf[Tell](b) {
-			events = append(events, Lost{Instance: tell.Instance})
+			lost[tick+20] = append(lost[tick+20], Lost{Instance: tell.Instance})
 		}
 		b.now = b.now.Add(100 * time.Millisecond)
 		b.step(events...)
 	}
 	if b.Missing() > 0 {
-		t.Fatalf("%d chunks are missing while the other region is cut off", b.Missing())
+		t.Fatalf("%d chunks are missing after 30 s in which the other region is cut off", b.Missing())
 	}
 	b.step(Have{Instance: "far0", Manifest: "m-v1", Held: full(40)})
 	if len(b.cut) != 0 {
 		t.Fatal("the region still counts as cut off after one of its agents answered")
 	}
 }
+
+// Guards against a successor that takes a chunk from the origin although the
+// fetcher has it: the successor must ask first.
+func TestSuccessorAsksBeforeTakeover(t *testing.T) {
+	b := newBench(member("a", "east"))
+	b.Planner = &Planner{Self: b.Self, Limits: Limits{TellInterval: time.Hour, OriginPipeline: 100}}
+	b.step(Members{Live: []Member{member("b", "east")}})
+	b.step(Start{Manifest: testManifest("v1", numbered("c", 16)...), Held: bitset.New(16)})
+	b.answer(bitset.New(16))
+	own := len(b.fetches(FromOrigin))
+	for range 60 {
+		b.now = b.now.Add(100 * time.Millisecond)
+		b.step(Tick{})
+		own += len(b.fetches(FromOrigin))
+		b.answer(full(16))
+	}
+	if own == 16 {
+		t.Fatal("all chunks are taken from the origin, although the other agent held them")
+	}
+}
