--- a/internal/agent/swarm/planner_test.go
+++ b/internal/agent/swarm/planner_test.go
@@ -308,16 +308,17 @@
 }
 
 // Guards against a region that waits for the others while it is cut off from
-// them: asking all 20 of their agents, 2 s each, would take 40 s.
+// them: asking all 100 of their agents, 2 s each for six chunks at a time,
+// would take 33 s, and the first ones would be asked again before that.
 func TestPartedRegionTurnsToOrigin(t *testing.T) {
 	var members []Member
-	for i := range 20 {
+	for i := range 100 {
 		members = append(members, member(fmt.Sprintf("far%d", i), "west"))
 	}
 	b := newBench(member("a", "east"))
 	b.Planner = &Planner{Self: b.Self, Limits: Limits{OriginBias: 1}}
 	b.step(Members{Live: members})
-	b.step(Start{Manifest: testManifest("v1", numbered("c", 40)...), Held: bitset.New(40)})
+	b.step(Start{Manifest: testManifest("v1", numbered("c", 6)...), Held: bitset.New(6)})
 	lost := map[int][]Event{}
 	for tick := 0; b.Missing() > 0 && tick < 300; tick++ {
 		events := append(lost[tick], Tick{})
@@ -333,7 +334,7 @@
 	if b.Missing() > 0 {
 		t.Fatalf("%d chunks are missing after 30 s in which the other region is cut off", b.Missing())
 	}
-	b.step(Have{Instance: "far0", Manifest: "m-v1", Held: full(40)})
+	b.step(Have{Instance: "far0", Manifest: "m-v1", Held: full(6)})
 	if len(b.cut) != 0 {
 		t.Fatal("the region still counts as cut off after one of its agents answered")
 	}
