Test the fetcher under faults, avoid stalled and corrupting agents in all roles

Found by the new tests: an agent that sends bad data kept its place as the head of its chunks, so a transfer with one of them took 11 s in place of 1 s; now it loses its roles while it is avoided. Successors in a region that is cut off asked the origin at the same moment as the head; now they wait anew when a head loses its source. Suspicion of agents and regions doubles, and a stalled uplink is avoided even if its agent still answers messages.

--- a/internal/agent/fetch/fleet_test.go
+++ b/internal/agent/fetch/fleet_test.go
@@ -123,6 +123,12 @@
 	r.events = append(r.events, event)
 }
 
+func (r *fakeRecorder) all() []mulberryspool.Event {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return append([]mulberryspool.Event(nil), r.events...)
+}
+
 // newContent returns repeatable random bytes.
 func newContent(seed uint64, size int) []byte {
 	var key [32]byte
--- a/internal/agent/swarm/limits.go
+++ b/internal/agent/swarm/limits.go
@@ -89,7 +89,8 @@
 	// AvoidFor is the first time without requests to an agent that sent bad
 	// data; it doubles with each further one.
 	AvoidFor time.Duration
-	// SuspectFor is the time in which an unreachable agent counts as gone.
+	// SuspectFor is the time in which an unreachable agent counts as gone; it
+	// doubles with each further failure.
 	SuspectFor time.Duration
 	// OriginRetry is the first wait after a failure of origin or weight store.
 	OriginRetry time.Duration
--- a/internal/agent/swarm/peers.go
+++ b/internal/agent/swarm/peers.go
@@ -29,7 +29,9 @@
 	// strikes counts bad data and broken transfers since the last good chunk.
 	strikes int
 	// refusals counts those for lack of a slot since the last good chunk.
-	refusals     int
+	refusals int
+	// losses counts how often the agent was not reached since its last answer.
+	losses       int
 	busyUntil    time.Time
 	avoidUntil   time.Time
 	suspectUntil time.Time
@@ -122,7 +124,7 @@
 		return
 	}
 	peer := p.peer(m)
-	peer.greeted, peer.heardAt = true, p.now
+	peer.greeted, peer.heardAt, peer.losses = true, p.now, 0
 	delete(p.cut, m.Region)
 	if peer.suspectUntil.After(p.now) {
 		peer.suspectUntil = time.Time{}
@@ -185,7 +187,8 @@
 
 // suspect takes an agent out of the roles for a time.
 func (p *Planner) suspect(peer *peer) {
-	peer.suspectUntil = p.now.Add(p.limits.SuspectFor)
+	peer.suspectUntil = p.now.Add(backoff(p.limits.SuspectFor, peer.losses, maximumBackoff))
+	peer.losses++
 	p.rolesStale = true
 	p.wake(peer.suspectUntil)
 	if peer.Region == p.Self.Region {
@@ -194,7 +197,7 @@
 	cut := p.cut[peer.Region]
 	cut.failures++
 	if cut.failures >= cutFailures {
-		cut.until = p.now.Add(p.limits.SuspectFor)
+		cut.until = p.now.Add(backoff(p.limits.SuspectFor, cut.failures-cutFailures, maximumBackoff))
 	}
 	p.cut[peer.Region] = cut
 }
@@ -236,7 +239,14 @@
 		p.setHeld(peer, held)
 	case WrongDigest:
 		peer.avoidUntil = p.now.Add(backoff(p.limits.AvoidFor, peer.strikes, maximumBackoff))
+		p.rolesStale = true
+		peer.strikes++
+	case Stalled:
+		// An agent whose uplink stalls may still answer messages, so that
+		// suspicion would end at once.
+		peer.avoidUntil = p.now.Add(backoff(p.limits.SuspectFor, peer.strikes, maximumBackoff))
 		peer.strikes++
+		p.rolesStale = true
 	case Unreachable:
 		peer.strikes++
 		p.suspect(peer)
@@ -247,7 +257,7 @@
 // does not answer, for one chunk when the chunk is absent or wrong.
 func (p *Planner) blameStore(a *attempt, reason Reason) {
 	kind := a.source.Kind
-	if reason == Unreachable || reason == Busy {
+	if reason == Unreachable || reason == Busy || reason == Stalled {
 		s := &p.sources[kind]
 		s.until = p.now.Add(p.jitter(backoff(p.limits.OriginRetry, s.failures, maximumOriginRetry)))
 		s.failures++
--- a/internal/agent/swarm/planner.go
+++ b/internal/agent/swarm/planner.go
@@ -334,7 +334,7 @@
 			continue
 		}
 		p.cancel(a)
-		p.blame(a, Unreachable)
+		p.blame(a, Stalled)
 	}
 }
 
--- a/internal/agent/swarm/roles.go
+++ b/internal/agent/swarm/roles.go
@@ -44,7 +44,13 @@
 	p.rolesStale, p.rolesUntil = false, time.Time{}
 	taking := p.takingPart(now)
 	for _, c := range p.lacking {
+		before := c.role
 		c.role = p.roleFor(c.hash, taking)
+		// A head that lost its source turns to the next one now, so its
+		// successors wait anew.
+		if c.role.rank > 0 && len(before.heads) > 0 && before.own != c.role.own {
+			c.since = latest(c.since, now)
+		}
 	}
 }
 
@@ -113,13 +119,13 @@
 	return taking
 }
 
-// excluded reports whether the agent is known not to take part now. An agent
+// excluded reports whether the agent is known not to take part now, or sent bad data. An agent
 // of the own pool that does not want the manifest yet will want it soon, so
 // it keeps its roles; its successors wait for it.
 func (p *Planner) excluded(m Member, now time.Time) bool {
 	until := p.cut[m.Region].until
 	if peer := p.peers[m.Instance]; peer != nil {
-		until = latest(until, peer.suspectUntil)
+		until = latest(until, peer.suspectUntil, peer.avoidUntil)
 		if m.Pool != p.Self.Pool {
 			until = latest(until, peer.absentUntil)
 		}
--- a/internal/agent/swarm/spread_test.go
+++ b/internal/agent/swarm/spread_test.go
@@ -32,6 +32,8 @@
 		// loss, late and wrong are percentages.
 		loss, late, wrong int
 		originDown        bool
+		// parted regions do not reach each other.
+		parted bool
 		// random is seeded by rapid; single draws for each message would be slow.
 		random       *rand.Rand
 		originServed map[mulberryspool.Digest]int
@@ -93,6 +95,10 @@
 	return s.random.IntN(100) < percent
 }
 
+func (s *spread) apart(a, b mulberryspool.InstanceID) bool {
+	return s.parted && s.agents[a].Self.Region != s.agents[b].Self.Region
+}
+
 // deliver puts an event into an inbox: lost, late, twice or as it is.
 func (s *spread) deliver(to mulberryspool.InstanceID, event Event, mayBeLost bool) {
 	if mayBeLost && s.chance(s.loss) {
@@ -128,7 +134,7 @@
 		s.t.Fatalf("%s tells of chunks that it did not verify", from)
 	}
 	to := s.agents[e.Instance]
-	if !to.alive || s.chance(s.loss) {
+	if !to.alive || s.apart(from, e.Instance) || s.chance(s.loss) {
 		s.deliver(from, Lost{Instance: e.Instance}, false)
 		return
 	}
@@ -156,7 +162,7 @@
 		}
 	default:
 		source := s.agents[e.Source.Instance]
-		if !source.alive {
+		if !source.alive || s.apart(id, e.Source.Instance) {
 			fail(Unreachable)
 			return
 		}
@@ -270,3 +276,24 @@
 		s.run(s.allDone)
 	})
 }
+
+// Guards against regions that wait for each other while they are parted, that
+// ask the origin for more than one copy each, or that do not exchange chunks
+// again after they have rejoined.
+func TestSpreadOverPartedRegions(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := newSpread(t, rapid.IntRange(3, 12).Draw(t, "agents"), rapid.IntRange(4, 24).Draw(t, "chunks"))
+		s.parted = true
+		s.startAll()
+		ticks := rapid.IntRange(0, 600).Draw(t, "ticks")
+		s.run(func() bool { ticks--; return ticks < 0 || s.allDone() })
+		s.parted = false
+		s.originDown = len(s.originServed) == len(s.manifest.Chunks)
+		s.run(s.allDone)
+		for digest, count := range s.originServed {
+			if count > 3 {
+				t.Fatalf("the origin gave chunk %s %d times to three parted regions", digest, count)
+			}
+		}
+	})
+}
--- a/internal/agent/swarm/swarm.go
+++ b/internal/agent/swarm/swarm.go
@@ -34,6 +34,8 @@
 const (
 	// Unreachable means no connection, or one that broke off.
 	Unreachable Reason = iota
+	// Stalled means that no byte came within the progress timeout.
+	Stalled
 	// Busy means that the source takes no further transfer now.
 	Busy
 	// NotHeld means that the source does not hold the chunk.
