--- a/internal/agent/swarm/limits.go
+++ b/internal/agent/swarm/limits.go
@@ -28,6 +28,8 @@
 	maximumBackoff = 10 * time.Minute
 	// maximumOriginRetry bounds the wait between two requests to an origin that is down.
 	maximumOriginRetry = 30 * time.Second
+	// busyFactor bounds the growth of BusyWait with repeated refusals.
+	busyFactor = 8
 	// knownPerNeighbour bounds the agents whose chunks are remembered, as a
 	// multiple of Neighbours: those chosen, those that chose this agent, and
 	// the heads that were asked.
@@ -35,6 +37,9 @@
 	// cutFailures is the number of agents of a region that have to be
 	// unreachable, with none reachable, before the region counts as cut off.
 	cutFailures = 3
+	// broughtFactor is how much sooner agents are told of chunks that nobody
+	// else in the region holds.
+	broughtFactor = 4
 	// poolProbes is the number of agents of each other pool that are asked
 	// whether they want the manifest.
 	poolProbes = 2
@@ -84,7 +89,8 @@
 	// AvoidFor is the first time without requests to an agent that sent bad
 	// data; it doubles with each further one.
 	AvoidFor time.Duration
-	// SuspectFor is the time in which an unreachable agent counts as gone.
+	// SuspectFor is the time in which an unreachable agent counts as gone; it
+	// doubles with each further failure.
 	SuspectFor time.Duration
 	// OriginRetry is the first wait after a failure of origin or weight store.
 	OriginRetry time.Duration
--- a/internal/agent/swarm/planner.go
+++ b/internal/agent/swarm/planner.go
@@ -36,8 +36,7 @@
 		members  []Member
 		memberOf map[mulberryspool.InstanceID]Member
 		// listed is set once the instance list was read.
-		listed  bool
-		regions map[string]bool
+		listed bool
 		// pools are those whose agents want the manifest.
 		pools map[string]bool
 		peers map[mulberryspool.InstanceID]*peer
@@ -49,6 +48,8 @@
 		active   bool
 		started  time.Time
 		held     bitset.Set
+		// brought are the held chunks that came from outside the region.
+		brought bitset.Set
 		// wanted holds each distinct chunk once, lacking those not held.
 		wanted, lacking []*chunk
 		// at has the chunk of each place in the manifest.
@@ -63,6 +64,8 @@
 		// rolesUntil is when the first excluded agent counts again.
 		rolesUntil time.Time
 		sources    [2]sourceState
+		// searchAt is when the next agent may be asked by search.
+		searchAt time.Time
 	}
 
 	chunk struct {
@@ -163,12 +166,12 @@
 	p.peers = make(map[mulberryspool.InstanceID]*peer)
 	p.attempts = make(map[Attempt]*attempt)
 	p.cut = make(map[string]regionCut)
-	p.regions = map[string]bool{p.Self.Region: true}
 }
 
 func (p *Planner) start(e Start) {
 	p.manifest, p.active, p.started = e.Manifest, true, p.now
 	p.held = e.Held.Fit(len(e.Manifest.Chunks))
+	p.brought = bitset.New(len(e.Manifest.Chunks))
 	p.pools = map[string]bool{p.Self.Pool: true}
 	p.sources = [2]sourceState{}
 	p.index()
@@ -266,10 +269,12 @@
 }
 
 func (p *Planner) fetched(e Fetched) {
+	brought := false
 	if a := p.attempts[e.Attempt]; a != nil {
 		p.drop(a)
+		brought = a.source.Kind != FromPeer
 		if peer := p.peers[a.source.Instance]; peer != nil {
-			peer.strikes = 0
+			peer.strikes, peer.refusals = 0, 0
 			p.duration = (7*p.duration + p.now.Sub(a.begun)) / 8
 		}
 		if a.source.Instance == "" {
@@ -285,6 +290,9 @@
 	p.lacking = slices.DeleteFunc(p.lacking, func(l *chunk) bool { return l == c })
 	for _, i := range c.indexes {
 		p.held.Add(i)
+		if brought {
+			p.brought.Add(i)
+		}
 	}
 	for _, id := range p.attemptIDs() {
 		if a := p.attempts[id]; a.chunk == c {
@@ -326,7 +334,7 @@
 			continue
 		}
 		p.cancel(a)
-		p.blame(a, Unreachable, "no bytes within the progress timeout")
+		p.blame(a, Stalled)
 	}
 }
 
--- a/internal/agent/swarm/roles.go
+++ b/internal/agent/swarm/roles.go
@@ -11,6 +11,9 @@
 	"github.com/mulberryspool/mulberryspool"
 )
 
+// usualRegions is the number of regions for which space is set aside.
+const usualRegions = 3
+
 type (
 	// head is the agent of a region with the highest score for a chunk.
 	head struct {
@@ -41,12 +44,18 @@
 	p.rolesStale, p.rolesUntil = false, time.Time{}
 	taking := p.takingPart(now)
 	for _, c := range p.lacking {
+		before := c.role
 		c.role = p.roleFor(c.hash, taking)
+		// A head that lost its source turns to the next one now, so its
+		// successors wait anew.
+		if c.role.rank > 0 && len(before.heads) > 0 && before.own != c.role.own {
+			c.since = latest(c.since, now)
+		}
 	}
 }
 
 func (p *Planner) roleFor(chunk uint64, taking []scored) role {
-	r := role{heads: make([]head, 0, len(p.regions))}
+	r := role{heads: make([]head, 0, usualRegions)}
 	own := score(chunk, p.selfHash)
 	for _, t := range taking {
 		s := score(chunk, t.hash)
@@ -110,13 +119,13 @@
 	return taking
 }
 
-// excluded reports whether the agent is known not to take part now. An agent
+// excluded reports whether the agent is known not to take part now, or sent bad data. An agent
 // of the own pool that does not want the manifest yet will want it soon, so
 // it keeps its roles; its successors wait for it.
 func (p *Planner) excluded(m Member, now time.Time) bool {
 	until := p.cut[m.Region].until
 	if peer := p.peers[m.Instance]; peer != nil {
-		until = latest(until, peer.suspectUntil)
+		until = latest(until, peer.suspectUntil, peer.avoidUntil)
 		if m.Pool != p.Self.Pool {
 			until = latest(until, peer.absentUntil)
 		}
--- a/internal/agent/swarm/swarm.go
+++ b/internal/agent/swarm/swarm.go
@@ -34,12 +34,16 @@
 const (
 	// Unreachable means no connection, or one that broke off.
 	Unreachable Reason = iota
+	// Stalled means that no byte came within the progress timeout.
+	Stalled
 	// Busy means that the source takes no further transfer now.
 	Busy
 	// NotHeld means that the source does not hold the chunk.
 	NotHeld
 	// WrongDigest means that the data is not that of the chunk.
 	WrongDigest
+	// Abandoned means that the fetch was no longer wanted; nobody is to blame.
+	Abandoned
 )
 
 type (
