Fix the undo check where a reverting change also changed another row

Ruled out: the merge and the order of the archive, both unused in the shrunk steps. A pair of a change and its revert now counts for a row only when the revert restored that row.

--- a/internal/operator/tables/undo.go
+++ b/internal/operator/tables/undo.go
@@ -16,7 +16,7 @@
 
 // undoneBy returns the changes, newest first, that setting the row to the
 // line would undo: all since the row last had that value. A change and the
-// one that reverted it cancel each other.
+// one that set the row back from it cancel each other.
 func undoneBy(changes []Accepted, key rowKey, line string) []Accepted {
 	var undone []Accepted
 	for i := len(changes) - 1; i >= 0; i-- {
@@ -26,20 +26,27 @@
 		}
 		undone = append(undone, changes[i])
 		if normal(row.Table, row.Before) == line {
-			return withoutReverted(undone)
+			return withoutReverted(undone, key)
 		}
 	}
 	return nil
 }
 
-// withoutReverted removes pairs of a change and the one that reverted it.
-func withoutReverted(undone []Accepted) []Accepted {
+// withoutReverted removes pairs of a change and the one that reverted it. A
+// reverting change can also have changed the row in another way; it is then
+// no pair.
+func withoutReverted(undone []Accepted, key rowKey) []Accepted {
 	gone := make(map[mulberryspool.Revision]bool)
-	for _, a := range undone {
-		paired := a.Reverts != 0 && !gone[a.Revision] &&
-			slices.ContainsFunc(undone, func(b Accepted) bool { return b.Revision == a.Reverts })
-		if paired {
-			gone[a.Revision], gone[a.Reverts] = true, true
+	for i, later := range undone {
+		if later.Reverts == 0 || gone[later.Revision] {
+			continue
+		}
+		restored, _ := rowChange(later, key)
+		for _, earlier := range undone[i+1:] {
+			row, _ := rowChange(earlier, key)
+			if earlier.Revision == later.Reverts && row.Before == restored.After {
+				gone[later.Revision], gone[earlier.Revision] = true, true
+			}
 		}
 	}
 	return slices.DeleteFunc(slices.Clone(undone), func(a Accepted) bool { return gone[a.Revision] })
