Record a resolve whose stream ends before its reply is read

Seen: TestSilentConnectionIsResumed failed once under load, with the whole answer delivered but no resolve on the time line. Cause: the resumed stream's end and the reply to the resolve are read by different goroutines, and the request was gone when the reply came.

--- a/internal/entry/dispatch/answers.go
+++ b/internal/entry/dispatch/answers.go
@@ -57,6 +57,10 @@
 }
 
 func (r *Reducer) takeEnd(q *request, notice mulberryspool.EndNotice) {
+	if q.phase == phaseResolving {
+		// The stream that a resolve asked for can end before its reply is read.
+		r.record(r.event(q, mulberryspool.EventRequestResolved, string(mulberryspool.ResolveDone)))
+	}
 	switch notice.Outcome {
 	case mulberryspool.OutcomeDone:
 		r.takeWhole(q, notice)
