--- a/internal/integration/history_test.go
+++ b/internal/integration/history_test.go
@@ -270,15 +270,16 @@
 	s.AddEntry(t)
 	s.Apply(t, bookingTables)
 	s.AwaitAgents(t, "booking", 3)
+	// Calls that take long are likely to be under way when a fault comes.
 	for _, m := range s.Agents {
-		s.Send(t, http.MethodPut, m.Backend+"/admin/settings", plainservice.Settings{Delay: 20 * time.Millisecond}, nil)
+		s.Send(t, http.MethodPut, m.Backend+"/admin/settings", plainservice.Settings{Delay: 100 * time.Millisecond}, nil)
 	}
 	r := &recorder{began: time.Now()}
 	ctx, stop := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
-		callers(ctx, s, r, 8)
+		callers(ctx, s, r, 24)
 	}()
 	injectFaults(t, s, rand.New(rand.NewPCG(11, 1)), 40)
 	s.AwaitAgents(t, "booking", 3)
@@ -333,8 +334,9 @@
 			kind = random.IntN(len(kinds))
 		}
 		kinds[kind](s.Agents[random.IntN(len(s.Agents))])
-		if random.IntN(2) == 0 {
-			time.Sleep(time.Duration(random.IntN(150)) * time.Millisecond)
+		// Every other fault comes together with the next one.
+		if i%2 == 0 {
+			time.Sleep(time.Duration(100+random.IntN(300)) * time.Millisecond)
 		}
 	}
 	s.Send(t, http.MethodDelete, objectFaults, nil, nil)
