Let a probe cost 1 from the budget; pause failing callers in the fleet test

A write that probed after an outage kept the reads of its process waiting until its whole cost was saved up, 3.7 s at the test's rates.

The test of a return took 12 to 25 s. Cause: its callers repeated calls that failed at once without a pause and took the processor from the others. Ruled out: the cost of probes (25 s with that change alone).

--- a/internal/platform/objectapi/outage_test.go
+++ b/internal/platform/objectapi/outage_test.go
@@ -8,6 +8,9 @@
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
+	"github.com/mulberryspool/mulberryspool"
 	"github.com/mulberryspool/mulberryspool/internal/standin/fault"
 	standin "github.com/mulberryspool/mulberryspool/internal/standin/objectapi"
 )
@@ -65,7 +68,10 @@
 		note := func(err error) {
 			if err == nil {
 				f.answered[i].Add(1)
+				return
 			}
+			// A call that can't be sent in time fails at once.
+			time.Sleep(10 * time.Millisecond)
 		}
 		for reader := range 4 {
 			group.Go(func() {
@@ -83,7 +89,9 @@
 		})
 		group.Go(func() {
 			for ctx.Err() == nil {
-				_, _ = c.Watch(ctx, "kind", c.Caller, 1<<40)
+				if _, err := c.Watch(ctx, "kind", c.Caller, 1<<40); !errors.Is(err, mulberryspool.ErrNotModified) {
+					time.Sleep(10 * time.Millisecond)
+				}
 			}
 		})
 	}
--- a/internal/platform/objectapi/pacer.go
+++ b/internal/platform/objectapi/pacer.go
@@ -43,6 +43,8 @@
 		epoch int
 		// probe is set while the object API is not known to be up.
 		probe bool
+		// owed is what a probe has not yet taken from the budget.
+		owed int
 	}
 
 	// turn says what a call has to do before its try. Without a reservation
@@ -114,13 +116,19 @@
 		}
 		return turn{pause: p.notBefore.Sub(now), changed: p.changed}, nil
 	}
+	t := turn{ticket: ticket{epoch: p.epoch, probe: p.failures > 0}}
+	if t.ticket.probe {
+		// A probe costs 1 until it succeeds. Else a write would keep the reads
+		// of the process waiting until its whole cost is saved up.
+		t.ticket.owed, cost = cost-1, 1
+	}
 	reservation := p.limiter.ReserveN(now, cost)
 	delay := reservation.DelayFrom(now)
 	if now.Add(delay).After(deadline) {
 		reservation.CancelAt(now)
 		return turn{}, errBudget
 	}
-	t := turn{ticket: ticket{epoch: p.epoch, probe: p.failures > 0}, ready: delay == 0}
+	t.ready = delay == 0
 	switch {
 	case t.ready:
 		p.probing = t.ticket.probe
@@ -192,6 +200,9 @@
 	}
 	p.failures = 0
 	p.empty()
+	if t.owed > 0 {
+		p.limiter.ReserveN(p.clock.Now(), t.owed)
+	}
 	p.change()
 }
 
