Wait until a process is frozen; test a frozen and a killed object API

Cause: SIGSTOP returns to its sender before all threads have stopped. Ruled out: the client, which had a real answer.

--- a/internal/testkit/process/process.go
+++ b/internal/testkit/process/process.go
@@ -6,7 +6,9 @@
 package process
 
 import (
+	"bytes"
 	"context"
+	"fmt"
 	"net/http"
 	"os"
 	"os/exec"
@@ -180,6 +182,42 @@
 	return errors.Wrapf(p.command.Process.Signal(signal), "send %s to %s", signal, p.name)
 }
 
+// Freeze sends SIGSTOP and returns when all threads have stopped. The signal
+// alone leaves them running for a moment. SIGCONT lets the process go on.
+func (p *Process) Freeze(t testing.TB) {
+	t.Helper()
+	if err := p.Signal(syscall.SIGSTOP); err != nil {
+		t.Fatal(err)
+	}
+	deadline := time.Now().Add(DefaultReadyTimeout)
+	for !p.frozen() {
+		select {
+		case <-time.After(time.Millisecond):
+		case <-p.done:
+			t.Fatalf("%s ended before it froze: %v", p.name, p.err)
+		}
+		if time.Now().After(deadline) {
+			t.Fatalf("%s still runs %v after SIGSTOP", p.name, DefaultReadyTimeout)
+		}
+	}
+}
+
+// frozen reads the states of the threads, which the kernel shows in proc(5).
+func (p *Process) frozen() bool {
+	files, err := filepath.Glob(fmt.Sprintf("/proc/%d/task/*/stat", p.ID()))
+	if err != nil || len(files) == 0 {
+		return false
+	}
+	for _, file := range files {
+		text, err := os.ReadFile(file)
+		// The state follows the name, which is in parentheses.
+		if err != nil || !bytes.HasPrefix(text[bytes.LastIndexByte(text, ')')+1:], []byte(" T")) {
+			return false
+		}
+	}
+	return true
+}
+
 // Done is closed when the process has ended.
 func (p *Process) Done() <-chan struct{} {
 	return p.done
--- a/internal/testkit/process/process_test.go
+++ b/internal/testkit/process/process_test.go
@@ -80,9 +80,7 @@
 // go on afterwards.
 func TestPauseAndKill(t *testing.T) {
 	p, url := start(t, "objectapi")
-	if err := p.Signal(syscall.SIGSTOP); err != nil {
-		t.Fatal(err)
-	}
+	p.Freeze(t)
 	client := &http.Client{Timeout: 100 * time.Millisecond, Transport: &http.Transport{DisableKeepAlives: true}}
 	if response, err := client.Get(url + "/admin/counts"); err == nil {
 		response.Body.Close()
