--- a/internal/agent/process/fakes_test.go
+++ b/internal/agent/process/fakes_test.go
@@ -125,9 +125,18 @@
 }
 
 func (e *fakeEngine) loadCount() int {
+	return len(e.versions())
+}
+
+// versions lists what the engine was ordered to load.
+func (e *fakeEngine) versions() []string {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return len(e.loads)
+	var versions []string
+	for _, order := range e.loads {
+		versions = append(versions, order.Version)
+	}
+	return versions
 }
 
 // fakeStore is an object API that can be down.
--- a/internal/agent/process/process_test.go
+++ b/internal/agent/process/process_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"net"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -39,6 +40,7 @@
 	engine    *fakeEngine
 	store     *fakeStore
 	instances *fakeInstances
+	clock     mulberryspool.Clock
 	change    func(*Process)
 }
 
@@ -48,7 +50,10 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	clock := clockwork.NewRealClock()
+	clock := o.clock
+	if clock == nil {
+		clock = clockwork.NewRealClock()
+	}
 	tables := &fakeTables{}
 	identity := mulberryspool.Identity{
 		Instance: o.instance, Incarnation: mulberryspool.Incarnation(string(o.instance) + "/" + o.run),
@@ -225,3 +230,74 @@
 		t.Fatalf("%d loads, want 1", loads)
 	}
 }
+
+// Guards against an answer that is lost with the connection it began on.
+func TestResolveOnSecondConnection(t *testing.T) {
+	engine := newEngine()
+	engine.hold = make(chan struct{})
+	a := startAgent(t, agentOptions{instance: "surat-1", run: "1", engine: engine, store: newStore("v1")})
+	a.tables.set(1, enginePool("v1"))
+	a.awaitServing(t, "v1")
+	first := dialEntry(t, a.Identity.Control)
+	if result := first.start(t, "r1"); !result.Accepted {
+		t.Fatalf("start was refused: %+v", result)
+	}
+	part := (<-first.chunks).Data
+	first.conn.Close()
+	second := dialEntry(t, a.Identity.Control)
+	second.data["r1"] = part
+	params := mulberryspool.ResolveParams{RequestID: "r1", Incarnation: first.status.Incarnation, AgentTime: first.status.AgentTime, Offset: int64(len(part))}
+	var result mulberryspool.ResolveResult
+	if err := second.conn.Call(t.Context(), mulberryspool.MethodResolve, params, &result); err != nil {
+		t.Fatal(err)
+	}
+	if result.State != mulberryspool.ResolveRunning {
+		t.Fatalf("resolve answered %+v", result)
+	}
+	close(engine.hold)
+	second.checkAnswer(t, "v1")
+	if runs := engine.submitted["r1"]; runs != 1 {
+		t.Fatalf("executed %d times, want once", runs)
+	}
+}
+
+// Guards against a failed load that takes the old version away or goes
+// unnoticed, and against a change that can't supersede a load under way.
+func TestFailedAndSupersededRollout(t *testing.T) {
+	store, instances := newStore("v1", "v2", "v3", "v4"), &fakeInstances{}
+	var agents []*runningAgent
+	all := func(revision mulberryspool.Revision, version string) {
+		for _, a := range agents {
+			a.tables.set(revision, enginePool(version))
+		}
+	}
+	for _, instance := range []mulberryspool.InstanceID{"surat-1", "surat-2", "surat-3"} {
+		engine := newEngine()
+		engine.broken["v2"] = true
+		engine.loading = func(order mulberryspool.LoadOrder) {
+			if order.Version == "v3" {
+				all(4, "v4")
+			}
+		}
+		agents = append(agents, startAgent(t, agentOptions{instance: instance, run: "1", engine: engine, store: store, instances: instances}))
+	}
+	serving := func(version string) {
+		for _, a := range agents {
+			a.awaitServing(t, version)
+		}
+	}
+	all(1, "v1")
+	serving("v1")
+	all(2, "v2")
+	await(t, "one agent reports the failed load", func() bool {
+		for _, a := range agents {
+			if status := a.Status(); status.FailedVersion == "v2" && strings.Contains(status.Cause, "out of memory") {
+				return true
+			}
+		}
+		return false
+	})
+	serving("v1")
+	all(3, "v3")
+	serving("v4")
+}
--- a/internal/agent/rollout/rollout_test.go
+++ b/internal/agent/rollout/rollout_test.go
@@ -25,11 +25,15 @@
 
 // newSolo starts the last agent of the order beside an engine with the version.
 func newSolo(version string) *solo {
-	s := &solo{r: New(Settings{Instance: order[2], Pool: testPool})}
+	return newSoloAt(version, order, 2)
+}
+
+func newSoloAt(version string, members []mulberryspool.InstanceID, rank int) *solo {
+	s := &solo{r: New(Settings{Instance: members[rank], Pool: testPool})}
 	if version != "" {
 		s.engine = mulberryspool.Loaded{Version: version, Digest: manifestOf(version).Digest}
 	}
-	s.do(Members{Instances: order})
+	s.do(Members{Instances: members})
 	s.do(Tick{})
 	return s
 }
@@ -99,6 +103,21 @@
 	s.expect(t, "in its turn", true, "v2", 1)
 }
 
+// Guards against an agent that moves to another chain, in which it would be its
+// turn, when a settled agent dies while its own predecessor still swaps.
+func TestDeathElsewhereKeepsTurn(t *testing.T) {
+	five := Order("v2", []mulberryspool.InstanceID{"a", "b", "c", "d", "e"})
+	s := newSoloAt("v1", five, 3)
+	s.target("v1", 2)
+	s.target("v2", 2)
+	s.hear(five[0], settledAt(2))
+	s.hear(five[1], mulberryspool.Heartbeat{Phase: mulberryspool.PhaseLoading, Revision: 2})
+	s.do(Members{Instances: []mulberryspool.InstanceID{five[0], five[1], five[3], five[4]}})
+	s.expect(t, "while its predecessor swaps", true, "v1", 0)
+	s.hear(five[1], settledAt(2))
+	s.expect(t, "in its turn", true, "v2", 1)
+}
+
 // Guards against an agent that swaps to a version which failed at a peer that
 // has died since, and against a failure that outlives the next try.
 func TestFailureAtPeer(t *testing.T) {
