--- a/internal/agent/fetch/faults_test.go
+++ b/internal/agent/fetch/faults_test.go
@@ -55,8 +55,8 @@
 	}
 }
 
-// Guards against a transfer that waits for dead agents: one fetcher dies, and
-// all agents of a failure domain at once.
+// Guards against a transfer that waits for dead agents as it does for slow
+// ones, here for an hour: one fetcher dies, and all agents of a failure domain at once.
 func TestFleetSurvivesLostAgents(t *testing.T) {
 	for name, dead := range map[string]func(i int) bool{
 		"one fetcher":    func(i int) bool { return i == 0 },
@@ -64,6 +64,11 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			f, manifest := newFaultFleet(t)
+			configure := f.configure
+			f.configure = func(x *Fetcher) {
+				configure(x)
+				x.Limits.OriginBias, x.Limits.TakeoverLongest = 1, time.Hour
+			}
 			done := f.begin(f.start(9), manifest)
 			await(func() bool { return f.origin.bytes.Load() > manifest.Size/4 })
 			for i, a := range f.agents {
--- a/internal/agent/swarm/limits.go
+++ b/internal/agent/swarm/limits.go
@@ -37,9 +37,10 @@
 	// cutFailures is the number of agents of a region that have to be
 	// unreachable, with none reachable, before the region counts as cut off.
 	cutFailures = 3
-	// broughtFactor is how much sooner agents are told of chunks that nobody
-	// else in the region holds.
-	broughtFactor = 4
+	// rareFactor is how much sooner agents are told of rare chunks, which are
+	// those that at most rareHolders known agents of the region hold.
+	rareFactor  = 4
+	rareHolders = 2
 	// poolProbes is the number of agents of each other pool that are asked
 	// whether they want the manifest.
 	poolProbes = 2
--- a/internal/agent/swarm/plan.go
+++ b/internal/agent/swarm/plan.go
@@ -313,11 +313,11 @@
 }
 
 // news reports whether a chunk is held that the agent neither holds nor was
-// told of, and how long after the last message it may be told. Chunks that
-// this agent brought into the region are known to nobody else there.
+// told of, and how long after the last message it may be told. Rare chunks are
+// told of sooner, because their spread limits the start of a transfer.
 func (p *Planner) news(k *peer) (time.Duration, bool) {
-	if p.brought.ExceedsBoth(k.held, k.told) {
-		return p.limits.TellInterval / broughtFactor, true
+	if p.rare.ExceedsBoth(k.held, k.told) {
+		return p.limits.TellInterval / rareFactor, true
 	}
 	return p.limits.TellInterval, p.held.ExceedsBoth(k.held, k.told)
 }
--- a/internal/agent/swarm/planner.go
+++ b/internal/agent/swarm/planner.go
@@ -48,8 +48,8 @@
 		active   bool
 		started  time.Time
 		held     bitset.Set
-		// brought are the held chunks that came from outside the region.
-		brought bitset.Set
+		// rare are the held chunks that few others in the region held on arrival.
+		rare bitset.Set
 		// wanted holds each distinct chunk once, lacking those not held.
 		wanted, lacking []*chunk
 		// at has the chunk of each place in the manifest.
@@ -171,7 +171,7 @@
 func (p *Planner) start(e Start) {
 	p.manifest, p.active, p.started = e.Manifest, true, p.now
 	p.held = e.Held.Fit(len(e.Manifest.Chunks))
-	p.brought = bitset.New(len(e.Manifest.Chunks))
+	p.rare = bitset.New(len(e.Manifest.Chunks))
 	p.pools = map[string]bool{p.Self.Pool: true}
 	p.sources = [2]sourceState{}
 	p.index()
@@ -269,10 +269,10 @@
 }
 
 func (p *Planner) fetched(e Fetched) {
-	brought := false
+	rare := false
 	if a := p.attempts[e.Attempt]; a != nil {
 		p.drop(a)
-		brought = a.source.Kind != FromPeer
+		rare = a.source.Kind != FromPeer || a.chunk.holders <= rareHolders
 		if peer := p.peers[a.source.Instance]; peer != nil {
 			peer.strikes, peer.refusals = 0, 0
 			p.duration = (7*p.duration + p.now.Sub(a.begun)) / 8
@@ -290,8 +290,8 @@
 	p.lacking = slices.DeleteFunc(p.lacking, func(l *chunk) bool { return l == c })
 	for _, i := range c.indexes {
 		p.held.Add(i)
-		if brought {
-			p.brought.Add(i)
+		if rare {
+			p.rare.Add(i)
 		}
 	}
 	for _, id := range p.attemptIDs() {
