--- a/internal/observe/admin/metrics.go
+++ b/internal/observe/admin/metrics.go
@@ -25,12 +25,21 @@
 	registry := prom.NewRegistry()
 	reporter := prometheus.NewReporter(prometheus.Options{Registerer: registry, Gatherer: registry})
 	scope, closer := tally.NewRootScope(tally.ScopeOptions{
-		Prefix:         metricsPrefix,
-		Tags:           map[string]string{"instance": string(identity.Instance), "failure_domain": identity.FailureDomain},
-		CachedReporter: reporter,
-		Separator:      prometheus.DefaultSeparator,
-		// The reporter's options replace characters that Prometheus does not allow.
-		SanitizeOptions: &prometheus.DefaultSanitizerOpts,
+		Prefix:          metricsPrefix,
+		Tags:            map[string]string{"instance": string(identity.Instance), "failure_domain": identity.FailureDomain},
+		CachedReporter:  reporter,
+		Separator:       prometheus.DefaultSeparator,
+		SanitizeOptions: sanitizer(),
+		// The library's own cardinality metrics carry no instance.
+		OmitCardinalityMetrics: true,
 	}, reportInterval)
 	return scope, reporter.HTTPHandler(), closer
 }
+
+// sanitizer replaces characters that Prometheus does not allow in names. The
+// reporter's own options would also change tag values such as agent-1.
+func sanitizer() *tally.SanitizeOptions {
+	options := prometheus.DefaultSanitizerOpts
+	options.ValueCharacters = tally.ValidCharacters{Ranges: []tally.SanitizeRange{{' ', '~'}}}
+	return &options
+}
--- a/internal/observe/logging/logging.go
+++ b/internal/observe/logging/logging.go
@@ -61,21 +61,19 @@
 	add(FieldPeer, f.Peer)
 }
 
-// Err returns the fields with the step and the peer of the innermost
-// mulberryspool.StepError in err, where the fields leave them empty.
+// Err returns the fields with the step and the peer of the outermost
+// mulberryspool.StepError in err, where the fields leave them empty. The text
+// of the error names the inner ones.
 func (f Fields) Err(err error) Fields {
-	for cause := err; cause != nil; cause = errors.UnwrapOnce(cause) {
-		var at *mulberryspool.StepError
-		if !errors.As(cause, &at) {
-			break
-		}
-		if f.Step == "" {
-			f.Step = at.Step
-		}
-		if f.Peer == "" {
-			f.Peer = at.Peer
-		}
-		cause = at
+	var at *mulberryspool.StepError
+	if !errors.As(err, &at) {
+		return f
+	}
+	if f.Step == "" {
+		f.Step = at.Step
+	}
+	if f.Peer == "" {
+		f.Peer = at.Peer
 	}
 	return f
 }
