--- a/internal/operator/command/arguments.go
+++ b/internal/operator/command/arguments.go
@@ -33,7 +33,7 @@
 	}
 
 	roleArguments struct {
-		Config string `arg:"--config,required" help:"settings of the role"`
+		Config string `arg:"--config" placeholder:"FILE" help:"settings of the role"`
 		Check  bool   `arg:"--check" help:"check the settings and exit"`
 	}
 
@@ -60,7 +60,7 @@
 	}
 
 	tablesValidate struct {
-		File string `arg:"-f,--file,required" help:"tables file"`
+		File string `arg:"-f,--file" placeholder:"FILE" help:"tables file"`
 	}
 
 	tablesHistory struct {
@@ -75,8 +75,8 @@
 
 	weightsPublish struct {
 		Version     string `arg:"positional,required" help:"name of the version"`
-		Origin      string `arg:"--origin,required" help:"base URL of the origin"`
-		Path        string `arg:"--path,required" help:"path of the content at the origin"`
+		Origin      string `arg:"--origin" placeholder:"URL" help:"base URL of the origin"`
+		Path        string `arg:"--path" help:"path of the content at the origin"`
 		WeightStore string `arg:"--weight-store" placeholder:"URL" help:"base URL of the weight store"`
 		ChunkSize   string `arg:"--chunk-size" placeholder:"SIZE" help:"such as 4 MiB"`
 	}
@@ -138,6 +138,9 @@
 }
 
 func (w *weightsPublish) options() (PublishOptions, error) {
+	if err := errors.CombineErrors(require("--origin", w.Origin), require("--path", w.Path)); err != nil {
+		return PublishOptions{}, err
+	}
 	options := PublishOptions{Version: w.Version, Origin: w.Origin, Path: w.Path, WeightStore: w.WeightStore}
 	if w.ChunkSize == "" {
 		return options, nil
@@ -150,6 +153,15 @@
 	return options, nil
 }
 
+// require reports an argument that is missing. The library's own message
+// names the placeholder in place of the argument.
+func require(name, value string) error {
+	if value == "" {
+		return withCode(ExitBadInput, errors.Newf("%s is required", name))
+	}
+	return nil
+}
+
 func first(values ...string) string {
 	for _, v := range values {
 		if v != "" {
--- a/internal/operator/command/roles.go
+++ b/internal/operator/command/roles.go
@@ -11,6 +11,9 @@
 )
 
 func (p *Program) entry(ctx context.Context, a *arguments) error {
+	if err := require("--config", a.Entry.Config); err != nil {
+		return err
+	}
 	settings, err := entrysettings.Load(a.Entry.Config, func(s *entrysettings.Settings) {
 		s.ObjectAPI.URL = first(a.ObjectAPI, s.ObjectAPI.URL)
 		s.InstanceList.URL = first(a.Instances, s.InstanceList.URL)
@@ -28,6 +31,9 @@
 }
 
 func (p *Program) agent(ctx context.Context, a *arguments) error {
+	if err := require("--config", a.Agent.Config); err != nil {
+		return err
+	}
 	settings, err := agentsettings.Load(a.Agent.Config, func(s *agentsettings.Settings) {
 		s.ObjectAPI.URL = first(a.ObjectAPI, s.ObjectAPI.URL)
 		s.InstanceList.URL = first(a.Instances, s.InstanceList.URL)
--- a/internal/operator/command/tables.go
+++ b/internal/operator/command/tables.go
@@ -32,6 +32,9 @@
 }
 
 func (p *Program) tablesValidate(a *tablesValidate) error {
+	if err := require("--file", a.File); err != nil {
+		return err
+	}
 	if _, err := tables.ReadFile(a.File); err != nil {
 		return badSettings(err)
 	}
