--- a/internal/platform/tables/follower.go
+++ b/internal/platform/tables/follower.go
@@ -48,7 +48,9 @@
 		WatchersPerDomain int
 		// PollInterval is the mean time between reads of the other processes.
 		PollInterval time.Duration
-		// WatchDeadline is the time after which a watch is given up and armed again.
+		// WatchDeadline is the time after which a watch is given up, confirmed by
+		// a read and armed again. Keep it above the store's own deadline, so
+		// that an unchanged object costs no read.
 		WatchDeadline time.Duration
 		// MembersInterval is the mean time between reads of the instance list.
 		MembersInterval time.Duration
--- a/internal/platform/tables/reducer_test.go
+++ b/internal/platform/tables/reducer_test.go
@@ -174,8 +174,17 @@
 // settleByPeers lets time pass in an outage of the object API, with
 // heartbeats of a peer that has the newest valid revision.
 func (w *world) settleByPeers(t *rapid.T, newest mulberryspool.Revision) {
-	for range 80 {
+	// The waits of 40 s of backoff, each at its shortest, leave room for 12 calls.
+	const rounds, maxCalls = 80, 12
+	calls := 0
+	defer func() {
+		if calls > maxCalls {
+			t.Fatalf("%d calls in 40 s of an outage, at most %d are allowed", calls, maxCalls)
+		}
+	}()
+	for range rounds {
 		if w.call != nil {
+			calls++
 			w.answer(t, mulberryspool.ErrUnavailable, false)
 		}
 		if newest > 0 {
