--- a/internal/operator/command/tables.go
+++ b/internal/operator/command/tables.go
@@ -63,33 +63,45 @@
 	return err
 }
 
+// historyContext is how many changes before the printed ones are searched
+// for those that were undone.
+const historyContext = 256
+
+// historyRow is a change with the revisions that it undid.
+type historyRow struct {
+	tables.Accepted
+	Undid []mulberryspool.Revision `json:"undid,omitempty"`
+}
+
 func (p *Program) tablesHistory(ctx context.Context, store mulberryspool.ObjectStore, a *tablesHistory) error {
-	changes, err := tables.History(ctx, store, a.Limit)
+	if a.Limit < 1 {
+		return withCode(ExitBadInput, errors.Newf("--limit %d is not above 0", a.Limit))
+	}
+	changes, err := tables.History(ctx, store, a.Limit+historyContext)
 	if err != nil {
 		return err
 	}
+	listed := []historyRow{}
+	for i := max(0, len(changes)-a.Limit); i < len(changes); i++ {
+		listed = append(listed, historyRow{Accepted: changes[i], Undid: tables.Undid(changes, i)})
+	}
 	if a.JSON {
 		encoder := json.NewEncoder(p.Out)
 		encoder.SetIndent("", "  ")
-		return encoder.Encode(changes)
+		return encoder.Encode(listed)
 	}
-	for i, c := range changes {
-		if err := p.printChange(c, tables.Undid(changes, i)); err != nil {
+	for _, c := range listed {
+		if err := p.printChange(c); err != nil {
 			return err
 		}
 	}
 	return nil
 }
 
-func (p *Program) printChange(c tables.Accepted, undid []mulberryspool.Revision) error {
+func (p *Program) printChange(c historyRow) error {
 	line := fmt.Sprintf("revision %d by %s at %s, change %s", c.Revision, c.Author, c.Time.UTC().Format(time.RFC3339), c.ID)
-	if c.Reverts != 0 {
-		line += fmt.Sprintf(", reverts %d", c.Reverts)
-	}
-	for _, revision := range undid {
-		if revision != c.Reverts {
-			line += fmt.Sprintf(", undoes %d", revision)
-		}
+	for _, revision := range c.Undid {
+		line += fmt.Sprintf(", undoes %d", revision)
 	}
 	if _, err := fmt.Fprintln(p.Out, line); err != nil {
 		return err
