--- a/internal/peer/rpc/rpc_test.go
+++ b/internal/peer/rpc/rpc_test.go
@@ -126,3 +126,30 @@
 		t.Fatal(err)
 	}
 }
+
+// Guards against connections that are closed before they are complete; the
+// race detector shows it.
+func TestCloseWhileDialling(t *testing.T) {
+	server, client := newEndpoint(), newEndpoint()
+	address := serve(t, server)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		for range 50 {
+			c, err := client.Dial(context.Background(), address)
+			if err != nil {
+				t.Error(err)
+				return
+			}
+			defer c.Close()
+		}
+	}()
+	for {
+		select {
+		case <-done:
+			return
+		default:
+			client.Close()
+		}
+	}
+}
