--- /dev/null
+++ b/internal/integration/capacity_bench_test.go
@@ -0,0 +1,113 @@
+package integration
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"net/http"
+	"os"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/mulberryspool/mulberryspool/internal/standin/objectapi"
+	"github.com/mulberryspool/mulberryspool/internal/testkit/system"
+)
+
+const (
+	// capacityWindow is how long an idle system is watched.
+	capacityWindow = 20 * time.Second
+	// clockTicks is the unit of processor time in /proc, the value of all
+	// Linux systems.
+	clockTicks = 100
+)
+
+// usage is what a process has spent.
+type usage struct {
+	processor time.Duration
+	// resident is in bytes.
+	resident int64
+	// bytes counts control traffic in both directions.
+	bytes int64
+	calls int
+}
+
+// processUsage reads the processor time and memory of a process.
+func processUsage(b *testing.B, pid int) usage {
+	b.Helper()
+	stat, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
+	if err != nil {
+		b.Fatal(err)
+	}
+	// The second field may hold spaces; user and system time are the 14th and 15th.
+	fields := strings.Fields(string(stat[bytes.LastIndexByte(stat, ')')+2:]))
+	ticks := 0
+	for _, field := range fields[11:13] {
+		n, err := strconv.Atoi(field)
+		if err != nil {
+			b.Fatal(err)
+		}
+		ticks += n
+	}
+	pages, err := strconv.ParseInt(fields[21], 10, 64)
+	if err != nil {
+		b.Fatal(err)
+	}
+	return usage{
+		processor: time.Duration(ticks) * time.Second / clockTicks,
+		resident:  pages * int64(os.Getpagesize()),
+	}
+}
+
+// measure reads the usage of a member, its control traffic from its metrics.
+func measure(b *testing.B, s *system.System, m *system.Member) usage {
+	b.Helper()
+	u := processUsage(b, m.Process.ID())
+	status, err := m.Status(context.Background())
+	if err != nil {
+		b.Fatal(err)
+	}
+	u.bytes = status.ControlBytes
+	var counts objectapi.Counts
+	s.Send(b, http.MethodGet, s.ObjectAPI+"/admin/counts", nil, &counts)
+	for _, byCaller := range counts.Calls {
+		u.calls += byCaller[string(m.Identity.Instance)]
+	}
+	return u
+}
+
+// report compares two readings of a member.
+func report(b *testing.B, role string, before, after usage) {
+	seconds := capacityWindow.Seconds()
+	b.ReportMetric(100*(after.processor-before.processor).Seconds()/seconds, role+"-core-%")
+	b.ReportMetric(float64(after.resident)/(1<<20), role+"-MiB")
+	b.ReportMetric(float64(after.bytes-before.bytes)/seconds, role+"-B/s")
+	b.ReportMetric(float64(after.calls-before.calls)/seconds, role+"-calls/s")
+}
+
+// BenchmarkControl measures what one entry and one agent spend for control in
+// an idle system, by the number of agents in the entry's subset and of entries
+// at each agent.
+func BenchmarkControl(b *testing.B) {
+	for _, size := range []struct{ agents, entries int }{{4, 1}, {8, 1}, {16, 1}, {32, 1}, {4, 2}, {4, 4}, {4, 8}} {
+		b.Run(fmt.Sprintf("agents=%d/entries=%d", size.agents, size.entries), func(b *testing.B) {
+			s := &system.System{Builder: &builder, ProductionIntervals: true}
+			s.Start(b)
+			for range size.agents {
+				s.AddPlainAgent(b, "booking")
+			}
+			for range size.entries {
+				s.AddEntry(b)
+			}
+			s.Apply(b, bookingTables)
+			s.AwaitAgents(b, "booking", size.agents)
+			for range b.N {
+				entry, agent := measure(b, s, s.Entries[0]), measure(b, s, s.Agents[0])
+				time.Sleep(capacityWindow)
+				report(b, "entry", entry, measure(b, s, s.Entries[0]))
+				report(b, "agent", agent, measure(b, s, s.Agents[0]))
+			}
+		})
+	}
+}
--- a/internal/observe/admin/status.go
+++ b/internal/observe/admin/status.go
@@ -13,6 +13,9 @@
 		Revision mulberryspool.Revision `json:"revision"`
 		// Rejected is the newest invalid revision above Revision.
 		Rejected *mulberryspool.TablesRejection `json:"rejected,omitempty"`
+		// ControlBytes counts the bytes to and from other processes of the
+		// system since the start, without chunks.
+		ControlBytes int64 `json:"controlBytes"`
 		// Agent is set for agents, Entry for entries.
 		Agent *AgentStatus `json:"agent,omitempty"`
 		Entry *EntryStatus `json:"entry,omitempty"`
--- a/internal/role/agent/agent.go
+++ b/internal/role/agent/agent.go
@@ -130,7 +130,7 @@
 	}
 	return admin.Status{
 		Identity: clients.Identity, Ready: s.Serving && !s.Leaving, Reason: reason,
-		Revision: s.Revision, Rejected: clients.Tables.Rejected(),
+		Revision: s.Revision, Rejected: clients.Tables.Rejected(), ControlBytes: clients.ControlBytes(),
 		Agent: &admin.AgentStatus{
 			Heartbeat: mulberryspool.Heartbeat{
 				Incarnation: clients.Identity.Incarnation, Phase: s.Phase, Served: s.Served, ServedVersion: s.ServedVersion,
--- a/internal/role/entry/entry.go
+++ b/internal/role/entry/entry.go
@@ -74,6 +74,6 @@
 	}
 	return admin.Status{
 		Identity: clients.Identity, Ready: s.Ready, Revision: s.Revision,
-		Rejected: clients.Tables.Rejected(), Entry: &view,
+		Rejected: clients.Tables.Rejected(), ControlBytes: clients.ControlBytes(), Entry: &view,
 	}
 }
--- a/internal/role/platform/platform.go
+++ b/internal/role/platform/platform.go
@@ -9,6 +9,7 @@
 	"io"
 	"math/rand/v2"
 	"net"
+	"time"
 
 	"github.com/google/uuid"
 	"github.com/jonboulle/clockwork"
@@ -28,6 +29,9 @@
 	"github.com/mulberryspool/mulberryspool/internal/settings/shared"
 )
 
+// startSpread spreads the first calls of processes that start together.
+const startSpread = time.Second
+
 type (
 	// Options say how a process reaches the platform.
 	Options struct {
@@ -83,6 +87,7 @@
 	caller := string(identity.Instance)
 	c.Store = &objectapi.Client{
 		BaseURL: options.ObjectAPI.URL, Caller: caller, Clock: clock, Random: newRandom(), Metrics: metrics,
+		StartSpread:    startSpread,
 		CallsPerSecond: options.ObjectAPI.CallsPerSecond, AttemptTimeout: options.ObjectAPI.Timeout,
 		WatchTimeout: options.ObjectAPI.WatchDeadline,
 	}
@@ -120,6 +125,12 @@
 	return err
 }
 
+// ControlBytes returns the bytes to and from other processes of the system.
+func (c *Clients) ControlBytes() int64 {
+	traffic := c.Endpoint.Traffic()
+	return traffic.BytesIn + traffic.BytesOut
+}
+
 // Listen opens the listeners in the order of the addresses; it closes all of
 // them if one can't be opened.
 func Listen(addresses ...string) ([]net.Listener, error) {
--- a/internal/testkit/system/system.go
+++ b/internal/testkit/system/system.go
@@ -46,6 +46,9 @@
 		// "leaseDuration: 2s".
 		AgentTimeouts []string
 		EntryTimeouts []string
+		// ProductionIntervals leaves polls and budgets at the defaults of the
+		// settings; tests of behaviour shorten them.
+		ProductionIntervals bool
 
 		ObjectAPI, InstanceList, Origin string
 		// Platform holds the stand-ins' processes by name.
@@ -145,8 +148,7 @@
 backend:
   kind: %s
   url: %s
-  reportInterval: 200ms
-%s`, pool, control, m.Identity.Chunks, m.Identity.Admin, kind, url, weights), s.AgentTimeouts)
+%s%s`, pool, control, m.Identity.Chunks, m.Identity.Admin, kind, url, s.unlessProduction("  reportInterval: 200ms\n"), weights), s.AgentTimeouts)
 	m.Process = process.Start(t, s.program, "agent", "--config", m.config)
 	m.Process.AwaitURL(t, "http://"+m.Identity.Admin+"/healthz")
 	proxy, err := faultproxy.Start(control)
@@ -196,7 +198,8 @@
 	t.Helper()
 	var text bytes.Buffer
 	fmt.Fprintf(&text, "instance: %s\nfailureDomain: %s\nregion: %s\n", m.Identity.Instance, m.Identity.FailureDomain, m.Identity.Region)
-	fmt.Fprintf(&text, "objectAPI:\n  url: %s\n  callsPerSecond: 500\ninstanceList:\n  url: %s\n  pollInterval: 200ms\n", s.ObjectAPI, s.InstanceList)
+	fmt.Fprintf(&text, "objectAPI:\n  url: %s\n%s", s.ObjectAPI, s.unlessProduction("  callsPerSecond: 500\n"))
+	fmt.Fprintf(&text, "instanceList:\n  url: %s\n%s", s.InstanceList, s.unlessProduction("  pollInterval: 200ms\n"))
 	text.WriteString(body)
 	if len(timeouts) > 0 {
 		text.WriteString("timeouts:\n")
@@ -210,6 +213,13 @@
 	}
 }
 
+func (s *System) unlessProduction(line string) string {
+	if s.ProductionIntervals {
+		return ""
+	}
+	return line
+}
+
 func (s *System) register(t testing.TB, m *Member) {
 	t.Helper()
 	s.Send(t, http.MethodPut, s.InstanceList+"/admin/instances/"+string(m.Identity.Instance), m.Identity, nil)
