Report serving while an old version is served; refuse copies of known IDs as duplicates

Entries send work only to agents in the phase serving, so an agent that serves its old version while it fetches the newer one got no work. Status still has the phase with regard to the target. A copy of an accepted ID may come from another caller, so it is refused as a duplicate, which entries report as unknown, and only a resolve gets the answer. One lost reading no longer costs an answer, a lease is not released while an order is under way, and manifests of versions that are no longer used are dropped.

--- a/internal/agent/gate/gate.go
+++ b/internal/agent/gate/gate.go
@@ -164,24 +164,16 @@
 		g.refuse(e, mulberryspool.RefusalIncarnation)
 		return
 	}
-	if r, ok := g.requests[params.RequestID]; ok {
-		// The request stands as accepted. A refusal would claim that it never runs.
-		g.emit(ReplyStart{Call: e.Call, Result: mulberryspool.StartResult{Accepted: true, Incarnation: g.settings.Incarnation}})
-		if r.conn == 0 {
-			g.attach(r, e.Conn, 0)
-		}
+	if _, ok := g.requests[params.RequestID]; ok || g.mayBeForgotten(params) {
+		// The answer may belong to another caller's request with the same
+		// ID, so it is only given to a resolve.
+		g.refuse(e, mulberryspool.RefusalDuplicate)
 		return
 	}
 	if known, ok := g.refused[params.RequestID]; ok {
 		g.refuse(e, known.reason)
 		return
 	}
-	if g.mayBeForgotten(params.AgentTime) {
-		// It is stale, but may have run: a refusal would claim that it never does.
-		g.emit(ReplyStart{Call: e.Call, Result: mulberryspool.StartResult{Accepted: true, Incarnation: g.settings.Incarnation}})
-		g.emit(SendEnd{Conn: e.Conn, Notice: lostNotice(params.RequestID)})
-		return
-	}
 	if reason := g.admit(now, params); reason != "" {
 		g.remember(now, params.RequestID, reason)
 		g.refuse(e, reason)
@@ -249,7 +241,7 @@
 		result.State = mulberryspool.ResolveDone
 	case known:
 		result.State = mulberryspool.ResolveRunning
-	case !refused && g.mayBeForgotten(e.Params.AgentTime):
+	case !refused && g.wasForgotten(e.Params.AgentTime):
 		// It may have run and been forgotten since, so neverSeen could be wrong.
 		result.State = mulberryspool.ResolveDone
 	default:
--- a/internal/agent/gate/retention.go
+++ b/internal/agent/gate/retention.go
@@ -49,9 +49,15 @@
 	}
 }
 
-// mayBeForgotten reports whether an unknown request with this agent time may
-// have been accepted once.
-func (g *Gate) mayBeForgotten(agentTime time.Duration) bool {
+// mayBeForgotten reports whether a start's request is unknown, but may have
+// been accepted once.
+func (g *Gate) mayBeForgotten(params mulberryspool.StartParams) bool {
+	_, refused := g.refused[params.RequestID]
+	return !refused && g.wasForgotten(params.AgentTime)
+}
+
+// wasForgotten reports whether requests with this agent time were forgotten.
+func (g *Gate) wasForgotten(agentTime time.Duration) bool {
 	return g.hasForgotten && agentTime <= g.forgotten
 }
 
--- a/internal/agent/process/backend.go
+++ b/internal/agent/process/backend.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -15,6 +16,10 @@
 const (
 	// readBytes is the most that one chunk of an answer holds.
 	readBytes = 32 << 10
+	// readTries is the number of readings before an answer's weights count as
+	// unknown. Any reading after the answer will do, so one that was lost
+	// need not cost the answer.
+	readTries = 3
 )
 
 // submit runs a request at the backend server. It posts End exactly once.
@@ -42,11 +47,11 @@
 	}
 	defer answer.Body.Close()
 	p.post(gate.Head{ID: request.RequestID, Status: answer.Status, ContentType: answer.ContentType})
+	buffer := make([]byte, readBytes)
 	for {
-		data := make([]byte, readBytes)
-		n, err := answer.Body.Read(data)
+		n, err := answer.Body.Read(buffer)
 		if n > 0 {
-			p.post(gate.Chunk{ID: request.RequestID, Data: data[:n:n]})
+			p.post(gate.Chunk{ID: request.RequestID, Data: slices.Clone(buffer[:n])})
 		}
 		if errors.Is(err, io.EOF) && !errors.Is(err, io.ErrUnexpectedEOF) {
 			return nil
@@ -72,6 +77,17 @@
 	})
 }
 
+// readForGate reads the engine back for a request, more than once if need be.
+func (p *Process) readForGate(order gate.ReadBack, tries int) {
+	p.readings.add(p, func(loaded mulberryspool.Loaded, failure string) {
+		if failure != "" && tries > 1 {
+			p.readForGate(order, tries-1)
+			return
+		}
+		p.stepGate(gate.ReadBackDone{ID: order.ID, Before: order.Before, Loaded: loaded, Error: failure})
+	})
+}
+
 // readings joins readings of the engine: all that are asked for while one is
 // under way share the next one, so that each began after it was asked for.
 type readings struct {
@@ -113,7 +129,9 @@
 // load sends a load order, unless its lease has lapsed by then.
 func (p *Process) load(order rollout.Load) {
 	p.tasks.Go(func() {
-		p.post(p.runLoad(order))
+		ended := p.runLoad(order)
+		p.loading.Store(false)
+		p.post(ended)
 	})
 }
 
--- a/internal/agent/process/loop.go
+++ b/internal/agent/process/loop.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 
+	"github.com/uber-go/tally/v4"
+
 	"github.com/mulberryspool/mulberryspool"
 	"github.com/mulberryspool/mulberryspool/internal/agent/gate"
 	"github.com/mulberryspool/mulberryspool/internal/agent/rollout"
@@ -132,9 +134,7 @@
 	case gate.SendEnd:
 		p.notify(e.Conn, mulberryspool.MethodEnd, e.Notice)
 	case gate.ReadBack:
-		p.readings.add(p, func(loaded mulberryspool.Loaded, failure string) {
-			p.stepGate(gate.ReadBackDone{ID: e.ID, Before: e.Before, Loaded: loaded, Error: failure})
-		})
+		p.readForGate(e, readTries)
 	case gate.Submit:
 		p.submit(e.Request)
 	case gate.CancelBackend:
@@ -165,6 +165,7 @@
 	case rollout.WriteLease:
 		p.writeLease(e)
 	case rollout.Load:
+		p.loading.Store(true)
 		p.load(e)
 	case rollout.ReadBack:
 		p.readings.add(p, func(loaded mulberryspool.Loaded, failure string) {
@@ -200,12 +201,22 @@
 	}
 }
 
+// counter returns the counter of a kind of events. Tagged looks up its scope
+// by a newly built key each time, which is too slow for each request.
+func (p *Process) counter(kind mulberryspool.EventKind) tally.Counter {
+	if counter, ok := p.counters.Load(kind); ok {
+		return counter.(tally.Counter)
+	}
+	counter, _ := p.counters.LoadOrStore(kind, p.Metrics.Tagged(map[string]string{"kind": string(kind)}).Counter("events"))
+	return counter.(tally.Counter)
+}
+
 // record keeps an event and counts it by kind.
 func (p *Process) record(event mulberryspool.Event) {
 	if p.Recorder != nil {
 		p.Recorder.Record(event)
 	}
-	p.Metrics.Tagged(map[string]string{"kind": string(event.Kind)}).Counter("events").Inc(1)
+	p.counter(event.Kind).Inc(1)
 	if event.Kind == mulberryspool.EventPhaseChanged || event.Kind == mulberryspool.EventEngineReadBack {
 		p.Logger.Info().Str("instance", string(p.Identity.Instance)).Str("pool", event.Pool).
 			Str("version", event.Version).Str("step", string(event.Kind)).Msg(event.Detail)
--- a/internal/agent/process/peers.go
+++ b/internal/agent/process/peers.go
@@ -5,6 +5,8 @@
 	"slices"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/mulberryspool/mulberryspool"
 	"github.com/mulberryspool/mulberryspool/internal/agent/rollout"
 	"github.com/mulberryspool/mulberryspool/internal/peer/rpc"
@@ -124,13 +126,13 @@
 	p.tasks.Go(func() {
 		ctx, cancel := context.WithTimeout(p.running, p.SuspectAfter)
 		defer cancel()
-		status, conn, err := p.askPeer(ctx, conn, address, revision)
+		status, conn, err := p.askPeer(ctx, conn, link.instance, address, revision)
 		p.post(func() { p.peerAnswered(link, conn, status, err) })
 	})
 }
 
 // askPeer sends a heartbeat, or opens a connection first.
-func (p *Process) askPeer(ctx context.Context, conn *rpc.Conn, address string, revision mulberryspool.Revision) (mulberryspool.Heartbeat, *rpc.Conn, error) {
+func (p *Process) askPeer(ctx context.Context, conn *rpc.Conn, instance mulberryspool.InstanceID, address string, revision mulberryspool.Revision) (mulberryspool.Heartbeat, *rpc.Conn, error) {
 	if conn != nil {
 		var status mulberryspool.Heartbeat
 		params := mulberryspool.HeartbeatParams{Instance: p.Identity.Instance, Revision: revision}
@@ -144,6 +146,10 @@
 	var result mulberryspool.HelloResult
 	params := mulberryspool.HelloParams{Identity: p.Identity, Revision: revision}
 	err = conn.Call(ctx, mulberryspool.MethodHello, params, &result)
+	if err == nil && result.Identity.Instance != instance {
+		// The address has been given to another instance since.
+		err = mulberryspool.AtStep(errors.Newf("%s answers in place of %s", result.Identity.Instance, instance), "greet agent", address)
+	}
 	return result.Status, conn, err
 }
 
--- a/internal/agent/process/process.go
+++ b/internal/agent/process/process.go
@@ -10,6 +10,7 @@
 	"context"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -124,9 +125,10 @@
 		inFlight int
 		leaving  bool
 		drained  chan struct{}
-		// manifests are those that were read, for peers that can't read them.
-		manifests map[string]mulberryspool.Manifest
 
+		// loading is set while an order is under way.
+		loading  atomic.Bool
+		counters sync.Map
 		statusMu sync.Mutex
 		status   Status
 	}
@@ -212,7 +214,6 @@
 	p.stages = make(map[mulberryspool.Digest]context.CancelFunc)
 	p.peers = make(map[mulberryspool.InstanceID]*peerLink)
 	p.listed = make(map[mulberryspool.InstanceID]mulberryspool.ListedInstance)
-	p.manifests = make(map[string]mulberryspool.Manifest)
 	p.lease = leaseHolder{
 		store: p.Store, clock: p.Clock, started: p.started, identity: p.Identity,
 		duration: p.LeaseDuration, maxOrderDelay: p.MaxOrderDelay,
@@ -272,7 +273,11 @@
 	case <-said:
 	case <-farewell.Done():
 	}
-	p.lease.release(farewell)
+	if !p.loading.Load() {
+		// The order of a load under way may still take effect, so the
+		// successor has to wait for it.
+		p.lease.release(farewell)
+	}
 	return nil
 }
 
--- a/internal/agent/process/rolloutadapters.go
+++ b/internal/agent/process/rolloutadapters.go
@@ -70,15 +70,11 @@
 				manifest, err = copied, nil
 			}
 		}
-		p.post(func() {
-			event := rollout.ManifestRead{Version: version, Manifest: manifest}
-			if err != nil {
-				event.Error = err.Error()
-			} else {
-				p.manifests[version] = manifest
-			}
-			p.stepRollout(event)
-		})
+		event := rollout.ManifestRead{Version: version, Manifest: manifest}
+		if err != nil {
+			event.Error = err.Error()
+		}
+		p.post(event)
 	})
 }
 
--- a/internal/agent/process/serve.go
+++ b/internal/agent/process/serve.go
@@ -68,7 +68,7 @@
 	case mulberryspool.MethodManifestFetch:
 		var params mulberryspool.ManifestFetchParams
 		if p.decode(m, &params) {
-			p.send(m, p.manifests[params.Version])
+			p.send(m, p.rollout.Manifest(params.Version))
 		}
 	case mulberryspool.MethodChunksHave:
 		var params mulberryspool.ChunksHaveParams
--- a/internal/agent/process/status.go
+++ b/internal/agent/process/status.go
@@ -54,6 +54,10 @@
 // revision is the one that the rest of the state belongs to.
 func (p *Process) heartbeat() mulberryspool.Heartbeat {
 	view := p.rollout.View()
+	if view.Serving && !p.leaving {
+		// Entries send work to agents in this phase only.
+		view.Phase = mulberryspool.PhaseServing
+	}
 	return mulberryspool.Heartbeat{
 		Incarnation: p.Identity.Incarnation, AgentTime: p.now(),
 		Phase: view.Phase, Served: view.Served, ServedVersion: view.ServedVersion,
--- a/internal/agent/rollout/rollout.go
+++ b/internal/agent/rollout/rollout.go
@@ -9,6 +9,8 @@
 package rollout
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/mulberryspool/mulberryspool"
@@ -247,6 +249,24 @@
 	r.attempts = 0
 	r.notBefore = 0
 	r.rank()
+	r.forgetManifests()
+}
+
+// Manifest returns a version's manifest for a peer that can't read it, or the
+// zero value if it is not known.
+func (r *Rollout) Manifest(version string) mulberryspool.Manifest {
+	return r.manifests[version].manifest
+}
+
+// forgetManifests keeps those of versions that may be loaded or served.
+func (r *Rollout) forgetManifests() {
+	unused := func(version string) bool {
+		return !slices.ContainsFunc([]Goal{r.target, r.previous, r.current, r.ordered, r.adopting}, func(g Goal) bool {
+			return g.Version == version || g.Adapter == version
+		})
+	}
+	maps.DeleteFunc(r.manifests, func(version string, entry manifestEntry) bool { return unused(version) && !entry.reading })
+	maps.DeleteFunc(r.digests, func(version string, _ mulberryspool.Digest) bool { return unused(version) })
 }
 
 // manifestRead keeps the manifest; manifests never change.
--- a/messages.go
+++ b/messages.go
@@ -61,10 +61,13 @@
 	RefusalStale       Refusal = "stale"
 	RefusalIncarnation Refusal = "incarnation"
 	RefusalResolved    Refusal = "resolved"
-	RefusalDuplicate   Refusal = "duplicate"
-	RefusalOverload    Refusal = "overload"
-	RefusalExpired     Refusal = "expired"
-	RefusalWrongPool   Refusal = "wrongPool"
+	// RefusalDuplicate says that the agent accepted, or may have accepted, a
+	// start with this ID before. It is the only refusal of a request that may
+	// run or have run here.
+	RefusalDuplicate Refusal = "duplicate"
+	RefusalOverload  Refusal = "overload"
+	RefusalExpired   Refusal = "expired"
+	RefusalWrongPool Refusal = "wrongPool"
 )
 
 // States in the answer to a resolve.
@@ -100,7 +103,9 @@
 		// AgentTime is the time since the agent's start on its monotonic
 		// clock. Entries send it back with each start.
 		AgentTime time.Duration `json:"agentTime"`
-		Phase     Phase         `json:"phase"`
+		// Phase is PhaseServing whenever requests may start, with the old
+		// version too while a newer one is fetched.
+		Phase Phase `json:"phase"`
 		// Served is the digest that the engine read back; empty unless serving.
 		Served Digest `json:"served,omitempty"`
 		// ServedVersion is the version that Served belongs to.
@@ -146,7 +151,8 @@
 	// StartResult answers StartParams.
 	StartResult struct {
 		Accepted bool `json:"accepted"`
-		// Refusal is set when Accepted is false; the request will never run here.
+		// Refusal is set when Accepted is false; the request will never run
+		// here, unless it is RefusalDuplicate.
 		Refusal     Refusal     `json:"refusal,omitempty"`
 		Incarnation Incarnation `json:"incarnation"`
 	}
