Tell requests that never reached the backend server from those that may have

A submission that was certainly not sent ends as notRun, and one whose reply was lost as unknown; both ended as failed before. A load order that did not reach the engine is not blamed on the version, and one whose reply was lost is repeated once before it is.

--- a/internal/agent/gate/answer.go
+++ b/internal/agent/gate/answer.go
@@ -92,8 +92,12 @@
 		return
 	}
 	switch {
+	case e.NotSent && r.status == 0 && r.length == 0:
+		g.finish(now, r, mulberryspool.OutcomeNotRun, e.Error)
 	case e.Error != "" && r.cancelled != "":
 		g.finish(now, r, mulberryspool.OutcomeUnknown, r.cancelled)
+	case e.Uncertain:
+		g.finish(now, r, mulberryspool.OutcomeUnknown, e.Error)
 	case e.Error != "":
 		g.finish(now, r, mulberryspool.OutcomeFailed, e.Error)
 	case r.tainted:
--- a/internal/agent/gate/events.go
+++ b/internal/agent/gate/events.go
@@ -50,6 +50,9 @@
 		ID mulberryspool.RequestID
 		// Error is empty only for a complete answer.
 		Error string
+		// NotSent is set when the request certainly did not reach the backend
+		// server, and Uncertain when it may have, but no answer began.
+		NotSent, Uncertain bool
 	}
 	// ReadBackDone answers a ReadBack. Its reading began after the effect.
 	ReadBackDone struct {
--- a/internal/agent/gate/gate.go
+++ b/internal/agent/gate/gate.go
@@ -32,6 +32,8 @@
 	// DefaultMaxRefused bounds remembered refused IDs. At the bound, the
 	// oldest are replaced by a bound on the age of starts.
 	DefaultMaxRefused = 1 << 16
+	// maxRemaining keeps deadlines far from the largest duration.
+	maxRemaining = 7 * 24 * time.Hour
 	// resendBytes bounds the data of one chunk notice on a resolve.
 	resendBytes = 64 << 10
 )
@@ -205,7 +207,7 @@
 	r := &request{
 		id:        e.Params.RequestID,
 		agentTime: e.Params.AgentTime,
-		deadline:  now + e.Params.Remaining,
+		deadline:  now + min(e.Params.Remaining, maxRemaining),
 		conn:      e.Conn,
 		params:    e.Params,
 		weights:   g.weights,
--- a/internal/agent/gate/gate_test.go
+++ b/internal/agent/gate/gate_test.go
@@ -148,4 +148,8 @@
 	if got := find[SendEnd](g.Step(time.Minute, End{ID: "r2", Error: "cancelled"})); got[0].Notice.Outcome != mulberryspool.OutcomeUnknown {
 		t.Fatalf("request cancelled while it ran ended as %+v", got)
 	}
+	submitted(t, g, "r3")
+	if got := find[SendEnd](g.Step(0, End{ID: "r3", Error: "no answer", Uncertain: true})); got[0].Notice.Outcome != mulberryspool.OutcomeUnknown {
+		t.Fatalf("request that may have run ended as %+v", got)
+	}
 }
--- a/internal/agent/gate/model_test.go
+++ b/internal/agent/gate/model_test.go
@@ -125,6 +125,15 @@
 	m.step(t, end)
 }
 
+// unreached lets a submission fail before it gets to the engine.
+func (m *model) unreached(t *rapid.T) {
+	id := m.drawID(t)
+	if job := m.jobs[id]; job != nil && !job.ended && len(job.answer) == 0 {
+		delete(m.jobs, id)
+		m.step(t, End{ID: id, Error: "connection refused", NotSent: true})
+	}
+}
+
 // readBack answers a reading with the content of this moment.
 func (m *model) readBack(t *rapid.T) {
 	if len(m.answers) == 0 {
@@ -173,12 +182,13 @@
 			m.deliverAt(t, len(m.network)-1)
 			m.readBack(t)
 		},
-		"resolve":  m.resolve,
-		"generate": m.generate,
-		"readBack": m.readBack,
-		"complete": func(t *rapid.T) { m.finishJob(t, m.drawID(t), true) },
-		"break":    func(t *rapid.T) { m.finishJob(t, m.drawID(t), false) },
-		"cancel":   func(t *rapid.T) { m.network = append(m.network, Cancel{ID: m.drawID(t)}) },
+		"resolve":   m.resolve,
+		"generate":  m.generate,
+		"readBack":  m.readBack,
+		"complete":  func(t *rapid.T) { m.finishJob(t, m.drawID(t), true) },
+		"break":     func(t *rapid.T) { m.finishJob(t, m.drawID(t), false) },
+		"unreached": m.unreached,
+		"cancel":    func(t *rapid.T) { m.network = append(m.network, Cancel{ID: m.drawID(t)}) },
 		"connLost": func(t *rapid.T) {
 			m.step(t, ConnLost{Conn: ConnID(rapid.IntRange(1, int(m.nextConn)).Draw(t, "conn"))})
 		},
--- a/internal/agent/process/backend.go
+++ b/internal/agent/process/backend.go
@@ -28,13 +28,15 @@
 	p.cancels[request.RequestID] = cancel
 	p.tasks.Go(func() {
 		defer cancel()
-		failure := ""
+		end := gate.End{ID: request.RequestID}
 		if err := p.relay(ctx, request); err != nil {
-			failure = err.Error()
+			end.Error = err.Error()
+			end.NotSent = errors.Is(err, mulberryspool.ErrUnavailable)
+			end.Uncertain = errors.Is(err, mulberryspool.ErrUncertain)
 		}
 		p.post(func() {
 			delete(p.cancels, request.RequestID)
-			p.stepGate(gate.End{ID: request.RequestID, Error: failure})
+			p.stepGate(end)
 		})
 	})
 }
@@ -160,6 +162,8 @@
 	}
 	if err := p.engine.Load(ctx, message); err != nil {
 		ended.Error = mulberryspool.AtStep(err, "load version", "engine").Error()
+		ended.Unreached = errors.Is(err, mulberryspool.ErrUnavailable)
+		ended.Uncertain = errors.Is(err, mulberryspool.ErrUncertain)
 	}
 	return ended
 }
--- a/internal/agent/rollout/events.go
+++ b/internal/agent/rollout/events.go
@@ -63,6 +63,9 @@
 		Error string
 		// NotSent is set when the order was withheld, because the lease had lapsed.
 		NotSent bool
+		// Unreached is set when the engine certainly did not get the order, and
+		// Uncertain when the order may still take effect.
+		Unreached, Uncertain bool
 		// Unstaged is set when the content was not there to be loaded.
 		Unstaged bool
 	}
--- a/internal/agent/rollout/load.go
+++ b/internal/agent/rollout/load.go
@@ -48,7 +48,8 @@
 		delete(r.stages, r.digestOf(r.ordered.Version))
 		delete(r.stages, r.digestOf(r.ordered.Adapter))
 	}
-	r.unstaged = e.Unstaged
+	r.blameless = e.Unstaged || e.Unreached
+	r.vanished = e.Uncertain
 	r.loadError = e.Error
 	r.step = stepVerifying
 	r.readBack()
@@ -132,7 +133,8 @@
 		cause = fmt.Sprintf("the engine serves version %q with digest %q, want digest %q",
 			r.engine.Version, r.engine.Digest, r.digestOf(r.ordered.Version))
 	}
-	if r.unstaged {
+	if r.blameless {
+		r.notBefore = now + r.settings.ReadBackInterval
 		return
 	}
 	r.attempts++
--- a/internal/agent/rollout/rollout.go
+++ b/internal/agent/rollout/rollout.go
@@ -103,10 +103,12 @@
 		fencing   uint64
 		sequence  uint64
 		loadError string
-		// unstaged is set when the content was missing at the last order.
-		unstaged bool
-		attempts int
-		// vanished is set when the engine could not be read after an order.
+		// blameless is set when the last order failed for a reason other than
+		// its version.
+		blameless bool
+		attempts  int
+		// vanished is set when the engine could not be read after an order,
+		// or its reply was lost.
 		vanished bool
 		// notBefore delays the next order after a failed one.
 		notBefore time.Duration
--- a/internal/agent/rollout/rollout_test.go
+++ b/internal/agent/rollout/rollout_test.go
@@ -16,6 +16,8 @@
 	loads    []string
 	broken   string
 	revision mulberryspool.Revision
+	// ended is how the next order ends without taking effect.
+	ended *LoadEnded
 	// during is called when an order arrives, before it takes effect.
 	during func()
 }
@@ -56,6 +58,12 @@
 			if s.during != nil {
 				s.during()
 			}
+			if s.ended != nil {
+				ended := *s.ended
+				s.ended, ended.Token = nil, e.Token
+				s.do(ended)
+				break
+			}
 			failure := "out of memory"
 			if e.Goal.Version != s.broken {
 				failure = ""
@@ -165,6 +173,21 @@
 	s.expect(t, "after a failed load with nothing to return to", true, "v2", 2)
 }
 
+// Guards against a version that is blamed for an order which was lost on its
+// way, or for content that was no longer staged.
+func TestLostOrderIsRepeated(t *testing.T) {
+	for _, ended := range []LoadEnded{{NotSent: true}, {Error: "refused", Unreached: true}, {Error: "reset", Uncertain: true}, {Error: "gone", Unstaged: true}} {
+		s := newSolo("v1")
+		s.target("v1", 1)
+		s.do(Members{Instances: order[2:]})
+		s.ended = &ended
+		s.target("v2", 1)
+		s.now += DefaultReadBackInterval
+		s.do(Tick{})
+		s.expect(t, "after the second order", true, "v2", 2)
+	}
+}
+
 // Guards against an agent that stays out of service for a superseded change.
 func TestSupersededSwapServesAgain(t *testing.T) {
 	s := newSolo("v1")
