Stage version and adapter one after the other; make room for a new version

A stager has one transfer at a time, so the two ended each other. A version that did not fit beside the one kept for peers waited for up to ten minutes; other contents are now released when a transfer fails, and the cause is in the status.

--- a/internal/agent/rollout/decide.go
+++ b/internal/agent/rollout/decide.go
@@ -126,9 +126,10 @@
 		return false
 	}
 	r.stopOtherStages(content.Digest, adapter.Digest)
+	// One after the other, because a stager has one transfer at a time.
 	staged := r.stage(now, content)
-	if goal.Adapter != "" {
-		staged = r.stage(now, adapter) && staged
+	if staged && goal.Adapter != "" {
+		staged = r.stage(now, adapter)
 	}
 	return staged && r.mayOrder(now)
 }
--- a/internal/agent/rollout/rollout.go
+++ b/internal/agent/rollout/rollout.go
@@ -153,6 +153,8 @@
 		done    bool
 		running bool
 		retryAt time.Duration
+		// err is that of the last try.
+		err string
 	}
 )
 
@@ -290,11 +292,31 @@
 		return
 	}
 	s.running = false
-	if e.Error != "" {
-		s.retryAt = now + r.settings.RetryInterval
+	s.err = e.Error
+	if e.Error == "" {
+		s.done = true
 		return
 	}
-	s.done = true
+	s.retryAt = now + r.settings.RetryInterval
+	if r.releaseOthers(e.Digest) {
+		s.retryAt = now
+	}
+}
+
+// releaseOthers makes room for a content that could not be staged. Contents
+// that were loaded before are kept until then, because chunks may be shared.
+func (r *Rollout) releaseOthers(staging mulberryspool.Digest) bool {
+	goal := r.goal()
+	needed := []mulberryspool.Digest{staging, r.digestOf(goal.Version), r.digestOf(goal.Adapter)}
+	released := false
+	for _, digest := range sortedKeys(r.stages) {
+		if r.stages[digest].done && !slices.Contains(needed, digest) {
+			delete(r.stages, digest)
+			r.emit(Release{Digest: digest})
+			released = true
+		}
+	}
+	return released
 }
 
 // contentChanged stops serving at once; the next reading decides what follows.
--- a/internal/agent/rollout/rollout_test.go
+++ b/internal/agent/rollout/rollout_test.go
@@ -9,12 +9,15 @@
 
 // solo is one agent whose adapters answer at once.
 type solo struct {
-	r        *Rollout
-	now      time.Duration
-	engine   mulberryspool.Loaded
-	open     bool
-	loads    []string
-	broken   string
+	r      *Rollout
+	now    time.Duration
+	engine mulberryspool.Loaded
+	open   bool
+	loads  []string
+	broken string
+	// room is how many contents fit; 0 is no limit.
+	room     int
+	held     map[mulberryspool.Digest]bool
 	revision mulberryspool.Revision
 	// ended is how the next order ends without taking effect.
 	ended *LoadEnded
@@ -31,7 +34,7 @@
 }
 
 func newSoloAt(version string, members []mulberryspool.InstanceID, rank int) *solo {
-	s := &solo{r: New(Settings{Instance: members[rank], Pool: testPool})}
+	s := &solo{r: New(Settings{Instance: members[rank], Pool: testPool}), held: make(map[mulberryspool.Digest]bool)}
 	if version != "" {
 		s.engine = mulberryspool.Loaded{Version: version, Digest: manifestOf(version).Digest}
 	}
@@ -46,7 +49,14 @@
 		case ReadManifest:
 			s.do(ManifestRead{Version: e.Version, Manifest: manifestOf(e.Version)})
 		case Stage:
+			if s.room > 0 && len(s.held) >= s.room && !s.held[e.Manifest.Digest] {
+				s.do(Staged{Digest: e.Manifest.Digest, Error: "no room"})
+				break
+			}
+			s.held[e.Manifest.Digest] = true
 			s.do(Staged{Digest: e.Manifest.Digest})
+		case Release:
+			delete(s.held, e.Digest)
 		case WriteLease:
 			s.do(LeaseWritten{Number: 1, ValidUntil: time.Hour})
 		case ReadBack:
@@ -67,7 +77,7 @@
 			failure := "out of memory"
 			if e.Goal.Version != s.broken {
 				failure = ""
-				s.engine = mulberryspool.Loaded{Version: e.Goal.Version, Digest: e.Content.Digest, Fencing: e.Fencing}
+				s.engine = mulberryspool.Loaded{Version: e.Goal.Version, Digest: e.Content.Digest, Adapter: e.Goal.Adapter, Fencing: e.Fencing}
 			}
 			s.do(LoadEnded{Token: e.Token, Error: failure})
 		}
@@ -188,6 +198,23 @@
 	}
 }
 
+// Guards against a new version that never fits beside a loaded one that is
+// only kept for peers, and against transfers that end each other.
+func TestStagingMakesRoom(t *testing.T) {
+	s := newSolo("")
+	s.target("v1", 1)
+	s.do(Members{Instances: order[2:]})
+	s.room = 1
+	s.target("v2", 1)
+	s.expect(t, "with room for one version", true, "v2", 2)
+	s.room = 2
+	s.do(TablesChanged{Revision: 9, Pool: mulberryspool.Pool{Name: testPool, Version: "v2", Adapter: "a1"}, Exists: true})
+	s.expect(t, "with an adapter", true, "v2", 3)
+	if s.engine.Adapter != "a1" {
+		t.Fatalf("the engine serves %+v without the adapter", s.engine)
+	}
+}
+
 // Guards against an agent that stays out of service for a superseded change.
 func TestSupersededSwapServesAgain(t *testing.T) {
 	s := newSolo("v1")
--- a/internal/agent/rollout/view.go
+++ b/internal/agent/rollout/view.go
@@ -58,7 +58,7 @@
 	case goal.Adapter != "" && !r.manifests[goal.Adapter].known:
 		return withCause("manifest of "+goal.Adapter, r.manifests[goal.Adapter].failed)
 	case !r.isStaged(goal):
-		return "chunks"
+		return withCause("chunks", r.stageError(goal))
 	case r.lease.lost:
 		return "nothing: a newer incarnation holds the lease"
 	case !r.lease.held || r.behind():
@@ -76,6 +76,15 @@
 	return what + ": " + cause
 }
 
+func (r *Rollout) stageError(goal Goal) string {
+	for _, version := range []string{goal.Version, goal.Adapter} {
+		if s, ok := r.stages[r.digestOf(version)]; ok && s.err != "" {
+			return s.err
+		}
+	}
+	return ""
+}
+
 func (r *Rollout) isStaged(goal Goal) bool {
 	for _, version := range []string{goal.Version, goal.Adapter} {
 		if version == "" {
