--- a/internal/agent/rollout/rollout.go
+++ b/internal/agent/rollout/rollout.go
@@ -9,6 +9,8 @@
 package rollout
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/mulberryspool/mulberryspool"
@@ -101,10 +103,12 @@
 		fencing   uint64
 		sequence  uint64
 		loadError string
-		// unstaged is set when the content was missing at the last order.
-		unstaged bool
-		attempts int
-		// vanished is set when the engine could not be read after an order.
+		// blameless is set when the last order failed for a reason other than
+		// its version.
+		blameless bool
+		attempts  int
+		// vanished is set when the engine could not be read after an order,
+		// or its reply was lost.
 		vanished bool
 		// notBefore delays the next order after a failed one.
 		notBefore time.Duration
@@ -149,6 +153,8 @@
 		done    bool
 		running bool
 		retryAt time.Duration
+		// err is that of the last try.
+		err string
 	}
 )
 
@@ -247,6 +253,24 @@
 	r.attempts = 0
 	r.notBefore = 0
 	r.rank()
+	r.forgetManifests()
+}
+
+// Manifest returns a version's manifest for a peer that can't read it, or the
+// zero value if it is not known.
+func (r *Rollout) Manifest(version string) mulberryspool.Manifest {
+	return r.manifests[version].manifest
+}
+
+// forgetManifests keeps those of versions that may be loaded or served.
+func (r *Rollout) forgetManifests() {
+	unused := func(version string) bool {
+		return !slices.ContainsFunc([]Goal{r.target, r.previous, r.current, r.ordered, r.adopting}, func(g Goal) bool {
+			return g.Version == version || g.Adapter == version
+		})
+	}
+	maps.DeleteFunc(r.manifests, func(version string, entry manifestEntry) bool { return unused(version) && !entry.reading })
+	maps.DeleteFunc(r.digests, func(version string, _ mulberryspool.Digest) bool { return unused(version) })
 }
 
 // manifestRead keeps the manifest; manifests never change.
@@ -268,11 +292,31 @@
 		return
 	}
 	s.running = false
-	if e.Error != "" {
-		s.retryAt = now + r.settings.RetryInterval
+	s.err = e.Error
+	if e.Error == "" {
+		s.done = true
 		return
 	}
-	s.done = true
+	s.retryAt = now + r.settings.RetryInterval
+	if r.releaseOthers(e.Digest) {
+		s.retryAt = now
+	}
+}
+
+// releaseOthers makes room for a content that could not be staged. Contents
+// that were loaded before are kept until then, because chunks may be shared.
+func (r *Rollout) releaseOthers(staging mulberryspool.Digest) bool {
+	goal := r.goal()
+	needed := []mulberryspool.Digest{staging, r.digestOf(goal.Version), r.digestOf(goal.Adapter)}
+	released := false
+	for _, digest := range sortedKeys(r.stages) {
+		if r.stages[digest].done && !slices.Contains(needed, digest) {
+			delete(r.stages, digest)
+			r.emit(Release{Digest: digest})
+			released = true
+		}
+	}
+	return released
 }
 
 // contentChanged stops serving at once; the next reading decides what follows.
