--- a/internal/entry/callers/front.go
+++ b/internal/entry/callers/front.go
@@ -98,13 +98,15 @@
 	router.HandleFunc("/v1/models", f.models).Methods(http.MethodGet)
 	router.HandleFunc("/deferred/{id}", f.receipt).Methods(http.MethodGet)
 	router.HandleFunc("/deferred/{id}", f.collect).Methods(http.MethodDelete)
+	for _, path := range []string{chatPath, "/v1/models", "/deferred/{id}"} {
+		router.HandleFunc(path, f.wrongMethod)
+	}
 	// The first path elements of the fixed paths are no route names.
 	router.PathPrefix("/v1/").HandlerFunc(f.unknownPath)
 	router.PathPrefix("/deferred/").HandlerFunc(f.unknownPath)
 	router.HandleFunc("/{route}", f.plain)
 	router.HandleFunc("/{route}/{rest:.*}", f.plain)
 	router.NotFoundHandler = http.HandlerFunc(f.unknownPath)
-	router.MethodNotAllowedHandler = http.HandlerFunc(f.wrongMethod)
 	return router
 }
 
