Settle lost answers to claims of deferred submissions, bound claims in time

A test found that a conflict on the repetition of an uncertain claim counted as certain when the read-back failed: the submission, which had not run, waited for RunBound and ended as unknown. The claim now stays uncertain and a scan runs it. A keyed claim ends as uncertain with its timeout; buffered answers above the limit have a code of their own.

--- a/internal/entry/callers/errors.go
+++ b/internal/entry/callers/errors.go
@@ -20,7 +20,6 @@
 	CodeNoReceipt       dispatch.Code = "noReceipt"
 	CodeReceiptInUse    dispatch.Code = "receiptInUse"
 	CodeStoreDown       dispatch.Code = "storeUnavailable"
-	CodeAnswerTooLarge  dispatch.Code = "answerTooLarge"
 	CodeAcceptUncertain dispatch.Code = "acceptUncertain"
 )
 
--- a/internal/entry/claims/ledger.go
+++ b/internal/entry/claims/ledger.go
@@ -74,15 +74,18 @@
 	}
 )
 
-// Swap implements Book. It is not ended by the context, because the group
-// answers each of its claims in bounded time, and giving up before would turn
-// a certain outcome into an uncertain one.
-func (l *Ledger) Swap(_ context.Context, expected *Claim, next Claim) (Claim, error) {
+// Swap implements Book. When the context ends first, the claim may still be
+// recorded, so the outcome is uncertain.
+func (l *Ledger) Swap(ctx context.Context, expected *Claim, next Claim) (Claim, error) {
 	l.setup.Do(l.init)
 	s := &swap{expected: expected, next: next, result: make(chan swapResult, 1)}
 	l.shardOf(next.Key).add(s)
-	result := <-s.result
-	return result.present, mulberryspool.AtStep(result.err, "record claim", "")
+	select {
+	case result := <-s.result:
+		return result.present, mulberryspool.AtStep(result.err, "record claim", "")
+	case <-ctx.Done():
+		return Claim{}, mulberryspool.AtStep(mulberryspool.ErrUncertain, "record claim", "")
+	}
 }
 
 func (l *Ledger) init() {
--- a/internal/entry/claims/shard.go
+++ b/internal/entry/claims/shard.go
@@ -154,9 +154,7 @@
 		group = s.write(next, group, try)
 		fresh = false
 	}
-	for _, w := range group {
-		answer(w, Claim{}, mulberryspool.ErrUncertain)
-	}
+	s.giveUp(group, errors.New("other entries were faster each time"), settleTries)
 }
 
 // apply puts the claims of the group into the page and answers those that
--- a/internal/entry/deferred/queue.go
+++ b/internal/entry/deferred/queue.go
@@ -62,7 +62,9 @@
 		// claimed holds when another entry's claim was first seen.
 		claimed map[string]sighting
 		running map[string]bool
-		wake    chan struct{}
+		// unused holds this entry's claims whose answer was lost before the run.
+		unused map[string]bool
+		wake   chan struct{}
 	}
 
 	pending struct {
@@ -93,6 +95,7 @@
 		q.pending = make(map[string]*pending)
 		q.claimed = make(map[string]sighting)
 		q.running = make(map[string]bool)
+		q.unused = make(map[string]bool)
 		q.wake = make(chan struct{}, 1)
 	})
 }
--- a/internal/entry/deferred/queue_test.go
+++ b/internal/entry/deferred/queue_test.go
@@ -236,3 +236,46 @@
 	}
 	awaitState(t, q, "a", StateDone)
 }
+
+// Guards against a submission that ends as unknown although its claim was
+// never used, because only the answer to the claim was lost.
+func TestUnusedClaimRuns(t *testing.T) {
+	store, counted := &entrytest.Store{}, &runs{}
+	q := newQueue(store, "entry-1", func(sub dispatch.Submission) (Answer, *dispatch.Error) {
+		counted.add(sub.ID)
+		return echo(sub)
+	})
+	var mu sync.Mutex
+	updates, reads := 0, 0
+	store.After = func(method, _, _ string) error {
+		mu.Lock()
+		defer mu.Unlock()
+		if updates++; method == "Update" && updates == 2 {
+			return mulberryspool.ErrUncertain
+		}
+		return nil
+	}
+	store.Before = func(method, _, _ string) error {
+		mu.Lock()
+		defer mu.Unlock()
+		// The reads that would settle the claim fail.
+		if reads++; method == "Get" && updates == 2 && reads < 12 {
+			return mulberryspool.ErrUnavailable
+		}
+		return nil
+	}
+	if _, err := q.Accept(context.Background(), dispatch.Submission{ID: "a", Route: "orders"}); err != nil {
+		t.Fatal(err)
+	}
+	start(t, q)
+	for range 1000 {
+		if counted.count("a") > 0 {
+			break
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	awaitState(t, q, "a", StateDone)
+	if n := counted.count("a"); n != 1 {
+		t.Fatalf("submission ran %d times", n)
+	}
+}
--- a/internal/entry/deferred/run.go
+++ b/internal/entry/deferred/run.go
@@ -63,7 +63,9 @@
 		case StateAccepted:
 			q.offer(s, time.Time{})
 		case StateClaimed:
-			if q.lost(s) {
+			if q.neverRun(s) {
+				q.offer(s, time.Time{})
+			} else if q.lost(s) {
 				q.markUnknown(ctx, s)
 			}
 		}
@@ -189,7 +191,22 @@
 	rec.State, rec.By, rec.Incarnation = StateClaimed, q.Self.Instance, q.Self.Incarnation
 	rec.Run, rec.Message = uuid.NewString(), ""
 	rec.Attempts++
-	return q.update(ctx, rec, s.version)
+	next, err := q.update(ctx, rec, s.version)
+	if err != nil && !errors.Is(err, mulberryspool.ErrConflict) {
+		// The claim may be recorded, and a scan that finds it knows that it was not used.
+		q.mu.Lock()
+		q.unused[rec.Run] = true
+		q.mu.Unlock()
+	}
+	return next, err
+}
+
+// neverRun reports whether the claim is this entry's own and was not used,
+// because its answer was lost.
+func (q *Queue) neverRun(s stored) bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.unused[s.Run]
 }
 
 // update writes the record if it still has the version. An uncertain write is
@@ -213,16 +230,21 @@
 			break
 		}
 		if errors.Is(err, mulberryspool.ErrConflict) {
-			present, err := q.get(ctx, rec.ID)
-			if err == nil && present.Run == rec.Run && present.State == rec.State {
+			present, readErr := q.get(ctx, rec.ID)
+			if readErr == nil && present.Run == rec.Run && present.State == rec.State {
 				return present, nil
 			}
-			break
+			if readErr == nil {
+				return stored{}, mulberryspool.AtStep(err, "update deferred submission", rec.ID)
+			}
 		}
 		if q.pause(ctx, settlePause) != nil {
 			break
 		}
 	}
+	if uncertain {
+		failure = mulberryspool.ErrUncertain
+	}
 	return stored{}, mulberryspool.AtStep(failure, "update deferred submission", rec.ID)
 }
 
--- a/internal/entry/dispatch/effects.go
+++ b/internal/entry/dispatch/effects.go
@@ -118,6 +118,7 @@
 	CodeDeadline        Code = "deadlineExceeded"
 	CodeCallerLeft      Code = "callerLeft"
 	CodeCallerStalled   Code = "callerTooSlow"
+	CodeAnswerTooLarge  Code = "answerTooLarge"
 	CodeAgentLost       Code = "agentLost"
 	CodeAgentRestarted  Code = "agentRestarted"
 	CodeAnswerMismatch  Code = "answerMismatch"
--- a/internal/entry/dispatch/requests.go
+++ b/internal/entry/dispatch/requests.go
@@ -306,6 +306,9 @@
 		return
 	}
 	err := r.endedEarly(q, CodeCallerStalled, "the caller reads the answer too slowly")
+	if q.sub.Buffered {
+		err.Code, err.Message = CodeAnswerTooLarge, "the answer is larger than the entry collects"
+	}
 	if q.sub.Key != "" && q.sent && !q.attached {
 		r.tell(q, CallerError{ID: id, Error: err})
 		q.left = true
--- a/internal/entry/process/exchanges.go
+++ b/internal/entry/process/exchanges.go
@@ -74,7 +74,7 @@
 
 // execute runs a deferred submission to its end.
 func (p *Process) execute(_ context.Context, sub dispatch.Submission) (deferred.Answer, *dispatch.Error) {
-	exchange := callers.NewExchange(0, nil)
+	exchange := callers.NewExchange(p.maxAnswer(), func() { p.inbox.post(dispatch.CallerStalled{ID: sub.ID}) })
 	if !p.submit(sub, exchange) {
 		return deferred.Answer{}, &dispatch.Error{Outcome: mulberryspool.OutcomeNotRun, Code: dispatch.CodeDuplicateID,
 			Message: "a request with this ID is in progress"}
@@ -94,6 +94,13 @@
 	}, nil
 }
 
+func (p *Process) maxAnswer() int64 {
+	if p.MaxAnswer > 0 {
+		return p.MaxAnswer
+	}
+	return callers.DefaultMaxAnswer
+}
+
 func (p *Process) serving(route string) bool {
 	serving := false
 	p.look(func(r *dispatch.Reducer) { serving = r.Serving(route) })
