--- a/internal/entry/process/delays_test.go
+++ b/internal/entry/process/delays_test.go
@@ -33,3 +33,16 @@
 		t.Errorf("with varying delays the timeout is %v", got)
 	}
 }
+
+// Guards against heartbeats of many connections that exceed the control
+// budget, and against an interval beyond the age that agents accept.
+func TestHeartbeatsKeepToTheBudget(t *testing.T) {
+	p := Process{HeartbeatInterval: time.Second, HeartbeatMaxAge: 5 * time.Second, ControlBudget: 2000}
+	for connections, want := range map[int]time.Duration{
+		1: time.Second, 10: 2750 * time.Millisecond, 100: 5 * time.Second,
+	} {
+		if got := p.quietBound(connections); got != want {
+			t.Errorf("%d connections may be quiet for %v, want %v", connections, got, want)
+		}
+	}
+}
--- a/internal/entry/process/peers.go
+++ b/internal/entry/process/peers.go
@@ -47,6 +47,12 @@
 	return s.byConn[conn]
 }
 
+func (s *peers) count() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.byID)
+}
+
 func (s *peers) add(p *peer) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -125,7 +131,7 @@
 func (p *Process) watch(ctx context.Context, peer *peer) {
 	beat := p.Clock.Now()
 	for {
-		quietAt := peer.conn.LastReceived().Add(p.HeartbeatInterval)
+		quietAt := peer.conn.LastReceived().Add(p.quietBound(p.peers.count()))
 		if oldAt := beat.Add(p.HeartbeatMaxAge); oldAt.Before(quietAt) {
 			quietAt = oldAt
 		}
@@ -146,6 +152,12 @@
 	}
 }
 
+// quietBound is how long each of the connections may be quiet.
+func (p *Process) quietBound(connections int) time.Duration {
+	affordable := time.Duration(connections*heartbeatBytes) * time.Second / time.Duration(p.ControlBudget)
+	return max(p.HeartbeatInterval, min(affordable, p.HeartbeatMaxAge))
+}
+
 // heartbeat returns false when the connection has ended or is silent.
 func (p *Process) heartbeat(ctx context.Context, peer *peer) bool {
 	sent := p.Clock.Now()
--- a/internal/entry/process/process.go
+++ b/internal/entry/process/process.go
@@ -35,13 +35,17 @@
 	DefaultInstancePoll      = time.Second
 	DefaultHeartbeatInterval = 2 * time.Second
 	DefaultHeartbeatMaxAge   = 5 * time.Second
-	DefaultDialTimeout       = 2 * time.Second
-	DefaultStartTimeout      = 3 * time.Second
-	DefaultSuspicionFloor    = 250 * time.Millisecond
-	DefaultSuspicionCap      = 3 * time.Second
-	DefaultClaimTimeout      = 3 * time.Second
-	DefaultGrace             = 5 * time.Second
-	DefaultDrainTimeout      = 10 * time.Minute
+	// DefaultControlBudget is what a node may spend on control traffic, in bytes per second.
+	DefaultControlBudget  = 2000
+	DefaultDialTimeout    = 2 * time.Second
+	DefaultStartTimeout   = 3 * time.Second
+	DefaultSuspicionFloor = 250 * time.Millisecond
+	DefaultSuspicionCap   = 3 * time.Second
+	DefaultClaimTimeout   = 3 * time.Second
+	DefaultGrace          = 5 * time.Second
+	DefaultDrainTimeout   = 10 * time.Minute
+	// heartbeatBytes is about the size of a heartbeat with its answer.
+	heartbeatBytes = 550
 	// readHeaderTimeout bounds how long a caller may take for its headers.
 	readHeaderTimeout = 10 * time.Second
 )
@@ -81,6 +85,9 @@
 		// HeartbeatMaxAge bounds the age of an agent's state on a busy
 		// connection. It must be below the agents' startFreshness.
 		HeartbeatMaxAge time.Duration
+		// ControlBudget, in bytes per second, lengthens HeartbeatInterval, up
+		// to HeartbeatMaxAge, when there are many connections.
+		ControlBudget int
 		// DialTimeout bounds dialling and hello.
 		DialTimeout time.Duration
 		// StartTimeout bounds the wait for the reply to a start or resolve.
@@ -208,6 +215,9 @@
 			*d.value = d.fallback
 		}
 	}
+	if p.ControlBudget == 0 {
+		p.ControlBudget = DefaultControlBudget
+	}
 	if p.Metrics == nil {
 		p.Metrics = tally.NoopScope
 	}
