--- a/internal/settings/shared/defaults.go
+++ b/internal/settings/shared/defaults.go
@@ -34,19 +34,19 @@
 	DefaultEntryHeartbeatInterval = 2 * time.Second
 	// DefaultStartFreshness is twice the longest time between two heartbeats
 	// of an entry.
-	DefaultStartFreshness = 10 * time.Second
-	DefaultAnswerRetention   = time.Minute
-	DefaultMaxBodySize       = 8 << 20
-	DefaultMaxInFlight       = 256
-	DefaultEntryInFlight     = 4096
-	DefaultGracefulStop      = time.Minute
+	DefaultStartFreshness  = 10 * time.Second
+	DefaultAnswerRetention = time.Minute
+	DefaultMaxBodySize     = 8 << 20
+	DefaultMaxInFlight     = 256
+	DefaultEntryInFlight   = 4096
+	DefaultGracefulStop    = time.Minute
 
-	DefaultSubsetSize       = 32
-	DefaultRequestTimeout   = 2 * time.Minute
-	DefaultMaxQueuedTokens  = 200_000
-	DefaultRetryBudget      = 0.1
-	DefaultDialTimeout      = time.Second
-	DefaultResolveTimeout   = 10 * time.Second
+	DefaultSubsetSize      = 32
+	DefaultRequestTimeout  = 2 * time.Minute
+	DefaultMaxQueuedTokens = 200_000
+	DefaultRetryBudget     = 0.1
+	DefaultDialTimeout     = time.Second
+	DefaultResolveTimeout  = 10 * time.Second
 	// DefaultSuspicionTimeout is the floor of the timeout that adapts to the
 	// measured delay; it is far above the delays within and between regions (R22).
 	DefaultSuspicionTimeout = 250 * time.Millisecond
