--- a/internal/agent/fetch/faults_test.go
+++ b/internal/agent/fetch/faults_test.go
@@ -185,6 +185,11 @@
 	changed := append(newContent(5, len(content)/2), content[len(content)/2:]...)
 	f.origin.set("v2", changed)
 	next := manifestOf("v2", "v2", changed, faultChunk)
+	configure := f.configure
+	f.configure = func(x *Fetcher) {
+		configure(x)
+		patient(x)
+	}
 	agents := f.start(3)
 	first := make(chan error, len(agents))
 	for _, a := range agents {
--- a/internal/agent/fetch/fetcher_test.go
+++ b/internal/agent/fetch/fetcher_test.go
@@ -11,6 +11,7 @@
 // twice while all agents live, or gives out other content than that of the origin.
 func TestFleetStagesOneOriginCopy(t *testing.T) {
 	f := newFleet(t)
+	f.configure = patient
 	content := newContent(1, 1<<20)
 	f.origin.set("v1", content)
 	manifest := manifestOf("v1", "v1", content, 16<<10)
--- a/internal/agent/fetch/fleet_test.go
+++ b/internal/agent/fetch/fleet_test.go
@@ -266,6 +266,13 @@
 	}
 }
 
+// patient makes a fetcher wait long for others, so that a slow machine changes
+// nothing in what is fetched from where.
+func patient(f *Fetcher) {
+	f.Limits.OriginBias, f.Limits.TakeoverLongest = 1, time.Hour
+	f.Limits.ProgressTimeout, f.CallTimeout = time.Hour, time.Hour
+}
+
 // quickLimits are the defaults with waits suited to transfers of a few seconds.
 func quickLimits() swarm.Limits {
 	return swarm.Limits{
--- a/internal/agent/swarm/limits.go
+++ b/internal/agent/swarm/limits.go
@@ -41,6 +41,9 @@
 	// those that at most rareHolders known agents of the region hold.
 	rareFactor  = 4
 	rareHolders = 2
+	// rareTells bounds the agents that are told sooner in each such interval.
+	// It is the number of uploads at one time: more could not fetch at once.
+	rareTells = 4
 	// poolProbes is the number of agents of each other pool that are asked
 	// whether they want the manifest.
 	poolProbes = 2
--- a/internal/agent/swarm/plan.go
+++ b/internal/agent/swarm/plan.go
@@ -300,28 +300,36 @@
 }
 
 // tellPeers tells the chosen neighbours, and those that chose this agent,
-// about chunks that they miss.
+// about chunks that they miss. Rare chunks limit the start of a transfer, so a
+// few agents are told of them sooner; these pass them on.
 func (p *Planner) tellPeers() {
-	for _, k := range p.known {
+	if len(p.known) == 0 {
+		return
+	}
+	sooner := p.limits.TellInterval / rareFactor
+	if !p.rareAt.Add(sooner).After(p.now) {
+		p.rareAt, p.rareTold = p.now, 0
+	}
+	first := p.random.IntN(len(p.known))
+	for i := range p.known {
+		k := p.known[(first+i)%len(p.known)]
 		if !k.neighbour && !k.choseUs || k.suspectUntil.After(p.now) || k.absentUntil.After(p.now) {
 			continue
 		}
-		if interval, news := p.news(k); news && p.reached(k.toldAt.Add(interval)) {
+		if !p.held.ExceedsBoth(k.held, k.told) {
+			continue
+		}
+		rare := p.rareTold < rareTells && p.rare.ExceedsBoth(k.held, k.told)
+		switch {
+		case rare && p.reached(k.toldAt.Add(sooner)):
+			p.rareTold++
+			p.tell(k)
+		case p.reached(k.toldAt.Add(p.limits.TellInterval)):
 			p.tell(k)
 		}
 	}
 }
 
-// news reports whether a chunk is held that the agent neither holds nor was
-// told of, and how long after the last message it may be told. Rare chunks are
-// told of sooner, because their spread limits the start of a transfer.
-func (p *Planner) news(k *peer) (time.Duration, bool) {
-	if p.rare.ExceedsBoth(k.held, k.told) {
-		return p.limits.TellInterval / rareFactor, true
-	}
-	return p.limits.TellInterval, p.held.ExceedsBoth(k.held, k.told)
-}
-
 func (p *Planner) tell(k *peer) {
 	k.toldAt = p.now
 	k.told = p.held.Clone()
--- a/internal/agent/swarm/planner.go
+++ b/internal/agent/swarm/planner.go
@@ -50,6 +50,9 @@
 		held     bitset.Set
 		// rare are the held chunks that few others in the region held on arrival.
 		rare bitset.Set
+		// rareAt and rareTold bound how many agents are told sooner.
+		rareAt   time.Time
+		rareTold int
 		// wanted holds each distinct chunk once, lacking those not held.
 		wanted, lacking []*chunk
 		// at has the chunk of each place in the manifest.
