Bound the memory of the rollout benchmark

Three runs in one process took 2.3 GiB, because the garbage of an earlier run stayed until the heap had doubled.

--- a/internal/agent/fetch/fleet_test.go
+++ b/internal/agent/fetch/fleet_test.go
@@ -235,6 +235,7 @@
 			<-a.done
 		}
 	}
+	f.agents = nil
 }
 
 // handle answers chunks.have as the process of an agent does.
--- a/internal/agent/fetch/rollout_bench_test.go
+++ b/internal/agent/fetch/rollout_bench_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"runtime"
+	"runtime/debug"
 	"sync"
 	"syscall"
 	"testing"
@@ -34,6 +35,8 @@
 	sharedPercent   = 90
 	killedFraction  = 10
 	originOnlyScale = 1
+	// benchMemory keeps the process below 2 GiB.
+	benchMemory = 1500 << 20
 )
 
 type (
@@ -165,6 +168,7 @@
 // the bound computed from the links. The slow cases have a smaller content, so
 // that the whole run stays below two minutes.
 func BenchmarkRollout(b *testing.B) {
+	defer debug.SetMemoryLimit(debug.SetMemoryLimit(benchMemory))
 	for _, agents := range []int{8, 32, 128} {
 		b.Run(fmt.Sprintf("agents=%d", agents), func(b *testing.B) { benchSwarm(b, agents, benchBytes, nil) })
 	}
