--- a/internal/integration/wholepath_test.go
+++ b/internal/integration/wholepath_test.go
@@ -1,9 +1,7 @@
 package integration
 
 import (
-	"bufio"
 	"context"
-	"encoding/json"
 	"io"
 	"net/http"
 	"strings"
@@ -12,7 +10,6 @@
 
 	"github.com/mulberryspool/mulberryspool"
 	"github.com/mulberryspool/mulberryspool/internal/standin/engine"
-	"github.com/mulberryspool/mulberryspool/internal/standin/origin"
 	"github.com/mulberryspool/mulberryspool/internal/testkit/system"
 )
 
@@ -60,37 +57,6 @@
 	}
 }
 
-// streamedText joins the pieces of a stream of server-sent events; done says
-// whether the end marker was there.
-func streamedText(t *testing.T, stream string) (text string, done bool) {
-	t.Helper()
-	lines := bufio.NewScanner(strings.NewReader(stream))
-	lines.Buffer(nil, 1<<20)
-	for lines.Scan() {
-		data, found := strings.CutPrefix(lines.Text(), "data: ")
-		if !found {
-			continue
-		}
-		if data == "[DONE]" {
-			return text, true
-		}
-		var piece struct {
-			Choices []struct {
-				Delta struct {
-					Content string `json:"content"`
-				} `json:"delta"`
-			} `json:"choices"`
-		}
-		if err := json.Unmarshal([]byte(data), &piece); err != nil {
-			t.Fatalf("event %q: %v", data, err)
-		}
-		for _, c := range piece.Choices {
-			text += c.Delta.Content
-		}
-	}
-	return text, false
-}
-
 // expectAnswer checks a streamed answer against what the engine stand-in
 // makes of the body with the weights.
 func expectAnswer(t *testing.T, got answer, body string) {
@@ -112,15 +78,12 @@
 func TestWholePath(t *testing.T) {
 	s := &system.System{Builder: &builder}
 	s.Start(t)
-	s.PutContent(t, "scribe-1", origin.Generated{Seed: 1, Size: 1 << 20})
-	s.PutContent(t, "scribe-2", origin.Generated{Seed: 1, Size: 1 << 19}, origin.Generated{Seed: 2, Size: 1 << 19})
 	for range 4 {
 		s.AddEngineAgent(t, "scribe")
 	}
 	s.AddEntry(t)
 	s.AddEntry(t)
-	s.Publish(t, "v1", "scribe-1", "64 KiB")
-	s.Publish(t, "v2", "scribe-2", "64 KiB")
+	publishVersions(t, s)
 	s.Apply(t, strings.ReplaceAll(chatTables, "VERSION", "v1"))
 	s.AwaitServing(t, "v1", s.Agents...)
 	s.AwaitAgents(t, "scribe", 4)
--- a/internal/testkit/system/system.go
+++ b/internal/testkit/system/system.go
@@ -17,6 +17,8 @@
 	"testing"
 	"time"
 
+	"github.com/google/uuid"
+
 	"github.com/mulberryspool/mulberryspool"
 	"github.com/mulberryspool/mulberryspool/internal/observe/admin"
 	"github.com/mulberryspool/mulberryspool/internal/standin/loopback"
@@ -236,11 +238,23 @@
 // Apply applies tables and waits until all live processes have them in force.
 func (s *System) Apply(t testing.TB, tables string) {
 	t.Helper()
-	file := filepath.Join(s.directory, "tables.yaml")
+	s.Run(t, 0, "tables", "apply", "-f", s.TablesFile(t, tables), "--author", "test", "--wait")
+}
+
+// Accept applies tables without waiting until they are in force.
+func (s *System) Accept(t testing.TB, tables string) {
+	t.Helper()
+	s.Run(t, 0, "tables", "apply", "-f", s.TablesFile(t, tables), "--author", "test")
+}
+
+// TablesFile writes tables to a new file and returns its path.
+func (s *System) TablesFile(t testing.TB, tables string) string {
+	t.Helper()
+	file := filepath.Join(s.directory, uuid.NewString()+".yaml")
 	if err := os.WriteFile(file, []byte(tables), 0o600); err != nil {
 		t.Fatal(err)
 	}
-	s.Run(t, 0, "tables", "apply", "-f", file, "--author", "test", "--wait")
+	return file
 }
 
 // Publish publishes the content of a path as a version.
