--- a/internal/agent/rollout/rollout_test.go
+++ b/internal/agent/rollout/rollout_test.go
@@ -132,6 +132,12 @@
 	s.hear(five[1], mulberryspool.Heartbeat{Phase: mulberryspool.PhaseLoading, Revision: 2})
 	s.do(Members{Instances: []mulberryspool.InstanceID{five[0], five[1], five[3], five[4]}})
 	s.expect(t, "while its predecessor swaps", true, "v1", 0)
+	s.hear(five[1], settledAt(1))
+	s.expect(t, "while its predecessor spoke of an earlier change", true, "v1", 0)
+	unsettled := settledAt(2)
+	unsettled.Settled = false
+	s.hear(five[1], unsettled)
+	s.expect(t, "while one before its predecessor has yet to swap", true, "v1", 0)
 	s.hear(five[1], settledAt(2))
 	s.expect(t, "in its turn", true, "v2", 1)
 }
