--- /dev/null
+++ b/internal/integration/entry_bench_test.go
@@ -0,0 +1,89 @@
+package integration
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"github.com/mulberryspool/mulberryspool/internal/testkit/system"
+)
+
+const (
+	entryBenchSequential = 2000
+	entryBenchCallers    = 32
+	entryBenchEach       = 250
+)
+
+// post makes one small call and returns its latency.
+func post(b *testing.B, client *http.Client, url string) time.Duration {
+	b.Helper()
+	began := time.Now()
+	request, err := http.NewRequestWithContext(context.Background(), http.MethodPost, url, strings.NewReader("17 in, 12 out"))
+	if err != nil {
+		b.Fatal(err)
+	}
+	response, err := client.Do(request)
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer response.Body.Close()
+	if _, err := io.Copy(io.Discard, response.Body); err != nil {
+		b.Fatal(err)
+	}
+	if response.StatusCode != http.StatusOK {
+		b.Fatalf("%s answered %s", url, response.Status)
+	}
+	return time.Since(began)
+}
+
+// latencies makes calls one after the other.
+func latencies(b *testing.B, client *http.Client, url string) *hdrhistogram.Histogram {
+	b.Helper()
+	h := hdrhistogram.New(1, int64(time.Minute/time.Microsecond), 3)
+	for range entryBenchSequential {
+		if err := h.RecordValue(post(b, client, url).Microseconds()); err != nil {
+			b.Fatal(err)
+		}
+	}
+	return h
+}
+
+// BenchmarkEntry measures what the way through entry and agent adds to a
+// direct call of the plain service, and the requests that an entry answers for
+// each second of processor time.
+func BenchmarkEntry(b *testing.B) {
+	s := &system.System{Builder: &builder}
+	s.Start(b)
+	s.AddPlainAgent(b, "booking")
+	s.AddEntry(b)
+	s.Apply(b, bookingTables)
+	s.AwaitAgents(b, "booking", 1)
+	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: entryBenchCallers}}
+	defer client.CloseIdleConnections()
+	through, direct := s.Entries[0].Callers+"/booking/confirm", s.Agents[0].Backend+"/confirm"
+	for range b.N {
+		post(b, client, through)
+		with, without := latencies(b, client, through), latencies(b, client, direct)
+		b.ReportMetric(float64(with.ValueAtQuantile(50)-without.ValueAtQuantile(50)), "added-median-µs")
+		b.ReportMetric(float64(with.ValueAtQuantile(99)-without.ValueAtQuantile(99)), "added-p99-µs")
+		entry, agent := processUsage(b, s.Entries[0].Process.ID()), processUsage(b, s.Agents[0].Process.ID())
+		var group sync.WaitGroup
+		for range entryBenchCallers {
+			group.Go(func() {
+				for range entryBenchEach {
+					post(b, client, through)
+				}
+			})
+		}
+		group.Wait()
+		requests := float64(entryBenchCallers * entryBenchEach)
+		b.ReportMetric(requests/(processUsage(b, s.Entries[0].Process.ID()).processor-entry.processor).Seconds(), "entry-req/s/core")
+		b.ReportMetric(requests/(processUsage(b, s.Agents[0].Process.ID()).processor-agent.processor).Seconds(), "agent-req/s/core")
+	}
+}
