--- a/internal/entry/dispatch/answers.go
+++ b/internal/entry/dispatch/answers.go
@@ -29,6 +29,7 @@
 		return
 	}
 	// A chunk proves that the start or resolve was accepted; its reply may come later.
+	r.answerContinues(q)
 	q.phase, q.accepted = phaseRunning, true
 	q.waitUntil = zeroTime
 	if q.firstByte == 0 {
@@ -56,7 +57,15 @@
 	}
 }
 
+// answerContinues records a resolve whose reply comes after what it replies to.
+func (r *Reducer) answerContinues(q *request) {
+	if q.phase == phaseResolving {
+		r.record(r.event(q, mulberryspool.EventRequestResolved, "the answer continues"))
+	}
+}
+
 func (r *Reducer) takeEnd(q *request, notice mulberryspool.EndNotice) {
+	r.answerContinues(q)
 	switch notice.Outcome {
 	case mulberryspool.OutcomeDone:
 		r.takeWhole(q, notice)
--- a/internal/entry/process/effects.go
+++ b/internal/entry/process/effects.go
@@ -31,7 +31,11 @@
 	case dispatch.Claim:
 		p.goCall(func(ctx context.Context) { p.claim(ctx, e) })
 	case dispatch.EndClaim:
-		p.goCall(func(ctx context.Context) { p.endClaim(ctx, e) })
+		p.outcomes.Add(1)
+		p.goCall(func(ctx context.Context) {
+			defer p.outcomes.Add(-1)
+			p.endClaim(ctx, e)
+		})
 	case dispatch.CallerHead, dispatch.CallerBytes, dispatch.CallerReset, dispatch.CallerEnd, dispatch.CallerError:
 		p.exchanges.tell(p, effect)
 	case dispatch.RecordEvent:
--- a/internal/entry/process/faults_test.go
+++ b/internal/entry/process/faults_test.go
@@ -11,8 +11,10 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/cockroachdb/errors"
 
 	"github.com/mulberryspool/mulberryspool"
+	"github.com/mulberryspool/mulberryspool/internal/entry/claims"
 	"github.com/mulberryspool/mulberryspool/internal/entry/dispatch"
 	"github.com/mulberryspool/mulberryspool/internal/entry/entrytest"
 	"github.com/mulberryspool/mulberryspool/internal/peer/rpc"
@@ -367,3 +369,20 @@
 		t.Fatalf("answer is %q, %v", r.got.body, r.err)
 	}
 }
+
+// Guards against the loss of an outcome that waits for its group when the
+// entry stops.
+func TestStopRecordsOutcomes(t *testing.T) {
+	s := run(t, agentNamed("agent-1"))
+	if _, err := s.send(t, http.MethodPost, "/ledger/x", "pay 5", "Idempotency-Key", "k1"); err != nil {
+		t.Fatal(err)
+	}
+	s.stop()
+	err := <-s.done
+	s.done <- err
+	book := &claims.Ledger{Store: s.store, Clock: s.process.Clock}
+	present, err := book.Swap(context.Background(), nil, claims.Claim{Key: `"ledger"/""/"k1"`, Changed: time.Now()})
+	if !errors.Is(err, claims.ErrTaken) || present.Outcome != mulberryspool.OutcomeDone {
+		t.Fatalf("claim is %+v, %v", present, err)
+	}
+}
--- a/internal/entry/process/process.go
+++ b/internal/entry/process/process.go
@@ -46,6 +46,8 @@
 	DefaultDrainTimeout   = 10 * time.Minute
 	// heartbeatBytes is about the size of a heartbeat with its answer.
 	heartbeatBytes = 550
+	// outcomePoll spaces the looks at outcomes still to be recorded when stopping.
+	outcomePoll = 20 * time.Millisecond
 	// readHeaderTimeout bounds how long a caller may take for its headers.
 	readHeaderTimeout = 10 * time.Second
 )
@@ -117,6 +119,8 @@
 		stopping  atomic.Bool
 		stopped   chan struct{}
 		ended     chan struct{}
+		// outcomes counts the outcomes of claims being recorded.
+		outcomes atomic.Int64
 		// helpers counts the goroutines of calls and connections.
 		helpers sync.WaitGroup
 		// calls ends the helpers' contexts.
@@ -188,6 +192,11 @@
 	case <-bound.Done():
 		p.Logger.Warn().Str("step", "drain requests").Msg("requests were still in flight at the end of the drain timeout")
 	}
+	// Outcomes wait for a group; one that is not recorded is learned from the agent later.
+	end := p.Clock.Now().Add(claims.DefaultOutcomeDelay + p.ClaimTimeout)
+	for p.outcomes.Load() > 0 && p.Clock.Now().Before(end) {
+		p.Clock.Sleep(outcomePoll)
+	}
 }
 
 // Ready reports whether the entry takes new requests.
