--- a/internal/entry/dispatch/world_test.go
+++ b/internal/entry/dispatch/world_test.go
@@ -297,10 +297,12 @@
 	switch {
 	case f.Params.Incarnation != a.name():
 		why = mulberryspool.RefusalIncarnation
-	case w.now.Sub(a.born)-f.Params.AgentTime > modelFreshness:
-		why = mulberryspool.RefusalStale
 	case a.executions[id] != nil:
+		// A refusal means that the request never runs here, so an agent that
+		// has run it gives no other one than this.
 		why = mulberryspool.RefusalDuplicate
+	case w.now.Sub(a.born)-f.Params.AgentTime > modelFreshness:
+		why = mulberryspool.RefusalStale
 	case !a.refused[id].IsZero():
 		why = mulberryspool.RefusalResolved
 	case !a.serving:
