--- a/internal/agent/gate/answer.go
+++ b/internal/agent/gate/answer.go
@@ -28,8 +28,9 @@
 	agentTime time.Duration
 	deadline  time.Duration
 	stage     stage
-	// conn gets the answer; 0 after its connection was lost.
-	conn ConnID
+	// readers are the connections that get the answer. There can be several,
+	// because a repeated key reads the answer beside the first caller.
+	readers []ConnID
 	// params lose their body when the request is submitted.
 	params mulberryspool.StartParams
 	// weights are those gated at acceptance, then those read back before submission.
@@ -80,8 +81,10 @@
 	r.length += int64(len(e.Data))
 	r.buffer = append(r.buffer, e.Data...)
 	g.buffered += int64(len(e.Data))
-	if r.conn != 0 && !r.tainted {
-		g.sendChunk(r, offset, e.Data)
+	if !r.tainted {
+		for _, conn := range r.readers {
+			g.sendChunk(r, conn, offset, e.Data)
+		}
 	}
 	g.boundBuffer()
 }
@@ -173,8 +176,8 @@
 	r.params.Body = nil
 	g.running = slices.DeleteFunc(g.running, func(other *request) bool { return other == r })
 	g.ended = append(g.ended, r)
-	if r.conn != 0 {
-		g.emit(SendEnd{Conn: r.conn, Notice: r.end})
+	for _, conn := range r.readers {
+		g.emit(SendEnd{Conn: conn, Notice: r.end})
 	}
 	detail := string(outcome)
 	if message != "" {
@@ -183,43 +186,48 @@
 	g.record(mulberryspool.EventRequestEnded, r, detail)
 }
 
-// attach moves the rest of an answer to a connection.
+// attach gives the rest of an answer to a connection, besides those that get
+// it already.
 func (g *Gate) attach(r *request, conn ConnID, offset int64) {
-	r.conn = conn
+	r.detach(conn)
 	undeliverable := offset < r.base || offset > r.length
 	done := r.stage == stageEnded && r.end.Outcome == mulberryspool.OutcomeDone
 	if undeliverable && (done || r.stage != stageEnded) {
 		// A running request goes on, because its answer may be complete at
 		// another offset; this connection gets no part of it.
-		r.conn = 0
 		g.emit(SendEnd{Conn: conn, Notice: lostNotice(r.id)})
 		return
 	}
+	r.readers = append(r.readers, conn)
 	if !undeliverable && !r.tainted {
-		g.resend(r, offset)
+		g.resend(r, conn, offset)
 	}
 	if r.stage == stageEnded {
 		g.emit(SendEnd{Conn: conn, Notice: r.end})
 	}
 }
 
-func (g *Gate) resend(r *request, offset int64) {
+func (r *request) detach(conn ConnID) {
+	r.readers = slices.DeleteFunc(r.readers, func(other ConnID) bool { return other == conn })
+}
+
+func (g *Gate) resend(r *request, conn ConnID, offset int64) {
 	rest := r.buffer[offset-r.base:]
 	for len(rest) > 0 {
 		part := rest[:min(len(rest), resendBytes)]
 		// The buffer may be changed before the notice is encoded.
-		g.sendChunk(r, offset, slices.Clone(part))
+		g.sendChunk(r, conn, offset, slices.Clone(part))
 		offset += int64(len(part))
 		rest = rest[len(part):]
 	}
 }
 
-func (g *Gate) sendChunk(r *request, offset int64, data []byte) {
+func (g *Gate) sendChunk(r *request, conn ConnID, offset int64, data []byte) {
 	notice := mulberryspool.ChunkNotice{RequestID: r.id, Offset: offset, Data: data}
 	if offset == 0 {
 		notice.Status, notice.ContentType = r.status, r.contentType
 	}
-	g.emit(SendChunk{Conn: r.conn, Notice: notice})
+	g.emit(SendChunk{Conn: conn, Notice: notice})
 }
 
 // lostNotice ends a request that was or may have been executed, and whose
--- a/internal/agent/gate/gate.go
+++ b/internal/agent/gate/gate.go
@@ -208,7 +208,7 @@
 		id:        e.Params.RequestID,
 		agentTime: e.Params.AgentTime,
 		deadline:  now + min(e.Params.Remaining, maxRemaining),
-		conn:      e.Conn,
+		readers:   []ConnID{e.Conn},
 		params:    e.Params,
 		weights:   g.weights,
 		sum:       xxhash.New(),
@@ -297,9 +297,7 @@
 
 func (g *Gate) connLost(conn ConnID) {
 	for _, r := range g.requests {
-		if r.conn == conn {
-			r.conn = 0
-		}
+		r.detach(conn)
 	}
 }
 
--- a/internal/agent/gate/gate_test.go
+++ b/internal/agent/gate/gate_test.go
@@ -129,6 +129,28 @@
 	}
 }
 
+// Guards against a first caller that gets nothing more once a repeated key
+// reads the same answer.
+func TestTwoReadersGetTheWholeAnswer(t *testing.T) {
+	g := servingGate()
+	submitted(t, g, "r1")
+	g.Step(0, Chunk{ID: "r1", Data: []byte("first,")})
+	g.Step(0, resolveOf("r1", 2, 0))
+	g.Step(0, resolveOf("r1", 2, 0))
+	byConn := make(map[ConnID]string)
+	effects := g.Step(0, Chunk{ID: "r1", Data: []byte("second")})
+	for _, e := range find[SendChunk](effects) {
+		byConn[e.Conn] += string(e.Notice.Data)
+	}
+	if byConn[1] != "second" || byConn[2] != "second" {
+		t.Fatalf("readers got %v, want the second part once each", byConn)
+	}
+	g.Step(0, End{ID: "r1"})
+	if got := find[SendEnd](g.Step(0, ReadBackDone{ID: "r1", Loaded: testWeights})); len(got) != 2 {
+		t.Fatalf("%d readers got the end, want 2", len(got))
+	}
+}
+
 // Guards against a request that runs although its caller was told that it
 // does not, and against a deadline that the backend server never hears of.
 func TestCancelAndDeadline(t *testing.T) {
--- a/internal/operator/tables/tables_test.go
+++ b/internal/operator/tables/tables_test.go
@@ -50,6 +50,7 @@
 		{"no unit", "1m30s", "90", nil, `f.yaml:7: routes[0].timeout: "90" is not a duration with a unit; expected a duration with a unit such as 300ms or 10s`},
 		{"unknown key", "timeout: 1m30s", "time: 1m30s", nil, `f.yaml:7: routes[0].time: unknown key; expected one of name, kind, pool, split, idempotent, deferred, priority, timeout`},
 		{"changes in a file", "pools:", "changes: []\npools:", nil, `f.yaml:9: changes: unknown key; expected one of base, routes, pools`},
+		{"path of the entry", "name: desk", "name: deferred", ErrRow, `f.yaml:8: routes[1].name: the name "deferred" is a path of the entry itself, expected another one`},
 		{"bad priority", "timeout: 1m30s", "priority: 10", ErrRow, `f.yaml:7: routes[0].priority: "10" is not allowed; expected at most 9`},
 	}
 	for _, tt := range tests {
--- a/internal/operator/tables/validate.go
+++ b/internal/operator/tables/validate.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strings"
 
 	"github.com/cockroachdb/errors"
@@ -143,6 +144,9 @@
 	return problems
 }
 
+// reservedNames are the first path elements that entries answer themselves.
+var reservedNames = []string{"v1", "deferred"}
+
 func findProblems(t mulberryspool.Tables) Problems {
 	var problems Problems
 	seen := make(map[string]bool)
@@ -183,6 +187,8 @@
 	switch {
 	case row.Name == "" || strings.Contains(row.Name, "/") && row.Kind == mulberryspool.RoutePlain:
 		p.add(TableRoutes, row.Name, i, ".name", ErrRow, "the name %q is not one path element", row.Name)
+	case row.Kind == mulberryspool.RoutePlain && slices.Contains(reservedNames, row.Name):
+		p.add(TableRoutes, row.Name, i, ".name", ErrRow, "the name %q is a path of the entry itself, expected another one", row.Name)
 	case row.Kind != mulberryspool.RouteChat && row.Kind != mulberryspool.RoutePlain:
 		p.add(TableRoutes, row.Name, i, ".kind", ErrRow, "kind %q is unknown, expected chat or plain", row.Kind)
 	case row.Priority < 0 || row.Priority > maxPriority:
--- a/internal/settings/shared/defaults.go
+++ b/internal/settings/shared/defaults.go
@@ -34,8 +34,10 @@
 	DefaultEntryHeartbeatInterval = 2 * time.Second
 	// DefaultStartFreshness is twice the longest time between two heartbeats
 	// of an entry.
-	DefaultStartFreshness  = 10 * time.Second
-	DefaultAnswerRetention = time.Minute
+	DefaultStartFreshness = 10 * time.Second
+	// DefaultAnswerRetention is above the minute in which an entry trusts an
+	// agent that has never seen a request.
+	DefaultAnswerRetention = 2 * time.Minute
 	DefaultMaxBodySize     = 8 << 20
 	DefaultMaxInFlight     = 256
 	DefaultEntryInFlight   = 4096
