Make the test of full upload slots independent of timing

One of three runs on a busy machine failed: a polling request took the only slot first, so the upload that was to hold it was refused and no later request was. The test now waits until the upload holds its slot and expects the next request to be refused at once; what is checked is the same.

--- a/internal/peer/chunks/chunks_test.go
+++ b/internal/peer/chunks/chunks_test.go
@@ -15,12 +15,16 @@
 	"github.com/mulberryspool/mulberryspool/internal/agent/staging"
 )
 
-// gate lets transfers pass when it is closed.
-type gate chan struct{}
+// gate holds transfers until it is opened, and says when the first one has come.
+type gate struct{ entered, open chan struct{} }
 
 func (g gate) Wait(ctx context.Context, _ int) error {
 	select {
-	case <-g:
+	case g.entered <- struct{}{}:
+	default:
+	}
+	select {
+	case <-g.open:
 		return nil
 	case <-ctx.Done():
 		return ctx.Err()
@@ -84,8 +88,8 @@
 // request that waits for a slot for good.
 func TestFullSlotsRefuse(t *testing.T) {
 	s, chunk := newServer([]byte("data"))
-	open := make(gate)
-	s.Uplink, s.Slots, s.QueueWait = open, 1, time.Millisecond
+	link := gate{entered: make(chan struct{}, 1), open: make(chan struct{})}
+	s.Uplink, s.Slots, s.QueueWait = link, 1, time.Millisecond
 	c := &Client{HTTP: &http.Client{}}
 	request := Request{Address: serve(t, s), Chunk: chunk}
 	first := make(chan error, 1)
@@ -93,20 +97,11 @@
 		_, err := c.Fetch(context.Background(), request)
 		first <- err
 	}()
-	// The first upload stands at the gate as soon as the second one is refused.
-	var err error
-	for range 1000 {
-		ctx, cancel := context.WithTimeout(context.Background(), 20*time.Millisecond)
-		_, err = c.Fetch(ctx, request)
-		cancel()
-		if errors.Is(err, ErrBusy) {
-			break
-		}
-	}
-	if !errors.Is(err, ErrBusy) {
+	<-link.entered
+	if _, err := c.Fetch(context.Background(), request); !errors.Is(err, ErrBusy) {
 		t.Fatalf("error %v with the only slot taken, want ErrBusy", err)
 	}
-	close(open)
+	close(link.open)
 	if err := <-first; err != nil {
 		t.Fatal(err)
 	}
