Register a connection only when it can be used

Fault: closing an endpoint while a connection was being made raced with the assignment of its jsonrpc2 connection, or crashed on the nil pointer. Seen once in three runs of TestFleetSurvivesLostAgents under -race, when agents were killed. Cause: the connection was put on the endpoint's list before its rpc field was set. The handler already waits for the same point, so it was ruled out.

--- a/internal/peer/rpc/endpoint.go
+++ b/internal/peer/rpc/endpoint.go
@@ -125,16 +125,17 @@
 	c.received.Store(e.Clock.Now().UnixNano())
 	counted := &countedStream{Conn: stream, conn: c}
 	c.ctx, c.cancel = context.WithCancel(context.Background())
+	// The handler waits for ready, because the read loop starts before rpc is set.
+	ready := make(chan struct{})
+	c.rpc = jsonrpc2.NewConn(c.ctx, jsonrpc2.NewBufferedStream(counted, jsonrpc2.VarintObjectCodec{}), handler{conn: c, ready: ready},
+		jsonrpc2.SetLogger(discardLogger{}))
+	// Close may use a connection as soon as it is registered, so rpc is set before.
 	e.mu.Lock()
 	if e.conns == nil {
 		e.conns = make(map[*Conn]struct{})
 	}
 	e.conns[c] = struct{}{}
 	e.mu.Unlock()
-	// The handler waits for ready, because the read loop starts before rpc is set.
-	ready := make(chan struct{})
-	c.rpc = jsonrpc2.NewConn(c.ctx, jsonrpc2.NewBufferedStream(counted, jsonrpc2.VarintObjectCodec{}), handler{conn: c, ready: ready},
-		jsonrpc2.SetLogger(discardLogger{}))
 	close(ready)
 	go c.write()
 	go c.awaitEnd()
--- a/internal/peer/rpc/rpc_test.go
+++ b/internal/peer/rpc/rpc_test.go
@@ -126,3 +126,32 @@
 		t.Fatal(err)
 	}
 }
+
+// Guards against closing an endpoint while one of its connections is being
+// made: Close must not see a connection that is not usable yet. The race
+// detector reports it.
+func TestCloseDuringDial(t *testing.T) {
+	address := serve(t, newEndpoint())
+	client := newEndpoint()
+	stop, closed := make(chan struct{}), make(chan struct{})
+	go func() {
+		defer close(closed)
+		for {
+			select {
+			case <-stop:
+				return
+			default:
+				client.Close()
+			}
+		}
+	}()
+	for range 100 {
+		c, err := client.Dial(context.Background(), address)
+		if err != nil {
+			t.Fatal(err)
+		}
+		c.Close()
+	}
+	close(stop)
+	<-closed
+}
