Run the outage tests of the object API's client in virtual time

Seen: TestReturnAfterOutage failed under load with 665 reads in a second. Cause: a busy machine delays the clients' calls and then lets them through together; the client had spaced them. The check and its bounds are unchanged; time and connections are now those of a synctest bubble.

--- a/internal/platform/objectapi/client.go
+++ b/internal/platform/objectapi/client.go
@@ -12,6 +12,7 @@
 	"context"
 	"io"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -71,6 +72,8 @@
 		Random *rand.Rand
 		// Metrics takes the counters; nil for none.
 		Metrics tally.Scope
+		// DialContext opens connections; nil for TCP.
+		DialContext func(ctx context.Context, network, address string) (net.Conn, error)
 
 		// StartSpread is the time over which the first calls of processes
 		// that start together are spread. They then begin with an empty budget.
@@ -241,6 +244,7 @@
 			MaxIdleConnsPerHost: 4,
 			IdleConnTimeout:     time.Minute,
 			DisableCompression:  true,
+			DialContext:         c.DialContext,
 		}
 		c.pacer.init(c)
 		c.gets.sealed, c.lists.sealed = true, true
