Share region links between agents and space requests to the origin

Each agent took the whole rate of a region pair for itself. It now takes its part, and weights.originRate spaces the requests of all agents.

--- a/internal/operator/local/deployment.go
+++ b/internal/operator/local/deployment.go
@@ -112,7 +112,8 @@
 	s.Region, s.FailureDomain = place(number)
 	s.ObjectAPI.URL, s.InstanceList.URL = d.objectURL, d.listURL
 	s.Backend = agentsettings.Backend{Kind: mulberryspool.PoolEngine, URL: url, ReportInterval: shared.DefaultReportInterval}
-	s.Weights.Origin, s.Weights.MachineRate, s.Weights.RegionRate = d.originURL, machineRate, regionRate
+	s.Weights.Origin, s.Weights.OriginRate = d.originURL, originRate
+	s.Weights.MachineRate, s.Weights.RegionRate = machineRate, regionRate
 	s.Telemetry.LogLevel = logLevel
 	s.Listen = agentsettings.Listen{Control: d.addresses.Address(), Chunks: d.addresses.Address(), Admin: d.addresses.Address()}
 	d.instances.Register(s.Identity())
--- a/internal/role/agent/agent.go
+++ b/internal/role/agent/agent.go
@@ -5,7 +5,6 @@
 	"context"
 	"io"
 	"net"
-	"sync"
 
 	"github.com/cockroachdb/errors"
 	"golang.org/x/sync/errgroup"
@@ -101,7 +100,8 @@
 		Seed: clients.Random.Uint64(),
 		Limits: swarm.Limits{
 			OriginBias: w.OriginBias, TakeoverLongest: w.OriginPatience,
-			Pipeline: w.DownloadSlots, ProgressTimeout: w.ChunkDeadline,
+			OriginBytesPerSecond: int64(w.OriginRate),
+			Pipeline:             w.DownloadSlots, ProgressTimeout: w.ChunkDeadline,
 		},
 		StagingBytes: int64(w.StagingLimit), UploadSlots: w.UploadSlots,
 		Uplink: link(int64(w.MachineRate)), Downlink: link(int64(w.MachineRate)),
@@ -109,17 +109,10 @@
 	if w.WeightStore != "" {
 		f.WeightStore = &weightstore.Client{BaseURL: w.WeightStore, Caller: caller, Clock: clients.Clock, StallTimeout: w.ChunkDeadline}
 	}
-	// The limits of the region pairs are shared by concurrent fetches.
-	var mu sync.Mutex
-	regions := make(map[string]chunks.Limiter)
-	f.RegionLink = func(from string) chunks.Limiter {
-		mu.Lock()
-		defer mu.Unlock()
-		if _, found := regions[from]; !found {
-			regions[from] = link(int64(w.RegionRate))
-		}
-		return regions[from]
+	regions := &chunks.RegionLinks{
+		Clock: clients.Clock, BytesPerSecond: int64(w.RegionRate), LiveShare: w.LiveShare, Agents: f.RegionAgents,
 	}
+	f.RegionLink = regions.From
 	return f
 }
 
--- a/internal/settings/agent/agent.go
+++ b/internal/settings/agent/agent.go
@@ -57,6 +57,9 @@
 		OriginPatience time.Duration `yaml:"originPatience" validate:"gt=0"`
 		// StagingLimit bounds the memory of staged chunks.
 		StagingLimit decode.Size `yaml:"stagingLimit" validate:"gt=0"`
+		// OriginRate is the part of the origin's link that rollouts may use; it
+		// spaces the requests of all agents. 0 means no spacing.
+		OriginRate decode.Rate `yaml:"originRate" validate:"gte=0"`
 		// MachineRate is the rate of this machine's link in each direction.
 		MachineRate decode.Rate `yaml:"machineRate" validate:"gt=0"`
 		// RegionRate is the rate of a region pair's link, shared by all traffic.
--- a/internal/settings/agent/agent_test.go
+++ b/internal/settings/agent/agent_test.go
@@ -38,7 +38,7 @@
 		{"unknown key", "pool: draft-models", "pools: draft-models", []string{
 			`agent.yaml:4: pools: unknown key; expected one of instance, failureDomain, region, pool, listen, objectAPI, instanceList, tables, backend, weights, limits, timeouts, telemetry`}},
 		{"unknown nested key", "  origin: http", "  source: http://x\n  origin: http", []string{
-			`agent.yaml:17: weights.source: unknown key; expected one of origin, weightStore, originBias, originPatience, stagingLimit, machineRate, regionRate, liveShare, uploadSlots, downloadSlots, chunkDeadline`}},
+			`agent.yaml:17: weights.source: unknown key; expected one of origin, weightStore, originBias, originPatience, stagingLimit, originRate, machineRate, regionRate, liveShare, uploadSlots, downloadSlots, chunkDeadline`}},
 		{"no unit", "weights:\n", "timeouts:\n  startFreshness: 5\nweights:\n", []string{
 			`agent.yaml:17: timeouts.startFreshness: "5" is not a duration with a unit; expected a duration with a unit such as 300ms or 10s`}},
 		{"wrong units", "weights:\n", "weights:\n  stagingLimit: 4s\n  regionRate: 20 MB\n", []string{
