--- a/internal/integration/chats_test.go
+++ b/internal/integration/chats_test.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -17,6 +18,7 @@
 	"github.com/mulberryspool/mulberryspool"
 	"github.com/mulberryspool/mulberryspool/internal/standin/engine"
 	"github.com/mulberryspool/mulberryspool/internal/standin/origin"
+	"github.com/mulberryspool/mulberryspool/internal/standin/plainservice"
 	"github.com/mulberryspool/mulberryspool/internal/testkit/system"
 )
 
@@ -50,11 +52,16 @@
 
 	// chatLoad sends chat requests until it is stopped.
 	chatLoad struct {
-		tokens  int
+		tokens int
+		stop   context.CancelFunc
+		done   chan struct{}
+
 		mu      sync.Mutex
 		results []chatResult
-		stop    context.CancelFunc
-		done    chan struct{}
+		// entries are those that get new requests.
+		entries []*system.Member
+		// sent counts the requests without a result.
+		sent map[*system.Member]int
 	}
 )
 
@@ -102,17 +109,18 @@
 func startChats(t *testing.T, s *system.System, callers, tokens int) *chatLoad {
 	t.Helper()
 	ctx, stop := context.WithCancel(context.Background())
-	l := &chatLoad{tokens: tokens, stop: stop, done: make(chan struct{})}
+	l := &chatLoad{
+		tokens: tokens, stop: stop, done: make(chan struct{}),
+		entries: slices.Clone(s.Entries), sent: make(map[*system.Member]int),
+	}
 	var group sync.WaitGroup
 	for i := range callers {
 		group.Go(func() {
 			client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
 			for n := i; ctx.Err() == nil; n++ {
 				id := uuid.NewString()
-				result := ask(client, s.Entries[n%len(s.Entries)].Callers, id, chatBody(id, l.tokens))
-				l.mu.Lock()
-				l.results = append(l.results, result)
-				l.mu.Unlock()
+				entry := l.choose(n)
+				l.add(entry, ask(client, entry.Callers, id, chatBody(id, l.tokens)))
 				time.Sleep(5 * time.Millisecond)
 			}
 		})
@@ -125,6 +133,35 @@
 	return l
 }
 
+func (l *chatLoad) choose(n int) *system.Member {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	entry := l.entries[n%len(l.entries)]
+	l.sent[entry]++
+	return entry
+}
+
+func (l *chatLoad) add(entry *system.Member, result chatResult) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.results = append(l.results, result)
+	l.sent[entry]--
+}
+
+// avoid sends no more requests to an entry.
+func (l *chatLoad) avoid(entry *system.Member) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.entries = slices.DeleteFunc(l.entries, func(m *system.Member) bool { return m == entry })
+}
+
+// open counts the requests to an entry that have no result.
+func (l *chatLoad) open(entry *system.Member) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.sent[entry]
+}
+
 // end stops the load and returns all results.
 func (l *chatLoad) end() []chatResult {
 	l.stop()
@@ -156,6 +193,9 @@
 	t.Helper()
 	executions := make(map[string][]engine.Execution)
 	for _, m := range s.Agents {
+		if m.Identity.Pool != "scribe" {
+			continue
+		}
 		var list engine.ExecutionList
 		s.Send(t, http.MethodGet, m.Backend+"/admin/executions", nil, &list)
 		for _, e := range list.Executions {
@@ -298,3 +338,27 @@
 func withVersion(tables, version string) string {
 	return strings.ReplaceAll(tables, "VERSION", version)
 }
+
+// submissionExecutions reads the plain services' records by body, which is
+// the key, for the keys that are known to the caller.
+func submissionExecutions(t *testing.T, s *system.System, keys ...string) map[string][]mulberryspool.RequestID {
+	t.Helper()
+	byDigest := make(map[mulberryspool.Digest]string)
+	for _, key := range keys {
+		byDigest[plainservice.Digest([]byte(key))] = key
+	}
+	executions := make(map[string][]mulberryspool.RequestID)
+	for _, m := range s.Agents {
+		if m.Identity.Pool != "booking" {
+			continue
+		}
+		var list plainservice.ExecutionList
+		s.Send(t, http.MethodGet, m.Backend+"/admin/executions", nil, &list)
+		for _, e := range list.Executions {
+			if key, known := byDigest[e.Body]; known {
+				executions[key] = append(executions[key], e.RequestID)
+			}
+		}
+	}
+	return executions
+}
--- a/internal/testkit/system/system.go
+++ b/internal/testkit/system/system.go
@@ -14,6 +14,8 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -75,6 +77,9 @@
 
 		config  string
 		command string
+		// control is the address behind the proxy.
+		control   string
+		objectAPI string
 	}
 )
 
@@ -135,6 +140,7 @@
 	m.Identity = s.identity(mulberryspool.RoleAgent, pool, len(s.Agents))
 	control := addresses.Address()
 	m.Identity.Chunks, m.Identity.Admin = addresses.Address(), addresses.Address()
+	m.control, m.objectAPI = control, s.ObjectAPI
 	weights := ""
 	if kind == mulberryspool.PoolEngine {
 		weights = fmt.Sprintf("weights:\n  origin: %s\n  stagingLimit: 256 MiB\n", s.Origin)
@@ -149,17 +155,45 @@
   url: %s
   reportInterval: 200ms
 %s`, pool, control, m.Identity.Chunks, m.Identity.Admin, kind, url, weights), s.AgentTimeouts)
+	s.Agents = append(s.Agents, m)
+	s.startAgent(t, m)
+	return m
+}
+
+func (s *System) startAgent(t testing.TB, m *Member) {
+	t.Helper()
 	m.Process = process.Start(t, s.program, "agent", "--config", m.config)
 	m.Process.AwaitURL(t, "http://"+m.Identity.Admin+"/healthz")
-	proxy, err := faultproxy.Start(control)
+	proxy, err := faultproxy.Start(m.control)
 	if err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(proxy.Close)
 	m.Proxy, m.Identity.Control = proxy, proxy.Address()
-	s.Agents = append(s.Agents, m)
 	s.register(t, m)
-	return m
+}
+
+// Replace starts another process for an agent's instance and backend server,
+// at other addresses and with the present ObjectAPI, while the old one still
+// exists.
+func (s *System) Replace(t testing.TB, old *Member) *Member {
+	t.Helper()
+	text, err := os.ReadFile(old.config)
+	if err != nil {
+		t.Fatal(err)
+	}
+	m := *old
+	m.control, m.Identity.Chunks, m.Identity.Admin = addresses.Address(), addresses.Address(), addresses.Address()
+	m.config = filepath.Join(s.directory, uuid.NewString()+".yaml")
+	replacer := strings.NewReplacer(old.control, m.control, old.Identity.Chunks, m.Identity.Chunks, old.Identity.Admin, m.Identity.Admin,
+		old.objectAPI, s.ObjectAPI)
+	m.objectAPI = s.ObjectAPI
+	if err := os.WriteFile(m.config, []byte(replacer.Replace(string(text))), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	s.Agents[slices.Index(s.Agents, old)] = &m
+	s.startAgent(t, &m)
+	return &m
 }
 
 // AddEntry starts an entry.
@@ -226,13 +260,21 @@
 // Run runs an operator's command and returns its output; it fails the test
 // unless the exit code is the expected one.
 func (s *System) Run(t testing.TB, code int, arguments ...string) string {
+	t.Helper()
+	got, stdout, stderr := s.Try(t, arguments...)
+	if got != code {
+		t.Fatalf("mulberryspool %v ended with %d, want %d\n%s%s", arguments, got, code, stdout, stderr)
+	}
+	return stdout
+}
+
+// Try runs an operator's command and returns its exit code and output.
+func (s *System) Try(t testing.TB, arguments ...string) (code int, stdout, stderr string) {
 	t.Helper()
 	arguments = append([]string{"--object-api", s.ObjectAPI, "--instances", s.InstanceList}, arguments...)
 	p := process.Start(t, s.program, arguments...)
-	if got := p.Wait(); got != code {
-		t.Fatalf("mulberryspool %v ended with %d, want %d\n%s%s", arguments, got, code, p.Stdout(), p.Stderr())
-	}
-	return p.Stdout()
+	code = p.Wait()
+	return code, p.Stdout(), p.Stderr()
 }
 
 // Apply applies tables and waits until all live processes have them in force.
