Check that nothing is lost when all processes are killed at once

All agents and entries are killed together and started again.

Shown to fail, each in a scratch change: - a claim whose entry is gone is run again in place of becoming unknown: "deferred submission late-6 ran 2 times"; - a repeated key whose agent has restarted runs again: "submission before-5 was answered again by ...".

--- /dev/null
+++ b/internal/integration/restart_test.go
@@ -0,0 +1,182 @@
+package integration
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/google/uuid"
+
+	"github.com/mulberryspool/mulberryspool"
+	"github.com/mulberryspool/mulberryspool/internal/entry/deferred"
+	"github.com/mulberryspool/mulberryspool/internal/standin/plainservice"
+	"github.com/mulberryspool/mulberryspool/internal/testkit/system"
+)
+
+// Guards against tables that are lost or revert (R8), a keyed submission that
+// runs again (R5), and a deferred submission that is lost, runs twice or
+// leaves no receipt (R9), when all processes are killed at once and replaced.
+func TestAllProcessesReplacedAtOnce(t *testing.T) {
+	s := &system.System{
+		Builder:       &builder,
+		AgentTimeouts: []string{"heartbeatInterval: 100ms"},
+		EntryTimeouts: []string{"heartbeatInterval: 100ms"},
+	}
+	s.Start(t)
+	for range 2 {
+		s.AddPlainAgent(t, "booking")
+	}
+	s.AddEntry(t)
+	s.AddEntry(t)
+	s.Apply(t, strings.ReplaceAll(bookingTables, "timeout: 15s", "timeout: 15s\n    deferred: true"))
+	s.AwaitAgents(t, "booking", 2)
+	before := changes(t, s)
+	revision := before[len(before)-1].Revision
+	tables := s.Run(t, 0, "tables", "get")
+
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	done := make(map[string]submissionResult)
+	for i := range 10 {
+		key := fmt.Sprintf("before-%d", i)
+		done[key] = submit(client, s.Entries[i%2].Callers, submission{key: key, id: mulberryspool.RequestID(uuid.NewString())})
+		if done[key].outcome != mulberryspool.OutcomeDone {
+			t.Fatalf("submission %s ended %+v", key, done[key])
+		}
+	}
+	early := leave(t, s, "early", 4)
+	awaitEnded(t, s, early)
+	// Calls that last keep some of the later ones running, others accepted,
+	// when the processes are killed: an entry runs 16 at once.
+	for _, m := range s.Agents {
+		s.Send(t, http.MethodPut, m.Backend+"/admin/settings", plainservice.Settings{Delay: time.Second}, nil)
+	}
+	late := leave(t, s, "late", 60)
+	s.Await(t, "some deferred submissions run", func(context.Context) bool {
+		return len(submissionExecutions(t, s, keysOf(late)...)) >= 4
+	})
+
+	members := append(append([]*system.Member{}, s.Agents...), s.Entries...)
+	for _, m := range members {
+		signal(t, m, syscall.SIGKILL)
+	}
+	for _, m := range members {
+		s.Restart(t, m)
+	}
+	for _, m := range s.Agents {
+		s.Send(t, http.MethodPut, m.Backend+"/admin/settings", plainservice.Settings{}, nil)
+	}
+	s.AwaitAgents(t, "booking", 2)
+	awaitRevision(t, s, revision, members...)
+	if got := s.Run(t, 0, "tables", "get"); got != tables {
+		t.Errorf("tables after the restart are\n%swant\n%s", got, tables)
+	}
+	for _, m := range members {
+		if status, err := m.Status(context.Background()); err != nil || status.Revision != revision {
+			t.Errorf("%s has revision %d, error %v; want %d", m.Identity.Instance, status.Revision, err, revision)
+		}
+	}
+	checkNotRunAgain(t, s, client, done)
+	receipts := awaitEnded(t, s, early)
+	for key, r := range awaitEnded(t, s, late) {
+		receipts[key] = r
+	}
+	checkReceipts(t, s, receipts)
+}
+
+// checkNotRunAgain sends each submission again through both entries.
+func checkNotRunAgain(t *testing.T, s *system.System, client *http.Client, done map[string]submissionResult) {
+	t.Helper()
+	for key, first := range done {
+		var again submissionResult
+		for _, entry := range s.Entries {
+			again = submit(client, entry.Callers, submission{key: key, id: mulberryspool.RequestID(uuid.NewString())})
+			if again.outcome == mulberryspool.OutcomeDone && again.executed != first.executed {
+				t.Errorf("submission %s was answered again by %s, before by %s", key, again.executed, first.executed)
+			}
+		}
+		ran := submissionExecutions(t, s, key)[key]
+		if len(ran) != 1 || ran[0] != first.executed {
+			t.Errorf("submission %s ran as %v, want once as %s; the repetition ended %+v", key, ran, first.executed, again)
+		}
+	}
+}
+
+// leave leaves deferred submissions and returns their receipts by body.
+func leave(t *testing.T, s *system.System, prefix string, count int) map[string]deferred.Receipt {
+	t.Helper()
+	receipts := make(map[string]deferred.Receipt)
+	for i := range count {
+		key := fmt.Sprintf("%s-%d", prefix, i)
+		request, err := http.NewRequestWithContext(context.Background(), http.MethodPost,
+			s.Entries[i%len(s.Entries)].Callers+"/booking/confirm", strings.NewReader(key))
+		if err != nil {
+			t.Fatal(err)
+		}
+		request.Header.Set("Prefer", "respond-async")
+		response, err := http.DefaultClient.Do(request)
+		if err != nil {
+			t.Fatal(err)
+		}
+		var receipt deferred.Receipt
+		err = json.NewDecoder(response.Body).Decode(&receipt)
+		_ = response.Body.Close()
+		if err != nil || response.StatusCode != http.StatusAccepted {
+			t.Fatalf("deferred submission %s: %s, %v", key, response.Status, err)
+		}
+		receipts[key] = receipt
+	}
+	return receipts
+}
+
+// awaitEnded waits until each receipt can be read and has an end.
+func awaitEnded(t *testing.T, s *system.System, receipts map[string]deferred.Receipt) map[string]deferred.Receipt {
+	t.Helper()
+	ended := make(map[string]deferred.Receipt)
+	for key, receipt := range receipts {
+		s.Await(t, "deferred submission "+key+" has ended", func(context.Context) bool {
+			var read deferred.Receipt
+			s.Send(t, http.MethodGet, s.Entries[len(key)%2].Callers+"/deferred/"+receipt.ID, nil, &read)
+			ended[key] = read
+			return read.State != deferred.StateAccepted && read.State != deferred.StateClaimed
+		})
+	}
+	return ended
+}
+
+// checkReceipts compares receipts with the services' records.
+func checkReceipts(t *testing.T, s *system.System, receipts map[string]deferred.Receipt) {
+	t.Helper()
+	executions := submissionExecutions(t, s, keysOf(receipts)...)
+	states := make(map[deferred.State]int)
+	for key, r := range receipts {
+		states[r.State]++
+		ran := executions[key]
+		if len(ran) > 1 {
+			t.Errorf("deferred submission %s ran %d times: %v", key, len(ran), ran)
+		}
+		if r.State != deferred.StateDone {
+			continue
+		}
+		var got plainservice.Answer
+		if r.Answer == nil || json.Unmarshal(r.Answer.Body, &got) != nil || len(ran) != 1 || got.RequestID != ran[0] {
+			t.Errorf("receipt of %s has the answer %+v, it ran as %v", key, r.Answer, ran)
+		}
+	}
+	t.Logf("deferred submissions: %v", states)
+	if states[deferred.StateDone] == 0 || states[deferred.StateFailed] > 0 {
+		t.Errorf("deferred submissions ended %v", states)
+	}
+}
+
+func keysOf(receipts map[string]deferred.Receipt) []string {
+	var keys []string
+	for key := range receipts {
+		keys = append(keys, key)
+	}
+	return keys
+}
