Wait in the fencing test until each engine has run the newest version

The check is unchanged; the test now waits for the condition that it needs. Also: agents wrote the field instance twice in a log line.

--- a/internal/agent/process/loop.go
+++ b/internal/agent/process/loop.go
@@ -218,7 +218,7 @@
 	}
 	p.counter(event.Kind).Inc(1)
 	if event.Kind == mulberryspool.EventPhaseChanged || event.Kind == mulberryspool.EventEngineReadBack {
-		p.Logger.Info().Str("instance", string(p.Identity.Instance)).Str("pool", event.Pool).
+		p.Logger.Info().Str("pool", event.Pool).
 			Str("version", event.Version).Str("step", string(event.Kind)).Msg(event.Detail)
 	}
 }
--- a/internal/integration/fencing_test.go
+++ b/internal/integration/fencing_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"strings"
 	"syscall"
 	"testing"
@@ -83,6 +84,11 @@
 	orders := len(engineOrders(t, s, replacement))
 	signal(t, old, syscall.SIGCONT)
 	load.wait(t, s, 16)
+	for _, m := range s.Agents {
+		s.Await(t, string(m.Identity.Instance)+" runs a request with v3", func(context.Context) bool {
+			return runs(t, s, m, published, "v3")
+		})
+	}
 
 	for _, order := range engineOrders(t, s, replacement)[orders:] {
 		if order.Order.Version != "v3" {
@@ -93,6 +99,14 @@
 	checkNoOldStarts(t, s, published, "v3")
 }
 
+// runs reports whether an agent's engine has started a request with a version.
+func runs(t *testing.T, s *system.System, m *system.Member, published map[mulberryspool.Digest]string, version string) bool {
+	t.Helper()
+	var list engine.ExecutionList
+	s.Send(t, http.MethodGet, m.Backend+"/admin/executions", nil, &list)
+	return slices.ContainsFunc(list.Executions, func(e engine.Execution) bool { return published[e.StartDigest] == version })
+}
+
 // checkNoOldStarts checks that each engine serves the version and started
 // nothing with another one after its first start with it.
 func checkNoOldStarts(t *testing.T, s *system.System, published map[mulberryspool.Digest]string, version string) {
