--- a/internal/integration/entry_bench_test.go
+++ b/internal/integration/entry_bench_test.go
@@ -109,8 +109,8 @@
 		for range callers {
 			group.Go(func() {
 				for range each {
-					if got := chat(b, s.Entries[0].Callers, body); got.status != http.StatusOK {
-						b.Errorf("status is %d: %s", got.status, got.text)
+					if got := chat(b, s.Entries[0].Callers, body); got.Status != http.StatusOK {
+						b.Errorf("status is %d: %s", got.Status, got.Stream)
 					}
 				}
 			})
--- a/internal/integration/outage_test.go
+++ b/internal/integration/outage_test.go
@@ -168,8 +168,8 @@
 	results := load.end()
 	checkChats(t, s, results, published)
 	for _, r := range results {
-		if version := published[r.weights]; version == "v3" {
-			t.Errorf("request %s was answered by v3, whose change was refused", r.id)
+		if version := published[r.Weights]; version == "v3" {
+			t.Errorf("request %s was answered by v3, whose change was refused", r.ID)
 		}
 	}
 }
--- a/internal/integration/stop_test.go
+++ b/internal/integration/stop_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/mulberryspool/mulberryspool"
+	"github.com/mulberryspool/mulberryspool/internal/standin/caller"
 	"github.com/mulberryspool/mulberryspool/internal/standin/engine"
 	"github.com/mulberryspool/mulberryspool/internal/testkit/system"
 )
@@ -60,8 +61,8 @@
 	entry := s.Entries[1]
 	long := startChats(t, s, 8, longStream)
 	// The load balancer stops sending before the entry is told to stop.
-	s.Await(t, "half of the requests went to the entry", func(context.Context) bool { return long.open(entry) == 4 })
-	long.avoid(entry)
+	s.Await(t, "half of the requests went to the entry", func(context.Context) bool { return long.Open(entry.Callers) == 4 })
+	long.Avoid(entry.Callers)
 	s.Await(t, "the entry has taken what was sent to it", func(ctx context.Context) bool {
 		status, err := entry.Status(ctx)
 		return err == nil && status.Entry.InFlight == 4
@@ -87,12 +88,12 @@
 }
 
 // checkAllFinished checks that each request was answered.
-func checkAllFinished(t *testing.T, s *system.System, results []chatResult, published map[mulberryspool.Digest]string) {
+func checkAllFinished(t *testing.T, s *system.System, results []caller.Result, published map[mulberryspool.Digest]string) {
 	t.Helper()
 	checkChats(t, s, results, published)
 	for _, r := range results {
-		if r.status != http.StatusOK || r.failure != nil {
-			t.Errorf("request %s: status %d, %+v, %v", r.id, r.status, r.refusal.Error, r.failure)
+		if r.Status != http.StatusOK || r.Failure != nil {
+			t.Errorf("request %s: status %d, %+v, %v", r.ID, r.Status, r.Refusal, r.Failure)
 		}
 	}
 }
--- a/internal/operator/local/local.go
+++ b/internal/operator/local/local.go
@@ -10,7 +10,6 @@
 	"context"
 	"fmt"
 	"io"
-	"net/http"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -20,6 +19,7 @@
 	"github.com/mulberryspool/mulberryspool/internal/operator/status"
 	"github.com/mulberryspool/mulberryspool/internal/operator/tables"
 	"github.com/mulberryspool/mulberryspool/internal/operator/weights"
+	"github.com/mulberryspool/mulberryspool/internal/standin/caller"
 	"github.com/mulberryspool/mulberryspool/internal/standin/content"
 )
 
@@ -29,6 +29,7 @@
 	workspaceCount = 10
 	callerCount    = 16
 	callerPause    = 20 * time.Millisecond
+	answerTokens   = 12
 	// tokensPerSecond is the rate of one request at an engine.
 	tokensPerSecond = 100
 	// contentSize and chunkSize are in bytes. Half of the second version's
@@ -105,13 +106,15 @@
 	if err := s.rollOut(ctx, "first", contentSize); err != nil {
 		return err
 	}
-	t := &traffic{callers: s.deployment.callers, client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: callerCount}}}
-	defer t.client.CloseIdleConnections()
+	t := &caller.Load{
+		Callers: callerCount, Pause: callerPause, Route: routeName, Tokens: answerTokens,
+		Workspaces: workspaceCount, Entries: s.deployment.callers,
+	}
 	trafficCtx, stopTraffic := context.WithCancel(ctx)
 	ended := make(chan struct{})
 	go func() {
 		defer close(ended)
-		t.run(trafficCtx, callerCount)
+		t.Run(trafficCtx)
 	}()
 	err := s.rollOut(ctx, "second", contentSize/2)
 	stopTraffic()
@@ -119,7 +122,7 @@
 	if err != nil {
 		return err
 	}
-	return s.report(t)
+	return s.report(t.Results())
 }
 
 func (s *System) publish(ctx context.Context, version string, c content.Content) error {
@@ -197,22 +200,24 @@
 }
 
 // report compares what callers saw with the engines' records.
-func (s *System) report(t *traffic) error {
+func (s *System) report(results []caller.Result) error {
 	counts := make(map[mulberryspool.Outcome]int)
 	var problems []string
-	for id, r := range t.results {
-		counts[r.outcome]++
+	for _, r := range results {
+		id := mulberryspool.RequestID(r.ID)
+		outcome, detail := outcomeOf(r)
+		counts[outcome]++
 		executions := 0
 		for _, e := range s.deployment.engines {
 			executions += len(e.Executions(id))
 		}
 		switch {
-		case r.outcome == mulberryspool.OutcomeDone && executions != 1:
+		case outcome == mulberryspool.OutcomeDone && executions != 1:
 			problems = append(problems, fmt.Sprintf("request %s was answered and ran %d times", id, executions))
-		case r.outcome == mulberryspool.OutcomeNotRun && executions != 0:
+		case outcome == mulberryspool.OutcomeNotRun && executions != 0:
 			problems = append(problems, fmt.Sprintf("request %s was refused as not run and ran %d times", id, executions))
-		case r.outcome != mulberryspool.OutcomeDone && r.outcome != mulberryspool.OutcomeNotRun:
-			problems = append(problems, fmt.Sprintf("request %s ended as %s: %s", id, r.outcome, r.detail))
+		case outcome != mulberryspool.OutcomeDone && outcome != mulberryspool.OutcomeNotRun:
+			problems = append(problems, fmt.Sprintf("request %s ended as %s: %s", id, outcome, detail))
 		}
 	}
 	s.print("requests during the second rollout: %d answered, %d refused (not run), %d unknown, %d failed\n",
