Share the fakes of the object API, tables, instances and events between tests

Four copies stood in the entry's, the agent's and the fetcher's tests. The shared store answers an update of a missing object with a conflict, as the contract says; the entry's fake had answered not found.

--- a/internal/agent/fetch/faults_test.go
+++ b/internal/agent/fetch/faults_test.go
@@ -118,7 +118,7 @@
 	f.stage(context.Background(), good, manifest)
 	named := false
 	for _, a := range good {
-		for _, e := range a.recorder.all() {
+		for _, e := range a.recorder.All() {
 			if e.Kind != mulberryspool.EventChunkCorrupted || e.Peer != string(bad.Identity.Instance) {
 				t.Fatalf("event %+v, want chunkCorrupted that names %s", e, bad.Identity.Instance)
 			}
@@ -141,7 +141,7 @@
 	f.origin.set("v1", newContent(4, len(content)))
 	named := func() bool {
 		for _, a := range agents {
-			for _, e := range a.recorder.all() {
+			for _, e := range a.recorder.All() {
 				if e.Kind == mulberryspool.EventChunkCorrupted && e.Peer == "origin" {
 					return true
 				}
--- a/internal/agent/fetch/fleet_test.go
+++ b/internal/agent/fetch/fleet_test.go
@@ -21,6 +21,7 @@
 	"github.com/mulberryspool/mulberryspool/internal/observe/hlc"
 	"github.com/mulberryspool/mulberryspool/internal/peer/chunks"
 	"github.com/mulberryspool/mulberryspool/internal/peer/rpc"
+	"github.com/mulberryspool/mulberryspool/internal/testkit/fake"
 )
 
 type (
@@ -34,21 +35,11 @@
 		contents map[string][]byte
 	}
 
-	fakeList struct {
-		mu   sync.Mutex
-		rows []mulberryspool.ListedInstance
-	}
-
-	fakeRecorder struct {
-		mu     sync.Mutex
-		events []mulberryspool.Event
-	}
-
 	// fleet is a set of agents in one process, joined by loopback.
 	fleet struct {
 		t       testing.TB
 		origin  *fakeOrigin
-		list    *fakeList
+		list    *fake.Instances
 		agents  []*testAgent
 		regions []string
 		// configure changes a fetcher before it runs; it may be nil.
@@ -57,7 +48,7 @@
 
 	testAgent struct {
 		*Fetcher
-		recorder *fakeRecorder
+		recorder *fake.Events
 		control  net.Listener
 		ctx      context.Context
 		kill     context.CancelFunc
@@ -105,30 +96,6 @@
 	return int64(len(content)), err
 }
 
-func (l *fakeList) Instances(context.Context) ([]mulberryspool.ListedInstance, error) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return append([]mulberryspool.ListedInstance(nil), l.rows...), nil
-}
-
-func (l *fakeList) add(identity mulberryspool.Identity) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.rows = append(l.rows, mulberryspool.ListedInstance{Identity: identity, State: mulberryspool.InstanceLive})
-}
-
-func (r *fakeRecorder) Record(event mulberryspool.Event) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.events = append(r.events, event)
-}
-
-func (r *fakeRecorder) all() []mulberryspool.Event {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return append([]mulberryspool.Event(nil), r.events...)
-}
-
 // newContent returns repeatable random bytes.
 func newContent(seed uint64, size int) []byte {
 	var key [32]byte
@@ -151,7 +118,7 @@
 	f := &fleet{
 		t:       t,
 		origin:  &fakeOrigin{link: &chunks.Link{Clock: clockwork.NewRealClock()}},
-		list:    &fakeList{},
+		list:    &fake.Instances{},
 		regions: []string{"east", "west", "south"},
 	}
 	t.Cleanup(f.stop)
@@ -176,7 +143,7 @@
 	number := len(f.agents)
 	region := f.regions[number%len(f.regions)]
 	clock := clockwork.NewRealClock()
-	a := &testAgent{recorder: &fakeRecorder{}, control: f.port(), done: make(chan struct{})}
+	a := &testAgent{recorder: &fake.Events{}, control: f.port(), done: make(chan struct{})}
 	listener := f.port()
 	a.Fetcher = &Fetcher{
 		Identity: mulberryspool.Identity{
@@ -195,7 +162,7 @@
 		f.configure(a.Fetcher)
 	}
 	a.ctx, a.kill = context.WithCancel(context.Background())
-	f.list.add(a.Identity)
+	f.list.Add(a.Identity)
 	f.agents = append(f.agents, a)
 	return a
 }
--- a/internal/agent/process/fakes_test.go
+++ b/internal/agent/process/fakes_test.go
@@ -13,6 +13,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/mulberryspool/mulberryspool"
+	"github.com/mulberryspool/mulberryspool/internal/testkit/fake"
 )
 
 func contentOf(version string) string {
@@ -139,16 +140,9 @@
 	return versions
 }
 
-// fakeStore is an object API that can be down.
-type fakeStore struct {
-	mu      sync.Mutex
-	objects map[string]mulberryspool.Object
-	version mulberryspool.Revision
-	down    bool
-}
-
-func newStore(versions ...string) *fakeStore {
-	s := &fakeStore{objects: make(map[string]mulberryspool.Object)}
+// newStore returns an object API with the manifests of the versions.
+func newStore(versions ...string) *fake.Store {
+	s := &fake.Store{}
 	for _, version := range versions {
 		value, _ := json.Marshal(manifestOf(version))
 		_, _ = s.Create(context.Background(), mulberryspool.ManifestKind, version, value)
@@ -156,60 +150,6 @@
 	return s
 }
 
-func (s *fakeStore) setDown(down bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.down = down
-}
-
-func (s *fakeStore) Get(_ context.Context, kind, name string) (mulberryspool.Object, error) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.down {
-		return mulberryspool.Object{}, mulberryspool.ErrUnavailable
-	}
-	object, ok := s.objects[kind+"/"+name]
-	if !ok {
-		return mulberryspool.Object{}, mulberryspool.ErrNotFound
-	}
-	return object, nil
-}
-
-func (s *fakeStore) Create(_ context.Context, kind, name string, value []byte) (mulberryspool.Object, error) {
-	return s.put(kind, name, value, 0)
-}
-
-func (s *fakeStore) Update(_ context.Context, kind, name string, value []byte, version mulberryspool.Revision) (mulberryspool.Object, error) {
-	return s.put(kind, name, value, version)
-}
-
-func (s *fakeStore) put(kind, name string, value []byte, version mulberryspool.Revision) (mulberryspool.Object, error) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.down {
-		return mulberryspool.Object{}, mulberryspool.ErrUnavailable
-	}
-	if s.objects[kind+"/"+name].Version != version {
-		return mulberryspool.Object{}, mulberryspool.ErrConflict
-	}
-	s.version++
-	object := mulberryspool.Object{Kind: kind, Name: name, Version: s.version, Value: value}
-	s.objects[kind+"/"+name] = object
-	return object, nil
-}
-
-func (s *fakeStore) List(context.Context, string, string) ([]mulberryspool.Object, error) {
-	return nil, errors.New("not used by an agent")
-}
-
-func (s *fakeStore) Delete(context.Context, string, string, mulberryspool.Revision) error {
-	return errors.New("not used by an agent")
-}
-
-func (s *fakeStore) Watch(context.Context, string, string, mulberryspool.Revision) (mulberryspool.Object, error) {
-	return mulberryspool.Object{}, errors.New("not used by an agent")
-}
-
 // fakeStager holds whatever it was asked to stage.
 type fakeStager struct {
 	mu     sync.Mutex
@@ -249,62 +189,7 @@
 
 func (s *fakeStager) Progress() mulberryspool.StageProgress { return mulberryspool.StageProgress{} }
 
-// fakeTables hands out the views that the test sets.
-type fakeTables struct {
-	mu   sync.Mutex
-	view *mulberryspool.TablesView
-	subs []func(mulberryspool.TablesView)
-}
-
-func (f *fakeTables) set(revision mulberryspool.Revision, pool mulberryspool.Pool) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	view := mulberryspool.TablesView{Revision: revision, Tables: &mulberryspool.Tables{Pools: []mulberryspool.Pool{pool}}}
-	f.view = &view
-	for _, changed := range f.subs {
-		changed(view)
-	}
-}
-
-func (f *fakeTables) Current() (mulberryspool.TablesView, bool) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if f.view == nil {
-		return mulberryspool.TablesView{}, false
-	}
-	return *f.view, true
-}
-
-func (f *fakeTables) Subscribe(changed func(mulberryspool.TablesView)) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.subs = append(f.subs, changed)
-	if f.view != nil {
-		changed(*f.view)
-	}
-}
-
-func (f *fakeTables) Heard(mulberryspool.Revision, func(context.Context) (mulberryspool.TablesDocument, error)) {
-}
-
-func (f *fakeTables) Document(mulberryspool.Revision) (mulberryspool.TablesDocument, bool) {
-	return mulberryspool.TablesDocument{}, false
-}
-
-// fakeInstances is an instance list that the test fills.
-type fakeInstances struct {
-	mu   sync.Mutex
-	rows []mulberryspool.ListedInstance
-}
-
-func (f *fakeInstances) Instances(context.Context) ([]mulberryspool.ListedInstance, error) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return append([]mulberryspool.ListedInstance(nil), f.rows...), nil
-}
-
-func (f *fakeInstances) add(identity mulberryspool.Identity) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.rows = append(f.rows, mulberryspool.ListedInstance{Identity: identity, State: mulberryspool.InstanceLive})
+// setPool puts tables with one pool in force.
+func setPool(tables *fake.Tables, revision mulberryspool.Revision, pool mulberryspool.Pool) {
+	tables.Set(mulberryspool.TablesView{Revision: revision, Tables: &mulberryspool.Tables{Pools: []mulberryspool.Pool{pool}}})
 }
--- a/internal/agent/process/process_test.go
+++ b/internal/agent/process/process_test.go
@@ -18,6 +18,7 @@
 	"github.com/mulberryspool/mulberryspool"
 	"github.com/mulberryspool/mulberryspool/internal/observe/hlc"
 	"github.com/mulberryspool/mulberryspool/internal/peer/rpc"
+	"github.com/mulberryspool/mulberryspool/internal/testkit/fake"
 )
 
 const poolName = "draft-models"
@@ -30,7 +31,7 @@
 type runningAgent struct {
 	*Process
 	engine *fakeEngine
-	tables *fakeTables
+	tables *fake.Tables
 	stop   func()
 }
 
@@ -38,8 +39,8 @@
 	instance  mulberryspool.InstanceID
 	run       string
 	engine    *fakeEngine
-	store     *fakeStore
-	instances *fakeInstances
+	store     *fake.Store
+	instances *fake.Instances
 	clock     mulberryspool.Clock
 	change    func(*Process)
 }
@@ -54,15 +55,15 @@
 	if clock == nil {
 		clock = clockwork.NewRealClock()
 	}
-	tables := &fakeTables{}
+	tables := &fake.Tables{}
 	identity := mulberryspool.Identity{
 		Instance: o.instance, Incarnation: mulberryspool.Incarnation(string(o.instance) + "/" + o.run),
 		Role: mulberryspool.RoleAgent, FailureDomain: "surat-a", Pool: poolName, Control: control.Addr().String(),
 	}
 	if o.instances == nil {
-		o.instances = &fakeInstances{}
+		o.instances = &fake.Instances{}
 	}
-	o.instances.add(identity)
+	o.instances.Add(identity)
 	p := &Process{
 		Identity: identity, Clock: clock, Backend: o.engine, Store: o.store, Instances: o.instances,
 		Tables: tables, Stager: newStager(), Logger: zerolog.Nop(),
@@ -206,7 +207,7 @@
 	engine := newEngine()
 	engine.hold = make(chan struct{})
 	a := startAgent(t, agentOptions{instance: "surat-1", run: "1", engine: engine, store: newStore("v1")})
-	a.tables.set(1, enginePool("v1"))
+	setPool(a.tables, 1, enginePool("v1"))
 	a.awaitServing(t, "v1")
 	entry := dialEntry(t, a.Identity.Control)
 	if result := entry.start(t, "r1"); !result.Accepted {
@@ -236,7 +237,7 @@
 	engine := newEngine()
 	engine.hold = make(chan struct{})
 	a := startAgent(t, agentOptions{instance: "surat-1", run: "1", engine: engine, store: newStore("v1")})
-	a.tables.set(1, enginePool("v1"))
+	setPool(a.tables, 1, enginePool("v1"))
 	a.awaitServing(t, "v1")
 	first := dialEntry(t, a.Identity.Control)
 	if result := first.start(t, "r1"); !result.Accepted {
@@ -264,11 +265,11 @@
 // Guards against a failed load that takes the old version away or goes
 // unnoticed, and against a change that can't supersede a load under way.
 func TestFailedAndSupersededRollout(t *testing.T) {
-	store, instances := newStore("v1", "v2", "v3", "v4"), &fakeInstances{}
+	store, instances := newStore("v1", "v2", "v3", "v4"), &fake.Instances{}
 	var agents []*runningAgent
 	all := func(revision mulberryspool.Revision, version string) {
 		for _, a := range agents {
-			a.tables.set(revision, enginePool(version))
+			setPool(a.tables, revision, enginePool(version))
 		}
 	}
 	for _, instance := range []mulberryspool.InstanceID{"surat-1", "surat-2", "surat-3"} {
--- a/internal/agent/process/thaw_test.go
+++ b/internal/agent/process/thaw_test.go
@@ -92,11 +92,11 @@
 			}})
 			pool := enginePool("v1")
 			pool.IgnoresFencing = c.flagged
-			frozen.tables.set(1, pool)
+			setPool(frozen.tables, 1, pool)
 			awaitStep(t, clock, "the order is frozen", func() bool { return len(reached) == 1 })
 			successor := startAgent(t, agentOptions{instance: "surat-1", run: "2", engine: engine, store: store, clock: clock})
 			pool.Version = "v2"
-			successor.tables.set(2, pool)
+			setPool(successor.tables, 2, pool)
 			awaitStep(t, clock, "the successor is ready for the thaw", func() bool {
 				if !c.early {
 					return successor.Status().ServedVersion == "v2"
--- a/internal/entry/claims/bench_test.go
+++ b/internal/entry/claims/bench_test.go
@@ -15,7 +15,7 @@
 	"golang.org/x/time/rate"
 
 	"github.com/mulberryspool/mulberryspool"
-	"github.com/mulberryspool/mulberryspool/internal/entry/entrytest"
+	"github.com/mulberryspool/mulberryspool/internal/testkit/fake"
 )
 
 const (
@@ -32,13 +32,13 @@
 // slowStore answers after the object API's latency and refuses writes above
 // its rate.
 type slowStore struct {
-	*entrytest.Store
+	*fake.Store
 	limiter *rate.Limiter
 	bytes   atomic.Int64
 }
 
 func newSlowStore() *slowStore {
-	s := &slowStore{Store: &entrytest.Store{}, limiter: rate.NewLimiter(benchWrites, benchWrites/10)}
+	s := &slowStore{Store: &fake.Store{}, limiter: rate.NewLimiter(benchWrites, benchWrites/10)}
 	s.Before = func(method, _, _ string) error {
 		time.Sleep(benchLatency)
 		if method != "Get" && method != "List" && !s.limiter.Allow() {
--- a/internal/entry/claims/ledger_test.go
+++ b/internal/entry/claims/ledger_test.go
@@ -13,7 +13,7 @@
 	"github.com/jonboulle/clockwork"
 
 	"github.com/mulberryspool/mulberryspool"
-	"github.com/mulberryspool/mulberryspool/internal/entry/entrytest"
+	"github.com/mulberryspool/mulberryspool/internal/testkit/fake"
 )
 
 // testLedger commits fast, so that tests need little time.
@@ -45,7 +45,7 @@
 				}
 				return nil
 			}
-			store := &entrytest.Store{
+			store := &fake.Store{
 				Before: func(method, _, _ string) error {
 					if method == "Delete" {
 						return nil
@@ -107,7 +107,7 @@
 // answer of its own write was lost.
 func TestLostAnswerIsSettled(t *testing.T) {
 	losses := 1
-	store := &entrytest.Store{}
+	store := &fake.Store{}
 	store.After = func(string, string, string) error {
 		if losses--; losses == 0 {
 			return mulberryspool.ErrUncertain
@@ -123,7 +123,7 @@
 
 // Guards against a refusal in an outage that isn't marked as certain.
 func TestOutageIsUnavailable(t *testing.T) {
-	store := &entrytest.Store{}
+	store := &fake.Store{}
 	store.Refuse(mulberryspool.ErrUnavailable)
 	if _, err := testLedger(store).Swap(context.Background(), nil, claimOf("key", "r1")); !errors.Is(err, mulberryspool.ErrUnavailable) {
 		t.Fatalf("swap answered %v", err)
@@ -133,7 +133,7 @@
 // Guards against a claim that is forgotten when its object is sealed, and
 // against objects near the object API's megabyte.
 func TestClaimsSurviveSealing(t *testing.T) {
-	store := &entrytest.Store{}
+	store := &fake.Store{}
 	writer, reader := testLedger(store), testLedger(store)
 	const keys = 300
 	for k := range keys {
@@ -176,7 +176,7 @@
 // Guards against claims that are kept for ever, and against a number of a
 // deleted object that is used again.
 func TestOldClaimsExpire(t *testing.T) {
-	store, fake := &entrytest.Store{}, clockwork.NewFakeClock()
+	store, fake := &fake.Store{}, clockwork.NewFakeClock()
 	ledger := testLedger(store)
 	ledger.Clock, ledger.Shards, ledger.Retention = fake, 1, time.Minute
 	// Nothing advances the fake clock while a commit would wait for its budget.
@@ -213,7 +213,7 @@
 
 // Guards against claims beyond the bound that push out others.
 func TestFullShardRefuses(t *testing.T) {
-	ledger := testLedger(&entrytest.Store{})
+	ledger := testLedger(&fake.Store{})
 	ledger.Shards, ledger.MaxSegments = 1, 2
 	for k := range 1000 {
 		_, err := ledger.Swap(context.Background(), nil, claimOf(fmt.Sprintf("key-%d", k), "r"))
--- a/internal/entry/deferred/queue_test.go
+++ b/internal/entry/deferred/queue_test.go
@@ -13,7 +13,7 @@
 
 	"github.com/mulberryspool/mulberryspool"
 	"github.com/mulberryspool/mulberryspool/internal/entry/dispatch"
-	"github.com/mulberryspool/mulberryspool/internal/entry/entrytest"
+	"github.com/mulberryspool/mulberryspool/internal/testkit/fake"
 )
 
 // runs counts executions by request.
@@ -82,7 +82,7 @@
 
 // Guards against a submission that two entries run, and one that nobody runs.
 func TestEachSubmissionRunsOnce(t *testing.T) {
-	store, counted := &entrytest.Store{}, &runs{}
+	store, counted := &fake.Store{}, &runs{}
 	execute := func(sub dispatch.Submission) (Answer, *dispatch.Error) {
 		counted.add(sub.ID)
 		return echo(sub)
@@ -111,7 +111,7 @@
 
 // Guards against bodies and answers that don't fit into the record or are mixed up.
 func TestLargeBodiesAreKeptApart(t *testing.T) {
-	store := &entrytest.Store{}
+	store := &fake.Store{}
 	large := bytes.Repeat([]byte("0123456789abcdef"), 100<<10)
 	q := newQueue(store, "entry-1", func(sub dispatch.Submission) (Answer, *dispatch.Error) {
 		return Answer{Status: 200, Body: append(bytes.Clone(sub.Body), large...)}, nil
@@ -140,7 +140,7 @@
 
 // Guards against a second run of a submission whose entry died while it ran.
 func TestLostOutcomeIsUnknown(t *testing.T) {
-	store := &entrytest.Store{}
+	store := &fake.Store{}
 	release := make(chan struct{})
 	dying := newQueue(store, "entry-1", func(sub dispatch.Submission) (Answer, *dispatch.Error) {
 		<-release
@@ -164,7 +164,7 @@
 // Guards against a refused submission that is lost or counted as run.
 func TestNotRunIsTriedAgain(t *testing.T) {
 	counted := &runs{}
-	q := newQueue(&entrytest.Store{}, "entry-1", func(sub dispatch.Submission) (Answer, *dispatch.Error) {
+	q := newQueue(&fake.Store{}, "entry-1", func(sub dispatch.Submission) (Answer, *dispatch.Error) {
 		if counted.add(sub.ID) < 3 {
 			return Answer{}, &dispatch.Error{Outcome: mulberryspool.OutcomeNotRun, Code: dispatch.CodeOverload}
 		}
@@ -183,7 +183,7 @@
 // Guards against a receipt for a submission that is not durable, and against
 // a lost answer that makes a durable one look refused.
 func TestAcceptTellsTheTruth(t *testing.T) {
-	store := &entrytest.Store{}
+	store := &fake.Store{}
 	q := newQueue(store, "entry-1", echo)
 	store.Refuse(mulberryspool.ErrUnavailable)
 	if _, err := q.Accept(context.Background(), dispatch.Submission{ID: "a"}); !errors.Is(err, mulberryspool.ErrUnavailable) {
@@ -207,7 +207,7 @@
 
 // Guards against a repeated key that makes a second submission.
 func TestRepeatedKeyGetsTheFirstReceipt(t *testing.T) {
-	q := newQueue(&entrytest.Store{}, "entry-1", echo)
+	q := newQueue(&fake.Store{}, "entry-1", echo)
 	first, err := q.Accept(context.Background(), dispatch.Submission{ID: "a", Key: "k", Body: []byte("x")})
 	if err != nil {
 		t.Fatal(err)
@@ -224,7 +224,7 @@
 // Guards against an outcome that is dropped because the object API is down
 // when the run ends.
 func TestOutcomeOutlastsOutage(t *testing.T) {
-	store := &entrytest.Store{}
+	store := &fake.Store{}
 	q := newQueue(store, "entry-1", func(sub dispatch.Submission) (Answer, *dispatch.Error) {
 		store.Refuse(mulberryspool.ErrUnavailable)
 		time.AfterFunc(100*time.Millisecond, func() { store.Refuse(nil) })
@@ -240,7 +240,7 @@
 // Guards against a submission that ends as unknown although its claim was
 // never used, because only the answer to the claim was lost.
 func TestUnusedClaimRuns(t *testing.T) {
-	store, counted := &entrytest.Store{}, &runs{}
+	store, counted := &fake.Store{}, &runs{}
 	q := newQueue(store, "entry-1", func(sub dispatch.Submission) (Answer, *dispatch.Error) {
 		counted.add(sub.ID)
 		return echo(sub)
--- a/internal/entry/process/process_test.go
+++ b/internal/entry/process/process_test.go
@@ -17,15 +17,16 @@
 	"github.com/mulberryspool/mulberryspool/internal/entry/entrytest"
 	"github.com/mulberryspool/mulberryspool/internal/observe/hlc"
 	"github.com/mulberryspool/mulberryspool/internal/peer/rpc"
+	"github.com/mulberryspool/mulberryspool/internal/testkit/fake"
 )
 
 // system is an entry with fakes around it.
 type system struct {
 	process   *Process
-	store     *entrytest.Store
-	tables    *entrytest.Tables
-	instances *entrytest.Instances
-	events    *entrytest.Events
+	store     *fake.Store
+	tables    *fake.Tables
+	instances *fake.Instances
+	events    *fake.Events
 	url       string
 	stop      context.CancelFunc
 	done      chan error
@@ -71,7 +72,7 @@
 	}
 	wall := clockwork.NewRealClock()
 	s := &system{
-		store: &entrytest.Store{}, tables: &entrytest.Tables{}, instances: &entrytest.Instances{}, events: &entrytest.Events{},
+		store: &fake.Store{}, tables: &fake.Tables{}, instances: &fake.Instances{}, events: &fake.Events{},
 		url: "http://" + listener.Addr().String(), done: make(chan error, 1),
 	}
 	s.tables.Set(mulberryspool.TablesView{Revision: 1, Tables: testTables})
--- a/internal/entry/entrytest/store.go
+++ b/internal/testkit/fake/store.go
@@ -1,5 +1,6 @@
-// Package entrytest holds fakes for the tests of the entry.
-package entrytest
+// Package fake holds fakes at the interfaces of the root package for the
+// tests of several packages.
+package fake
 
 import (
 	"context"
@@ -106,9 +107,9 @@
 	return nil
 }
 
-// Watch implements mulberryspool.ObjectStore; nothing of the entry watches.
+// Watch implements mulberryspool.ObjectStore, which no test needs.
 func (s *Store) Watch(context.Context, string, string, mulberryspool.Revision) (mulberryspool.Object, error) {
-	return mulberryspool.Object{}, errors.New("entrytest.Store has no watches")
+	return mulberryspool.Object{}, errors.New("the fake store has no watches")
 }
 
 func (s *Store) write(method, kind, name string, value []byte, version mulberryspool.Revision) (mulberryspool.Object, error) {
@@ -133,10 +134,8 @@
 	s.writes++
 	present, ok := s.objects[kind+"/"+name]
 	switch {
-	case method == "Create" && ok, method == "Update" && ok && present.Version != version:
+	case method == "Create" && ok, method == "Update" && present.Version != version:
 		return mulberryspool.Object{}, mulberryspool.ErrConflict
-	case method == "Update" && !ok:
-		return mulberryspool.Object{}, mulberryspool.ErrNotFound
 	case len(value) > 1<<20:
 		return mulberryspool.Object{}, errors.Newf("value of %s/%s is %d bytes", kind, name, len(value))
 	}
