--- a/internal/entry/claims/ledger_test.go
+++ b/internal/entry/claims/ledger_test.go
@@ -176,14 +176,14 @@
 // Guards against claims that are kept for ever, and against a number of a
 // deleted object that is used again.
 func TestOldClaimsExpire(t *testing.T) {
-	store, fake := &fake.Store{}, clockwork.NewFakeClock()
+	store, clock := &fake.Store{}, clockwork.NewFakeClock()
 	ledger := testLedger(store)
-	ledger.Clock, ledger.Shards, ledger.Retention = fake, 1, time.Minute
+	ledger.Clock, ledger.Shards, ledger.Retention = clock, 1, time.Minute
 	// Nothing advances the fake clock while a commit would wait for its budget.
 	ledger.Writes = 1e12
 	put := func(key string) error {
 		claim := claimOf(key, key)
-		claim.Changed = fake.Now()
+		claim.Changed = clock.Now()
 		_, err := ledger.Swap(context.Background(), nil, claim)
 		return err
 	}
@@ -192,7 +192,7 @@
 			t.Fatal(err)
 		}
 	}
-	fake.Advance(2 * time.Minute)
+	clock.Advance(2 * time.Minute)
 	for k := range 200 {
 		if err := put(fmt.Sprintf("old-%d", k)); err != nil {
 			t.Fatalf("an expired key is not free: %v", err)
--- a/internal/integration/capacity_bench_test.go
+++ b/internal/integration/capacity_bench_test.go
@@ -1,70 +1,36 @@
 package integration
 
 import (
-	"bytes"
 	"context"
 	"fmt"
 	"net/http"
-	"os"
-	"strconv"
 	"strings"
 	"testing"
 	"time"
 
 	"github.com/mulberryspool/mulberryspool/internal/standin/objectapi"
 	"github.com/mulberryspool/mulberryspool/internal/standin/origin"
+	"github.com/mulberryspool/mulberryspool/internal/testkit/process"
 	"github.com/mulberryspool/mulberryspool/internal/testkit/system"
 )
 
 const (
 	// capacityWindow is how long an idle system is watched.
 	capacityWindow = 20 * time.Second
-	// clockTicks is the unit of processor time in /proc, the value of all
-	// Linux systems.
-	clockTicks = 100
 )
 
 // usage is what a process has spent.
 type usage struct {
-	processor time.Duration
-	// resident is in bytes.
-	resident int64
+	process.Usage
 	// bytes counts control traffic in both directions.
 	bytes int64
 	calls int
 }
 
-// processUsage reads the processor time and memory of a process.
-func processUsage(b *testing.B, pid int) usage {
-	b.Helper()
-	stat, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
-	if err != nil {
-		b.Fatal(err)
-	}
-	// The second field may hold spaces; user and system time are the 14th and 15th.
-	fields := strings.Fields(string(stat[bytes.LastIndexByte(stat, ')')+2:]))
-	ticks := 0
-	for _, field := range fields[11:13] {
-		n, err := strconv.Atoi(field)
-		if err != nil {
-			b.Fatal(err)
-		}
-		ticks += n
-	}
-	pages, err := strconv.ParseInt(fields[21], 10, 64)
-	if err != nil {
-		b.Fatal(err)
-	}
-	return usage{
-		processor: time.Duration(ticks) * time.Second / clockTicks,
-		resident:  pages * int64(os.Getpagesize()),
-	}
-}
-
 // measure reads the usage of a member, its control traffic from its metrics.
 func measure(b *testing.B, s *system.System, m *system.Member) usage {
 	b.Helper()
-	u := processUsage(b, m.Process.ID())
+	u := usage{Usage: m.Process.Usage(b)}
 	status, err := m.Status(context.Background())
 	if err != nil {
 		b.Fatal(err)
@@ -81,8 +47,8 @@
 // report compares two readings of a member.
 func report(b *testing.B, role string, before, after usage) {
 	seconds := capacityWindow.Seconds()
-	b.ReportMetric(100*(after.processor-before.processor).Seconds()/seconds, role+"-core-%")
-	b.ReportMetric(float64(after.resident)/(1<<20), role+"-MiB")
+	b.ReportMetric(100*(after.Processor-before.Processor).Seconds()/seconds, role+"-core-%")
+	b.ReportMetric(float64(after.Resident)/(1<<20), role+"-MiB")
 	b.ReportMetric(float64(after.bytes-before.bytes)/seconds, role+"-B/s")
 	b.ReportMetric(float64(after.calls-before.calls)/seconds, role+"-calls/s")
 }
--- a/internal/integration/chats_test.go
+++ b/internal/integration/chats_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"net/http"
 	"strings"
@@ -14,8 +13,6 @@
 	"github.com/mulberryspool/mulberryspool"
 	"github.com/mulberryspool/mulberryspool/internal/standin/caller"
 	"github.com/mulberryspool/mulberryspool/internal/standin/engine"
-	"github.com/mulberryspool/mulberryspool/internal/standin/origin"
-	"github.com/mulberryspool/mulberryspool/internal/standin/plainservice"
 	"github.com/mulberryspool/mulberryspool/internal/testkit/system"
 )
 
@@ -106,28 +103,11 @@
 	}
 }
 
-// chatExecutions reads the engines' records by request.
-func chatExecutions(t *testing.T, s *system.System) map[string][]engine.Execution {
-	t.Helper()
-	executions := make(map[string][]engine.Execution)
-	for _, m := range s.Agents {
-		if m.Identity.Pool != "scribe" {
-			continue
-		}
-		var list engine.ExecutionList
-		s.Send(t, http.MethodGet, m.Backend+"/admin/executions", nil, &list)
-		for _, e := range list.Executions {
-			executions[string(e.RequestID)] = append(executions[string(e.RequestID)], e)
-		}
-	}
-	return executions
-}
-
 // checkChats checks each result against the engines' records and returns the
 // number of results by kind: finished, or the type of the error.
 func checkChats(t *testing.T, s *system.System, results []caller.Result, published map[mulberryspool.Digest]string) map[string]int {
 	t.Helper()
-	executions := chatExecutions(t, s)
+	executions := s.ChatExecutions(t)
 	kinds := make(map[string]int)
 	for _, r := range results {
 		text, marked := streamedText(t, r)
@@ -175,72 +155,6 @@
 	t.Errorf("request %s: no engine completed it with weights %s from start to end: %+v", r.ID, r.Weights, executions)
 }
 
-// publishedDigests reads the digests of versions.
-func publishedDigests(t *testing.T, s *system.System, versions ...string) map[mulberryspool.Digest]string {
-	t.Helper()
-	digests := make(map[mulberryspool.Digest]string)
-	for _, version := range versions {
-		var manifest mulberryspool.Manifest
-		if err := json.Unmarshal([]byte(s.Run(t, 0, "weights", "show", version, "--json")), &manifest); err != nil {
-			t.Fatal(err)
-		}
-		digests[manifest.Digest] = version
-	}
-	return digests
-}
-
-// startEngines starts agents with engines and entries, publishes all versions,
-// waits until v1 is served and returns the published digests.
-func startEngines(t *testing.T, s *system.System, tables string, agents, entries int) map[mulberryspool.Digest]string {
-	t.Helper()
-	s.Start(t)
-	publishVersions(t, s)
-	for range agents {
-		s.AddEngineAgent(t, "scribe")
-	}
-	for range entries {
-		s.AddEntry(t)
-	}
-	s.Apply(t, withVersion(tables, "v1"))
-	s.AwaitServing(t, "v1", s.Agents...)
-	s.AwaitAgents(t, "scribe", agents)
-	return publishedDigests(t, s, "v1", "v2", "v3", "v4")
-}
-
-// publishVersions publishes v1 to v4, which share half of their content.
-func publishVersions(t *testing.T, s *system.System) {
-	t.Helper()
-	for i := range uint64(4) {
-		path := fmt.Sprintf("scribe-%d", i+1)
-		s.PutContent(t, path, origin.Generated{Seed: 99, Size: 1 << 19}, origin.Generated{Seed: i, Size: 1 << 19})
-		s.Publish(t, fmt.Sprintf("v%d", i+1), path, "64 KiB")
-	}
-}
-
 func withVersion(tables, version string) string {
 	return strings.ReplaceAll(tables, "VERSION", version)
 }
-
-// submissionExecutions reads the plain services' records by body, which is
-// the key, for the keys that are known to the caller.
-func submissionExecutions(t *testing.T, s *system.System, keys ...string) map[string][]mulberryspool.RequestID {
-	t.Helper()
-	byDigest := make(map[mulberryspool.Digest]string)
-	for _, key := range keys {
-		byDigest[plainservice.Digest([]byte(key))] = key
-	}
-	executions := make(map[string][]mulberryspool.RequestID)
-	for _, m := range s.Agents {
-		if m.Identity.Pool != "booking" {
-			continue
-		}
-		var list plainservice.ExecutionList
-		s.Send(t, http.MethodGet, m.Backend+"/admin/executions", nil, &list)
-		for _, e := range list.Executions {
-			if key, known := byDigest[e.Body]; known {
-				executions[key] = append(executions[key], e.RequestID)
-			}
-		}
-	}
-	return executions
-}
--- a/internal/integration/entry_bench_test.go
+++ b/internal/integration/entry_bench_test.go
@@ -74,7 +74,7 @@
 		with, without := latencies(b, client, through), latencies(b, client, direct)
 		b.ReportMetric(float64(with.ValueAtQuantile(50)-without.ValueAtQuantile(50)), "added-median-µs")
 		b.ReportMetric(float64(with.ValueAtQuantile(99)-without.ValueAtQuantile(99)), "added-p99-µs")
-		entry, agent := processUsage(b, s.Entries[0].Process.ID()), processUsage(b, s.Agents[0].Process.ID())
+		entry, agent := s.Entries[0].Process.Usage(b), s.Agents[0].Process.Usage(b)
 		var group sync.WaitGroup
 		for range entryBenchCallers {
 			group.Go(func() {
@@ -85,8 +85,8 @@
 		}
 		group.Wait()
 		requests := float64(entryBenchCallers * entryBenchEach)
-		b.ReportMetric(requests/(processUsage(b, s.Entries[0].Process.ID()).processor-entry.processor).Seconds(), "entry-req/s/core")
-		b.ReportMetric(requests/(processUsage(b, s.Agents[0].Process.ID()).processor-agent.processor).Seconds(), "agent-req/s/core")
+		b.ReportMetric(requests/(s.Entries[0].Process.Usage(b).Processor-entry.Processor).Seconds(), "entry-req/s/core")
+		b.ReportMetric(requests/(s.Agents[0].Process.Usage(b).Processor-agent.Processor).Seconds(), "agent-req/s/core")
 	}
 }
 
@@ -104,7 +104,7 @@
 	s.AwaitAgents(b, "scribe", 1)
 	body := fmt.Sprintf(`{"model":"scribe","stream":true,"max_tokens":%d,"messages":[{"role":"user","content":"gate 4"}]}`, tokens)
 	for range b.N {
-		entry, agent := processUsage(b, s.Entries[0].Process.ID()), processUsage(b, s.Agents[0].Process.ID())
+		entry, agent := s.Entries[0].Process.Usage(b), s.Agents[0].Process.Usage(b)
 		var group sync.WaitGroup
 		for range callers {
 			group.Go(func() {
@@ -117,7 +117,7 @@
 		}
 		group.Wait()
 		total := float64(callers * each * tokens)
-		b.ReportMetric(total/(processUsage(b, s.Entries[0].Process.ID()).processor-entry.processor).Seconds(), "entry-tokens/s/core")
-		b.ReportMetric(total/(processUsage(b, s.Agents[0].Process.ID()).processor-agent.processor).Seconds(), "agent-tokens/s/core")
+		b.ReportMetric(total/(s.Entries[0].Process.Usage(b).Processor-entry.Processor).Seconds(), "entry-tokens/s/core")
+		b.ReportMetric(total/(s.Agents[0].Process.Usage(b).Processor-agent.Processor).Seconds(), "agent-tokens/s/core")
 	}
 }
--- a/internal/integration/fencing_test.go
+++ b/internal/integration/fencing_test.go
@@ -28,7 +28,7 @@
 	tables := strings.ReplaceAll(chatTables, "maxUnavailable: 2", "maxUnavailable: 2\n    ignoresFencing: true")
 	tables = strings.ReplaceAll(tables, "idempotent: true", "idempotent: true\n    timeout: 10s")
 	s.Start(t)
-	publishVersions(t, s)
+	s.PublishVersions(t)
 	// The agent that will be frozen has its own way to the object API, which
 	// is cut, so that it can't learn of a newer change before it might order.
 	direct := s.ObjectAPI
@@ -46,7 +46,7 @@
 	s.Apply(t, withVersion(tables, "v1"))
 	s.AwaitServing(t, "v1", s.Agents...)
 	s.AwaitAgents(t, "scribe", 3)
-	published := publishedDigests(t, s, "v1", "v2", "v3")
+	published := s.PublishedDigests(t, "v1", "v2", "v3")
 	load := startChats(t, s, 8, 200)
 
 	// A draining agent has everything that the order needs; it waits only for
@@ -68,7 +68,7 @@
 		return err == nil && status.Agent.Heartbeat.Phase == mulberryspool.PhaseDraining && status.Agent.InFlight == stalled
 	})
 	old.Process.Freeze(t)
-	if orders := engineOrders(t, s, old); len(orders) != 1 {
+	if orders := s.EngineOrders(t, old); len(orders) != 1 {
 		t.Fatalf("the agent had ordered v2 before it was frozen: %+v", orders)
 	}
 
@@ -81,7 +81,7 @@
 	s.Accept(t, withVersion(tables, "v3"))
 	s.AwaitServing(t, "v3", s.Agents...)
 	load.wait(t, s, 8)
-	orders := len(engineOrders(t, s, replacement))
+	orders := len(s.EngineOrders(t, replacement))
 	signal(t, old, syscall.SIGCONT)
 	load.wait(t, s, 16)
 	for _, m := range s.Agents {
@@ -90,7 +90,7 @@
 		})
 	}
 
-	for _, order := range engineOrders(t, s, replacement)[orders:] {
+	for _, order := range s.EngineOrders(t, replacement)[orders:] {
 		if order.Order.Version != "v3" {
 			t.Errorf("the engine got an order for %s after v3 was in force: %+v", order.Order.Version, order)
 		}
--- a/internal/integration/history_test.go
+++ b/internal/integration/history_test.go
@@ -2,13 +2,9 @@
 
 import (
 	"context"
-	"encoding/json"
-	"errors"
 	"fmt"
-	"io"
 	"math/rand/v2"
 	"net/http"
-	"strings"
 	"sync"
 	"syscall"
 	"testing"
@@ -18,6 +14,7 @@
 	"github.com/google/uuid"
 
 	"github.com/mulberryspool/mulberryspool"
+	"github.com/mulberryspool/mulberryspool/internal/standin/caller"
 	"github.com/mulberryspool/mulberryspool/internal/standin/fault"
 	"github.com/mulberryspool/mulberryspool/internal/standin/plainservice"
 	"github.com/mulberryspool/mulberryspool/internal/testkit/faultproxy"
@@ -36,20 +33,6 @@
 `
 
 type (
-	// submission is a caller's try to have something done once.
-	submission struct {
-		key string
-		id  mulberryspool.RequestID
-	}
-
-	// submissionResult is what the caller saw.
-	submissionResult struct {
-		outcome mulberryspool.Outcome
-		// executed is the request whose execution the answer came from.
-		executed mulberryspool.RequestID
-		detail   string
-	}
-
 	// executionCount is the backend servers' own record of a key.
 	executionCount struct{ key string }
 
@@ -83,7 +66,7 @@
 		if _, isCount := input.(executionCount); isCount {
 			return stepCount(ran, output.([]mulberryspool.RequestID))
 		}
-		return stepSubmission(ran, input.(submission), output.(submissionResult))
+		return stepSubmission(ran, input.(caller.Submission), output.(caller.SubmissionResult))
 	},
 	Equal: func(a, b any) bool { return a == b },
 	DescribeOperation: func(input, output any) string {
@@ -95,29 +78,29 @@
 	if count, isCount := input.(executionCount); isCount {
 		return count.key
 	}
-	return input.(submission).key
+	return input.(caller.Submission).Key
 }
 
-func stepSubmission(ran mulberryspool.RequestID, s submission, r submissionResult) []any {
+func stepSubmission(ran mulberryspool.RequestID, s caller.Submission, r caller.SubmissionResult) []any {
 	switch {
-	case r.outcome == mulberryspool.OutcomeDone && ran == "":
-		if r.executed != s.id {
+	case r.Outcome == mulberryspool.OutcomeDone && ran == "":
+		if r.Executed != s.ID {
 			return nil
 		}
-		return []any{s.id}
-	case r.outcome == mulberryspool.OutcomeDone:
-		if r.executed != ran {
+		return []any{s.ID}
+	case r.Outcome == mulberryspool.OutcomeDone:
+		if r.Executed != ran {
 			return nil
 		}
 		return []any{ran}
-	case r.outcome == mulberryspool.OutcomeNotRun:
+	case r.Outcome == mulberryspool.OutcomeNotRun:
 		// This request did not run; an earlier one with the key may have.
-		if ran == s.id {
+		if ran == s.ID {
 			return nil
 		}
 		return []any{ran}
 	case ran == "":
-		return []any{ran, s.id}
+		return []any{ran, s.ID}
 	}
 	return []any{ran}
 }
@@ -137,46 +120,10 @@
 	})
 }
 
-// submit sends a keyed submission.
-func submit(client *http.Client, entry string, s submission) submissionResult {
-	ctx, cancel := context.WithTimeout(context.Background(), 30*time.Second)
-	defer cancel()
-	request, err := http.NewRequestWithContext(ctx, http.MethodPost, entry+"/booking/confirm", strings.NewReader(s.key))
-	if err != nil {
-		return submissionResult{outcome: mulberryspool.OutcomeUnknown, detail: err.Error()}
-	}
-	request.Header.Set("X-Request-ID", string(s.id))
-	request.Header.Set("Idempotency-Key", s.key)
-	response, err := client.Do(request)
-	if err != nil {
-		if errors.Is(err, syscall.ECONNREFUSED) {
-			return submissionResult{outcome: mulberryspool.OutcomeNotRun, detail: err.Error()}
-		}
-		return submissionResult{outcome: mulberryspool.OutcomeUnknown, detail: err.Error()}
-	}
-	defer response.Body.Close()
-	body, err := io.ReadAll(response.Body)
-	if err != nil {
-		return submissionResult{outcome: mulberryspool.OutcomeUnknown, detail: err.Error()}
-	}
-	if response.StatusCode == http.StatusOK {
-		var done plainservice.Answer
-		if err := json.Unmarshal(body, &done); err != nil {
-			return submissionResult{outcome: mulberryspool.OutcomeDone, detail: string(body)}
-		}
-		return submissionResult{outcome: mulberryspool.OutcomeDone, executed: done.RequestID}
-	}
-	var refused struct {
-		Error struct {
-			Type    mulberryspool.Outcome `json:"type"`
-			Code    string                `json:"code"`
-			Message string                `json:"message"`
-		} `json:"error"`
-	}
-	if err := json.Unmarshal(body, &refused); err != nil || refused.Error.Type == "" {
-		return submissionResult{outcome: mulberryspool.OutcomeUnknown, detail: string(body)}
-	}
-	return submissionResult{outcome: refused.Error.Type, detail: refused.Error.Code + ": " + refused.Error.Message}
+// submit sends a keyed submission to the booking route.
+func submit(client *http.Client, entry string, s caller.Submission) caller.SubmissionResult {
+	c := caller.Caller{HTTP: client}
+	return c.Submit(context.Background(), entry+"/booking/confirm", s)
 }
 
 // callers submit keys until the context ends; a key whose outcome is not done
@@ -185,18 +132,15 @@
 	var group sync.WaitGroup
 	for i := range count {
 		group.Go(func() {
-			// On a kept connection net/http itself sends a request with an
-			// Idempotency-Key again, so that a refused connection would not
-			// show that the entry never got it.
 			client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
 			for n := 0; ctx.Err() == nil; n++ {
 				key := fmt.Sprintf("order-%d-%d", i, n)
 				for try := range 3 {
-					sub := submission{key: key, id: mulberryspool.RequestID(uuid.NewString())}
+					sub := caller.Submission{Key: key, ID: mulberryspool.RequestID(uuid.NewString())}
 					call := time.Now()
 					result := submit(client, s.Entries[(i+try)%len(s.Entries)].Callers, sub)
 					r.add(i, sub, result, call, time.Now())
-					if result.outcome == mulberryspool.OutcomeDone {
+					if result.Outcome == mulberryspool.OutcomeDone {
 						break
 					}
 				}
@@ -218,7 +162,7 @@
 		key := keyOf(op.Input)
 		keys[plainservice.Digest([]byte(key))] = key
 		executions[key] = nil
-		outcomes[op.Output.(submissionResult).outcome]++
+		outcomes[op.Output.(caller.SubmissionResult).Outcome]++
 	}
 	for _, m := range s.Agents {
 		var list plainservice.ExecutionList
--- a/internal/integration/outage_test.go
+++ b/internal/integration/outage_test.go
@@ -13,7 +13,7 @@
 	"github.com/google/uuid"
 
 	"github.com/mulberryspool/mulberryspool"
-	"github.com/mulberryspool/mulberryspool/internal/standin/engine"
+	"github.com/mulberryspool/mulberryspool/internal/standin/caller"
 	"github.com/mulberryspool/mulberryspool/internal/standin/fault"
 	"github.com/mulberryspool/mulberryspool/internal/testkit/system"
 )
@@ -149,10 +149,10 @@
 		t.Errorf("apply in the outage ended with %d and %q, want an error that names the object API", code, message)
 	}
 	checkRestartInOutage(t, s, engines[0], revision)
-	if got := <-keyed; got.outcome != mulberryspool.OutcomeNotRun {
+	if got := <-keyed; got.Outcome != mulberryspool.OutcomeNotRun {
 		t.Errorf("submission with a key in the outage ended %+v, want notRun", got)
 	}
-	if n := len(submissionExecutions(t, s, keyInOutage)); n != 0 {
+	if n := len(s.SubmissionExecutions(t, keyInOutage)); n != 0 {
 		t.Error("a submission that was refused as not run ran")
 	}
 	load.wait(t, s, 16)
@@ -178,7 +178,7 @@
 func startOutage(t *testing.T, s *system.System, tables string) map[mulberryspool.Digest]string {
 	t.Helper()
 	s.Start(t)
-	publishVersions(t, s)
+	s.PublishVersions(t)
 	for range 4 {
 		s.AddEngineAgent(t, "scribe")
 	}
@@ -189,7 +189,7 @@
 	s.AwaitServing(t, "v1", s.Agents[:4]...)
 	s.AwaitAgents(t, "scribe", 4)
 	s.AwaitAgents(t, "booking", 1)
-	return publishedDigests(t, s, "v1", "v2", "v3", "v4")
+	return s.PublishedDigests(t, "v1", "v2", "v3", "v4")
 }
 
 func addFault(t *testing.T, s *system.System, rule fault.Rule) {
@@ -202,11 +202,11 @@
 
 // submitKeyed sends a submission with a key and returns its result later:
 // the entry tries for a while to record the claim.
-func submitKeyed(s *system.System) <-chan submissionResult {
-	result := make(chan submissionResult, 1)
+func submitKeyed(s *system.System) <-chan caller.SubmissionResult {
+	result := make(chan caller.SubmissionResult, 1)
 	go func() {
 		client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
-		result <- submit(client, s.Entries[0].Callers, submission{key: keyInOutage, id: mulberryspool.RequestID(uuid.NewString())})
+		result <- submit(client, s.Entries[0].Callers, caller.Submission{Key: keyInOutage, ID: mulberryspool.RequestID(uuid.NewString())})
 	}()
 	return result
 }
@@ -216,8 +216,8 @@
 	t.Helper()
 	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
 	for _, entry := range s.Entries {
-		plain := submission{id: mulberryspool.RequestID(uuid.NewString())}
-		if got := submit(client, entry.Callers, plain); got.outcome != mulberryspool.OutcomeDone || got.executed != plain.id {
+		plain := caller.Submission{ID: mulberryspool.RequestID(uuid.NewString())}
+		if got := submit(client, entry.Callers, plain); got.Outcome != mulberryspool.OutcomeDone || got.Executed != plain.ID {
 			t.Errorf("submission without a key in the outage ended %+v", got)
 		}
 	}
@@ -227,7 +227,7 @@
 // serves what the engine holds, without an order.
 func checkRestartInOutage(t *testing.T, s *system.System, m *system.Member, revision mulberryspool.Revision) {
 	t.Helper()
-	orders := engineOrders(t, s, m)
+	orders := s.EngineOrders(t, m)
 	signal(t, m, syscall.SIGKILL)
 	s.Restart(t, m)
 	s.AwaitServing(t, "v2", m)
@@ -235,15 +235,8 @@
 	if err != nil || status.Revision != revision {
 		t.Errorf("restarted agent has revision %d, error %v; want %d", status.Revision, err, revision)
 	}
-	if again := engineOrders(t, s, m); len(again) != len(orders) {
+	if again := s.EngineOrders(t, m); len(again) != len(orders) {
 		t.Errorf("the restarted agent ordered %+v", again[len(orders):])
 	}
 	s.AwaitAgents(t, "scribe", 4)
 }
-
-func engineOrders(t *testing.T, s *system.System, m *system.Member) []engine.OrderRecord {
-	t.Helper()
-	var orders []engine.OrderRecord
-	s.Send(t, http.MethodGet, m.Backend+"/admin/orders", nil, &orders)
-	return orders
-}
--- a/internal/integration/restart_test.go
+++ b/internal/integration/restart_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/mulberryspool/mulberryspool"
 	"github.com/mulberryspool/mulberryspool/internal/entry/deferred"
+	"github.com/mulberryspool/mulberryspool/internal/standin/caller"
 	"github.com/mulberryspool/mulberryspool/internal/standin/plainservice"
 	"github.com/mulberryspool/mulberryspool/internal/testkit/system"
 )
@@ -40,11 +41,11 @@
 	tables := s.Run(t, 0, "tables", "get")
 
 	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
-	done := make(map[string]submissionResult)
+	done := make(map[string]caller.SubmissionResult)
 	for i := range 10 {
 		key := fmt.Sprintf("before-%d", i)
-		done[key] = submit(client, s.Entries[i%2].Callers, submission{key: key, id: mulberryspool.RequestID(uuid.NewString())})
-		if done[key].outcome != mulberryspool.OutcomeDone {
+		done[key] = submit(client, s.Entries[i%2].Callers, caller.Submission{Key: key, ID: mulberryspool.RequestID(uuid.NewString())})
+		if done[key].Outcome != mulberryspool.OutcomeDone {
 			t.Fatalf("submission %s ended %+v", key, done[key])
 		}
 	}
@@ -57,7 +58,7 @@
 	}
 	late := leave(t, s, "late", 60)
 	s.Await(t, "some deferred submissions run", func(context.Context) bool {
-		return len(submissionExecutions(t, s, keysOf(late)...)) >= 4
+		return len(s.SubmissionExecutions(t, keysOf(late)...)) >= 4
 	})
 
 	members := append(append([]*system.Member{}, s.Agents...), s.Entries...)
@@ -89,19 +90,19 @@
 }
 
 // checkNotRunAgain sends each submission again through both entries.
-func checkNotRunAgain(t *testing.T, s *system.System, client *http.Client, done map[string]submissionResult) {
+func checkNotRunAgain(t *testing.T, s *system.System, client *http.Client, done map[string]caller.SubmissionResult) {
 	t.Helper()
 	for key, first := range done {
-		var again submissionResult
+		var again caller.SubmissionResult
 		for _, entry := range s.Entries {
-			again = submit(client, entry.Callers, submission{key: key, id: mulberryspool.RequestID(uuid.NewString())})
-			if again.outcome == mulberryspool.OutcomeDone && again.executed != first.executed {
-				t.Errorf("submission %s was answered again by %s, before by %s", key, again.executed, first.executed)
+			again = submit(client, entry.Callers, caller.Submission{Key: key, ID: mulberryspool.RequestID(uuid.NewString())})
+			if again.Outcome == mulberryspool.OutcomeDone && again.Executed != first.Executed {
+				t.Errorf("submission %s was answered again by %s, before by %s", key, again.Executed, first.Executed)
 			}
 		}
-		ran := submissionExecutions(t, s, key)[key]
-		if len(ran) != 1 || ran[0] != first.executed {
-			t.Errorf("submission %s ran as %v, want once as %s; the repetition ended %+v", key, ran, first.executed, again)
+		ran := s.SubmissionExecutions(t, key)[key]
+		if len(ran) != 1 || ran[0] != first.Executed {
+			t.Errorf("submission %s ran as %v, want once as %s; the repetition ended %+v", key, ran, first.Executed, again)
 		}
 	}
 }
@@ -151,7 +152,7 @@
 // checkReceipts compares receipts with the services' records.
 func checkReceipts(t *testing.T, s *system.System, receipts map[string]deferred.Receipt) {
 	t.Helper()
-	executions := submissionExecutions(t, s, keysOf(receipts)...)
+	executions := s.SubmissionExecutions(t, keysOf(receipts)...)
 	states := make(map[deferred.State]int)
 	for key, r := range receipts {
 		states[r.State]++
--- a/internal/integration/stop_test.go
+++ b/internal/integration/stop_test.go
@@ -34,7 +34,7 @@
 // after only the instance list says that it leaves (R6).
 func TestStoppingAgentCutsNothing(t *testing.T) {
 	s := stopSystem()
-	published := startEngines(t, s, chatTables, 4, 2)
+	published := s.StartEngines(t, chatTables, 4, 2)
 	long := startChats(t, s, 8, longStream)
 	// Short requests bring new work all the time.
 	short := startChats(t, s, 4, 10)
@@ -57,7 +57,7 @@
 // Guards against a planned stop of an entry that cuts a stream in flight (R7).
 func TestStoppingEntryCutsNothing(t *testing.T) {
 	s := stopSystem()
-	published := startEngines(t, s, chatTables, 3, 2)
+	published := s.StartEngines(t, chatTables, 3, 2)
 	entry := s.Entries[1]
 	long := startChats(t, s, 8, longStream)
 	// The load balancer stops sending before the entry is told to stop.
--- a/internal/integration/streams_test.go
+++ b/internal/integration/streams_test.go
@@ -22,7 +22,7 @@
 		EntryTimeouts: []string{"heartbeatInterval: 100ms", "suspicionTimeout: 300ms", "resolveTimeout: 3s"},
 	}
 	tables := strings.ReplaceAll(chatTables, "idempotent: true", "idempotent: true\n    timeout: 10s")
-	published := startEngines(t, s, tables, 4, 2)
+	published := s.StartEngines(t, tables, 4, 2)
 	load := startChats(t, s, 24, 50)
 	random := rand.New(rand.NewPCG(23, 1))
 	versions := []string{"v2", "v3", "v4"}
--- a/internal/integration/wholepath_test.go
+++ b/internal/integration/wholepath_test.go
@@ -31,7 +31,7 @@
 	}
 	s.AddEntry(t)
 	s.AddEntry(t)
-	publishVersions(t, s)
+	s.PublishVersions(t)
 	s.Apply(t, strings.ReplaceAll(chatTables, "VERSION", "v1"))
 	s.AwaitServing(t, "v1", s.Agents...)
 	s.AwaitAgents(t, "scribe", 4)
