Give every setting an effect

Read-through: the entry's listen.control and the agent's limits.maxBodySize were read and not used, and are gone. limits.maxInFlight and limits.maxQueuedTokens of the entry and timeouts.gracefulStop of the agent had no effect and have one now. gracefulStop was below requestTimeout, so that a stop could have cut off a long request; its default is 3 minutes and is checked.

--- a/internal/entry/admission/limiter.go
+++ b/internal/entry/admission/limiter.go
@@ -40,6 +40,9 @@
 		// MaxQueueDelay bounds the expected wait of a queued request;
 		// DefaultMaxQueueDelay when 0.
 		MaxQueueDelay time.Duration
+		// MaxQueuedTokens bounds the estimated tokens of all waiting
+		// requests; 0 means no bound beside MaxQueueDelay.
+		MaxQueuedTokens int
 		// Weights holds the shares of workspaces; 1 for those not named.
 		Weights map[string]float64
 		// RetryRatio is DefaultRetryRatio when 0.
@@ -51,7 +54,8 @@
 		requests   map[mulberryspool.RequestID]*request
 		workspaces map[string]*workspace
 		// queued holds the workspaces with waiting requests.
-		queued map[string]*workspace
+		queued       map[string]*workspace
+		queuedTokens int
 		// sweepAt is the number of workspaces at which those without work
 		// are dropped.
 		sweepAt int
@@ -101,6 +105,9 @@
 		return mulberryspool.AdmissionDecision{Admitted: true}
 	}
 	delay := l.queueDelay(w, offered.Tokens)
+	if l.MaxQueuedTokens > 0 && l.queuedTokens+offered.Tokens > l.MaxQueuedTokens {
+		return mulberryspool.AdmissionDecision{Reason: "too many tokens wait", RetryAfter: max(minimumRetryAfter, delay)}
+	}
 	if delay > l.maxQueueDelay() || now.Add(delay).After(offered.Deadline) {
 		return mulberryspool.AdmissionDecision{Reason: "queue is too long", RetryAfter: max(minimumRetryAfter, delay)}
 	}
@@ -196,10 +203,12 @@
 	l.queued[w.name] = w
 	w.queue = slices.Insert(w.queue, position, q)
 	w.queuedTokens += q.Tokens
+	l.queuedTokens += q.Tokens
 }
 
 func (l *Limiter) dequeue(w *workspace, position int) {
 	w.queuedTokens -= w.queue[position].Tokens
+	l.queuedTokens -= w.queue[position].Tokens
 	w.queue = slices.Delete(w.queue, position, position+1)
 	if len(w.queue) == 0 {
 		delete(l.queued, w.name)
--- a/internal/entry/admission/limiter_test.go
+++ b/internal/entry/admission/limiter_test.go
@@ -50,6 +50,22 @@
 	}
 }
 
+// Guards against a queue that takes more memory than its bound.
+func TestQueuedTokensAreBounded(t *testing.T) {
+	l := &Limiter{MaxQueueDelay: time.Hour, MaxQueuedTokens: 250}
+	l.SetCapacity(100, 1000)
+	l.Offer(offer("running", "a", 0), start)
+	for i, queued := range []bool{true, true, false} {
+		if got := l.Offer(offer(fmt.Sprint(i), "a", 0), start); got.Queued != queued || got.Queued == (got.Reason != "") {
+			t.Errorf("request %d was answered %+v, want queued %v", i, got, queued)
+		}
+	}
+	l.Release("0", start)
+	if got := l.Offer(offer("next", "b", 0), start); !got.Queued {
+		t.Errorf("after a request left the queue the next one was answered %+v", got)
+	}
+}
+
 // Guards against retries that multiply load during a failure.
 func TestRetriesAreAFractionOfLiveRequests(t *testing.T) {
 	l := &Limiter{}
--- a/internal/entry/dispatch/requests.go
+++ b/internal/entry/dispatch/requests.go
@@ -28,6 +28,10 @@
 		refuse(CodeStopping, "this entry is stopping", time.Second)
 		return
 	}
+	if len(r.requests) >= r.Settings.MaxRequests {
+		refuse(CodeOverload, "this entry has as many requests in progress as it may", time.Second)
+		return
+	}
 	route, ok := r.view.Tables.Route(sub.Route)
 	if !ok {
 		refuse(CodeNoRoute, "no route is named "+sub.Route, 0)
--- a/internal/entry/dispatch/state.go
+++ b/internal/entry/dispatch/state.go
@@ -12,6 +12,7 @@
 // Defaults of Settings.
 const (
 	DefaultSubsetSize    = 16
+	DefaultMaxRequests   = 4096
 	DefaultMaxAttempts   = 3
 	DefaultMaxResolves   = 8
 	DefaultTimeout       = 5 * time.Minute
@@ -41,6 +42,8 @@
 		// SubsetSize is the number of agents of each pool that the entry
 		// keeps connections to.
 		SubsetSize int
+		// MaxRequests bounds the requests in progress, queued ones included.
+		MaxRequests int
 		// MaxAttempts bounds the agents that a request is sent to.
 		MaxAttempts int
 		// MaxResolves bounds the resolves of one attempt.
@@ -171,6 +174,7 @@
 // withDefaults fills in zero values.
 func (s Settings) withDefaults() Settings {
 	orDefault(&s.SubsetSize, DefaultSubsetSize)
+	orDefault(&s.MaxRequests, DefaultMaxRequests)
 	orDefault(&s.MaxAttempts, DefaultMaxAttempts)
 	orDefault(&s.MaxResolves, DefaultMaxResolves)
 	orDefault(&s.Timeout, DefaultTimeout)
--- a/internal/operator/local/deployment.go
+++ b/internal/operator/local/deployment.go
@@ -127,7 +127,7 @@
 	s.Region, s.FailureDomain = place(number)
 	s.ObjectAPI.URL, s.InstanceList.URL = d.objectURL, d.listURL
 	s.Telemetry.LogLevel = logLevel
-	s.Listen = entrysettings.Listen{Callers: d.addresses.Address(), Control: d.addresses.Address(), Admin: d.addresses.Address()}
+	s.Listen = entrysettings.Listen{Callers: d.addresses.Address(), Admin: d.addresses.Address()}
 	d.callers = append(d.callers, "http://"+s.Listen.Callers)
 	d.instances.Register(s.Identity())
 	d.run(ctx, s.Instance, func() error { return entryrole.Run(ctx, s, logs) })
--- a/internal/role/agent/agent.go
+++ b/internal/role/agent/agent.go
@@ -46,6 +46,7 @@
 		InstancesInterval: s.InstanceList.PollInterval, ReportInterval: s.Backend.ReportInterval,
 		ReadBackTimeout: s.Timeouts.BackendTimeout, LoadTimeout: s.Timeouts.LoadTimeout,
 	}
+	run := platform.Bounded(clients.Clock, s.Timeouts.GracefulStop, p.Run)
 	clients.Admin.Ready = func() error {
 		if status := p.Status(); !status.Serving || status.Leaving {
 			return errors.Newf("the agent takes no new requests in phase %s", status.Phase)
@@ -55,12 +56,12 @@
 	clients.Admin.Status = func() admin.Status { return status(p.Status(), clients) }
 	if s.Backend.Kind == mulberryspool.PoolPlain {
 		listeners[1].Close()
-		return clients.Run(ctx, listeners[2], p.Run)
+		return clients.Run(ctx, listeners[2], run)
 	}
 	fetcher := newFetcher(s, clients, listeners[1])
 	p.Stager = fetcher
 	return clients.Run(ctx, listeners[2], func(ctx context.Context) error {
-		return runBoth(ctx, fetcher.Run, p.Run)
+		return runBoth(ctx, fetcher.Run, run)
 	})
 }
 
--- a/internal/role/entry/entry.go
+++ b/internal/role/entry/entry.go
@@ -39,10 +39,10 @@
 			return routing.New(rand.New(rand.NewPCG(clients.Random.Uint64(), clients.Random.Uint64())))
 		},
 		NewAdmission: func(string) mulberryspool.Admission {
-			return &admission.Limiter{RetryRatio: s.Limits.RetryBudget}
+			return &admission.Limiter{RetryRatio: s.Limits.RetryBudget, MaxQueuedTokens: s.Limits.MaxQueuedTokens}
 		},
 		Dispatch: dispatch.Settings{
-			SubsetSize: s.Limits.SubsetSize, Timeout: s.Timeouts.RequestTimeout, ResolveWindow: s.Timeouts.ResolveTimeout,
+			SubsetSize: s.Limits.SubsetSize, MaxRequests: s.Limits.MaxInFlight, Timeout: s.Timeouts.RequestTimeout, ResolveWindow: s.Timeouts.ResolveTimeout,
 		},
 		MaxBody: int64(s.Limits.MaxBodySize), InstancePoll: s.InstanceList.PollInterval,
 		HeartbeatInterval: s.Timeouts.HeartbeatInterval, DialTimeout: s.Timeouts.DialTimeout,
--- a/internal/role/platform/platform.go
+++ b/internal/role/platform/platform.go
@@ -11,6 +11,7 @@
 	"net"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/google/uuid"
 	"github.com/jonboulle/clockwork"
 	"github.com/rs/zerolog"
@@ -116,7 +117,6 @@
 	var group errgroup.Group
 	group.Go(func() error { return c.Admin.Serve(background, adminListener) })
 	group.Go(func() error { return c.Tables.Run(background) })
-	c.Events.Record(mulberryspool.Event{Kind: mulberryspool.EventProcessStarted})
 	c.Logger.Info().Str(logging.FieldStep, "start").Msg("process started")
 	err := role(ctx)
 	c.Logger.Info().Str(logging.FieldStep, "stop").Err(err).Msg("process stopped")
@@ -132,6 +132,27 @@
 	return err
 }
 
+// Bounded returns a role that is given up when it has not stopped within the
+// limit after the end of its context, so that a request that hangs at a backend
+// server keeps no instance for good.
+func Bounded(clock mulberryspool.Clock, limit time.Duration, role func(ctx context.Context) error) func(ctx context.Context) error {
+	return func(ctx context.Context) error {
+		ended := make(chan error, 1)
+		go func() { ended <- role(ctx) }()
+		select {
+		case err := <-ended:
+			return err
+		case <-ctx.Done():
+		}
+		select {
+		case err := <-ended:
+			return err
+		case <-clock.After(limit):
+			return errors.Newf("requests are still in flight %v after the stop began", limit)
+		}
+	}
+}
+
 // ControlBytes returns the bytes to and from other processes of the system.
 func (c *Clients) ControlBytes() int64 {
 	traffic := c.Endpoint.Traffic()
--- a/internal/settings/agent/agent.go
+++ b/internal/settings/agent/agent.go
@@ -75,8 +75,6 @@
 
 	// Limits bounds what an agent takes in.
 	Limits struct {
-		// MaxBodySize bounds the body of one request.
-		MaxBodySize decode.Size `yaml:"maxBodySize" validate:"gt=0"`
 		// MaxInFlight bounds the requests at the backend server.
 		MaxInFlight int `yaml:"maxInFlight" validate:"gt=0"`
 	}
@@ -121,7 +119,7 @@
 			DownloadSlots:  shared.DefaultDownloadSlots,
 			ChunkDeadline:  shared.DefaultChunkDeadline,
 		},
-		Limits: Limits{MaxBodySize: shared.DefaultMaxBodySize, MaxInFlight: shared.DefaultMaxInFlight},
+		Limits: Limits{MaxInFlight: shared.DefaultMaxInFlight},
 		Timeouts: Timeouts{
 			HeartbeatInterval: shared.DefaultHeartbeatInterval,
 			StartFreshness:    shared.DefaultStartFreshness,
--- a/internal/settings/entry/entry.go
+++ b/internal/settings/entry/entry.go
@@ -28,8 +28,6 @@
 	Listen struct {
 		// Callers is the HTTP listener for callers' requests.
 		Callers string `yaml:"callers" validate:"required,address"`
-		// Control is the jsonrpc2 listener.
-		Control string `yaml:"control" validate:"required,address"`
 		// Admin serves health, metrics, events and status.
 		Admin string `yaml:"admin" validate:"required,address"`
 	}
@@ -124,7 +122,6 @@
 		Role:          mulberryspool.RoleEntry,
 		FailureDomain: s.FailureDomain,
 		Region:        s.Region,
-		Control:       s.Listen.Control,
 		Admin:         s.Listen.Admin,
 	}
 }
@@ -132,6 +129,7 @@
 func (s *Settings) check(report *decode.Report) {
 	shared.CheckListeners(report,
 		shared.Listener{Key: "listen.callers", Address: s.Listen.Callers},
-		shared.Listener{Key: "listen.control", Address: s.Listen.Control},
 		shared.Listener{Key: "listen.admin", Address: s.Listen.Admin})
+	shared.CheckAbove(report, "timeouts.gracefulStop", s.Timeouts.GracefulStop,
+		"timeouts.requestTimeout", s.Timeouts.RequestTimeout)
 }
--- a/internal/settings/shared/defaults.go
+++ b/internal/settings/shared/defaults.go
@@ -41,7 +41,9 @@
 	DefaultMaxBodySize     = 8 << 20
 	DefaultMaxInFlight     = 256
 	DefaultEntryInFlight   = 4096
-	DefaultGracefulStop    = time.Minute
+	// DefaultGracefulStop is above DefaultRequestTimeout, so that a stop cuts
+	// off no request that is within its time.
+	DefaultGracefulStop = 3 * time.Minute
 
 	// DefaultSubsetSize keeps the heartbeats of one pool within R28: 16 agents
 	// every 5 s cost 1.5 KB/s.
--- a/internal/testkit/system/system.go
+++ b/internal/testkit/system/system.go
@@ -202,9 +202,9 @@
 	m := &Member{command: "entry", Identity: s.identity(mulberryspool.RoleEntry, "", len(s.Entries))}
 	callers := addresses.Address()
 	m.Callers = "http://" + callers
-	m.Identity.Control, m.Identity.Admin = addresses.Address(), addresses.Address()
-	s.writeConfig(t, m, fmt.Sprintf("listen:\n  callers: %s\n  control: %s\n  admin: %s\n",
-		callers, m.Identity.Control, m.Identity.Admin), s.EntryTimeouts)
+	m.Identity.Admin = addresses.Address()
+	s.writeConfig(t, m, fmt.Sprintf("listen:\n  callers: %s\n  admin: %s\n",
+		callers, m.Identity.Admin), s.EntryTimeouts)
 	m.Process = process.Start(t, s.program, "entry", "--config", m.config)
 	m.Process.AwaitURL(t, "http://"+m.Identity.Admin+"/healthz")
 	s.Entries = append(s.Entries, m)
