--- a/internal/agent/gate/gate.go
+++ b/internal/agent/gate/gate.go
@@ -3,7 +3,7 @@
 // clock and starts no goroutine.
 //
 //	start --> read back --> submit --> head, chunks, end --> read back --> end notice
-//	   \--> refused for good                \--> buffer, resent from an offset on resolve
+//	   \--> refused permanently             \--> buffer, resent from an offset on resolve
 //
 // A request ID is in at most one of two sets: accepted requests, which are
 // submitted at most once, and refused IDs, which are never submitted.
--- a/internal/agent/gate/retention.go
+++ b/internal/agent/gate/retention.go
@@ -6,7 +6,7 @@
 	"github.com/mulberryspool/mulberryspool"
 )
 
-// remember records an ID as refused for good. The first reason stands, and
+// remember records an ID as refused permanently. The first reason stands, and
 // the time is renewed: a later resolve covers starts sent until then.
 func (g *Gate) remember(now time.Duration, id mulberryspool.RequestID, reason mulberryspool.Refusal) {
 	if known, ok := g.refused[id]; ok {
--- a/internal/entry/dispatch/answers.go
+++ b/internal/entry/dispatch/answers.go
@@ -165,7 +165,7 @@
 	}
 }
 
-// neverSeen takes an agent's word that it refuses the request from now on,
+// neverSeen trusts an agent's answer that it refuses the request from now on,
 // unless that contradicts what it said before.
 func (r *Reducer) neverSeen(q *request) {
 	a := r.agents[q.agent]
--- a/internal/operator/command/arguments.go
+++ b/internal/operator/command/arguments.go
@@ -69,7 +69,7 @@
 	}
 
 	weightsArguments struct {
-		Publish *weightsPublish `arg:"subcommand:publish" help:"register a version for good"`
+		Publish *weightsPublish `arg:"subcommand:publish" help:"register a version permanently"`
 		Show    *weightsShow    `arg:"subcommand:show" help:"show versions"`
 	}
 
--- a/internal/role/platform/platform.go
+++ b/internal/role/platform/platform.go
@@ -134,7 +134,7 @@
 
 // Bounded returns a role that is given up when it has not stopped within the
 // limit after the end of its context, so that a request that hangs at a backend
-// server keeps no instance for good.
+// server does not keep an instance running.
 func Bounded(clock mulberryspool.Clock, limit time.Duration, role func(ctx context.Context) error) func(ctx context.Context) error {
 	return func(ctx context.Context) error {
 		ended := make(chan error, 1)
--- a/internal/testkit/faultproxy/faultproxy.go
+++ b/internal/testkit/faultproxy/faultproxy.go
@@ -134,7 +134,7 @@
 	p.state.refuse = refuse
 }
 
-// Stall makes all established connections silent for good in a direction,
+// Stall makes all established connections silent permanently in a direction,
 // without closing them. New connections work.
 func (p *Proxy) Stall(direction Direction) {
 	p.mu.Lock()
