--- a/internal/backend/plain/plain_test.go
+++ b/internal/backend/plain/plain_test.go
@@ -15,7 +15,7 @@
 	"github.com/mulberryspool/mulberryspool"
 	"github.com/mulberryspool/mulberryspool/internal/standin/fault"
 	standin "github.com/mulberryspool/mulberryspool/internal/standin/plainservice"
-	"github.com/mulberryspool/mulberryspool/internal/standin/serve"
+	"github.com/mulberryspool/mulberryspool/internal/testkit/httpserver"
 )
 
 func TestMain(m *testing.M) {
@@ -25,12 +25,7 @@
 func startService(t *testing.T, s *standin.Server) *Client {
 	t.Helper()
 	s.Clock = clockwork.NewRealClock()
-	running, err := serve.Start(s.Handler(), "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(running.Close)
-	return &Client{BaseURL: running.URL, Capacity: 3}
+	return &Client{BaseURL: httpserver.URL(t, s.Handler()), Capacity: 3}
 }
 
 // Guards against calls that run twice, above all those that net/http repeats
--- a/internal/platform/objectapi/client_test.go
+++ b/internal/platform/objectapi/client_test.go
@@ -16,19 +16,14 @@
 	"github.com/mulberryspool/mulberryspool"
 	"github.com/mulberryspool/mulberryspool/internal/standin/fault"
 	standin "github.com/mulberryspool/mulberryspool/internal/standin/objectapi"
-	"github.com/mulberryspool/mulberryspool/internal/standin/serve"
 	"github.com/mulberryspool/mulberryspool/internal/testkit/faultproxy"
+	"github.com/mulberryspool/mulberryspool/internal/testkit/httpserver"
 )
 
 func startServer(t testing.TB, s *standin.Server) string {
 	t.Helper()
 	s.Clock = clockwork.NewRealClock()
-	running, err := serve.Start(s.Handler(), "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(running.Close)
-	return running.URL
+	return httpserver.URL(t, s.Handler())
 }
 
 func newClient(t testing.TB, baseURL, caller string, seed uint64) *Client {
@@ -161,14 +156,9 @@
 // Guards against an outage with no listener that is reported as uncertain.
 func TestWriteWithoutConnectionHadNoEffect(t *testing.T) {
 	s := &standin.Server{Clock: clockwork.NewRealClock()}
-	running, err := serve.Start(s.Handler(), "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	running.Close()
-	c := newClient(t, running.URL, "one", 3)
+	c := newClient(t, httpserver.GoneURL(t, s.Handler()), "one", 3)
 	c.CallTimeout = 100 * time.Millisecond
-	_, err = c.Create(context.Background(), "kind", "a", nil)
+	_, err := c.Create(context.Background(), "kind", "a", nil)
 	if !errors.Is(err, mulberryspool.ErrUnavailable) || errors.Is(err, mulberryspool.ErrUncertain) {
 		t.Fatalf("create returned %v, want only ErrUnavailable", err)
 	}
--- a/internal/platform/origin/origin_test.go
+++ b/internal/platform/origin/origin_test.go
@@ -18,7 +18,7 @@
 	"github.com/mulberryspool/mulberryspool/internal/standin/content"
 	"github.com/mulberryspool/mulberryspool/internal/standin/fault"
 	standin "github.com/mulberryspool/mulberryspool/internal/standin/origin"
-	"github.com/mulberryspool/mulberryspool/internal/standin/serve"
+	"github.com/mulberryspool/mulberryspool/internal/testkit/httpserver"
 )
 
 func TestMain(m *testing.M) {
@@ -27,12 +27,7 @@
 
 func start(t *testing.T, handler http.Handler) *Client {
 	t.Helper()
-	running, err := serve.Start(handler, "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	c := &Client{BaseURL: running.URL, Caller: "one", Clock: clockwork.NewRealClock()}
-	t.Cleanup(running.Close)
+	c := &Client{BaseURL: httpserver.URL(t, handler), Caller: "one", Clock: clockwork.NewRealClock()}
 	t.Cleanup(c.Close)
 	return c
 }
--- a/internal/platform/weightstore/weightstore_test.go
+++ b/internal/platform/weightstore/weightstore_test.go
@@ -12,8 +12,8 @@
 	"go.uber.org/goleak"
 
 	"github.com/mulberryspool/mulberryspool"
-	"github.com/mulberryspool/mulberryspool/internal/standin/serve"
 	standin "github.com/mulberryspool/mulberryspool/internal/standin/weightstore"
+	"github.com/mulberryspool/mulberryspool/internal/testkit/httpserver"
 )
 
 func TestMain(m *testing.M) {
@@ -23,12 +23,7 @@
 // Guards against chunks that are lost, mixed up or stored under a wrong digest.
 func TestChunks(t *testing.T) {
 	s := &standin.Server{Clock: clockwork.NewRealClock(), MaxBytes: 150_000}
-	running, err := serve.Start(s.Handler(), "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer running.Close()
-	c := &Client{BaseURL: running.URL, Caller: "one", Clock: clockwork.NewRealClock()}
+	c := &Client{BaseURL: httpserver.URL(t, s.Handler()), Caller: "one", Clock: clockwork.NewRealClock()}
 	defer c.Close()
 	ctx := context.Background()
 	data := bytes.Repeat([]byte("x"), 100_000)
--- a/internal/settings/agent/agent.go
+++ b/internal/settings/agent/agent.go
@@ -136,27 +136,12 @@
 // Load reads a settings file over the defaults. Amendments, such as those
 // from command-line flags, are made before the checks.
 func Load(file string, amend ...func(*Settings)) (Settings, error) {
-	settings := Defaults()
-	err := decode.File(file, &settings, settings.options(amend))
-	return settings, err
+	return decode.Load(file, Defaults(), (*Settings).check, amend)
 }
 
 // Parse does what Load does for content that has been read already.
 func Parse(file string, data []byte, amend ...func(*Settings)) (Settings, error) {
-	settings := Defaults()
-	err := decode.Bytes(file, data, &settings, settings.options(amend))
-	return settings, err
-}
-
-func (s *Settings) options(amend []func(*Settings)) decode.Options {
-	return decode.Options{
-		Amend: func() {
-			for _, change := range amend {
-				change(s)
-			}
-		},
-		Checks: []decode.Check{s.check},
-	}
+	return decode.Parse(file, data, Defaults(), (*Settings).check, amend)
 }
 
 // Identity returns who the process is; the incarnation is set at start.
