--- a/internal/integration/history_test.go
+++ b/internal/integration/history_test.go
@@ -200,7 +200,7 @@
 // Guards against a submission that runs twice, a refusal as not run of one
 // that ran, and an answer that belongs to another request, while connections
 // are cut or go silent, agents are killed or frozen, an entry is killed, and
-// the object API is down or loses answers.
+// the object API is down, slow, or loses or withholds answers.
 func TestSubmissionsRunAtMostOnceUnderFaults(t *testing.T) {
 	s := &system.System{
 		Builder:       &builder,
@@ -270,6 +270,16 @@
 			time.Sleep(400 * time.Millisecond)
 			s.Send(t, http.MethodDelete, objectFaults, nil, nil)
 		},
+		func(*system.Member) {
+			s.Send(t, http.MethodPost, objectFaults, fault.Rule{Kind: fault.Slow, Delay: 300 * time.Millisecond}, nil)
+			time.Sleep(time.Second)
+			s.Send(t, http.MethodDelete, objectFaults, nil, nil)
+		},
+		func(*system.Member) {
+			s.Send(t, http.MethodPost, objectFaults, fault.Rule{Kind: fault.HangAnswer, Calls: 3}, nil)
+			time.Sleep(500 * time.Millisecond)
+			s.Send(t, http.MethodDelete, objectFaults, nil, nil)
+		},
 	}
 	for i := range count {
 		// Each kind comes at least once before the order becomes random.
