Share defaults, the entry's calls and one routing bound

Start and resolve of the entry share one call. Two event kinds for outages of the object API were declared and never recorded; they are gone, and recording them is left.

--- a/internal/agent/swarm/limits.go
+++ b/internal/agent/swarm/limits.go
@@ -1,6 +1,9 @@
 package swarm
 
-import "time"
+import (
+	"cmp"
+	"time"
+)
 
 // Defaults of Limits.
 const (
@@ -105,31 +108,25 @@
 
 // WithDefaults returns the limits with defaults in place of zero fields.
 func (l Limits) WithDefaults() Limits {
-	setDefault(&l.TakeoverShortest, DefaultTakeoverShortest)
-	setDefault(&l.TakeoverLongest, DefaultTakeoverLongest)
-	setDefault(&l.Neighbours, DefaultNeighbours)
-	setDefault(&l.Pipeline, DefaultPipeline)
-	setDefault(&l.RegionPipeline, DefaultRegionPipeline)
-	setDefault(&l.OriginPipeline, DefaultOriginPipeline)
-	setDefault(&l.PerPeer, DefaultPerPeer)
-	setDefault(&l.TellInterval, DefaultTellInterval)
-	setDefault(&l.StartWait, DefaultStartWait)
-	setDefault(&l.ProbeWait, DefaultProbeWait)
-	setDefault(&l.ProgressTimeout, DefaultProgressTimeout)
-	setDefault(&l.BusyWait, DefaultBusyWait)
-	setDefault(&l.AvoidFor, DefaultAvoidFor)
-	setDefault(&l.SuspectFor, DefaultSuspectFor)
-	setDefault(&l.OriginRetry, DefaultOriginRetry)
-	setDefault(&l.SecondSource, DefaultSecondSource)
+	l.TakeoverShortest = cmp.Or(l.TakeoverShortest, DefaultTakeoverShortest)
+	l.TakeoverLongest = cmp.Or(l.TakeoverLongest, DefaultTakeoverLongest)
+	l.Neighbours = cmp.Or(l.Neighbours, DefaultNeighbours)
+	l.Pipeline = cmp.Or(l.Pipeline, DefaultPipeline)
+	l.RegionPipeline = cmp.Or(l.RegionPipeline, DefaultRegionPipeline)
+	l.OriginPipeline = cmp.Or(l.OriginPipeline, DefaultOriginPipeline)
+	l.PerPeer = cmp.Or(l.PerPeer, DefaultPerPeer)
+	l.TellInterval = cmp.Or(l.TellInterval, DefaultTellInterval)
+	l.StartWait = cmp.Or(l.StartWait, DefaultStartWait)
+	l.ProbeWait = cmp.Or(l.ProbeWait, DefaultProbeWait)
+	l.ProgressTimeout = cmp.Or(l.ProgressTimeout, DefaultProgressTimeout)
+	l.BusyWait = cmp.Or(l.BusyWait, DefaultBusyWait)
+	l.AvoidFor = cmp.Or(l.AvoidFor, DefaultAvoidFor)
+	l.SuspectFor = cmp.Or(l.SuspectFor, DefaultSuspectFor)
+	l.OriginRetry = cmp.Or(l.OriginRetry, DefaultOriginRetry)
+	l.SecondSource = cmp.Or(l.SecondSource, DefaultSecondSource)
 	return l
 }
 
-func setDefault[T int | time.Duration](field *T, value T) {
-	if *field == 0 {
-		*field = value
-	}
-}
-
 // takeoverWait returns the wait of the first successor.
 func (l Limits) takeoverWait() time.Duration {
 	bias := min(1, max(0, l.OriginBias))
--- a/internal/entry/claims/ledger.go
+++ b/internal/entry/claims/ledger.go
@@ -1,6 +1,7 @@
 package claims
 
 import (
+	"cmp"
 	"context"
 	"sync"
 	"time"
@@ -89,24 +90,12 @@
 }
 
 func (l *Ledger) init() {
-	if l.Shards == 0 {
-		l.Shards = DefaultShards
-	}
-	if l.Retention == 0 {
-		l.Retention = DefaultRetention
-	}
-	if l.Writes == 0 {
-		l.Writes = DefaultWrites
-	}
-	if l.SegmentBytes == 0 {
-		l.SegmentBytes = DefaultSegmentBytes
-	}
-	if l.MaxSegments == 0 {
-		l.MaxSegments = DefaultMaxSegments
-	}
-	if l.OutcomeDelay == 0 {
-		l.OutcomeDelay = DefaultOutcomeDelay
-	}
+	l.Shards = cmp.Or(l.Shards, DefaultShards)
+	l.Retention = cmp.Or(l.Retention, DefaultRetention)
+	l.Writes = cmp.Or(l.Writes, DefaultWrites)
+	l.SegmentBytes = cmp.Or(l.SegmentBytes, DefaultSegmentBytes)
+	l.MaxSegments = cmp.Or(l.MaxSegments, DefaultMaxSegments)
+	l.OutcomeDelay = cmp.Or(l.OutcomeDelay, DefaultOutcomeDelay)
 	// A burst of one write per shard keeps the latency low while the rate is.
 	l.limiter = rate.NewLimiter(rate.Limit(l.Writes), l.Shards)
 	for i := range l.Shards {
--- a/internal/entry/deferred/queue.go
+++ b/internal/entry/deferred/queue.go
@@ -1,6 +1,7 @@
 package deferred
 
 import (
+	"cmp"
 	"context"
 	"crypto/sha256"
 	"encoding/hex"
@@ -80,18 +81,10 @@
 
 func (q *Queue) init() {
 	q.setup.Do(func() {
-		if q.ScanInterval == 0 {
-			q.ScanInterval = DefaultScanInterval
-		}
-		if q.Concurrency == 0 {
-			q.Concurrency = DefaultConcurrency
-		}
-		if q.RunBound == 0 {
-			q.RunBound = DefaultRunBound
-		}
-		if q.RetryAfter == 0 {
-			q.RetryAfter = DefaultRetryAfter
-		}
+		q.ScanInterval = cmp.Or(q.ScanInterval, DefaultScanInterval)
+		q.Concurrency = cmp.Or(q.Concurrency, DefaultConcurrency)
+		q.RunBound = cmp.Or(q.RunBound, DefaultRunBound)
+		q.RetryAfter = cmp.Or(q.RetryAfter, DefaultRetryAfter)
 		q.pending = make(map[string]*pending)
 		q.claimed = make(map[string]sighting)
 		q.running = make(map[string]bool)
--- a/internal/entry/dispatch/state.go
+++ b/internal/entry/dispatch/state.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"cmp"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -173,27 +174,21 @@
 
 // withDefaults fills in zero values.
 func (s Settings) withDefaults() Settings {
-	orDefault(&s.SubsetSize, DefaultSubsetSize)
-	orDefault(&s.MaxRequests, DefaultMaxRequests)
-	orDefault(&s.MaxAttempts, DefaultMaxAttempts)
-	orDefault(&s.MaxResolves, DefaultMaxResolves)
-	orDefault(&s.Timeout, DefaultTimeout)
-	orDefault(&s.ResolveWindow, DefaultResolveWindow)
-	orDefault(&s.ChooseWait, DefaultChooseWait)
-	orDefault(&s.Backoff, DefaultBackoff)
-	orDefault(&s.BackoffCap, DefaultBackoffCap)
-	orDefault(&s.NeverSeenTrust, DefaultNeverSeenTrust)
-	orDefault(&s.AgentCapacity, DefaultAgentCapacity)
-	orDefault(&s.Headroom, DefaultHeadroom)
+	s.SubsetSize = cmp.Or(s.SubsetSize, DefaultSubsetSize)
+	s.MaxRequests = cmp.Or(s.MaxRequests, DefaultMaxRequests)
+	s.MaxAttempts = cmp.Or(s.MaxAttempts, DefaultMaxAttempts)
+	s.MaxResolves = cmp.Or(s.MaxResolves, DefaultMaxResolves)
+	s.Timeout = cmp.Or(s.Timeout, DefaultTimeout)
+	s.ResolveWindow = cmp.Or(s.ResolveWindow, DefaultResolveWindow)
+	s.ChooseWait = cmp.Or(s.ChooseWait, DefaultChooseWait)
+	s.Backoff = cmp.Or(s.Backoff, DefaultBackoff)
+	s.BackoffCap = cmp.Or(s.BackoffCap, DefaultBackoffCap)
+	s.NeverSeenTrust = cmp.Or(s.NeverSeenTrust, DefaultNeverSeenTrust)
+	s.AgentCapacity = cmp.Or(s.AgentCapacity, DefaultAgentCapacity)
+	s.Headroom = cmp.Or(s.Headroom, DefaultHeadroom)
 	return s
 }
 
-func orDefault[T int | float64 | time.Duration](value *T, fallback T) {
-	if *value == 0 {
-		*value = fallback
-	}
-}
-
 // ready reports whether the agent may get new work.
 func (a *agent) ready() bool {
 	return a.open && !a.leaving && !a.blocked && !a.suspected &&
--- a/internal/entry/process/effects.go
+++ b/internal/entry/process/effects.go
@@ -58,39 +58,36 @@
 }
 
 func (p *Process) start(ctx context.Context, e dispatch.CallStart) {
-	peer := p.peers.get(e.Conn)
-	failed := dispatch.StartFailed{ID: e.ID, Conn: e.Conn, Attempt: e.Attempt}
-	if peer == nil {
-		p.inbox.post(failed)
-		return
-	}
-	ctx, cancel := p.withTimeout(ctx, p.StartTimeout)
-	defer cancel()
 	var result mulberryspool.StartResult
-	if err := peer.conn.Call(ctx, mulberryspool.MethodStart, e.Params, &result); err != nil {
-		p.logCall(err, mulberryspool.MethodStart, peer, e.ID)
-		p.inbox.post(failed)
+	if !p.callAgent(ctx, e.Conn, mulberryspool.MethodStart, e.ID, e.Params, &result) {
+		p.inbox.post(dispatch.StartFailed{ID: e.ID, Conn: e.Conn, Attempt: e.Attempt})
 		return
 	}
 	p.inbox.post(dispatch.StartAnswered{ID: e.ID, Conn: e.Conn, Attempt: e.Attempt, Result: result})
 }
 
 func (p *Process) resolve(ctx context.Context, e dispatch.CallResolve) {
-	peer := p.peers.get(e.Conn)
-	failed := dispatch.ResolveFailed{ID: e.ID, Conn: e.Conn, Attempt: e.Attempt}
-	if peer == nil {
-		p.inbox.post(failed)
+	var result mulberryspool.ResolveResult
+	if !p.callAgent(ctx, e.Conn, mulberryspool.MethodResolve, e.ID, e.Params, &result) {
+		p.inbox.post(dispatch.ResolveFailed{ID: e.ID, Conn: e.Conn, Attempt: e.Attempt})
 		return
 	}
+	p.inbox.post(dispatch.ResolveAnswered{ID: e.ID, Conn: e.Conn, Attempt: e.Attempt, Result: result})
+}
+
+// callAgent returns false when no reply came.
+func (p *Process) callAgent(ctx context.Context, conn dispatch.ConnID, method string, id mulberryspool.RequestID, params, result any) bool {
+	peer := p.peers.get(conn)
+	if peer == nil {
+		return false
+	}
 	ctx, cancel := p.withTimeout(ctx, p.StartTimeout)
 	defer cancel()
-	var result mulberryspool.ResolveResult
-	if err := peer.conn.Call(ctx, mulberryspool.MethodResolve, e.Params, &result); err != nil {
-		p.logCall(err, mulberryspool.MethodResolve, peer, e.ID)
-		p.inbox.post(failed)
-		return
+	if err := peer.conn.Call(ctx, method, params, result); err != nil {
+		p.logCall(err, method, peer, id)
+		return false
 	}
-	p.inbox.post(dispatch.ResolveAnswered{ID: e.ID, Conn: e.Conn, Attempt: e.Attempt, Result: result})
+	return true
 }
 
 func (p *Process) cancel(_ context.Context, e dispatch.CallCancel) {
--- a/internal/entry/routing/pool.go
+++ b/internal/entry/routing/pool.go
@@ -159,8 +159,9 @@
 	}
 	best := candidate{cost: math.Inf(1)}
 	if request.Prefix != 0 {
-		best = p.choosePreferred(request)
-		if best.agent != nil && best.cost <= p.bound() {
+		bound := p.bound()
+		best = p.choosePreferred(request, bound)
+		if best.agent != nil && best.cost <= bound {
 			return best.agent.id, true
 		}
 	}
@@ -261,11 +262,10 @@
 
 // choosePreferred returns the first of the bucket's agents whose cost is
 // within the bound, else the one with the lowest cost.
-func (p *Pool) choosePreferred(request mulberryspool.RoutingRequest) candidate {
+func (p *Pool) choosePreferred(request mulberryspool.RoutingRequest, bound float64) candidate {
 	if p.stale {
 		p.rebuild()
 	}
-	bound := p.bound()
 	best := candidate{cost: math.Inf(1)}
 	for _, a := range p.table[bucketOf(request)] {
 		if a == nil {
--- a/internal/observe/timeline/html.go
+++ b/internal/observe/timeline/html.go
@@ -108,7 +108,7 @@
 func class(kind mulberryspool.EventKind) string {
 	switch kind {
 	case mulberryspool.EventTablesRejected, mulberryspool.EventChunkCorrupted, mulberryspool.EventPeerSuspected,
-		mulberryspool.EventObjectAPIDown, mulberryspool.EventRequestRefused:
+		mulberryspool.EventRequestRefused:
 		return "trouble"
 	case mulberryspool.EventTablesInForce:
 		return "tables"
--- a/timeline.go
+++ b/timeline.go
@@ -23,8 +23,6 @@
 	EventPhaseChanged     EventKind = "phaseChanged"
 	EventEngineOrdered    EventKind = "engineOrdered"
 	EventEngineReadBack   EventKind = "engineReadBack"
-	EventObjectAPIDown    EventKind = "objectAPIDown"
-	EventObjectAPIUp      EventKind = "objectAPIUp"
 	EventSubmissionClaim  EventKind = "submissionClaimed"
 	EventDeferredAccepted EventKind = "deferredAccepted"
 	EventDeferredEnded    EventKind = "deferredEnded"
