--- a/engine.go
+++ b/engine.go
@@ -86,3 +86,32 @@
 		Loaded(ctx context.Context) (Loaded, error)
 	}
 )
+
+type (
+	// EngineState is what a model engine on the same machine says of itself.
+	EngineState struct {
+		// Born is the start of this incarnation in Unix milliseconds; 0 when not said.
+		Born int64
+		// Models holds what is loaded.
+		Models []LoadedModel
+		// Loading is set while an order is in progress.
+		Loading bool
+		// Orders counts the orders that the incarnation accepted.
+		Orders int64
+		// Running and Waiting count requests.
+		Running, Waiting int
+	}
+
+	// StagedEngine is a model engine that loads what lies staged beside it.
+	// It checks neither the staged bytes nor who stages them.
+	StagedEngine interface {
+		State(ctx context.Context) (EngineState, error)
+		// Stage replaces a piece of a model's staged content.
+		Stage(ctx context.Context, model string, piece int, data []byte) error
+		// Staged reads a piece back; ErrNotFound if there is none.
+		Staged(ctx context.Context, model string, piece int) ([]byte, error)
+		// Start orders the engine to load the staged content as a version. It
+		// fails with ErrConflict if the engine has accepted another number of orders.
+		Start(ctx context.Context, model string, version, orders int64) error
+	}
+)
--- /dev/null
+++ b/internal/entry/placement/choose.go
@@ -0,0 +1,161 @@
+package placement
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/mulberryspool/mulberryspool"
+)
+
+// choose returns the backend server at which the first event is expected
+// soonest, nil if none has room.
+func (p *Placer) choose(r Request, now time.Time) *server {
+	var (
+		best      *server
+		bestScore time.Duration
+		reserve   *server
+	)
+	avoid := p.avoidable(now)
+	for _, s := range p.ordered {
+		if !p.usable(s, r, now) || now.Before(s.fullUntil) || s.inFlight() >= p.places(s) {
+			continue
+		}
+		if avoid && s.health.avoided(now) {
+			if reserve == nil || s.health.suspicion < reserve.health.suspicion {
+				reserve = s
+			}
+			continue
+		}
+		score := p.score(s, now)
+		if best == nil || score < bestScore {
+			best, bestScore = s, score
+		}
+	}
+	if best == nil && r.Resumed {
+		return reserve
+	}
+	return best
+}
+
+// usable says whether a backend server may be given the request at all.
+func (p *Placer) usable(s *server, r Request, now time.Time) bool {
+	if s.Leaving || slices.Contains(r.Exclude, s.Instance) {
+		return false
+	}
+	if p.pool.Model == "" {
+		return true
+	}
+	if s.version == 0 || now.Before(s.misdirectedUntil) || r.Version != 0 && s.version != r.Version {
+		return false
+	}
+	return s.version >= p.named || now.Before(p.namedAt.Add(p.Figures.VersionGrace))
+}
+
+// score is the expected time to the first event.
+func (p *Placer) score(s *server, now time.Time) time.Duration {
+	n := s.inFlight()
+	places := p.places(s)
+	var expected time.Duration
+	if p.pool.Engine != nil {
+		expected = p.pass() + p.reading(s.own.Unread+s.others.Unread)
+		// A fuller batch leaves less room for what comes in the next moment.
+		expected += time.Duration(float64(p.serviceTime()) * float64(n) / float64(2*places))
+	} else {
+		expected = time.Duration(float64(p.serviceTime()) * float64(n+1) / float64(max(1, s.slots())))
+	}
+	expected = time.Duration(float64(expected) * s.health.pace())
+	if s.FailureDomain != p.Figures.Domain {
+		expected += p.Figures.Delay
+	}
+	expected += s.health.penalty(now)
+	// Entries that see the same numbers must not all take the same server.
+	return expected + time.Duration(p.Random.Float64()*float64(jitter))
+}
+
+// places is the number of requests that a backend server is given at once.
+func (p *Placer) places(s *server) int {
+	if p.pool.Engine == nil {
+		return plainQueue * s.slots()
+	}
+	return s.slots() + overcommit
+}
+
+// capacity counts the usable servers, their places and what is in flight there.
+func (p *Placer) capacity(r Request, now time.Time) (usable, places, inFlight int) {
+	for _, s := range p.ordered {
+		if !p.usable(s, r, now) {
+			continue
+		}
+		usable++
+		places += p.places(s)
+		inFlight += s.inFlight()
+	}
+	return usable, places, inFlight
+}
+
+// avoidable says whether suspects may be left out: never more than half of
+// the servers, because a fault of the entry's own looks the same.
+func (p *Placer) avoidable(now time.Time) bool {
+	suspects := 0
+	for _, s := range p.ordered {
+		if s.health.avoided(now) {
+			suspects++
+		}
+	}
+	return 2*suspects <= len(p.ordered)
+}
+
+func (p *Placer) activePeers() int {
+	return len(p.peers)
+}
+
+// Expire forgets entries that have been silent.
+func (p *Placer) Expire(now time.Time) {
+	for peer, l := range p.peers {
+		if now.Sub(l.at) > peerTimeout {
+			delete(p.peers, peer)
+		}
+	}
+	p.sumPeers()
+}
+
+func (p *Placer) sumPeers() {
+	for _, s := range p.ordered {
+		s.others = Load{}
+	}
+	for _, l := range p.peers {
+		for id, load := range l.loads {
+			if s := p.servers[id]; s != nil {
+				s.others.Requests += load.Requests
+				s.others.Unread += load.Unread
+			}
+		}
+	}
+}
+
+// Summary describes the pool in metrics and logs.
+func (p *Placer) Summary(now time.Time) (usable, places, inFlight int) {
+	return p.capacity(Request{}, now)
+}
+
+func (s *server) inFlight() int {
+	return s.own.Requests + s.others.Requests
+}
+
+func (s *server) slots() int {
+	return cmp.Or(max(0, s.Slots), defaultSlots)
+}
+
+func mean(old, value time.Duration) time.Duration {
+	return old + time.Duration(smoothing*float64(value-old))
+}
+
+// Server returns what is known of a backend server.
+func (p *Placer) Server(id mulberryspool.InstanceID) (mulberryspool.BackendServer, bool) {
+	s := p.servers[id]
+	if s == nil {
+		return mulberryspool.BackendServer{}, false
+	}
+	return s.BackendServer, true
+}
--- a/internal/platform/objectapi/attempt.go
+++ b/internal/platform/objectapi/attempt.go
@@ -75,14 +75,19 @@
 		}
 	}})
 	var body io.Reader
-	if r.method == http.MethodPut {
+	if r.body != nil || r.method == http.MethodPut {
 		body = bytes.NewReader(r.body)
 	}
 	request, err := http.NewRequestWithContext(ctx, r.method, r.url, body)
 	if err != nil {
 		return nil, errors.Wrap(err, "make request")
 	}
-	request.Header.Set(callerHeader, c.Caller)
+	if c.Caller != "" {
+		request.Header.Set(callerHeader, c.Caller)
+	}
+	if r.contentType != "" {
+		request.Header.Set("Content-Type", r.contentType)
+	}
 	if r.ifMatch != "" {
 		request.Header.Set("If-Match", r.ifMatch)
 	}
@@ -129,7 +134,9 @@
 			return result{err: mulberryspool.ErrConflict, cause: "conflict", health: healthUp}
 		}
 		return result{err: mulberryspool.ErrNotFound, cause: "notFound", health: healthUp}
-	case http.StatusPreconditionFailed:
+	case http.StatusGone:
+		return result{err: mulberryspool.ErrCompacted, cause: "compacted", health: healthUp}
+	case http.StatusPreconditionFailed, http.StatusConflict:
 		return result{err: mulberryspool.ErrConflict, cause: "conflict", health: healthUp}
 	case http.StatusTooManyRequests, http.StatusServiceUnavailable:
 		// By the protocol, a call with one of these answers had no effect.
--- a/internal/platform/objectapi/client.go
+++ b/internal/platform/objectapi/client.go
@@ -116,6 +116,30 @@
 		// sending is called with true before each try, and with false before
 		// the pause that follows a failed one; nil for none.
 		sending func(bool)
+		// contentType is the type of the body; empty for none.
+		contentType string
+		// wait is how long the object API may hold the answer back; at is the
+		// URL for that wait, or for none while the object API is not known to be up.
+		wait time.Duration
+		at   func(wait time.Duration) string
+	}
+
+	// Request is a call in another dialect of the object API. It shares the
+	// budget, the backoff and the rules for repeated calls.
+	Request struct {
+		// Operation names the call in errors and counters.
+		Operation string
+		Method    string
+		// URL returns the address of a call that may be held back for the wait.
+		URL func(wait time.Duration) string
+		// Wait is 0 for calls that are answered at once.
+		Wait time.Duration
+		// Body is JSON; nil for none.
+		Body []byte
+		// Writing is set for calls that change an object.
+		Writing bool
+		// Accept decodes a successful answer; its error counts as a failed try.
+		Accept func(io.Reader) error
 	}
 )
 
@@ -179,6 +203,19 @@
 	return err
 }
 
+// Do sends a call of another dialect. Its errors are those of ObjectStore.
+func (c *Client) Do(ctx context.Context, r Request) error {
+	c.init()
+	w := call{
+		operation: r.Operation, method: r.Method, body: r.Body, writing: r.Writing, wait: r.Wait, at: r.URL,
+		accept: func(_ http.Header, body io.Reader) error { return r.Accept(body) },
+	}
+	if r.Body != nil {
+		w.contentType = "application/json"
+	}
+	return c.run(ctx, w)
+}
+
 func (c *Client) write(ctx context.Context, kind, name string, value []byte, w call) (mulberryspool.Object, error) {
 	c.init()
 	if len(value) > MaxValueBytes {
@@ -263,9 +300,10 @@
 
 // run tries a call until it has a definite result or its time is over.
 func (c *Client) run(ctx context.Context, r call) error {
-	ctx, cancel := clockwork.WithTimeout(ctx, c.Clock, c.CallTimeout)
+	limit := c.CallTimeout + r.wait
+	ctx, cancel := clockwork.WithTimeout(ctx, c.Clock, limit)
 	defer cancel()
-	deadline := c.Clock.Now().Add(c.CallTimeout)
+	deadline := c.Clock.Now().Add(limit)
 	cost := 1
 	if r.writing {
 		cost = c.WriteCost
@@ -277,7 +315,15 @@
 			c.count(r.operation, "notSent")
 			return mulberryspool.AtStep(unavailable(err, last), r.operation+" object", c.BaseURL)
 		}
-		result := c.attempt(ctx, r, c.AttemptTimeout)
+		wait := r.wait
+		if ticket.probe {
+			// The others wait for the answer to a probe.
+			wait = 0
+		}
+		if r.at != nil {
+			r.url = r.at(wait)
+		}
+		result := c.attempt(ctx, r, wait+c.AttemptTimeout)
 		c.settle(ticket, r.operation, result)
 		if !result.retry {
 			return mulberryspool.AtStep(result.err, r.operation+" object", c.BaseURL)
--- a/objectstore.go
+++ b/objectstore.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/cockroachdb/errors"
 )
@@ -21,6 +22,8 @@
 	ErrUnavailable = errors.New("object API unavailable")
 	// ErrNotModified ends a watch whose object did not change in time.
 	ErrNotModified = errors.New("object not modified")
+	// ErrCompacted says that the history a watch asked for is gone.
+	ErrCompacted = errors.New("history of objects is gone")
 )
 
 type (
@@ -49,4 +52,23 @@
 		// ErrNotModified at the latest when its own deadline passes.
 		Watch(ctx context.Context, kind, name string, after Revision) (Object, error)
 	}
+
+	// ObjectChange is one change of an object.
+	ObjectChange struct {
+		Object  Object
+		Deleted bool
+	}
+
+	// ObjectKinds lists and follows whole kinds of objects.
+	ObjectKinds interface {
+		// List returns the objects of a kind and a revision from which
+		// Changes misses nothing.
+		List(ctx context.Context, kind string) ([]Object, Revision, error)
+		// Changes waits for changes after the revision and returns them with
+		// the revision to go on from. It returns none when the wait is over,
+		// and ErrCompacted when the changes are no longer known.
+		Changes(ctx context.Context, kind string, after Revision, wait time.Duration) ([]ObjectChange, Revision, error)
+		// Put creates or replaces an object that no other process writes.
+		Put(ctx context.Context, kind, name string, value any) error
+	}
 )
