--- a/cmd/mulberryspool/runners.go
+++ b/cmd/mulberryspool/runners.go
@@ -22,6 +22,7 @@
 	"github.com/mulberryspool/mulberryspool/internal/platform/weightstore"
 	"github.com/mulberryspool/mulberryspool/internal/role/agent"
 	"github.com/mulberryspool/mulberryspool/internal/role/entry"
+	"github.com/mulberryspool/mulberryspool/internal/role/hosted"
 )
 
 // operatorCaller is the name under which the platform counts an operator's calls.
@@ -32,6 +33,9 @@
 	return command.Runners{
 		Entry: entry.Run,
 		Agent: agent.Run,
+
+		HostedEntry: hosted.Entry,
+		HostedAgent: hosted.Agent,
 		Local: func(ctx context.Context, options command.LocalOptions, out io.Writer) error {
 			system := &local.System{Clock: clockwork.NewRealClock(), Out: out, Logs: os.Stderr, Keep: options.Keep}
 			return system.Run(ctx)
--- a/internal/operator/command/arguments.go
+++ b/internal/operator/command/arguments.go
@@ -25,6 +25,7 @@
 		Status   *statusArguments   `arg:"subcommand:status" help:"show what every pool serves"`
 		Timeline *timelineArguments `arg:"subcommand:timeline" help:"show the events of all processes"`
 		Local    *localArguments    `arg:"subcommand:local" help:"run a complete system on loopback"`
+		Hosted   *hostedArguments   `arg:"subcommand:hosted" help:"run a role on the users' platform"`
 
 		ObjectAPI string        `arg:"--object-api,env:MULBERRYSPOOL_OBJECT_API" placeholder:"URL" help:"base URL of the object API"`
 		Instances string        `arg:"--instances,env:MULBERRYSPOOL_INSTANCES" placeholder:"URL" help:"base URL of the instance list"`
@@ -37,6 +38,15 @@
 		Check  bool   `arg:"--check" help:"check the settings and exit"`
 	}
 
+	hostedArguments struct {
+		Entry *hostedRole `arg:"subcommand:entry" help:"take callers' requests"`
+		Agent *hostedRole `arg:"subcommand:agent" help:"bring weights to the model server on this machine"`
+	}
+
+	hostedRole struct {
+		Check bool `arg:"--check" help:"check the settings and exit"`
+	}
+
 	tablesArguments struct {
 		Get      *tablesGet      `arg:"subcommand:get" help:"print the stored tables"`
 		Apply    *tablesApply    `arg:"subcommand:apply" help:"change the tables"`
--- a/internal/operator/command/command.go
+++ b/internal/operator/command/command.go
@@ -17,6 +17,7 @@
 	"github.com/mulberryspool/mulberryspool"
 	agentsettings "github.com/mulberryspool/mulberryspool/internal/settings/agent"
 	entrysettings "github.com/mulberryspool/mulberryspool/internal/settings/entry"
+	hostedsettings "github.com/mulberryspool/mulberryspool/internal/settings/hosted"
 )
 
 // Exit codes of the program.
@@ -42,6 +43,10 @@
 		// context on SIGTERM.
 		Entry func(ctx context.Context, settings entrysettings.Settings, logs io.Writer) error
 		Agent func(ctx context.Context, settings agentsettings.Settings, logs io.Writer) error
+		// HostedEntry and HostedAgent run a role on the users' platform. The
+		// file is that of the settings, which may change.
+		HostedEntry func(ctx context.Context, file string, settings hostedsettings.Settings, logs io.Writer) error
+		HostedAgent func(ctx context.Context, file string, settings hostedsettings.Settings, logs io.Writer) error
 		// Local runs a complete system with stand-ins.
 		Local func(ctx context.Context, options LocalOptions, out io.Writer) error
 		// PublishWeights and ShowWeights are the weights subcommands.
@@ -141,6 +146,9 @@
 }
 
 func (p *Program) dispatch(ctx context.Context, a *arguments) error {
+	if a.Hosted != nil {
+		return p.hosted(ctx, a)
+	}
 	if err := a.readSettings(); err != nil {
 		return err
 	}
--- a/internal/operator/command/roles.go
+++ b/internal/operator/command/roles.go
@@ -8,6 +8,7 @@
 
 	agentsettings "github.com/mulberryspool/mulberryspool/internal/settings/agent"
 	entrysettings "github.com/mulberryspool/mulberryspool/internal/settings/entry"
+	hostedsettings "github.com/mulberryspool/mulberryspool/internal/settings/hosted"
 )
 
 func (p *Program) entry(ctx context.Context, a *arguments) error {
@@ -50,6 +51,30 @@
 	return p.Runners.Agent(ctx, settings, p.Err)
 }
 
+func (p *Program) hosted(ctx context.Context, a *arguments) error {
+	run, role := p.Runners.HostedEntry, a.Hosted.Entry
+	if a.Hosted.Agent != nil {
+		run, role = p.Runners.HostedAgent, a.Hosted.Agent
+	}
+	if role == nil {
+		return withCode(ExitBadInput, errors.New("hosted needs entry or agent"))
+	}
+	if err := require("--settings", a.Settings); err != nil {
+		return err
+	}
+	settings, err := hostedsettings.Load(a.Settings)
+	if err != nil {
+		return badSettings(err)
+	}
+	if role.Check {
+		return p.checked(a.Settings)
+	}
+	if run == nil {
+		return errors.New("this build has no hosted roles")
+	}
+	return run(ctx, a.Settings, settings, p.Out)
+}
+
 func (p *Program) checked(file string) error {
 	_, err := fmt.Fprintf(p.Out, "%s: settings are valid\n", file)
 	return err
--- a/internal/platform/fleet/fleet.go
+++ b/internal/platform/fleet/fleet.go
@@ -74,6 +74,7 @@
 		ServersChanged func(Servers)
 		NamedChanged   func(model string, version int64)
 
+		once     sync.Once
 		config   follow.Follower[mulberryspool.Ingress]
 		servers  follow.Follower[mulberryspool.BackendServer]
 		versions follow.Follower[mulberryspool.NamedVersion]
@@ -91,6 +92,20 @@
 
 // Run follows the store until the context ends.
 func (f *Fleet) Run(ctx context.Context) {
+	f.prepare()
+	var running sync.WaitGroup
+	running.Go(func() { f.config.Run(ctx) })
+	running.Go(func() { f.servers.Run(ctx) })
+	running.Go(func() { f.versions.Run(ctx) })
+	running.Wait()
+}
+
+// prepare makes the followers; the other methods may be called before Run.
+func (f *Fleet) prepare() {
+	f.once.Do(f.makeFollowers)
+}
+
+func (f *Fleet) makeFollowers() {
 	f.config = follow.Follower[mulberryspool.Ingress]{
 		Store: f.Store, Kind: f.Kinds.Config, Clock: f.Clock, Rearm: f.Rearm, Logger: f.Logger,
 		Set:     follow.Set[mulberryspool.Ingress]{Decode: f.Kinds.Ingress},
@@ -106,11 +121,6 @@
 		Set:     follow.Set[mulberryspool.NamedVersion]{Decode: f.Kinds.Version},
 		Changed: f.setVersions,
 	}
-	var running sync.WaitGroup
-	running.Go(func() { f.config.Run(ctx) })
-	running.Go(func() { f.servers.Run(ctx) })
-	running.Go(func() { f.versions.Run(ctx) })
-	running.Wait()
 }
 
 // State returns what is believed now. Its parts must not be changed.
@@ -128,6 +138,7 @@
 
 // Marks returns how new the belief is.
 func (f *Fleet) Marks() Marks {
+	f.prepare()
 	reachable := f.config.Reachable() && f.servers.Reachable() && f.versions.Reachable()
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -150,6 +161,7 @@
 
 // Merge takes over what a peer believes where it is newer.
 func (f *Fleet) Merge(s State, peer string) {
+	f.prepare()
 	if s.Ingress != nil {
 		f.setIngress(*s.Ingress, fromPeer, peer)
 	}
--- /dev/null
+++ b/internal/role/hosted/entry.go
@@ -0,0 +1,397 @@
+package hosted
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/mulberryspool/mulberryspool"
+	"github.com/mulberryspool/mulberryspool/internal/backend/exchange"
+	"github.com/mulberryspool/mulberryspool/internal/entry/desk"
+	"github.com/mulberryspool/mulberryspool/internal/entry/forward"
+	"github.com/mulberryspool/mulberryspool/internal/entry/placement"
+	"github.com/mulberryspool/mulberryspool/internal/entry/repeats"
+	"github.com/mulberryspool/mulberryspool/internal/observe/logging"
+	"github.com/mulberryspool/mulberryspool/internal/peer/beat"
+	"github.com/mulberryspool/mulberryspool/internal/peer/sockets"
+	"github.com/mulberryspool/mulberryspool/internal/platform/fleet"
+	settings "github.com/mulberryspool/mulberryspool/internal/settings/hosted"
+	"github.com/mulberryspool/mulberryspool/platform"
+)
+
+const (
+	// beatInterval is how often entries tell each other what they have in
+	// flight. A request lasts ten times as long.
+	beatInterval = 100 * time.Millisecond
+	// idleBeats is the number of intervals after which a beat is sent without news.
+	idleBeats = 5
+	// agentBeats is the number of intervals between two beats to agents.
+	agentBeats = 10
+	// versionMargin is how long before the bound an old version is given up:
+	// the news of a version may be as old, and a request takes its way.
+	versionMargin = 900 * time.Millisecond
+	// domainDelay stands for the way to another failure domain and the price
+	// of its bytes.
+	domainDelay = 25 * time.Millisecond
+	// drainTime is how long after SIGTERM open connections are served: the
+	// platform takes two misses, a second apart, to send no new ones.
+	drainTime = 2800 * time.Millisecond
+	// stopMargin is kept before SIGKILL.
+	stopMargin = 500 * time.Millisecond
+	// headerTimeout bounds the reading of a request's head.
+	headerTimeout = 10 * time.Second
+	// idleTimeout is above the longest time that callers keep a connection idle.
+	idleTimeout = 2 * time.Minute
+	// registerRetry is the pause after a registration that failed.
+	registerRetry = time.Second
+)
+
+type (
+	// entryRole is a running entry.
+	entryRole struct {
+		*parts
+		fleet   *fleet.Fleet
+		desk    *desk.Desk
+		pool    *exchange.Pool
+		handler *forward.Handler
+		link    *beat.Link
+
+		mu sync.Mutex
+		// listed are the entries that the store names.
+		listed map[netip.AddrPort]struct{}
+		// agents are where the agents of model servers are expected.
+		agents []netip.AddrPort
+		// fetching is set while the beliefs of a peer are read.
+		fetching bool
+	}
+
+	// registration is an object of the system's own kind.
+	registration struct {
+		Address string `json:"address"`
+	}
+)
+
+// Entry runs the entry role until the context ends and requests have ended.
+func Entry(ctx context.Context, file string, s settings.Settings, logs io.Writer) error {
+	p, err := newParts(s, mulberryspool.RoleEntry, logs)
+	if err != nil {
+		return err
+	}
+	defer p.close()
+	e := &entryRole{parts: p, listed: make(map[netip.AddrPort]struct{})}
+	e.build()
+	callers, err := listen(s.Listen.Callers)
+	if err != nil {
+		return err
+	}
+	readiness, err := listen(s.Listen.Readiness)
+	if err != nil {
+		return err
+	}
+	conn, err := beat.Listen(s.EntryBeat(s.Address))
+	if err != nil {
+		return err
+	}
+	e.link = &beat.Link{
+		Conn: conn, Clock: p.clock, Logger: p.logger, Received: e.heard,
+		Self: beat.Message{Role: mulberryspool.RoleEntry, Node: s.Instance, Boot: p.boot},
+	}
+	state, err := listen(s.EntryBeat(s.Address))
+	if err != nil {
+		return err
+	}
+	p.logger.Info().Str(logging.FieldStep, "start").Int64("boot", p.boot).Msg("process started")
+	background, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	group, groupCtx := errgroup.WithContext(background)
+	group.Go(func() error { e.fleet.Run(groupCtx); return nil })
+	group.Go(func() error { return e.link.Run(groupCtx) })
+	group.Go(func() error { e.beats(groupCtx); return nil })
+	group.Go(func() error { e.register(groupCtx); return nil })
+	group.Go(func() error { p.followSettings(groupCtx, file, func(settings.Settings) {}); return nil })
+	group.Go(func() error { return p.serveMetrics(groupCtx) })
+	group.Go(func() error { return serve(groupCtx, e.stateServer(), state) })
+	group.Go(func() error { return serve(groupCtx, e.readinessServer(), readiness) })
+	group.Go(func() error {
+		defer stop()
+		return e.serveCallers(ctx, groupCtx, callers)
+	})
+	return group.Wait()
+}
+
+func (e *entryRole) build() {
+	b := e.settings.Bounds
+	e.desk = &desk.Desk{
+		Clock: e.clock, Random: newRandom(),
+		Figures: placement.Figures{
+			Domain: e.identity.FailureDomain, Delay: domainDelay, VersionGrace: b.NamedVersion - versionMargin,
+		},
+		Repeats: repeats.Budget{Window: b.RepeatWindow, Ratio: b.RepeatRatio, Slack: b.RepeatSlack / 2},
+	}
+	e.pool = &exchange.Pool{
+		Clock: e.clock, Dialect: platform.Headers{}, Dial: sockets.Dialer{}.DialContext,
+		Opened: func(exchange.Target) { e.metrics.Counter("backend_connections").Inc(1) },
+	}
+	e.handler = &forward.Handler{
+		Clock: e.clock, Dialect: platform.Headers{}, Desk: e.desk, Pool: e.pool, Logger: e.logger, Metrics: e.metrics,
+		Sampled: logging.Sampler(e.settings.LogSample),
+	}
+	e.fleet = e.parts.fleet()
+	e.fleet.IngressChanged = func(i mulberryspool.Ingress) { e.desk.SetIngress(i) }
+	e.fleet.ServersChanged = e.setServers
+	e.fleet.NamedChanged = e.desk.SetNamed
+}
+
+// setServers passes the servers on and closes connections to those that are gone.
+func (e *entryRole) setServers(servers fleet.Servers) {
+	e.desk.SetServers(servers)
+	var agents []netip.AddrPort
+	for _, b := range servers {
+		if len(b.Models) == 0 && !e.hasModel(b.Pool) {
+			continue
+		}
+		address, err := e.settings.AgentBeatOf(b.Address)
+		if err != nil {
+			e.logger.Warn().Err(err).Str(logging.FieldPeer, string(b.Instance)).Msg("address of a backend server is not readable")
+			continue
+		}
+		agents = append(agents, address)
+	}
+	e.mu.Lock()
+	e.agents = agents
+	e.mu.Unlock()
+}
+
+func (e *entryRole) hasModel(pool string) bool {
+	table := e.desk.Table()
+	return table != nil && table.Ingress.Pools[pool].Model != ""
+}
+
+// heard takes in a beat.
+func (e *entryRole) heard(m beat.Message, from netip.AddrPort) {
+	if m.Served != nil {
+		e.desk.SetServed(m.Served.Instance, desk.Served{Born: m.Served.Born, Version: m.Served.Version})
+	}
+	if m.Role != mulberryspool.RoleEntry {
+		return
+	}
+	e.desk.SetPeer(m.Node, m.Loads)
+	e.noteEntries(m.Peers)
+	if m.Marks == nil {
+		return
+	}
+	e.fleet.MergeNamed(m.Marks.Named, m.Node)
+	if e.fleet.Behind(*m.Marks) {
+		e.catchUp(from, m.Node)
+	}
+}
+
+// catchUp reads the beliefs of a peer, one peer at a time.
+func (e *entryRole) catchUp(from netip.AddrPort, node string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.fetching {
+		return
+	}
+	e.fetching = true
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), peerCallTimeout)
+		defer cancel()
+		state, err := e.fetchState(ctx, from)
+		if err != nil {
+			e.logger.Info().EmbedObject(logging.Fields{}.Err(err)).Err(err).Msg("beliefs of a peer were not read")
+		} else {
+			e.fleet.Merge(state, node)
+		}
+		e.mu.Lock()
+		e.fetching = false
+		e.mu.Unlock()
+	}()
+}
+
+func (e *entryRole) noteEntries(addresses []string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for _, a := range addresses {
+		if parsed, err := netip.ParseAddrPort(a); err == nil && a != e.settings.EntryBeat(e.settings.Address) {
+			e.listed[parsed] = struct{}{}
+		}
+	}
+}
+
+// beats tells entries and agents what they need.
+func (e *entryRole) beats(ctx context.Context) {
+	ticker := e.clock.NewTicker(beatInterval)
+	defer ticker.Stop()
+	quiet := 0
+	for round := 0; ; round++ {
+		select {
+		case <-ticker.Chan():
+		case <-ctx.Done():
+			return
+		}
+		e.desk.Expire()
+		loads := e.desk.Loads()
+		quiet++
+		if len(loads) > 0 || quiet >= idleBeats {
+			quiet = 0
+			marks := e.fleet.Marks()
+			e.link.Send(beat.Message{Marks: &marks, Loads: loads}, e.link.Heard(mulberryspool.RoleEntry))
+		}
+		if round%agentBeats == 0 {
+			e.greet()
+			e.report()
+		}
+	}
+}
+
+// greet reaches entries that were not heard yet, and agents.
+func (e *entryRole) greet() {
+	marks := e.fleet.Marks()
+	heard := e.link.Heard(mulberryspool.RoleEntry)
+	known := make(map[netip.AddrPort]bool, len(heard))
+	var peers []string
+	for _, a := range heard {
+		known[a] = true
+		peers = append(peers, a.String())
+	}
+	e.mu.Lock()
+	var unheard []netip.AddrPort
+	for a := range e.listed {
+		if !known[a] {
+			unheard = append(unheard, a)
+		}
+	}
+	agents := e.agents
+	e.mu.Unlock()
+	e.link.Send(beat.Message{Marks: &marks, Peers: peers}, unheard)
+	e.link.Send(beat.Message{Marks: &marks}, agents)
+}
+
+func (e *entryRole) report() {
+	e.desk.Summary(func(pool string, usable, places, inFlight, waiting int) {
+		scope := e.metrics.Tagged(map[string]string{"pool": pool})
+		scope.Gauge("servers").Update(float64(usable))
+		scope.Gauge("places").Update(float64(places))
+		scope.Gauge("in_flight").Update(float64(inFlight))
+		scope.Gauge("waiting").Update(float64(waiting))
+	})
+	e.metrics.Gauge("log_lines_dropped").Update(float64(e.ring.Dropped()))
+}
+
+// register writes the entry's address to the store and reads the others'.
+func (e *entryRole) register(ctx context.Context) {
+	for {
+		err := e.store.Put(ctx, platform.KindEntries, e.settings.Instance, registration{Address: e.settings.EntryBeat(e.settings.Address)})
+		if err == nil {
+			err = e.readEntries(ctx)
+		}
+		if err == nil {
+			return
+		}
+		if ctx.Err() != nil {
+			return
+		}
+		e.logger.Info().EmbedObject(logging.Fields{}.Err(err)).Err(err).Msg("entry is not registered yet")
+		select {
+		case <-e.clock.After(registerRetry):
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (e *entryRole) readEntries(ctx context.Context) error {
+	objects, _, err := e.store.List(ctx, platform.KindEntries)
+	if err != nil {
+		return err
+	}
+	var addresses []string
+	for _, o := range objects {
+		var r registration
+		if err := json.Unmarshal(o.Value, &r); err != nil {
+			e.logger.Warn().Err(err).Str(logging.FieldPeer, o.Name).Msg("registration of an entry is not readable")
+			continue
+		}
+		addresses = append(addresses, r.Address)
+	}
+	e.noteEntries(addresses)
+	e.greet()
+	return nil
+}
+
+func (e *entryRole) stateServer() *http.Server {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+statePath, func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "application/json")
+		if err := json.NewEncoder(w).Encode(e.fleet.State()); err != nil {
+			e.logger.Info().Err(err).Str(logging.FieldStep, "send beliefs").Msg("beliefs were not sent")
+		}
+	})
+	return &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout}
+}
+
+func (e *entryRole) readinessServer() *http.Server {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+platform.ReadinessPath, func(w http.ResponseWriter, _ *http.Request) {
+		if e.handler.Stopping.Load() || !e.fleet.Known() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		w.WriteHeader(http.StatusOK)
+	})
+	return &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout}
+}
+
+// serveCallers serves until SIGTERM ended ctx and the requests have ended.
+// Open connections are served on for a while, so that no request crosses a close.
+func (e *entryRole) serveCallers(ctx, background context.Context, listener net.Listener) error {
+	server := &http.Server{Handler: e.handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, ErrorLog: quietLog()}
+	served := make(chan error, 1)
+	go func() { served <- server.Serve(listener) }()
+	select {
+	case err := <-served:
+		return mulberryspool.AtStep(err, "serve callers", listener.Addr().String())
+	case <-background.Done():
+		server.Close()
+		return nil
+	case <-ctx.Done():
+	}
+	e.handler.Stopping.Store(true)
+	e.logger.Info().Str(logging.FieldStep, "stop").Msg("no longer ready, open connections are served on")
+	<-e.clock.After(drainTime)
+	left := e.settings.Bounds.GracefulStop - drainTime - stopMargin
+	bounded, cancel := context.WithTimeout(context.WithoutCancel(ctx), left)
+	defer cancel()
+	if err := server.Shutdown(bounded); err != nil {
+		e.logger.Warn().Err(err).Str(logging.FieldStep, "stop").Msg("requests are still in flight and are cut off")
+		return errors.CombineErrors(nil, server.Close())
+	}
+	return nil
+}
+
+func serve(ctx context.Context, server *http.Server, listener net.Listener) error {
+	stop := context.AfterFunc(ctx, func() { server.Close() })
+	defer stop()
+	if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+		return mulberryspool.AtStep(err, "serve", listener.Addr().String())
+	}
+	return nil
+}
+
+func listen(address string) (net.Listener, error) {
+	if address == "" {
+		return nil, errors.New("settings name no address to listen on")
+	}
+	config := net.ListenConfig{KeepAliveConfig: sockets.KeepAlive()}
+	listener, err := config.Listen(context.Background(), "tcp", address)
+	return listener, mulberryspool.AtStep(err, "listen", address)
+}
