--- a/internal/agent/fetch/stage.go
+++ b/internal/agent/fetch/stage.go
@@ -36,6 +36,34 @@
 	}
 }
 
+// Adopt retains a manifest with those chunks that the reader has, such as an
+// engine that outlived its agent. It returns the number of chunks held; a
+// chunk that can't be read or is not the right one is fetched by Stage.
+func (f *Fetcher) Adopt(manifest mulberryspool.Manifest, read func(i int) ([]byte, error)) (int, error) {
+	f.prepare()
+	if err := check(manifest); err != nil {
+		return 0, mulberryspool.AtStep(err, "adopt version "+manifest.Version, "")
+	}
+	f.staging.Lock()
+	defer f.staging.Unlock()
+	if err := f.store.Retain(manifest); err != nil {
+		return 0, mulberryspool.AtStep(err, "adopt version "+manifest.Version, "")
+	}
+	held := 0
+	for i, c := range manifest.Chunks {
+		data, err := read(i)
+		if err == nil {
+			err = f.store.Put(c.Digest, data)
+		}
+		if err != nil {
+			f.Logger.Debug().Err(err).Str("version", manifest.Version).Int("chunk", i).Msg("chunk is not there")
+			continue
+		}
+		held++
+	}
+	return held, nil
+}
+
 // check rejects a manifest that can't be staged.
 func check(manifest mulberryspool.Manifest) error {
 	if manifest.Digest == "" {
--- a/internal/backend/exchange/conn.go
+++ b/internal/backend/exchange/conn.go
@@ -43,8 +43,8 @@
 		// spoiled connections are closed after their exchange.
 		spoiled bool
 		// written is closed when a long request has left; nil for short ones.
-		written   chan struct{}
-		writeErr  error
+		written  chan struct{}
+		writeErr error
 		// keep is how long the backend server keeps the connection idle; 0 when not said.
 		keep      time.Duration
 		idleSince time.Time
--- a/internal/platform/fleet/fleet.go
+++ b/internal/platform/fleet/fleet.go
@@ -67,8 +67,9 @@
 		Kinds  Kinds
 		Clock  mulberryspool.Clock
 		Logger zerolog.Logger
-		// Rearm is the pause between two watches; see follow.DefaultRearm.
-		Rearm time.Duration
+		// ConfigRearm and ServersRearm are the pauses between two watches; see
+		// follow.DefaultRearm.
+		ConfigRearm, ServersRearm time.Duration
 
 		IngressChanged func(mulberryspool.Ingress)
 		ServersChanged func(Servers)
@@ -107,17 +108,17 @@
 
 func (f *Fleet) makeFollowers() {
 	f.config = follow.Follower[mulberryspool.Ingress]{
-		Store: f.Store, Kind: f.Kinds.Config, Clock: f.Clock, Rearm: f.Rearm, Logger: f.Logger,
+		Store: f.Store, Kind: f.Kinds.Config, Clock: f.Clock, Rearm: f.ConfigRearm, Logger: f.Logger,
 		Set:     follow.Set[mulberryspool.Ingress]{Decode: f.Kinds.Ingress},
 		Changed: f.setIngresses,
 	}
 	f.servers = follow.Follower[mulberryspool.BackendServer]{
-		Store: f.Store, Kind: f.Kinds.Servers, Clock: f.Clock, Rearm: f.Rearm, Logger: f.Logger,
+		Store: f.Store, Kind: f.Kinds.Servers, Clock: f.Clock, Rearm: f.ServersRearm, Logger: f.Logger,
 		Set:     follow.Set[mulberryspool.BackendServer]{Decode: f.Kinds.Server, Grace: reappearTime},
 		Changed: f.setServers,
 	}
 	f.versions = follow.Follower[mulberryspool.NamedVersion]{
-		Store: f.Store, Kind: f.Kinds.Versions, Clock: f.Clock, Rearm: f.Rearm, Logger: f.Logger,
+		Store: f.Store, Kind: f.Kinds.Versions, Clock: f.Clock, Logger: f.Logger,
 		Set:     follow.Set[mulberryspool.NamedVersion]{Decode: f.Kinds.Version},
 		Changed: f.setVersions,
 	}
--- /dev/null
+++ b/internal/role/hosted/agentloop.go
@@ -0,0 +1,361 @@
+package hosted
+
+import (
+	"context"
+	"io"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/mulberryspool/mulberryspool"
+	"github.com/mulberryspool/mulberryspool/internal/agent/staging"
+	"github.com/mulberryspool/mulberryspool/internal/agent/swap"
+	"github.com/mulberryspool/mulberryspool/internal/observe/logging"
+	"github.com/mulberryspool/mulberryspool/internal/peer/beat"
+)
+
+// loop looks at the model server and does what the decider says.
+func (a *agentRole) loop(ctx context.Context) {
+	for ctx.Err() == nil {
+		pause := a.round(ctx)
+		select {
+		case <-a.clock.After(pause):
+		case <-a.wake:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// round looks once, acts and returns the pause before the next.
+func (a *agentRole) round(ctx context.Context) time.Duration {
+	model := a.pool().Model
+	now := a.clock.Now()
+	if model == "" {
+		return reportInterval
+	}
+	if !a.readState(ctx, model) {
+		return reportInterval
+	}
+	a.setMembers()
+	a.decider.SetNamed(a.wanted(ctx, model), now)
+	served := a.served(model)
+	step := a.decider.Next(a.view(served), now)
+	if step.Fetch > 0 {
+		a.startFetch(ctx, model, step.Fetch)
+	}
+	switch step.Action {
+	case swap.Lay:
+		a.lay(ctx, model, step.Version)
+	case swap.Order:
+		a.order(ctx, model, step.Version)
+	}
+	if served > 0 && a.decider.Wanted() <= served {
+		a.adoptServed(ctx, model, served)
+	}
+	a.tell(served)
+	pause := reportInterval
+	if a.state.Loading || step.Action == swap.Announce || step.Action == swap.Lay {
+		pause = loadingInterval
+	}
+	if !step.At.IsZero() {
+		pause = min(pause, max(time.Millisecond, a.clock.Until(step.At)))
+	}
+	return pause
+}
+
+// readState asks the model server for its state.
+func (a *agentRole) readState(ctx context.Context, model string) bool {
+	state, err := a.engine.State(ctx)
+	if err != nil {
+		if a.known && ctx.Err() == nil {
+			a.logger.Warn().EmbedObject(logging.Fields{}.Err(err)).Err(err).Msg("model server does not answer")
+		}
+		a.known = false
+		return false
+	}
+	before := a.state
+	if !a.known || before.Born != state.Born || before.Loading != state.Loading || serves(before, model) != serves(state, model) {
+		a.logger.Info().Str(logging.FieldStep, "read report").Bool("known", a.known).Int64("born", state.Born).
+			Int64("before", serves(before, model)).Int64("serves", serves(state, model)).Bool("loading", state.Loading).
+			Int64("orders", state.Orders).Int("running", state.Running).Msg("model server has changed")
+	}
+	a.state, a.known = state, true
+	return true
+}
+
+func serves(s mulberryspool.EngineState, model string) int64 {
+	for _, m := range s.Models {
+		if m.Model == model {
+			return m.Version
+		}
+	}
+	return 0
+}
+
+func (a *agentRole) served(model string) int64 {
+	return serves(a.state, model)
+}
+
+// wanted is the version that is to be served: the one that is named, else the
+// newest that any server of the pool serves, else the origin's newest.
+func (a *agentRole) wanted(ctx context.Context, model string) int64 {
+	state := a.fleet.State()
+	wanted := state.Named[model]
+	for _, b := range state.Servers {
+		if b.Pool == a.settings.Pool {
+			wanted = max(wanted, b.Serves(model))
+		}
+	}
+	wanted = max(wanted, a.served(model))
+	if wanted == 0 && a.fleet.Known() {
+		wanted = a.newest(ctx, model)
+	}
+	return wanted
+}
+
+// newest asks the origin, at most once in a while.
+func (a *agentRole) newest(ctx context.Context, model string) int64 {
+	now := a.clock.Now()
+	if now.Before(a.askNewest) {
+		return 0
+	}
+	a.askNewest = now.Add(newestRetry)
+	m, version, err := a.origin.Newest(ctx, model)
+	if err != nil {
+		a.logger.Info().EmbedObject(logging.Fields{}.Err(err)).Err(err).Msg("newest manifest was not read")
+		return 0
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.manifests[version] = m
+	return version
+}
+
+func (a *agentRole) view(served int64) swap.View {
+	p := a.fetcher.Progress()
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	v := swap.View{
+		Served: served, Loading: a.state.Loading, Staged: a.complete, StagedAt: a.completeAt, Laid: a.laid, Fetching: a.fetching,
+	}
+	if p.Manifest == a.manifests[a.fetching].Digest && p.Total > 0 {
+		v.FetchedShare = float64(p.Chunks) / float64(p.Total)
+	}
+	return v
+}
+
+func (a *agentRole) setMembers() {
+	var members []mulberryspool.InstanceID
+	rows, err := a.Instances(context.Background())
+	if err != nil {
+		a.logger.Warn().Err(err).Msg("members are not readable")
+		return
+	}
+	for _, r := range rows {
+		members = append(members, r.Instance)
+	}
+	a.decider.SetMembers(members)
+}
+
+// startFetch brings a version here in the background. An older transfer ends.
+func (a *agentRole) startFetch(ctx context.Context, model string, version int64) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.fetching == version {
+		return
+	}
+	if a.cancel != nil {
+		a.cancel()
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	a.fetching, a.cancel = version, cancel
+	go a.fetchVersion(ctx, model, version)
+}
+
+func (a *agentRole) fetchVersion(ctx context.Context, model string, version int64) {
+	began := a.clock.Now()
+	manifest, err := a.manifest(ctx, model, version)
+	if err != nil {
+		return
+	}
+	// What an earlier incarnation of this agent staged need not come again.
+	kept, err := a.fetcher.Adopt(manifest, func(i int) ([]byte, error) { return a.readPiece(ctx, model, manifest, i) })
+	if err != nil {
+		a.logger.Warn().EmbedObject(logging.Fields{Version: manifest.Version}.Err(err)).Err(err).Msg("staged pieces were not taken over")
+	}
+	if err := a.fetcher.Stage(ctx, manifest); err != nil {
+		a.logger.Info().EmbedObject(logging.Fields{Version: manifest.Version}.Err(err)).Err(err).Msg("version was not fetched")
+		a.mu.Lock()
+		defer a.mu.Unlock()
+		if a.fetching == version {
+			a.fetching = 0
+		}
+		return
+	}
+	p := a.fetcher.Progress()
+	a.logger.Info().EmbedObject(logging.Fields{Version: manifest.Version, Step: "stage"}).Dur("took", a.clock.Since(began)).
+		Int("kept", kept).Int64("originBytes", p.OriginBytes).Int64("regionBytes", p.RegionBytes).Int64("peerBytes", p.PeerBytes).
+		Msg("version is here")
+	a.mu.Lock()
+	if version > a.complete {
+		a.complete, a.completeAt = version, a.clock.Now()
+	}
+	if a.fetching == version {
+		a.fetching = 0
+	}
+	a.mu.Unlock()
+	a.look()
+}
+
+// manifest reads a manifest until the context ends.
+func (a *agentRole) manifest(ctx context.Context, model string, version int64) (mulberryspool.Manifest, error) {
+	a.mu.Lock()
+	known, ok := a.manifests[version]
+	a.mu.Unlock()
+	if ok {
+		return known, nil
+	}
+	for {
+		m, err := a.origin.Manifest(ctx, model, version)
+		if err == nil {
+			a.mu.Lock()
+			a.manifests[version] = m
+			a.mu.Unlock()
+			return m, nil
+		}
+		if ctx.Err() != nil {
+			return m, ctx.Err()
+		}
+		a.logger.Info().EmbedObject(logging.Fields{}.Err(err)).Err(err).Msg("manifest was not read")
+		select {
+		case <-a.clock.After(manifestRetry):
+		case <-ctx.Done():
+			return m, ctx.Err()
+		}
+	}
+}
+
+// readPiece reads a staged piece if it is that of the manifest.
+func (a *agentRole) readPiece(ctx context.Context, model string, m mulberryspool.Manifest, i int) ([]byte, error) {
+	data, err := a.engine.Staged(ctx, model, i)
+	if err != nil {
+		return nil, err
+	}
+	if staging.DigestOf(data) != m.Chunks[i].Digest {
+		return nil, errors.Wrapf(staging.ErrDigest, "staged piece %d", i)
+	}
+	return data, nil
+}
+
+// adoptServed takes over the pieces of the version that is served, so that
+// servers which are added can have them, and drops older versions.
+func (a *agentRole) adoptServed(ctx context.Context, model string, served int64) {
+	a.mu.Lock()
+	done := a.complete >= served || a.fetching > 0
+	var old []mulberryspool.Manifest
+	for version, m := range a.manifests {
+		if version < served {
+			old = append(old, m)
+			delete(a.manifests, version)
+		}
+	}
+	a.mu.Unlock()
+	for _, m := range old {
+		a.fetcher.Release(m.Digest)
+	}
+	if !done {
+		a.startFetch(ctx, model, served)
+	}
+}
+
+// lay gives the model server the pieces. It goes on serving meanwhile.
+func (a *agentRole) lay(ctx context.Context, model string, version int64) {
+	replaced, err := a.layPieces(ctx, model, version)
+	if err != nil {
+		a.logger.Warn().EmbedObject(logging.Fields{}.Err(err)).Err(err).Int64("ordered", version).Msg("pieces were not staged")
+		return
+	}
+	a.laid = version
+	a.logger.Info().Str(logging.FieldStep, "lay").Int64("staged", version).Int("piecesReplaced", replaced).Msg("pieces are staged")
+}
+
+// order checks what lies at the model server and orders it to load that.
+func (a *agentRole) order(ctx context.Context, model string, version int64) {
+	began := a.clock.Now()
+	replaced, err := a.layPieces(ctx, model, version)
+	if err != nil {
+		a.logger.Warn().EmbedObject(logging.Fields{}.Err(err)).Err(err).Int64("ordered", version).Msg("pieces were not checked")
+		return
+	}
+	a.laid = version
+	checked := a.clock.Since(began)
+	err = a.engine.Start(ctx, model, version, a.state.Orders)
+	e := a.logger.Info()
+	if err != nil {
+		e = a.logger.Warn().EmbedObject(logging.Fields{}.Err(err)).Err(err)
+	}
+	e.Str(logging.FieldStep, "order").Int64("before", a.served(model)).Int64("ordered", version).Int64("expect", a.state.Orders).
+		Int("piecesReplaced", replaced).Dur("checking", checked).Int("running", a.state.Running).Msg("model server was ordered to load")
+	// The next report says whether the order was taken.
+	a.state.Loading = true
+}
+
+// layPieces makes the staged pieces those of a version: each one is read
+// back, because they may rot and the model server does not check them. It
+// returns how many it replaced.
+func (a *agentRole) layPieces(ctx context.Context, model string, version int64) (int, error) {
+	a.mu.Lock()
+	m := a.manifests[version]
+	a.mu.Unlock()
+	content, err := a.fetcher.Open(m)
+	if err != nil {
+		return 0, err
+	}
+	defer content.Close()
+	replaced := 0
+	for i, c := range m.Chunks {
+		piece := make([]byte, c.Size)
+		if _, err := io.ReadFull(content, piece); err != nil {
+			return replaced, mulberryspool.AtStep(err, "read chunk", "")
+		}
+		if _, err := a.readPiece(ctx, model, m, i); err == nil {
+			continue
+		}
+		replaced++
+		if err := a.engine.Stage(ctx, model, i, piece); err != nil {
+			return replaced, err
+		}
+		if _, err := a.readPiece(ctx, model, m, i); err != nil {
+			return replaced, err
+		}
+	}
+	return replaced, nil
+}
+
+// tell says to the entries what requests may be sent for.
+func (a *agentRole) tell(served int64) {
+	said := beat.Served{Instance: a.serverID(), Born: a.state.Born, Version: served}
+	if a.decider.Leaving() || a.state.Loading {
+		said.Version = 0
+	}
+	a.quiet++
+	if said.Instance == "" || said == a.beaten && a.quiet < heartbeatTicks {
+		return
+	}
+	if said != a.beaten {
+		a.logger.Info().Str(logging.FieldStep, "tell entries").Int64("before", a.beaten.Version).Int64("takes", said.Version).Msg("version that requests may be sent for")
+	}
+	a.beaten, a.quiet = said, 0
+	a.link.Send(beat.Message{Served: &said}, a.link.Heard(mulberryspool.RoleEntry))
+}
+
+// serverID is the model server's name in the store, empty while it is not listed.
+func (a *agentRole) serverID() mulberryspool.InstanceID {
+	for id, b := range a.fleet.State().Servers {
+		if b.Address == a.settings.Backend {
+			return id
+		}
+	}
+	return ""
+}
--- a/internal/role/hosted/entry.go
+++ b/internal/role/hosted/entry.go
@@ -59,18 +59,18 @@
 	entryRole struct {
 		*parts
 		fleet   *fleet.Fleet
+		beliefs *beliefs
 		desk    *desk.Desk
 		pool    *exchange.Pool
 		handler *forward.Handler
 		link    *beat.Link
 
+		// news is filled when the list of servers has changed.
+		news chan struct{}
+
 		mu sync.Mutex
 		// listed are the entries that the store names.
 		listed map[netip.AddrPort]struct{}
-		// agents are where the agents of model servers are expected.
-		agents []netip.AddrPort
-		// fetching is set while the beliefs of a peer are read.
-		fetching bool
 	}
 
 	// registration is an object of the system's own kind.
@@ -86,7 +86,7 @@
 		return err
 	}
 	defer p.close()
-	e := &entryRole{parts: p, listed: make(map[netip.AddrPort]struct{})}
+	e := &entryRole{parts: p, listed: make(map[netip.AddrPort]struct{}), news: make(chan struct{}, 1)}
 	e.build()
 	callers, err := listen(s.Listen.Callers)
 	if err != nil {
@@ -148,14 +148,27 @@
 	e.fleet.IngressChanged = func(i mulberryspool.Ingress) { e.desk.SetIngress(i) }
 	e.fleet.ServersChanged = e.setServers
 	e.fleet.NamedChanged = e.desk.SetNamed
+	e.beliefs = &beliefs{fleet: e.fleet, fetch: e.fetchState, logger: e.logger}
 }
 
-// setServers passes the servers on and closes connections to those that are gone.
+// setServers passes the servers on and greets the agents of new ones.
 func (e *entryRole) setServers(servers fleet.Servers) {
 	e.desk.SetServers(servers)
+	select {
+	case e.news <- struct{}{}:
+	default:
+	}
+}
+
+// agents returns where the agents of the model servers are expected.
+func (e *entryRole) agents() []netip.AddrPort {
+	table := e.desk.Table()
+	if table == nil {
+		return nil
+	}
 	var agents []netip.AddrPort
-	for _, b := range servers {
-		if len(b.Models) == 0 && !e.hasModel(b.Pool) {
+	for _, b := range e.fleet.State().Servers {
+		if table.Ingress.Pools[b.Pool].Model == "" {
 			continue
 		}
 		address, err := e.settings.AgentBeatOf(b.Address)
@@ -165,14 +178,7 @@
 		}
 		agents = append(agents, address)
 	}
-	e.mu.Lock()
-	e.agents = agents
-	e.mu.Unlock()
-}
-
-func (e *entryRole) hasModel(pool string) bool {
-	table := e.desk.Table()
-	return table != nil && table.Ingress.Pools[pool].Model != ""
+	return agents
 }
 
 // heard takes in a beat.
@@ -185,36 +191,7 @@
 	}
 	e.desk.SetPeer(m.Node, m.Loads)
 	e.noteEntries(m.Peers)
-	if m.Marks == nil {
-		return
-	}
-	e.fleet.MergeNamed(m.Marks.Named, m.Node)
-	if e.fleet.Behind(*m.Marks) {
-		e.catchUp(from, m.Node)
-	}
-}
-
-// catchUp reads the beliefs of a peer, one peer at a time.
-func (e *entryRole) catchUp(from netip.AddrPort, node string) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	if e.fetching {
-		return
-	}
-	e.fetching = true
-	go func() {
-		ctx, cancel := context.WithTimeout(context.Background(), peerCallTimeout)
-		defer cancel()
-		state, err := e.fetchState(ctx, from)
-		if err != nil {
-			e.logger.Info().EmbedObject(logging.Fields{}.Err(err)).Err(err).Msg("beliefs of a peer were not read")
-		} else {
-			e.fleet.Merge(state, node)
-		}
-		e.mu.Lock()
-		e.fetching = false
-		e.mu.Unlock()
-	}()
+	e.beliefs.heard(m, from)
 }
 
 func (e *entryRole) noteEntries(addresses []string) {
@@ -235,6 +212,9 @@
 	for round := 0; ; round++ {
 		select {
 		case <-ticker.Chan():
+		case <-e.news:
+			e.greet()
+			continue
 		case <-ctx.Done():
 			return
 		}
@@ -270,10 +250,9 @@
 			unheard = append(unheard, a)
 		}
 	}
-	agents := e.agents
 	e.mu.Unlock()
 	e.link.Send(beat.Message{Marks: &marks, Peers: peers}, unheard)
-	e.link.Send(beat.Message{Marks: &marks}, agents)
+	e.link.Send(beat.Message{Marks: &marks}, e.agents())
 }
 
 func (e *entryRole) report() {
--- a/internal/settings/hosted/hosted.go
+++ b/internal/settings/hosted/hosted.go
@@ -42,9 +42,11 @@
 		Ports Ports `yaml:"ports"`
 		// Regions holds the region of each failure domain.
 		Regions []Region `yaml:"regions" validate:"dive"`
-		Listen  Listen            `yaml:"listen"`
+		Listen  Listen   `yaml:"listen"`
 		// Backend is the model server on the same machine; agents only.
 		Backend string `yaml:"backend" validate:"omitempty,address"`
+		// Pool is that of the model server; agents only.
+		Pool string `yaml:"pool"`
 		// Store is the platform's metadata store.
 		Store  string `yaml:"store" validate:"required,address"`
 		Bounds Bounds `yaml:"bounds"`
@@ -136,7 +138,7 @@
 // Identity is that of an entry or an agent.
 func (s Settings) Identity(role mulberryspool.Role) mulberryspool.Identity {
 	return mulberryspool.Identity{
-		Instance: mulberryspool.InstanceID(s.Instance), Role: role, FailureDomain: s.FailureDomain, Region: s.Region,
+		Instance: mulberryspool.InstanceID(s.Instance), Role: role, FailureDomain: s.FailureDomain, Region: s.Region, Pool: s.Pool,
 	}
 }
 
