Leave a part of the link to the model server's events during uploads

Cause: uploads filled the queue of the link that a model server shares with its agent, so events came more than 120 ms after they were made.

--- a/internal/entry/forward/log.go
+++ b/internal/entry/forward/log.go
@@ -53,7 +53,7 @@
 		e.Int("sent", len(f.tried))
 	}
 	if f.stream != nil {
-		e.Int("events", f.stream.events).Dur("firstEvent", f.stream.firstAt.Sub(f.arrived)).Int("resumed", f.stream.resumed)
+		e.Int("events", f.stream.events).Dur("firstEvent", f.stream.firstAt.Sub(f.arrived)).Dur("longestGap", f.stream.longestGap).Int("resumed", f.stream.resumed)
 	}
 	if f.cause != nil {
 		e.AnErr("cause", f.cause)
--- a/internal/entry/forward/stream.go
+++ b/internal/entry/forward/stream.go
@@ -37,7 +37,9 @@
 	events  int
 	firstAt time.Time
 	lastAt  time.Time
-	resumed int
+	// longestGap is the longest pause between two events.
+	longestGap time.Duration
+	resumed    int
 }
 
 // relay passes on events as they come, each one whole.
@@ -92,6 +94,9 @@
 	if v := a.h.Dialect.EventVersion(event); v != 0 {
 		s.version = v
 	}
+	if s.events > 0 {
+		s.longestGap = max(s.longestGap, now.Sub(s.lastAt))
+	}
 	s.events++
 	s.lastAt = now
 	if _, err := a.w.Write(event); err != nil {
--- a/internal/peer/sockets/sockets.go
+++ b/internal/peer/sockets/sockets.go
@@ -56,3 +56,26 @@
 	})
 	return errors.Wrap(errors.CombineErrors(err, failed), "set TCP_USER_TIMEOUT")
 }
+
+// ShortQueue is a listener whose connections hold few unsent bytes, so that
+// what is sent in bulk does not delay live traffic on the same link.
+type ShortQueue struct {
+	net.Listener
+	// Bytes bounds what a connection holds.
+	Bytes int
+}
+
+// Accept implements net.Listener.
+func (l ShortQueue) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	if stream, ok := conn.(*net.TCPConn); ok {
+		if err := stream.SetWriteBuffer(l.Bytes); err != nil {
+			conn.Close()
+			return nil, mulberryspool.AtStep(err, "limit unsent bytes", conn.RemoteAddr().String())
+		}
+	}
+	return conn, nil
+}
--- a/internal/role/hosted/agent.go
+++ b/internal/role/hosted/agent.go
@@ -20,6 +20,7 @@
 	"github.com/mulberryspool/mulberryspool/internal/observe/logging"
 	"github.com/mulberryspool/mulberryspool/internal/observe/timeline"
 	"github.com/mulberryspool/mulberryspool/internal/peer/beat"
+	"github.com/mulberryspool/mulberryspool/internal/peer/chunks"
 	"github.com/mulberryspool/mulberryspool/internal/peer/rpc"
 	"github.com/mulberryspool/mulberryspool/internal/peer/sockets"
 	"github.com/mulberryspool/mulberryspool/internal/platform/fleet"
@@ -31,6 +32,8 @@
 	// reportInterval is how often the model server on the same machine is
 	// asked for its state, which costs nothing there.
 	reportInterval = 250 * time.Millisecond
+	// startingInterval is the same while the model server does not answer.
+	startingInterval = 100 * time.Millisecond
 	// loadingInterval is the same while an order is in progress.
 	loadingInterval = 60 * time.Millisecond
 	// engineTimeout bounds one call to the model server.
@@ -38,6 +41,14 @@
 	// originTimeout bounds one piece or manifest from the origin, whose link
 	// carries about forty pieces a second for all agents.
 	originTimeout = 4 * time.Second
+	// uploadSlots and uploadQueue bound what waits on the machine's link before
+	// the model server's events, which share it: 32 KB take 35 ms there, and an
+	// event is late after 120 ms.
+	uploadSlots = 2
+	uploadQueue = 16 << 10
+	// uplinkLiveShare is the part of the link that uploads leave to the model
+	// server's events.
+	uplinkLiveShare = 0.35
 	// manifestRetry is the pause after a manifest that could not be read.
 	manifestRetry = 300 * time.Millisecond
 	// newestRetry is the time between two questions for the newest version.
@@ -133,10 +144,11 @@
 	if err != nil {
 		return err
 	}
-	chunks, err := listen(s.AgentChunks(s.Address))
+	content, err := listen(s.AgentChunks(s.Address))
 	if err != nil {
 		return err
 	}
+	content = sockets.ShortQueue{Listener: content, Bytes: uploadQueue}
 	conn, err := beat.Listen(s.AgentBeat(s.Address))
 	if err != nil {
 		return err
@@ -148,10 +160,11 @@
 	stamps := &hlc.Clock{Wall: p.clock}
 	endpoint := &rpc.Endpoint{Clock: p.clock, Stamps: stamps, Handle: a.handle}
 	a.fetcher = &fetch.Fetcher{
-		Identity: p.identity, Clock: p.clock, Origin: a.origin, Instances: a, Endpoint: endpoint, Listener: chunks,
+		Identity: p.identity, Clock: p.clock, Origin: a.origin, Instances: a, Endpoint: endpoint, Listener: content,
 		Recorder: &timeline.Ring{Identity: p.identity, Stamps: stamps, Capacity: agentEvents},
 		Logger:   p.logger, Metrics: p.metrics, Seed: newRandom().Uint64(), Limits: limits,
-		ListInterval: membersInterval, CallTimeout: peerCallTimeout,
+		ListInterval: membersInterval, CallTimeout: peerCallTimeout, UploadSlots: uploadSlots,
+		Uplink: &chunks.Link{Clock: p.clock, BytesPerSecond: int64(s.Limits.Link), LiveShare: uplinkLiveShare},
 	}
 	p.logger.Info().Str(logging.FieldStep, "start").Int64("boot", p.boot).Str("backend", s.Backend).Msg("process started")
 	group, ctx := errgroup.WithContext(ctx)
--- a/internal/role/hosted/agentloop.go
+++ b/internal/role/hosted/agentloop.go
@@ -34,11 +34,15 @@
 	if model == "" {
 		return reportInterval
 	}
-	if !a.readState(ctx, model) {
-		return reportInterval
-	}
 	a.setMembers()
 	a.decider.SetNamed(a.wanted(ctx, model), now)
+	if !a.readState(ctx, model) {
+		// The weights are on their way while the model server starts.
+		if step := a.decider.Next(a.view(0), now); step.Fetch > 0 {
+			a.startFetch(ctx, model, step.Fetch)
+		}
+		return startingInterval
+	}
 	served := a.served(model)
 	step := a.decider.Next(a.view(served), now)
 	if step.Fetch > 0 {
