Keep configurations and versions within their bounds when watches hear nothing

Watches of entries now wait about 0.6 s for each entry, and an entry that learns something tells the others. Cause of VERSION: the bound of the first newer version counted from the newest one, and a restarted entry counted it from its start.

--- a/internal/agent/swap/swap.go
+++ b/internal/agent/swap/swap.go
@@ -100,10 +100,10 @@
 	}
 )
 
-// SetNamed takes in a version that is to be served.
-func (d *Decider) SetNamed(version int64, now time.Time) {
+// SetNamed takes in a version that is to be served, and since when.
+func (d *Decider) SetNamed(version int64, at time.Time) {
 	if version > d.Wanted() {
-		d.named = append(d.named, namedAt{version: version, at: now})
+		d.named = append(d.named, namedAt{version: version, at: at})
 	}
 }
 
--- a/internal/agent/swarm/limits.go
+++ b/internal/agent/swarm/limits.go
@@ -23,14 +23,13 @@
 	DefaultAvoidFor         = 30 * time.Second
 	DefaultSuspectFor       = 15 * time.Second
 	DefaultOriginRetry      = time.Second
+	DefaultOriginRetryMax   = 30 * time.Second
 	DefaultSecondSource     = 3
 )
 
 const (
 	// maximumBackoff bounds every wait that doubles.
 	maximumBackoff = 10 * time.Minute
-	// maximumOriginRetry bounds the wait between two requests to an origin that is down.
-	maximumOriginRetry = 30 * time.Second
 	// busyFactor bounds the growth of BusyWait with repeated refusals.
 	busyFactor = 8
 	// knownPerNeighbour bounds the agents whose chunks are remembered, as a
@@ -101,6 +100,9 @@
 	SuspectFor time.Duration
 	// OriginRetry is the first wait after a failure of origin or weight store.
 	OriginRetry time.Duration
+	// OriginRetryMax bounds the wait between two requests to an origin that is
+	// down, or for a chunk that is wrong there.
+	OriginRetryMax time.Duration
 	// SecondSource is the number of missing chunks at which a slow fetch is
 	// repeated at a second agent.
 	SecondSource int
@@ -123,6 +125,7 @@
 	l.AvoidFor = cmp.Or(l.AvoidFor, DefaultAvoidFor)
 	l.SuspectFor = cmp.Or(l.SuspectFor, DefaultSuspectFor)
 	l.OriginRetry = cmp.Or(l.OriginRetry, DefaultOriginRetry)
+	l.OriginRetryMax = cmp.Or(l.OriginRetryMax, DefaultOriginRetryMax)
 	l.SecondSource = cmp.Or(l.SecondSource, DefaultSecondSource)
 	return l
 }
--- a/internal/agent/swarm/peers.go
+++ b/internal/agent/swarm/peers.go
@@ -259,7 +259,7 @@
 	kind := a.source.Kind
 	if reason == Unreachable || reason == Busy || reason == Stalled {
 		s := &p.sources[kind]
-		s.until = p.now.Add(p.jitter(backoff(p.limits.OriginRetry, s.failures, maximumOriginRetry)))
+		s.until = p.now.Add(p.jitter(backoff(p.limits.OriginRetry, s.failures, p.limits.OriginRetryMax)))
 		s.failures++
 		return
 	}
--- a/internal/entry/desk/desk.go
+++ b/internal/entry/desk/desk.go
@@ -37,8 +37,9 @@
 		pools   map[string]*pool
 		servers map[mulberryspool.InstanceID]mulberryspool.BackendServer
 		served  map[mulberryspool.InstanceID]Served
-		named   map[string]named
-		peers   map[string]time.Time
+		// named holds since when each version of a model has been named.
+		named map[string]map[int64]time.Time
+		peers map[string]time.Time
 	}
 
 	// Served is what an agent says of its backend server.
@@ -49,11 +50,6 @@
 		at      time.Time
 	}
 
-	named struct {
-		version int64
-		at      time.Time
-	}
-
 	pool struct {
 		placer  placement.Placer
 		repeats repeats.Budget
@@ -129,15 +125,15 @@
 	}
 }
 
-// SetNamed takes in the version of a model that is to be served.
-func (d *Desk) SetNamed(model string, version int64) {
+// SetNamed takes in that a version of a model is to be served, and since when.
+func (d *Desk) SetNamed(model string, version int64, at time.Time) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.prepare()
-	if version <= d.named[model].version {
-		return
+	if d.named[model] == nil {
+		d.named[model] = make(map[int64]time.Time)
 	}
-	d.named[model] = named{version: version, at: d.Clock.Now()}
+	d.named[model][version] = at
 	for name, p := range d.pools {
 		d.fill(name, p)
 	}
@@ -284,7 +280,7 @@
 	}
 	d.pools = make(map[string]*pool)
 	d.served = make(map[mulberryspool.InstanceID]Served)
-	d.named = make(map[string]named)
+	d.named = make(map[string]map[int64]time.Time)
 	d.peers = make(map[string]time.Time)
 }
 
@@ -316,9 +312,7 @@
 		}
 	}
 	if table := d.table.Load(); table != nil {
-		if n, ok := d.named[table.Ingress.Pools[name].Model]; ok {
-			p.placer.SetNamed(n.version, n.at)
-		}
+		p.placer.SetNamed(d.named[table.Ingress.Pools[name].Model])
 	}
 }
 
--- a/internal/entry/placement/choose.go
+++ b/internal/entry/placement/choose.go
@@ -49,7 +49,17 @@
 	if s.version == 0 || now.Before(s.misdirectedUntil) || r.Version != 0 && s.version != r.Version {
 		return false
 	}
-	return s.version >= p.named || now.Before(p.namedAt.Add(p.Figures.VersionGrace))
+	return p.allowed(s.version, now)
+}
+
+// allowed says whether no newer version has been named for too long.
+func (p *Placer) allowed(version int64, now time.Time) bool {
+	for newer, at := range p.named {
+		if newer > version && !now.Before(at.Add(p.Figures.VersionGrace)) {
+			return false
+		}
+	}
+	return true
 }
 
 // score is the expected time to the first event.
--- a/internal/entry/placement/placer.go
+++ b/internal/entry/placement/placer.go
@@ -49,9 +49,8 @@
 		servers map[mulberryspool.InstanceID]*server
 		ordered []*server
 		peers   map[string]peerLoads
-		named   int64
-		// namedAt is when the named version became known.
-		namedAt time.Time
+		// named holds since when each version has been named.
+		named map[int64]time.Time
 		// service is the moving mean of the time that requests take.
 		service time.Duration
 		last    Ticket
@@ -125,11 +124,10 @@
 	}
 }
 
-// SetNamed takes in the version that the pool is to serve.
-func (p *Placer) SetNamed(version int64, now time.Time) {
-	if version > p.named {
-		p.named, p.namedAt = version, now
-	}
+// SetNamed takes in the versions that were named, and since when. The map is
+// not changed until the next call.
+func (p *Placer) SetNamed(named map[int64]time.Time) {
+	p.named = named
 }
 
 // SetPeer takes in what another entry has in flight.
--- a/internal/peer/sockets/sockets.go
+++ b/internal/peer/sockets/sockets.go
@@ -30,6 +30,9 @@
 type Dialer struct {
 	// Timeout is DefaultDialTimeout when it is 0.
 	Timeout time.Duration
+	// Impatient connections end with the first probe that is not answered. It
+	// is meant for watches, whose news would come too late otherwise.
+	Impatient bool
 }
 
 // DialContext has the signature that HTTP clients ask for.
@@ -38,7 +41,11 @@
 	if timeout == 0 {
 		timeout = DefaultDialTimeout
 	}
-	dialer := net.Dialer{Timeout: timeout, KeepAliveConfig: KeepAlive(), Control: endUnacked}
+	probes := KeepAlive()
+	if d.Impatient {
+		probes.Count = 1
+	}
+	dialer := net.Dialer{Timeout: timeout, KeepAliveConfig: probes, Control: endUnacked}
 	conn, err := dialer.DialContext(ctx, network, address)
 	return conn, mulberryspool.AtStep(err, "dial", address)
 }
--- a/internal/platform/fleet/fleet.go
+++ b/internal/platform/fleet/fleet.go
@@ -10,11 +10,15 @@
 package fleet
 
 import (
+	"cmp"
 	"context"
+	"fmt"
 	"maps"
+	"slices"
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/rs/zerolog"
 
 	"github.com/mulberryspool/mulberryspool"
@@ -25,6 +29,9 @@
 	// reappearTime is how long servers whose entries expired during an outage
 	// may take to be back in the store.
 	reappearTime = 2 * time.Second
+	// keptVersions is the number of named versions of a model whose times are
+	// remembered; a third one makes the first useless in any case.
+	keptVersions = 4
 )
 
 type (
@@ -39,17 +46,32 @@
 		// ServersAt is the store's revision that Servers was last changed at; 0
 		// while no list is known.
 		ServersAt mulberryspool.Revision `json:"serversAt,omitempty"`
-		// Named holds the named version of each model.
-		Named map[string]int64 `json:"named,omitempty"`
 	}
 
 	// Marks says how new a State is, in few bytes.
 	Marks struct {
-		Config    int64                  `json:"config,omitempty"`
+		Config int64 `json:"config,omitempty"`
+		// ServersAt is State.ServersAt; Servers is a hash of what is listed.
 		ServersAt mulberryspool.Revision `json:"serversAt,omitempty"`
-		Named     map[string]int64       `json:"named,omitempty"`
-		// Reachable is set while the store answers the process.
-		Reachable bool `json:"reachable,omitempty"`
+		Servers   uint64                 `json:"servers,omitempty"`
+		// Named holds the newest named versions of each model, oldest first.
+		Named map[string][]NamedMark `json:"named,omitempty"`
+	}
+
+	// NamedMark is a named version and how long it is known to have been named.
+	NamedMark struct {
+		Version int64 `json:"version"`
+		// AgeMillis is negative while the process found the version already
+		// there and nobody has told it since when.
+		AgeMillis int64 `json:"ageMillis"`
+	}
+
+	// named is what is known of a named version.
+	named struct {
+		version int64
+		at      time.Time
+		// found says that the version was there before the process looked.
+		found bool
 	}
 
 	// Kinds names and decodes the kinds of the store.
@@ -70,10 +92,18 @@
 		// ConfigRearm and ServersRearm are the pauses between two watches; see
 		// follow.DefaultRearm.
 		ConfigRearm, ServersRearm time.Duration
+		// Wait returns how long a watch waits; nil for follow.DefaultWait. A
+		// store that drops its history may tell a waiting watch nothing.
+		Wait func() time.Duration
 
 		IngressChanged func(mulberryspool.Ingress)
 		ServersChanged func(Servers)
-		NamedChanged   func(model string, version int64)
+		// NamedChanged is called with the time since when the version has been
+		// named as far as is known, again when that time is corrected.
+		NamedChanged func(model string, version int64, at time.Time)
+		// FoundAge is what is assumed of a version that the process found
+		// there when it started, until somebody knows better.
+		FoundAge time.Duration
 
 		once     sync.Once
 		config   follow.Follower[mulberryspool.Ingress]
@@ -82,6 +112,9 @@
 
 		mu    sync.Mutex
 		state State
+		// named holds the newest named versions of each model, oldest first.
+		named map[string][]named
+		hash  uint64
 	}
 )
 
@@ -108,17 +141,17 @@
 
 func (f *Fleet) makeFollowers() {
 	f.config = follow.Follower[mulberryspool.Ingress]{
-		Store: f.Store, Kind: f.Kinds.Config, Clock: f.Clock, Rearm: f.ConfigRearm, Logger: f.Logger,
+		Store: f.Store, Kind: f.Kinds.Config, Clock: f.Clock, Wait: f.Wait, Rearm: f.ConfigRearm, Logger: f.Logger,
 		Set:     follow.Set[mulberryspool.Ingress]{Decode: f.Kinds.Ingress},
 		Changed: f.setIngresses,
 	}
 	f.servers = follow.Follower[mulberryspool.BackendServer]{
-		Store: f.Store, Kind: f.Kinds.Servers, Clock: f.Clock, Rearm: f.ServersRearm, Logger: f.Logger,
+		Store: f.Store, Kind: f.Kinds.Servers, Clock: f.Clock, Wait: f.Wait, Rearm: f.ServersRearm, Logger: f.Logger,
 		Set:     follow.Set[mulberryspool.BackendServer]{Decode: f.Kinds.Server, Grace: reappearTime},
 		Changed: f.setServers,
 	}
 	f.versions = follow.Follower[mulberryspool.NamedVersion]{
-		Store: f.Store, Kind: f.Kinds.Versions, Clock: f.Clock, Logger: f.Logger,
+		Store: f.Store, Kind: f.Kinds.Versions, Clock: f.Clock, Wait: f.Wait, Logger: f.Logger,
 		Set:     follow.Set[mulberryspool.NamedVersion]{Decode: f.Kinds.Version},
 		Changed: f.setVersions,
 	}
@@ -139,37 +172,37 @@
 
 // Marks returns how new the belief is.
 func (f *Fleet) Marks() Marks {
-	f.prepare()
-	reachable := f.config.Reachable() && f.servers.Reachable() && f.versions.Reachable()
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	m := Marks{ServersAt: f.state.ServersAt, Named: f.state.Named, Reachable: reachable}
+	now := f.Clock.Now()
+	m := Marks{ServersAt: f.state.ServersAt, Servers: f.hash, Named: make(map[string][]NamedMark, len(f.named))}
 	if f.state.Ingress != nil {
 		m.Config = f.state.Ingress.Version
 	}
+	for model, versions := range f.named {
+		for _, n := range versions {
+			mark := NamedMark{Version: n.version, AgeMillis: now.Sub(n.at).Milliseconds()}
+			if n.found {
+				mark.AgeMillis = -1
+			}
+			m.Named[model] = append(m.Named[model], mark)
+		}
+	}
 	return m
 }
 
-// Behind says whether a peer knows something that the store does not tell
-// this process.
+// Behind says whether a peer knows something that this process does not. It
+// may be on its way from the store.
 func (f *Fleet) Behind(peer Marks) bool {
 	own := f.Marks()
-	if peer.Config > own.Config && !f.config.Reachable() {
-		return true
-	}
-	return peer.Reachable && peer.ServersAt > own.ServersAt && !f.servers.Reachable()
+	return peer.Config > own.Config || peer.ServersAt > own.ServersAt && peer.Servers != own.Servers
 }
 
 // Merge takes over what a peer believes where it is newer.
 func (f *Fleet) Merge(s State, peer string) {
-	f.prepare()
 	if s.Ingress != nil {
 		f.setIngress(*s.Ingress, fromPeer, peer)
 	}
-	f.MergeNamed(s.Named, peer)
-	if f.servers.Reachable() {
-		return
-	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if s.ServersAt > f.state.ServersAt {
@@ -178,9 +211,16 @@
 }
 
 // MergeNamed takes over the named versions of a peer.
-func (f *Fleet) MergeNamed(versions map[string]int64, peer string) {
-	for model, version := range versions {
-		f.setNamed(model, version, fromPeer, peer)
+func (f *Fleet) MergeNamed(marks map[string][]NamedMark, peer string) {
+	now := f.Clock.Now()
+	for model, versions := range marks {
+		for _, m := range versions {
+			n := named{version: m.Version, at: now.Add(-time.Duration(m.AgeMillis) * time.Millisecond)}
+			if m.AgeMillis < 0 {
+				n.at, n.found = now.Add(-f.FoundAge), true
+			}
+			f.setNamed(model, n, fromPeer, peer)
+		}
 	}
 }
 
@@ -209,17 +249,21 @@
 func (f *Fleet) setServers(items map[string]mulberryspool.BackendServer, d follow.Difference) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	// A peer has told more than a watch that was silent for a while.
+	if d.At < f.state.ServersAt {
+		return
+	}
 	servers := make(Servers, len(items))
 	for _, b := range items {
 		servers[b.Instance] = b
 	}
-	f.replaceServers(servers, max(f.state.ServersAt, d.At), fromStore)
+	f.replaceServers(servers, d.At, fromStore)
 }
 
 // replaceServers is called with the mutex held.
 func (f *Fleet) replaceServers(servers Servers, at mulberryspool.Revision, source string) {
 	before := f.state.Servers
-	f.state.Servers, f.state.ServersAt = servers, at
+	f.state.Servers, f.state.ServersAt, f.hash = servers, at, hash(servers)
 	for id, b := range servers {
 		old, known := before[id]
 		if known && old.Leaving == b.Leaving && old.Born == b.Born && old.Address == b.Address && maps.Equal(versions(old), versions(b)) {
@@ -238,28 +282,64 @@
 	f.ServersChanged(servers)
 }
 
-func (f *Fleet) setVersions(items map[string]mulberryspool.NamedVersion, _ follow.Difference) {
+func (f *Fleet) setVersions(items map[string]mulberryspool.NamedVersion, d follow.Difference) {
+	n := named{at: f.Clock.Now(), found: d.Listed}
+	if n.found {
+		n.at = n.at.Add(-f.FoundAge)
+	}
 	for _, v := range items {
-		f.setNamed(v.Model, v.Version, fromStore, "")
+		n.version = v.Version
+		f.setNamed(v.Model, n, fromStore, "")
 	}
 }
 
-func (f *Fleet) setNamed(model string, version int64, source, peer string) {
+// setNamed adds a version, or corrects since when it has been named.
+func (f *Fleet) setNamed(model string, n named, source, peer string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	before := f.state.Named[model]
-	if version <= before {
+	known := f.named[model]
+	i, there := slices.BinarySearchFunc(known, n, func(a, b named) int { return cmp.Compare(a.version, b.version) })
+	switch {
+	case there && (n.found || !known[i].found):
+		return
+	case there:
+		known = slices.Clone(known)
+		known[i] = n
+	case i == 0 && len(known) == keptVersions:
 		return
+	default:
+		known = slices.Insert(slices.Clone(known), i, n)
+		known = known[max(0, len(known)-keptVersions):]
 	}
-	named := maps.Clone(f.state.Named)
-	if named == nil {
-		named = make(map[string]int64)
+	if f.named == nil {
+		f.named = make(map[string][]named)
 	}
-	named[model] = version
-	f.state.Named = named
+	f.named[model] = known
 	f.Logger.Info().Str("step", "adopt version").Str("source", source).Str("peer", peer).Str("model", model).
-		Int64("before", before).Int64("version", version).Msg("version named")
-	f.NamedChanged(model, version)
+		Int64("version", n.version).Int64("newest", known[len(known)-1].version).
+		Dur("age", f.Clock.Since(n.at)).Bool("ageKnown", !n.found).Msg("version named")
+	f.NamedChanged(model, n.version, n.at)
+}
+
+// Named returns the newest named version of a model, 0 for none, and since when.
+func (f *Fleet) Named(model string) (int64, time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	known := f.named[model]
+	if len(known) == 0 {
+		return 0, time.Time{}
+	}
+	newest := known[len(known)-1]
+	return newest.version, newest.at
+}
+
+// hash tells lists of servers apart.
+func hash(servers Servers) uint64 {
+	var sum uint64
+	for id, b := range servers {
+		sum += xxhash.Sum64String(fmt.Sprint(id, b.Born, b.Address, b.Leaving, b.Models))
+	}
+	return sum
 }
 
 func versions(b mulberryspool.BackendServer) map[string]int64 {
--- a/internal/platform/follow/follower.go
+++ b/internal/platform/follow/follower.go
@@ -34,9 +34,11 @@
 		// Changed is called with the objects in use and what the step changed,
 		// in order, from Run's goroutine, and never at the same time as Heard.
 		Changed func(items map[string]T, d Difference)
-		// Wait and Rearm stand for their defaults if they are 0.
-		Wait, Rearm time.Duration
-		Logger      zerolog.Logger
+		// Wait returns how long the next watch waits; nil means DefaultWait.
+		Wait func() time.Duration
+		// Rearm is DefaultRearm when it is 0.
+		Rearm  time.Duration
+		Logger zerolog.Logger
 
 		mu        sync.Mutex
 		revision  mulberryspool.Revision
@@ -47,8 +49,8 @@
 
 // Run follows the kind until the context ends.
 func (f *Follower[T]) Run(ctx context.Context) {
-	if f.Wait == 0 {
-		f.Wait = DefaultWait
+	if f.Wait == nil {
+		f.Wait = func() time.Duration { return DefaultWait }
 	}
 	if f.Rearm == 0 {
 		f.Rearm = DefaultRearm
@@ -103,7 +105,7 @@
 
 // watch returns false when the kind has to be listed again.
 func (f *Follower[T]) watch(ctx context.Context) (bool, error) {
-	wait := f.Wait
+	wait := f.Wait()
 	if at, ok := f.Set.NextExpiry(); ok {
 		wait = min(wait, max(0, f.Clock.Until(at)))
 	}
--- a/internal/platform/follow/set.go
+++ b/internal/platform/follow/set.go
@@ -39,6 +39,9 @@
 		Unreadable map[string]error
 		// At is the store's revision behind the step.
 		At mulberryspool.Revision
+		// Listed says that the objects come from a list, so that they may have
+		// been there for any time.
+		Listed bool
 	}
 )
 
@@ -57,7 +60,7 @@
 // Replace takes over a whole list.
 func (s *Set[T]) Replace(now time.Time, objects []mulberryspool.Object) Difference {
 	s.prepare()
-	d := Difference{Unreadable: make(map[string]error)}
+	d := Difference{Listed: true, Unreadable: make(map[string]error)}
 	listed := make(map[string]struct{}, len(objects))
 	for _, o := range objects {
 		listed[o.Name] = struct{}{}
--- a/internal/role/hosted/agent.go
+++ b/internal/role/hosted/agent.go
@@ -72,7 +72,7 @@
 	TellInterval: 200 * time.Millisecond, StartWait: 300 * time.Millisecond, ProbeWait: 300 * time.Millisecond,
 	TakeoverShortest: 700 * time.Millisecond, TakeoverLongest: 4 * time.Second,
 	ProgressTimeout: 1500 * time.Millisecond, BusyWait: 60 * time.Millisecond,
-	AvoidFor: 3 * time.Second, SuspectFor: 2 * time.Second, OriginRetry: 300 * time.Millisecond,
+	AvoidFor: 3 * time.Second, SuspectFor: 2 * time.Second, OriginRetry: 200 * time.Millisecond, OriginRetryMax: 600 * time.Millisecond,
 }
 
 type (
@@ -181,8 +181,8 @@
 func (a *agentRole) buildFleet() {
 	a.fleet = a.parts.fleet()
 	a.fleet.ServersRearm, a.fleet.ConfigRearm = agentServersRearm, agentConfigRearm
-	a.fleet.NamedChanged = func(string, int64) { a.look() }
-	a.beliefs = &beliefs{fleet: a.fleet, fetch: a.fetchState, logger: a.logger}
+	a.fleet.NamedChanged = func(string, int64, time.Time) { a.look() }
+	a.beliefs = &beliefs{fleet: a.fleet, clock: a.clock, fetch: a.fetchState, logger: a.logger}
 }
 
 // look wakes the loop.
--- a/internal/role/hosted/agentloop.go
+++ b/internal/role/hosted/agentloop.go
@@ -35,7 +35,7 @@
 		return reportInterval
 	}
 	a.setMembers()
-	a.decider.SetNamed(a.wanted(ctx, model), now)
+	a.decider.SetNamed(a.wanted(ctx, model))
 	if !a.readState(ctx, model) {
 		// The weights are on their way while the model server starts.
 		if step := a.decider.Next(a.view(0), now); step.Fetch > 0 {
@@ -103,19 +103,22 @@
 
 // wanted is the version that is to be served: the one that is named, else the
 // newest that any server of the pool serves, else the origin's newest.
-func (a *agentRole) wanted(ctx context.Context, model string) int64 {
-	state := a.fleet.State()
-	wanted := state.Named[model]
-	for _, b := range state.Servers {
+func (a *agentRole) wanted(ctx context.Context, model string) (int64, time.Time) {
+	wanted, at := a.fleet.Named(model)
+	now := a.clock.Now()
+	found := a.served(model)
+	for _, b := range a.fleet.State().Servers {
 		if b.Pool == a.settings.Pool {
-			wanted = max(wanted, b.Serves(model))
+			found = max(found, b.Serves(model))
 		}
 	}
-	wanted = max(wanted, a.served(model))
+	if found > wanted {
+		wanted, at = found, now
+	}
 	if wanted == 0 && a.fleet.Known() {
-		wanted = a.newest(ctx, model)
+		wanted, at = a.newest(ctx, model), now
 	}
-	return wanted
+	return wanted, at
 }
 
 // newest asks the origin, at most once in a while.
@@ -351,7 +354,8 @@
 		a.logger.Info().Str(logging.FieldStep, "tell entries").Int64("before", a.beaten.Version).Int64("takes", said.Version).Msg("version that requests may be sent for")
 	}
 	a.beaten, a.quiet = said, 0
-	a.link.Send(beat.Message{Served: &said}, a.link.Heard(mulberryspool.RoleEntry))
+	marks := a.fleet.Marks()
+	a.link.Send(beat.Message{Marks: &marks, Served: &said}, a.link.Heard(mulberryspool.RoleEntry))
 }
 
 // serverID is the model server's name in the store, empty while it is not listed.
--- a/internal/role/hosted/beliefs.go
+++ b/internal/role/hosted/beliefs.go
@@ -4,22 +4,30 @@
 	"context"
 	"net/netip"
 	"sync"
+	"time"
 
 	"github.com/rs/zerolog"
 
+	"github.com/mulberryspool/mulberryspool"
 	"github.com/mulberryspool/mulberryspool/internal/observe/logging"
 	"github.com/mulberryspool/mulberryspool/internal/peer/beat"
 	"github.com/mulberryspool/mulberryspool/internal/platform/fleet"
 )
 
+// behindTime is how long the store may take to tell what a peer knows already.
+const behindTime = 250 * time.Millisecond
+
 // beliefs keeps a fleet up to date from the beats of entries while the store
-// does not answer this process.
+// tells this process nothing, or later than others.
 type beliefs struct {
 	fleet  *fleet.Fleet
+	clock  mulberryspool.Clock
 	fetch  func(ctx context.Context, entry netip.AddrPort) (fleet.State, error)
 	logger zerolog.Logger
 
 	mu sync.Mutex
+	// behindSince is when a peer was first seen to know more; zero for not.
+	behindSince time.Time
 	// fetching is set while the beliefs of a peer are read.
 	fetching bool
 }
@@ -30,16 +38,22 @@
 		return
 	}
 	b.fleet.MergeNamed(m.Marks.Named, m.Node)
-	if !b.fleet.Behind(*m.Marks) {
+	if m.Role != mulberryspool.RoleEntry {
 		return
 	}
+	behind := b.fleet.Behind(*m.Marks)
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.fetching {
-		return
+	now := b.clock.Now()
+	switch {
+	case !behind && now.Sub(b.behindSince) > behindTime:
+		b.behindSince = time.Time{}
+	case behind && b.behindSince.IsZero():
+		b.behindSince = now
+	case behind && now.Sub(b.behindSince) > behindTime && !b.fetching:
+		b.fetching = true
+		go b.catchUp(from, m.Node)
 	}
-	b.fetching = true
-	go b.catchUp(from, m.Node)
 }
 
 // catchUp reads what a peer believes.
@@ -54,5 +68,5 @@
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.fetching = false
+	b.fetching, b.behindSince = false, time.Time{}
 }
--- a/internal/role/hosted/entry.go
+++ b/internal/role/hosted/entry.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/netip"
@@ -23,6 +24,7 @@
 	"github.com/mulberryspool/mulberryspool/internal/peer/beat"
 	"github.com/mulberryspool/mulberryspool/internal/peer/sockets"
 	"github.com/mulberryspool/mulberryspool/internal/platform/fleet"
+	"github.com/mulberryspool/mulberryspool/internal/platform/follow"
 	settings "github.com/mulberryspool/mulberryspool/internal/settings/hosted"
 	"github.com/mulberryspool/mulberryspool/platform"
 )
@@ -38,6 +40,15 @@
 	// versionMargin is how long before the bound an old version is given up:
 	// the news of a version may be as old, and a request takes its way.
 	versionMargin = 900 * time.Millisecond
+	// watchSpread times the number of entries is how long a watch waits, since
+	// a store that drops its history tells a waiting watch nothing, and one
+	// entry that asks again tells the others. It keeps the news within 3 s.
+	watchSpread = 600 * time.Millisecond
+	// shortestWatch is for a few entries.
+	shortestWatch = 2 * time.Second
+	// foundGrace is how long an old version is used when this process found
+	// the newer one named already and nobody tells since when.
+	foundGrace = 2500 * time.Millisecond
 	// domainDelay stands for the way to another failure domain and the price
 	// of its bytes.
 	domainDelay = 25 * time.Millisecond
@@ -145,10 +156,19 @@
 		Sampled: logging.Sampler(e.settings.LogSample),
 	}
 	e.fleet = e.parts.fleet()
+	e.fleet.Wait = e.watchWait
+	e.fleet.FoundAge = b.NamedVersion - versionMargin - foundGrace
 	e.fleet.IngressChanged = func(i mulberryspool.Ingress) { e.desk.SetIngress(i) }
 	e.fleet.ServersChanged = e.setServers
 	e.fleet.NamedChanged = e.desk.SetNamed
-	e.beliefs = &beliefs{fleet: e.fleet, fetch: e.fetchState, logger: e.logger}
+	e.beliefs = &beliefs{fleet: e.fleet, clock: e.clock, fetch: e.fetchState, logger: e.logger}
+}
+
+// watchWait spreads the entries' watches over the time that news may take.
+func (e *entryRole) watchWait() time.Duration {
+	entries := 1 + len(e.link.Heard(mulberryspool.RoleEntry))
+	wait := min(max(time.Duration(entries)*watchSpread, shortestWatch), follow.DefaultWait)
+	return time.Duration((0.7 + 0.6*rand.Float64()) * float64(wait))
 }
 
 // setServers passes the servers on and greets the agents of new ones.
@@ -186,12 +206,11 @@
 	if m.Served != nil {
 		e.desk.SetServed(m.Served.Instance, desk.Served{Born: m.Served.Born, Version: m.Served.Version})
 	}
-	if m.Role != mulberryspool.RoleEntry {
-		return
-	}
-	e.desk.SetPeer(m.Node, m.Loads)
-	e.noteEntries(m.Peers)
 	e.beliefs.heard(m, from)
+	if m.Role == mulberryspool.RoleEntry {
+		e.desk.SetPeer(m.Node, m.Loads)
+		e.noteEntries(m.Peers)
+	}
 }
 
 func (e *entryRole) noteEntries(addresses []string) {
--- a/internal/role/hosted/hosted.go
+++ b/internal/role/hosted/hosted.go
@@ -91,7 +91,7 @@
 	metrics, handler, closer := admin.NewMetrics(identity)
 	client := &objectapi.Client{
 		BaseURL: "http://" + s.Store, Clock: clock, Random: newRandom(), Metrics: metrics,
-		DialContext: sockets.Dialer{}.DialContext, CallsPerSecond: storeCallsPerSecond,
+		DialContext: sockets.Dialer{Impatient: true}.DialContext, CallsPerSecond: storeCallsPerSecond,
 		AttemptTimeout: storeAttempt, CallTimeout: storeCall, MaxBackoff: storeMaxBackoff,
 	}
 	return &parts{
@@ -124,7 +124,7 @@
 		},
 		IngressChanged: func(mulberryspool.Ingress) {},
 		ServersChanged: func(fleet.Servers) {},
-		NamedChanged:   func(string, int64) {},
+		NamedChanged:   func(string, int64, time.Time) {},
 	}
 }
 
