--- a/internal/agent/swap/swap.go
+++ b/internal/agent/swap/swap.go
@@ -151,7 +151,7 @@
 	if v.Laid != v.Staged {
 		return Step{Action: Lay, Version: v.Staged}
 	}
-	if d.waitsForNewer(v) {
+	if d.waitsForNewer(v, now) {
 		return Step{Action: Rest}
 	}
 	if at := d.turn(v); now.Before(at) {
@@ -174,12 +174,17 @@
 
 // waitsForNewer says whether a version is passed over because a newer one
 // will be here before the served one has to go.
-func (d *Decider) waitsForNewer(v View) bool {
+func (d *Decider) waitsForNewer(v View, now time.Time) bool {
 	wanted := d.Wanted()
 	if wanted <= v.Staged {
 		return false
 	}
-	here := d.named[len(d.named)-1].at.Add(time.Duration(transferPart * float64(d.Bound)))
+	transfer := time.Duration(transferPart * float64(d.Bound))
+	here := d.named[len(d.named)-1].at.Add(transfer)
+	if v.Fetching != wanted || here.Before(now) {
+		// It is later than usual, and nobody knows by how much.
+		here = now.Add(transfer)
+	}
 	return here.Before(d.last(v.Served))
 }
 
