--- a/internal/backend/exchange/conn.go
+++ b/internal/backend/exchange/conn.go
@@ -102,7 +102,7 @@
 func (c *Conn) Receive(method string, id mulberryspool.RequestID) (*Answer, error) {
 	for range maxForeign + 1 {
 		c.limited.N = maxHeadBytes
-		response, err := http.ReadResponse(c.reader, &http.Request{Method: method})
+		response, err := http.ReadResponse(c.reader, &http.Request{Method: method}) //nolint:bodyclose // The caller closes it with the answer.
 		if err != nil {
 			return nil, c.failure(err)
 		}
--- a/internal/peer/beat/beat.go
+++ b/internal/peer/beat/beat.go
@@ -95,7 +95,7 @@
 
 // Run receives beats until the context ends.
 func (l *Link) Run(ctx context.Context) error {
-	stop := context.AfterFunc(ctx, func() { l.Conn.Close() })
+	stop := context.AfterFunc(ctx, func() { _ = l.Conn.Close() })
 	defer stop()
 	buffer := make([]byte, maxDatagram)
 	for {
--- a/internal/role/hosted/entry.go
+++ b/internal/role/hosted/entry.go
@@ -361,8 +361,7 @@
 	case err := <-served:
 		return mulberryspool.AtStep(err, "serve callers", listener.Addr().String())
 	case <-background.Done():
-		server.Close()
-		return nil
+		return errors.Wrap(server.Close(), "close connections")
 	case <-ctx.Done():
 	}
 	e.handler.Stopping.Store(true)
@@ -373,13 +372,13 @@
 	defer cancel()
 	if err := server.Shutdown(bounded); err != nil {
 		e.logger.Warn().Err(err).Str(logging.FieldStep, "stop").Msg("requests are still in flight and are cut off")
-		return errors.CombineErrors(nil, server.Close())
+		return errors.Wrap(server.Close(), "close connections")
 	}
 	return nil
 }
 
 func serve(ctx context.Context, server *http.Server, listener net.Listener) error {
-	stop := context.AfterFunc(ctx, func() { server.Close() })
+	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
 	defer stop()
 	if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
 		return mulberryspool.AtStep(err, "serve", listener.Addr().String())
