--- /dev/null
+++ b/internal/entry/placement/placer_test.go
@@ -0,0 +1,273 @@
+package placement
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/mulberryspool/mulberryspool"
+)
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func enginePool() mulberryspool.IngressPool {
+	return mulberryspool.IngressPool{Name: "scribe", Model: "m", Engine: &mulberryspool.EngineFigures{
+		Slots: 4, Step: 7 * time.Millisecond, PromptTokensPerSecond: 30_000, StepsPerPass: 6, UsualPrompt: 900, UsualAnswer: 120,
+	}}
+}
+
+func newPlacer(servers int) *Placer {
+	p := &Placer{
+		Figures: Figures{Domain: "a", VersionGrace: 7 * time.Second},
+		Random:  rand.New(rand.NewPCG(1, 2)),
+	}
+	p.SetPool(enginePool())
+	p.SetServers(engines(servers, 1))
+	return p
+}
+
+func engines(count int, version int64) []mulberryspool.BackendServer {
+	var list []mulberryspool.BackendServer
+	for i := range count {
+		list = append(list, mulberryspool.BackendServer{
+			Instance: mulberryspool.InstanceID(fmt.Sprintf("i-%d", i)), Born: 1, Pool: "scribe", FailureDomain: "a", Slots: 4,
+			Models: []mulberryspool.LoadedModel{{Model: "m", Version: version}},
+		})
+	}
+	return list
+}
+
+func request(now time.Time) Request {
+	return Request{PromptTokens: 900, Objective: 400 * time.Millisecond, Offered: now, Deadline: now.Add(6 * time.Second)}
+}
+
+func TestPlacesSpreadOverServers(t *testing.T) {
+	p := newPlacer(3)
+	counts := make(map[mulberryspool.InstanceID]int)
+	for range 12 {
+		d := p.Offer(request(start), start)
+		if d.Verdict != Placed {
+			t.Fatalf("request was not placed: %+v", d)
+		}
+		counts[d.Server.Instance]++
+	}
+	for id, n := range counts {
+		if n != 4 {
+			t.Errorf("%s has %d of 12 requests, want 4", id, n)
+		}
+	}
+}
+
+// The requests of other entries take places that this entry does not see itself.
+func TestCountsWhatOtherEntriesSent(t *testing.T) {
+	p := newPlacer(2)
+	p.SetPeer("other", map[mulberryspool.InstanceID]Load{"i-0": {Requests: 5}}, start)
+	for range 5 {
+		if d := p.Offer(request(start), start); d.Server.Instance != "i-1" {
+			t.Fatalf("placed at %q although it is full, want i-1", d.Server.Instance)
+		}
+	}
+	if d := p.Offer(request(start), start); d.Verdict == Placed {
+		t.Errorf("placed at %s although all servers are full", d.Server.Instance)
+	}
+	p.Expire(start.Add(peerTimeout + time.Millisecond))
+	if d := p.Tick(start.Add(peerTimeout + time.Millisecond)); len(d) == 1 && d[0].Verdict == Placed && d[0].Server.Instance != "i-0" {
+		t.Errorf("placed at %s, want i-0 after the other entry has fallen silent", d[0].Server.Instance)
+	}
+}
+
+// A burst beyond what the pool carries: what can't be on time is refused at
+// once, and nothing waits longer than it may.
+func TestRefusesAtOnceWhatCannotBeOnTime(t *testing.T) {
+	p := newPlacer(2)
+	placed, waiting, refused := 0, 0, 0
+	for range 200 {
+		switch d := p.Offer(request(start), start); d.Verdict {
+		case Placed:
+			placed++
+		case Waiting:
+			waiting++
+		case Refused:
+			refused++
+			if d.Reason != ReasonFull || d.RetryAfter <= 0 {
+				t.Fatalf("refused with %q and RetryAfter %v", d.Reason, d.RetryAfter)
+			}
+		}
+	}
+	if want := 2 * (4 + overcommit); placed != want {
+		t.Errorf("%d requests were placed, want %d", placed, want)
+	}
+	if refused == 0 || waiting > 5 {
+		t.Errorf("%d wait and %d are refused of 200, want few and most", waiting, refused)
+	}
+	next, ok := p.Next()
+	if !ok || next.Sub(start) > 400*time.Millisecond {
+		t.Errorf("the longest wait ends after %v, want at most the objective", next.Sub(start))
+	}
+	for _, d := range p.Tick(start.Add(400 * time.Millisecond)) {
+		if d.Verdict != Refused || d.Reason != ReasonTooLate {
+			t.Errorf("decision after the wait is %+v, want a refusal", d)
+		}
+	}
+	if p.Waiting() != 0 {
+		t.Errorf("%d requests still wait", p.Waiting())
+	}
+}
+
+func TestFreedPlaceGoesToWaitingRequest(t *testing.T) {
+	p := newPlacer(1)
+	var sent Decision
+	for range 4 + overcommit {
+		sent = p.Offer(request(start), start)
+	}
+	w := p.Offer(request(start), start)
+	if w.Verdict != Waiting {
+		t.Fatalf("verdict is %v, want waiting", w.Verdict)
+	}
+	p.Ended(sent.Server.Instance, 900, true, Answered, time.Second, start)
+	decisions := p.Tick(start.Add(time.Millisecond))
+	if len(decisions) != 1 || decisions[0].Ticket != w.Ticket || decisions[0].Verdict != Placed {
+		t.Errorf("decisions are %+v, want the waiting request placed", decisions)
+	}
+}
+
+// While newcomers wait as well, returning requests get a share of the places
+// and no more, so that a long overload does not make every answer late.
+func TestReturningRequestsGetAShare(t *testing.T) {
+	p := newPlacer(1)
+	full := 4 + overcommit
+	for range full {
+		p.Offer(request(start), start)
+	}
+	for i := range 20 {
+		w := &waiter{ticket: Ticket(1000 + i), request: request(start), until: start.Add(time.Second)}
+		w.request.Returning = i%2 == 0
+		p.waiting = append(p.waiting, w)
+	}
+	returning := 0
+	for range 8 {
+		p.Ended("i-0", 900, true, Answered, time.Second, start)
+		for _, d := range p.Tick(start) {
+			if d.Ticket%2 == 0 {
+				returning++
+			}
+		}
+	}
+	if returning != 2 {
+		t.Errorf("%d of 8 places went to returning requests, want 2", returning)
+	}
+}
+
+func TestLeavingAndEmptyServersGetNothing(t *testing.T) {
+	p := newPlacer(2)
+	list := engines(3, 1)
+	list[0].Leaving = true
+	list[1].Born, list[1].Models = 2, nil
+	p.SetServers(list)
+	for range 4 {
+		if d := p.Offer(request(start), start); d.Server.Instance != "i-2" {
+			t.Fatalf("placed at %q, want i-2", d.Server.Instance)
+		}
+	}
+}
+
+// Each version is judged by the first newer one, not by the newest.
+func TestOldVersionGoesAfterItsBound(t *testing.T) {
+	p := newPlacer(1)
+	p.SetNamed(map[int64]time.Time{2: start, 3: start.Add(3 * time.Second)})
+	before := start.Add(6900 * time.Millisecond)
+	if d := p.Offer(request(before), before); d.Verdict != Placed || d.Version != 1 {
+		t.Errorf("before the bound of version 2: %+v, want placed for version 1", d)
+	}
+	after := start.Add(7100 * time.Millisecond)
+	if d := p.Offer(request(after), after); d.Verdict != Refused || d.Reason != ReasonNoServer {
+		t.Errorf("after the bound of version 2: %+v, want refused", d)
+	}
+	p.SetServed("i-0", 1, 2)
+	if d := p.Offer(request(after), after); d.Verdict != Placed || d.Version != 2 {
+		t.Errorf("version 2 within the bound of version 3: %+v, want placed", d)
+	}
+}
+
+func TestAgentsWordOnVersion(t *testing.T) {
+	p := newPlacer(1)
+	p.SetServed("i-0", 1, 0)
+	if d := p.Offer(request(start), start); d.Verdict == Placed {
+		t.Error("placed at a server that is about to change its version")
+	}
+	p.SetServed("i-0", 2, 5)
+	if d := p.Offer(request(start), start); d.Verdict == Placed {
+		t.Error("the word on another incarnation was taken")
+	}
+	p.SetServed("i-0", 1, 2)
+	if d := p.Offer(request(start), start); d.Version != 2 {
+		t.Errorf("placed for version %d, want 2", d.Version)
+	}
+	p.SetServed("i-0", 1, 1)
+	if d := p.Offer(request(start), start); d.Version != 2 {
+		t.Errorf("old news made the version %d, want 2", d.Version)
+	}
+}
+
+func TestRestartedServerIsAnotherOne(t *testing.T) {
+	p := newPlacer(1)
+	p.Offer(request(start), start)
+	list := engines(1, 0)
+	list[0].Born, list[0].Models = 2, nil
+	p.SetServers(list)
+	if d := p.Offer(request(start), start); d.Verdict == Placed {
+		t.Error("placed at a server that restarted and holds nothing")
+	}
+}
+
+func TestSuspectGetsTrialsOnly(t *testing.T) {
+	p := newPlacer(3)
+	now := start
+	for range 2 {
+		p.Ended("i-0", 0, true, Silent, time.Second, now)
+	}
+	p.servers["i-0"].health.sent(now)
+	toSuspect := 0
+	for range 40 {
+		now = now.Add(50 * time.Millisecond)
+		d := p.Offer(request(now), now)
+		if d.Verdict != Placed {
+			t.Fatalf("not placed: %+v", d)
+		}
+		o := Answered
+		if d.Server.Instance == "i-0" {
+			toSuspect++
+			o = Silent
+		}
+		p.Ended(d.Server.Instance, 900, true, o, 100*time.Millisecond, now)
+	}
+	if toSuspect > 5 {
+		t.Errorf("%d of 40 requests went to the silent server, want a few trials", toSuspect)
+	}
+}
+
+// A fault of the entry's own network makes all servers look bad.
+func TestNeverAvoidsAllServers(t *testing.T) {
+	p := newPlacer(3)
+	for _, id := range []mulberryspool.InstanceID{"i-0", "i-1", "i-2"} {
+		p.Ended(id, 0, true, Unreached, 0, start)
+		p.servers[id].health.sent(start)
+	}
+	if d := p.Offer(request(start), start); d.Verdict != Placed {
+		t.Errorf("all suspects: %+v, want placed", d)
+	}
+}
+
+func TestMisdirectedServerRestsUntilNews(t *testing.T) {
+	p := newPlacer(1)
+	d := p.Offer(request(start), start)
+	p.Ended(d.Server.Instance, 900, false, Misdirected, 0, start)
+	if d := p.Offer(request(start), start); d.Verdict == Placed {
+		t.Error("placed at a server whose version is in doubt")
+	}
+	p.SetServed("i-0", 1, 2)
+	if d := p.Offer(request(start), start); d.Verdict != Placed || d.Version != 2 {
+		t.Errorf("after the agent's word: %+v, want placed for version 2", d)
+	}
+}
