--- /dev/null
+++ b/internal/entry/forward/backend_test.go
@@ -0,0 +1,217 @@
+package forward
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/rs/zerolog"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/mulberryspool/mulberryspool"
+	"github.com/mulberryspool/mulberryspool/internal/backend/exchange"
+	"github.com/mulberryspool/mulberryspool/internal/entry/desk"
+	"github.com/mulberryspool/mulberryspool/internal/entry/placement"
+	"github.com/mulberryspool/mulberryspool/internal/entry/repeats"
+	"github.com/mulberryspool/mulberryspool/internal/peer/sockets"
+	"github.com/mulberryspool/mulberryspool/platform"
+)
+
+const signature = "X-Response-Signature: s\r\n"
+
+type (
+	// backend is a scripted backend server.
+	backend struct {
+		*testing.T
+		id       string
+		address  string
+		requests atomic.Int32
+
+		mu   sync.Mutex
+		seen []*http.Request
+		// bodies are those of seen.
+		bodies []string
+		conns  int
+	}
+
+	// script answers the n-th request of a backend server. The connection is
+	// closed when it returns false.
+	script func(w *bufio.Writer, r *http.Request, n int) bool
+
+	// caller is an entry with its backend servers.
+	entry struct {
+		*httptest.Server
+		handler *Handler
+		desk    *desk.Desk
+	}
+)
+
+func newBackend(t *testing.T, id string, s script) *backend {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { listener.Close() })
+	b := &backend{T: t, id: id, address: listener.Addr().String()}
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			b.mu.Lock()
+			b.conns++
+			b.mu.Unlock()
+			go b.serve(conn, s)
+		}
+	}()
+	return b
+}
+
+func (b *backend) serve(conn net.Conn, s script) {
+	defer conn.Close()
+	reader, writer := bufio.NewReader(conn), bufio.NewWriter(conn)
+	for {
+		r, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		body, err := io.ReadAll(r.Body)
+		if err != nil {
+			return
+		}
+		b.mu.Lock()
+		b.seen = append(b.seen, r)
+		b.bodies = append(b.bodies, string(body))
+		b.mu.Unlock()
+		if !s(writer, r, int(b.requests.Add(1))) || writer.Flush() != nil {
+			return
+		}
+	}
+}
+
+func (b *backend) request(i int) *http.Request {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if i >= len(b.seen) {
+		b.Fatalf("%s saw %d requests, want more than %d", b.id, len(b.seen), i)
+	}
+	return b.seen[i]
+}
+
+func (b *backend) server(pool string) mulberryspool.BackendServer {
+	return mulberryspool.BackendServer{
+		Instance: mulberryspool.InstanceID(b.id), Born: 1, Pool: pool, Address: b.address, FailureDomain: "a", Slots: 4,
+		Models: []mulberryspool.LoadedModel{{Model: "m", Version: 1}},
+	}
+}
+
+func route(name string, kind mulberryspool.RepeatKind, attempts int) mulberryspool.IngressRoute {
+	return mulberryspool.IngressRoute{
+		Name: name, Host: "h.example", PathPrefix: "/" + name + "/", Kind: kind, Attempts: attempts, Resumable: kind == mulberryspool.Streaming,
+		Timeout: 3 * time.Second, Objective: 300 * time.Millisecond, GapObjective: 100 * time.Millisecond,
+		Pools: []mulberryspool.WeightedPool{{Pool: "p", Weight: 1}},
+	}
+}
+
+func ingress() mulberryspool.Ingress {
+	open := route("open", mulberryspool.Idempotent, 2)
+	open.Public = true
+	return mulberryspool.Ingress{
+		Version: 1, MaxBodyBytes: 1 << 20,
+		Routes: []mulberryspool.IngressRoute{
+			route("read", mulberryspool.Idempotent, 2), route("write", mulberryspool.NonIdempotent, 1),
+			route("stream", mulberryspool.Streaming, 2), open,
+		},
+		Pools:      map[string]mulberryspool.IngressPool{"p": {Name: "p"}},
+		Workspaces: []mulberryspool.Workspace{{Name: "w", Keys: []string{"key"}}},
+	}
+}
+
+func newEntry(t *testing.T, backends ...*backend) *entry {
+	t.Helper()
+	clock := clockwork.NewRealClock()
+	d := &desk.Desk{
+		Clock: clock, Random: rand.New(rand.NewPCG(1, 1)),
+		Figures: placement.Figures{Domain: "a", VersionGrace: time.Minute},
+		Repeats: repeats.Budget{Window: 10 * time.Second, Ratio: 0.2, Slack: 100},
+	}
+	d.SetIngress(ingress())
+	servers := make(map[mulberryspool.InstanceID]mulberryspool.BackendServer)
+	for _, b := range backends {
+		servers[mulberryspool.InstanceID(b.id)] = b.server("p")
+	}
+	d.SetServers(servers)
+	pool := &exchange.Pool{Clock: clock, Dialect: platform.Headers{}, Dial: sockets.Dialer{}.DialContext}
+	h := &Handler{
+		Clock: clock, Dialect: platform.Headers{}, Desk: d, Pool: pool, Logger: zerolog.Nop(), Metrics: tally.NoopScope,
+		Sampled: func(mulberryspool.RequestID) bool { return true },
+	}
+	server := httptest.NewServer(h)
+	t.Cleanup(func() { server.Close(); pool.Close() })
+	return &entry{Server: server, handler: h, desk: d}
+}
+
+// call sends a request and returns the answer with as much of its body as
+// came, and whether the body was whole.
+func (e *entry) call(t *testing.T, method, path, body string, headers ...string) (*http.Response, string, bool) {
+	t.Helper()
+	r, err := http.NewRequest(method, e.URL+path, strings.NewReader(body))
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.Host = "h.example"
+	r.Header.Set("X-Attempt-Id", "r1")
+	r.Header.Set("X-Deadline-Ms", "3000")
+	r.Header.Set("Authorization", "Bearer key")
+	for i := 0; i < len(headers); i += 2 {
+		r.Header.Set(headers[i], headers[i+1])
+	}
+	response, err := http.DefaultTransport.RoundTrip(r)
+	if err != nil {
+		t.Fatalf("%s %s: %v", method, path, err)
+	}
+	defer response.Body.Close()
+	data, err := io.ReadAll(response.Body)
+	return response, string(data), err == nil
+}
+
+func answer(w io.Writer, r *http.Request, status int, body string) bool {
+	_, _ = fmt.Fprintf(w, "HTTP/1.1 %d x\r\nX-Attempt-Id: %s\r\n%sContent-Length: %d\r\n\r\n%s", status, r.Header.Get("X-Attempt-Id"), signature, len(body), body)
+	return true
+}
+
+// events writes a chunked stream of the events from one ID to another.
+func events(w *bufio.Writer, r *http.Request, from, to int, end bool) {
+	if from <= 1 || r.Header.Get("Last-Event-Id") != "" {
+		_, _ = fmt.Fprintf(w, "HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\n%sX-Weight-Versions: 1\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n",
+			r.Header.Get("X-Attempt-Id"), signature)
+	}
+	for i := from; i <= to; i++ {
+		event := fmt.Sprintf("id: %d\ndata: e%d\n\n", i, i)
+		_, _ = fmt.Fprintf(w, "%x\r\n%s\r\n", len(event), event)
+		_ = w.Flush()
+	}
+	if end {
+		_, _ = w.WriteString("0\r\n\r\n")
+	}
+}
+
+func series(from, to int) string {
+	var b strings.Builder
+	for i := from; i <= to; i++ {
+		fmt.Fprintf(&b, "id: %d\ndata: e%d\n\n", i, i)
+	}
+	return b.String()
+}
--- /dev/null
+++ b/internal/entry/forward/forward_test.go
@@ -0,0 +1,344 @@
+package forward
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/mulberryspool/mulberryspool/internal/entry/desk"
+)
+
+func TestRefusalsWithoutBackend(t *testing.T) {
+	e := newEntry(t)
+	for _, c := range []struct {
+		path, key string
+		want      int
+	}{
+		{"/none/1", "Bearer key", http.StatusNotFound},
+		{"/read/1", "Bearer wrong", http.StatusUnauthorized},
+		{"/read/1", "", http.StatusUnauthorized},
+		{"/read/1", "Bearer key", http.StatusServiceUnavailable},
+		{"/open/1", "", http.StatusServiceUnavailable},
+	} {
+		response, _, _ := e.call(t, http.MethodGet, c.path, "", "Authorization", c.key)
+		if response.StatusCode != c.want {
+			t.Errorf("%s with %q: %d, want %d", c.path, c.key, response.StatusCode, c.want)
+		}
+	}
+}
+
+// 404 and 401 are final for a caller, so nothing is denied before a
+// configuration is known.
+func TestNotReadyWithoutConfiguration(t *testing.T) {
+	e := newEntry(t)
+	e.handler.Desk = &desk.Desk{Clock: e.handler.Clock}
+	response, _, _ := e.call(t, http.MethodGet, "/none/1", "")
+	if response.StatusCode != http.StatusServiceUnavailable || response.Header.Get("Retry-After") == "" {
+		t.Errorf("%d with Retry-After %q, want 503 with one", response.StatusCode, response.Header.Get("Retry-After"))
+	}
+}
+
+func TestRequestAsTheBackendServerSeesIt(t *testing.T) {
+	b := newBackend(t, "i-1", func(w *bufio.Writer, r *http.Request, _ int) bool { return answer(w, r, 200, "ok") })
+	e := newEntry(t, b)
+	response, body, _ := e.call(t, http.MethodPost, "/write/a%2Fb/?q=1&r", "content",
+		"X-Tenant", "forged", "X-Expected-Instance", "forged", "X-Expected-Version", "9", "X-Not-Executed", "1", "Path", "x", "X-Other", "kept")
+	if response.StatusCode != 200 || body != "ok" || response.Header.Get("X-Response-Signature") != "s" {
+		t.Fatalf("answer is %d %q %v", response.StatusCode, body, response.Header)
+	}
+	r := b.request(0)
+	if r.Method != http.MethodPost || r.RequestURI != "/write/a%2Fb/?q=1&r" || r.Host != "h.example" || b.bodies[0] != "content" {
+		t.Errorf("request is %s %s at %s with %q", r.Method, r.RequestURI, r.Host, b.bodies[0])
+	}
+	for name, want := range map[string]string{
+		"X-Attempt-Id": "r1", "X-Tenant": "w", "X-Expected-Instance": "i-1", "X-Expected-Version": "", "X-Not-Executed": "", "Path": "",
+		"Authorization": "", "X-Other": "kept",
+	} {
+		if got := r.Header.Get(name); got != want {
+			t.Errorf("%s is %q, want %q", name, got, want)
+		}
+	}
+	if left, err := strconv.Atoi(r.Header.Get("X-Deadline-Ms")); err != nil || left <= 0 || left > 3000 {
+		t.Errorf("the deadline passed on is %q, want at most 3000", r.Header.Get("X-Deadline-Ms"))
+	}
+}
+
+// Only one of the answers on a connection is that to the request.
+func TestAnswersBelongByID(t *testing.T) {
+	b := newBackend(t, "i-1", func(w *bufio.Writer, r *http.Request, n int) bool {
+		if n == 1 {
+			answer(w, r, 200, "first")
+			_ = w.Flush()
+			// A second answer to the first request comes where the next one is due.
+			time.Sleep(20 * time.Millisecond)
+			return answer(w, r, 200, "late copy of the first")
+		}
+		return answer(w, r, 200, "second")
+	})
+	e := newEntry(t, b)
+	for i, want := range []string{"first", "second", "second"} {
+		_, body, _ := e.call(t, http.MethodGet, "/read/1", "", "X-Attempt-Id", "r"+string(rune('0'+i)))
+		if body != want {
+			t.Errorf("body of request %d is %q, want %q", i, body, want)
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
+func TestForeignAnswerIsNotPassedOn(t *testing.T) {
+	b := newBackend(t, "i-1", func(w *bufio.Writer, r *http.Request, _ int) bool {
+		r.Header.Set("X-Attempt-Id", "somebody")
+		answer(w, r, 200, "foreign")
+		return false
+	})
+	e := newEntry(t, b)
+	response, body, _ := e.call(t, http.MethodPost, "/write/1", "x")
+	if response.StatusCode != http.StatusBadGateway || strings.Contains(body, "foreign") {
+		t.Errorf("answer is %d %q, want 502", response.StatusCode, body)
+	}
+}
+
+// What may have run is never refused as if it had not.
+func TestLostAnswerOfNonIdempotentRequestIsUnknown(t *testing.T) {
+	for name, s := range map[string]script{
+		"closed": func(*bufio.Writer, *http.Request, int) bool { return false },
+		"cut body": func(w *bufio.Writer, r *http.Request, _ int) bool {
+			_, _ = w.WriteString("HTTP/1.1 200 OK\r\nX-Attempt-Id: r1\r\n" + signature + "Content-Length: 100\r\n\r\nhalf")
+			_ = w.Flush()
+			return false
+		},
+		"garbage": func(w *bufio.Writer, _ *http.Request, _ int) bool {
+			_, _ = w.WriteString("nonsense\r\n\r\n")
+			return true
+		},
+		"unsigned": func(w *bufio.Writer, _ *http.Request, _ int) bool {
+			_, _ = w.WriteString("HTTP/1.1 200 OK\r\nX-Attempt-Id: r1\r\nContent-Length: 2\r\n\r\nok")
+			return true
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			first, second := newBackend(t, "i-1", s), newBackend(t, "i-2", s)
+			e := newEntry(t, first, second)
+			response, _, _ := e.call(t, http.MethodPost, "/write/1", "x")
+			if response.StatusCode != http.StatusBadGateway {
+				t.Errorf("status is %d, want 502", response.StatusCode)
+			}
+			if n := first.requests.Load() + second.requests.Load(); n != 1 {
+				t.Errorf("the request was sent %d times, want once", n)
+			}
+		})
+	}
+}
+
+func TestIdempotentRequestIsRepeatedElsewhere(t *testing.T) {
+	var calls atomic.Int32
+	s := func(w *bufio.Writer, r *http.Request, _ int) bool {
+		if calls.Add(1) == 1 {
+			return false
+		}
+		return answer(w, r, 200, "ok")
+	}
+	first, second := newBackend(t, "i-1", s), newBackend(t, "i-2", s)
+	e := newEntry(t, first, second)
+	response, body, _ := e.call(t, http.MethodGet, "/read/1", "")
+	if response.StatusCode != 200 || body != "ok" {
+		t.Errorf("answer is %d %q, want the second server's", response.StatusCode, body)
+	}
+	if first.requests.Load() != 1 || second.requests.Load() != 1 {
+		t.Errorf("requests at the servers: %d and %d, want one each", first.requests.Load(), second.requests.Load())
+	}
+}
+
+func TestAttemptsAreBounded(t *testing.T) {
+	s := func(*bufio.Writer, *http.Request, int) bool { return false }
+	backends := []*backend{newBackend(t, "i-1", s), newBackend(t, "i-2", s), newBackend(t, "i-3", s)}
+	e := newEntry(t, backends...)
+	response, _, _ := e.call(t, http.MethodGet, "/read/1", "")
+	sent := 0
+	for _, b := range backends {
+		sent += int(b.requests.Load())
+	}
+	if sent != 2 || response.StatusCode != http.StatusBadGateway {
+		t.Errorf("sent %d times and answered %d, want 2 and 502", sent, response.StatusCode)
+	}
+}
+
+// A server that turned the request away did not run it, so the refusal is true.
+func TestTurnedAwayRequestIsRefused(t *testing.T) {
+	b := newBackend(t, "i-1", func(w *bufio.Writer, _ *http.Request, _ int) bool {
+		_, _ = w.WriteString("HTTP/1.1 503 x\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n")
+		return true
+	})
+	e := newEntry(t, b)
+	response, _, _ := e.call(t, http.MethodPost, "/write/1", "x")
+	if response.StatusCode != http.StatusServiceUnavailable || response.Header.Get("Retry-After") == "" {
+		t.Errorf("%d with Retry-After %q, want 503 with one", response.StatusCode, response.Header.Get("Retry-After"))
+	}
+}
+
+func TestOwnFailureOfServerIsPassedUnchanged(t *testing.T) {
+	b := newBackend(t, "i-1", func(w *bufio.Writer, r *http.Request, _ int) bool { return answer(w, r, 500, "broken") })
+	e := newEntry(t, b)
+	response, body, _ := e.call(t, http.MethodGet, "/read/1", "")
+	if response.StatusCode != 500 || body != "broken" || response.Header.Get("X-Response-Signature") != "s" {
+		t.Errorf("answer is %d %q %v, want the server's own", response.StatusCode, body, response.Header)
+	}
+}
+
+func TestUnreachableServerCostsNoAttempt(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	dead := &backend{T: t, id: "i-1", address: listener.Addr().String()}
+	listener.Close()
+	b := newBackend(t, "i-2", func(w *bufio.Writer, r *http.Request, _ int) bool { return answer(w, r, 200, "ok") })
+	e := newEntry(t, dead, b)
+	for range 4 {
+		if response, _, _ := e.call(t, http.MethodPost, "/write/1", "x"); response.StatusCode != 200 {
+			t.Errorf("status is %d, want 200 from the other server", response.StatusCode)
+		}
+	}
+}
+
+func TestStreamIsPassedWhole(t *testing.T) {
+	b := newBackend(t, "i-1", func(w *bufio.Writer, r *http.Request, _ int) bool { events(w, r, 1, 5, true); return true })
+	e := newEntry(t, b)
+	response, body, whole := e.call(t, http.MethodPost, "/stream/1", "x")
+	if response.StatusCode != 200 || body != series(1, 5) || !whole {
+		t.Errorf("answer is %d %q, whole %v", response.StatusCode, body, whole)
+	}
+}
+
+// A stream that breaks off inside an event goes on at another server behind
+// the last whole event.
+func TestBrokenStreamIsResumed(t *testing.T) {
+	var broken atomic.Bool
+	s := func(w *bufio.Writer, r *http.Request, _ int) bool {
+		if broken.Swap(true) {
+			if r.Header.Get("Last-Event-Id") != "2" {
+				t.Errorf("resumed behind %q, want 2", r.Header.Get("Last-Event-Id"))
+			}
+			// An event that the caller has already comes once more.
+			events(w, r, 2, 5, true)
+			return true
+		}
+		events(w, r, 1, 2, false)
+		_, _ = w.WriteString("8\r\nid: 3\nda")
+		_ = w.Flush()
+		return false
+	}
+	e := newEntry(t, newBackend(t, "i-1", s), newBackend(t, "i-2", s))
+	_, body, whole := e.call(t, http.MethodPost, "/stream/1", "x")
+	if body != series(1, 5) || !whole {
+		t.Errorf("body is %q, whole %v, want five events", body, whole)
+	}
+}
+
+func TestStreamWithoutOtherServerDoesNotLookWhole(t *testing.T) {
+	b := newBackend(t, "i-1", func(w *bufio.Writer, r *http.Request, _ int) bool { events(w, r, 1, 2, false); return false })
+	e := newEntry(t, b)
+	_, body, whole := e.call(t, http.MethodPost, "/stream/1", "x")
+	if whole || body != series(1, 2) {
+		t.Errorf("body is %q, whole %v, want two events of an answer that is cut off", body, whole)
+	}
+}
+
+func TestSilentStreamIsResumed(t *testing.T) {
+	var silent atomic.Bool
+	release := make(chan struct{})
+	t.Cleanup(func() { close(release) })
+	s := func(w *bufio.Writer, r *http.Request, _ int) bool {
+		if silent.Swap(true) {
+			events(w, r, 3, 4, true)
+			return true
+		}
+		events(w, r, 1, 2, false)
+		<-release
+		return false
+	}
+	e := newEntry(t, newBackend(t, "i-1", s), newBackend(t, "i-2", s))
+	_, body, whole := e.call(t, http.MethodPost, "/stream/1", "x")
+	if body != series(1, 4) || !whole {
+		t.Errorf("body is %q, whole %v, want four events", body, whole)
+	}
+}
+
+func TestDeadlineGetsItsAnswerAtOnce(t *testing.T) {
+	release := make(chan struct{})
+	t.Cleanup(func() { close(release) })
+	b := newBackend(t, "i-1", func(*bufio.Writer, *http.Request, int) bool { <-release; return false })
+	e := newEntry(t, b)
+	began := time.Now()
+	response, _, _ := e.call(t, http.MethodPost, "/write/1", "x", "X-Deadline-Ms", "300")
+	if response.StatusCode != http.StatusGatewayTimeout {
+		t.Errorf("status is %d, want 504", response.StatusCode)
+	}
+	if took := time.Since(began); took < 250*time.Millisecond {
+		t.Errorf("gave up after %v, want the caller's 300ms", took)
+	}
+}
+
+// The backend server's connection ends when the caller has left.
+func TestCallerThatLeavesCancelsTheWork(t *testing.T) {
+	left := make(chan struct{})
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { listener.Close() })
+	arrived := make(chan struct{})
+	go func() {
+		conn, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		defer conn.Close()
+		if _, err := http.ReadRequest(bufio.NewReader(conn)); err != nil {
+			return
+		}
+		close(arrived)
+		if _, err := conn.Read(make([]byte, 1)); errors.Is(err, io.EOF) || err != nil {
+			close(left)
+		}
+	}()
+	e := newEntry(t, &backend{T: t, id: "i-1", address: listener.Addr().String()})
+	ctx, cancel := context.WithCancel(context.Background())
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, e.URL+"/stream/1", strings.NewReader(""))
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.Host = "h.example"
+	r.Header.Set("Authorization", "Bearer key")
+	go func() {
+		<-arrived
+		cancel()
+	}()
+	if response, err := http.DefaultTransport.RoundTrip(r); err == nil {
+		response.Body.Close()
+		t.Error("the call ended without an error")
+	}
+	select {
+	case <-left:
+	case <-time.After(10 * time.Second):
+		t.Error("the backend server still works for a caller that has left")
+	}
+}
+
+func TestStoppingEntryAsksCallersToLeave(t *testing.T) {
+	b := newBackend(t, "i-1", func(w *bufio.Writer, r *http.Request, _ int) bool { return answer(w, r, 200, "ok") })
+	e := newEntry(t, b)
+	e.handler.Stopping.Store(true)
+	response, body, _ := e.call(t, http.MethodGet, "/read/1", "")
+	if response.StatusCode != 200 || body != "ok" || !response.Close {
+		t.Errorf("answer is %d %q, closing %v, want a served request and a closed connection", response.StatusCode, body, response.Close)
+	}
+}
