--- a/internal/entry/forward/backend_test.go
+++ b/internal/entry/forward/backend_test.go
@@ -48,7 +48,14 @@
 	// closed when it returns false.
 	script func(w *bufio.Writer, r *http.Request, n int) bool
 
-	// caller is an entry with its backend servers.
+	// reply is the head of an answer.
+	reply struct {
+		StatusCode int
+		Header     http.Header
+		Close      bool
+	}
+
+	// entry is an entry with its backend servers.
 	entry struct {
 		*httptest.Server
 		handler *Handler
@@ -165,7 +172,7 @@
 
 // call sends a request and returns the answer with as much of its body as
 // came, and whether the body was whole.
-func (e *entry) call(t *testing.T, method, path, body string, headers ...string) (*http.Response, string, bool) {
+func (e *entry) call(t *testing.T, method, path, body string, headers ...string) (reply, string, bool) {
 	t.Helper()
 	r, err := http.NewRequest(method, e.URL+path, strings.NewReader(body))
 	if err != nil {
@@ -184,7 +191,7 @@
 	}
 	defer response.Body.Close()
 	data, err := io.ReadAll(response.Body)
-	return response, string(data), err == nil
+	return reply{StatusCode: response.StatusCode, Header: response.Header, Close: response.Close}, string(data), err == nil
 }
 
 func answer(w io.Writer, r *http.Request, status int, body string) bool {
--- a/internal/entry/forward/forward_test.go
+++ b/internal/entry/forward/forward_test.go
@@ -51,7 +51,7 @@
 	e := newEntry(t, b)
 	response, body, _ := e.call(t, http.MethodPost, "/write/a%2Fb/?q=1&r", "content",
 		"X-Tenant", "forged", "X-Expected-Instance", "forged", "X-Expected-Version", "9", "X-Not-Executed", "1", "Path", "x", "X-Other", "kept")
-	if response.StatusCode != 200 || body != "ok" || response.Header.Get("X-Response-Signature") != "s" {
+	if response.StatusCode != http.StatusOK || body != "ok" || response.Header.Get("X-Response-Signature") != "s" {
 		t.Fatalf("answer is %d %q %v", response.StatusCode, body, response.Header)
 	}
 	r := b.request(0)
@@ -110,7 +110,7 @@
 func TestLostAnswerOfNonIdempotentRequestIsUnknown(t *testing.T) {
 	for name, s := range map[string]script{
 		"closed": func(*bufio.Writer, *http.Request, int) bool { return false },
-		"cut body": func(w *bufio.Writer, r *http.Request, _ int) bool {
+		"cut body": func(w *bufio.Writer, _ *http.Request, _ int) bool {
 			_, _ = w.WriteString("HTTP/1.1 200 OK\r\nX-Attempt-Id: r1\r\n" + signature + "Content-Length: 100\r\n\r\nhalf")
 			_ = w.Flush()
 			return false
@@ -149,7 +149,7 @@
 	first, second := newBackend(t, "i-1", s), newBackend(t, "i-2", s)
 	e := newEntry(t, first, second)
 	response, body, _ := e.call(t, http.MethodGet, "/read/1", "")
-	if response.StatusCode != 200 || body != "ok" {
+	if response.StatusCode != http.StatusOK || body != "ok" {
 		t.Errorf("answer is %d %q, want the second server's", response.StatusCode, body)
 	}
 	if first.requests.Load() != 1 || second.requests.Load() != 1 {
@@ -188,7 +188,7 @@
 	b := newBackend(t, "i-1", func(w *bufio.Writer, r *http.Request, _ int) bool { return answer(w, r, 500, "broken") })
 	e := newEntry(t, b)
 	response, body, _ := e.call(t, http.MethodGet, "/read/1", "")
-	if response.StatusCode != 500 || body != "broken" || response.Header.Get("X-Response-Signature") != "s" {
+	if response.StatusCode != http.StatusInternalServerError || body != "broken" || response.Header.Get("X-Response-Signature") != "s" {
 		t.Errorf("answer is %d %q %v, want the server's own", response.StatusCode, body, response.Header)
 	}
 }
@@ -203,7 +203,7 @@
 	b := newBackend(t, "i-2", func(w *bufio.Writer, r *http.Request, _ int) bool { return answer(w, r, 200, "ok") })
 	e := newEntry(t, dead, b)
 	for range 4 {
-		if response, _, _ := e.call(t, http.MethodPost, "/write/1", "x"); response.StatusCode != 200 {
+		if response, _, _ := e.call(t, http.MethodPost, "/write/1", "x"); response.StatusCode != http.StatusOK {
 			t.Errorf("status is %d, want 200 from the other server", response.StatusCode)
 		}
 	}
@@ -213,7 +213,7 @@
 	b := newBackend(t, "i-1", func(w *bufio.Writer, r *http.Request, _ int) bool { events(w, r, 1, 5, true); return true })
 	e := newEntry(t, b)
 	response, body, whole := e.call(t, http.MethodPost, "/stream/1", "x")
-	if response.StatusCode != 200 || body != series(1, 5) || !whole {
+	if response.StatusCode != http.StatusOK || body != series(1, 5) || !whole {
 		t.Errorf("answer is %d %q, whole %v", response.StatusCode, body, whole)
 	}
 }
@@ -338,7 +338,7 @@
 	e := newEntry(t, b)
 	e.handler.Stopping.Store(true)
 	response, body, _ := e.call(t, http.MethodGet, "/read/1", "")
-	if response.StatusCode != 200 || body != "ok" || !response.Close {
+	if response.StatusCode != http.StatusOK || body != "ok" || !response.Close {
 		t.Errorf("answer is %d %q, closing %v, want a served request and a closed connection", response.StatusCode, body, response.Close)
 	}
 }
