--- a/internal/entry/forward/handler.go
+++ b/internal/entry/forward/handler.go
@@ -41,7 +41,7 @@
 	notReadyRetry = time.Second
 	// returningBelow is the share of the longest deadline seen on a route
 	// below which a caller has been here before.
-	returningBelow = 0.93
+	returningBelow = 0.84
 )
 
 // Types of refusals in their bodies.
