Tell each placement to the other entries at once

Cause: entries heard of each other's requests every 100 ms and chose the same server meanwhile; up to twelve requests met at one server within 100 ms, so their first events came after 400 ms and pauses there were over 300 ms. Ruled out: single slow servers, pauses by large prompts alone.

--- a/internal/entry/desk/desk.go
+++ b/internal/entry/desk/desk.go
@@ -30,6 +30,8 @@
 		Repeats repeats.Budget
 		// Random is used under the desk's lock only.
 		Random *rand.Rand
+		// PlacedOne is called for each placement; it must not block.
+		PlacedOne func()
 
 		table atomic.Pointer[ingress.Table]
 
@@ -139,15 +141,15 @@
 	}
 }
 
-// SetPeer takes in what another entry has in flight.
-func (d *Desk) SetPeer(peer string, loads map[mulberryspool.InstanceID]placement.Load) {
+// SetPeer takes in what another entry has in flight, or the part that changed.
+func (d *Desk) SetPeer(peer string, loads map[mulberryspool.InstanceID]placement.Load, partial bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.prepare()
 	now := d.Clock.Now()
 	d.peers[peer] = now
 	for _, p := range d.pools {
-		p.placer.SetPeer(peer, loads, now)
+		p.placer.SetPeer(peer, loads, partial, now)
 		d.decide(p)
 	}
 }
@@ -190,6 +192,7 @@
 	decision := p.placer.Offer(r, d.Clock.Now())
 	if decision.Verdict != placement.Waiting {
 		d.mu.Unlock()
+		d.notePlaced(decision)
 		return decision
 	}
 	decided := make(chan placement.Decision, 1)
@@ -198,12 +201,19 @@
 	d.mu.Unlock()
 	select {
 	case decision = <-decided:
+		d.notePlaced(decision)
 		return decision
 	case <-ctx.Done():
 		return d.withdraw(p, decision, decided)
 	}
 }
 
+func (d *Desk) notePlaced(decision placement.Decision) {
+	if decision.Verdict == placement.Placed && d.PlacedOne != nil {
+		d.PlacedOne()
+	}
+}
+
 func (d *Desk) withdraw(p *pool, decision placement.Decision, decided chan placement.Decision) placement.Decision {
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/internal/entry/placement/placement.go
+++ b/internal/entry/placement/placement.go
@@ -116,8 +116,10 @@
 
 	// Load is what an entry has in flight at a backend server.
 	Load struct {
-		Requests int `json:"n"`
+		_msgpack struct{} `msgpack:",as_array"` //nolint:unused // Read by the codec.
+
+		Requests int
 		// Unread counts the prompt tokens of requests without a first event.
-		Unread int `json:"u,omitempty"`
+		Unread int
 	}
 )
--- a/internal/entry/placement/placer.go
+++ b/internal/entry/placement/placer.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -130,12 +131,19 @@
 	p.named = named
 }
 
-// SetPeer takes in what another entry has in flight.
-func (p *Placer) SetPeer(peer string, loads map[mulberryspool.InstanceID]Load, now time.Time) {
+// SetPeer takes in what another entry has in flight. A partial message holds
+// only the servers that changed.
+func (p *Placer) SetPeer(peer string, loads map[mulberryspool.InstanceID]Load, partial bool, now time.Time) {
 	if p.peers == nil {
 		p.peers = make(map[string]peerLoads)
 	}
-	p.peers[peer] = peerLoads{at: now, loads: loads}
+	known, ok := p.peers[peer]
+	if !ok || !partial {
+		known.loads = make(map[mulberryspool.InstanceID]Load, len(loads))
+	}
+	known.at = now
+	maps.Copy(known.loads, loads)
+	p.peers[peer] = known
 	p.sumPeers()
 }
 
--- a/internal/entry/placement/placer_test.go
+++ b/internal/entry/placement/placer_test.go
@@ -62,7 +62,7 @@
 // The requests of other entries take places that this entry does not see itself.
 func TestCountsWhatOtherEntriesSent(t *testing.T) {
 	p := newPlacer(2)
-	p.SetPeer("other", map[mulberryspool.InstanceID]Load{"i-0": {Requests: 5}}, start)
+	p.SetPeer("other", map[mulberryspool.InstanceID]Load{"i-0": {Requests: 5}}, false, start)
 	for range 5 {
 		if d := p.Offer(request(start), start); d.Server.Instance != "i-1" {
 			t.Fatalf("placed at %q although it is full, want i-1", d.Server.Instance)
@@ -77,6 +77,17 @@
 	}
 }
 
+func TestPartialWordOfOtherEntryKeepsTheRest(t *testing.T) {
+	p := newPlacer(2)
+	p.SetPeer("other", map[mulberryspool.InstanceID]Load{"i-0": {Requests: 5}, "i-1": {Requests: 5}}, false, start)
+	p.SetPeer("other", map[mulberryspool.InstanceID]Load{"i-1": {}}, true, start)
+	for range 5 {
+		if d := p.Offer(request(start), start); d.Server.Instance != "i-1" {
+			t.Fatalf("placed at %q, want i-1, which is empty again", d.Server.Instance)
+		}
+	}
+}
+
 // A burst beyond what the pool carries: what can't be on time is refused at
 // once, and nothing waits longer than it may.
 func TestRefusesAtOnceWhatCannotBeOnTime(t *testing.T) {
--- a/internal/peer/beat/beat.go
+++ b/internal/peer/beat/beat.go
@@ -10,7 +10,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"net"
 	"net/netip"
 	"sync"
@@ -18,6 +17,7 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/rs/zerolog"
+	"github.com/vmihailenco/msgpack/v5"
 
 	"github.com/mulberryspool/mulberryspool"
 	"github.com/mulberryspool/mulberryspool/internal/entry/placement"
@@ -32,30 +32,35 @@
 )
 
 type (
-	// Message is one beat.
+	// Message is one beat. It is encoded as a list, because most of the bytes
+	// between entries are beats.
 	Message struct {
-		Role mulberryspool.Role `json:"role"`
+		_msgpack struct{} `msgpack:",as_array"` //nolint:unused // Read by the codec.
+
+		Role mulberryspool.Role
 		// Node names the sender.
-		Node string `json:"node"`
+		Node string
 		// Boot and Number order the beats of a sender; Boot rises with each start.
-		Boot   int64  `json:"boot"`
-		Number uint64 `json:"number"`
-		// Marks is set by entries.
-		Marks *fleet.Marks `json:"marks,omitempty"`
-		// Loads is what an entry has in flight.
-		Loads map[mulberryspool.InstanceID]placement.Load `json:"loads,omitempty"`
+		Boot   int64
+		Number uint64
+		// Marks is set by entries and agents, but not in each beat.
+		Marks *fleet.Marks
+		// Loads is what an entry has in flight, Partial whether only the servers
+		// that changed are in it.
+		Loads   map[mulberryspool.InstanceID]placement.Load
+		Partial bool
 		// Peers are addresses of other entries.
-		Peers []string `json:"peers,omitempty"`
+		Peers []string
 		// Served is set by agents.
-		Served *Served `json:"served,omitempty"`
+		Served *Served
 	}
 
 	// Served is what an agent says of its backend server.
 	Served struct {
-		Instance mulberryspool.InstanceID `json:"instance"`
-		Born     int64                    `json:"born,omitempty"`
+		Instance mulberryspool.InstanceID
+		Born     int64
 		// Version is the version that requests may be sent for; 0 for none.
-		Version int64 `json:"version"`
+		Version int64
 	}
 
 	// Link sends and receives beats. Set the exported fields before Run.
@@ -107,7 +112,7 @@
 			return mulberryspool.AtStep(err, "receive beat", l.Conn.LocalAddr().String())
 		}
 		var m Message
-		if err := json.Unmarshal(buffer[:n], &m); err != nil {
+		if err := msgpack.Unmarshal(buffer[:n], &m); err != nil {
 			l.Logger.Warn().Err(err).Str("peer", from.String()).Msg("beat is not readable")
 			continue
 		}
@@ -164,7 +169,7 @@
 	l.number++
 	m.Role, m.Node, m.Boot, m.Number = l.Self.Role, l.Self.Node, l.Self.Boot, l.number
 	l.mu.Unlock()
-	encoded, err := json.Marshal(m)
+	encoded, err := msgpack.Marshal(&m)
 	if err != nil {
 		l.Logger.Error().Err(err).Msg("beat can't be encoded")
 		return
--- a/internal/role/hosted/entry.go
+++ b/internal/role/hosted/entry.go
@@ -30,11 +30,15 @@
 )
 
 const (
-	// beatInterval is how often entries tell each other what they have in
-	// flight. A request lasts ten times as long.
+	// beatInterval is how often entries tell each other what has changed, and
+	// look at what has expired.
 	beatInterval = 100 * time.Millisecond
-	// idleBeats is the number of intervals after which a beat is sent without news.
-	idleBeats = 5
+	// placedDelay is how soon a placement is told to the other entries. They
+	// would all choose the same server meanwhile, and each prompt that is read
+	// there takes tens of milliseconds.
+	placedDelay = 5 * time.Millisecond
+	// fullBeats is the number of intervals between two beats with all loads.
+	fullBeats = 5
 	// agentBeats is the number of intervals between two beats to agents.
 	agentBeats = 10
 	// versionMargin is how long before the bound an old version is given up:
@@ -78,6 +82,8 @@
 		handler *forward.Handler
 		link    *beat.Link
 
+		// placed is filled when requests were placed.
+		placed chan struct{}
 		// news is filled when the list of servers has changed.
 		news chan struct{}
 
@@ -99,7 +105,7 @@
 		return err
 	}
 	defer p.close()
-	e := &entryRole{parts: p, listed: make(map[netip.AddrPort]struct{}), news: make(chan struct{}, 1)}
+	e := &entryRole{parts: p, listed: make(map[netip.AddrPort]struct{}), placed: make(chan struct{}, 1), news: make(chan struct{}, 1)}
 	e.build()
 	callers, err := listen(s.Listen.Callers)
 	if err != nil {
@@ -144,6 +150,12 @@
 	b := e.settings.Bounds
 	e.desk = &desk.Desk{
 		Clock: e.clock, Random: newRandom(),
+		PlacedOne: func() {
+			select {
+			case e.placed <- struct{}{}:
+			default:
+			}
+		},
 		Figures: placement.Figures{
 			Domain: e.identity.FailureDomain, Delay: domainDelay, VersionGrace: b.NamedVersion - versionMargin,
 		},
@@ -210,7 +222,10 @@
 	}
 	e.beliefs.heard(m, from)
 	if m.Role == mulberryspool.RoleEntry {
-		e.desk.SetPeer(m.Node, m.Loads)
+		// A beat without loads, such as a greeting, says nothing of them.
+		if m.Loads != nil {
+			e.desk.SetPeer(m.Node, m.Loads, m.Partial)
+		}
 		e.noteEntries(m.Peers)
 	}
 }
@@ -229,10 +244,14 @@
 func (e *entryRole) beats(ctx context.Context) {
 	ticker := e.clock.NewTicker(beatInterval)
 	defer ticker.Stop()
-	quiet := 0
-	for round := 0; ; round++ {
+	told := make(map[mulberryspool.InstanceID]placement.Load)
+	for round := 1; ; {
 		select {
 		case <-ticker.Chan():
+		case <-e.placed:
+			e.clock.Sleep(placedDelay)
+			told = e.tellChanges(told)
+			continue
 		case <-e.news:
 			e.greet()
 			continue
@@ -240,12 +259,12 @@
 			return
 		}
 		e.desk.Expire()
-		loads := e.desk.Loads()
-		quiet++
-		if len(loads) > 0 || quiet >= idleBeats {
-			quiet = 0
+		if round++; round%fullBeats == 0 {
 			marks := e.fleet.Marks()
-			e.link.Send(beat.Message{Marks: &marks, Loads: loads}, e.link.Heard(mulberryspool.RoleEntry))
+			told = e.desk.Loads()
+			e.link.Send(beat.Message{Marks: &marks, Loads: told}, e.link.Heard(mulberryspool.RoleEntry))
+		} else {
+			told = e.tellChanges(told)
 		}
 		if round%agentBeats == 0 {
 			e.greet()
@@ -254,6 +273,27 @@
 	}
 }
 
+// tellChanges tells the other entries at which servers the requests in flight
+// have changed, and returns what they know then.
+func (e *entryRole) tellChanges(told map[mulberryspool.InstanceID]placement.Load) map[mulberryspool.InstanceID]placement.Load {
+	loads := e.desk.Loads()
+	changed := make(map[mulberryspool.InstanceID]placement.Load)
+	for id, l := range loads {
+		if told[id] != l {
+			changed[id] = l
+		}
+	}
+	for id := range told {
+		if _, ok := loads[id]; !ok {
+			changed[id] = placement.Load{}
+		}
+	}
+	if len(changed) > 0 {
+		e.link.Send(beat.Message{Loads: changed, Partial: true}, e.link.Heard(mulberryspool.RoleEntry))
+	}
+	return loads
+}
+
 // greet reaches entries that were not heard yet, and agents.
 func (e *entryRole) greet() {
 	marks := e.fleet.Marks()
