Bound the unread prompts at a server and keep long answers from closing ones

Cause: a server that comes back from a change of version is empty while the others are full, and got all that waited within 100 ms (20 to 40 in 100 of these late). A change waits for the longest answer of its server, up to 3 s.

--- a/internal/entry/desk/desk.go
+++ b/internal/entry/desk/desk.go
@@ -49,7 +49,9 @@
 		Born int64
 		// Version is the version that the server takes requests for; 0 for none.
 		Version int64
-		at      time.Time
+		// Until is when the server takes nothing new; zero for not known.
+		Until time.Time
+		at    time.Time
 	}
 
 	pool struct {
@@ -122,7 +124,7 @@
 		return
 	}
 	if p := d.pools[b.Pool]; p != nil {
-		p.placer.SetServed(id, s.Born, s.Version)
+		p.placer.SetServed(id, s.Born, s.Version, s.Until)
 		d.decide(p)
 	}
 }
@@ -251,6 +253,7 @@
 	defer d.mu.Unlock()
 	if p := d.pools[name]; p != nil {
 		p.placer.Began(id, promptTokens)
+		d.decide(p)
 	}
 }
 
@@ -318,7 +321,7 @@
 	p.placer.SetServers(list)
 	for _, b := range list {
 		if s, ok := d.served[b.Instance]; ok && d.Clock.Since(s.at) < servedTimeout {
-			p.placer.SetServed(b.Instance, s.Born, s.Version)
+			p.placer.SetServed(b.Instance, s.Born, s.Version, s.Until)
 		}
 	}
 	if table := d.table.Load(); table != nil {
--- a/internal/entry/forward/flight.go
+++ b/internal/entry/forward/flight.go
@@ -137,7 +137,7 @@
 
 func (f *flight) request() placement.Request {
 	r := placement.Request{
-		PromptTokens: f.head.PromptTokens, Priority: f.priority(), Returning: f.returning,
+		PromptTokens: f.head.PromptTokens, AnswerTokens: f.head.ExpectedTokens, Priority: f.priority(), Returning: f.returning,
 		Objective: f.route.Objective, Offered: f.arrived, Deadline: f.deadline, Exclude: f.tried,
 		Resumed: len(f.tried) > 0,
 	}
--- a/internal/entry/placement/choose.go
+++ b/internal/entry/placement/choose.go
@@ -8,9 +8,19 @@
 	"github.com/mulberryspool/mulberryspool"
 )
 
+const (
+	// freeTail is how long answers may go on without a charge.
+	freeTail = 300 * time.Millisecond
+	// tailCharge is the part of the time beyond it that counts as delay.
+	tailCharge = 0.15
+	// longestTail bounds the time that is charged.
+	longestTail = 2 * time.Second
+)
+
 // choose returns the backend server at which the first event is expected
-// soonest, nil if none has room.
-func (p *Placer) choose(r Request, now time.Time) *server {
+// soonest, nil if none has room or none would be on time.
+func (p *Placer) choose(w *waiter, now time.Time) *server {
+	r := w.request
 	var (
 		best      *server
 		bestScore time.Duration
@@ -18,7 +28,7 @@
 	)
 	avoid := p.avoidable(now)
 	for _, s := range p.ordered {
-		if !p.usable(s, r, now) || now.Before(s.fullUntil) || s.inFlight() >= p.places(s) {
+		if !p.usable(s, r, now) || now.Before(s.fullUntil) || s.inFlight() >= p.places(s) || !w.late && !p.onTime(s, r, now) {
 			continue
 		}
 		if avoid && s.health.avoided(now) {
@@ -27,7 +37,7 @@
 			}
 			continue
 		}
-		score := p.score(s, now)
+		score := p.score(s, now) + p.tail(s, r, now)
 		if best == nil || score < bestScore {
 			best, bestScore = s, score
 		}
@@ -83,6 +93,31 @@
 	return expected + time.Duration(p.Random.Float64()*float64(jitter))
 }
 
+// onTime says whether the prompts that the server still has to read leave the
+// request its objective. A server that comes back empty would otherwise be
+// given all that waits at once, and all of it would be late.
+func (p *Placer) onTime(s *server, r Request, now time.Time) bool {
+	unread := s.own.Unread + s.others.Unread
+	if p.pool.Engine == nil || unread == 0 || r.Resumed || r.Returning {
+		return true
+	}
+	expected := 2*p.pass() + p.reading(unread+r.PromptTokens)
+	return now.Add(expected).Before(r.Offered.Add(r.Objective - lateMargin))
+}
+
+// tail is a charge for an answer that would go on after the server takes
+// nothing new: all its other places stay empty until the last answer ends.
+func (p *Placer) tail(s *server, r Request, now time.Time) time.Duration {
+	e := p.pool.Engine
+	if e == nil || s.closesAt.IsZero() {
+		return 0
+	}
+	tokens := cmp.Or(r.AnswerTokens, e.UsualAnswer)
+	lasts := time.Duration(float64(p.serviceTime()) * float64(tokens) / float64(max(1, e.UsualAnswer)))
+	over := now.Add(lasts).Sub(s.closesAt.Add(freeTail))
+	return time.Duration(tailCharge * float64(min(max(0, over), longestTail)))
+}
+
 // places is the number of requests that a backend server is given at once.
 func (p *Placer) places(s *server) int {
 	if p.pool.Engine == nil {
--- a/internal/entry/placement/placement.go
+++ b/internal/entry/placement/placement.go
@@ -83,6 +83,8 @@
 	// Request is what the decision looks at.
 	Request struct {
 		PromptTokens int
+		// AnswerTokens is how long the answer is expected to be; 0 means as usual.
+		AnswerTokens int
 		// Priority 0 is the most urgent.
 		Priority int
 		// Returning requests were refused before and came back.
--- a/internal/entry/placement/placer.go
+++ b/internal/entry/placement/placer.go
@@ -66,7 +66,9 @@
 		// misdirectedUntil holds back a server whose version is in doubt.
 		misdirectedUntil time.Time
 		fullUntil        time.Time
-		own              Load
+		// closesAt is when the server takes nothing new; zero for not known.
+		closesAt time.Time
+		own      Load
 		// others is the sum of the peers' words, valid until the next change.
 		others Load
 		health health
@@ -81,6 +83,8 @@
 		ticket  Ticket
 		request Request
 		until   time.Time
+		// late requests no longer look for an answer on time.
+		late bool
 	}
 )
 
@@ -113,8 +117,8 @@
 }
 
 // SetServed takes in what an agent says of its backend server: the version
-// that it takes requests for, 0 for none.
-func (p *Placer) SetServed(id mulberryspool.InstanceID, born, version int64) {
+// that it takes requests for, 0 for none, and until when; zero for not known.
+func (p *Placer) SetServed(id mulberryspool.InstanceID, born, version int64, until time.Time) {
 	s := p.servers[id]
 	if s == nil || born != 0 && s.Born != 0 && born != s.Born {
 		return
@@ -123,6 +127,7 @@
 	if version == 0 || version > s.version {
 		s.version, s.misdirectedUntil = version, time.Time{}
 	}
+	s.closesAt = until
 }
 
 // SetNamed takes in the versions that were named, and since when. The map is
@@ -227,12 +232,22 @@
 		if now.Before(w.until) {
 			return false
 		}
-		decisions = append(decisions, p.refuse(w, ReasonTooLate, now))
+		decisions = append(decisions, p.expire(w, now))
 		return true
 	})
 	return decisions
 }
 
+// expire ends a wait. A server that has a place but prompts still to read
+// answers late, which is better than not at all.
+func (p *Placer) expire(w *waiter, now time.Time) Decision {
+	w.late = true
+	if d, ok := p.place(w, now); ok {
+		return d
+	}
+	return p.refuse(w, ReasonTooLate, now)
+}
+
 // Next returns when the first waiting request has waited for too long.
 func (p *Placer) Next() (time.Time, bool) {
 	var next time.Time
@@ -270,7 +285,7 @@
 }
 
 func (p *Placer) place(w *waiter, now time.Time) (Decision, bool) {
-	s := p.choose(w.request, now)
+	s := p.choose(w, now)
 	if s == nil {
 		return Decision{}, false
 	}
--- a/internal/entry/placement/placer_test.go
+++ b/internal/entry/placement/placer_test.go
@@ -46,6 +46,9 @@
 	p := newPlacer(3)
 	counts := make(map[mulberryspool.InstanceID]int)
 	for range 12 {
+		p.Began("i-0", 900)
+		p.Began("i-1", 900)
+		p.Began("i-2", 900)
 		d := p.Offer(request(start), start)
 		if d.Verdict != Placed {
 			t.Fatalf("request was not placed: %+v", d)
@@ -136,7 +139,7 @@
 	if w.Verdict != Waiting {
 		t.Fatalf("verdict is %v, want waiting", w.Verdict)
 	}
-	p.Ended(sent.Server.Instance, 900, true, Answered, time.Second, start)
+	p.Ended(sent.Server.Instance, 900, false, Answered, time.Second, start)
 	decisions := p.Tick(start.Add(time.Millisecond))
 	if len(decisions) != 1 || decisions[0].Ticket != w.Ticket || decisions[0].Verdict != Placed {
 		t.Errorf("decisions are %+v, want the waiting request placed", decisions)
@@ -158,7 +161,7 @@
 	}
 	returning := 0
 	for range 8 {
-		p.Ended("i-0", 900, true, Answered, time.Second, start)
+		p.Ended("i-0", 900, false, Answered, time.Second, start)
 		for _, d := range p.Tick(start) {
 			if d.Ticket%2 == 0 {
 				returning++
@@ -195,7 +198,7 @@
 	if d := p.Offer(request(after), after); d.Verdict != Refused || d.Reason != ReasonNoServer {
 		t.Errorf("after the bound of version 2: %+v, want refused", d)
 	}
-	p.SetServed("i-0", 1, 2)
+	p.SetServed("i-0", 1, 2, time.Time{})
 	if d := p.Offer(request(after), after); d.Verdict != Placed || d.Version != 2 {
 		t.Errorf("version 2 within the bound of version 3: %+v, want placed", d)
 	}
@@ -203,19 +206,19 @@
 
 func TestAgentsWordOnVersion(t *testing.T) {
 	p := newPlacer(1)
-	p.SetServed("i-0", 1, 0)
+	p.SetServed("i-0", 1, 0, time.Time{})
 	if d := p.Offer(request(start), start); d.Verdict == Placed {
 		t.Error("placed at a server that is about to change its version")
 	}
-	p.SetServed("i-0", 2, 5)
+	p.SetServed("i-0", 2, 5, time.Time{})
 	if d := p.Offer(request(start), start); d.Verdict == Placed {
 		t.Error("the word on another incarnation was taken")
 	}
-	p.SetServed("i-0", 1, 2)
+	p.SetServed("i-0", 1, 2, time.Time{})
 	if d := p.Offer(request(start), start); d.Version != 2 {
 		t.Errorf("placed for version %d, want 2", d.Version)
 	}
-	p.SetServed("i-0", 1, 1)
+	p.SetServed("i-0", 1, 1, time.Time{})
 	if d := p.Offer(request(start), start); d.Version != 2 {
 		t.Errorf("old news made the version %d, want 2", d.Version)
 	}
@@ -251,7 +254,7 @@
 			toSuspect++
 			o = Silent
 		}
-		p.Ended(d.Server.Instance, 900, true, o, 100*time.Millisecond, now)
+		p.Ended(d.Server.Instance, 900, false, o, 100*time.Millisecond, now)
 	}
 	if toSuspect > 5 {
 		t.Errorf("%d of 40 requests went to the silent server, want a few trials", toSuspect)
@@ -277,8 +280,50 @@
 	if d := p.Offer(request(start), start); d.Verdict == Placed {
 		t.Error("placed at a server whose version is in doubt")
 	}
-	p.SetServed("i-0", 1, 2)
+	p.SetServed("i-0", 1, 2, time.Time{})
 	if d := p.Offer(request(start), start); d.Verdict != Placed || d.Version != 2 {
 		t.Errorf("after the agent's word: %+v, want placed for version 2", d)
 	}
 }
+
+// A server comes back empty while the others are full, and everybody waits:
+// what it can't read in time goes to it later.
+func TestReturnedServerIsNotFlooded(t *testing.T) {
+	p := newPlacer(1)
+	list := engines(1, 1)
+	list[0].Slots = 16
+	p.SetServers(list)
+	placed := 0
+	for range 15 {
+		if p.Offer(request(start), start).Verdict == Placed {
+			placed++
+		}
+	}
+	// 2 passes of 42 ms and 30 ms for each prompt leave room for a few within 400 ms.
+	if placed < 4 || placed > 10 {
+		t.Errorf("%d requests were placed at once, want as many as can be read in time", placed)
+	}
+	if p.Waiting() == 0 {
+		t.Error("nothing waits for the prompts to be read")
+	}
+	p.Began("i-0", placed*900)
+	if d := p.Tick(start.Add(100 * time.Millisecond)); len(d) == 0 || d[0].Verdict != Placed {
+		t.Errorf("after the prompts were read: %+v, want further placements", d)
+	}
+}
+
+// Long answers keep away from a server that changes its version soon.
+func TestLongAnswersAvoidClosingServer(t *testing.T) {
+	p := newPlacer(2)
+	p.SetServed("i-0", 1, 1, start.Add(500*time.Millisecond))
+	long := request(start)
+	long.AnswerTokens = 300
+	if d := p.Offer(long, start); d.Server.Instance != "i-1" {
+		t.Errorf("a long answer was placed at %s, want i-1", d.Server.Instance)
+	}
+	short := request(start)
+	short.AnswerTokens = 6
+	if d := p.Offer(short, start); d.Server.Instance != "i-0" {
+		t.Errorf("a short answer was placed at %s, want i-0", d.Server.Instance)
+	}
+}
--- a/internal/peer/beat/beat.go
+++ b/internal/peer/beat/beat.go
@@ -61,6 +61,8 @@
 		Born     int64
 		// Version is the version that requests may be sent for; 0 for none.
 		Version int64
+		// LeftMillis is the time until the server takes nothing new; 0 for not known.
+		LeftMillis int64
 	}
 
 	// Link sends and receives beats. Set the exported fields before Run.
--- a/internal/role/hosted/agent.go
+++ b/internal/role/hosted/agent.go
@@ -95,6 +95,8 @@
 		known  bool
 		beaten beat.Served
 		quiet  int
+		// closing is set once the entries know when the server takes nothing new.
+		closing bool
 		// laid is the version whose pieces the model server was given last.
 		laid int64
 		// askNewest is when the origin may be asked for its newest version again.
--- a/internal/role/hosted/agentloop.go
+++ b/internal/role/hosted/agentloop.go
@@ -57,7 +57,7 @@
 	if served > 0 && a.decider.Wanted() <= served {
 		a.adoptServed(ctx, model, served)
 	}
-	a.tell(served)
+	a.tell(served, step.At)
 	pause := reportInterval
 	if a.state.Loading || step.Action == swap.Announce || step.Action == swap.Lay {
 		pause = loadingInterval
@@ -340,20 +340,24 @@
 	return replaced, nil
 }
 
-// tell says to the entries what requests may be sent for.
-func (a *agentRole) tell(served int64) {
+// tell says to the entries what requests may be sent for, and until when.
+func (a *agentRole) tell(served int64, until time.Time) {
 	said := beat.Served{Instance: a.serverID(), Born: a.state.Born, Version: served}
+	closing := !until.IsZero()
 	if a.decider.Leaving() || a.state.Loading {
 		said.Version = 0
 	}
 	a.quiet++
-	if said.Instance == "" || said == a.beaten && a.quiet < heartbeatTicks {
+	if said.Instance == "" || said == a.beaten && closing == a.closing && a.quiet < heartbeatTicks {
 		return
 	}
 	if said != a.beaten {
 		a.logger.Info().Str(logging.FieldStep, "tell entries").Int64("before", a.beaten.Version).Int64("takes", said.Version).Msg("version that requests may be sent for")
 	}
-	a.beaten, a.quiet = said, 0
+	a.beaten, a.quiet, a.closing = said, 0, closing
+	if closing {
+		said.LeftMillis = max(1, a.clock.Until(until).Milliseconds())
+	}
 	marks := a.fleet.Marks()
 	a.link.Send(beat.Message{Marks: &marks, Served: &said}, a.link.Heard(mulberryspool.RoleEntry))
 }
--- a/internal/role/hosted/entry.go
+++ b/internal/role/hosted/entry.go
@@ -218,7 +218,11 @@
 // heard takes in a beat.
 func (e *entryRole) heard(m beat.Message, from netip.AddrPort) {
 	if m.Served != nil {
-		e.desk.SetServed(m.Served.Instance, desk.Served{Born: m.Served.Born, Version: m.Served.Version})
+		served := desk.Served{Born: m.Served.Born, Version: m.Served.Version}
+		if m.Served.LeftMillis > 0 {
+			served.Until = e.clock.Now().Add(time.Duration(m.Served.LeftMillis) * time.Millisecond)
+		}
+		e.desk.SetServed(m.Served.Instance, served)
 	}
 	e.beliefs.heard(m, from)
 	if m.Role == mulberryspool.RoleEntry {
