--- a/internal/agent/swarm/limits.go
+++ b/internal/agent/swarm/limits.go
@@ -79,6 +79,13 @@
 	// Pipeline, RegionPipeline and OriginPipeline bound the fetches at one time
 	// from the own region, from other regions, and from origin and weight store.
 	Pipeline, RegionPipeline, OriginPipeline int
+	// Total bounds the fetches at one time from all sources; 0 means no bound
+	// beside the others.
+	Total int
+	// SlowFetch is the mean duration of a fetch above which only one runs at a
+	// time, because what waits on a narrow link delays live traffic; 0 means
+	// that fetches never give way.
+	SlowFetch time.Duration
 	// PerPeer bounds the fetches at one time from one agent.
 	PerPeer int
 	// TellInterval is the least time between two messages to one agent.
--- a/internal/agent/swarm/plan.go
+++ b/internal/agent/swarm/plan.go
@@ -40,7 +40,7 @@
 // fetchFromPeers fills the pipeline from the own region, rarest chunk first.
 func (p *Planner) fetchFromPeers() {
 	running := p.running(FromPeer)
-	for running < p.limits.Pipeline {
+	for running < p.limits.Pipeline && p.room() {
 		peers := p.usable(true)
 		c := p.rarest(peers)
 		if c == nil {
@@ -51,6 +51,14 @@
 	}
 }
 
+// room says whether one more fetch may run.
+func (p *Planner) room() bool {
+	if p.limits.SlowFetch > 0 && p.duration > p.limits.SlowFetch {
+		return len(p.attempts) == 0
+	}
+	return p.limits.Total == 0 || len(p.attempts) < p.limits.Total
+}
+
 // rarest returns the chunk that the fewest known agents of the region hold and
 // one of the peers can give.
 func (p *Planner) rarest(peers []*peer) *chunk {
@@ -91,6 +99,9 @@
 	fromRegion := p.running(FromRegion)
 	fromStore := p.running(FromOrigin) + p.running(FromWeightStore)
 	for _, c := range p.lacking {
+		if !p.room() {
+			return
+		}
 		if c.attempts > 0 || c.holders > 0 && !p.unusableHolders(c) {
 			continue
 		}
--- a/internal/agent/swarm/planner_test.go
+++ b/internal/agent/swarm/planner_test.go
@@ -359,3 +359,25 @@
 		t.Fatal("all chunks are taken from the origin, although the other agent held them")
 	}
 }
+
+// On a narrow link fetches follow each other, so that live requests wait for
+// one chunk at the most.
+func TestSlowFetchesFollowEachOther(t *testing.T) {
+	p := &Planner{Limits: Limits{SlowFetch: 200 * time.Millisecond, Total: 5}}
+	p.attempts = map[Attempt]*attempt{1: {}}
+	p.limits = p.Limits.WithDefaults()
+	for _, c := range []struct {
+		mean time.Duration
+		want bool
+	}{{100 * time.Millisecond, true}, {300 * time.Millisecond, false}} {
+		if p.duration = c.mean; p.room() != c.want {
+			t.Errorf("with fetches of %v there is room for a second one: %v, want %v", c.mean, p.room(), c.want)
+		}
+	}
+	for id := range Attempt(5) {
+		p.attempts[id] = &attempt{}
+	}
+	if p.duration = 0; p.room() {
+		t.Error("there is room beyond the bound on all fetches")
+	}
+}
--- a/internal/role/hosted/agent.go
+++ b/internal/role/hosted/agent.go
@@ -68,7 +68,7 @@
 
 // agentLimits fit contents of a few megabytes that are due everywhere within seconds.
 var agentLimits = swarm.Limits{
-	Pipeline: 4, RegionPipeline: 4, OriginPipeline: 3,
+	Pipeline: 4, RegionPipeline: 3, OriginPipeline: 3, Total: 5, SlowFetch: 250 * time.Millisecond,
 	TellInterval: 200 * time.Millisecond, StartWait: 300 * time.Millisecond, ProbeWait: 300 * time.Millisecond,
 	TakeoverShortest: 700 * time.Millisecond, TakeoverLongest: 4 * time.Second,
 	ProgressTimeout: 1500 * time.Millisecond, BusyWait: 60 * time.Millisecond,
--- a/internal/role/hosted/beliefs.go
+++ b/internal/role/hosted/beliefs.go
@@ -15,7 +15,7 @@
 )
 
 // behindTime is how long the store may take to tell what a peer knows already.
-const behindTime = 250 * time.Millisecond
+const behindTime = 150 * time.Millisecond
 
 // beliefs keeps a fleet up to date from the beats of entries while the store
 // tells this process nothing, or later than others.
--- a/internal/role/hosted/entry.go
+++ b/internal/role/hosted/entry.go
@@ -84,7 +84,7 @@
 
 		// placed is filled when requests were placed.
 		placed chan struct{}
-		// news is filled when the list of servers has changed.
+		// news is filled when something new is believed.
 		news chan struct{}
 
 		mu sync.Mutex
@@ -172,9 +172,18 @@
 	e.fleet = e.parts.fleet()
 	e.fleet.Wait = e.watchWait
 	e.fleet.FoundAge = b.NamedVersion - versionMargin - foundGrace
-	e.fleet.IngressChanged = func(i mulberryspool.Ingress) { e.desk.SetIngress(i) }
-	e.fleet.ServersChanged = e.setServers
-	e.fleet.NamedChanged = e.desk.SetNamed
+	e.fleet.IngressChanged = func(i mulberryspool.Ingress) {
+		e.desk.SetIngress(i)
+		e.tellNews()
+	}
+	e.fleet.ServersChanged = func(s fleet.Servers) {
+		e.desk.SetServers(s)
+		e.tellNews()
+	}
+	e.fleet.NamedChanged = func(model string, version int64, at time.Time) {
+		e.desk.SetNamed(model, version, at)
+		e.tellNews()
+	}
 	e.beliefs = &beliefs{fleet: e.fleet, clock: e.clock, fetch: e.fetchState, logger: e.logger}
 }
 
@@ -185,9 +194,8 @@
 	return time.Duration((1 - watchJitter + 2*watchJitter*rand.Float64()) * float64(mean))
 }
 
-// setServers passes the servers on and greets the agents of new ones.
-func (e *entryRole) setServers(servers fleet.Servers) {
-	e.desk.SetServers(servers)
+// tellNews makes the loop of beats tell the others what is believed now.
+func (e *entryRole) tellNews() {
 	select {
 	case e.news <- struct{}{}:
 	default:
@@ -317,7 +325,7 @@
 	}
 	e.mu.Unlock()
 	e.link.Send(beat.Message{Marks: &marks, Peers: peers}, unheard)
-	e.link.Send(beat.Message{Marks: &marks}, e.agents())
+	e.link.Send(beat.Message{Marks: &marks}, append(e.agents(), heard...))
 }
 
 func (e *entryRole) report() {
