--- a/internal/agent/fetch/stage.go
+++ b/internal/agent/fetch/stage.go
@@ -64,6 +64,12 @@
 	return held, nil
 }
 
+// Chunk returns a verified chunk that is here, which must not be changed.
+func (f *Fetcher) Chunk(digest mulberryspool.Digest) ([]byte, bool) {
+	f.prepare()
+	return f.store.Get(digest)
+}
+
 // check rejects a manifest that can't be staged.
 func check(manifest mulberryspool.Manifest) error {
 	if manifest.Digest == "" {
--- a/internal/entry/placement/choose.go
+++ b/internal/entry/placement/choose.go
@@ -13,6 +13,11 @@
 	freeTail = 300 * time.Millisecond
 	// tailCharge is the part of the time beyond it that counts as delay.
 	tailCharge = 0.15
+	// beginFactor and beginMargin make sure that an answer begins sooner than
+	// is reckoned here, slotWait that a queued one does.
+	beginFactor = 2
+	beginMargin = 150 * time.Millisecond
+	slotWait    = 300 * time.Millisecond
 	// longestTail bounds the time that is charged.
 	longestTail = 2 * time.Second
 )
@@ -59,13 +64,21 @@
 	if s.version == 0 || now.Before(s.misdirectedUntil) || r.Version != 0 && s.version != r.Version {
 		return false
 	}
-	return p.allowed(s.version, now)
+	return p.allowed(s, r, now)
 }
 
-// allowed says whether no newer version has been named for too long.
-func (p *Placer) allowed(version int64, now time.Time) bool {
+// allowed says whether the answer will begin before a newer version has been
+// named for too long.
+func (p *Placer) allowed(s *server, r Request, now time.Time) bool {
+	if len(p.named) == 0 {
+		return true
+	}
+	begins := now.Add(beginFactor*(2*p.pass()+p.reading(s.own.Unread+s.others.Unread+r.PromptTokens)) + beginMargin)
+	if s.inFlight() >= s.slots() {
+		begins = begins.Add(slotWait)
+	}
 	for newer, at := range p.named {
-		if newer > version && !now.Before(at.Add(p.Figures.VersionGrace)) {
+		if newer > s.version && !begins.Before(at.Add(p.Figures.VersionGrace)) {
 			return false
 		}
 	}
--- a/internal/entry/placement/placement.go
+++ b/internal/entry/placement/placement.go
@@ -76,7 +76,8 @@
 		// Delay is the extra way to a backend server in another failure domain;
 		// it stands for the bytes between regions as well.
 		Delay time.Duration
-		// VersionGrace is how long a version may be used after a newer one was named.
+		// VersionGrace is how long answers of a version may begin after a newer
+		// one was named.
 		VersionGrace time.Duration
 	}
 
--- a/internal/role/hosted/agent.go
+++ b/internal/role/hosted/agent.go
@@ -13,6 +13,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/mulberryspool/mulberryspool"
+	"github.com/mulberryspool/mulberryspool/internal/agent/bitset"
 	"github.com/mulberryspool/mulberryspool/internal/agent/fetch"
 	"github.com/mulberryspool/mulberryspool/internal/agent/swap"
 	"github.com/mulberryspool/mulberryspool/internal/agent/swarm"
@@ -49,6 +50,12 @@
 	// uplinkLiveShare is the part of the link that uploads leave to the model
 	// server's events.
 	uplinkLiveShare = 0.35
+	// idleUplink is the part of the link that uploads may take beside a model
+	// server that does not serve.
+	idleUplink = 0.95
+	// piecesPerRound bounds the pieces that are given to the model server in
+	// one round, so that the agent still looks often enough.
+	piecesPerRound = 8
 	// manifestRetry is the pause after a manifest that could not be read.
 	manifestRetry = 300 * time.Millisecond
 	// newestRetry is the time between two questions for the newest version.
@@ -72,7 +79,7 @@
 	TellInterval: 200 * time.Millisecond, StartWait: 300 * time.Millisecond, ProbeWait: 300 * time.Millisecond,
 	TakeoverShortest: 700 * time.Millisecond, TakeoverLongest: 4 * time.Second,
 	ProgressTimeout: 1500 * time.Millisecond, BusyWait: 60 * time.Millisecond,
-	AvoidFor: 3 * time.Second, SuspectFor: 2 * time.Second, OriginRetry: 200 * time.Millisecond, OriginRetryMax: 600 * time.Millisecond,
+	AvoidFor: 3 * time.Second, SuspectFor: 2 * time.Second, OriginRetry: 150 * time.Millisecond, OriginRetryMax: 250 * time.Millisecond,
 }
 
 type (
@@ -85,6 +92,7 @@
 		engine  mulberryspool.StagedEngine
 		origin  *platform.Weights
 		fetcher *fetch.Fetcher
+		uplink  *chunks.Link
 		// wake makes the loop look at once.
 		wake chan struct{}
 
@@ -97,8 +105,12 @@
 		quiet  int
 		// closing is set once the entries know when the server takes nothing new.
 		closing bool
-		// laid is the version whose pieces the model server was given last.
+		// laid is the version whose pieces the model server was given last,
+		// completely.
 		laid int64
+		// laidPieces are those of laying that were given to the model server.
+		laidPieces bitset.Set
+		laying     int64
 		// askNewest is when the origin may be asked for its newest version again.
 		askNewest time.Time
 
@@ -127,7 +139,10 @@
 	// Agents know each other by the machine, because all that the store says
 	// of a model server is its address.
 	p.identity.Instance = mulberryspool.InstanceID(s.Address)
-	a := &agentRole{parts: p, wake: make(chan struct{}, 1), manifests: make(map[int64]mulberryspool.Manifest)}
+	a := &agentRole{
+		parts: p, wake: make(chan struct{}, 1), manifests: make(map[int64]mulberryspool.Manifest),
+		uplink: &chunks.Link{Clock: p.clock, BytesPerSecond: int64(s.Limits.Link), LiveShare: uplinkLiveShare},
+	}
 	a.decider = swap.Decider{Self: p.identity.Instance, Bound: s.Bounds.NamedVersion}
 	local := &http.Client{Timeout: engineTimeout, Transport: &http.Transport{
 		DialContext: sockets.Dialer{}.DialContext, DisableCompression: true, MaxIdleConnsPerHost: 2,
@@ -166,7 +181,7 @@
 		Recorder: &timeline.Ring{Identity: p.identity, Stamps: stamps, Capacity: agentEvents},
 		Logger:   p.logger, Metrics: p.metrics, Seed: newRandom().Uint64(), Limits: limits,
 		ListInterval: membersInterval, CallTimeout: peerCallTimeout, UploadSlots: uploadSlots,
-		Uplink: &chunks.Link{Clock: p.clock, BytesPerSecond: int64(s.Limits.Link), LiveShare: uplinkLiveShare},
+		Uplink: a.uplink,
 	}
 	p.logger.Info().Str(logging.FieldStep, "start").Int64("boot", p.boot).Str("backend", s.Backend).Msg("process started")
 	group, ctx := errgroup.WithContext(ctx)
--- a/internal/role/hosted/agentloop.go
+++ b/internal/role/hosted/agentloop.go
@@ -2,12 +2,12 @@
 
 import (
 	"context"
-	"io"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
 	"github.com/mulberryspool/mulberryspool"
+	"github.com/mulberryspool/mulberryspool/internal/agent/bitset"
 	"github.com/mulberryspool/mulberryspool/internal/agent/staging"
 	"github.com/mulberryspool/mulberryspool/internal/agent/swap"
 	"github.com/mulberryspool/mulberryspool/internal/observe/logging"
@@ -37,6 +37,12 @@
 	a.setMembers()
 	a.decider.SetNamed(a.wanted(ctx, model))
 	if !a.readState(ctx, model) {
+		a.shareUplink(false)
+		// At the first start of the whole system, the model server may come up
+		// with the weights.
+		if a.settings.FirstStart {
+			return startingInterval
+		}
 		// The weights are on their way while the model server starts.
 		if step := a.decider.Next(a.view(0), now); step.Fetch > 0 {
 			a.startFetch(ctx, model, step.Fetch)
@@ -44,10 +50,14 @@
 		return startingInterval
 	}
 	served := a.served(model)
+	a.shareUplink(served > 0)
 	step := a.decider.Next(a.view(served), now)
 	if step.Fetch > 0 {
 		a.startFetch(ctx, model, step.Fetch)
 	}
+	if !a.state.Loading {
+		a.layArrived(ctx, model)
+	}
 	switch step.Action {
 	case swap.Lay:
 		a.lay(ctx, model, step.Version)
@@ -59,7 +69,7 @@
 	}
 	a.tell(served, step.At)
 	pause := reportInterval
-	if a.state.Loading || step.Action == swap.Announce || step.Action == swap.Lay {
+	if a.state.Loading || step.Action != swap.Rest || a.staging() {
 		pause = loadingInterval
 	}
 	if !step.At.IsZero() {
@@ -152,6 +162,13 @@
 	return v
 }
 
+// staging says whether a version is on its way.
+func (a *agentRole) staging() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.fetching > 0
+}
+
 func (a *agentRole) setMembers() {
 	var members []mulberryspool.InstanceID
 	rows, err := a.Instances(context.Background())
@@ -276,7 +293,47 @@
 	}
 }
 
-// lay gives the model server the pieces. It goes on serving meanwhile.
+// shareUplink leaves a part of the link to the events of a model server that serves.
+func (a *agentRole) shareUplink(serves bool) {
+	rate := float64(a.settings.Limits.Link)
+	if !serves {
+		rate *= idleUplink / (1 - uplinkLiveShare)
+	}
+	a.uplink.SetRate(int64(rate))
+}
+
+// layArrived gives the model server the pieces that are here of the version
+// on its way, a few in each round. It goes on serving meanwhile.
+func (a *agentRole) layArrived(ctx context.Context, model string) {
+	a.mu.Lock()
+	version := max(a.fetching, a.complete)
+	m, ok := a.manifests[version]
+	a.mu.Unlock()
+	if !ok || version <= a.served(model) || a.laid == version {
+		return
+	}
+	if a.laying != version {
+		a.laying, a.laidPieces = version, bitset.New(len(m.Chunks))
+	}
+	given := 0
+	for i, c := range m.Chunks {
+		if a.laidPieces.Has(i) || given >= piecesPerRound {
+			continue
+		}
+		data, here := a.fetcher.Chunk(c.Digest)
+		if !here {
+			continue
+		}
+		if err := a.engine.Stage(ctx, model, i, data); err != nil {
+			a.logger.Warn().EmbedObject(logging.Fields{Version: m.Version}.Err(err)).Err(err).Msg("piece was not staged")
+			return
+		}
+		a.laidPieces.Add(i)
+		given++
+	}
+}
+
+// lay gives the model server the pieces that it does not have yet.
 func (a *agentRole) lay(ctx context.Context, model string, version int64) {
 	replaced, err := a.layPieces(ctx, model, version)
 	if err != nil {
@@ -315,20 +372,15 @@
 	a.mu.Lock()
 	m := a.manifests[version]
 	a.mu.Unlock()
-	content, err := a.fetcher.Open(m)
-	if err != nil {
-		return 0, err
-	}
-	defer content.Close()
 	replaced := 0
 	for i, c := range m.Chunks {
-		piece := make([]byte, c.Size)
-		if _, err := io.ReadFull(content, piece); err != nil {
-			return replaced, mulberryspool.AtStep(err, "read chunk", "")
-		}
 		if _, err := a.readPiece(ctx, model, m, i); err == nil {
 			continue
 		}
+		piece, here := a.fetcher.Chunk(c.Digest)
+		if !here {
+			return replaced, mulberryspool.AtStep(mulberryspool.ErrNotFound, "read chunk", "")
+		}
 		replaced++
 		if err := a.engine.Stage(ctx, model, i, piece); err != nil {
 			return replaced, err
--- a/internal/role/hosted/entry.go
+++ b/internal/role/hosted/entry.go
@@ -41,9 +41,8 @@
 	fullBeats = 5
 	// agentBeats is the number of intervals between two beats to agents.
 	agentBeats = 10
-	// versionMargin is how long before the bound an old version is given up:
-	// the news of a version may be as old, and a request takes its way.
-	versionMargin = 900 * time.Millisecond
+	// versionMargin is how old the news of a version may be.
+	versionMargin = 100 * time.Millisecond
 	// A store that drops its history tells a waiting watch nothing, so watches
 	// wait only for a while. The first entry that asks again tells the others,
 	// so the mean wait grows with the number of entries: with these two figures
@@ -54,7 +53,7 @@
 	watchJitter = 0.85
 	// foundGrace is how long an old version is used when this process found
 	// the newer one named already and nobody tells since when.
-	foundGrace = 2500 * time.Millisecond
+	foundGrace = 3 * time.Second
 	// domainDelay stands for the way to another failure domain and the price
 	// of its bytes.
 	domainDelay = 25 * time.Millisecond
--- a/internal/role/hosted/hosted.go
+++ b/internal/role/hosted/hosted.go
@@ -38,7 +38,7 @@
 	// fill before it collects garbage more often.
 	memoryShare = 0.5
 	// garbagePercent trades a little processor time for a small heap.
-	garbagePercent = 60
+	garbagePercent = 30
 	// settingsPoll is how often a settings file is looked at that may change
 	// without a signal.
 	settingsPoll = 2 * time.Second
--- a/internal/settings/hosted/hosted.go
+++ b/internal/settings/hosted/hosted.go
@@ -47,6 +47,8 @@
 		Backend string `yaml:"backend" validate:"omitempty,address"`
 		// Pool is that of the model server; agents only.
 		Pool string `yaml:"pool"`
+		// FirstStart is set when the whole system starts for the first time.
+		FirstStart bool `yaml:"firstStart"`
 		// Store is the platform's metadata store.
 		Store  string `yaml:"store" validate:"required,address"`
 		Bounds Bounds `yaml:"bounds"`
