Do not pass on servers that are only supposed, nor crowd a returning origin

What is supposed now keeps its old revision, and is replaced by what peers know. Ruled out: late watches (14.5 s is 3 s after the return), a wrong order of revisions in the store's own events. Cause of the last pieces 2 s after an origin is back: all agents asked it for the same pieces. Successors now wait anew while it does not answer.

--- a/internal/agent/swarm/peers.go
+++ b/internal/agent/swarm/peers.go
@@ -261,12 +261,25 @@
 		s := &p.sources[kind]
 		s.until = p.now.Add(p.jitter(backoff(p.limits.OriginRetry, s.failures, p.limits.OriginRetryMax)))
 		s.failures++
+		if kind == FromOrigin {
+			p.restartSuccessors()
+		}
 		return
 	}
 	a.chunk.retryAt[kind] = p.now.Add(backoff(p.limits.OriginRetry, a.chunk.tries[kind], maximumBackoff))
 	a.chunk.tries[kind]++
 }
 
+// restartSuccessors lets successors wait anew: an origin that does not answer
+// is no fault of the heads, and all agents would ask it at once when it is back.
+func (p *Planner) restartSuccessors() {
+	for _, c := range p.lacking {
+		if c.role.rank > 0 || c.role.own > 0 {
+			c.since = p.now
+		}
+	}
+}
+
 func (p *Planner) record(a *attempt, err error) {
 	text := fmt.Sprintf("chunk %s at offset %d: %v", a.chunk.Digest, a.chunk.offset, err)
 	if a.source.Kind == FromOrigin {
--- a/internal/agent/swarm/planner_test.go
+++ b/internal/agent/swarm/planner_test.go
@@ -381,3 +381,66 @@
 		t.Error("there is room beyond the bound on all fetches")
 	}
 }
+
+// All agents of a region lack the last chunks when the origin goes down. When
+// it is back, they must not all ask it for the same chunks.
+func TestSuccessorsDoNotCrowdAnOriginThatReturns(t *testing.T) {
+	const agents, count, down = 10, 8, 6 * time.Second
+	manifest := testManifest("v1", numbered("c", count)...)
+	var members []Member
+	for i := range agents {
+		members = append(members, member(fmt.Sprintf("a%02d", i), "east"))
+	}
+	benches := make(map[mulberryspool.InstanceID]*bench)
+	for _, m := range members {
+		b := newBench(m)
+		b.Planner = &Planner{Self: m, Limits: Limits{
+			Neighbours: 9, TakeoverShortest: 700 * time.Millisecond, TakeoverLongest: 4 * time.Second, ProbeWait: 300 * time.Millisecond,
+			TellInterval: 200 * time.Millisecond, OriginRetry: 150 * time.Millisecond, OriginRetryMax: 250 * time.Millisecond,
+		}}
+		b.step(Members{Live: members})
+		b.step(Start{Manifest: manifest, Held: bitset.New(count)})
+		benches[m.Instance] = b
+	}
+	fetched := 0
+	const tick = 50 * time.Millisecond
+	for at := time.Duration(0); at < down+2*time.Second; at += tick {
+		for _, m := range members {
+			b := benches[m.Instance]
+			fetched += b.exchange(benches, at > down)
+			b.now = b.now.Add(tick)
+			b.step(Tick{})
+		}
+	}
+	if fetched < count || fetched > 2*count {
+		t.Errorf("%d chunks were read from the origin for %d chunks, want at most twice as many", fetched, count)
+	}
+}
+
+// exchange ends all that a planner began: tells are answered with what the
+// others hold, and requests to the origin and to others succeed if it is up.
+// It returns the number of chunks from the origin.
+func (b *bench) exchange(others map[mulberryspool.InstanceID]*bench, up bool) int {
+	fetched := 0
+	for {
+		var events []Event
+		for _, t := range effectsOf[Tell](b) {
+			events = append(events, Have{Instance: t.Instance, Manifest: t.Manifest, Held: others[t.Instance].held.Clone(), Told: t.Held})
+		}
+		for _, f := range effectsOf[Fetch](b) {
+			switch {
+			case f.Source.Kind == FromOrigin && !up:
+				events = append(events, Failed{Attempt: f.Attempt, Reason: Unreachable})
+			default:
+				if f.Source.Kind == FromOrigin {
+					fetched++
+				}
+				events = append(events, Fetched{Attempt: f.Attempt, Chunk: f.Chunk.Digest})
+			}
+		}
+		if len(events) == 0 {
+			return fetched
+		}
+		b.step(events...)
+	}
+}
--- a/internal/platform/fleet/fleet.go
+++ b/internal/platform/fleet/fleet.go
@@ -46,8 +46,8 @@
 		// Ingress is nil while no configuration is known.
 		Ingress *mulberryspool.Ingress `json:"ingress,omitempty"`
 		Servers Servers                `json:"servers,omitempty"`
-		// ServersAt is the store's revision that Servers was last changed at; 0
-		// while no list is known.
+		// ServersAt is the store's revision at which Servers was last known for
+		// certain; 0 while no list is known.
 		ServersAt mulberryspool.Revision `json:"serversAt,omitempty"`
 	}
 
@@ -178,7 +178,7 @@
 // Known says whether the process knows a configuration and a list of servers.
 func (f *Fleet) Known() bool {
 	s := f.State()
-	return s.Ingress != nil && s.ServersAt > 0
+	return s.Ingress != nil && s.Servers != nil
 }
 
 // Marks returns how new the belief is.
@@ -268,7 +268,13 @@
 	for _, b := range items {
 		servers[b.Instance] = b
 	}
-	f.replaceServers(servers, d.At, fromStore)
+	at := d.At
+	if d.Uncertain {
+		// Peers that know better are not to take over what this process only
+		// supposes, and this process takes over what they know.
+		at = f.state.ServersAt
+	}
+	f.replaceServers(servers, at, fromStore)
 }
 
 // replaceServers is called with the mutex held.
--- a/internal/platform/follow/follower.go
+++ b/internal/platform/follow/follower.go
@@ -139,7 +139,7 @@
 	for name, err := range d.Unreadable {
 		f.Logger.Warn().Err(err).Str("kind", f.Kind).Str("object", name).Msg("object names nothing to use")
 	}
-	d.At = f.revision
+	d.At, d.Uncertain = f.revision, len(f.Set.leaving) > 0
 	if first || d.Changed() {
 		f.Changed(f.Set.Items(), d)
 	}
--- a/internal/platform/follow/set.go
+++ b/internal/platform/follow/set.go
@@ -42,6 +42,9 @@
 		// Listed says that the objects come from a list, so that they may have
 		// been there for any time.
 		Listed bool
+		// Uncertain says that some objects in use may be gone, because they
+		// disappeared around an outage.
+		Uncertain bool
 	}
 )
 
