--- a/internal/entry/placement/health.go
+++ b/internal/entry/placement/health.go
@@ -10,7 +10,7 @@
 	jitter = 8 * time.Millisecond
 	// misdirectedFor is how long a server whose version was wrong is passed
 	// over, unless it or its agent says something new.
-	misdirectedFor = 700 * time.Millisecond
+	misdirectedFor = 2500 * time.Millisecond
 	// suspicionHalfLife is how fast old failures are forgotten.
 	suspicionHalfLife = 1500 * time.Millisecond
 	// avoidAbove is the suspicion from which a server gets only trials.
--- a/internal/role/hosted/beliefs.go
+++ b/internal/role/hosted/beliefs.go
@@ -26,10 +26,9 @@
 	logger zerolog.Logger
 
 	mu sync.Mutex
-	// behindSince is when a peer was first seen to know more; zero for not.
-	behindSince time.Time
-	// fetching is set while the beliefs of a peer are read.
-	fetching bool
+	// busy is set from the time that a peer is seen to know more until what it
+	// believes has been read.
+	busy bool
 }
 
 // heard takes in the beat of an entry.
@@ -38,22 +37,24 @@
 		return
 	}
 	b.fleet.MergeNamed(m.Marks.Named, m.Node)
-	if m.Role != mulberryspool.RoleEntry {
+	if m.Role != mulberryspool.RoleEntry || !b.fleet.Behind(*m.Marks) {
 		return
 	}
-	behind := b.fleet.Behind(*m.Marks)
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	now := b.clock.Now()
-	switch {
-	case !behind && now.Sub(b.behindSince) > behindTime:
-		b.behindSince = time.Time{}
-	case behind && b.behindSince.IsZero():
-		b.behindSince = now
-	case behind && now.Sub(b.behindSince) > behindTime && !b.fetching:
-		b.fetching = true
-		go b.catchUp(from, m.Node)
+	if b.busy {
+		return
 	}
+	b.busy = true
+	marks := *m.Marks
+	b.clock.AfterFunc(behindTime, func() {
+		if b.fleet.Behind(marks) {
+			b.catchUp(from, m.Node)
+		}
+		b.mu.Lock()
+		defer b.mu.Unlock()
+		b.busy = false
+	})
 }
 
 // catchUp reads what a peer believes.
@@ -66,7 +67,4 @@
 	} else {
 		b.fleet.Merge(state, node)
 	}
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.fetching, b.behindSince = false, time.Time{}
 }
--- a/internal/role/hosted/hosted.go
+++ b/internal/role/hosted/hosted.go
@@ -44,7 +44,7 @@
 	settingsPoll = 2 * time.Second
 	// storeAttempt bounds one call; the store answers in a few milliseconds, and
 	// is slow for seconds at times.
-	storeAttempt = 1500 * time.Millisecond
+	storeAttempt = 700 * time.Millisecond
 	// watchSlack is how much later than its wait the answer to a watch may be.
 	// A watch that was cut off is not answered at all.
 	watchSlack = 400 * time.Millisecond
