--- /dev/null
+++ b/internal/observe/logging/ring_test.go
@@ -0,0 +1,96 @@
+package logging
+
+import (
+	"fmt"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/mulberryspool/mulberryspool"
+)
+
+// stuckWriter takes nothing until it is released.
+type stuckWriter struct {
+	release chan struct{}
+
+	mu    sync.Mutex
+	lines int
+}
+
+func (w *stuckWriter) Write(p []byte) (int, error) {
+	<-w.release
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.lines += strings.Count(string(p), "\n")
+	return len(p), nil
+}
+
+// A pipe that nobody reads must neither block a request nor grow memory.
+func TestFullPipeDropsLinesAndCountsThem(t *testing.T) {
+	w := &stuckWriter{release: make(chan struct{})}
+	ring := NewRing(w)
+	logger, err := New(ring, mulberryspool.Identity{Instance: "i"}, "info")
+	if err != nil {
+		t.Fatal(err)
+	}
+	const lines = 5 * ringLines
+	written := make(chan struct{})
+	go func() {
+		defer close(written)
+		for i := range lines {
+			logger.Info().Int("i", i).Msg("line")
+		}
+	}()
+	select {
+	case <-written:
+	case <-time.After(20 * time.Second):
+		t.Fatal("a line blocked its writer")
+	}
+	close(w.release)
+	if err := ring.Close(); err != nil {
+		t.Fatal(err)
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.lines > ringLines+1 {
+		t.Errorf("%d lines were kept, want at most %d", w.lines, ringLines+1)
+	}
+	if ring.Dropped() == 0 {
+		t.Error("no dropped line was counted")
+	}
+}
+
+func TestSamplerKeepsAShareOfRequests(t *testing.T) {
+	sampled, again := Sampler(0.1), Sampler(0.1)
+	kept := 0
+	for i := range 10_000 {
+		id := mulberryspool.RequestID(fmt.Sprintf("%016x", i))
+		if sampled(id) != again(id) {
+			t.Fatalf("request %s is kept by one process only", id)
+		}
+		if sampled(id) {
+			kept++
+		}
+	}
+	if kept < 800 || kept > 1200 {
+		t.Errorf("%d of 10000 requests were kept, want about a tenth", kept)
+	}
+}
+
+func BenchmarkLine(b *testing.B) {
+	ring := NewRing(&discard{})
+	logger, err := New(ring, mulberryspool.Identity{Instance: "i", FailureDomain: "a"}, "info")
+	if err != nil {
+		b.Fatal(err)
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		logger.Info().EmbedObject(Fields{Route: "r", Pool: "p", RequestID: "9c41d07be2a35f68", Peer: "i-1"}).
+			Int("status", 503).Str("outcome", "allServersFull").Dur("took", time.Millisecond).Msg("request ended")
+	}
+}
+
+type discard struct{}
+
+func (*discard) Write(p []byte) (int, error) { return len(p), nil }
