Drop unused code and judge broken exchanges in one place

A reason, two accessors and a wrapper had no caller; lost answers and cut streams told silent from broken servers with the same lines. Behaviour stays; make check passes.

--- a/internal/backend/exchange/conn.go
+++ b/internal/backend/exchange/conn.go
@@ -64,9 +64,6 @@
 	return &Conn{target: target, pool: pool, stream: stream, limited: limited, reader: bufio.NewReaderSize(limited, readBuffer)}
 }
 
-// Reused says that the connection carried another exchange before.
-func (c *Conn) Reused() bool { return c.reused }
-
 // Close ends the connection; a backend server then drops the request.
 func (c *Conn) Close() { c.stream.Close() }
 
--- a/internal/entry/forward/attempt.go
+++ b/internal/entry/forward/attempt.go
@@ -99,13 +99,17 @@
 // lost takes in that no answer came.
 func (a *attempt) lost(ctx context.Context, err error) (verdict, placement.Outcome) {
 	a.cause = err
-	outcome := placement.Broken
-	// A request that lasts longer than its time says little of the server.
+	a.logAttempt(a.decision, "lost", a.began)
+	return lost, a.blame(ctx, a.outcomeOf(err))
+}
+
+// outcomeOf says what a broken exchange says of the backend server. A request
+// that lasts longer than its time says little.
+func (a *attempt) outcomeOf(err error) placement.Outcome {
 	if isTimeout(err) && a.h.Clock.Until(a.deadline) > 0 {
-		outcome = placement.Silent
+		return placement.Silent
 	}
-	a.logAttempt(a.decision, "lost", a.began)
-	return lost, a.blame(ctx, outcome)
+	return placement.Broken
 }
 
 // hold reads an answer to its end before any of it goes to the caller, so
--- a/internal/entry/forward/stream.go
+++ b/internal/entry/forward/stream.go
@@ -138,15 +138,11 @@
 // cut takes in that a stream ended before its last event.
 func (a *attempt) cut(ctx context.Context, served int, err error) (verdict, placement.Outcome) {
 	a.cause = err
-	outcome := placement.Broken
-	if isTimeout(err) && a.h.Clock.Until(a.deadline) > 0 {
-		outcome = placement.Silent
-	}
 	a.logAttempt(a.decision, "cutAfter"+strconv.Itoa(served), a.began)
 	if a.stream != nil {
 		a.stream.resumed++
 	}
-	return lost, a.blame(ctx, outcome)
+	return lost, a.blame(ctx, a.outcomeOf(err))
 }
 
 // readEvent returns the next event with its blank line, io.EOF behind the
--- a/internal/entry/placement/choose.go
+++ b/internal/entry/placement/choose.go
@@ -4,8 +4,6 @@
 	"cmp"
 	"slices"
 	"time"
-
-	"github.com/mulberryspool/mulberryspool"
 )
 
 const (
@@ -164,10 +162,6 @@
 	return 2*suspects <= len(p.ordered)
 }
 
-func (p *Placer) activePeers() int {
-	return len(p.peers)
-}
-
 // Expire forgets entries that have been silent.
 func (p *Placer) Expire(now time.Time) {
 	for peer, l := range p.peers {
@@ -208,12 +202,3 @@
 func mean(old, value time.Duration) time.Duration {
 	return old + time.Duration(smoothing*float64(value-old))
 }
-
-// Server returns what is known of a backend server.
-func (p *Placer) Server(id mulberryspool.InstanceID) (mulberryspool.BackendServer, bool) {
-	s := p.servers[id]
-	if s == nil {
-		return mulberryspool.BackendServer{}, false
-	}
-	return s.BackendServer, true
-}
--- a/internal/entry/placement/placement.go
+++ b/internal/entry/placement/placement.go
@@ -31,12 +31,11 @@
 
 // Reasons of decisions, as they stand in logs and metrics.
 const (
-	ReasonRoom       Reason = "room"
-	ReasonFull       Reason = "allServersFull"
-	ReasonNoServer   Reason = "noServerServes"
-	ReasonTooLate    Reason = "waitedTooLong"
-	ReasonNoOther    Reason = "noOtherServer"
-	ReasonBackOfLine Reason = "othersWaitLonger"
+	ReasonRoom     Reason = "room"
+	ReasonFull     Reason = "allServersFull"
+	ReasonNoServer Reason = "noServerServes"
+	ReasonTooLate  Reason = "waitedTooLong"
+	ReasonNoOther  Reason = "noOtherServer"
 )
 
 // How an exchange with a backend server ended.
--- a/internal/entry/placement/placer.go
+++ b/internal/entry/placement/placer.go
@@ -374,7 +374,7 @@
 	if places == 0 {
 		return longestRetry
 	}
-	share := float64(places) / float64(1+p.activePeers())
+	share := float64(places) / float64(1+len(p.peers))
 	return time.Duration(float64(len(p.waiting)+1) / share * float64(p.serviceTime()))
 }
 
