Place no request beyond the slots, and newcomers before returning ones

The 17th request at a server of 16 slots began only when another one had ended (about 87 ms later), and one place in four went to returning requests, which are late in any case; each of them made a newcomer return as well. Requests with the shorter objective were refused most.

Now a server is given as many requests as it has slots; of those that wait, the one that is due first goes first, and returning requests get the places that no newcomer waits for. The queue time and the unread prompts stand in the log line and the metrics.

--- a/internal/entry/forward/flight.go
+++ b/internal/entry/forward/flight.go
@@ -73,8 +73,9 @@
 		failure *held
 		// stream is set once events went to the caller.
 		stream *stream
-		// placed is the last decision.
+		// placed is the last decision, waited how long it took.
 		placed placement.Decision
+		waited time.Duration
 		// cause is why the last attempt ended.
 		cause error
 	}
@@ -101,8 +102,10 @@
 	defer cancel()
 	f.h.Desk.Request(f.pool.Name)
 	for {
+		asked := f.h.Clock.Now()
 		d := f.h.Desk.Place(ctx, f.pool.Name, f.request())
-		f.placed = d
+		f.placed, f.waited = d, f.h.Clock.Since(asked)
+		f.h.Metrics.Timer("queue").Record(f.waited)
 		if f.r.Context().Err() != nil {
 			if d.Verdict == placement.Placed {
 				f.ended(d, false, placement.Abandoned, 0)
--- a/internal/entry/forward/log.go
+++ b/internal/entry/forward/log.go
@@ -44,7 +44,7 @@
 		e.Bool("returning", true)
 	}
 	if f.placed.Places > 0 {
-		e.Int("inFlight", f.placed.InFlight).Int("places", f.placed.Places)
+		e.Int("inFlight", f.placed.InFlight).Int("places", f.placed.Places).Int("unread", f.placed.Unread).Dur("waited", f.waited)
 	}
 	if f.placed.Version > 0 {
 		e.Int64("version", f.placed.Version)
--- a/internal/entry/placement/choose.go
+++ b/internal/entry/placement/choose.go
@@ -71,7 +71,7 @@
 	if len(p.named) == 0 {
 		return true
 	}
-	begins := now.Add(beginFactor*(2*p.pass()+p.reading(s.own.Unread+s.others.Unread+r.PromptTokens)) + beginMargin)
+	begins := now.Add(beginFactor*(2*p.pass()+p.reading(s.unread()+r.PromptTokens)) + beginMargin)
 	if s.inFlight() >= s.slots() {
 		begins = begins.Add(slotWait)
 	}
@@ -89,7 +89,7 @@
 	places := p.places(s)
 	var expected time.Duration
 	if p.pool.Engine != nil {
-		expected = p.pass() + p.reading(s.own.Unread+s.others.Unread)
+		expected = p.pass() + p.reading(s.unread())
 		// A fuller batch leaves less room for what comes in the next moment.
 		expected += time.Duration(float64(p.serviceTime()) * float64(n) / float64(2*places))
 	} else {
@@ -108,7 +108,7 @@
 // request its objective. A server that comes back empty would otherwise be
 // given all that waits at once, and all of it would be late.
 func (p *Placer) onTime(s *server, r Request, now time.Time) bool {
-	unread := s.own.Unread + s.others.Unread
+	unread := s.unread()
 	if p.pool.Engine == nil || unread == 0 || r.Resumed || r.Returning {
 		return true
 	}
@@ -134,7 +134,9 @@
 	if p.pool.Engine == nil {
 		return plainQueue * s.slots()
 	}
-	return s.slots() + overcommit
+	// A request beyond the slots begins only when another one ends, and would
+	// have been on time at the server that has a slot next.
+	return s.slots()
 }
 
 // capacity counts the usable servers, their places and what is in flight there.
@@ -195,6 +197,11 @@
 	return s.own.Requests + s.others.Requests
 }
 
+// unread is the number of prompt tokens that the server still has to read.
+func (s *server) unread() int {
+	return s.own.Unread + s.others.Unread
+}
+
 func (s *server) slots() int {
 	return cmp.Or(max(0, s.Slots), defaultSlots)
 }
--- a/internal/entry/placement/placement.go
+++ b/internal/entry/placement/placement.go
@@ -112,6 +112,8 @@
 		// InFlight is what was known to be in flight at the server, or at all
 		// usable servers for a refusal; Places is their number of places.
 		InFlight, Places int
+		// Unread is the number of prompt tokens that the server had to read before.
+		Unread int
 		// RetryAfter is when a place is expected.
 		RetryAfter time.Duration
 	}
--- a/internal/entry/placement/placer.go
+++ b/internal/entry/placement/placer.go
@@ -13,9 +13,6 @@
 const (
 	// peerTimeout is how long an entry's word on its requests counts.
 	peerTimeout = time.Second
-	// overcommit is the number of requests beyond the slots that keep the next
-	// batch full while answers are on their way.
-	overcommit = 1
 	// plainQueue is the number of requests per slot at a plain service, whose
 	// requests are short and which queues itself.
 	plainQueue = 2
@@ -26,9 +23,6 @@
 	// shortestWait is how long any request may wait for a place; the entry's
 	// view of the others' requests is about as old.
 	shortestWait = 40 * time.Millisecond
-	// returningShare bounds the places that go to returning requests while
-	// newcomers wait: one in so many.
-	returningShare = 4
 	// shortestRetry and longestRetry bound the hint for a refused caller.
 	shortestRetry = 400 * time.Millisecond
 	longestRetry  = 1900 * time.Millisecond
@@ -56,8 +50,6 @@
 		service time.Duration
 		last    Ticket
 		waiting []*waiter
-		// sinceReturning counts placements of newcomers since a returning one.
-		sinceReturning int
 	}
 
 	server struct {
@@ -260,7 +252,7 @@
 }
 
 // head returns which waiting request is next: a resumed one, then the most
-// urgent, and returning ones before newcomers for a share of the places.
+// urgent, then one that can still be on time, then the one that is due first.
 func (p *Placer) head() int {
 	best := 0
 	for i, w := range p.waiting {
@@ -279,9 +271,11 @@
 		return a.Priority < b.Priority
 	}
 	if a.Returning != b.Returning {
-		return a.Returning == (p.sinceReturning >= returningShare-1)
+		// A returning request is late in any case, and in a long overload each
+		// place that it takes makes a newcomer return as well.
+		return b.Returning
 	}
-	return false
+	return a.Offered.Add(a.Objective).Before(b.Offered.Add(b.Objective))
 }
 
 func (p *Placer) place(w *waiter, now time.Time) (Decision, bool) {
@@ -291,16 +285,11 @@
 	}
 	d := Decision{
 		Ticket: w.ticket, Verdict: Placed, Reason: ReasonRoom, Server: s.BackendServer, Version: s.version,
-		InFlight: s.inFlight(), Places: p.places(s),
+		InFlight: s.inFlight(), Places: p.places(s), Unread: s.unread(),
 	}
 	s.own.Requests++
 	s.own.Unread += w.request.PromptTokens
 	s.health.sent(now)
-	if w.request.Returning {
-		p.sinceReturning = 0
-	} else {
-		p.sinceReturning++
-	}
 	return d, true
 }
 
