Let entries take turns at a place that another one has left

Cause: a place that came free at a full server was told to all other entries in the same beat, and each of those with waiting requests took it.

Now beats say for which pools requests wait. Entries in the server's failure domain go first, then in an order by hash that differs from server to server, 9 ms apart. A place is told within 5 ms to the own failure domain and within 25 ms to the others, also when nobody here waits for it.

--- a/internal/entry/desk/desk.go
+++ b/internal/entry/desk/desk.go
@@ -30,8 +30,9 @@
 		Repeats repeats.Budget
 		// Random is used under the desk's lock only.
 		Random *rand.Rand
-		// PlacedOne is called for each placement; it must not block.
-		PlacedOne func()
+		// LoadChanged is called when other entries should soon hear of what
+		// this one has in flight or waiting; it must not block.
+		LoadChanged func()
 
 		table atomic.Pointer[ingress.Table]
 
@@ -143,15 +144,17 @@
 	}
 }
 
-// SetPeer takes in what another entry has in flight, or the part that changed.
-func (d *Desk) SetPeer(peer string, loads map[mulberryspool.InstanceID]placement.Load, partial bool) {
+// SetPeer takes in what another entry says of itself, and how many of its
+// requests wait for a place of each pool.
+func (d *Desk) SetPeer(peer string, said placement.Peer, waiting map[string]int) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.prepare()
 	now := d.Clock.Now()
 	d.peers[peer] = now
-	for _, p := range d.pools {
-		p.placer.SetPeer(peer, loads, partial, now)
+	for name, p := range d.pools {
+		said.Waiting = waiting[name]
+		p.placer.SetPeer(peer, said, now)
 		d.decide(p)
 	}
 }
@@ -183,6 +186,19 @@
 	return loads
 }
 
+// Waiting returns the pools for which requests of this entry wait.
+func (d *Desk) Waiting() map[string]int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	waiting := make(map[string]int)
+	for name, p := range d.pools {
+		if n := p.placer.Waiting(); n > 0 {
+			waiting[name] = n
+		}
+	}
+	return waiting
+}
+
 // Place returns when a request is placed or refused, or the context ends.
 func (d *Desk) Place(ctx context.Context, name string, r placement.Request) placement.Decision {
 	d.mu.Lock()
@@ -197,6 +213,7 @@
 		d.notePlaced(decision)
 		return decision
 	}
+	d.loadChanged()
 	decided := make(chan placement.Decision, 1)
 	p.waiting[decision.Ticket] = decided
 	d.arm(p)
@@ -211,8 +228,14 @@
 }
 
 func (d *Desk) notePlaced(decision placement.Decision) {
-	if decision.Verdict == placement.Placed && d.PlacedOne != nil {
-		d.PlacedOne()
+	if decision.Verdict == placement.Placed {
+		d.loadChanged()
+	}
+}
+
+func (d *Desk) loadChanged() {
+	if d.LoadChanged != nil {
+		d.LoadChanged()
 	}
 }
 
@@ -262,8 +285,12 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if p := d.pools[name]; p != nil {
-		p.placer.Ended(id, promptTokens, began, o, took, d.Clock.Now())
+		freed := p.placer.Ended(id, promptTokens, began, o, took, d.Clock.Now())
 		d.decide(p)
+		if freed && p.placer.Waiting() == 0 {
+			// Requests of other entries may wait for the place.
+			d.loadChanged()
+		}
 	}
 }
 
@@ -349,8 +376,9 @@
 		p.timer.Stop()
 		p.timer = nil
 	}
-	if next, ok := p.placer.Next(); ok {
-		p.timer = d.Clock.AfterFunc(d.Clock.Until(next), func() {
+	now := d.Clock.Now()
+	if next, ok := p.placer.Next(now); ok {
+		p.timer = d.Clock.AfterFunc(next.Sub(now), func() {
 			d.mu.Lock()
 			defer d.mu.Unlock()
 			d.decide(p)
--- a/internal/entry/desk/desk_test.go
+++ b/internal/entry/desk/desk_test.go
@@ -20,10 +20,10 @@
 		Repeats: repeats.Budget{Window: 10 * time.Second, Ratio: 0.2, Slack: 10},
 	}
 	d.SetIngress(mulberryspool.Ingress{Version: 1, Pools: map[string]mulberryspool.IngressPool{"p": {Name: "p", Model: "m", Engine: &mulberryspool.EngineFigures{
-		Slots: 1, Step: 7 * time.Millisecond, PromptTokensPerSecond: 30_000, StepsPerPass: 6, UsualPrompt: 100, UsualAnswer: 12,
+		Slots: 2, Step: 7 * time.Millisecond, PromptTokensPerSecond: 30_000, StepsPerPass: 6, UsualPrompt: 100, UsualAnswer: 12,
 	}}}})
 	d.SetServers(map[mulberryspool.InstanceID]mulberryspool.BackendServer{"i-1": {
-		Instance: "i-1", Born: 1, Pool: "p", Slots: 1, Models: []mulberryspool.LoadedModel{{Model: "m", Version: 1}},
+		Instance: "i-1", Born: 1, Pool: "p", Slots: 2, Models: []mulberryspool.LoadedModel{{Model: "m", Version: 1}},
 	}})
 	return d
 }
@@ -85,7 +85,7 @@
 	}
 	clock.Advance(servedTimeout + time.Second)
 	d.SetServers(map[mulberryspool.InstanceID]mulberryspool.BackendServer{"i-1": {
-		Instance: "i-1", Born: 1, Pool: "p", Slots: 1, Models: []mulberryspool.LoadedModel{{Model: "m", Version: 2}},
+		Instance: "i-1", Born: 1, Pool: "p", Slots: 2, Models: []mulberryspool.LoadedModel{{Model: "m", Version: 2}},
 	}})
 	if got := d.Place(context.Background(), "p", request(clock.Now())); got.Verdict != placement.Placed || got.Version != 2 {
 		t.Errorf("after the agent has fallen silent: %+v, want placed for version 2", got)
--- a/internal/entry/placement/choose.go
+++ b/internal/entry/placement/choose.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"slices"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 const (
@@ -18,6 +20,9 @@
 	slotWait    = 300 * time.Millisecond
 	// longestTail bounds the time that is charged.
 	longestTail = 2 * time.Second
+	// turnStep is the time between two turns; a placement is told to the
+	// others within it.
+	turnStep = 9 * time.Millisecond
 )
 
 // choose returns the backend server at which the first event is expected
@@ -34,6 +39,9 @@
 		if !p.usable(s, r, now) || now.Before(s.fullUntil) || s.inFlight() >= p.places(s) || !w.late && !p.onTime(s, r, now) {
 			continue
 		}
+		if !r.Resumed && now.Before(p.turn(s, now)) {
+			continue
+		}
 		if avoid && s.health.avoided(now) {
 			if reserve == nil || s.health.suspicion < reserve.health.suspicion {
 				reserve = s
@@ -166,17 +174,19 @@
 
 // Expire forgets entries that have been silent.
 func (p *Placer) Expire(now time.Time) {
-	for peer, l := range p.peers {
+	for name, l := range p.peers {
 		if now.Sub(l.at) > peerTimeout {
-			delete(p.peers, peer)
+			delete(p.peers, name)
 		}
 	}
-	p.sumPeers()
+	p.sumPeers(now)
 }
 
-func (p *Placer) sumPeers() {
+// sumPeers adds up what the peers have in flight, and notes at which full
+// servers they have left a place. Without a time, nothing is noted.
+func (p *Placer) sumPeers(now time.Time) {
 	for _, s := range p.ordered {
-		s.others = Load{}
+		s.before, s.others = s.inFlight(), Load{}
 	}
 	for _, l := range p.peers {
 		for id, load := range l.loads {
@@ -186,6 +196,37 @@
 			}
 		}
 	}
+	for _, s := range p.ordered {
+		if places := p.places(s); !now.IsZero() && s.before >= places && s.inFlight() < places {
+			s.freedAt = now
+		}
+	}
+}
+
+// turn is when this entry may take a place that another entry has left. All
+// entries hear of it at the same moment, so those with waiting requests take
+// turns: first those in the server's failure domain, then in an order that
+// differs from server to server.
+func (p *Placer) turn(s *server, now time.Time) time.Time {
+	if now.Sub(s.freedAt) > time.Duration(len(p.peers))*turnStep {
+		return time.Time{}
+	}
+	rank := 0
+	near, place := p.Figures.Domain == s.FailureDomain, turnPlace(p.Figures.Self, s)
+	for name, l := range p.peers {
+		if l.waiting == 0 {
+			continue
+		}
+		peerNear := l.domain == s.FailureDomain
+		if peerNear && !near || peerNear == near && turnPlace(name, s) < place {
+			rank++
+		}
+	}
+	return s.freedAt.Add(time.Duration(rank) * turnStep)
+}
+
+func turnPlace(entry string, s *server) uint64 {
+	return xxhash.Sum64String(entry + "@" + string(s.Instance))
 }
 
 // Summary describes the pool in metrics and logs.
--- a/internal/entry/placement/placement.go
+++ b/internal/entry/placement/placement.go
@@ -70,6 +70,8 @@
 
 	// Figures bounds what a Placer does. Set before the first use.
 	Figures struct {
+		// Self names the entry among its peers.
+		Self string
 		// Domain is the entry's own failure domain.
 		Domain string
 		// Delay is the extra way to a backend server in another failure domain;
@@ -118,6 +120,17 @@
 		RetryAfter time.Duration
 	}
 
+	// Peer is what another entry says of itself.
+	Peer struct {
+		// Domain is its failure domain; empty when not said this time.
+		Domain string
+		// Loads is what it has in flight; with Partial, the servers that changed.
+		Loads   map[mulberryspool.InstanceID]Load
+		Partial bool
+		// Waiting is the number of its requests that wait for a place of the pool.
+		Waiting int
+	}
+
 	// Load is what an entry has in flight at a backend server.
 	Load struct {
 		_msgpack struct{} `msgpack:",as_array"` //nolint:unused // Read by the codec.
--- a/internal/entry/placement/placer.go
+++ b/internal/entry/placement/placer.go
@@ -43,7 +43,7 @@
 		pool    mulberryspool.IngressPool
 		servers map[mulberryspool.InstanceID]*server
 		ordered []*server
-		peers   map[string]peerLoads
+		peers   map[string]peer
 		// named holds since when each version has been named.
 		named map[int64]time.Time
 		// service is the moving mean of the time that requests take.
@@ -63,12 +63,18 @@
 		own      Load
 		// others is the sum of the peers' words, valid until the next change.
 		others Load
+		// freedAt is when a peer's place became free while the server was full.
+		freedAt time.Time
+		// before is used by sumPeers only.
+		before int
 		health health
 	}
 
-	peerLoads struct {
-		at    time.Time
-		loads map[mulberryspool.InstanceID]Load
+	peer struct {
+		at      time.Time
+		domain  string
+		waiting int
+		loads   map[mulberryspool.InstanceID]Load
 	}
 
 	waiter struct {
@@ -105,7 +111,7 @@
 		p.ordered = append(p.ordered, s)
 	}
 	slices.SortFunc(p.ordered, func(a, b *server) int { return cmp.Compare(a.Instance, b.Instance) })
-	p.sumPeers()
+	p.sumPeers(time.Time{})
 }
 
 // SetServed takes in what an agent says of its backend server: the version
@@ -128,20 +134,19 @@
 	p.named = named
 }
 
-// SetPeer takes in what another entry has in flight. A partial message holds
-// only the servers that changed.
-func (p *Placer) SetPeer(peer string, loads map[mulberryspool.InstanceID]Load, partial bool, now time.Time) {
+// SetPeer takes in what another entry says of itself.
+func (p *Placer) SetPeer(name string, said Peer, now time.Time) {
 	if p.peers == nil {
-		p.peers = make(map[string]peerLoads)
+		p.peers = make(map[string]peer)
 	}
-	known, ok := p.peers[peer]
-	if !ok || !partial {
-		known.loads = make(map[mulberryspool.InstanceID]Load, len(loads))
+	known, ok := p.peers[name]
+	if !ok || !said.Partial {
+		known.loads = make(map[mulberryspool.InstanceID]Load, len(said.Loads))
 	}
-	known.at = now
-	maps.Copy(known.loads, loads)
-	p.peers[peer] = known
-	p.sumPeers()
+	known.at, known.waiting, known.domain = now, said.Waiting, cmp.Or(said.Domain, known.domain)
+	maps.Copy(known.loads, said.Loads)
+	p.peers[name] = known
+	p.sumPeers(now)
 }
 
 // Own returns what this entry has in flight.
@@ -180,12 +185,14 @@
 	}
 }
 
-// Ended takes in the end of an exchange. Began says whether it had been called.
-func (p *Placer) Ended(id mulberryspool.InstanceID, promptTokens int, began bool, o Outcome, took time.Duration, now time.Time) {
+// Ended takes in the end of an exchange. Began says whether it had been
+// called. It returns whether that made a place at a full server free.
+func (p *Placer) Ended(id mulberryspool.InstanceID, promptTokens int, began bool, o Outcome, took time.Duration, now time.Time) bool {
 	s := p.servers[id]
 	if s == nil {
-		return
+		return false
 	}
+	full := s.inFlight() >= p.places(s)
 	s.own.Requests = max(0, s.own.Requests-1)
 	if !began {
 		p.Began(id, promptTokens)
@@ -199,6 +206,7 @@
 		s.misdirectedUntil = now.Add(misdirectedFor)
 	}
 	s.health.ended(o, now)
+	return full && s.inFlight() < p.places(s)
 }
 
 // Paced takes in how the pause between two events compares with the published one.
@@ -240,12 +248,23 @@
 	return p.refuse(w, ReasonTooLate, now)
 }
 
-// Next returns when the first waiting request has waited for too long.
-func (p *Placer) Next() (time.Time, bool) {
+// Next returns when Tick has something to do without any other change: a
+// request has waited for too long, or this entry's turn has come.
+func (p *Placer) Next(now time.Time) (time.Time, bool) {
 	var next time.Time
+	sooner := func(at time.Time) {
+		if next.IsZero() || at.Before(next) {
+			next = at
+		}
+	}
 	for _, w := range p.waiting {
-		if next.IsZero() || w.until.Before(next) {
-			next = w.until
+		sooner(w.until)
+	}
+	if len(p.waiting) > 0 {
+		for _, s := range p.ordered {
+			if at := p.turn(s, now); at.After(now) && s.inFlight() < p.places(s) {
+				sooner(at)
+			}
 		}
 	}
 	return next, !next.IsZero()
--- a/internal/entry/placement/placer_test.go
+++ b/internal/entry/placement/placer_test.go
@@ -65,7 +65,7 @@
 // The requests of other entries take places that this entry does not see itself.
 func TestCountsWhatOtherEntriesSent(t *testing.T) {
 	p := newPlacer(2)
-	p.SetPeer("other", map[mulberryspool.InstanceID]Load{"i-0": {Requests: 4}}, false, start)
+	p.SetPeer("other", Peer{Loads: map[mulberryspool.InstanceID]Load{"i-0": {Requests: 4}}, Partial: false}, start)
 	for range 4 {
 		if d := p.Offer(request(start), start); d.Server.Instance != "i-1" {
 			t.Fatalf("placed at %q although it is full, want i-1", d.Server.Instance)
@@ -82,8 +82,8 @@
 
 func TestPartialWordOfOtherEntryKeepsTheRest(t *testing.T) {
 	p := newPlacer(2)
-	p.SetPeer("other", map[mulberryspool.InstanceID]Load{"i-0": {Requests: 4}, "i-1": {Requests: 4}}, false, start)
-	p.SetPeer("other", map[mulberryspool.InstanceID]Load{"i-1": {}}, true, start)
+	p.SetPeer("other", Peer{Loads: map[mulberryspool.InstanceID]Load{"i-0": {Requests: 4}, "i-1": {Requests: 4}}, Partial: false}, start)
+	p.SetPeer("other", Peer{Loads: map[mulberryspool.InstanceID]Load{"i-1": {}}, Partial: true}, start)
 	for range 4 {
 		if d := p.Offer(request(start), start); d.Server.Instance != "i-1" {
 			t.Fatalf("placed at %q, want i-1, which is empty again", d.Server.Instance)
@@ -115,7 +115,7 @@
 	if refused == 0 || waiting > 5 {
 		t.Errorf("%d wait and %d are refused of 200, want few and most", waiting, refused)
 	}
-	next, ok := p.Next()
+	next, ok := p.Next(start)
 	if !ok || next.Sub(start) > 400*time.Millisecond {
 		t.Errorf("the longest wait ends after %v, want at most the objective", next.Sub(start))
 	}
@@ -192,6 +192,56 @@
 	}
 }
 
+// A place that an entry leaves at a full server is told to all others at the
+// same moment. Five entries with waiting requests take it once, and not five
+// times, and the second place goes to another entry.
+func TestEntriesTakeTurnsAtAFreedPlace(t *testing.T) {
+	names := []string{"a", "b", "c", "d", "e"}
+	entries := make(map[string]*Placer)
+	tell := func(from string, said Peer, now time.Time) {
+		for name, p := range entries {
+			if name != from {
+				p.SetPeer(from, said, now)
+			}
+		}
+	}
+	loads := func(requests int) map[mulberryspool.InstanceID]Load {
+		return map[mulberryspool.InstanceID]Load{"i-0": {Requests: requests}}
+	}
+	for _, name := range names {
+		p := newPlacer(1)
+		p.Figures.Self = name
+		entries[name] = p
+	}
+	tell("leaving", Peer{Domain: "a", Loads: loads(4)}, start)
+	for _, name := range names {
+		w := &waiter{ticket: 1, request: request(start), until: start.Add(300 * time.Millisecond)}
+		entries[name].waiting = append(entries[name].waiting, w)
+		tell(name, Peer{Domain: "a", Waiting: 1}, start)
+	}
+	placed := 0
+	tell("leaving", Peer{Domain: "a", Loads: loads(2)}, start)
+	for now := start; now.Before(start.Add(200 * time.Millisecond)); now = now.Add(time.Millisecond) {
+		for _, name := range names {
+			p := entries[name]
+			next, ok := p.Next(now)
+			decisions := p.Tick(now)
+			if len(decisions) == 0 {
+				continue
+			}
+			if now.After(start) && (!ok || next.After(now)) {
+				t.Errorf("entry %s had a turn at %v without being woken", name, now.Sub(start))
+			}
+			placed++
+			// The others hear of it before the next turn.
+			tell(name, Peer{Domain: "a", Loads: loads(1)}, now.Add(turnStep-time.Millisecond))
+		}
+	}
+	if placed != 2 {
+		t.Errorf("%d requests were sent for 2 places", placed)
+	}
+}
+
 func TestLeavingAndEmptyServersGetNothing(t *testing.T) {
 	p := newPlacer(2)
 	list := engines(3, 1)
--- a/internal/peer/beat/beat.go
+++ b/internal/peer/beat/beat.go
@@ -53,6 +53,10 @@
 		Peers []string
 		// Served is set by agents.
 		Served *Served
+		// Domain is the sender's failure domain.
+		Domain string
+		// Waiting holds the pools for which requests of an entry wait, with Loads.
+		Waiting map[string]int
 	}
 
 	// Served is what an agent says of its backend server.
@@ -84,6 +88,7 @@
 	sender struct {
 		address netip.AddrPort
 		role    mulberryspool.Role
+		domain  string
 		at      time.Time
 		boot    int64
 		number  uint64
@@ -138,16 +143,21 @@
 	if !known {
 		l.Logger.Info().Str("step", "hear peer").Str("peer", m.Node).Str("address", from.String()).Str("role", string(m.Role)).Msg("peer is heard")
 	}
-	l.heard[m.Node] = sender{address: from, role: m.Role, at: l.Clock.Now(), boot: m.Boot, number: m.Number}
+	l.heard[m.Node] = sender{address: from, role: m.Role, domain: m.Domain, at: l.Clock.Now(), boot: m.Boot, number: m.Number}
 	return true
 }
 
 // Heard returns the addresses of the processes of a role that were heard
 // lately, and forgets the others.
 func (l *Link) Heard(role mulberryspool.Role) []netip.AddrPort {
+	near, far := l.HeardByDomain(role)
+	return append(near, far...)
+}
+
+// HeardByDomain is Heard with those of the own failure domain apart.
+func (l *Link) HeardByDomain(role mulberryspool.Role) (near, far []netip.AddrPort) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	var addresses []netip.AddrPort
 	now := l.Clock.Now()
 	for node, s := range l.heard {
 		if now.Sub(s.at) > DefaultForget {
@@ -155,11 +165,15 @@
 			l.Logger.Info().Str("step", "forget peer").Str("peer", node).Dur("silent", now.Sub(s.at)).Msg("peer is silent")
 			continue
 		}
-		if s.role == role {
-			addresses = append(addresses, s.address)
+		switch {
+		case s.role != role:
+		case s.domain == l.Self.Domain:
+			near = append(near, s.address)
+		default:
+			far = append(far, s.address)
 		}
 	}
-	return addresses
+	return near, far
 }
 
 // Send sends one message to all addresses.
@@ -169,7 +183,7 @@
 	}
 	l.mu.Lock()
 	l.number++
-	m.Role, m.Node, m.Boot, m.Number = l.Self.Role, l.Self.Node, l.Self.Boot, l.number
+	m.Role, m.Node, m.Domain, m.Boot, m.Number = l.Self.Role, l.Self.Node, l.Self.Domain, l.Self.Boot, l.number
 	l.mu.Unlock()
 	encoded, err := msgpack.Marshal(&m)
 	if err != nil {
--- a/internal/role/hosted/agent.go
+++ b/internal/role/hosted/agent.go
@@ -172,7 +172,7 @@
 	}
 	a.link = &beat.Link{
 		Conn: conn, Clock: p.clock, Logger: p.logger, Received: a.heard,
-		Self: beat.Message{Role: mulberryspool.RoleAgent, Node: s.Instance, Boot: p.boot},
+		Self: beat.Message{Role: mulberryspool.RoleAgent, Node: s.Instance, Domain: s.FailureDomain, Boot: p.boot},
 	}
 	stamps := &hlc.Clock{Wall: p.clock}
 	endpoint := &rpc.Endpoint{Clock: p.clock, Stamps: stamps, Handle: a.handle}
--- a/internal/role/hosted/entry.go
+++ b/internal/role/hosted/entry.go
@@ -33,10 +33,13 @@
 	// beatInterval is how often entries tell each other what has changed, and
 	// look at what has expired.
 	beatInterval = 100 * time.Millisecond
-	// placedDelay is how soon a placement is told to the other entries. They
-	// would all choose the same server meanwhile, and each prompt that is read
-	// there takes tens of milliseconds.
-	placedDelay = 5 * time.Millisecond
+	// nearDelay is how soon a placement is told to the entries of the same
+	// failure domain. They would all choose the same server meanwhile, and each
+	// prompt that is read there takes tens of milliseconds.
+	nearDelay = 5 * time.Millisecond
+	// farInterval is the least time between two beats to the entries of other
+	// failure domains, which take places at the servers here last.
+	farInterval = 25 * time.Millisecond
 	// fullBeats is the number of intervals between two beats with all loads.
 	fullBeats = 5
 	// agentBeats is the number of intervals between two beats to agents.
@@ -81,8 +84,8 @@
 		handler *forward.Handler
 		link    *beat.Link
 
-		// placed is filled when requests were placed.
-		placed chan struct{}
+		// loadChanged is filled when requests were placed, wait or left a place.
+		loadChanged chan struct{}
 		// news is filled when something new is believed.
 		news chan struct{}
 
@@ -104,7 +107,7 @@
 		return err
 	}
 	defer p.close()
-	e := &entryRole{parts: p, listed: make(map[netip.AddrPort]struct{}), placed: make(chan struct{}, 1), news: make(chan struct{}, 1)}
+	e := &entryRole{parts: p, listed: make(map[netip.AddrPort]struct{}), loadChanged: make(chan struct{}, 1), news: make(chan struct{}, 1)}
 	e.build()
 	callers, err := listen(s.Listen.Callers)
 	if err != nil {
@@ -120,7 +123,7 @@
 	}
 	e.link = &beat.Link{
 		Conn: conn, Clock: p.clock, Logger: p.logger, Received: e.heard,
-		Self: beat.Message{Role: mulberryspool.RoleEntry, Node: s.Instance, Boot: p.boot},
+		Self: beat.Message{Role: mulberryspool.RoleEntry, Node: s.Instance, Domain: s.FailureDomain, Boot: p.boot},
 	}
 	state, err := listen(s.EntryBeat(s.Address))
 	if err != nil {
@@ -149,14 +152,14 @@
 	b := e.settings.Bounds
 	e.desk = &desk.Desk{
 		Clock: e.clock, Random: newRandom(),
-		PlacedOne: func() {
+		LoadChanged: func() {
 			select {
-			case e.placed <- struct{}{}:
+			case e.loadChanged <- struct{}{}:
 			default:
 			}
 		},
 		Figures: placement.Figures{
-			Domain: e.identity.FailureDomain, Delay: domainDelay, VersionGrace: b.NamedVersion - versionMargin,
+			Self: e.settings.Instance, Domain: e.identity.FailureDomain, Delay: domainDelay, VersionGrace: b.NamedVersion - versionMargin,
 		},
 		Repeats: repeats.Budget{Window: b.RepeatWindow, Ratio: b.RepeatRatio, Slack: b.RepeatSlack / 2},
 	}
--- a/internal/role/hosted/entrybeats.go
+++ b/internal/role/hosted/entrybeats.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"maps"
 	"net/netip"
 	"time"
 
@@ -48,7 +49,7 @@
 	if m.Role == mulberryspool.RoleEntry {
 		// A beat without loads, such as a greeting, says nothing of them.
 		if m.Loads != nil {
-			e.desk.SetPeer(m.Node, m.Loads, m.Partial)
+			e.desk.SetPeer(m.Node, placement.Peer{Domain: m.Domain, Loads: m.Loads, Partial: m.Partial}, m.Waiting)
 		}
 		e.noteEntries(m.Peers)
 	}
@@ -68,13 +69,25 @@
 func (e *entryRole) beats(ctx context.Context) {
 	ticker := e.clock.NewTicker(beatInterval)
 	defer ticker.Stop()
-	told := make(map[mulberryspool.InstanceID]placement.Load)
+	near, far := &audience{}, &audience{}
+	var farDue <-chan time.Time
 	for round := 1; ; {
 		select {
 		case <-ticker.Chan():
-		case <-e.placed:
-			e.clock.Sleep(placedDelay)
-			told = e.tellChanges(told)
+		case <-e.loadChanged:
+			e.clock.Sleep(nearDelay)
+			toNear, toFar := e.link.HeardByDomain(mulberryspool.RoleEntry)
+			e.tellChanges(near, toNear)
+			if pause := farInterval - e.clock.Since(far.at); pause <= 0 {
+				e.tellChanges(far, toFar)
+			} else if farDue == nil {
+				farDue = e.clock.After(pause)
+			}
+			continue
+		case <-farDue:
+			farDue = nil
+			_, toFar := e.link.HeardByDomain(mulberryspool.RoleEntry)
+			e.tellChanges(far, toFar)
 			continue
 		case <-e.news:
 			e.greet()
@@ -85,10 +98,14 @@
 		e.desk.Expire()
 		if round++; round%fullBeats == 0 {
 			marks := e.fleet.Marks()
-			told = e.desk.Loads()
-			e.link.Send(beat.Message{Marks: &marks, Loads: told}, e.link.Heard(mulberryspool.RoleEntry))
+			loads, waiting := e.desk.Loads(), e.desk.Waiting()
+			e.link.Send(beat.Message{Marks: &marks, Loads: loads, Waiting: waiting}, e.link.Heard(mulberryspool.RoleEntry))
+			now := e.clock.Now()
+			*near, *far = audience{loads, waiting, now}, audience{loads, waiting, now}
 		} else {
-			told = e.tellChanges(told)
+			toNear, toFar := e.link.HeardByDomain(mulberryspool.RoleEntry)
+			e.tellChanges(near, toNear)
+			e.tellChanges(far, toFar)
 		}
 		if round%agentBeats == 0 {
 			e.greet()
@@ -97,25 +114,32 @@
 	}
 }
 
-// tellChanges tells the other entries at which servers the requests in flight
-// have changed, and returns what they know then.
-func (e *entryRole) tellChanges(told map[mulberryspool.InstanceID]placement.Load) map[mulberryspool.InstanceID]placement.Load {
-	loads := e.desk.Loads()
+// audience is what a group of entries was told last, and when.
+type audience struct {
+	loads   map[mulberryspool.InstanceID]placement.Load
+	waiting map[string]int
+	at      time.Time
+}
+
+// tellChanges tells a group of entries at which servers the requests in
+// flight have changed since it was told last.
+func (e *entryRole) tellChanges(told *audience, to []netip.AddrPort) {
+	loads, waiting := e.desk.Loads(), e.desk.Waiting()
 	changed := make(map[mulberryspool.InstanceID]placement.Load)
 	for id, l := range loads {
-		if told[id] != l {
+		if told.loads[id] != l {
 			changed[id] = l
 		}
 	}
-	for id := range told {
+	for id := range told.loads {
 		if _, ok := loads[id]; !ok {
 			changed[id] = placement.Load{}
 		}
 	}
-	if len(changed) > 0 {
-		e.link.Send(beat.Message{Loads: changed, Partial: true}, e.link.Heard(mulberryspool.RoleEntry))
+	if len(changed) > 0 || !maps.Equal(waiting, told.waiting) {
+		e.link.Send(beat.Message{Loads: changed, Partial: true, Waiting: waiting}, to)
 	}
-	return loads
+	*told = audience{loads, waiting, e.clock.Now()}
 }
 
 // greet reaches entries that were not heard yet, and agents.
