Let agents hear from entries, and read only the last state in a storm

In a storm of configurations, 12 a second, all 80 processes watched the store and were sent each configuration whole; 52 of them stand behind the two links of 24 Mbit/s between regions, and an entry at the far end was 2.3 s to 3.3 s behind (front-gandaki-a-2: version 49 at 21.53 s, 64 at 23.20 s).

Agents now rest from the store while they hear an entry, and read what they need (no routes, no keys) from one in their failure domain. A follower that meets two states of one object in a watch lists until nothing changes. A peer in the own failure domain is read after 150 ms, another one after 400 ms. News is told at most every 60 ms.

--- a/internal/platform/fleet/fleet.go
+++ b/internal/platform/fleet/fleet.go
@@ -95,6 +95,8 @@
 		// ConfigRearm and ServersRearm are the pauses between two watches; see
 		// follow.DefaultRearm.
 		ConfigRearm, ServersRearm time.Duration
+		// Rests says that peers tell what the store says; see follow.Follower.
+		Rests func() bool
 		// Wait returns how long a watch waits; nil for follow.DefaultWait. A
 		// store that drops its history may tell a waiting watch nothing.
 		Wait func() time.Duration
@@ -144,17 +146,17 @@
 
 func (f *Fleet) makeFollowers() {
 	f.config = follow.Follower[mulberryspool.Ingress]{
-		Store: f.Store, Kind: f.Kinds.Config, Clock: f.Clock, Wait: f.Wait, Rearm: f.ConfigRearm, Logger: f.Logger,
+		Store: f.Store, Kind: f.Kinds.Config, Clock: f.Clock, Wait: f.Wait, Rearm: f.ConfigRearm, Rests: f.Rests, Logger: f.Logger,
 		Set:     follow.Set[mulberryspool.Ingress]{Decode: f.Kinds.Ingress},
 		Changed: f.setIngresses,
 	}
 	f.servers = follow.Follower[mulberryspool.BackendServer]{
-		Store: f.Store, Kind: f.Kinds.Servers, Clock: f.Clock, Wait: f.Wait, Rearm: f.ServersRearm, Logger: f.Logger,
+		Store: f.Store, Kind: f.Kinds.Servers, Clock: f.Clock, Wait: f.Wait, Rearm: f.ServersRearm, Rests: f.Rests, Logger: f.Logger,
 		Set:     follow.Set[mulberryspool.BackendServer]{Decode: f.Kinds.Server, Grace: reappearTime},
 		Changed: f.setServers,
 	}
 	f.versions = follow.Follower[mulberryspool.NamedVersion]{
-		Store: f.Store, Kind: f.Kinds.Versions, Clock: f.Clock, Wait: f.versionsWait(), Logger: f.Logger,
+		Store: f.Store, Kind: f.Kinds.Versions, Clock: f.Clock, Wait: f.versionsWait(), Rests: f.Rests, Logger: f.Logger,
 		Set:     follow.Set[mulberryspool.NamedVersion]{Decode: f.Kinds.Version},
 		Changed: f.setVersions,
 	}
@@ -175,6 +177,14 @@
 	return f.state
 }
 
+// ForAgents leaves out what only entries need, which is most of the bytes.
+func (s State) ForAgents() State {
+	if s.Ingress != nil {
+		s.Ingress = &mulberryspool.Ingress{Version: s.Ingress.Version, Pools: s.Ingress.Pools}
+	}
+	return s
+}
+
 // Known says whether the process knows a configuration and a list of servers.
 func (f *Fleet) Known() bool {
 	s := f.State()
--- a/internal/platform/follow/follower.go
+++ b/internal/platform/follow/follower.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
 	"github.com/rs/zerolog"
 
@@ -22,6 +23,8 @@
 	DefaultRearm = 250 * time.Millisecond
 	// retryPause is the mean pause after a call that failed for good.
 	retryPause = 250 * time.Millisecond
+	// restingCheck is how often a follower that rests asks whether it still may.
+	restingCheck = 200 * time.Millisecond
 )
 
 type (
@@ -37,13 +40,22 @@
 		// Wait returns how long the next watch waits; nil means DefaultWait.
 		Wait func() time.Duration
 		// Rearm is DefaultRearm when it is 0.
-		Rearm  time.Duration
+		Rearm time.Duration
+		// Rests says that peers tell what the store says, so that it need not be
+		// asked once it has been; nil means never.
+		Rests  func() bool
 		Logger zerolog.Logger
 
 		mu        sync.Mutex
 		revision  mulberryspool.Revision
 		reachable bool
 		known     bool
+
+		// polling is set while an object changes more often than a watch is
+		// renewed. Each of its states would come whole, and only the last counts.
+		// It and listed, a hash of the last list, are used by Run only.
+		polling bool
+		listed  uint64
 	}
 )
 
@@ -57,8 +69,13 @@
 	}
 	listed := false
 	for ctx.Err() == nil {
+		if f.Rests != nil && f.Known() && f.Rests() {
+			listed = false
+			f.sleep(ctx, restingCheck)
+			continue
+		}
 		var err error
-		if listed {
+		if listed && !f.polling {
 			listed, err = f.watch(ctx)
 		} else {
 			listed, err = f.list(ctx)
@@ -99,6 +116,9 @@
 	if err != nil {
 		return false, err
 	}
+	content := hash(objects)
+	f.polling = f.polling && content != f.listed
+	f.listed = content
 	f.step(func(now time.Time) Difference { return f.Set.Replace(now, objects) }, at)
 	return true, nil
 }
@@ -117,6 +137,11 @@
 	if err != nil {
 		return true, err
 	}
+	seen := make(map[string]struct{}, len(changes))
+	for _, c := range changes {
+		seen[c.Object.Name] = struct{}{}
+	}
+	f.polling = len(seen) < len(changes)
 	f.step(func(now time.Time) Difference { return f.Set.Apply(now, changes) }, at)
 	return true, nil
 }
@@ -158,6 +183,17 @@
 	f.reachable = false
 }
 
+// hash tells lists apart.
+func hash(objects []mulberryspool.Object) uint64 {
+	d := xxhash.New()
+	for _, o := range objects {
+		// Writing to a hash does not fail.
+		_, _ = d.WriteString(o.Name + "=")
+		_, _ = d.Write(o.Value)
+	}
+	return d.Sum64()
+}
+
 func (f *Follower[T]) sleep(ctx context.Context, pause time.Duration) {
 	select {
 	case <-f.Clock.After(pause):
--- a/internal/role/hosted/agent.go
+++ b/internal/role/hosted/agent.go
@@ -60,6 +60,8 @@
 	manifestRetry = 300 * time.Millisecond
 	// newestRetry is the time between two questions for the newest version.
 	newestRetry = time.Second
+	// agentStateRest is the least time between two readings of an entry's beliefs.
+	agentStateRest = 700 * time.Millisecond
 	// agentServersRearm and agentConfigRearm are the pauses between watches of
 	// what an agent needs less urgently than an entry.
 	agentServersRearm = 1500 * time.Millisecond
@@ -199,7 +201,13 @@
 	a.fleet = a.parts.fleet()
 	a.fleet.ServersRearm, a.fleet.ConfigRearm = agentServersRearm, agentConfigRearm
 	a.fleet.NamedChanged = func(string, int64, time.Time) { a.look() }
-	a.beliefs = &beliefs{fleet: a.fleet, clock: a.clock, fetch: a.fetchState, logger: a.logger}
+	// Entries tell agents what the store says. With each agent watching it,
+	// every configuration went to all of them over the links between regions.
+	a.fleet.Rests = func() bool { return len(a.link.Heard(mulberryspool.RoleEntry)) > 0 }
+	a.beliefs = &beliefs{
+		fleet: a.fleet, clock: a.clock, fetch: a.stateFrom(agentStatePath), logger: a.logger,
+		domain: a.identity.FailureDomain, rest: agentStateRest,
+	}
 }
 
 // look wakes the loop.
--- a/internal/role/hosted/beliefs.go
+++ b/internal/role/hosted/beliefs.go
@@ -14,8 +14,13 @@
 	"github.com/mulberryspool/mulberryspool/internal/platform/fleet"
 )
 
-// behindTime is how long the store may take to tell what a peer knows already.
-const behindTime = 150 * time.Millisecond
+const (
+	// behindTime is how long the store may take to tell what a peer knows already.
+	behindTime = 150 * time.Millisecond
+	// farBehindTime is the same before a peer in another failure domain is
+	// read: one nearby then knows it too, and its bytes cost nothing.
+	farBehindTime = 400 * time.Millisecond
+)
 
 // beliefs keeps a fleet up to date from the beats of entries while the store
 // tells this process nothing, or later than others.
@@ -24,11 +29,15 @@
 	clock  mulberryspool.Clock
 	fetch  func(ctx context.Context, entry netip.AddrPort) (fleet.State, error)
 	logger zerolog.Logger
+	// domain is the failure domain of this process.
+	domain string
+	// rest is the least time between two readings.
+	rest time.Duration
 
 	mu sync.Mutex
 	// busy is set from the time that a peer is seen to know more until what it
-	// believes has been read.
-	busy bool
+	// believes has been read; for peers nearby (true) and others (false).
+	busy map[bool]bool
 }
 
 // heard takes in the beat of an entry.
@@ -42,18 +51,34 @@
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.busy {
+	near, wait := m.Domain == b.domain, behindTime
+	if !near {
+		wait = farBehindTime
+	}
+	if b.busy[near] {
 		return
 	}
-	b.busy = true
+	if b.busy == nil {
+		b.busy = make(map[bool]bool)
+	}
+	b.busy[near] = true
 	marks := *m.Marks
-	b.clock.AfterFunc(behindTime, func() {
-		if b.fleet.Behind(marks) {
-			b.catchUp(from, m.Node)
-		}
+	ready := func() {
 		b.mu.Lock()
 		defer b.mu.Unlock()
-		b.busy = false
+		b.busy[near] = false
+	}
+	b.clock.AfterFunc(wait, func() {
+		if !b.fleet.Behind(marks) {
+			ready()
+			return
+		}
+		b.catchUp(from, m.Node)
+		if b.rest == 0 {
+			ready()
+			return
+		}
+		b.clock.AfterFunc(b.rest, ready)
 	})
 }
 
--- a/internal/role/hosted/beliefs_test.go
+++ b/internal/role/hosted/beliefs_test.go
@@ -66,7 +66,7 @@
 	deadline := time.Now().Add(10 * time.Second)
 	for {
 		b.mu.Lock()
-		busy := b.busy
+		busy := b.busy[true]
 		b.mu.Unlock()
 		if !busy {
 			break
@@ -80,3 +80,37 @@
 		t.Errorf("a peer was asked %d times for what the store had told", n)
 	}
 }
+
+// What a peer in another failure domain knows comes over the narrow links
+// between regions, so a peer nearby that hears of it meanwhile is read instead.
+func TestPeerNearbyIsReadFirst(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	var fetched atomic.Int32
+	b := newBeliefs(clock, &fetched)
+	b.domain = "here"
+	read := make(chan netip.AddrPort, 4)
+	inner := b.fetch
+	b.fetch = func(ctx context.Context, entry netip.AddrPort) (fleet.State, error) {
+		read <- entry
+		return inner(ctx, entry)
+	}
+	far, near := netip.MustParseAddrPort("10.2.0.1:1"), netip.MustParseAddrPort("10.1.0.1:1")
+	fromFar, fromNear := marksOf("far", 5), marksOf("near", 5)
+	fromFar.Domain, fromNear.Domain = "there", "here"
+	b.heard(fromFar, far)
+	clock.Advance(50 * time.Millisecond)
+	b.heard(fromNear, near)
+	clock.Advance(behindTime)
+	if got := <-read; got != near {
+		t.Errorf("%v was read, want the peer nearby", got)
+	}
+	for b.fleet.State().Ingress.Version != 5 {
+		time.Sleep(time.Millisecond)
+	}
+	clock.Advance(farBehindTime)
+	select {
+	case got := <-read:
+		t.Errorf("%v was read for what is known already", got)
+	case <-time.After(20 * time.Millisecond):
+	}
+}
--- a/internal/role/hosted/entry.go
+++ b/internal/role/hosted/entry.go
@@ -69,6 +69,9 @@
 	headerTimeout = 10 * time.Second
 	// idleTimeout is above the longest time that callers keep a connection idle.
 	idleTimeout = 2 * time.Minute
+	// newsInterval is the least time between two tellings of news to all
+	// processes; in a storm of configurations only the last one counts.
+	newsInterval = 60 * time.Millisecond
 	// registerRetry is the pause after a registration that failed.
 	registerRetry = time.Second
 )
@@ -186,7 +189,9 @@
 		e.desk.SetNamed(model, version, at)
 		e.tellNews()
 	}
-	e.beliefs = &beliefs{fleet: e.fleet, clock: e.clock, fetch: e.fetchState, logger: e.logger}
+	e.beliefs = &beliefs{
+		fleet: e.fleet, clock: e.clock, fetch: e.stateFrom(statePath), logger: e.logger, domain: e.identity.FailureDomain,
+	}
 }
 
 // watchWait spreads the entries' watches over the time that news may take.
@@ -206,12 +211,14 @@
 
 func (e *entryRole) stateServer() *http.Server {
 	mux := http.NewServeMux()
-	mux.HandleFunc("GET "+statePath, func(w http.ResponseWriter, _ *http.Request) {
+	answer := func(w http.ResponseWriter, s fleet.State) {
 		w.Header().Set("Content-Type", "application/json")
-		if err := json.NewEncoder(w).Encode(e.fleet.State()); err != nil {
+		if err := json.NewEncoder(w).Encode(s); err != nil {
 			e.logger.Info().Err(err).Str(logging.FieldStep, "send beliefs").Msg("beliefs were not sent")
 		}
-	})
+	}
+	mux.HandleFunc("GET "+statePath, func(w http.ResponseWriter, _ *http.Request) { answer(w, e.fleet.State()) })
+	mux.HandleFunc("GET "+agentStatePath, func(w http.ResponseWriter, _ *http.Request) { answer(w, e.fleet.State().ForAgents()) })
 	return &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout}
 }
 
--- a/internal/role/hosted/entrybeats.go
+++ b/internal/role/hosted/entrybeats.go
@@ -70,7 +70,8 @@
 	ticker := e.clock.NewTicker(beatInterval)
 	defer ticker.Stop()
 	near, far := &audience{}, &audience{}
-	var farDue <-chan time.Time
+	var farDue, newsDue <-chan time.Time
+	var newsAt time.Time
 	for round := 1; ; {
 		select {
 		case <-ticker.Chan():
@@ -90,6 +91,12 @@
 			e.tellChanges(far, toFar)
 			continue
 		case <-e.news:
+			if newsDue == nil {
+				newsDue = e.clock.After(newsInterval - e.clock.Since(newsAt))
+			}
+			continue
+		case <-newsDue:
+			newsDue, newsAt = nil, e.clock.Now()
 			e.greet()
 			continue
 		case <-ctx.Done():
--- a/internal/role/hosted/hosted.go
+++ b/internal/role/hosted/hosted.go
@@ -61,6 +61,8 @@
 	maxStateBytes = 16 << 20
 	// statePath is where an entry serves its beliefs to other processes.
 	statePath = "/state"
+	// agentStatePath is the same without what only entries need.
+	agentStatePath = "/state/agent"
 )
 
 // parts are what both roles need.
@@ -131,10 +133,16 @@
 	}
 }
 
-// fetchState reads the beliefs of an entry.
-func (p *parts) fetchState(ctx context.Context, entry netip.AddrPort) (fleet.State, error) {
+// stateFrom returns a function that reads the beliefs of an entry.
+func (p *parts) stateFrom(path string) func(context.Context, netip.AddrPort) (fleet.State, error) {
+	return func(ctx context.Context, entry netip.AddrPort) (fleet.State, error) {
+		return p.fetchState(ctx, entry, path)
+	}
+}
+
+func (p *parts) fetchState(ctx context.Context, entry netip.AddrPort, path string) (fleet.State, error) {
 	var state fleet.State
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+entry.String()+statePath, nil)
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+entry.String()+path, nil)
 	if err != nil {
 		return state, errors.Wrap(err, "make request")
 	}
