--- a/internal/platform/follow/follower.go
+++ b/internal/platform/follow/follower.go
@@ -42,7 +42,7 @@
 		// Rearm is DefaultRearm when it is 0.
 		Rearm time.Duration
 		// Rests says that peers tell what the store says, so that it need not be
-		// asked once it has been; nil means never.
+		// asked; nil means never.
 		Rests  func() bool
 		Logger zerolog.Logger
 
@@ -69,7 +69,7 @@
 	}
 	listed := false
 	for ctx.Err() == nil {
-		if f.Rests != nil && f.Known() && f.Rests() {
+		if f.Rests != nil && f.Rests() {
 			listed = false
 			f.sleep(ctx, restingCheck)
 			continue
--- a/internal/role/hosted/agent.go
+++ b/internal/role/hosted/agent.go
@@ -62,6 +62,9 @@
 	newestRetry = time.Second
 	// agentStateRest is the least time between two readings of an entry's beliefs.
 	agentStateRest = 700 * time.Millisecond
+	// entriesFirst is how long an agent that starts waits for an entry to tell
+	// it what the store says.
+	entriesFirst = 800 * time.Millisecond
 	// agentServersRearm and agentConfigRearm are the pauses between watches of
 	// what an agent needs less urgently than an entry.
 	agentServersRearm = 1500 * time.Millisecond
@@ -203,7 +206,13 @@
 	a.fleet.NamedChanged = func(string, int64, time.Time) { a.look() }
 	// Entries tell agents what the store says. With each agent watching it,
 	// every configuration went to all of them over the links between regions.
-	a.fleet.Rests = func() bool { return len(a.link.Heard(mulberryspool.RoleEntry)) > 0 }
+	started := a.clock.Now()
+	a.fleet.Rests = func() bool {
+		if a.clock.Since(started) < entriesFirst {
+			return true
+		}
+		return a.fleet.Known() && len(a.link.Heard(mulberryspool.RoleEntry)) > 0
+	}
 	a.beliefs = &beliefs{
 		fleet: a.fleet, clock: a.clock, fetch: a.stateFrom(agentStatePath), logger: a.logger,
 		domain: a.identity.FailureDomain, rest: agentStateRest,
