Read manifests from other agents and free connections to the origin

After a loss of power, 57 of 58 agents never read the manifest: 4,484 connections were reset by the origin, which takes 75. Agents kept idle connections to it, up to three each, and the origin still held those of before the loss of power.

Three agents, in an order that all know, now read a manifest from the origin and the others from them; every fifth try goes to the origin. Idle connections to the origin are closed after 0.5 s.

Ruled out: what agents believe (each one knew configuration, servers and the named version 0.4 s after its start).

--- a/internal/role/hosted/agent.go
+++ b/internal/role/hosted/agent.go
@@ -56,8 +56,15 @@
 	// piecesPerRound bounds the pieces that are given to the model server in
 	// one round, so that the agent still looks often enough.
 	piecesPerRound = 8
-	// manifestRetry is the pause after a manifest that could not be read.
-	manifestRetry = 300 * time.Millisecond
+	// manifestFirstRetry is the mean pause after the first try to read a
+	// manifest; the agent that was asked is usually just reading it. It doubles
+	// up to manifestRetry.
+	manifestFirstRetry = 40 * time.Millisecond
+	manifestRetry      = 300 * time.Millisecond
+	// originIdle is how long a connection to the origin is kept. The origin
+	// takes fewer connections than there are agents, and keeps those of agents
+	// that have lost power.
+	originIdle = 500 * time.Millisecond
 	// newestRetry is the time between two questions for the newest version.
 	newestRetry = time.Second
 	// agentStateRest is the least time between two readings of an entry's beliefs.
@@ -98,6 +105,8 @@
 		origin  *platform.Weights
 		fetcher *fetch.Fetcher
 		uplink  *chunks.Link
+		// endpoint exchanges calls with other agents.
+		endpoint *rpc.Endpoint
 		// wake makes the loop look at once.
 		wake chan struct{}
 
@@ -156,7 +165,7 @@
 	a.buildFleet()
 	a.origin = &platform.Weights{Address: a.originAddress, Piece: a.pieceBytes, HTTP: &http.Client{
 		Timeout: originTimeout, Transport: &http.Transport{
-			DialContext: sockets.Dialer{}.DialContext, DisableCompression: true, MaxIdleConnsPerHost: agentLimits.OriginPipeline,
+			DialContext: sockets.Dialer{}.DialContext, DisableCompression: true, MaxIdleConnsPerHost: agentLimits.OriginPipeline, IdleConnTimeout: originIdle,
 		},
 	}}
 	limits := agentLimits
@@ -181,6 +190,7 @@
 	}
 	stamps := &hlc.Clock{Wall: p.clock}
 	endpoint := &rpc.Endpoint{Clock: p.clock, Stamps: stamps, Handle: a.handle}
+	a.endpoint = endpoint
 	a.fetcher = &fetch.Fetcher{
 		Identity: p.identity, Clock: p.clock, Origin: a.origin, Instances: a, Endpoint: endpoint, Listener: content,
 		Recorder: &timeline.Ring{Identity: p.identity, Stamps: stamps, Capacity: agentEvents},
@@ -236,18 +246,42 @@
 
 // handle answers other agents.
 func (a *agentRole) handle(m rpc.Message) {
-	if m.Method != mulberryspool.MethodChunksHave {
+	var answer any
+	switch m.Method {
+	case mulberryspool.MethodChunksHave:
+		var params mulberryspool.ChunksHaveParams
+		if err := m.Decode(&params); err != nil {
+			_ = m.ReplyError(jsonrpc2.CodeInvalidParams, err.Error())
+			return
+		}
+		answer = a.fetcher.Have(params)
+	case mulberryspool.MethodManifestFetch:
+		var params mulberryspool.ManifestFetchParams
+		if err := m.Decode(&params); err != nil {
+			_ = m.ReplyError(jsonrpc2.CodeInvalidParams, err.Error())
+			return
+		}
+		answer = a.knownManifest(params.Version)
+	default:
 		_ = m.ReplyError(jsonrpc2.CodeMethodNotFound, "unknown method "+m.Method)
 		return
 	}
-	var params mulberryspool.ChunksHaveParams
-	if err := m.Decode(&params); err != nil {
-		_ = m.ReplyError(jsonrpc2.CodeInvalidParams, err.Error())
-		return
+	if err := m.Reply(answer); err != nil {
+		a.logger.Debug().Err(err).Str(logging.FieldStep, "answer "+m.Method).Msg("answer not sent")
 	}
-	if err := m.Reply(a.fetcher.Have(params)); err != nil {
-		a.logger.Debug().Err(err).Str(logging.FieldStep, "answer chunks.have").Msg("answer not sent")
+}
+
+// knownManifest returns the manifest with the version's name, an empty one if
+// it is not here.
+func (a *agentRole) knownManifest(version string) mulberryspool.Manifest {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for _, m := range a.manifests {
+		if m.Version == version {
+			return m
+		}
 	}
+	return mulberryspool.Manifest{}
 }
 
 // Instances implements mulberryspool.InstanceList from the list of servers.
--- a/internal/role/hosted/agentloop.go
+++ b/internal/role/hosted/agentloop.go
@@ -2,15 +2,18 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
 	"github.com/mulberryspool/mulberryspool"
+	"github.com/mulberryspool/mulberryspool/internal/agent/manifests"
 	"github.com/mulberryspool/mulberryspool/internal/agent/staging"
 	"github.com/mulberryspool/mulberryspool/internal/agent/swap"
 	"github.com/mulberryspool/mulberryspool/internal/observe/logging"
 	"github.com/mulberryspool/mulberryspool/internal/peer/beat"
+	"github.com/mulberryspool/mulberryspool/platform"
 )
 
 // loop looks at the model server and does what the decider says.
@@ -239,8 +242,9 @@
 	if ok {
 		return known, nil
 	}
-	for {
-		m, err := a.origin.Manifest(ctx, model, version)
+	pause := manifestFirstRetry
+	for try := 0; ; try++ {
+		m, err := a.readManifest(ctx, model, version, try)
 		if err == nil {
 			a.mu.Lock()
 			a.manifests[version] = m
@@ -252,13 +256,52 @@
 		}
 		a.logger.Info().EmbedObject(logging.Fields{}.Err(err)).Err(err).Msg("manifest was not read")
 		select {
-		case <-a.clock.After(manifestRetry):
+		case <-a.clock.After(time.Duration((0.5 + rand.Float64()) * float64(pause))):
+			pause = min(2*pause, manifestRetry)
 		case <-ctx.Done():
 			return m, ctx.Err()
 		}
 	}
 }
 
+// readManifest asks another agent or the origin.
+func (a *agentRole) readManifest(ctx context.Context, model string, version int64, try int) (mulberryspool.Manifest, error) {
+	rows, err := a.Instances(ctx)
+	if err != nil {
+		return mulberryspool.Manifest{}, err
+	}
+	control := make(map[mulberryspool.InstanceID]string, len(rows))
+	var agents []mulberryspool.InstanceID
+	for _, r := range rows {
+		control[r.Instance] = r.Control
+		agents = append(agents, r.Instance)
+	}
+	peer, ok := manifests.Source(a.identity.Instance, agents, version, try)
+	if !ok {
+		return a.origin.Manifest(ctx, model, version)
+	}
+	return a.peerManifest(ctx, control[peer], platform.ContentPath(model, version))
+}
+
+// peerManifest reads a manifest from another agent.
+func (a *agentRole) peerManifest(ctx context.Context, address, version string) (mulberryspool.Manifest, error) {
+	ctx, cancel := context.WithTimeout(ctx, peerCallTimeout)
+	defer cancel()
+	var m mulberryspool.Manifest
+	conn, err := a.endpoint.Dial(ctx, address)
+	if err != nil {
+		return m, mulberryspool.AtStep(err, "read manifest", address)
+	}
+	defer conn.Close()
+	if err := conn.Call(ctx, mulberryspool.MethodManifestFetch, mulberryspool.ManifestFetchParams{Version: version}, &m); err != nil {
+		return m, mulberryspool.AtStep(err, "read manifest", address)
+	}
+	if m.Version != version {
+		return m, mulberryspool.AtStep(errors.Wrap(mulberryspool.ErrNotFound, "the agent does not have it yet"), "read manifest", address)
+	}
+	return m, nil
+}
+
 // readPiece reads a staged piece if it is that of the manifest.
 func (a *agentRole) readPiece(ctx context.Context, model string, m mulberryspool.Manifest, i int) ([]byte, error) {
 	data, err := a.engine.Staged(ctx, model, i)
