Log responses that begin on an outdated version, and contradicting ages

An entry now logs and counts each response whose first event came after the bound, with the age of the newer version at that moment and when the request was sent. A process logs when a peer reports an earlier time of naming than the recorded one, which it ignores. No decision is changed.

--- a/internal/entry/forward/attempt.go
+++ b/internal/entry/forward/attempt.go
@@ -132,6 +132,7 @@
 		return a.relayOversized(ctx, response, body)
 	}
 	a.complete, a.promptRead = true, true
+	a.logOutdatedStart(response, a.handler.Clock.Now())
 	a.handler.Scheduler.RecordFirstEvent(a.pool.Name, a.decision.Server.Instance, a.head.PromptTokens)
 	buffered := &bufferedResponse{status: response.StatusCode, header: response.Header, body: body}
 	if response.StatusCode >= http.StatusInternalServerError {
--- a/internal/entry/forward/log.go
+++ b/internal/entry/forward/log.go
@@ -1,11 +1,14 @@
 package forward
 
 import (
+	"cmp"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/rs/zerolog"
 
+	"github.com/mulberryspool/mulberryspool/internal/backend/httpconn"
 	"github.com/mulberryspool/mulberryspool/internal/entry/placement"
 	"github.com/mulberryspool/mulberryspool/internal/observe/logging"
 )
@@ -70,3 +73,21 @@
 		Str("outcome", code).Int("attempt", len(q.tried)+1).Dur("took", q.handler.Clock.Since(startedAt)).
 		Int("inFlight", decision.InFlight).Int64("version", decision.Version).AnErr("cause", q.lastError).Msg("attempt at backend server failed")
 }
+
+// logOutdatedStart records the metric and writes the log line of a response that
+// began on an older version after the grace of a newer named one.
+func (a *attempt) logOutdatedStart(response *httpconn.Answer, startedAt time.Time) {
+	version := cmp.Or(response.Head.Version, a.decision.Version)
+	if version == 0 {
+		return
+	}
+	newer, since := a.handler.Scheduler.FirstNewerVersion(a.pool.Name, version)
+	if newer == 0 || startedAt.Sub(since) <= a.handler.Scheduler.Placement.VersionGrace {
+		return
+	}
+	a.handler.count("outdated_starts", a.route.Name, a.pool.Name, strconv.FormatInt(version, 10))
+	a.handler.Logger.Warn().EmbedObject(logging.Fields{Route: a.route.Name, Pool: a.pool.Name, RequestID: a.head.ID, Peer: string(a.decision.Server.Instance)}).
+		Int64("version", version).Int64("newer", newer).Dur("newerAge", startedAt.Sub(since)).Dur("newerAgeWhenSent", a.startedAt.Sub(since)).
+		Int("inFlight", a.decision.InFlight).Int("places", a.decision.Capacity).Int("unread", a.decision.PendingPromptTokens).
+		Msg("response began on an older version after the bound of a newer one")
+}
--- a/internal/entry/forward/stream.go
+++ b/internal/entry/forward/stream.go
@@ -61,6 +61,7 @@
 		now := a.handler.Clock.Now()
 		if !a.promptRead {
 			a.promptRead, firstEventAt = true, now
+			a.logOutdatedStart(response, now)
 			a.handler.Scheduler.RecordFirstEvent(a.pool.Name, a.decision.Server.Instance, a.head.PromptTokens)
 		}
 		if a.stream != nil && !isNewEvent(a.stream.lastEventID, eventID(event)) {
--- a/internal/entry/scheduler/scheduler.go
+++ b/internal/entry/scheduler/scheduler.go
@@ -155,6 +155,27 @@
 	}
 }
 
+// FirstNewerVersion returns the oldest named version of the pool's model that is
+// newer than the given one, and when it was named; 0 if there is none.
+func (s *Scheduler) FirstNewerVersion(name string, version int64) (int64, time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	table := s.table.Load()
+	if table == nil {
+		return 0, time.Time{}
+	}
+	var (
+		first int64
+		since time.Time
+	)
+	for newer, at := range s.namedVersions[table.Ingress.Pools[name].Model] {
+		if newer > version && (first == 0 || newer < first) {
+			first, since = newer, at
+		}
+	}
+	return first, since
+}
+
 // SetPeer records the report of another entry, with the number of its requests
 // that wait in each pool.
 func (s *Scheduler) SetPeer(peer string, report placement.PeerReport, waiting map[string]int) {
--- a/internal/platform/fleet/fleet.go
+++ b/internal/platform/fleet/fleet.go
@@ -35,6 +35,9 @@
 	// maxKeptVersions is the number of named versions of a model whose times are
 	// kept. A third version makes the first one irrelevant in any case.
 	maxKeptVersions = 4
+	// notableDifference is the difference between two reports of a version's age
+	// from which it is logged. Below it, it is the latency of the reports.
+	notableDifference = 500 * time.Millisecond
 )
 
 type (
@@ -336,6 +339,10 @@
 	defer f.mu.Unlock()
 	known := f.namedVersions[model]
 	i, exists := slices.BinarySearchFunc(known, n, func(a, b namedVersion) int { return cmp.Compare(a.version, b.version) })
+	if exists && !n.ageAssumed && !known[i].ageAssumed && known[i].since.Sub(n.since) > notableDifference {
+		f.Logger.Info().Str("step", "apply named version").Str("source", source).Str("peer", peer).Str("model", model).Int64("version", n.version).
+			Dur("age", f.Clock.Since(known[i].since)).Dur("reported", f.Clock.Since(n.since)).Msg("named version is older than recorded")
+	}
 	switch {
 	case exists && (n.ageAssumed || !known[i].ageAssumed):
 		return
