Add a failing test for a version that is learned of late

The test fails: an entry that learns of a named version 6 s late, from the store's watch or from an outdated heartbeat, counts the version's bound from that moment and ignores the age that its peers report.

--- a/internal/platform/fleet/fleet_test.go
+++ b/internal/platform/fleet/fleet_test.go
@@ -146,3 +146,37 @@
 		}
 	}
 }
+
+// Guards against a process that learns late of a named version, for example after
+// it stood still, and measures the version's age from that moment although its
+// peers know better.
+func TestVersionLearnedLateKeepsItsAge(t *testing.T) {
+	const lateness = 6 * time.Second
+	named := map[string]mulberryspool.NamedVersion{"m": {Model: "m", Version: 2}}
+	for name, learnLate := range map[string]func(late *Fleet, stale map[string][]NamedVersionAge){
+		"from the store's watch": func(late *Fleet, _ map[string][]NamedVersionAge) {
+			late.setVersions(named, listwatch.Delta{Updated: []string{"m"}})
+		},
+		"from a heartbeat that waited in the socket": func(late *Fleet, stale map[string][]NamedVersionAge) {
+			late.MergeNamedVersions(stale, "peer")
+		},
+	} {
+		clock := clockwork.NewFakeClock()
+		peer, late := newFleet(clock), newFleet(clock)
+		var reported time.Time
+		late.NamedVersionChanged = func(_ string, _ int64, at time.Time) { reported = at }
+		peer.setVersions(named, listwatch.Delta{Updated: []string{"m"}})
+		stale := peer.Summary().Named
+		clock.Advance(lateness)
+		learnLate(late, stale)
+		late.MergeNamedVersions(peer.Summary().Named, "peer")
+		if _, at := late.NamedVersion("m"); clock.Since(at) != lateness || !reported.Equal(at) {
+			t.Errorf("%s: the version counts as %v old and was reported as %v old, want %v", name, clock.Since(at), clock.Since(reported), lateness)
+		}
+		// The late process does not make its peer's age smaller.
+		peer.MergeNamedVersions(stale, "late")
+		if _, at := peer.NamedVersion("m"); clock.Since(at) != lateness {
+			t.Errorf("%s: an outdated heartbeat changed the peer's age to %v, want %v", name, clock.Since(at), lateness)
+		}
+	}
+}
