Keep the earliest reported time of a named version

Cause: a process took the moment at which it learned of a version for the time at which the version was named, and kept the first such time. An entry that stood still while a version was named read the change from its watch, or from a heartbeat that had waited in its socket, counted the version as just named, and ignored the age that 21 other entries and 58 agents reported ten times a second. It went on sending requests to servers with the old version until its own bound had passed.

Ruled out: requests sent in time that begin late (all were sent after the bound), entries that know of no newer version (all logged it).

A report can only be late: it was made at or after the acknowledgement, and stays behind while it waits in a socket or in a process that stands still. So the earliest time is the closest one, whoever reports it. Assumed times still give way to known ones.

--- a/internal/platform/fleet/fleet.go
+++ b/internal/platform/fleet/fleet.go
@@ -35,9 +35,9 @@
 	// maxKeptVersions is the number of named versions of a model whose times are
 	// kept. A third version makes the first one irrelevant in any case.
 	maxKeptVersions = 4
-	// notableDifference is the difference between two reports of a version's age
-	// from which it is logged. Below it, it is the latency of the reports.
-	notableDifference = 500 * time.Millisecond
+	// minCorrection is the smallest correction of the time at which a version was
+	// named. Each correction wakes the process and is announced to its peers.
+	minCorrection = 10 * time.Millisecond
 )
 
 type (
@@ -332,19 +332,16 @@
 	}
 }
 
-// setNamedVersion adds a version, or corrects the time at which it was named if
-// that was only assumed.
+// setNamedVersion adds a version, or corrects the time at which it was named.
+// A report can only be late, so of the known times the earliest is kept. An
+// assumed time is replaced by any known one.
 func (f *Fleet) setNamedVersion(model string, n namedVersion, source, peer string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	known := f.namedVersions[model]
 	i, exists := slices.BinarySearchFunc(known, n, func(a, b namedVersion) int { return cmp.Compare(a.version, b.version) })
-	if exists && !n.ageAssumed && !known[i].ageAssumed && known[i].since.Sub(n.since) > notableDifference {
-		f.Logger.Info().Str("step", "apply named version").Str("source", source).Str("peer", peer).Str("model", model).Int64("version", n.version).
-			Dur("age", f.Clock.Since(known[i].since)).Dur("reported", f.Clock.Since(n.since)).Msg("named version is older than recorded")
-	}
 	switch {
-	case exists && (n.ageAssumed || !known[i].ageAssumed):
+	case exists && !n.corrects(known[i]):
 		return
 	case exists:
 		known = slices.Clone(known)
@@ -365,6 +362,14 @@
 	f.NamedVersionChanged(model, n.version, n.since)
 }
 
+// corrects reports whether the time in n is to replace that in known.
+func (n namedVersion) corrects(known namedVersion) bool {
+	if n.ageAssumed || known.ageAssumed {
+		return known.ageAssumed && !n.ageAssumed
+	}
+	return known.since.Sub(n.since) >= minCorrection
+}
+
 // NamedVersion returns the newest named version of a model, 0 for none, and since
 // when it is named.
 func (f *Fleet) NamedVersion(model string) (int64, time.Time) {
