Let agents correct when a version was named

Told of it late, or first of a later version, it put its swap off until 0.85 of a bound that began too late, so that its server got no requests between the true end of the bound and its swap.

The decider now keeps the earliest time of each version, like the fleet, and is given all versions that the fleet knows: the bound of the served version counts from the first newer one, also where a later one was heard of first.

Seen in TestSwapFollowsCorrectedTimeOfNaming, which failed on 12 of 15 servers (load 7.44 to 12.44 s after the version was named, with a bound of 8 s) and passes now.

--- a/internal/agent/swap/swap.go
+++ b/internal/agent/swap/swap.go
@@ -15,6 +15,7 @@
 
 import (
 	"cmp"
+	"slices"
 	"strconv"
 	"time"
 
@@ -65,7 +66,7 @@
 
 		members []mulberryspool.InstanceID
 		// named holds the named versions with the time at which each was
-		// named, oldest first.
+		// named, in the order of the versions.
 		named []namedVersion
 		// drainingVersion is the version for whose load entries were told to
 		// send no new requests; 0 while the server is not draining.
@@ -109,11 +110,19 @@
 	}
 )
 
-// SetNamedVersion records that a version was named, and when. It ignores versions
-// that are not newer than the newest named one.
+// SetNamedVersion records that a version was named, and when. Of several times
+// for a version the earliest counts, because a report can only be late.
 func (d *Decider) SetNamedVersion(version int64, at time.Time) {
-	if version > d.Wanted() {
-		d.named = append(d.named, namedVersion{version: version, at: at})
+	if version <= 0 {
+		return
+	}
+	i, known := slices.BinarySearchFunc(d.named, version, func(n namedVersion, v int64) int { return cmp.Compare(n.version, v) })
+	if !known {
+		d.named = slices.Insert(d.named, i, namedVersion{version: version, at: at})
+		return
+	}
+	if at.Before(d.named[i].at) {
+		d.named[i].at = at
 	}
 }
 
--- a/internal/agent/swap/swap_test.go
+++ b/internal/agent/swap/swap_test.go
@@ -164,3 +164,33 @@
 		}
 	}
 }
+
+// Guards against a server that swaps after the bound because its agent learned
+// late of the version, or first of a later one: the bound counts from when the
+// first newer version was named.
+func TestSwapFollowsCorrectedTimeOfNaming(t *testing.T) {
+	learned := namedTime.Add(6 * time.Second)
+	for name, learn := range map[string]func(d *Decider){
+		"earlier time of the same version": func(d *Decider) {
+			d.SetNamedVersion(2, learned)
+			d.SetNamedVersion(2, namedTime)
+		},
+		"later time of the same version": func(d *Decider) {
+			d.SetNamedVersion(2, namedTime)
+			d.SetNamedVersion(2, learned)
+		},
+		"older version": func(d *Decider) {
+			d.SetNamedVersion(3, learned)
+			d.SetNamedVersion(2, namedTime)
+		},
+	} {
+		for i := range 15 {
+			d := decider(i)
+			learn(d)
+			at := loadTime(t, d, View{Served: 1, Staged: d.Wanted(), StagedAt: learned}, learned)
+			if at.Sub(namedTime) > 7*time.Second {
+				t.Errorf("%s: server %d loads %v after the first newer version was named, want at most 7s", name, i, at.Sub(namedTime))
+			}
+		}
+	}
+}
--- a/internal/platform/fleet/fleet.go
+++ b/internal/platform/fleet/fleet.go
@@ -383,6 +383,17 @@
 	return newest.version, newest.since
 }
 
+// NamedVersions returns when each of the newest versions of a model was named.
+func (f *Fleet) NamedVersions(model string) map[int64]time.Time {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	known := make(map[int64]time.Time, len(f.namedVersions[model]))
+	for _, n := range f.namedVersions[model] {
+		known[n.version] = n.since
+	}
+	return known
+}
+
 // hashServers returns a hash of the servers' properties that does not depend on
 // their order.
 func hashServers(servers Servers) uint64 {
--- a/internal/role/hosted/agentloop.go
+++ b/internal/role/hosted/agentloop.go
@@ -38,6 +38,9 @@
 		return enginePollInterval
 	}
 	a.updateMembers()
+	for version, at := range a.fleet.NamedVersions(model) {
+		a.decider.SetNamedVersion(version, at)
+	}
 	a.decider.SetNamedVersion(a.wantedVersion(ctx, model))
 	if !a.readEngineState(ctx, model) {
 		a.setUplinkRate(false)
