Age only those named versions that a change of the store contains

A change of one model's version made all other named versions count as just named in a process that did not know their age, because the whole mirror was recorded with the time of the change. An entry that had restarted then kept sending requests to servers with the old version for a whole bound.

The other tests of the fleet now pass the changed objects in the delta, as the follower does; their checks are the same.

--- a/internal/platform/fleet/fleet.go
+++ b/internal/platform/fleet/fleet.go
@@ -326,9 +326,12 @@
 	if n.ageAssumed {
 		n.since = n.since.Add(-f.AssumedAge)
 	}
-	for _, v := range items {
-		n.version = v.Version
-		f.setNamedVersion(v.Model, n, fromStore, "")
+	// The other items are not new, so their age is not that of this change.
+	for _, name := range d.Updated {
+		if v, ok := items[name]; ok {
+			n.version = v.Version
+			f.setNamedVersion(v.Model, n, fromStore, "")
+		}
 	}
 }
 
--- a/internal/platform/fleet/fleet_test.go
+++ b/internal/platform/fleet/fleet_test.go
@@ -39,6 +39,12 @@
 	}
 }
 
+// namedVersions returns the objects of a store in which one version of model m is
+// named.
+func namedVersions(version int64) map[string]mulberryspool.NamedVersion {
+	return map[string]mulberryspool.NamedVersion{"m": {Model: "m", Version: version}}
+}
+
 func newServers(leaving bool, ids ...string) map[string]mulberryspool.BackendServer {
 	items := make(map[string]mulberryspool.BackendServer)
 	for _, id := range ids {
@@ -103,9 +109,9 @@
 func TestAgeOfNamedVersionIsLearnedFromPeers(t *testing.T) {
 	clock := clockwork.NewFakeClock()
 	old, restarted := newFleet(clock), newFleet(clock)
-	old.setVersions(map[string]mulberryspool.NamedVersion{"m": {Model: "m", Version: 2}}, listwatch.Delta{})
+	old.setVersions(namedVersions(2), listwatch.Delta{Updated: []string{"m"}})
 	clock.Advance(3 * time.Second)
-	restarted.setVersions(map[string]mulberryspool.NamedVersion{"m": {Model: "m", Version: 2}}, listwatch.Delta{FromList: true})
+	restarted.setVersions(namedVersions(2), listwatch.Delta{FromList: true, Updated: []string{"m"}})
 	if _, at := restarted.NamedVersion("m"); clock.Since(at) != 5*time.Second {
 		t.Errorf("a version that was already named counts as %v old, want the assumed 5s", clock.Since(at))
 	}
@@ -122,7 +128,7 @@
 
 func newFleetWithAssumedAge(clock clockwork.Clock) *Fleet {
 	f := newFleet(clock)
-	f.setVersions(map[string]mulberryspool.NamedVersion{"m": {Model: "m", Version: 2}}, listwatch.Delta{FromList: true})
+	f.setVersions(namedVersions(2), listwatch.Delta{FromList: true, Updated: []string{"m"}})
 	return f
 }
 
@@ -132,7 +138,7 @@
 	clock := clockwork.NewFakeClock()
 	f, peer := newFleet(clock), newFleet(clock)
 	for version := range int64(6) {
-		f.setVersions(map[string]mulberryspool.NamedVersion{"m": {Model: "m", Version: version + 1}}, listwatch.Delta{})
+		f.setVersions(namedVersions(version+1), listwatch.Delta{Updated: []string{"m"}})
 		clock.Advance(time.Second)
 	}
 	peer.MergeNamedVersions(f.Summary().Named, "f")
@@ -152,7 +158,7 @@
 // peers know better.
 func TestVersionLearnedLateKeepsItsAge(t *testing.T) {
 	const lateness = 6 * time.Second
-	named := map[string]mulberryspool.NamedVersion{"m": {Model: "m", Version: 2}}
+	named := namedVersions(2)
 	for name, learnLate := range map[string]func(late *Fleet, stale map[string][]NamedVersionAge){
 		"from the store's watch": func(late *Fleet, _ map[string][]NamedVersionAge) {
 			late.setVersions(named, listwatch.Delta{Updated: []string{"m"}})
@@ -180,3 +186,19 @@
 		}
 	}
 }
+
+// Guards against a version of unknown age that counts as just named when a
+// version of another model is named.
+func TestOtherModelsVersionDoesNotResetAge(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	f := newFleetWithAssumedAge(clock)
+	items := namedVersions(2)
+	items["other"] = mulberryspool.NamedVersion{Model: "other", Version: 7}
+	f.setVersions(items, listwatch.Delta{Updated: []string{"other"}})
+	if _, at := f.NamedVersion("m"); clock.Since(at) != f.AssumedAge {
+		t.Errorf("the version counts as %v old, want the assumed %v", clock.Since(at), f.AssumedAge)
+	}
+	if version, at := f.NamedVersion("other"); version != 7 || clock.Since(at) != 0 {
+		t.Errorf("the other model's version is %d, %v old, want 7, just named", version, clock.Since(at))
+	}
+}
