Give up a request that an outdated server has not begun in time

A request that was placed on a server with the old version before the end of the version's bound could begin after it: the placement only estimates when the response starts, and nothing checked the estimate. A server that was slow or stood still kept the request until the read timeout of 1.2 s, on the last attempt until the deadline, and opening its connection could take 0.8 s more.

A placed request now carries the time by which its response must have started. The connection is closed at that time, which makes the server drop the request, and the request is sent to a server with a newer version, or ended with 502 if it must not be sent again. A request whose connection was opened too late is not sent at all. The server's health is not affected.

TestRequestNotStartedInTimeLeavesOutdatedServer and TestRequestIsNotSentToVersionOutdatedWhileDialing failed before: the caller got the old version's answer 0.3 s after the bound, and the server got the request. TestOutdatedStartIsLogged now corrects the version's age while the request is in flight, because a response can begin late in no other way.

--- a/internal/entry/forward/attempt.go
+++ b/internal/entry/forward/attempt.go
@@ -17,7 +17,12 @@
 	"github.com/mulberryspool/mulberryspool/internal/entry/placement"
 )
 
-const eventStream = "text/event-stream"
+const (
+	eventStream = "text/event-stream"
+	// outcomeOutdated is an attempt that was given up because the backend server's
+	// version was out of date before the response started.
+	outcomeOutdated = "outdated"
+)
 
 // attempt is one exchange of a request with a backend server.
 type attempt struct {
@@ -25,6 +30,8 @@
 	decision  placement.Decision
 	conn      *httpconn.Conn
 	startedAt time.Time
+	// sentAt is when the request was sent, after its connection was opened.
+	sentAt time.Time
 	// promptRead is set once the backend server has read the prompt, which
 	// the first event or a complete response shows.
 	promptRead bool
@@ -35,6 +42,7 @@
 
 // run sends the request and handles the response.
 func (a *attempt) run(ctx context.Context) (attemptResult, placement.Outcome) {
+	a.sentAt = a.handler.Clock.Now()
 	if err := a.conn.Send(a.requestBytes(a.outgoingHead()), a.body, a.deadline); err != nil {
 		a.lastError = err
 		a.logAttempt(a.decision, "notSent", a.startedAt)
@@ -43,7 +51,7 @@
 		}
 		return resultUnknown, a.attributeOutcome(ctx, placement.Broken)
 	}
-	if err := a.conn.SetReadDeadline(a.handler.Clock.Now().Add(a.readTimeout())); err != nil {
+	if err := a.conn.SetReadDeadline(a.startDeadline(a.handler.Clock.Now().Add(a.readTimeout()))); err != nil {
 		return a.handleLost(ctx, err)
 	}
 	response, err := a.conn.Receive(a.incoming.Method, a.head.ID)
@@ -101,10 +109,30 @@
 	return resultNotRun, placement.Full
 }
 
+// startDeadline returns the earlier one of the given time and the time by which
+// the response must have started.
+func (a *attempt) startDeadline(at time.Time) time.Time {
+	if by := a.decision.StartBy; !by.IsZero() && by.Before(at) {
+		return by
+	}
+	return at
+}
+
+// isOutdated reports whether an exchange timed out because its response did not
+// start before the backend server's version was out of date.
+func (a *attempt) isOutdated(err error) bool {
+	by := a.decision.StartBy
+	return isTimeout(err) && !a.promptRead && !by.IsZero() && !a.handler.Clock.Now().Before(by)
+}
+
 // handleLost handles an exchange that broke before the response was complete.
 func (a *attempt) handleLost(ctx context.Context, err error) (attemptResult, placement.Outcome) {
 	a.lastError = err
-	a.logAttempt(a.decision, "lost", a.startedAt)
+	code := "lost"
+	if a.isOutdated(err) {
+		code = outcomeOutdated
+	}
+	a.logAttempt(a.decision, code, a.startedAt)
 	return resultUnknown, a.attributeOutcome(ctx, a.failureOutcome(err))
 }
 
@@ -112,6 +140,9 @@
 // backend server. A timeout counts as silence only if the deadline of the
 // request has not passed, because a long request alone is no sign of a fault.
 func (a *attempt) failureOutcome(err error) placement.Outcome {
+	if a.isOutdated(err) {
+		return placement.Cancelled
+	}
 	if isTimeout(err) && a.handler.Clock.Until(a.deadline) > 0 {
 		return placement.TimedOut
 	}
--- a/internal/entry/forward/log.go
+++ b/internal/entry/forward/log.go
@@ -87,7 +87,7 @@
 	}
 	a.handler.count("outdated_starts", a.route.Name, a.pool.Name, strconv.FormatInt(version, 10))
 	a.handler.Logger.Warn().EmbedObject(logging.Fields{Route: a.route.Name, Pool: a.pool.Name, RequestID: a.head.ID, Peer: string(a.decision.Server.Instance)}).
-		Int64("version", version).Int64("newer", newer).Dur("newerAge", startedAt.Sub(since)).Dur("newerAgeWhenSent", a.startedAt.Sub(since)).
+		Int64("version", version).Int64("newer", newer).Dur("newerAge", startedAt.Sub(since)).Dur("newerAgeWhenSent", a.sentAt.Sub(since)).
 		Int("inFlight", a.decision.InFlight).Int("places", a.decision.Capacity).Int("unread", a.decision.PendingPromptTokens).
 		Msg("response began on an older version after the bound of a newer one")
 }
--- a/internal/entry/forward/outdated_test.go
+++ b/internal/entry/forward/outdated_test.go
@@ -3,6 +3,9 @@
 import (
 	"bufio"
 	"bytes"
+	"context"
+	"math/rand/v2"
+	"net"
 	"net/http"
 	"strings"
 	"testing"
@@ -11,49 +14,162 @@
 	"github.com/rs/zerolog"
 
 	"github.com/mulberryspool/mulberryspool"
+	"github.com/mulberryspool/mulberryspool/internal/entry/placement"
+	"github.com/mulberryspool/mulberryspool/internal/entry/retrybudget"
+	"github.com/mulberryspool/mulberryspool/internal/entry/scheduler"
+)
+
+const (
+	versionGrace = time.Second
+	// versionAge leaves more of the grace than the placement expects a response
+	// to take until its start.
+	versionAge = 500 * time.Millisecond
+	// slowStart ends after the grace.
+	slowStart = 800 * time.Millisecond
 )
 
 // newVersionedEntry returns an entry whose pool serves version 1 of a model, and
 // the buffer that its log is written to.
-func newVersionedEntry(t *testing.T, grace time.Duration, backends ...*backend) (*entry, *bytes.Buffer) {
+func newVersionedEntry(t *testing.T, backends ...*backend) (*entry, *bytes.Buffer) {
 	t.Helper()
 	e := newEntry(t, backends...)
-	e.scheduler.Placement.VersionGrace = grace
+	e.scheduler = &scheduler.Scheduler{
+		Clock: e.handler.Clock, Random: rand.New(rand.NewPCG(1, 1)),
+		Placement:   placement.Config{FailureDomain: "a", VersionGrace: versionGrace},
+		RetryBudget: retrybudget.Budget{Window: 10 * time.Second, Ratio: 0.2, Slack: 100},
+	}
+	e.handler.Scheduler = e.scheduler
 	i := ingress()
-	i.Version = 2
+	notResumable := route("once", mulberryspool.Streaming, 2)
+	notResumable.Resumable = false
+	i.Routes = append(i.Routes, notResumable)
 	i.Pools = map[string]mulberryspool.IngressPool{"p": {Name: "p", Model: "m", Engine: &mulberryspool.EngineProfile{
 		Slots: 4, TokenTime: time.Millisecond, PromptTokensPerSecond: 1e6, TokensPerEvent: 1, MeanPromptTokens: 10, MeanAnswerTokens: 10,
 	}}}
 	e.scheduler.SetIngress(i)
+	e.setServers(backends...)
 	var log bytes.Buffer
 	e.handler.Logger = zerolog.New(zerolog.SyncWriter(&log))
 	return e, &log
 }
 
-// Guards against responses from an outdated version that leave no trace: the log
-// lines of successful requests are sampled.
+// setServers makes the backends the only servers; the first has version 1, each
+// further one the version after it.
+func (e *entry) setServers(backends ...*backend) {
+	servers := make(map[mulberryspool.InstanceID]mulberryspool.BackendServer)
+	for i, b := range backends {
+		s := b.server("p")
+		s.Models = []mulberryspool.LoadedModel{{Model: "m", Version: int64(1 + i)}}
+		servers[s.Instance] = s
+	}
+	e.scheduler.SetServers(servers)
+}
+
+// Guards against a response that starts on an old version after the version's
+// grace, because its server is slow or stands still: the request is sent to a
+// server with the new version, or ended if it must not be sent again.
+func TestRequestNotStartedInTimeLeavesOutdatedServer(t *testing.T) {
+	for name, answerHead := range map[string]bool{"no byte": false, "head without event": true} {
+		for _, c := range []struct {
+			path   string
+			status int
+			body   string
+		}{
+			{"/stream/1", http.StatusOK, eventStreamBody(1, 3)},
+			{"/once/1", http.StatusBadGateway, ""},
+		} {
+			t.Run(name+c.path, func(t *testing.T) {
+				closed := make(chan struct{})
+				var e *entry
+				updated := newBackend(t, "i-2", func(w *bufio.Writer, r *http.Request, _ int) bool { writeEvents(w, r, 1, 3, true); return true })
+				var outdated *backend
+				outdated = newBackend(t, "i-1", func(w *bufio.Writer, r *http.Request, _ int) bool {
+					e.setServers(outdated, updated)
+					if answerHead {
+						writeEvents(w, r, 1, 0, false)
+						_ = w.Flush()
+					}
+					time.Sleep(slowStart)
+					if answerHead {
+						writeEvents(w, r, 2, 2, true)
+					} else {
+						writeEvents(w, r, 1, 2, true)
+					}
+					// Writes to a closed connection fail after a while.
+					for range 100 {
+						if _, err := w.WriteString("x"); err != nil || w.Flush() != nil {
+							close(closed)
+							return false
+						}
+						time.Sleep(10 * time.Millisecond)
+					}
+					return false
+				})
+				e, _ = newVersionedEntry(t, outdated)
+				e.scheduler.SetNamedVersion("m", 2, time.Now().Add(-versionAge))
+				began := time.Now()
+				response, body, complete := e.call(t, http.MethodPost, c.path, "x")
+				if took := time.Since(began); took > slowStart {
+					t.Errorf("ended after %v, want the end of the grace after %v", took, versionGrace-versionAge)
+				}
+				if response.StatusCode != c.status || !complete || c.body != "" && body != c.body {
+					t.Errorf("response is %d %q, complete %v, want a complete %d %q", response.StatusCode, body, complete, c.status, c.body)
+				}
+				select {
+				case <-closed:
+				case <-time.After(5 * time.Second):
+					t.Error("the connection to the outdated server stayed open")
+				}
+			})
+		}
+	}
+}
+
+// Guards against a request that is sent to an old version after the version's
+// grace because opening its connection took long.
+func TestRequestIsNotSentToVersionOutdatedWhileDialing(t *testing.T) {
+	outdated := newBackend(t, "i-1", func(w *bufio.Writer, r *http.Request, _ int) bool { writeEvents(w, r, 1, 2, true); return true })
+	updated := newBackend(t, "i-2", func(w *bufio.Writer, r *http.Request, _ int) bool { writeEvents(w, r, 1, 2, true); return true })
+	e, _ := newVersionedEntry(t, outdated)
+	e.scheduler.SetNamedVersion("m", 2, time.Now().Add(-versionAge))
+	dial := e.handler.ConnPool.Dial
+	e.handler.ConnPool.Dial = func(ctx context.Context, network, address string) (net.Conn, error) {
+		if address == outdated.address {
+			time.Sleep(slowStart)
+			e.setServers(outdated, updated)
+		}
+		return dial(ctx, network, address)
+	}
+	response, body, complete := e.call(t, http.MethodPost, "/once/1", "x")
+	if response.StatusCode != http.StatusOK || body != eventStreamBody(1, 2) || !complete {
+		t.Errorf("response is %d %q, complete %v, want the two events of the updated server", response.StatusCode, body, complete)
+	}
+	if n := outdated.requests.Load(); n != 0 {
+		t.Errorf("the outdated server got %d requests, want none", n)
+	}
+}
+
+// Guards against responses from an outdated version that leave no trace, because
+// the log lines of successful requests are sampled. The version's age is corrected
+// while the request is in flight.
 func TestOutdatedStartIsLogged(t *testing.T) {
 	const message = "response began on an older version"
-	for _, c := range []struct {
-		age    time.Duration
-		logged bool
-	}{
-		{500 * time.Millisecond, true},
-		{0, false},
-	} {
+	for _, age := range []time.Duration{versionAge, 2 * versionGrace} {
+		var e *entry
 		b := newBackend(t, "i-1", func(w *bufio.Writer, r *http.Request, _ int) bool {
-			time.Sleep(600 * time.Millisecond)
+			e.scheduler.SetNamedVersion("m", 2, time.Now().Add(-age))
 			writeEvents(w, r, 1, 2, true)
 			return true
 		})
-		e, log := newVersionedEntry(t, time.Second, b)
+		var log *bytes.Buffer
+		e, log = newVersionedEntry(t, b)
 		e.handler.Sampled = func(mulberryspool.RequestID) bool { return false }
-		e.scheduler.SetNamedVersion("m", 2, time.Now().Add(-c.age))
+		e.scheduler.SetNamedVersion("m", 2, time.Now())
 		if _, _, complete := e.call(t, http.MethodPost, "/stream/1", "x"); !complete {
-			t.Fatalf("version named %v ago: the stream is not complete", c.age)
+			t.Fatalf("version named %v ago: the stream is not complete", age)
 		}
-		if got := strings.Contains(log.String(), message); got != c.logged {
-			t.Errorf("version named %v ago: logged %v, want %v; log: %s", c.age, got, c.logged, log)
+		if got, want := strings.Contains(log.String(), message), age > versionGrace; got != want {
+			t.Errorf("version named %v ago: logged %v, want %v; log: %s", age, got, want, log)
 		}
 	}
 }
--- a/internal/entry/forward/request.go
+++ b/internal/entry/forward/request.go
@@ -259,6 +259,13 @@
 		q.logAttempt(decision, "unreached", startedAt)
 		return resultNotSent
 	}
+	if by := decision.StartBy; !by.IsZero() && !q.handler.Clock.Now().Before(by) {
+		conn.Release(true)
+		q.lastError = errors.Newf("version %d is out of date since the connection was opened", decision.Version)
+		q.reportEnded(decision, false, placement.Cancelled, 0)
+		q.logAttempt(decision, outcomeOutdated, startedAt)
+		return resultNotSent
+	}
 	stop := conn.InterruptOnDone(ctx)
 	a := &attempt{request: q, decision: decision, conn: conn, startedAt: startedAt}
 	result, outcome := a.run(ctx)
--- a/internal/entry/forward/stream.go
+++ b/internal/entry/forward/stream.go
@@ -116,7 +116,10 @@
 	}
 	at := a.handler.Clock.Now().Add(silence)
 	if at.After(a.deadline) {
-		return a.deadline
+		at = a.deadline
+	}
+	if !a.promptRead {
+		return a.startDeadline(at)
 	}
 	return at
 }
@@ -141,7 +144,11 @@
 // handleBrokenStream handles a stream that ended before its last event.
 func (a *attempt) handleBrokenStream(ctx context.Context, relayed int, err error) (attemptResult, placement.Outcome) {
 	a.lastError = err
-	a.logAttempt(a.decision, "cutAfter"+strconv.Itoa(relayed), a.startedAt)
+	code := "cutAfter" + strconv.Itoa(relayed)
+	if a.isOutdated(err) {
+		code = outcomeOutdated
+	}
+	a.logAttempt(a.decision, code, a.startedAt)
 	if a.stream != nil {
 		a.stream.resumeCount++
 	}
--- a/internal/entry/placement/choose.go
+++ b/internal/entry/placement/choose.go
@@ -80,19 +80,27 @@
 // startsWithinGrace reports whether the response starts before the version grace
 // of every newer named version ends.
 func (p *Placer) startsWithinGrace(s *server, r Request, now time.Time) bool {
-	if len(p.namedVersions) == 0 {
+	end := p.graceEnd(s.version)
+	if end.IsZero() {
 		return true
 	}
 	startsAt := now.Add(firstEventFactor*(2*p.passTime()+p.prefillTime(s.pendingPromptTokens()+r.PromptTokens)) + firstEventMargin)
 	if s.inFlight() >= s.slots() {
 		startsAt = startsAt.Add(queuedSlotDelay)
 	}
+	return startsAt.Before(end)
+}
+
+// graceEnd returns when the first version grace of the versions that are newer
+// than the given one ends; zero if there is none.
+func (p *Placer) graceEnd(version int64) time.Time {
+	var end time.Time
 	for newer, since := range p.namedVersions {
-		if newer > s.version && !startsAt.Before(since.Add(p.Config.VersionGrace)) {
-			return false
+		if at := since.Add(p.Config.VersionGrace); newer > version && (end.IsZero() || at.Before(end)) {
+			end = at
 		}
 	}
-	return true
+	return end
 }
 
 // score is the expected time to the first event.
--- a/internal/entry/placement/placement.go
+++ b/internal/entry/placement/placement.go
@@ -60,8 +60,8 @@
 	TimedOut
 	// Unreachable is a backend server that accepts no connection.
 	Unreachable
-	// Cancelled is an exchange that the caller cancelled; it says nothing about
-	// the backend server.
+	// Cancelled is an exchange that the caller or the entry ended; it says nothing
+	// about the backend server.
 	Cancelled
 )
 
@@ -122,6 +122,9 @@
 		// Server is set for placed requests, Version is the one it serves.
 		Server  mulberryspool.BackendServer
 		Version int64
+		// StartBy is when the response must have started, because a newer version
+		// is named; zero if there is none.
+		StartBy time.Time
 		// InFlight is the number of requests known to be in flight at the server,
 		// or at all usable servers for a refusal; Capacity is their capacity.
 		InFlight, Capacity int
--- a/internal/entry/placement/placer.go
+++ b/internal/entry/placement/placer.go
@@ -322,6 +322,9 @@
 		Ticket: q.ticket, Verdict: Placed, Reason: ReasonFreeCapacity, Server: s.BackendServer, Version: s.version,
 		InFlight: s.inFlight(), Capacity: p.capacity(s), PendingPromptTokens: s.pendingPromptTokens(),
 	}
+	if p.pool.Model != "" {
+		d.StartBy = p.graceEnd(s.version)
+	}
 	s.ownLoad.Requests++
 	s.ownLoad.PendingPromptTokens += q.request.PromptTokens
 	s.health.recordSent(now)
--- a/internal/entry/placement/placer_test.go
+++ b/internal/entry/placement/placer_test.go
@@ -412,3 +412,23 @@
 		t.Errorf("a short response was placed at %s, want i-0", d.Server.Instance)
 	}
 }
+
+// Guards against a placed request whose time limit is that of the newest version
+// although an earlier one made the server's version outdated, and against a limit
+// where no newer version is named.
+func TestPlacedRequestMustStartWithinGraceOfFirstNewerVersion(t *testing.T) {
+	for name, c := range map[string]struct {
+		named map[int64]time.Time
+		want  time.Time
+	}{
+		"no version named":   {nil, time.Time{}},
+		"same version named": {map[int64]time.Time{1: start.Add(-time.Hour)}, time.Time{}},
+		"two newer versions": {map[int64]time.Time{2: start.Add(-3 * time.Second), 3: start.Add(-time.Second)}, start.Add(4 * time.Second)},
+	} {
+		p := newPlacer(1)
+		p.SetNamedVersions(c.named)
+		if d := p.Offer(request(start), start); d.Verdict != Placed || !d.StartBy.Equal(c.want) {
+			t.Errorf("%s: %+v, want placed with StartBy %v", name, d, c.want)
+		}
+	}
+}
