Count an unknown age from the first sight of a version

Two more ways in which the time of hearing stood for the time of naming, found by review. A process that listed a version of unknown age replaced its conservative time by any time that was called known, also by one that was later than its own first sight: that of a peer that had learned of the version late, or that of a change of the object that kept the version. And each process that heard of an unknown age assumed it anew, with a new 3 s of grace for the old version.

A process now keeps and reports the first sight of each version beside whether its age is known. An unknown age counts from the first sight of any process; a time that is called known is taken only if it follows the first sight at once, and gives way to a first sight that is clearly earlier. Processes of the previous build leave the new field out and are treated as before.

Seen in TestUnknownAgeIsNotAssumedAnew (5 s old, 9 s at the peer), TestKnownVersionDoesNotBecomeYoungerThanItsFirstSight (0 s old, listed 3 s ago) and TestEarlierSightOverridesKnownAge, which failed before. The log line of a correction has the age before it.

--- a/internal/platform/fleet/fleet.go
+++ b/internal/platform/fleet/fleet.go
@@ -38,6 +38,9 @@
 	// minCorrection is the smallest correction of the time at which a version was
 	// named. Each correction wakes the process and is announced to its peers.
 	minCorrection = 10 * time.Millisecond
+	// maxReportDelay is how long after the first sight of a version a process that
+	// watches for it may see it, if neither its watch nor the process was held up.
+	maxReportDelay = 500 * time.Millisecond
 )
 
 type (
@@ -71,15 +74,20 @@
 		// AgeMillis is negative if the version was already named when the process
 		// first saw it, and no peer has reported the age.
 		AgeMillis int64 `json:"ageMillis"`
+		// SeenMillis is the time since any process first saw the version. It is
+		// given if AgeMillis is negative.
+		SeenMillis int64 `json:"seenMillis,omitempty"`
 	}
 
-	// namedVersion is a named version and since when it is named.
+	// namedVersion is a named version and when it was first seen.
 	namedVersion struct {
 		version int64
-		since   time.Time
-		// ageAssumed is set if the version was already named when the process
-		// first saw it, so that its age is unknown.
-		ageAssumed bool
+		// seen is when a process first saw the version, as far as known. The version
+		// was named at that time or before.
+		seen time.Time
+		// ageUnknown is set if the version may have been named long before it was
+		// first seen.
+		ageUnknown bool
 	}
 
 	// Kinds holds the names of the store's kinds and the functions that decode
@@ -115,8 +123,8 @@
 		// NamedVersionChanged is called with the time at which the version was named, as
 		// far as known, and again when that time is corrected.
 		NamedVersionChanged func(model string, version int64, at time.Time)
-		// AssumedAge is the assumed age of a version that was already named when
-		// the process first saw it, until a peer reports the age.
+		// AssumedAge is the assumed age, at its first sight, of a version that was
+		// already named then, until a peer reports the age.
 		AssumedAge time.Duration
 
 		once     sync.Once
@@ -213,9 +221,9 @@
 	}
 	for model, versions := range f.namedVersions {
 		for _, n := range versions {
-			age := NamedVersionAge{Version: n.version, AgeMillis: now.Sub(n.since).Milliseconds()}
-			if n.ageAssumed {
-				age.AgeMillis = -1
+			age := NamedVersionAge{Version: n.version, AgeMillis: now.Sub(n.seen).Milliseconds()}
+			if n.ageUnknown {
+				age.AgeMillis, age.SeenMillis = -1, age.AgeMillis
 			}
 			s.Named[model] = append(s.Named[model], age)
 		}
@@ -247,9 +255,9 @@
 	now := f.Clock.Now()
 	for model, versions := range ages {
 		for _, v := range versions {
-			n := namedVersion{version: v.Version, since: now.Add(-time.Duration(v.AgeMillis) * time.Millisecond)}
+			n := namedVersion{version: v.Version, seen: now.Add(-time.Duration(v.AgeMillis) * time.Millisecond)}
 			if v.AgeMillis < 0 {
-				n.since, n.ageAssumed = now.Add(-f.AssumedAge), true
+				n.seen, n.ageUnknown = now.Add(-time.Duration(v.SeenMillis)*time.Millisecond), true
 			}
 			f.setNamedVersion(model, n, fromPeer, peer)
 		}
@@ -322,10 +330,7 @@
 }
 
 func (f *Fleet) setVersions(items map[string]mulberryspool.NamedVersion, d listwatch.Delta) {
-	n := namedVersion{since: f.Clock.Now(), ageAssumed: d.FromList}
-	if n.ageAssumed {
-		n.since = n.since.Add(-f.AssumedAge)
-	}
+	n := namedVersion{seen: f.Clock.Now(), ageUnknown: d.FromList}
 	// The other items are not new, so their age is not that of this change.
 	for _, name := range d.Updated {
 		if v, ok := items[name]; ok {
@@ -335,18 +340,18 @@
 	}
 }
 
-// setNamedVersion adds a version, or corrects the time at which it was named.
-// A report can only be late, so of the known times the earliest is kept. An
-// assumed time is replaced by any known one.
+// setNamedVersion adds a version, or corrects when it was named.
 func (f *Fleet) setNamedVersion(model string, n namedVersion, source, peer string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	known := f.namedVersions[model]
 	i, exists := slices.BinarySearchFunc(known, n, func(a, b namedVersion) int { return cmp.Compare(a.version, b.version) })
+	var before time.Time
 	switch {
 	case exists && !n.corrects(known[i]):
 		return
 	case exists:
+		before = f.since(known[i])
 		known = slices.Clone(known)
 		known[i] = n
 	case i == 0 && len(known) == maxKeptVersions:
@@ -359,18 +364,36 @@
 		f.namedVersions = make(map[string][]namedVersion)
 	}
 	f.namedVersions[model] = known
-	f.Logger.Info().Str("step", "apply named version").Str("source", source).Str("peer", peer).Str("model", model).
+	since := f.since(n)
+	e := f.Logger.Info().Str("step", "apply named version").Str("source", source).Str("peer", peer).Str("model", model).
 		Int64("version", n.version).Int64("newest", known[len(known)-1].version).
-		Dur("age", f.Clock.Since(n.since)).Bool("ageKnown", !n.ageAssumed).Msg("named version added or its age corrected")
-	f.NamedVersionChanged(model, n.version, n.since)
+		Dur("age", f.Clock.Since(since)).Bool("ageKnown", !n.ageUnknown)
+	if exists {
+		e.Dur("ageBefore", f.Clock.Since(before))
+	}
+	e.Msg("named version added or its age corrected")
+	f.NamedVersionChanged(model, n.version, since)
+}
+
+// since returns when a version counts as named.
+func (f *Fleet) since(n namedVersion) time.Time {
+	if n.ageUnknown {
+		return n.seen.Add(-f.AssumedAge)
+	}
+	return n.seen
 }
 
-// corrects reports whether the time in n is to replace that in known.
+// corrects reports whether n replaces what is known of the same version. A
+// report can only be late, so the first sight counts. A later one whose age is
+// said to be known shows the age only if it follows the first sight at once.
 func (n namedVersion) corrects(known namedVersion) bool {
-	if n.ageAssumed || known.ageAssumed {
-		return known.ageAssumed && !n.ageAssumed
+	if known.ageUnknown && !n.ageUnknown {
+		return n.seen.Sub(known.seen) <= maxReportDelay
+	}
+	if n.ageUnknown && !known.ageUnknown {
+		return known.seen.Sub(n.seen) > maxReportDelay
 	}
-	return known.since.Sub(n.since) >= minCorrection
+	return known.seen.Sub(n.seen) >= minCorrection
 }
 
 // NamedVersion returns the newest named version of a model, 0 for none, and since
@@ -383,7 +406,7 @@
 		return 0, time.Time{}
 	}
 	newest := known[len(known)-1]
-	return newest.version, newest.since
+	return newest.version, f.since(newest)
 }
 
 // NamedVersions returns when each of the newest versions of a model was named.
@@ -392,7 +415,7 @@
 	defer f.mu.Unlock()
 	known := make(map[int64]time.Time, len(f.namedVersions[model]))
 	for _, n := range f.namedVersions[model] {
-		known[n.version] = n.since
+		known[n.version] = f.since(n)
 	}
 	return known
 }
--- a/internal/platform/fleet/fleet_test.go
+++ b/internal/platform/fleet/fleet_test.go
@@ -202,3 +202,65 @@
 		t.Errorf("the other model's version is %d, %v old, want 7, just named", version, clock.Since(at))
 	}
 }
+
+// Guards against a process that heard late of a version of unknown age and
+// allows the old version for a whole further grace.
+func TestUnknownAgeIsNotAssumedAnew(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	first, late := newFleetWithAssumedAge(clock), newFleet(clock)
+	clock.Advance(4 * time.Second)
+	late.MergeNamedVersions(first.Summary().Named, "first")
+	_, a := first.NamedVersion("m")
+	if _, b := late.NamedVersion("m"); b.After(a) {
+		t.Errorf("the version counts as %v old, at the peer that reported it as %v", clock.Since(b), clock.Since(a))
+	}
+}
+
+// Guards against a report that makes a version younger than the time for which
+// this process has known it.
+func TestKnownVersionDoesNotBecomeYoungerThanItsFirstSight(t *testing.T) {
+	for name, learn := range map[string]func(f, late *Fleet){
+		"report of a peer that learned of it late": func(f, late *Fleet) {
+			late.setVersions(namedVersions(2), listwatch.Delta{Updated: []string{"m"}})
+			f.MergeNamedVersions(late.Summary().Named, "late")
+		},
+		"change of the object that keeps the version": func(f, _ *Fleet) {
+			f.setVersions(namedVersions(2), listwatch.Delta{Updated: []string{"m"}})
+		},
+	} {
+		clock := clockwork.NewFakeClock()
+		f := newFleetWithAssumedAge(clock)
+		clock.Advance(3 * time.Second)
+		learn(f, newFleet(clock))
+		if _, at := f.NamedVersion("m"); clock.Since(at) < 3*time.Second {
+			t.Errorf("%s: the version, listed 3s ago, counts as %v old", name, clock.Since(at))
+		}
+	}
+}
+
+// Guards against an age that is taken as known although another process saw the
+// version much earlier, without knowing its age.
+func TestEarlierSightOverridesKnownAge(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	listed, late := newFleetWithAssumedAge(clock), newFleet(clock)
+	clock.Advance(3 * time.Second)
+	late.setVersions(namedVersions(2), listwatch.Delta{Updated: []string{"m"}})
+	late.MergeNamedVersions(listed.Summary().Named, "listed")
+	_, want := listed.NamedVersion("m")
+	if _, at := late.NamedVersion("m"); !at.Equal(want) {
+		t.Errorf("the version counts as %v old, want %v as at the process that listed it 3s ago", clock.Since(at), clock.Since(want))
+	}
+}
+
+// Guards against a version that stays of unknown age although a process that
+// watched the store saw it at the same time.
+func TestAgeIsLearnedFromWatchJustAfterFirstSight(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	listed, watching := newFleetWithAssumedAge(clock), newFleet(clock)
+	clock.Advance(100 * time.Millisecond)
+	watching.setVersions(namedVersions(2), listwatch.Delta{Updated: []string{"m"}})
+	listed.MergeNamedVersions(watching.Summary().Named, "watching")
+	if _, at := listed.NamedVersion("m"); clock.Since(at) != 0 {
+		t.Errorf("the version counts as %v old, want just named", clock.Since(at))
+	}
+}
