Count a version's bound from whichever newer version was named first

The decider of the agents and the log line of outdated responses took the newer version with the smallest number. Where the time of that version is known only late, a version after it may be known to be older, and the placement already counts from that one. All three now do.

--- a/internal/agent/swap/swap.go
+++ b/internal/agent/swap/swap.go
@@ -209,14 +209,18 @@
 }
 
 // latestSwapTime returns the latest time at which the swap from the served
-// version may begin. The bound counts from the first newer version.
+// version may begin. The bound counts from when the first newer version was named.
 func (d *Decider) latestSwapTime(served int64) time.Time {
+	var first time.Time
 	for _, n := range d.named {
-		if n.version > served {
-			return n.at.Add(time.Duration(latestSwapFraction * float64(d.Bound)))
+		if n.version > served && (first.IsZero() || n.at.Before(first)) {
+			first = n.at
 		}
 	}
-	return time.Time{}
+	if first.IsZero() {
+		return first
+	}
+	return first.Add(time.Duration(latestSwapFraction * float64(d.Bound)))
 }
 
 // swapTime returns the time from which this server may swap. The swaps of the
--- a/internal/agent/swap/swap_test.go
+++ b/internal/agent/swap/swap_test.go
@@ -194,3 +194,18 @@
 		}
 	}
 }
+
+// Guards against a swap after the bound because the first newer version is
+// known only with a late time, while a later one is known to be older.
+func TestSwapCountsFromEarliestNewerVersion(t *testing.T) {
+	for i := range 15 {
+		d := decider(i)
+		learned := namedTime.Add(6 * time.Second)
+		d.SetNamedVersion(2, learned)
+		d.SetNamedVersion(3, namedTime)
+		at := loadTime(t, d, View{Served: 1, Staged: 3, StagedAt: learned}, learned)
+		if at.Sub(namedTime) > 7*time.Second {
+			t.Errorf("server %d loads %v after a newer version was named, want at most 7s", i, at.Sub(namedTime))
+		}
+	}
+}
--- a/internal/entry/scheduler/scheduler.go
+++ b/internal/entry/scheduler/scheduler.go
@@ -155,8 +155,8 @@
 	}
 }
 
-// FirstNewerVersion returns the oldest named version of the pool's model that is
-// newer than the given one, and when it was named; 0 if there is none.
+// FirstNewerVersion returns that named version of the pool's model that was named
+// first of those newer than the given one, and when; 0 if there is none.
 func (s *Scheduler) FirstNewerVersion(name string, version int64) (int64, time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -169,7 +169,7 @@
 		since time.Time
 	)
 	for newer, at := range s.namedVersions[table.Ingress.Pools[name].Model] {
-		if newer > version && (first == 0 || newer < first) {
+		if newer > version && (first == 0 || at.Before(since)) {
 			first, since = newer, at
 		}
 	}
