Do not count a version as just named after a gap in the watch

If the connections of all entries to the store go silent at once, no peer knows better.

A watch now tells when its answered attempt was sent. A change that is delivered at once by an attempt that followed a gap in the watch may have been made at any time since the previous answer of the store, and a version counts as named then, at the earliest AssumedAge before, until a peer that watched without a gap reports it. Lists of a process that has seen the store's previous answer are bounded in the same way.

Delta.FromList is now AgeUnknown; the tests that set it or implement KindStore.Changes are adapted, their checks are the same.

--- a/internal/platform/fleet/fleet.go
+++ b/internal/platform/fleet/fleet.go
@@ -77,6 +77,9 @@
 		// SeenMillis is the time since any process first saw the version. It is
 		// given if AgeMillis is negative.
 		SeenMillis int64 `json:"seenMillis,omitempty"`
+		// UnseenMillis is how long before the first sight the version may have been
+		// named; 0 if that is not known. It is given if AgeMillis is negative.
+		UnseenMillis int64 `json:"unseenMillis,omitempty"`
 	}
 
 	// namedVersion is a named version and when it was first seen.
@@ -86,8 +89,9 @@
 		// was named at that time or before.
 		seen time.Time
 		// ageUnknown is set if the version may have been named long before it was
-		// first seen.
+		// first seen; unseen is how long at most, or Fleet.AssumedAge.
 		ageUnknown bool
+		unseen     time.Duration
 	}
 
 	// Kinds holds the names of the store's kinds and the functions that decode
@@ -223,7 +227,7 @@
 		for _, n := range versions {
 			age := NamedVersionAge{Version: n.version, AgeMillis: now.Sub(n.seen).Milliseconds()}
 			if n.ageUnknown {
-				age.AgeMillis, age.SeenMillis = -1, age.AgeMillis
+				age.AgeMillis, age.SeenMillis, age.UnseenMillis = -1, age.AgeMillis, n.unseen.Milliseconds()
 			}
 			s.Named[model] = append(s.Named[model], age)
 		}
@@ -258,6 +262,7 @@
 			n := namedVersion{version: v.Version, seen: now.Add(-time.Duration(v.AgeMillis) * time.Millisecond)}
 			if v.AgeMillis < 0 {
 				n.seen, n.ageUnknown = now.Add(-time.Duration(v.SeenMillis)*time.Millisecond), true
+				n.unseen = min(f.AssumedAge, cmp.Or(time.Duration(v.UnseenMillis)*time.Millisecond, f.AssumedAge))
 			}
 			f.setNamedVersion(model, n, fromPeer, peer)
 		}
@@ -330,7 +335,10 @@
 }
 
 func (f *Fleet) setVersions(items map[string]mulberryspool.NamedVersion, d listwatch.Delta) {
-	n := namedVersion{seen: f.Clock.Now(), ageUnknown: d.FromList}
+	n := namedVersion{seen: f.Clock.Now(), ageUnknown: d.AgeUnknown, unseen: f.AssumedAge}
+	if !d.Since.IsZero() {
+		n.unseen = min(n.unseen, n.seen.Sub(d.Since))
+	}
 	// The other items are not new, so their age is not that of this change.
 	for _, name := range d.Updated {
 		if v, ok := items[name]; ok {
@@ -351,7 +359,7 @@
 	case exists && !n.corrects(known[i]):
 		return
 	case exists:
-		before = f.since(known[i])
+		before = known[i].since()
 		known = slices.Clone(known)
 		known[i] = n
 	case i == 0 && len(known) == maxKeptVersions:
@@ -364,7 +372,7 @@
 		f.namedVersions = make(map[string][]namedVersion)
 	}
 	f.namedVersions[model] = known
-	since := f.since(n)
+	since := n.since()
 	e := f.Logger.Info().Str("step", "apply named version").Str("source", source).Str("peer", peer).Str("model", model).
 		Int64("version", n.version).Int64("newest", known[len(known)-1].version).
 		Dur("age", f.Clock.Since(since)).Bool("ageKnown", !n.ageUnknown)
@@ -376,9 +384,9 @@
 }
 
 // since returns when a version counts as named.
-func (f *Fleet) since(n namedVersion) time.Time {
+func (n namedVersion) since() time.Time {
 	if n.ageUnknown {
-		return n.seen.Add(-f.AssumedAge)
+		return n.seen.Add(-n.unseen)
 	}
 	return n.seen
 }
@@ -406,7 +414,7 @@
 		return 0, time.Time{}
 	}
 	newest := known[len(known)-1]
-	return newest.version, f.since(newest)
+	return newest.version, newest.since()
 }
 
 // NamedVersions returns when each of the newest versions of a model was named.
@@ -415,7 +423,7 @@
 	defer f.mu.Unlock()
 	known := make(map[int64]time.Time, len(f.namedVersions[model]))
 	for _, n := range f.namedVersions[model] {
-		known[n.version] = f.since(n)
+		known[n.version] = n.since()
 	}
 	return known
 }
--- a/internal/platform/fleet/fleet_test.go
+++ b/internal/platform/fleet/fleet_test.go
@@ -20,9 +20,9 @@
 	return nil, 0, ctx.Err()
 }
 
-func (unresponsiveStore) Changes(ctx context.Context, _ string, _ mulberryspool.Revision, _ time.Duration) ([]mulberryspool.ObjectChange, mulberryspool.Revision, error) {
+func (unresponsiveStore) Changes(ctx context.Context, _ string, _ mulberryspool.Revision, _ time.Duration) (mulberryspool.ChangeList, error) {
 	<-ctx.Done()
-	return nil, 0, ctx.Err()
+	return mulberryspool.ChangeList{}, ctx.Err()
 }
 
 func (unresponsiveStore) Put(ctx context.Context, _, _ string, _ any) error {
@@ -111,7 +111,7 @@
 	old, restarted := newFleet(clock), newFleet(clock)
 	old.setVersions(namedVersions(2), listwatch.Delta{Updated: []string{"m"}})
 	clock.Advance(3 * time.Second)
-	restarted.setVersions(namedVersions(2), listwatch.Delta{FromList: true, Updated: []string{"m"}})
+	restarted.setVersions(namedVersions(2), listwatch.Delta{AgeUnknown: true, Updated: []string{"m"}})
 	if _, at := restarted.NamedVersion("m"); clock.Since(at) != 5*time.Second {
 		t.Errorf("a version that was already named counts as %v old, want the assumed 5s", clock.Since(at))
 	}
@@ -128,7 +128,7 @@
 
 func newFleetWithAssumedAge(clock clockwork.Clock) *Fleet {
 	f := newFleet(clock)
-	f.setVersions(namedVersions(2), listwatch.Delta{FromList: true, Updated: []string{"m"}})
+	f.setVersions(namedVersions(2), listwatch.Delta{AgeUnknown: true, Updated: []string{"m"}})
 	return f
 }
 
@@ -264,3 +264,74 @@
 		t.Errorf("the version counts as %v old, want just named", clock.Since(at))
 	}
 }
+
+// lossyStore names version 2 shortly after a watch began, loses that watch's
+// answer, and delivers the change to the next watch.
+type lossyStore struct {
+	unresponsiveStore
+	clock   *clockwork.FakeClock
+	watches int
+	named   time.Time
+}
+
+func (s *lossyStore) object(version string) mulberryspool.Object {
+	return mulberryspool.Object{Name: "m", Value: []byte(version)}
+}
+
+func (s *lossyStore) List(ctx context.Context, kind string) ([]mulberryspool.Object, mulberryspool.Revision, error) {
+	if kind != "versions" {
+		return s.unresponsiveStore.List(ctx, kind)
+	}
+	return []mulberryspool.Object{s.object("1")}, 1, nil
+}
+
+func (s *lossyStore) Changes(ctx context.Context, kind string, after mulberryspool.Revision, wait time.Duration) (mulberryspool.ChangeList, error) {
+	if kind != "versions" {
+		return s.unresponsiveStore.Changes(ctx, kind, after, wait)
+	}
+	s.watches++
+	switch s.watches {
+	case 1:
+		s.clock.Advance(100 * time.Millisecond)
+		s.named = s.clock.Now()
+		s.clock.Advance(2 * time.Second)
+		return mulberryspool.ChangeList{}, context.DeadlineExceeded
+	case 2:
+		return mulberryspool.ChangeList{Changes: []mulberryspool.ObjectChange{{Object: s.object("2")}}, Revision: 2, SentAt: s.clock.Now()}, nil
+	}
+	return s.unresponsiveStore.Changes(ctx, kind, after, wait)
+}
+
+// Guards against a version that counts as just named although the watch that
+// would have reported it in time was lost.
+func TestVersionFoundAfterLostWatchIsNotJustNamed(t *testing.T) {
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	clock := clockwork.NewFakeClock()
+	s := &lossyStore{clock: clock}
+	f := newFleet(clock)
+	f.Store = s
+	f.Kinds = Kinds{Config: "config", Servers: "servers", Versions: "versions", DecodeVersion: func(o mulberryspool.Object) (mulberryspool.NamedVersion, error) {
+		return mulberryspool.NamedVersion{Model: o.Name, Version: int64(o.Value[0] - '0')}, nil
+	}}
+	known := make(chan time.Time, 1)
+	f.NamedVersionChanged = func(_ string, version int64, at time.Time) {
+		if version == 2 {
+			known <- at
+		}
+	}
+	go f.Run(ctx)
+	for {
+		select {
+		case at := <-known:
+			if late := at.Sub(s.named); late > 100*time.Millisecond {
+				t.Errorf("the version counts as named %v after it was, and its age is reported as %v", late, f.Summary().Named["m"])
+			}
+			return
+		case <-time.After(time.Millisecond):
+			clock.Advance(20 * time.Millisecond)
+		case <-ctx.Done():
+			t.Fatal("the version was never learned")
+		}
+	}
+}
--- a/internal/platform/listwatch/follower.go
+++ b/internal/platform/listwatch/follower.go
@@ -24,6 +24,13 @@
 	DefaultWatchPause = 250 * time.Millisecond
 	// retryDelay is the mean pause after a call that failed with all its retries.
 	retryDelay = 250 * time.Millisecond
+	// maxWatchGap is the time between an answer and the next watch up to which a
+	// change that was made in between counts as just made.
+	maxWatchGap = 2 * DefaultWatchPause
+	// minWaited is how long a watch has waited if the change that it returns was
+	// made meanwhile. The store answers at once with earlier changes, and slowly at
+	// times.
+	minWaited = time.Second
 	// pausedCheckInterval is how often a paused follower calls Paused again.
 	pausedCheckInterval = 200 * time.Millisecond
 )
@@ -54,6 +61,8 @@
 		revision  mulberryspool.Revision
 		reachable bool
 		synced    bool
+		// answeredAt is the time of the last successful answer.
+		answeredAt time.Time
 
 		// polling is set while an object changes more than once between two
 		// watches. A watch would return each of its versions in full although
@@ -134,7 +143,7 @@
 	if at, ok := f.Set.NextExpiry(); ok {
 		wait = min(wait, max(0, f.Clock.Until(at)))
 	}
-	changes, at, err := f.Store.Changes(ctx, f.Kind, f.revision, wait)
+	answer, err := f.Store.Changes(ctx, f.Kind, f.revision, wait)
 	if errors.Is(err, mulberryspool.ErrCompacted) {
 		f.Logger.Info().Str("kind", f.Kind).Uint64("revision", uint64(f.revision)).Msg("store no longer has the history for this watch; listing again")
 		return f.list(ctx)
@@ -142,12 +151,16 @@
 	if err != nil {
 		return true, err
 	}
-	seen := make(map[string]struct{}, len(changes))
-	for _, c := range changes {
+	seen := make(map[string]struct{}, len(answer.Changes))
+	for _, c := range answer.Changes {
 		seen[c.Object.Name] = struct{}{}
 	}
-	f.polling = len(seen) < len(changes)
-	f.apply(func(now time.Time) Delta { return f.Set.Apply(now, changes) }, at)
+	f.polling = len(seen) < len(answer.Changes)
+	f.apply(func(now time.Time) Delta {
+		d := f.Set.Apply(now, answer.Changes)
+		d.AgeUnknown = answer.SentAt.Sub(f.answeredAt) > maxWatchGap && now.Sub(answer.SentAt) < minWaited
+		return d
+	}, answer.Revision)
 	return true, nil
 }
 
@@ -164,6 +177,7 @@
 	first := !f.synced
 	f.synced = true
 	d := change(now)
+	d.Since, f.answeredAt = f.answeredAt, now
 	expired := f.Set.Expire(now)
 	d.Removed = append(d.Removed, expired.Removed...)
 	f.revision = max(f.revision, at)
--- a/internal/platform/listwatch/follower_test.go
+++ b/internal/platform/listwatch/follower_test.go
@@ -37,7 +37,7 @@
 }
 
 // Changes returns each version after the revision, as the platform does.
-func (s *fakeStore) Changes(_ context.Context, _ string, after mulberryspool.Revision, _ time.Duration) ([]mulberryspool.ObjectChange, mulberryspool.Revision, error) {
+func (s *fakeStore) Changes(_ context.Context, _ string, after mulberryspool.Revision, _ time.Duration) (mulberryspool.ChangeList, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.watches++
@@ -46,7 +46,7 @@
 		s.versionsSent++
 		changes = append(changes, mulberryspool.ObjectChange{Object: s.object(v)})
 	}
-	return changes, mulberryspool.Revision(s.value), nil
+	return mulberryspool.ChangeList{Changes: changes, Revision: mulberryspool.Revision(s.value)}, nil
 }
 
 func newFollower(s *fakeStore, clock clockwork.Clock) *Follower[string] {
--- a/internal/platform/objectapi/client.go
+++ b/internal/platform/objectapi/client.go
@@ -147,6 +147,8 @@
 		// Decode decodes a successful response; its error counts as a failed
 		// attempt.
 		Decode func(io.Reader) error
+		// OnAttempt is called before each attempt; may be nil.
+		OnAttempt func()
 	}
 )
 
@@ -220,6 +222,13 @@
 	if r.Body != nil {
 		w.contentType = "application/json"
 	}
+	if r.OnAttempt != nil {
+		w.onSend = func(sent bool) {
+			if sent {
+				r.OnAttempt()
+			}
+		}
+	}
 	return c.run(ctx, w)
 }
 
--- a/objectstore.go
+++ b/objectstore.go
@@ -61,15 +61,25 @@
 		Deleted bool
 	}
 
+	// ChangeList is the answer to a watch.
+	ChangeList struct {
+		// Changes is empty if the wait ended before any change.
+		Changes []ObjectChange
+		// Revision is the revision to continue from.
+		Revision Revision
+		// SentAt is when the answered attempt was sent. A call may include earlier
+		// attempts that were not answered.
+		SentAt time.Time
+	}
+
 	// KindStore is a store that lists and watches all objects of a kind.
 	KindStore interface {
 		// List returns the objects of a kind and a revision. Changes after that
 		// revision returns every change that the list does not include.
 		List(ctx context.Context, kind string) ([]Object, Revision, error)
-		// Changes waits for changes after the revision and returns them with the
-		// revision to continue from. It returns no changes at the end of the wait,
-		// and ErrCompacted if the store no longer has the changes.
-		Changes(ctx context.Context, kind string, after Revision, wait time.Duration) ([]ObjectChange, Revision, error)
+		// Changes waits for changes after the revision. It returns ErrCompacted if
+		// the store no longer has the changes.
+		Changes(ctx context.Context, kind string, after Revision, wait time.Duration) (ChangeList, error)
 		// Put creates or replaces an object. No other process may write the object.
 		Put(ctx context.Context, kind, name string, value any) error
 	}
