--- a/internal/role/hosted/agentloop.go
+++ b/internal/role/hosted/agentloop.go
@@ -38,10 +38,7 @@
 		return enginePollInterval
 	}
 	a.updateMembers()
-	for version, at := range a.fleet.NamedVersions(model) {
-		a.decider.SetNamedVersion(version, at)
-	}
-	a.decider.SetNamedVersion(a.wantedVersion(ctx, model))
+	a.updateNamedVersions(ctx, model)
 	if !a.readEngineState(ctx, model) {
 		a.setUplinkRate(false)
 		// At the first start of the whole system, the model server may start with
@@ -118,6 +115,15 @@
 	return loadedVersion(a.engineState, model)
 }
 
+// updateNamedVersions passes on what is known of the named versions. Earlier ones
+// count too: the bound of the served version begins with the first newer one.
+func (a *agentRole) updateNamedVersions(ctx context.Context, model string) {
+	for version, at := range a.fleet.NamedVersions(model) {
+		a.decider.SetNamedVersion(version, at)
+	}
+	a.decider.SetNamedVersion(a.wantedVersion(ctx, model))
+}
+
 // wantedVersion returns the version to serve and since when it is wanted. It is
 // the newer one of the named version and the newest version that any server of
 // the pool serves, else the origin's newest version.
