Close the body of a server's answer without reading its rest

Seen on unchanged code against a stand-in that never ends its answer (deadline 3 s, local): after an unsigned 2xx, and after a refusal ("not run"), the entry went on reading until the deadline: 2.7 and 3.8 GB with a length, 0.5 and 0.6 GB in chunks, and as long if the bytes trickled. The caller got 504 after 3.0 s instead of 502, and 503 without Retry-After instead of another server's answer. On a connection by itself, Close read 4.4 to 31 GB in 20 s. Cause: the Close of a body from http.ReadResponse reads the body to its end. Ruled out: the reads of the entry itself, which end at 1 MiB. The connection was not reused, because the interrupted deadline closed it, but Release took the word of its caller for that. Now the connection itself knows whether the answer was read to its end: Close closes it otherwise and reads nothing, and Release keeps no other one. The body of a refusal is not needed, so at most 64 KiB of it are read for at most 50 ms before the next attempt; a longer one counts against the server.

Without that, the test process itself was killed for its memory.

--- a/internal/backend/httpconn/conn.go
+++ b/internal/backend/httpconn/conn.go
@@ -45,6 +45,8 @@
 		reused bool
 		// unusable is set if the connection must be closed after the current request.
 		unusable bool
+		// answerRead is set once the answer to the current request was read to its end.
+		answerRead bool
 		// written is closed when the background write of a long request has ended;
 		// it is nil for short requests.
 		written  chan struct{}
@@ -57,11 +59,20 @@
 	}
 
 	// Answer is a backend server's answer with its parsed head. Reading the body
-	// returns io.EOF only if the body is complete.
+	// returns io.EOF only if the body is complete, and otherwise an error that is
+	// marked like those of Receive. Closing the body reads nothing: it closes the
+	// connection unless the body was read to its end.
 	Answer struct {
 		*http.Response
 		Head mulberryspool.AnswerHead
 	}
+
+	// answerBody is the body of an Answer. It replaces the one of net/http, whose
+	// Close reads the rest of the body, however long it is.
+	answerBody struct {
+		io.Reader
+		conn *Conn
+	}
 )
 
 func newConn(netConn net.Conn, target Target, pool *Pool) *Conn {
@@ -75,6 +86,7 @@
 // Send writes a request. A long one is written in the background; Release closes
 // the connection if that write has failed or not ended.
 func (c *Conn) Send(head, body []byte, deadline time.Time) error {
+	c.answerRead = false
 	if err := c.netConn.SetDeadline(deadline); err != nil {
 		return errors.Mark(err, ErrNotSent)
 	}
@@ -118,6 +130,8 @@
 		head := c.pool.HeaderCodec.DecodeAnswer(response.StatusCode, response.Header)
 		if head.ID == id || head.ID == "" && (head.NotRun || !c.reused) {
 			c.applyKeepAlive(response)
+			c.answerRead = response.Body == http.NoBody
+			response.Body = &answerBody{Reader: response.Body, conn: c}
 			return &Answer{Response: response, Head: head}, nil
 		}
 		c.unusable = true
@@ -129,6 +143,27 @@
 	return nil, errors.Mark(errors.Newf("answer does not belong to request %s", id), ErrInvalidAnswer)
 }
 
+// Read implements io.Reader.
+func (b *answerBody) Read(buffer []byte) (int, error) {
+	n, err := b.Reader.Read(buffer)
+	if errors.Is(err, io.EOF) {
+		b.conn.answerRead = true
+		return n, err
+	}
+	if err != nil {
+		err = b.conn.readError(err)
+	}
+	return n, err
+}
+
+// Close implements io.Closer.
+func (b *answerBody) Close() error {
+	if !b.conn.answerRead {
+		b.conn.Close()
+	}
+	return nil
+}
+
 // readError marks an error of reading an answer: ErrAnswerLost if the connection failed
 // or timed out, ErrInvalidAnswer if the received bytes are not an HTTP answer.
 func (c *Conn) readError(err error) error {
@@ -154,10 +189,10 @@
 	return c.netConn.SetReadDeadline(deadline)
 }
 
-// Release returns the connection to the pool if the answer was read to its end
-// and no bytes are left on the connection, and closes it otherwise.
-func (c *Conn) Release(complete bool) {
-	if !complete || c.unusable || c.reader.Buffered() > 0 || !c.requestWritten() {
+// Release returns the connection to the pool if reusable is set, the answer was
+// read to its end and no bytes are left on the connection, and closes it otherwise.
+func (c *Conn) Release(reusable bool) {
+	if !reusable || c.unusable || !c.answerRead || c.reader.Buffered() > 0 || !c.requestWritten() {
 		c.Close()
 		return
 	}
--- /dev/null
+++ b/internal/backend/httpconn/conn_test.go
@@ -0,0 +1,100 @@
+package httpconn
+
+import (
+	"io"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"github.com/mulberryspool/mulberryspool"
+	"github.com/mulberryspool/mulberryspool/internal/peer/sockets"
+	"github.com/mulberryspool/mulberryspool/internal/testkit/endless"
+	"github.com/mulberryspool/mulberryspool/platform"
+)
+
+const (
+	requestHead = "GET / HTTP/1.1\r\nHost: h\r\n\r\n"
+	answerHead  = "HTTP/1.1 200 OK\r\nX-Attempt-Id: r1\r\n"
+	chunkedHead = "Transfer-Encoding: chunked\r\n\r\n"
+	chunk       = "10\r\nmmmmmmmmmmmmmmmm\r\n"
+	// testTimeout keeps a test from hanging.
+	testTimeout = 20 * time.Second
+	// maxSentBytes is more than a connection reads of an answer that has no end, and
+	// what the kernel buffers.
+	maxSentBytes = 12 << 20
+)
+
+func newPool(t *testing.T, clock mulberryspool.Clock) *Pool {
+	t.Helper()
+	p := &Pool{Clock: clock, HeaderCodec: platform.Headers{}, Dial: sockets.Dialer{}.DialContext}
+	t.Cleanup(p.Close)
+	return p
+}
+
+// send acquires a connection and sends a request on it.
+func send(t *testing.T, p *Pool, target Target) *Conn {
+	t.Helper()
+	c, err := p.Acquire(t.Context(), target, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := c.Send([]byte(requestHead), nil, time.Now().Add(testTimeout)); err != nil {
+		t.Fatal(err)
+	}
+	return c
+}
+
+// Guards against a body that is read to its end, which may never come, when it is closed.
+func TestClosingBodyDoesNotReadItsRest(t *testing.T) {
+	for name, response := range map[string]endless.Response{
+		"chunks":            {Head: answerHead + chunkedHead, Unit: chunk},
+		"chunks, trickling": {Head: answerHead + chunkedHead, Unit: chunk, Interval: 10 * time.Millisecond},
+		"with length":       {Head: answerHead + "Content-Length: 1000000000000\r\n\r\n", Unit: "m"},
+		"without length":    {Head: answerHead + "\r\n", Unit: "m"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s := endless.New(response, "")
+			p := newPool(t, clockwork.NewRealClock())
+			target := Target{Address: s.Listen(t)}
+			c := send(t, p, target)
+			answer, err := c.Receive("GET", "r1")
+			if err != nil {
+				t.Fatal(err)
+			}
+			if err := answer.Body.Close(); err != nil {
+				t.Error(err)
+			}
+			s.AwaitClosed(t)
+			if s.Written() > maxSentBytes {
+				t.Errorf("server could send %d bytes, want at most %d", s.Written(), maxSentBytes)
+			}
+			c.Release(true)
+			if len(p.idle[target]) != 0 {
+				t.Error("connection with an unread answer is kept for reuse")
+			}
+		})
+	}
+}
+
+// Guards against an unread rest of an answer that is taken for the next one.
+func TestConnectionWithUnreadBodyIsNotReused(t *testing.T) {
+	s := endless.New(endless.Response{Head: answerHead + chunkedHead, Unit: chunk}, "")
+	p := newPool(t, clockwork.NewRealClock())
+	target := Target{Address: s.Listen(t)}
+	c := send(t, p, target)
+	answer, err := c.Receive("GET", "r1")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer answer.Body.Close()
+	if _, err := io.CopyN(io.Discard, answer.Body, 1<<20); err != nil {
+		t.Fatal(err)
+	}
+	c.Release(true)
+	if len(p.idle[target]) != 0 {
+		t.Error("connection with an unread answer is kept for reuse")
+	}
+	s.AwaitClosed(t)
+}
--- a/internal/entry/forward/attempt.go
+++ b/internal/entry/forward/attempt.go
@@ -17,7 +17,13 @@
 	"github.com/mulberryspool/mulberryspool/internal/entry/placement"
 )
 
-const eventStream = "text/event-stream"
+const (
+	eventStream = "text/event-stream"
+	// maxRejectedBytes and rejectedBodyTimeout limit the read of the body of a
+	// rejection, for which the next attempt waits.
+	maxRejectedBytes    = 64 << 10
+	rejectedBodyTimeout = 50 * time.Millisecond
+)
 
 // attempt is one exchange of a request with a backend server.
 type attempt struct {
@@ -91,14 +97,24 @@
 // handleRejected handles a response that states that the backend server did not
 // run the request.
 func (a *attempt) handleRejected(response *httpconn.Answer) (attemptResult, placement.Outcome) {
-	_, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxBufferedBytes))
-	a.complete = err == nil
 	a.lastError = errors.Newf("backend server rejected the request with status %d without running it", response.StatusCode)
-	a.logAttempt(a.decision, "turnedAway"+strconv.Itoa(response.StatusCode), a.startedAt)
-	if response.StatusCode == http.StatusMisdirectedRequest {
-		return resultNotRun, placement.Misdirected
+	// The body is not needed; it is read so that the connection can be reused.
+	err := a.conn.SetReadDeadline(a.handler.Clock.Now().Add(rejectedBodyTimeout))
+	var read int64
+	if err == nil {
+		read, err = io.Copy(io.Discard, io.LimitReader(response.Body, maxRejectedBytes))
 	}
-	return resultNotRun, placement.Full
+	a.complete = err == nil && read < maxRejectedBytes
+	outcome := placement.Full
+	switch {
+	case read == maxRejectedBytes:
+		a.lastError = errors.Wrapf(a.lastError, "body has more than %d bytes", maxRejectedBytes)
+		outcome = placement.Broken
+	case response.StatusCode == http.StatusMisdirectedRequest:
+		outcome = placement.Misdirected
+	}
+	a.logAttempt(a.decision, "turnedAway"+strconv.Itoa(response.StatusCode), a.startedAt)
+	return resultNotRun, outcome
 }
 
 // handleLost handles an exchange that broke before the response was complete.
--- a/internal/entry/forward/backend_test.go
+++ b/internal/entry/forward/backend_test.go
@@ -27,7 +27,11 @@
 	"github.com/mulberryspool/mulberryspool/platform"
 )
 
-const signatureHeader = "X-Response-Signature: s\r\n"
+const (
+	signatureHeader = "X-Response-Signature: s\r\n"
+	// maxKeptBytes is the part of a response's body that call returns.
+	maxKeptBytes = 8 << 20
+)
 
 type (
 	// backend is a backend server that responds as its script says.
@@ -190,7 +194,10 @@
 		t.Fatalf("%s %s: %v", method, path, err)
 	}
 	defer response.Body.Close()
-	data, err := io.ReadAll(response.Body)
+	data, err := io.ReadAll(io.LimitReader(response.Body, maxKeptBytes))
+	if err == nil {
+		_, err = io.Copy(io.Discard, response.Body)
+	}
 	return responseHead{StatusCode: response.StatusCode, Header: response.Header, Close: response.Close}, string(data), err == nil
 }
 
