Recognise bytes that are no answer at their first byte and name them so

Seen on unchanged code: a head of more than 64 KiB was reported as "lost" (unexpected EOF), as if the connection had failed, and garbage that trickles in kept a request until its deadline, so that one that must not be sent again ended with 504. A skipped answer to another request that has no length was read up to 1 MiB although no further answer can follow it. Cause: the limit of a head ends the reader with io.EOF, and a status line is only judged when it is complete. Attempts that end like this have the outcome "invalid" instead of "lost".

--- a/internal/backend/httpconn/conn.go
+++ b/internal/backend/httpconn/conn.go
@@ -5,6 +5,7 @@
 	"cmp"
 	"context"
 	"io"
+	"math"
 	"net"
 	"net/http"
 	"strconv"
@@ -29,6 +30,8 @@
 	maxSkippedBytes = 1 << 20
 	// maxHeadBytes limits the bytes that are read for the head of an answer.
 	maxHeadBytes = 64 << 10
+	// answerPrefix is how each answer begins.
+	answerPrefix = "HTTP/"
 )
 
 type (
@@ -118,12 +121,10 @@
 // request was not run.
 func (c *Conn) Receive(method string, id mulberryspool.RequestID) (*Answer, error) {
 	for range maxSkippedAnswers + 1 {
-		c.headLimit.N = maxHeadBytes
-		response, err := http.ReadResponse(c.reader, &http.Request{Method: method}) //nolint:bodyclose // The caller closes it with the answer.
+		response, err := c.readHead(method) //nolint:bodyclose // The caller closes it with the answer.
 		if err != nil {
 			return nil, c.readError(err)
 		}
-		c.headLimit.N = 1 << 62
 		if response.StatusCode < http.StatusOK {
 			continue
 		}
@@ -135,14 +136,38 @@
 			return &Answer{Response: response, Head: head}, nil
 		}
 		c.unusable = true
+		if response.Close || response.ContentLength > maxSkippedBytes {
+			break
+		}
 		read, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxSkippedBytes))
-		if err != nil || read == maxSkippedBytes || response.Close {
+		if err != nil || read == maxSkippedBytes {
 			break
 		}
 	}
 	return nil, errors.Mark(errors.Newf("answer does not belong to request %s", id), ErrInvalidAnswer)
 }
 
+// readHead reads at most maxHeadBytes. It fails at the first byte that no answer
+// begins with, because the rest may never arrive.
+func (c *Conn) readHead(method string) (*http.Response, error) {
+	c.headLimit.N = maxHeadBytes
+	for n := 1; n <= len(answerPrefix); n++ {
+		start, err := c.reader.Peek(n)
+		if err != nil {
+			return nil, err
+		}
+		if string(start) != answerPrefix[:n] {
+			return nil, errors.Newf("answer begins with %q", start)
+		}
+	}
+	response, err := http.ReadResponse(c.reader, &http.Request{Method: method})
+	if err != nil && c.headLimit.N <= 0 {
+		return nil, errors.Newf("head of the answer has more than %d bytes", maxHeadBytes)
+	}
+	c.headLimit.N = math.MaxInt64
+	return response, err
+}
+
 // Read implements io.Reader.
 func (b *answerBody) Read(buffer []byte) (int, error) {
 	n, err := b.Reader.Read(buffer)
--- a/internal/backend/httpconn/conn_test.go
+++ b/internal/backend/httpconn/conn_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/jonboulle/clockwork"
 
 	"github.com/mulberryspool/mulberryspool"
@@ -45,6 +46,46 @@
 	return c
 }
 
+// Guards against endless bytes that are read until the deadline, or reported as
+// an answer that was lost, although they show that they are no answer.
+func TestEndlessHeadIsInvalid(t *testing.T) {
+	for name, response := range map[string]endless.Response{
+		"garbage":               {Unit: "g"},
+		"garbage, trickling":    {Unit: "g", Interval: 10 * time.Millisecond},
+		"prefix of an answer":   {Unit: "HTT", Interval: 10 * time.Millisecond},
+		"empty lines":           {Unit: "\r\n", Interval: 10 * time.Millisecond},
+		"status line":           {Head: "HTTP/1.1 200 ", Unit: "O"},
+		"header line":           {Head: answerHead + "X-Long: ", Unit: "v"},
+		"continued header line": {Head: answerHead + "X-Long: v\r\n", Unit: " v\r\n"},
+		"header lines":          {Head: answerHead, Unit: "X-Many: v\r\n"},
+		"informational answers": {Unit: "HTTP/1.1 100 Continue\r\n\r\n"},
+		"foreign chunks":        {Head: "HTTP/1.1 200 OK\r\nX-Attempt-Id: r2\r\n" + chunkedHead, Unit: chunk},
+		"foreign, trickling":    {Head: "HTTP/1.1 200 OK\r\nX-Attempt-Id: r2\r\n\r\n", Unit: "m", Interval: 10 * time.Millisecond},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s := endless.New(response, "")
+			began := time.Now()
+			c := send(t, newPool(t, clockwork.NewRealClock()), Target{Address: s.Listen(t)})
+			answer, err := c.Receive("GET", "r1")
+			if err == nil {
+				answer.Body.Close()
+			}
+			if time.Since(began) >= testTimeout {
+				t.Error("read ended at the deadline only")
+			}
+			if !errors.Is(err, ErrInvalidAnswer) || errors.Is(err, ErrAnswerLost) {
+				t.Errorf("error is %v, want ErrInvalidAnswer only", err)
+			}
+			c.Release(true)
+			s.AwaitClosed(t)
+			if s.Written() > maxSentBytes {
+				t.Errorf("server could send %d bytes, want at most %d", s.Written(), maxSentBytes)
+			}
+		})
+	}
+}
+
 // Guards against a body that is read to its end, which may never come, when it is closed.
 func TestClosingBodyDoesNotReadItsRest(t *testing.T) {
 	for name, response := range map[string]endless.Response{
--- a/internal/entry/forward/attempt.go
+++ b/internal/entry/forward/attempt.go
@@ -117,10 +117,15 @@
 	return resultNotRun, outcome
 }
 
-// handleLost handles an exchange that broke before the response was complete.
+// handleLost handles an exchange that broke before the response was complete, or
+// in which the backend server sent bytes that are no response.
 func (a *attempt) handleLost(ctx context.Context, err error) (attemptResult, placement.Outcome) {
 	a.lastError = err
-	a.logAttempt(a.decision, "lost", a.startedAt)
+	code := "lost"
+	if errors.Is(err, httpconn.ErrInvalidAnswer) {
+		code = "invalid"
+	}
+	a.logAttempt(a.decision, code, a.startedAt)
 	return resultUnknown, a.attributeOutcome(ctx, a.failureOutcome(err))
 }
 
