Close an idle connection when its time has passed

Seen on unchanged code: a server that goes on sending after a complete answer kept its connection for 10 s and more (2,566 bytes, five every 20 ms, until the test gave up). Nothing would have closed it before the next request to the same server, and nothing at all once the server was gone: CloseIdle has no caller. Cause: the idle time was only checked when a connection was taken for a request. Now a timer closes it after its idle time, and Release looks for bytes that have already arrived, as Acquire does. After: TestIdleConnectionIsClosedWhenItExpires, TestIdleConnectionWithEndlessBytesIsClosed and TestEndlessBytesAfterAnswer pass.

--- a/internal/backend/httpconn/conn.go
+++ b/internal/backend/httpconn/conn.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/jonboulle/clockwork"
 
 	"github.com/mulberryspool/mulberryspool"
 )
@@ -59,6 +60,8 @@
 		keepAlive time.Duration
 		idleSince time.Time
 		idleUntil time.Time
+		// expiry closes the connection at idleUntil.
+		expiry clockwork.Timer
 	}
 
 	// Answer is a backend server's answer with its parsed head. Reading the body
@@ -217,7 +220,7 @@
 // Release returns the connection to the pool if reusable is set, the answer was
 // read to its end and no bytes are left on the connection, and closes it otherwise.
 func (c *Conn) Release(reusable bool) {
-	if !reusable || c.unusable || !c.answerRead || c.reader.Buffered() > 0 || !c.requestWritten() {
+	if !reusable || c.unusable || !c.answerRead || !c.healthy() || !c.requestWritten() {
 		c.Close()
 		return
 	}
--- a/internal/backend/httpconn/conn_test.go
+++ b/internal/backend/httpconn/conn_test.go
@@ -139,3 +139,27 @@
 	}
 	s.AwaitClosed(t)
 }
+
+// Guards against an idle connection that stays open, although no request will use
+// it, while its server goes on sending.
+func TestIdleConnectionIsClosedWhenItExpires(t *testing.T) {
+	s := endless.New(endless.Response{Head: answerHead + "Content-Length: 2\r\n\r\nok", Unit: "extra", Interval: 50 * time.Millisecond}, "")
+	clock := clockwork.NewFakeClock()
+	p := newPool(t, clock)
+	target := Target{Address: s.Listen(t)}
+	c := send(t, p, target)
+	answer, err := c.Receive("GET", "r1")
+	if err != nil {
+		t.Fatal(err)
+	}
+	body, err := io.ReadAll(answer.Body)
+	if err != nil || string(body) != "ok" {
+		t.Fatalf("body is %q, %v", body, err)
+	}
+	c.Release(true)
+	if len(p.idle[target]) != 1 {
+		t.Fatal("connection is not kept for reuse")
+	}
+	clock.Advance(defaultIdleTime)
+	s.AwaitClosed(t)
+}
--- a/internal/backend/httpconn/pool.go
+++ b/internal/backend/httpconn/pool.go
@@ -6,12 +6,15 @@
 // No request is resent automatically: if the connection fails, the request is
 // reported as not sent if none of its bytes was written, and as lost otherwise.
 // Answers are matched to requests by the request ID, not by their order on the
-// connection, and a connection with unread bytes is not reused.
+// connection, and a connection with unread bytes is not reused. An answer may have
+// no end: heads and skipped answers are limited, and the rest of a body is never
+// read to close it.
 package httpconn
 
 import (
 	"context"
 	"net"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -129,10 +132,30 @@
 	}
 	c := conns[len(conns)-1]
 	p.idle[target] = conns[:len(conns)-1]
+	c.expiry.Stop()
 	return c
 }
 
-// push keeps an idle connection, or closes it if there are maxIdleConns already.
+// expire closes a connection that is still idle when its idle time has passed. A
+// backend server may go on sending on it, and it may never be acquired again.
+func (p *Pool) expire(c *Conn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	conns := p.idle[c.target]
+	i := slices.Index(conns, c)
+	if i < 0 || p.Clock.Now().Before(c.idleUntil) {
+		return
+	}
+	c.Close()
+	if len(conns) == 1 {
+		delete(p.idle, c.target)
+		return
+	}
+	p.idle[c.target] = slices.Delete(conns, i, i+1)
+}
+
+// push keeps an idle connection until its idle time has passed, or closes it if
+// there are maxIdleConns already.
 func (p *Pool) push(c *Conn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -144,6 +167,7 @@
 		return
 	}
 	p.idle[c.target] = append(p.idle[c.target], c)
+	c.expiry = p.Clock.AfterFunc(p.Clock.Until(c.idleUntil), func() { p.expire(c) })
 }
 
 // healthy reports whether an idle connection is still open and has no unread
--- a/internal/entry/forward/endless_test.go
+++ b/internal/entry/forward/endless_test.go
@@ -102,3 +102,40 @@
 		t.Errorf("server got %d connections, want 2", s.Conns())
 	}
 }
+
+// Guards against bytes after a complete answer that are taken for the next one, and
+// against a connection that stays open while they arrive.
+func TestEndlessBytesAfterAnswer(t *testing.T) {
+	for name, interval := range map[string]time.Duration{"fast": 0, "trickling": 20 * time.Millisecond} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s := endless.New(endless.Response{Head: completeResponse("first"), Unit: "extra", Interval: interval}, completeResponse("second"))
+			e, _ := newEndlessEntry(t, s, 1)
+			for _, want := range []string{"first", "second"} {
+				if got, body, complete := e.callLong(t, http.MethodPost, "/write/1"); got.StatusCode != http.StatusOK || body != want || !complete {
+					t.Errorf("response is %d %q, complete %v, want %q", got.StatusCode, body, complete, want)
+				}
+				// Extra bytes that arrive after the next request was sent can't be
+				// told apart before.
+				s.AwaitWritten(t, int64(len(completeResponse("first")))+1)
+				time.Sleep(20 * time.Millisecond)
+			}
+			s.AwaitClosed(t)
+			if s.Conns() != 2 {
+				t.Errorf("server got %d connections, want 2", s.Conns())
+			}
+		})
+	}
+}
+
+// Guards against an idle connection that stays open while its server goes on sending,
+// although no request uses it any more.
+func TestIdleConnectionWithEndlessBytesIsClosed(t *testing.T) {
+	s := endless.New(endless.Response{Head: "HTTP/1.1 200 OK\r\nX-Attempt-Id: r1\r\nKeep-Alive: timeout=1\r\n" + signatureHeader +
+		"Content-Length: 2\r\n\r\nok", Unit: "extra", Interval: 20 * time.Millisecond}, "")
+	e, _ := newEndlessEntry(t, s, 1)
+	if got, body, _ := e.callLong(t, http.MethodPost, "/write/1"); got.StatusCode != http.StatusOK || body != "ok" {
+		t.Errorf("response is %d %q, want 200", got.StatusCode, body)
+	}
+	s.AwaitClosed(t)
+}
