Answer from another server when a failed answer has no end or a body stops

Seen on unchanged code (idempotent route, two attempts, deadline 3 s): an endless body of a 500 or 404 was relayed to the caller until the deadline, 0.5 to 3.5 GB, and not retried. If it trickled, or if trailers, a chunk size or a chunk extension trickled, the caller got 504 after 3.0 s although another server could have answered. Cause: bodies over 1 MiB are streamed whatever their status, and the read deadline of a body is that of the request. Now only a successful answer may be longer than 1 MiB; any other such body is no answer ("invalid", 502 or a retry). The time without a byte after which a request that may be sent again moves on holds between the parts of a body as it did for the head, and bodies of other than successful answers must be complete within it. A request that must not be sent again still waits until its deadline. After: all 21 forms of TestEndlessNonAnswerIsCutOff end with 502 at once, fast and trickling ones are answered by the other server; a long answer (5 MiB, with length and in chunks) passes complete, on one connection.

--- a/internal/entry/forward/attempt.go
+++ b/internal/entry/forward/attempt.go
@@ -25,19 +25,31 @@
 	rejectedBodyTimeout = 50 * time.Millisecond
 )
 
-// attempt is one exchange of a request with a backend server.
-type attempt struct {
-	*request
-	decision  placement.Decision
-	conn      *httpconn.Conn
-	startedAt time.Time
-	// promptRead is set once the backend server has read the prompt, which
-	// the first event or a complete response shows.
-	promptRead bool
-	// complete is set once the response was read to its end, so that the
-	// connection may be reused.
-	complete bool
-}
+type (
+	// attempt is one exchange of a request with a backend server.
+	attempt struct {
+		*request
+		decision  placement.Decision
+		conn      *httpconn.Conn
+		startedAt time.Time
+		// promptRead is set once the backend server has read the prompt, which
+		// the first event or a complete response shows.
+		promptRead bool
+		// complete is set once the response was read to its end, so that the
+		// connection may be reused.
+		complete bool
+	}
+
+	// stallReader reads a body that must begin within the attempt's read timeout.
+	stallReader struct {
+		*attempt
+		body io.Reader
+		// renew allows the read timeout again after each part of the body. Without
+		// it, the whole body must arrive within the timeout.
+		renew   bool
+		started bool
+	}
+)
 
 // run sends the request and handles the response.
 func (a *attempt) run(ctx context.Context) (attemptResult, placement.Outcome) {
@@ -142,14 +154,16 @@
 // bufferResponse reads a response to its end before any of it is sent to the
 // caller, so that the request can still be retried if the response breaks off.
 func (a *attempt) bufferResponse(ctx context.Context, response *httpconn.Answer) (attemptResult, placement.Outcome) {
-	if err := a.conn.SetReadDeadline(a.deadline); err != nil {
-		return a.handleLost(ctx, err)
-	}
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxBufferedBytes))
+	succeeded := response.StatusCode < http.StatusMultipleChoices
+	body, err := io.ReadAll(io.LimitReader(&stallReader{attempt: a, body: response.Body, renew: succeeded}, maxBufferedBytes))
 	if err != nil {
 		return a.handleLost(ctx, errors.Wrap(err, "read body"))
 	}
 	if len(body) == maxBufferedBytes {
+		if !succeeded {
+			err := errors.Newf("body of the response with status %d has more than %d bytes", response.StatusCode, maxBufferedBytes)
+			return a.handleLost(ctx, errors.Mark(err, httpconn.ErrInvalidAnswer))
+		}
 		return a.relayOversized(ctx, response, body)
 	}
 	a.complete, a.promptRead = true, true
@@ -166,8 +180,11 @@
 }
 
 // relayOversized streams a response that is too long to be buffered. If it
-// breaks off, the caller's connection is aborted.
+// breaks off or has no end, the caller's connection is aborted.
 func (a *attempt) relayOversized(ctx context.Context, response *httpconn.Answer, prefix []byte) (attemptResult, placement.Outcome) {
+	if err := a.conn.SetReadDeadline(a.deadline); err != nil {
+		return a.handleLost(ctx, err)
+	}
 	a.handler.HeaderCodec.RemoveHopHeaders(response.Header)
 	copyHeader(a.writer.Header(), response.Header)
 	a.writer.WriteHeader(response.StatusCode)
@@ -187,6 +204,17 @@
 	return resultFinished, placement.Answered
 }
 
+// Read implements io.Reader.
+func (r *stallReader) Read(buffer []byte) (int, error) {
+	if r.renew || !r.started {
+		r.started = true
+		if err := r.conn.SetReadDeadline(r.handler.Clock.Now().Add(r.readTimeout())); err != nil {
+			return 0, err
+		}
+	}
+	return r.body.Read(buffer)
+}
+
 // writeResponse writes a complete response of a backend server to the caller,
 // unchanged.
 func (q *request) writeResponse(response *bufferedResponse, code string) {
--- a/internal/entry/forward/endless_test.go
+++ b/internal/entry/forward/endless_test.go
@@ -1,8 +1,10 @@
 package forward
 
 import (
+	"bufio"
 	"fmt"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -30,6 +32,32 @@
 	endlessChunk = "10\r\nmmmmmmmmmmmmmmmm\r\n"
 )
 
+// nonAnswers are the endless responses that show by their bytes that they are no
+// answer to the request.
+var nonAnswers = map[string]endless.Response{
+	"garbage":                     {Head: "garbage", Unit: "g"},
+	"status line":                 {Head: "HTTP/1.1 200 ", Unit: "O"},
+	"header line":                 {Head: ownHead + "X-Long: ", Unit: "v"},
+	"header lines":                {Head: ownHead, Unit: "X-Many: v\r\n"},
+	"informational answers":       {Unit: "HTTP/1.1 103 x\r\nLink: l\r\n\r\n"},
+	"informational header lines":  {Head: "HTTP/1.1 103 x\r\n", Unit: "X-Many: v\r\n"},
+	"unsigned chunks":             {Head: ownHead + chunkedHead, Unit: endlessChunk},
+	"unsigned with length":        {Head: ownHead + sizedHead, Unit: "m"},
+	"unsigned without length":     {Head: ownHead + "\r\n", Unit: "m"},
+	"foreign chunks":              {Head: foreignHead + chunkedHead, Unit: endlessChunk},
+	"foreign with length":         {Head: foreignHead + sizedHead, Unit: "m"},
+	"foreign without length":      {Head: foreignHead + "\r\n", Unit: "m"},
+	"foreign answers":             {Unit: foreignHead + "Content-Length: 2\r\n\r\nok"},
+	"chunk size":                  {Head: ownHead + signatureHeader + chunkedHead, Unit: "0"},
+	"chunk extension":             {Head: ownHead + signatureHeader + chunkedHead + "2;", Unit: "e"},
+	"chunk extensions":            {Head: ownHead + signatureHeader + chunkedHead, Unit: "1;" + strings.Repeat("e", 1000) + "\r\nm\r\n"},
+	"trailers":                    {Head: ownHead + signatureHeader + chunkedHead + "2\r\nok\r\n0\r\n", Unit: "X-Many: v\r\n"},
+	"server error chunks":         {Head: errorHead + chunkedHead, Unit: endlessChunk},
+	"server error with length":    {Head: errorHead + sizedHead, Unit: "m"},
+	"client error chunks":         {Head: clientErrorHead + chunkedHead, Unit: endlessChunk},
+	"server error without length": {Head: errorHead + "\r\n", Unit: "m"},
+}
+
 // newEndlessEntry returns an entry with several backend servers, which are all the
 // same endless server. Each route allows two attempts.
 func newEndlessEntry(t *testing.T, s *endless.Server, count int) (*entry, tally.TestScope) {
@@ -60,6 +88,106 @@
 	return fmt.Sprintf("%s%sContent-Length: %d\r\n\r\n%s", ownHead, signatureHeader, len(body), body)
 }
 
+// attemptOutcomes returns how often the attempts ended with each outcome.
+func attemptOutcomes(metrics tally.TestScope) map[string]int64 {
+	counts := make(map[string]int64)
+	for _, c := range metrics.Snapshot().Counters() {
+		if c.Name() == "attempts" {
+			counts[c.Tags()["reason"]] += c.Value()
+		}
+	}
+	return counts
+}
+
+// Guards against a non-idempotent request that waits for its deadline, fills the
+// memory, is repeated or is refused as not run while its server sends bytes without end
+// that are no answer.
+func TestEndlessNonAnswerIsCutOff(t *testing.T) {
+	for name, response := range nonAnswers {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s := endless.New(response, "")
+			e, metrics := newEndlessEntry(t, s, 2)
+			got, body, complete := e.callLong(t, http.MethodPost, "/write/1")
+			// 504 would mean that the entry has read until the deadline.
+			if got.StatusCode != http.StatusBadGateway || !complete {
+				t.Errorf("status is %d, complete %v, want 502", got.StatusCode, complete)
+			}
+			if strings.Contains(body, "mm") || got.Header.Get("X-Response-Signature") != "" {
+				t.Errorf("response %v with %d bytes has parts of the endless one", got.Header, len(body))
+			}
+			s.AwaitClosed(t)
+			if s.Requests() != 1 || s.Written() > maxEndlessBytes {
+				t.Errorf("server got %d requests and sent %d bytes, want 1 and at most %d", s.Requests(), s.Written(), maxEndlessBytes)
+			}
+			if n := attemptOutcomes(metrics); n["invalid"]+n["unsigned"] != 1 {
+				t.Errorf("attempts are %v, want one invalid or unsigned", n)
+			}
+		})
+	}
+}
+
+// Guards against an idempotent request that fails although another server has its
+// answer, or whose retry waits until an endless response is read.
+func TestEndlessNonAnswerIsRetriedOnAnotherServer(t *testing.T) {
+	for name, response := range nonAnswers {
+		for speed, interval := range map[string]time.Duration{"fast": 0, "trickling": 20 * time.Millisecond} {
+			response.Interval = interval
+			current := response
+			t.Run(name+" "+speed, func(t *testing.T) {
+				t.Parallel()
+				s := endless.New(current, completeResponse("ok"))
+				e, _ := newEndlessEntry(t, s, 2)
+				got, body, _ := e.callLong(t, http.MethodGet, "/read/1")
+				if got.StatusCode != http.StatusOK || body != "ok" {
+					t.Errorf("response is %d %q, want that of the other server", got.StatusCode, body)
+				}
+				s.AwaitClosed(t)
+				if s.Requests() != 2 || s.Written() > maxEndlessBytes {
+					t.Errorf("server got %d requests and sent %d bytes, want 2 and at most %d", s.Requests(), s.Written(), maxEndlessBytes)
+				}
+			})
+		}
+	}
+}
+
+// Guards against a non-idempotent request that outlives its deadline, or is refused
+// as not run, while bytes trickle in.
+func TestTricklingNonAnswerEndsAtDeadline(t *testing.T) {
+	for name, response := range nonAnswers {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			response.Interval = 20 * time.Millisecond
+			s := endless.New(response, "")
+			e, _ := newEndlessEntry(t, s, 2)
+			got, _, complete := e.call(t, http.MethodPost, "/write/1", "x", "X-Deadline-Ms", "400")
+			if got.StatusCode != http.StatusBadGateway && got.StatusCode != http.StatusGatewayTimeout || !complete {
+				t.Errorf("status is %d, complete %v, want 502 or 504", got.StatusCode, complete)
+			}
+			s.AwaitClosed(t)
+			if s.Requests() != 1 {
+				t.Errorf("server got %d requests, want 1", s.Requests())
+			}
+		})
+	}
+}
+
+// Guards against a server that sends endless non-answers and is still chosen
+// as often as one that serves.
+func TestServerWithEndlessNonAnswersIsAvoided(t *testing.T) {
+	s := endless.New(nonAnswers["garbage"], "")
+	good := newBackend(t, "i-good", func(w *bufio.Writer, r *http.Request, _ int) bool { return writeResponse(w, r, 200, "ok") })
+	e := newEntry(t, &backend{T: t, id: "i-bad", address: s.Listen(t)}, good)
+	for range 30 {
+		if got, _, _ := e.callLong(t, http.MethodGet, "/read/1"); got.StatusCode != http.StatusOK {
+			t.Fatalf("status is %d, want 200 from the other server", got.StatusCode)
+		}
+	}
+	if n := s.Requests(); n > 10 {
+		t.Errorf("faulty server got %d of 30 requests", n)
+	}
+}
+
 // Guards against a refusal whose body has no end: the request did not run, so that
 // another server gets it, also if it is not idempotent.
 func TestEndlessBodyOfRefusal(t *testing.T) {
@@ -139,3 +267,43 @@
 	}
 	s.AwaitClosed(t)
 }
+
+// Guards against an endless body that looks complete to the caller or outlives the
+// deadline: a signed answer may be long, so that its end shows first.
+func TestEndlessSignedBodyIsAborted(t *testing.T) {
+	for name, head := range map[string]string{"chunks": chunkedHead, "without length": "\r\n"} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s := endless.New(endless.Response{Head: ownHead + signatureHeader + head, Unit: endlessChunk}, "")
+			e, _ := newEndlessEntry(t, s, 2)
+			got, _, complete := e.call(t, http.MethodPost, "/write/1", "x", "X-Deadline-Ms", "500")
+			if complete {
+				t.Errorf("response %d looks complete", got.StatusCode)
+			}
+			s.AwaitClosed(t)
+		})
+	}
+}
+
+// Guards against a long answer that is cut off.
+func TestLongAnswerIsRelayedCompletely(t *testing.T) {
+	const size = 5 << 20
+	b := newBackend(t, "i-1", func(w *bufio.Writer, _ *http.Request, n int) bool {
+		if n == 1 {
+			_, _ = fmt.Fprintf(w, "%s%sContent-Length: %d\r\n\r\n%s", ownHead, signatureHeader, size, strings.Repeat("m", size))
+			return true
+		}
+		_, _ = fmt.Fprintf(w, "%s%s%s%x\r\n%s\r\n0\r\n\r\n", ownHead, signatureHeader, chunkedHead, size, strings.Repeat("m", size))
+		return true
+	})
+	e := newEntry(t, b)
+	for range 2 {
+		got, body, complete := e.callLong(t, http.MethodPost, "/write/1")
+		if got.StatusCode != http.StatusOK || len(body) != size || !complete {
+			t.Errorf("response is %d with %d bytes, complete %v, want 200 with %d", got.StatusCode, len(body), complete, size)
+		}
+	}
+	if b.conns != 1 {
+		t.Errorf("server got %d connections, want 1", b.conns)
+	}
+}
