Resume a stream whose server sends comments or old events without end

Seen on unchanged code (resumable stream, two attempts, deadline 3 s): a server that repeats event 1, or sends comments, kept the stream until the deadline, fast or trickling; the caller's response was then aborted after event 1. Cause: each block up to a blank line extended the time after which a stream counts as silent, also one that the caller got before or that is no event. Now only a new event extends it, and more than 1 MiB without a new event ends the attempt. Comments are passed on as before, but count neither as events nor as a prompt that was read. After: TestEndlessNonEventsAreResumed passes, the other server sends the rest. An endless line or endless lines without a blank one were cut off at 1 MiB before, too. Endless new events can't be told from a long answer; they end with an aborted response at the deadline, as before.

--- a/internal/entry/forward/endless_test.go
+++ b/internal/entry/forward/endless_test.go
@@ -307,3 +307,53 @@
 		t.Errorf("server got %d connections, want 1", b.conns)
 	}
 }
+
+// Guards against a stream that waits for its deadline, or ends as if it were complete,
+// while its server sends endless bytes that are no event.
+func TestEndlessNonEventsAreResumed(t *testing.T) {
+	const event1 = "id: 1\ndata: e1\n\n"
+	resumed := "HTTP/1.1 200 OK\r\nX-Attempt-Id: r1\r\n" + signatureHeader + "Content-Type: text/event-stream\r\n" +
+		fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(eventStreamBody(2, 3)), eventStreamBody(2, 3))
+	for name, unit := range map[string]string{
+		"line":       "m",
+		"lines":      "data: m\n",
+		"comments":   ": m\n\n",
+		"old events": event1,
+	} {
+		for speed, interval := range map[string]time.Duration{"fast": 0, "trickling": 20 * time.Millisecond} {
+			t.Run(name+" "+speed, func(t *testing.T) {
+				t.Parallel()
+				s := endless.New(endless.Response{Head: streamHead + "\r\n" + event1, Unit: unit, Interval: interval}, resumed)
+				e, _ := newEndlessEntry(t, s, 2)
+				got, body, complete := e.callLong(t, http.MethodPost, "/stream/1")
+				if events := withoutComments(body); got.StatusCode != http.StatusOK || events != eventStreamBody(1, 3) || !complete {
+					t.Errorf("response is %d with %d bytes, complete %v, want three events", got.StatusCode, len(body), complete)
+				}
+				s.AwaitClosed(t)
+			})
+		}
+	}
+}
+
+// Guards against an endless stream that looks complete to the caller or outlives
+// the deadline.
+func TestEndlessStreamIsAborted(t *testing.T) {
+	for name, unit := range map[string]string{
+		"line": "m", "lines": "data: m\n", "comments": ": m\n\n", "old events": "id: 1\ndata: e1\n\n", "events without ID": "data: m\n\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s := endless.New(endless.Response{Head: streamHead + "\r\nid: 1\ndata: e1\n\n", Unit: unit}, "")
+			e, _ := newEndlessEntry(t, s, 1)
+			got, _, complete := e.call(t, http.MethodPost, "/stream/1", "x", "X-Deadline-Ms", "600")
+			if complete {
+				t.Errorf("response %d looks complete", got.StatusCode)
+			}
+			s.AwaitClosed(t)
+		})
+	}
+}
+
+func withoutComments(body string) string {
+	return strings.ReplaceAll(body, ": m\n\n", "")
+}
--- a/internal/entry/forward/log.go
+++ b/internal/entry/forward/log.go
@@ -20,7 +20,7 @@
 	}
 	q.handler.count("requests", route, q.pool.Name, code)
 	took := q.handler.Clock.Since(q.arrivedAt)
-	if q.stream != nil {
+	if q.stream != nil && q.stream.eventCount > 0 {
 		q.handler.Metrics.Timer("first_event").Record(q.stream.firstEventAt.Sub(q.arrivedAt))
 	}
 	q.handler.Metrics.Timer("answer").Record(took)
@@ -55,7 +55,10 @@
 		e.Int("sent", len(q.tried))
 	}
 	if q.stream != nil {
-		e.Int("events", q.stream.eventCount).Dur("firstEvent", q.stream.firstEventAt.Sub(q.arrivedAt)).Dur("longestGap", q.stream.longestGap).Int("resumed", q.stream.resumeCount)
+		e.Int("events", q.stream.eventCount).Dur("longestGap", q.stream.longestGap).Int("resumed", q.stream.resumeCount)
+	}
+	if q.stream != nil && q.stream.eventCount > 0 {
+		e.Dur("firstEvent", q.stream.firstEventAt.Sub(q.arrivedAt))
 	}
 	if q.lastError != nil {
 		e.AnErr("cause", q.lastError)
--- a/internal/entry/forward/stream.go
+++ b/internal/entry/forward/stream.go
@@ -16,7 +16,8 @@
 )
 
 const (
-	// maxEventBytes limits the size of an event.
+	// maxEventBytes limits the size of an event, and the bytes between two new
+	// events.
 	maxEventBytes = 1 << 20
 	// eventBufferBytes is the size of the read buffer; it holds a few events.
 	eventBufferBytes = 2 << 10
@@ -47,27 +48,41 @@
 func (a *attempt) relayEvents(ctx context.Context, response *httpconn.Answer) (attemptResult, placement.Outcome) {
 	events := bufio.NewReaderSize(response.Body, eventBufferBytes)
 	relayed, firstEventAt := 0, time.Time{}
+	// Comments and events that the caller has already don't count as progress, as
+	// they may come without end.
+	progressed, bytesWithoutProgress := true, 0
 	for {
-		if err := a.conn.SetReadDeadline(a.eventDeadline()); err != nil {
-			return a.handleBrokenStream(ctx, relayed, err)
+		if progressed {
+			progressed, bytesWithoutProgress = false, 0
+			if err := a.conn.SetReadDeadline(a.eventDeadline()); err != nil {
+				return a.handleBrokenStream(ctx, relayed, err)
+			}
 		}
 		event, err := readEvent(events)
 		if errors.Is(err, io.EOF) {
 			return a.finishStream(response, relayed, firstEventAt)
 		}
+		bytesWithoutProgress += len(event)
+		if err == nil && bytesWithoutProgress > maxEventBytes {
+			err = errors.Newf("more than %d bytes without a new event", maxEventBytes)
+		}
 		if err != nil {
 			return a.handleBrokenStream(ctx, relayed, err)
 		}
 		now := a.handler.Clock.Now()
-		if !a.promptRead {
+		comment := isComment(event)
+		if !comment && !a.promptRead {
 			a.promptRead, firstEventAt = true, now
 			a.handler.Scheduler.RecordFirstEvent(a.pool.Name, a.decision.Server.Instance, a.head.PromptTokens)
 		}
-		if a.stream != nil && !isNewEvent(a.stream.lastEventID, eventID(event)) {
+		if !comment && a.stream != nil && !isNewEvent(a.stream.lastEventID, eventID(event)) {
 			continue
 		}
-		relayed++
-		if err := a.writeEvent(response, event, now); err != nil {
+		if !comment {
+			relayed++
+			progressed = true
+		}
+		if err := a.writeEvent(response, event, comment, now); err != nil {
 			a.lastError = err
 			a.conn.Close()
 			a.reportEnded(a.decision, a.promptRead, placement.Cancelled, 0)
@@ -76,11 +91,11 @@
 	}
 }
 
-// writeEvent sends an event to the caller. The first event is preceded by the
-// response headers.
-func (a *attempt) writeEvent(response *httpconn.Answer, event []byte, now time.Time) error {
+// writeEvent sends an event or a comment to the caller. The first one is preceded
+// by the response headers.
+func (a *attempt) writeEvent(response *httpconn.Answer, event []byte, comment bool, now time.Time) error {
 	if a.stream == nil {
-		a.stream = &stream{status: response.StatusCode, version: response.Head.Version, firstEventAt: now, lastEventID: a.head.LastEvent}
+		a.stream = &stream{status: response.StatusCode, version: response.Head.Version, lastEventID: a.head.LastEvent}
 		if a.stream.version == 0 {
 			a.stream.version = a.decision.Version
 		}
@@ -89,22 +104,31 @@
 		a.writer.Header().Del("Content-Length")
 		a.writer.WriteHeader(response.StatusCode)
 	}
-	s := a.stream
-	if id := eventID(event); id != "" {
+	if !comment {
+		a.stream.recordEvent(eventID(event), a.handler.HeaderCodec.EventVersion(event), now)
+	}
+	if _, err := a.writer.Write(event); err != nil {
+		return errors.Wrap(err, "write event")
+	}
+	return errors.Wrap(http.NewResponseController(a.writer).Flush(), "flush event")
+}
+
+// recordEvent records an event that is sent to the caller. The ID is empty and the
+// version 0 if the event has none.
+func (s *stream) recordEvent(id string, version int64, now time.Time) {
+	if id != "" {
 		s.lastEventID = id
 	}
-	if v := a.handler.HeaderCodec.EventVersion(event); v != 0 {
-		s.version = v
+	if version != 0 {
+		s.version = version
 	}
-	if s.eventCount > 0 {
+	if s.eventCount == 0 {
+		s.firstEventAt = now
+	} else {
 		s.longestGap = max(s.longestGap, now.Sub(s.lastEventAt))
 	}
 	s.eventCount++
 	s.lastEventAt = now
-	if _, err := a.writer.Write(event); err != nil {
-		return errors.Wrap(err, "write event")
-	}
-	return errors.Wrap(http.NewResponseController(a.writer).Flush(), "flush event")
 }
 
 // eventDeadline returns the time at which the stream counts as silent.
@@ -170,6 +194,16 @@
 	return nil, errors.Newf("event is larger than %d bytes", maxEventBytes)
 }
 
+// isComment reports whether an event has no fields.
+func isComment(event []byte) bool {
+	for line := range bytes.Lines(event) {
+		if line[0] != ':' && len(bytes.TrimRight(line, "\r\n")) > 0 {
+			return false
+		}
+	}
+	return true
+}
+
 func eventID(event []byte) string {
 	for line := range bytes.Lines(event) {
 		if value, ok := bytes.CutPrefix(line, idField); ok {
