Keep the interruption of a connection when a read deadline is set later

Seen on unchanged code: after its context was done, a connection whose read deadline was set once more read on until that deadline (20.0 s in the test). The entry sets one before each event, so a caller that disconnects while an event is written left its server working until the next write. Cause: the interruption is a deadline in the past, which the next deadline replaced. Now the interruption is remembered, and a later deadline has no effect.

--- a/internal/backend/httpconn/conn.go
+++ b/internal/backend/httpconn/conn.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -49,6 +50,8 @@
 		reused bool
 		// unusable is set if the connection must be closed after the current request.
 		unusable bool
+		// interrupted is set once the context of InterruptOnDone is done.
+		interrupted atomic.Bool
 		// answerRead is set once the answer to the current request was read to its end.
 		answerRead bool
 		// written is closed when the background write of a long request has ended;
@@ -207,14 +210,21 @@
 // function stops watching the context.
 func (c *Conn) InterruptOnDone(ctx context.Context) func() bool {
 	return context.AfterFunc(ctx, func() {
+		c.interrupted.Store(true)
 		// SetDeadline only fails if the connection is already closed.
 		_ = c.netConn.SetDeadline(time.Unix(1, 0))
 	})
 }
 
-// SetReadDeadline sets the time at which a read of the next bytes times out.
+// SetReadDeadline sets the time at which a read of the next bytes times out. It
+// has no effect after an interruption.
 func (c *Conn) SetReadDeadline(deadline time.Time) error {
-	return c.netConn.SetReadDeadline(deadline)
+	err := c.netConn.SetReadDeadline(deadline)
+	// Checked after the call, because the interruption may come at any time.
+	if err == nil && c.interrupted.Load() {
+		err = c.netConn.SetReadDeadline(time.Unix(1, 0))
+	}
+	return err
 }
 
 // Release returns the connection to the pool if reusable is set, the answer was
--- a/internal/backend/httpconn/conn_test.go
+++ b/internal/backend/httpconn/conn_test.go
@@ -1,7 +1,10 @@
 package httpconn
 
 import (
+	"context"
 	"io"
+	"net"
+	"strings"
 	"testing"
 	"time"
 
@@ -163,3 +166,26 @@
 	clock.Advance(defaultIdleTime)
 	s.AwaitClosed(t)
 }
+
+// Guards against an interruption that a later read deadline undoes, so that a
+// request goes on after its caller has disconnected.
+func TestReadDeadlineDoesNotUndoInterruption(t *testing.T) {
+	s := endless.New(endless.Response{Head: strings.TrimSuffix(answerHead, "\r\n"), Unit: "v", Interval: 10 * time.Millisecond}, "")
+	c := send(t, newPool(t, clockwork.NewRealClock()), Target{Address: s.Listen(t)})
+	ctx, cancel := context.WithCancel(t.Context())
+	c.InterruptOnDone(ctx)
+	cancel()
+	for !c.interrupted.Load() {
+		time.Sleep(time.Millisecond)
+	}
+	if err := c.SetReadDeadline(time.Now().Add(testTimeout)); err != nil {
+		t.Fatal(err)
+	}
+	var timeout net.Error
+	began := time.Now()
+	if _, err := c.Receive("GET", "r1"); !errors.As(err, &timeout) || !timeout.Timeout() || time.Since(began) > testTimeout/2 { //nolint:bodyclose // There is no answer.
+		t.Errorf("read ended after %v with %v, want a time-out at once", time.Since(began), err)
+	}
+	c.Release(false)
+	s.AwaitClosed(t)
+}
