Limit the head of a backend server's answer to an agent to 64 KiB

Seen on unchanged code: a status line, header line, header lines or 1xx answers without end were read up to 10 MiB each request (10.5 to 11.0 MB sent), the default of net/http, held in memory. Bodies, control calls, endless framing and bytes after the last event of a stream were already bounded and cut off; the tests for them passed at once. Now the limit is that of httpconn (MaxHeadBytes). After: under 4 MB sent, including what the kernel takes.

--- a/internal/backend/httpcall/httpcall.go
+++ b/internal/backend/httpcall/httpcall.go
@@ -24,6 +24,7 @@
 	"github.com/jonboulle/clockwork"
 
 	"github.com/mulberryspool/mulberryspool"
+	"github.com/mulberryspool/mulberryspool/internal/backend/httpconn"
 )
 
 const (
@@ -55,9 +56,10 @@
 // automatically resends some requests if a reused connection turns out to be
 // closed. It does not follow redirects.
 var transport = &http.Transport{
-	DialContext:        (&net.Dialer{Timeout: dialTimeout}).DialContext,
-	DisableKeepAlives:  true,
-	DisableCompression: true,
+	DialContext:            (&net.Dialer{Timeout: dialTimeout}).DialContext,
+	DisableKeepAlives:      true,
+	DisableCompression:     true,
+	MaxResponseHeaderBytes: httpconn.MaxHeadBytes,
 }
 
 // Submit sends a request and returns the head of its answer. The error is
