--- a/internal/backend/httpconn/conn.go
+++ b/internal/backend/httpconn/conn.go
@@ -5,13 +5,16 @@
 	"cmp"
 	"context"
 	"io"
+	"math"
 	"net"
 	"net/http"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/jonboulle/clockwork"
 
 	"github.com/mulberryspool/mulberryspool"
 )
@@ -27,8 +30,10 @@
 	maxSkippedAnswers = 2
 	// maxSkippedBytes limits the body of a skipped answer.
 	maxSkippedBytes = 1 << 20
-	// maxHeadBytes limits the bytes that are read for the head of an answer.
-	maxHeadBytes = 64 << 10
+	// MaxHeadBytes limits the bytes that are read for the head of an answer.
+	MaxHeadBytes = 64 << 10
+	// answerPrefix is how each answer begins.
+	answerPrefix = "HTTP/"
 )
 
 type (
@@ -45,6 +50,10 @@
 		reused bool
 		// unusable is set if the connection must be closed after the current request.
 		unusable bool
+		// interrupted is set once the context of InterruptOnDone is done.
+		interrupted atomic.Bool
+		// answerRead is set once the answer to the current request was read to its end.
+		answerRead bool
 		// written is closed when the background write of a long request has ended;
 		// it is nil for short requests.
 		written  chan struct{}
@@ -54,18 +63,29 @@
 		keepAlive time.Duration
 		idleSince time.Time
 		idleUntil time.Time
+		// expiry closes the connection at idleUntil.
+		expiry clockwork.Timer
 	}
 
 	// Answer is a backend server's answer with its parsed head. Reading the body
-	// returns io.EOF only if the body is complete.
+	// returns io.EOF only if the body is complete, and otherwise an error that is
+	// marked like those of Receive. Closing the body reads nothing: it closes the
+	// connection unless the body was read to its end.
 	Answer struct {
 		*http.Response
 		Head mulberryspool.AnswerHead
 	}
+
+	// answerBody is the body of an Answer. It replaces the one of net/http, whose
+	// Close reads the rest of the body, however long it is.
+	answerBody struct {
+		io.Reader
+		conn *Conn
+	}
 )
 
 func newConn(netConn net.Conn, target Target, pool *Pool) *Conn {
-	headLimit := &io.LimitedReader{R: netConn, N: maxHeadBytes}
+	headLimit := &io.LimitedReader{R: netConn, N: MaxHeadBytes}
 	return &Conn{target: target, pool: pool, netConn: netConn, headLimit: headLimit, reader: bufio.NewReaderSize(headLimit, readBufferBytes)}
 }
 
@@ -75,6 +95,7 @@
 // Send writes a request. A long one is written in the background; Release closes
 // the connection if that write has failed or not ended.
 func (c *Conn) Send(head, body []byte, deadline time.Time) error {
+	c.answerRead = false
 	if err := c.netConn.SetDeadline(deadline); err != nil {
 		return errors.Mark(err, ErrNotSent)
 	}
@@ -106,29 +127,74 @@
 // request was not run.
 func (c *Conn) Receive(method string, id mulberryspool.RequestID) (*Answer, error) {
 	for range maxSkippedAnswers + 1 {
-		c.headLimit.N = maxHeadBytes
-		response, err := http.ReadResponse(c.reader, &http.Request{Method: method}) //nolint:bodyclose // The caller closes it with the answer.
+		response, err := c.readHead(method) //nolint:bodyclose // The caller closes it with the answer.
 		if err != nil {
 			return nil, c.readError(err)
 		}
-		c.headLimit.N = 1 << 62
 		if response.StatusCode < http.StatusOK {
 			continue
 		}
 		head := c.pool.HeaderCodec.DecodeAnswer(response.StatusCode, response.Header)
 		if head.ID == id || head.ID == "" && (head.NotRun || !c.reused) {
 			c.applyKeepAlive(response)
+			c.answerRead = response.Body == http.NoBody
+			response.Body = &answerBody{Reader: response.Body, conn: c}
 			return &Answer{Response: response, Head: head}, nil
 		}
 		c.unusable = true
+		if response.Close || response.ContentLength > maxSkippedBytes {
+			break
+		}
 		read, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxSkippedBytes))
-		if err != nil || read == maxSkippedBytes || response.Close {
+		if err != nil || read == maxSkippedBytes {
 			break
 		}
 	}
 	return nil, errors.Mark(errors.Newf("answer does not belong to request %s", id), ErrInvalidAnswer)
 }
 
+// readHead reads at most MaxHeadBytes. It fails at the first byte that no answer
+// begins with, because the rest may never arrive.
+func (c *Conn) readHead(method string) (*http.Response, error) {
+	c.headLimit.N = MaxHeadBytes
+	for n := 1; n <= len(answerPrefix); n++ {
+		start, err := c.reader.Peek(n)
+		if err != nil {
+			return nil, err
+		}
+		if string(start) != answerPrefix[:n] {
+			return nil, errors.Newf("answer begins with %q", start)
+		}
+	}
+	response, err := http.ReadResponse(c.reader, &http.Request{Method: method})
+	if err != nil && c.headLimit.N <= 0 {
+		return nil, errors.Newf("head of the answer has more than %d bytes", MaxHeadBytes)
+	}
+	c.headLimit.N = math.MaxInt64
+	return response, err
+}
+
+// Read implements io.Reader.
+func (b *answerBody) Read(buffer []byte) (int, error) {
+	n, err := b.Reader.Read(buffer)
+	if errors.Is(err, io.EOF) {
+		b.conn.answerRead = true
+		return n, err
+	}
+	if err != nil {
+		err = b.conn.readError(err)
+	}
+	return n, err
+}
+
+// Close implements io.Closer.
+func (b *answerBody) Close() error {
+	if !b.conn.answerRead {
+		b.conn.Close()
+	}
+	return nil
+}
+
 // readError marks an error of reading an answer: ErrAnswerLost if the connection failed
 // or timed out, ErrInvalidAnswer if the received bytes are not an HTTP answer.
 func (c *Conn) readError(err error) error {
@@ -144,20 +210,27 @@
 // function stops watching the context.
 func (c *Conn) InterruptOnDone(ctx context.Context) func() bool {
 	return context.AfterFunc(ctx, func() {
+		c.interrupted.Store(true)
 		// SetDeadline only fails if the connection is already closed.
 		_ = c.netConn.SetDeadline(time.Unix(1, 0))
 	})
 }
 
-// SetReadDeadline sets the time at which a read of the next bytes times out.
+// SetReadDeadline sets the time at which a read of the next bytes times out. It
+// has no effect after an interruption.
 func (c *Conn) SetReadDeadline(deadline time.Time) error {
-	return c.netConn.SetReadDeadline(deadline)
+	err := c.netConn.SetReadDeadline(deadline)
+	// Checked after the call, because the interruption may come at any time.
+	if err == nil && c.interrupted.Load() {
+		err = c.netConn.SetReadDeadline(time.Unix(1, 0))
+	}
+	return err
 }
 
-// Release returns the connection to the pool if the answer was read to its end
-// and no bytes are left on the connection, and closes it otherwise.
-func (c *Conn) Release(complete bool) {
-	if !complete || c.unusable || c.reader.Buffered() > 0 || !c.requestWritten() {
+// Release returns the connection to the pool if reusable is set, the answer was
+// read to its end and no bytes are left on the connection, and closes it otherwise.
+func (c *Conn) Release(reusable bool) {
+	if !reusable || c.unusable || !c.answerRead || !c.healthy() || !c.requestWritten() {
 		c.Close()
 		return
 	}
--- a/internal/entry/forward/attempt.go
+++ b/internal/entry/forward/attempt.go
@@ -22,23 +22,39 @@
 	// outcomeOutdated is an attempt that was given up because the backend server's
 	// version was out of date before the response started.
 	outcomeOutdated = "outdated"
+	// maxRejectedBytes and rejectedBodyTimeout limit the read of the body of a
+	// rejection, for which the next attempt waits.
+	maxRejectedBytes    = 64 << 10
+	rejectedBodyTimeout = 50 * time.Millisecond
 )
 
-// attempt is one exchange of a request with a backend server.
-type attempt struct {
-	*request
-	decision  placement.Decision
-	conn      *httpconn.Conn
-	startedAt time.Time
-	// sentAt is when the request was sent, after its connection was opened.
-	sentAt time.Time
-	// promptRead is set once the backend server has read the prompt, which
-	// the first event or a complete response shows.
-	promptRead bool
-	// complete is set once the response was read to its end, so that the
-	// connection may be reused.
-	complete bool
-}
+type (
+	// attempt is one exchange of a request with a backend server.
+	attempt struct {
+		*request
+		decision  placement.Decision
+		conn      *httpconn.Conn
+		startedAt time.Time
+		// sentAt is when the request was sent, after its connection was opened.
+		sentAt time.Time
+		// promptRead is set once the backend server has read the prompt, which
+		// the first event or a complete response shows.
+		promptRead bool
+		// complete is set once the response was read to its end, so that the
+		// connection may be reused.
+		complete bool
+	}
+
+	// stallReader reads a body that must begin within the attempt's read timeout.
+	stallReader struct {
+		*attempt
+		body io.Reader
+		// renew allows the read timeout again after each part of the body. Without
+		// it, the whole body must arrive within the timeout.
+		renew   bool
+		started bool
+	}
+)
 
 // run sends the request and handles the response.
 func (a *attempt) run(ctx context.Context) (attemptResult, placement.Outcome) {
@@ -99,14 +115,24 @@
 // handleRejected handles a response that states that the backend server did not
 // run the request.
 func (a *attempt) handleRejected(response *httpconn.Answer) (attemptResult, placement.Outcome) {
-	_, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxBufferedBytes))
-	a.complete = err == nil
 	a.lastError = errors.Newf("backend server rejected the request with status %d without running it", response.StatusCode)
-	a.logAttempt(a.decision, "turnedAway"+strconv.Itoa(response.StatusCode), a.startedAt)
-	if response.StatusCode == http.StatusMisdirectedRequest {
-		return resultNotRun, placement.Misdirected
+	// The body is not needed; it is read so that the connection can be reused.
+	err := a.conn.SetReadDeadline(a.handler.Clock.Now().Add(rejectedBodyTimeout))
+	var read int64
+	if err == nil {
+		read, err = io.Copy(io.Discard, io.LimitReader(response.Body, maxRejectedBytes))
+	}
+	a.complete = err == nil && read < maxRejectedBytes
+	outcome := placement.Full
+	switch {
+	case read == maxRejectedBytes:
+		a.lastError = errors.Wrapf(a.lastError, "body has more than %d bytes", maxRejectedBytes)
+		outcome = placement.Broken
+	case response.StatusCode == http.StatusMisdirectedRequest:
+		outcome = placement.Misdirected
 	}
-	return resultNotRun, placement.Full
+	a.logAttempt(a.decision, "turnedAway"+strconv.Itoa(response.StatusCode), a.startedAt)
+	return resultNotRun, outcome
 }
 
 // startDeadline returns the earlier one of the given time and the time by which
@@ -125,11 +151,15 @@
 	return isTimeout(err) && !a.promptRead && !by.IsZero() && !a.handler.Clock.Now().Before(by)
 }
 
-// handleLost handles an exchange that broke before the response was complete.
+// handleLost handles an exchange that broke before the response was complete, or
+// in which the backend server sent bytes that are no response.
 func (a *attempt) handleLost(ctx context.Context, err error) (attemptResult, placement.Outcome) {
 	a.lastError = err
 	code := "lost"
-	if a.isOutdated(err) {
+	switch {
+	case errors.Is(err, httpconn.ErrInvalidAnswer):
+		code = "invalid"
+	case a.isOutdated(err):
 		code = outcomeOutdated
 	}
 	a.logAttempt(a.decision, code, a.startedAt)
@@ -152,14 +182,16 @@
 // bufferResponse reads a response to its end before any of it is sent to the
 // caller, so that the request can still be retried if the response breaks off.
 func (a *attempt) bufferResponse(ctx context.Context, response *httpconn.Answer) (attemptResult, placement.Outcome) {
-	if err := a.conn.SetReadDeadline(a.deadline); err != nil {
-		return a.handleLost(ctx, err)
-	}
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxBufferedBytes))
+	succeeded := response.StatusCode < http.StatusMultipleChoices
+	body, err := io.ReadAll(io.LimitReader(&stallReader{attempt: a, body: response.Body, renew: succeeded}, maxBufferedBytes))
 	if err != nil {
 		return a.handleLost(ctx, errors.Wrap(err, "read body"))
 	}
 	if len(body) == maxBufferedBytes {
+		if !succeeded {
+			err := errors.Newf("body of the response with status %d has more than %d bytes", response.StatusCode, maxBufferedBytes)
+			return a.handleLost(ctx, errors.Mark(err, httpconn.ErrInvalidAnswer))
+		}
 		return a.relayOversized(ctx, response, body)
 	}
 	a.complete, a.promptRead = true, true
@@ -177,8 +209,11 @@
 }
 
 // relayOversized streams a response that is too long to be buffered. If it
-// breaks off, the caller's connection is aborted.
+// breaks off or has no end, the caller's connection is aborted.
 func (a *attempt) relayOversized(ctx context.Context, response *httpconn.Answer, prefix []byte) (attemptResult, placement.Outcome) {
+	if err := a.conn.SetReadDeadline(a.deadline); err != nil {
+		return a.handleLost(ctx, err)
+	}
 	a.handler.HeaderCodec.RemoveHopHeaders(response.Header)
 	copyHeader(a.writer.Header(), response.Header)
 	a.writer.WriteHeader(response.StatusCode)
@@ -198,6 +233,17 @@
 	return resultFinished, placement.Answered
 }
 
+// Read implements io.Reader.
+func (r *stallReader) Read(buffer []byte) (int, error) {
+	if r.renew || !r.started {
+		r.started = true
+		if err := r.conn.SetReadDeadline(r.handler.Clock.Now().Add(r.readTimeout())); err != nil {
+			return 0, err
+		}
+	}
+	return r.body.Read(buffer)
+}
+
 // writeResponse writes a complete response of a backend server to the caller,
 // unchanged.
 func (q *request) writeResponse(response *bufferedResponse, code string) {
