--- a/internal/entry/forward/outdated_test.go
+++ b/internal/entry/forward/outdated_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"bytes"
 	"context"
+	"fmt"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -173,3 +174,26 @@
 		}
 	}
 }
+
+// Guards against a stream that cannot be resumed on a new version because its
+// outdated server sent a comment before the first event.
+func TestCommentDoesNotTieStreamToOutdatedVersion(t *testing.T) {
+	const comment = ": m\n\n"
+	var e *entry
+	var outdated *backend
+	updated := newBackend(t, "i-2", func(w *bufio.Writer, r *http.Request, _ int) bool { writeEvents(w, r, 1, 3, true); return true })
+	outdated = newBackend(t, "i-1", func(w *bufio.Writer, r *http.Request, _ int) bool {
+		e.setServers(outdated, updated)
+		writeEvents(w, r, 1, 0, false)
+		_, _ = fmt.Fprintf(w, "%x\r\n%s\r\n", len(comment), comment)
+		_ = w.Flush()
+		time.Sleep(slowStart)
+		return false
+	})
+	e, _ = newVersionedEntry(t, outdated)
+	e.scheduler.SetNamedVersion("m", 2, time.Now().Add(-versionAge))
+	response, body, complete := e.call(t, http.MethodPost, "/stream/1", "x")
+	if response.StatusCode != http.StatusOK || withoutComments(body) != eventStreamBody(1, 3) || !complete {
+		t.Errorf("response is %d %q, complete %v, want three events", response.StatusCode, body, complete)
+	}
+}
