Reset the connection of a request that is given up

A reset drops bytes that have not been delivered, and tells a server apart from a caller that only ended its request. Linux still delivers bytes that are in the server's socket already. Connections that carry no request are closed as before. TestAbandonedRequestIsReset failed before (end of file).

--- a/internal/backend/httpconn/conn.go
+++ b/internal/backend/httpconn/conn.go
@@ -89,8 +89,19 @@
 	return &Conn{target: target, pool: pool, netConn: netConn, headLimit: headLimit, reader: bufio.NewReaderSize(headLimit, readBufferBytes)}
 }
 
-// Close closes the connection, which makes the backend server abort the request.
-func (c *Conn) Close() { c.netConn.Close() }
+// Abort resets the connection of a request that is given up. Bytes that have not
+// reached the backend server are dropped, and it does not mistake the end for that
+// of the request only.
+func (c *Conn) Abort() {
+	if stream, ok := c.netConn.(*net.TCPConn); ok {
+		// Fails only if the connection is closed already.
+		_ = stream.SetLinger(0)
+	}
+	c.netConn.Close()
+}
+
+// close closes a connection that carries no request.
+func (c *Conn) close() { c.netConn.Close() }
 
 // Send writes a request. A long one is written in the background; Release closes
 // the connection if that write has failed or not ended.
@@ -190,7 +201,7 @@
 // Close implements io.Closer.
 func (b *answerBody) Close() error {
 	if !b.conn.answerRead {
-		b.conn.Close()
+		b.conn.Abort()
 	}
 	return nil
 }
@@ -230,12 +241,12 @@
 // Release returns the connection to the pool if reusable is set, the answer was
 // read to its end and no bytes are left on the connection, and closes it otherwise.
 func (c *Conn) Release(reusable bool) {
-	if !reusable || c.unusable || !c.answerRead || !c.healthy() || !c.requestWritten() {
-		c.Close()
+	if !reusable || !c.answerRead || !c.requestWritten() {
+		c.Abort()
 		return
 	}
-	if c.netConn.SetDeadline(time.Time{}) != nil {
-		c.Close()
+	if c.unusable || !c.healthy() || c.netConn.SetDeadline(time.Time{}) != nil {
+		c.close()
 		return
 	}
 	c.written = nil
--- a/internal/backend/httpconn/conn_test.go
+++ b/internal/backend/httpconn/conn_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -189,3 +190,26 @@
 	c.Release(false)
 	s.AwaitClosed(t)
 }
+
+// Guards against a backend server that takes the end of an abandoned request's
+// connection for that of the request's bytes, and runs it.
+func TestAbandonedRequestIsReset(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { listener.Close() })
+	c := send(t, newPool(t, clockwork.NewRealClock()), Target{Address: listener.Addr().String()})
+	conn, err := listener.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	c.Release(false)
+	if err := conn.SetReadDeadline(time.Now().Add(testTimeout)); err != nil {
+		t.Fatal(err)
+	}
+	if data, err := io.ReadAll(conn); !errors.Is(err, syscall.ECONNRESET) {
+		t.Errorf("read %q and then %v, want a reset", data, err)
+	}
+}
--- a/internal/backend/httpconn/pool.go
+++ b/internal/backend/httpconn/pool.go
@@ -85,7 +85,7 @@
 			c.reused = true
 			return c, nil
 		}
-		c.Close()
+		c.close()
 	}
 	netConn, err := p.Dial(ctx, "tcp", target.Address)
 	if err != nil {
@@ -105,7 +105,7 @@
 	delete(p.idle, target)
 	p.mu.Unlock()
 	for _, c := range idle {
-		c.Close()
+		c.close()
 	}
 }
 
@@ -117,7 +117,7 @@
 	p.mu.Unlock()
 	for _, conns := range idle {
 		for _, c := range conns {
-			c.Close()
+			c.close()
 		}
 	}
 }
@@ -146,7 +146,7 @@
 	if i < 0 || p.Clock.Now().Before(c.idleUntil) {
 		return
 	}
-	c.Close()
+	c.close()
 	if len(conns) == 1 {
 		delete(p.idle, c.target)
 		return
@@ -163,7 +163,7 @@
 		p.idle = make(map[Target][]*Conn)
 	}
 	if len(p.idle[c.target]) >= maxIdleConns {
-		c.Close()
+		c.close()
 		return
 	}
 	p.idle[c.target] = append(p.idle[c.target], c)
--- a/internal/entry/forward/attempt.go
+++ b/internal/entry/forward/attempt.go
@@ -224,7 +224,7 @@
 	if err != nil {
 		a.lastError = err
 		a.reportEnded(a.decision, a.promptRead, a.attributeOutcome(ctx, placement.Broken), 0)
-		a.conn.Close()
+		a.conn.Abort()
 		a.logEnd(response.StatusCode, "broken:long", 0)
 		panic(http.ErrAbortHandler)
 	}
--- a/internal/entry/forward/stream.go
+++ b/internal/entry/forward/stream.go
@@ -86,7 +86,7 @@
 		}
 		if err := a.writeEvent(response, event, comment, now); err != nil {
 			a.lastError = err
-			a.conn.Close()
+			a.conn.Abort()
 			a.reportEnded(a.decision, a.promptRead, placement.Cancelled, 0)
 			a.abort()
 		}
