Let an agent read an answer no faster than its entry takes it

Seen on unchanged code: a plain service that answers without end was read at full speed while the entry read nothing: 60 to 145 MB in 0.3 to 0.6 s, until the connection's queue of 4,096 messages was full. The connection was then closed, with all other answers on it, and the read went on. The queue alone holds up to 128 MB of chunks of 32 KB, encoded more. Cause: chunks of an answer are queued without waiting; only the number of messages is limited. Now the agent waits after each 16 chunks of an answer until they are written to the connections that receive it, with the Flush that a stopping agent already uses. One answer thus takes at most half a megabyte of the queue. A connection whose peer reads nothing is still closed by its write timeout.

--- a/internal/agent/gate/gate.go
+++ b/internal/agent/gate/gate.go
@@ -20,6 +20,7 @@
 package gate
 
 import (
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -143,6 +144,15 @@
 	return g.bufferedBytes
 }
 
+// Subscribers returns the connections that receive the answer to a request.
+func (g *Gate) Subscribers(id mulberryspool.RequestID) []ConnID {
+	r, ok := g.requests[id]
+	if !ok {
+		return nil
+	}
+	return slices.Clone(r.subscribers)
+}
+
 // Step applies an event at the agent time now and returns the effects, which
 // the caller must run in order.
 func (g *Gate) Step(now time.Duration, event Event) []Effect {
--- a/internal/agent/process/backend.go
+++ b/internal/agent/process/backend.go
@@ -11,11 +11,16 @@
 	"github.com/mulberryspool/mulberryspool"
 	"github.com/mulberryspool/mulberryspool/internal/agent/gate"
 	"github.com/mulberryspool/mulberryspool/internal/agent/rollout"
+	"github.com/mulberryspool/mulberryspool/internal/peer/rpc"
 )
 
 const (
 	// maxAnswerChunk is the maximum size of one chunk of an answer.
 	maxAnswerChunk = 32 << 10
+	// maxUnsentChunks is the number of chunks of an answer after which the agent
+	// waits until they are sent. It is small, because many answers share the queue
+	// of a connection.
+	maxUnsentChunks = 16
 	// readBackAttempts is the number of attempts to read back the weights of
 	// a request. A later read-back proves as much as the first one, so a single
 	// failure need not make the outcome of the request unknown.
@@ -51,10 +56,16 @@
 	defer answer.Body.Close()
 	p.post(gate.AnswerHead{ID: request.RequestID, Status: answer.Status, ContentType: answer.ContentType})
 	buffer := make([]byte, maxAnswerChunk)
+	unsent := 0
 	for {
 		n, err := answer.Body.Read(buffer)
 		if n > 0 {
 			p.post(gate.AnswerChunk{ID: request.RequestID, Data: slices.Clone(buffer[:n])})
+			unsent++
+		}
+		if unsent >= maxUnsentChunks {
+			p.awaitSent(ctx, request.RequestID)
+			unsent = 0
 		}
 		if errors.Is(err, io.EOF) && !errors.Is(err, io.ErrUnexpectedEOF) {
 			return nil
@@ -65,6 +76,29 @@
 	}
 }
 
+// awaitSent waits until all chunks of an answer that were posted are sent to the
+// connections that receive it.
+func (p *Process) awaitSent(ctx context.Context, id mulberryspool.RequestID) {
+	receivers := make(chan []*rpc.Conn, 1)
+	p.post(func() {
+		var conns []*rpc.Conn
+		for _, conn := range p.requests.Subscribers(id) {
+			if c := p.connsByID[conn]; c != nil {
+				conns = append(conns, c)
+			}
+		}
+		receivers <- conns
+	})
+	select {
+	case conns := <-receivers:
+		for _, conn := range conns {
+			// An error means that the connection is closed or the request cancelled.
+			_ = conn.Flush(ctx)
+		}
+	case <-ctx.Done():
+	}
+}
+
 // cancelBackend asks the backend server to cancel the request, and then cancels
 // the call that reads the answer.
 func (p *Process) cancelBackend(id mulberryspool.RequestID) {
