Keep the retained answers of others when one answer has no end

Seen on unchanged code: an answer that outgrows the agent's buffer first pushed out the answers of all ended requests, which an entry could then no longer fetch after a lost connection ("the answer is no longer kept", outcome unknown). Cause: the buffers of ended requests are dropped first, whoever needs the room. Now an answer that takes more than half of the buffer gives up its own part first. It is still sent on to those who receive it, but can't be resumed from an earlier offset.

--- a/internal/agent/gate/gate_test.go
+++ b/internal/agent/gate/gate_test.go
@@ -180,3 +180,28 @@
 		t.Fatalf("request that may have run ended as %+v", got)
 	}
 }
+
+// Guards against an answer without end that pushes the retained answers of other
+// requests out of the buffer.
+func TestEndlessAnswerDoesNotEvictRetainedAnswers(t *testing.T) {
+	const limit = 1000
+	g := New(Settings{Incarnation: "run-1", Pool: testPool, MaxBufferedBytes: limit})
+	g.Step(0, Serving{On: true})
+	for _, id := range []mulberryspool.RequestID{"r1", "r2"} {
+		g.Step(0, newStart(id, 1, 0))
+		g.Step(0, AnswerHead{ID: id, Status: 200})
+	}
+	g.Step(0, AnswerChunk{ID: "r1", Data: make([]byte, 100)})
+	g.Step(0, AnswerEnd{ID: "r1"})
+	for range 100 {
+		g.Step(0, AnswerChunk{ID: "r2", Data: make([]byte, 100)})
+		if g.BufferedBytes() > limit {
+			t.Fatalf("%d bytes are buffered, want at most %d", g.BufferedBytes(), limit)
+		}
+	}
+	effects := g.Step(0, newResolve("r1", 2, 0))
+	chunks, ends := effectsOf[SendChunk](effects), effectsOf[SendEnd](effects)
+	if len(chunks) != 1 || len(chunks[0].Notice.Data) != 100 || len(ends) != 1 || ends[0].Notice.Outcome != mulberryspool.OutcomeDone {
+		t.Errorf("retained answer is sent as %+v %+v, want 100 bytes and its end", chunks, ends)
+	}
+}
--- a/internal/agent/gate/request.go
+++ b/internal/agent/gate/request.go
@@ -86,7 +86,7 @@
 			g.sendChunk(r, conn, offset, e.Data)
 		}
 	}
-	g.enforceBufferLimit()
+	g.enforceBufferLimit(r)
 }
 
 func (g *Gate) answerEnd(now time.Duration, e AnswerEnd) {
--- a/internal/agent/gate/retention.go
+++ b/internal/agent/gate/retention.go
@@ -63,10 +63,14 @@
 	return g.hasDropped && agentTime <= g.newestDropped
 }
 
-// enforceBufferLimit drops the buffers of ended requests, those that ended
-// first before the others, and then of the oldest requests in flight. The
+// enforceBufferLimit drops the buffer of the request whose answer has grown if it
+// takes most of the limit. Otherwise it drops those of ended requests, those that
+// ended first before the others, and then of the oldest requests in flight. The
 // requests themselves are kept.
-func (g *Gate) enforceBufferLimit() {
+func (g *Gate) enforceBufferLimit(grown *request) {
+	if g.bufferedBytes > g.settings.MaxBufferedBytes && int64(len(grown.buffer)) > g.settings.MaxBufferedBytes/2 {
+		g.dropBuffer(grown)
+	}
 	for _, r := range g.ended {
 		if g.bufferedBytes <= g.settings.MaxBufferedBytes {
 			return
