Limit the heads of the origin's and the weight store's responses to 64 KiB

Seen on unchanged code: header lines, a header line or garbage without end from the origin were read up to 10 MiB (10.5 to 10.7 MB sent), the default of net/http. Bodies were bounded: their length has to be that of the range. The limit now stands in the root package and holds for the clients of the origin, the weight store, the instance list and backend servers. After: TestEndlessResponseIsCutOff passes.

--- a/internal/backend/httpcall/httpcall.go
+++ b/internal/backend/httpcall/httpcall.go
@@ -24,7 +24,6 @@
 	"github.com/jonboulle/clockwork"
 
 	"github.com/mulberryspool/mulberryspool"
-	"github.com/mulberryspool/mulberryspool/internal/backend/httpconn"
 )
 
 const (
@@ -59,7 +58,7 @@
 	DialContext:            (&net.Dialer{Timeout: dialTimeout}).DialContext,
 	DisableKeepAlives:      true,
 	DisableCompression:     true,
-	MaxResponseHeaderBytes: httpconn.MaxHeadBytes,
+	MaxResponseHeaderBytes: mulberryspool.MaxHeadBytes,
 }
 
 // Submit sends a request and returns the head of its answer. The error is
--- a/internal/backend/httpconn/conn.go
+++ b/internal/backend/httpconn/conn.go
@@ -30,8 +30,6 @@
 	maxSkippedAnswers = 2
 	// maxSkippedBytes limits the body of a skipped answer.
 	maxSkippedBytes = 1 << 20
-	// MaxHeadBytes limits the bytes that are read for the head of an answer.
-	MaxHeadBytes = 64 << 10
 	// answerPrefix is how each answer begins.
 	answerPrefix = "HTTP/"
 )
@@ -85,7 +83,7 @@
 )
 
 func newConn(netConn net.Conn, target Target, pool *Pool) *Conn {
-	headLimit := &io.LimitedReader{R: netConn, N: MaxHeadBytes}
+	headLimit := &io.LimitedReader{R: netConn, N: mulberryspool.MaxHeadBytes}
 	return &Conn{target: target, pool: pool, netConn: netConn, headLimit: headLimit, reader: bufio.NewReaderSize(headLimit, readBufferBytes)}
 }
 
@@ -153,10 +151,10 @@
 	return nil, errors.Mark(errors.Newf("answer does not belong to request %s", id), ErrInvalidAnswer)
 }
 
-// readHead reads at most MaxHeadBytes. It fails at the first byte that no answer
+// readHead reads at most mulberryspool.MaxHeadBytes. It fails at the first byte that no answer
 // begins with, because the rest may never arrive.
 func (c *Conn) readHead(method string) (*http.Response, error) {
-	c.headLimit.N = MaxHeadBytes
+	c.headLimit.N = mulberryspool.MaxHeadBytes
 	for n := 1; n <= len(answerPrefix); n++ {
 		start, err := c.reader.Peek(n)
 		if err != nil {
@@ -168,7 +166,7 @@
 	}
 	response, err := http.ReadResponse(c.reader, &http.Request{Method: method})
 	if err != nil && c.headLimit.N <= 0 {
-		return nil, errors.Newf("head of the answer has more than %d bytes", MaxHeadBytes)
+		return nil, errors.Newf("head of the answer has more than %d bytes", mulberryspool.MaxHeadBytes)
 	}
 	c.headLimit.N = math.MaxInt64
 	return response, err
--- a/internal/platform/httpclient/httpclient.go
+++ b/internal/platform/httpclient/httpclient.go
@@ -94,9 +94,10 @@
 			c.StallTimeout = DefaultStallTimeout
 		}
 		c.transport = &http.Transport{
-			MaxIdleConnsPerHost: 8,
-			IdleConnTimeout:     time.Minute,
-			DisableCompression:  !c.Compressed,
+			MaxIdleConnsPerHost:    8,
+			IdleConnTimeout:        time.Minute,
+			DisableCompression:     !c.Compressed,
+			MaxResponseHeaderBytes: mulberryspool.MaxHeadBytes,
 		}
 	})
 }
--- a/internal/platform/origin/origin_test.go
+++ b/internal/platform/origin/origin_test.go
@@ -18,6 +18,7 @@
 	"github.com/mulberryspool/mulberryspool/internal/standin/content"
 	"github.com/mulberryspool/mulberryspool/internal/standin/fault"
 	standin "github.com/mulberryspool/mulberryspool/internal/standin/origin"
+	"github.com/mulberryspool/mulberryspool/internal/testkit/endless"
 	"github.com/mulberryspool/mulberryspool/internal/testkit/httpserver"
 )
 
@@ -126,6 +127,35 @@
 	}
 }
 
+// Guards against a response without end that fills the memory, or is taken for a range.
+func TestEndlessResponseIsCutOff(t *testing.T) {
+	// maxSentBytes is more than is read of any of the responses, and what the kernel
+	// buffers.
+	const maxSentBytes = 4 << 20
+	const rangeHead = "HTTP/1.1 206 x\r\nContent-Range: bytes 0-9/100\r\n"
+	for name, response := range map[string]endless.Response{
+		"garbage":        {Unit: "g"},
+		"header line":    {Head: rangeHead + "X-Long: ", Unit: "v"},
+		"header lines":   {Head: rangeHead, Unit: "X-Many: v\r\n"},
+		"chunks":         {Head: rangeHead + "Transfer-Encoding: chunked\r\n\r\n", Unit: "1\r\nm\r\n"},
+		"without length": {Head: rangeHead + "\r\n", Unit: "m"},
+		"error":          {Head: "HTTP/1.1 503 x\r\n\r\n", Unit: "m"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := endless.New(response, "")
+			c := &Client{BaseURL: "http://" + s.Listen(t), Caller: "one", Clock: clockwork.NewRealClock()}
+			t.Cleanup(c.Close)
+			if got, err := c.ReadRange(t.Context(), "a", 0, 10); err == nil {
+				t.Errorf("got %d bytes, want an error", len(got))
+			}
+			s.AwaitClosed(t)
+			if s.Written() > maxSentBytes {
+				t.Errorf("origin could send %d bytes, want at most %d", s.Written(), maxSentBytes)
+			}
+		})
+	}
+}
+
 // Guards against old content that is served after it was replaced, and against
 // a rate limit that applies to each reader instead of to all together.
 func TestReplacedContentAndSharedRate(t *testing.T) {
