Test the product's own entry against a plain service that never ends its answer

Two agents, whose plain services are one endless server: garbage, a header line, header lines or a chunk extension without end. An idempotent request gets the other service's answer, any other 502 after one request; an endless body ends with an aborted response at the route's timeout, and the pool serves on.

--- a/internal/testkit/endless/endless.go
+++ b/internal/testkit/endless/endless.go
@@ -25,7 +25,7 @@
 )
 
 type (
-	// Response is what the server sends. The zero value sends nothing.
+	// Response is what the server sends. With the zero value, it sends Next at once.
 	Response struct {
 		// Head is sent once.
 		Head string
@@ -41,7 +41,7 @@
 		// Next is a complete response. If it is empty, all responses are endless.
 		Next string
 
-		response Response
+		response atomic.Pointer[Response]
 		requests atomic.Int32
 		conns    atomic.Int32
 		written  atomic.Int64
@@ -52,7 +52,18 @@
 // New returns a server that has no address yet.
 func New(response Response, next string) *Server {
 	// Each closed connection sends one value; tests open far fewer.
-	return &Server{Next: next, response: response, closed: make(chan struct{}, 64)}
+	s := &Server{Next: next, closed: make(chan struct{}, 64)}
+	s.response.Store(&response)
+	return s
+}
+
+// Restart makes the server send an endless response to the next request, and starts
+// the counts anew. The previous one must have been cut off.
+func (s *Server) Restart(response Response) {
+	s.response.Store(&response)
+	s.requests.Store(0)
+	s.conns.Store(0)
+	s.written.Store(0)
 }
 
 // Listen returns a new address of the server, which it serves until the end of
@@ -122,8 +133,9 @@
 		if _, err := io.Copy(io.Discard, r.Body); err != nil {
 			return
 		}
-		if s.requests.Add(1) == 1 || s.Next == "" {
-			s.send(conn)
+		response := s.response.Load()
+		if first := s.requests.Add(1) == 1; response.Unit != "" && (first || s.Next == "") {
+			s.send(conn, *response)
 			return
 		}
 		if _, err := io.WriteString(conn, s.Next); err != nil {
@@ -133,14 +145,14 @@
 }
 
 // send sends the endless response until the peer closes the connection.
-func (s *Server) send(conn net.Conn) {
+func (s *Server) send(conn net.Conn, response Response) {
 	defer func() { s.closed <- struct{}{} }()
-	unit := s.response.Unit
-	if s.response.Interval == 0 {
+	unit := response.Unit
+	if response.Interval == 0 {
 		unit = strings.Repeat(unit, 1+blockBytes/len(unit))
 	}
 	block := []byte(unit)
-	next := []byte(s.response.Head)
+	next := []byte(response.Head)
 	for {
 		n, err := conn.Write(next)
 		s.written.Add(int64(n))
@@ -148,8 +160,8 @@
 			return
 		}
 		next = block
-		if s.response.Interval > 0 {
-			time.Sleep(s.response.Interval)
+		if response.Interval > 0 {
+			time.Sleep(response.Interval)
 		}
 	}
 }
--- a/internal/testkit/system/system.go
+++ b/internal/testkit/system/system.go
@@ -142,6 +142,12 @@
 	return s.addAgent(t, pool, mulberryspool.PoolPlain, backend, url)
 }
 
+// AddAgent starts the agent of a plain service that the test runs itself.
+func (s *System) AddAgent(t testing.TB, pool, url string) *Member {
+	t.Helper()
+	return s.addAgent(t, pool, mulberryspool.PoolPlain, nil, url)
+}
+
 func (s *System) addAgent(t testing.TB, pool string, kind mulberryspool.PoolKind, backend *process.Process, url string) *Member {
 	t.Helper()
 	m := &Member{BackendURL: url, BackendProcess: backend, subcommand: "agent"}
