--- a/internal/role/hosted/agent.go
+++ b/internal/role/hosted/agent.go
@@ -166,16 +166,12 @@
 		uplink: &chunks.LinkLimiter{Clock: p.clock, BytesPerSecond: int64(s.Limits.Link), LiveShare: uplinkLiveShare},
 	}
 	a.decider = swap.Decider{Self: p.identity.Instance, Bound: s.Bounds.NamedVersion}
-	local := &http.Client{Timeout: engineTimeout, Transport: &http.Transport{
-		DialContext: sockets.Dialer{}.DialContext, DisableCompression: true, MaxIdleConnsPerHost: 2,
-	}}
+	local := &http.Client{Timeout: engineTimeout, Transport: newTransport(2)}
 	a.engine = &platform.ModelServer{Address: s.Backend, HTTP: local}
 	a.buildFleet()
-	a.origin = &platform.Weights{Address: a.originAddress, PieceBytes: a.pieceBytes, HTTP: &http.Client{
-		Timeout: originTimeout, Transport: &http.Transport{
-			DialContext: sockets.Dialer{}.DialContext, DisableCompression: true, MaxIdleConnsPerHost: agentLimits.OriginPipeline, IdleConnTimeout: originIdleTimeout,
-		},
-	}}
+	toOrigin := newTransport(agentLimits.OriginPipeline)
+	toOrigin.IdleConnTimeout = originIdleTimeout
+	a.origin = &platform.Weights{Address: a.originAddress, PieceBytes: a.pieceBytes, HTTP: &http.Client{Timeout: originTimeout, Transport: toOrigin}}
 	limits := agentLimits
 	// On this platform the origin's link has the same bandwidth as an agent's.
 	limits.OriginBytesPerSecond = int64(s.Limits.Link)
--- a/internal/role/hosted/hosted.go
+++ b/internal/role/hosted/hosted.go
@@ -108,11 +108,9 @@
 	return &process{
 		settings: s, identity: identity, clock: clock, logger: logger, logWriter: logWriter,
 		metrics: metrics, metricsHandler: metricsHandler, metricsCloser: metricsCloser, storeClient: storeClient,
-		store: &platform.Store{Client: storeClient, Logger: logger},
-		peerClient: &http.Client{Timeout: peerCallTimeout, Transport: &http.Transport{
-			DialContext: sockets.Dialer{}.DialContext, DisableCompression: true, MaxIdleConnsPerHost: 1,
-		}},
-		boot: clock.Now().UnixNano(),
+		store:      &platform.Store{Client: storeClient, Logger: logger},
+		peerClient: &http.Client{Timeout: peerCallTimeout, Transport: newTransport(1)},
+		boot:       clock.Now().UnixNano(),
 	}, nil
 }
 
@@ -209,6 +207,15 @@
 	}
 }
 
+// newTransport returns a transport that keeps idle connections to each host and
+// detects silent ones.
+func newTransport(idleConns int) *http.Transport {
+	return &http.Transport{
+		DialContext: sockets.Dialer{}.DialContext, DisableCompression: true, MaxIdleConnsPerHost: idleConns,
+		MaxResponseHeaderBytes: mulberryspool.MaxHeadBytes,
+	}
+}
+
 func newRandom() *rand.Rand {
 	return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 }
