Tighten the tests of outdated starts, first newer versions and corrections

TestOutdatedStartIsLogged is now TestOutdatedStartIsLoggedAndCounted and covers the first three beside what it covered before.

--- a/internal/entry/forward/outdated_test.go
+++ b/internal/entry/forward/outdated_test.go
@@ -4,15 +4,16 @@
 	"bufio"
 	"bytes"
 	"context"
+	"encoding/json"
 	"fmt"
 	"math/rand/v2"
 	"net"
 	"net/http"
-	"strings"
 	"testing"
 	"time"
 
 	"github.com/rs/zerolog"
+	"github.com/uber-go/tally/v4"
 
 	"github.com/mulberryspool/mulberryspool"
 	"github.com/mulberryspool/mulberryspool/internal/entry/placement"
@@ -153,24 +154,56 @@
 // Guards against responses from an outdated version that leave no trace, because
 // the log lines of successful requests are sampled. The version's age is corrected
 // while the request is in flight.
-func TestOutdatedStartIsLogged(t *testing.T) {
-	const message = "response began on an older version"
-	for _, age := range []time.Duration{versionAge, 2 * versionGrace} {
-		var e *entry
-		b := newBackend(t, "i-1", func(w *bufio.Writer, r *http.Request, _ int) bool {
-			e.scheduler.SetNamedVersion("m", 2, time.Now().Add(-age))
-			writeEvents(w, r, 1, 2, true)
-			return true
-		})
-		var log *bytes.Buffer
-		e, log = newVersionedEntry(t, b)
-		e.handler.Sampled = func(mulberryspool.RequestID) bool { return false }
-		e.scheduler.SetNamedVersion("m", 2, time.Now())
-		if _, _, complete := e.call(t, http.MethodPost, "/stream/1", "x"); !complete {
-			t.Fatalf("version named %v ago: the stream is not complete", age)
-		}
-		if got, want := strings.Contains(log.String(), message), age > versionGrace; got != want {
-			t.Errorf("version named %v ago: logged %v, want %v; log: %s", age, got, want, log)
+func TestOutdatedStartIsLoggedAndCounted(t *testing.T) {
+	const message = "response began on an older version after the bound of a newer one"
+	for path, answer := range map[string]func(w *bufio.Writer, r *http.Request){
+		"/stream/1": func(w *bufio.Writer, r *http.Request) { writeEvents(w, r, 1, 2, true) },
+		"/read/1":   func(w *bufio.Writer, r *http.Request) { writeResponse(w, r, http.StatusOK, "ok") },
+	} {
+		for _, age := range []time.Duration{versionAge, 2 * versionGrace} {
+			const delay = 50 * time.Millisecond
+			var e *entry
+			b := newBackend(t, "i-1", func(w *bufio.Writer, r *http.Request, _ int) bool {
+				e.scheduler.SetNamedVersion("m", 2, time.Now().Add(-age))
+				time.Sleep(delay)
+				answer(w, r)
+				return true
+			})
+			var log *bytes.Buffer
+			e, log = newVersionedEntry(t, b)
+			e.handler.Sampled = func(mulberryspool.RequestID) bool { return false }
+			metrics := tally.NewTestScope("", nil)
+			e.handler.Metrics = metrics
+			e.scheduler.SetNamedVersion("m", 2, time.Now())
+			if _, _, complete := e.call(t, http.MethodPost, path, "x"); !complete {
+				t.Fatalf("%s, version named %v ago: the response is not complete", path, age)
+			}
+			count := int64(0)
+			for _, c := range metrics.Snapshot().Counters() {
+				if c.Name() == "outdated_starts" {
+					count += c.Value()
+				}
+			}
+			if age <= versionGrace {
+				if log.Len() > 0 || count != 0 {
+					t.Errorf("%s, version named %v ago: counted %d times, logged %s", path, age, count, log)
+				}
+				continue
+			}
+			var line struct {
+				Message          string
+				NewerAge         float64
+				NewerAgeWhenSent float64
+			}
+			if err := json.Unmarshal(log.Bytes(), &line); err != nil {
+				t.Fatalf("%s: %v in %q", path, err, log)
+			}
+			if count != 1 || line.Message != message {
+				t.Errorf("%s: counted %d times, logged %q", path, count, line.Message)
+			}
+			if took := line.NewerAge - line.NewerAgeWhenSent; took < float64(delay.Milliseconds()) {
+				t.Errorf("%s: the newer version is %v ms old at the start and %v ms when the request was sent, want %v in between", path, line.NewerAge, line.NewerAgeWhenSent, delay)
+			}
 		}
 	}
 }
--- a/internal/entry/scheduler/scheduler_test.go
+++ b/internal/entry/scheduler/scheduler_test.go
@@ -96,3 +96,20 @@
 		t.Errorf("after the agent's report expired: %+v, want placed with version 2", got)
 	}
 }
+
+// Guards against a report of an outdated version that measures from another version
+// than the placement does.
+func TestFirstNewerVersionIsTheOneNamedFirst(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	s := newScheduler(clock)
+	now := clock.Now()
+	for version, age := range map[int64]time.Duration{1: 9 * time.Second, 2: time.Second, 3: 5 * time.Second, 4: 2 * time.Second} {
+		s.SetNamedVersion("m", version, now.Add(-age))
+	}
+	if version, at := s.FirstNewerVersion("p", 1); version != 3 || now.Sub(at) != 5*time.Second {
+		t.Errorf("version %d, named %v ago, is the first one newer than 1, want 3, 5s", version, now.Sub(at))
+	}
+	if version, _ := s.FirstNewerVersion("p", 4); version != 0 {
+		t.Errorf("version %d is newer than the newest one", version)
+	}
+}
--- a/internal/platform/fleet/fleet_test.go
+++ b/internal/platform/fleet/fleet_test.go
@@ -335,3 +335,23 @@
 		}
 	}
 }
+
+// Guards against a callback and an announcement for each report that differs by the
+// latency of the network only, and against a larger correction that is left out.
+func TestSmallDifferencesOfReportsAreNoCorrections(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	f := newFleet(clock)
+	f.setVersions(namedVersions(2), listwatch.Delta{Updated: []string{"m"}})
+	corrections := 0
+	f.NamedVersionChanged = func(string, int64, time.Time) { corrections++ }
+	for age := range int64(5) {
+		f.MergeNamedVersions(map[string][]NamedVersionAge{"m": {{Version: 2, AgeMillis: age}}}, "peer")
+	}
+	if corrections != 0 {
+		t.Errorf("%d corrections by up to 4ms, want none", corrections)
+	}
+	f.MergeNamedVersions(map[string][]NamedVersionAge{"m": {{Version: 2, AgeMillis: 50}}}, "peer")
+	if _, at := f.NamedVersion("m"); corrections != 1 || clock.Since(at) != 50*time.Millisecond {
+		t.Errorf("%d corrections by 50ms, the version counts as %v old", corrections, clock.Since(at))
+	}
+}
