Log the parts of a prompt and the server's start with each failed attempt

The logs could not tell which requests had been in flight at a crash and what they had in common, so a crash by a request looked like any other crash.

--- a/fleet.go
+++ b/fleet.go
@@ -146,6 +146,9 @@
 		// Key is the caller's API key.
 		Key   string
 		Model string
+		// PromptParts holds the IDs of the parts of the prompt, in order. Requests
+		// may share all parts but the last one. It is empty if not specified.
+		PromptParts []string
 		// PromptTokens and MaxTokens are 0 if not specified.
 		PromptTokens, MaxTokens int
 		// ExpectedTokens is the caller's estimate of the answer's tokens; 0 if not
--- a/internal/entry/forward/log.go
+++ b/internal/entry/forward/log.go
@@ -13,6 +13,9 @@
 	"github.com/mulberryspool/mulberryspool/internal/observe/logging"
 )
 
+// maxLoggedParts limits the parts of a prompt in a log line.
+const maxLoggedParts = 8
+
 // logEnd records the metrics and writes the log line of a request that has
 // ended. The lines of requests that succeeded without a failed attempt are
 // sampled.
@@ -37,6 +40,9 @@
 	if retryAfter > 0 {
 		e.Dur("retryAfter", retryAfter)
 	}
+	if !succeeded {
+		e.Strs("prompt", q.loggedPrompt())
+	}
 	e.Msg("request ended")
 }
 
@@ -74,9 +80,15 @@
 	q.handler.count("attempts", q.route.Name, q.pool.Name, code)
 	q.handler.Logger.Info().EmbedObject(logging.Fields{Route: q.route.Name, Pool: q.pool.Name, RequestID: q.head.ID, Peer: string(decision.Server.Instance)}).
 		Str("outcome", code).Int("attempt", len(q.tried)+1).Dur("took", q.handler.Clock.Since(startedAt)).
+		Int64("born", decision.Server.Born).Strs("prompt", q.loggedPrompt()).
 		Int("inFlight", decision.InFlight).Int64("version", decision.Version).AnErr("cause", q.lastError).Msg("attempt at backend server failed")
 }
 
+// loggedPrompt returns the IDs of the first parts of the prompt.
+func (q *request) loggedPrompt() []string {
+	return q.head.PromptParts[:min(len(q.head.PromptParts), maxLoggedParts)]
+}
+
 // logOutdatedStart records the metric and writes the log line of a response that
 // began on an older version after the grace of a newer named one.
 func (a *attempt) logOutdatedStart(response *httpconn.Answer, startedAt time.Time) {
