Reproduce prompts that crash one backend server after the other

Callers of sound requests were refused or cut because a part of other prompts ended the servers (BUDGET, LOST). Known red until the fix.

--- a/internal/entry/forward/backend_test.go
+++ b/internal/entry/forward/backend_test.go
@@ -214,15 +214,20 @@
 			r.Header.Get("X-Attempt-Id"), signatureHeader)
 	}
 	for i := from; i <= to; i++ {
-		event := fmt.Sprintf("id: %d\ndata: e%d\n\n", i, i)
-		_, _ = fmt.Fprintf(w, "%x\r\n%s\r\n", len(event), event)
-		_ = w.Flush()
+		writeEvent(w, i)
 	}
 	if end {
 		_, _ = w.WriteString("0\r\n\r\n")
 	}
 }
 
+// writeEvent writes the event with the ID as a chunk.
+func writeEvent(w *bufio.Writer, id int) {
+	event := fmt.Sprintf("id: %d\ndata: e%d\n\n", id, id)
+	_, _ = fmt.Fprintf(w, "%x\r\n%s\r\n", len(event), event)
+	_ = w.Flush()
+}
+
 // eventStreamBody returns the body that a caller reads for a range of event IDs.
 func eventStreamBody(from, to int) string {
 	var b strings.Builder
--- /dev/null
+++ b/internal/entry/forward/crash_test.go
@@ -0,0 +1,178 @@
+package forward
+
+import (
+	"bufio"
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+)
+
+const (
+	// crashPart is the part of a prompt that crashes backend servers.
+	crashPart = "dead"
+	// crashDelay is the time from the head of a response to its first event, or to
+	// the crash.
+	crashDelay = 20 * time.Millisecond
+	// streamTime is how long a stream of a sound request takes, with streamEvents.
+	streamTime   = 400 * time.Millisecond
+	streamEvents = 8
+	// maxPartCrashes is how many servers may crash by one part of a prompt.
+	maxPartCrashes = 5
+)
+
+// crashingBackend is a backend server that ends when it begins to answer a prompt
+// with crashPart, and starts again at the same address after a while.
+type crashingBackend struct {
+	*testing.T
+	id      string
+	address string
+	downFor time.Duration
+
+	mu       sync.Mutex
+	listener net.Listener
+	conns    map[net.Conn]bool
+	crashes  int
+	received int
+}
+
+func newCrashingBackend(t *testing.T, id string, downFor time.Duration) *crashingBackend {
+	t.Helper()
+	b := &crashingBackend{T: t, id: id, address: "127.0.0.1:0", downFor: downFor}
+	b.start()
+	t.Cleanup(func() {
+		b.mu.Lock()
+		defer b.mu.Unlock()
+		b.listener.Close()
+	})
+	return b
+}
+
+func (b *crashingBackend) start() {
+	listener, err := net.Listen("tcp", b.address)
+	if err != nil {
+		b.Error(err)
+		return
+	}
+	b.mu.Lock()
+	b.listener, b.address, b.conns = listener, listener.Addr().String(), make(map[net.Conn]bool)
+	b.mu.Unlock()
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			b.mu.Lock()
+			b.conns[conn] = true
+			b.mu.Unlock()
+			go b.serve(conn)
+		}
+	}()
+}
+
+// crash cuts all connections and accepts no new ones for a while.
+func (b *crashingBackend) crash() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.crashes++
+	b.listener.Close()
+	for conn := range b.conns {
+		conn.Close()
+	}
+	time.AfterFunc(b.downFor, b.start)
+}
+
+func (b *crashingBackend) serve(conn net.Conn) {
+	defer conn.Close()
+	reader, writer := bufio.NewReader(conn), bufio.NewWriter(conn)
+	for {
+		r, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		deadly := strings.Contains(r.Header.Get("X-Prompt-Prefix"), crashPart)
+		if deadly {
+			b.mu.Lock()
+			b.received++
+			b.mu.Unlock()
+		}
+		writeEvents(writer, r, 1, 0, false)
+		_ = writer.Flush()
+		time.Sleep(crashDelay)
+		if deadly {
+			b.crash()
+			return
+		}
+		for i := 1; i <= streamEvents; i++ {
+			writeEvent(writer, i)
+			time.Sleep(streamTime / streamEvents)
+		}
+		_, _ = writer.WriteString("0\r\n\r\n")
+		if writer.Flush() != nil {
+			return
+		}
+	}
+}
+
+// Guards against requests with one part in their prompts that crash one backend
+// server after the other, and against sound requests that are kept from the servers
+// because they share their caller and other parts with them.
+func TestPromptPartCrashesOneServerAfterAnother(t *testing.T) {
+	var (
+		backends []*crashingBackend
+		targets  []*backend
+	)
+	for i := range 6 {
+		b := newCrashingBackend(t, fmt.Sprintf("i-%d", i), 200*time.Millisecond)
+		backends = append(backends, b)
+		targets = append(targets, &backend{T: t, id: b.id, address: b.address})
+	}
+	e := newEntry(t, targets...)
+	sound := func(i int) bool {
+		head, body, complete := e.call(t, http.MethodPost, "/stream/x", "q", "X-Prompt-Prefix", fmt.Sprintf("shared:40,own%d:100", i))
+		return head.StatusCode == http.StatusOK && complete && body == eventStreamBody(1, streamEvents)
+	}
+	if !sound(0) {
+		t.Fatal("request failed before the first crash")
+	}
+	var (
+		wait   sync.WaitGroup
+		served atomic.Int32
+	)
+	const deadlyCount, soundCount = 20, 60
+	for i := range deadlyCount {
+		wait.Go(func() {
+			time.Sleep(time.Duration(i) * 100 * time.Millisecond)
+			head, _, complete := e.call(t, http.MethodPost, "/stream/x", "q", "X-Prompt-Prefix", fmt.Sprintf("shared:40,%s:9,dead%d:100", crashPart, i))
+			if complete && head.StatusCode == http.StatusOK {
+				t.Error("a request that crashes its server has a complete answer")
+			}
+		})
+	}
+	for i := range soundCount {
+		wait.Go(func() {
+			time.Sleep(time.Duration(i) * 33 * time.Millisecond)
+			if sound(1 + i) {
+				served.Add(1)
+			}
+		})
+	}
+	wait.Wait()
+	crashes := 0
+	for _, b := range backends {
+		b.mu.Lock()
+		crashes += b.crashes
+		b.mu.Unlock()
+	}
+	if crashes > maxPartCrashes {
+		t.Errorf("%d backend servers crashed, want at most %d", crashes, maxPartCrashes)
+	}
+	if served.Load() < soundCount*9/10 {
+		t.Errorf("%d of %d sound requests were served", served.Load(), soundCount)
+	}
+}
