Resume a stream without length or chunks whose server ended with it

Callers of such a stream got its beginning as a complete answer when the server crashed between two events, or an empty answer when it crashed before the first one.

Cause: the end of such a stream is that of its connection, and a server that crashes closes its connections too. Only an end inside an event was taken for a break. Evidence: in tainted, the connections of crashed servers end without a reset ('read answer: unexpected EOF' in the chunks of the streams). A reset, and an end inside an event, were handled.

Ruled out: asking the server for the rest in every case, since a complete stream is the rule; the signature, which is opaque.

Change: such a stream is complete if it had an event and its server still accepts a connection; otherwise it is broken off and resumed like others.

--- a/internal/backend/httpconn/conn.go
+++ b/internal/backend/httpconn/conn.go
@@ -82,6 +82,12 @@
 	}
 )
 
+// EndsWithConnection reports whether the body has neither a length nor chunks, so
+// that its end is that of the connection.
+func (a *Answer) EndsWithConnection() bool {
+	return a.Body != http.NoBody && a.ContentLength < 0 && len(a.TransferEncoding) == 0
+}
+
 func newConn(netConn net.Conn, target Target, pool *Pool) *Conn {
 	headLimit := &io.LimitedReader{R: netConn, N: mulberryspool.MaxHeadBytes}
 	return &Conn{target: target, pool: pool, netConn: netConn, headLimit: headLimit, reader: bufio.NewReaderSize(headLimit, readBufferBytes)}
--- a/internal/entry/forward/backend_test.go
+++ b/internal/entry/forward/backend_test.go
@@ -41,12 +41,14 @@
 		id       string
 		address  string
 		requests atomic.Int32
+		listener net.Listener
 
 		mu   sync.Mutex
 		seen []*http.Request
 		// seenBodies holds the bodies of the requests in seen.
 		seenBodies []string
 		conns      int
+		lastConn   net.Conn
 	}
 
 	// script writes the response to the n-th request. The connection is closed
@@ -75,7 +77,7 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { listener.Close() })
-	b := &backend{T: t, id: id, address: listener.Addr().String()}
+	b := &backend{T: t, id: id, address: listener.Addr().String(), listener: listener}
 	go func() {
 		for {
 			conn, err := listener.Accept()
@@ -84,6 +86,7 @@
 			}
 			b.mu.Lock()
 			b.conns++
+			b.lastConn = conn
 			b.mu.Unlock()
 			go b.serve(conn, s)
 		}
@@ -113,6 +116,15 @@
 	}
 }
 
+// resetOnClose makes the last connection be reset when it is closed.
+func (b *backend) resetOnClose() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if err := b.lastConn.(*net.TCPConn).SetLinger(0); err != nil {
+		b.Error(err)
+	}
+}
+
 func (b *backend) request(i int) *http.Request {
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/internal/entry/forward/request.go
+++ b/internal/entry/forward/request.go
@@ -298,12 +298,11 @@
 // sendTo makes an attempt at the backend server of a placement decision.
 func (q *request) sendTo(ctx context.Context, decision placement.Decision) attemptResult {
 	startedAt := q.handler.Clock.Now()
-	target := httpconn.Target{Instance: decision.Server.Instance, Born: decision.Server.Born, Address: decision.Server.Address}
 	longestIdle := time.Duration(0)
 	if !q.retryable() {
 		longestIdle = maxIdleNonRetryable
 	}
-	conn, err := q.handler.ConnPool.Acquire(ctx, target, longestIdle)
+	conn, err := q.handler.ConnPool.Acquire(ctx, targetOf(decision), longestIdle)
 	if err != nil {
 		q.withdrawTrial()
 		q.lastError = err
@@ -332,6 +331,10 @@
 	return result
 }
 
+func targetOf(d placement.Decision) httpconn.Target {
+	return httpconn.Target{Instance: d.Server.Instance, Born: d.Server.Born, Address: d.Server.Address}
+}
+
 // attributeOutcome returns the outcome, or placement.Cancelled if the caller has
 // disconnected, so that a cancelled exchange doesn't count against the backend
 // server.
--- a/internal/entry/forward/stream.go
+++ b/internal/entry/forward/stream.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/jonboulle/clockwork"
 
 	"github.com/mulberryspool/mulberryspool/internal/backend/httpconn"
 	"github.com/mulberryspool/mulberryspool/internal/entry/placement"
@@ -25,6 +26,8 @@
 	// eventGapFactor is the multiple of a route's gap objective after which a
 	// stream counts as silent.
 	eventGapFactor = 4
+	// serverCheckTimeout limits the check whether a server has ended.
+	serverCheckTimeout = 250 * time.Millisecond
 )
 
 var idField = []byte("id:")
@@ -61,6 +64,9 @@
 		}
 		event, err := readEvent(events)
 		if errors.Is(err, io.EOF) {
+			if err := a.checkUnframedEnd(ctx, response); err != nil {
+				return a.handleBrokenStream(ctx, relayed, err)
+			}
 			return a.finishStream(response, relayed, firstEventAt)
 		}
 		bytesWithoutProgress += len(event)
@@ -150,6 +156,30 @@
 	return at
 }
 
+// checkUnframedEnd returns an error if a stream that has ended between two events
+// was broken off. The end of one with neither a length nor chunks is that of its
+// connection, which a server that crashes closes as well.
+func (a *attempt) checkUnframedEnd(ctx context.Context, response *httpconn.Answer) error {
+	if !response.EndsWithConnection() {
+		return nil
+	}
+	if a.stream == nil {
+		return errors.Mark(errors.New("stream ended with its connection before its first event"), httpconn.ErrAnswerLost)
+	}
+	dialCtx, cancel := clockwork.WithTimeout(ctx, a.handler.Clock, serverCheckTimeout)
+	defer cancel()
+	conn, err := a.handler.ConnPool.Acquire(dialCtx, targetOf(a.decision), 0)
+	if dialCtx.Err() != nil && ctx.Err() == nil {
+		// A server that can't be reached in time is not known to have ended.
+		return nil
+	}
+	if err != nil {
+		return errors.Mark(errors.Wrap(err, "backend server ended together with its stream"), httpconn.ErrAnswerLost)
+	}
+	conn.Release(true)
+	return nil
+}
+
 // finishStream completes a stream after its last event.
 func (a *attempt) finishStream(response *httpconn.Answer, relayed int, firstEventAt time.Time) (attemptResult, placement.Outcome) {
 	a.complete = true
--- /dev/null
+++ b/internal/entry/forward/unframed_test.go
@@ -0,0 +1,116 @@
+package forward
+
+import (
+	"bufio"
+	"fmt"
+	"net/http"
+	"testing"
+	"time"
+)
+
+// writeUnframed writes the head of a stream with neither a length nor chunks, and
+// the bytes of its body.
+func writeUnframed(w *bufio.Writer, r *http.Request, body string) {
+	_, _ = fmt.Fprintf(w, "HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\n%sX-Weight-Versions: 1\r\nContent-Type: text/event-stream\r\n\r\n%s",
+		r.Header.Get("X-Attempt-Id"), signatureHeader, body)
+	_ = w.Flush()
+}
+
+// Guards against a stream that has neither a length nor chunks and breaks off, but
+// is given to the caller as complete, and against a complete one that is not.
+func TestUnframedStreamThatBreaksOffIsResumed(t *testing.T) {
+	const fourth = "id: 4\ndata: e4\n\n"
+	for name, test := range map[string]struct {
+		body string
+		// ends closes the listener of the first server, reset resets its connection.
+		ends, reset bool
+		// resumed is the event after which the second server goes on; "none" if it gets
+		// no request.
+		resumed string
+	}{
+		"complete":                          {body: eventStreamBody(1, 4), resumed: "none"},
+		"ends inside an event":              {body: eventStreamBody(1, 2) + "id: 3\nda", resumed: "2"},
+		"ends after a line of an event":     {body: eventStreamBody(1, 2) + "id: 3\ndata: e3\n", resumed: "2"},
+		"ends inside the first event":       {body: "id: 1\nda", resumed: ""},
+		"ends before its first event":       {resumed: ""},
+		"server ends between two events":    {body: eventStreamBody(1, 2), ends: true, resumed: "2"},
+		"server ends before the last event": {body: eventStreamBody(1, 3), ends: true, resumed: "3"},
+		"server ends before any event":      {ends: true, resumed: ""},
+		"is reset between two events":       {body: eventStreamBody(1, 2), reset: true, resumed: "2"},
+		"is reset after the last event":     {body: eventStreamBody(1, 4), reset: true, resumed: "4"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var first *backend
+			first = newBackend(t, "i-1", func(w *bufio.Writer, r *http.Request, _ int) bool {
+				if test.ends {
+					first.listener.Close()
+				}
+				writeUnframed(w, r, test.body)
+				if test.reset {
+					// The entry reads the events before the reset.
+					time.Sleep(50 * time.Millisecond)
+					first.resetOnClose()
+				}
+				return false
+			})
+			second := newBackend(t, "i-2", func(w *bufio.Writer, r *http.Request, _ int) bool {
+				rest := map[string]string{"": eventStreamBody(1, 4), "2": eventStreamBody(3, 4), "3": fourth, "4": ""}
+				writeUnframed(w, r, rest[r.Header.Get("Last-Event-Id")])
+				return false
+			})
+			e := newEntry(t, first, second)
+			// The first attempt goes to the faster server.
+			for range 100 {
+				e.scheduler.RecordSlowdown("p", "i-2", 8)
+			}
+			head, body, complete := e.call(t, http.MethodPost, "/stream/x", "q", "X-Prompt-Prefix", "shared:40,own:9")
+			if head.StatusCode != http.StatusOK || !complete || body != eventStreamBody(1, 4) {
+				t.Errorf("response is %d, complete %t, %q", head.StatusCode, complete, body)
+			}
+			if sent := second.requests.Load(); sent == 0 != (test.resumed == "none") {
+				t.Fatalf("second server got %d requests", sent)
+			}
+			if test.resumed != "none" {
+				if last := second.request(0).Header.Get("Last-Event-Id"); last != test.resumed {
+					t.Errorf("stream is resumed after event %q, want %q", last, test.resumed)
+				}
+			}
+		})
+	}
+}
+
+// Guards against a body without a length that is reset on its way, but is given to
+// the caller as complete.
+func TestUnframedBodyThatIsResetIsNotComplete(t *testing.T) {
+	for name, reset := range map[string]bool{"ends": false, "is reset": true} {
+		t.Run(name, func(t *testing.T) {
+			var first *backend
+			answer := func(w *bufio.Writer, r *http.Request, body string) bool {
+				_, _ = fmt.Fprintf(w, "HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\n%s\r\n%s", r.Header.Get("X-Attempt-Id"), signatureHeader, body)
+				_ = w.Flush()
+				return false
+			}
+			first = newBackend(t, "i-1", func(w *bufio.Writer, r *http.Request, _ int) bool {
+				if !reset {
+					return answer(w, r, "whole")
+				}
+				answer(w, r, "wh")
+				time.Sleep(50 * time.Millisecond)
+				first.resetOnClose()
+				return false
+			})
+			second := newBackend(t, "i-2", func(w *bufio.Writer, r *http.Request, _ int) bool { return answer(w, r, "whole") })
+			e := newEntry(t, first, second)
+			for range 100 {
+				e.scheduler.RecordSlowdown("p", "i-2", 8)
+			}
+			head, body, complete := e.call(t, http.MethodGet, "/read/x", "")
+			if head.StatusCode != http.StatusOK || !complete || body != "whole" {
+				t.Errorf("response is %d, complete %t, %q", head.StatusCode, complete, body)
+			}
+			if sent := second.requests.Load() > 0; sent != reset {
+				t.Errorf("second server got a request: %t, want %t", sent, reset)
+			}
+		})
+	}
+}
