Log the rate limits that backend servers name

The logs could not tell an entry that ignores a limit from entries that each keep it alone, or that learn of it late. Answers that name one are now decoded and logged (sampled) and counted.

--- a/fleet.go
+++ b/fleet.go
@@ -188,6 +188,9 @@
 		Version int64
 		// Load is nil if not specified.
 		Load *LoadReport
+		// RateLimit is the number of requests per second that the backend server
+		// accepts from all entries together; nil if it names none.
+		RateLimit *float64
 		// Instance is the backend server that answered; empty if not specified.
 		Instance InstanceID
 	}
--- a/internal/entry/forward/attempt.go
+++ b/internal/entry/forward/attempt.go
@@ -78,6 +78,7 @@
 		return a.handleLost(ctx, err)
 	}
 	defer response.Body.Close()
+	a.logRateLimit(response)
 	switch {
 	case response.Head.NotRun:
 		return a.handleRejected(response)
