Keep the rate limits that backend servers name, in all entries together

A server in need that named a limit went on getting three times as many requests (LIMIT), as if it had said nothing.

Cause: the header was read nowhere, and an entry had no notion of a rate: only of what is in flight, by which a server that answers fast is the least loaded. The class of fault: what a server says of itself is used only where the code already asked for it.

Ruled out: entries that keep the limit each (20 to 35 per second), and limits that are learned late (all entries that sent had one 2.5 s before the first break).

Change: package serverlimit counts the requests of all entries against the limit; each reports its total, with the loads that it reports anyway. Budgets now tend to zero, so the entries' views converge by themselves. Entries with waiting requests take turns, in an order that differs from request to request. A limit ends with an answer to a later request that names none, or after a minute; what one entry reads is reported with its age, and only by that entry.

--- a/internal/entry/forward/attempt.go
+++ b/internal/entry/forward/attempt.go
@@ -16,6 +16,7 @@
 	"github.com/mulberryspool/mulberryspool/internal/backend/httpconn"
 	"github.com/mulberryspool/mulberryspool/internal/entry/placement"
 	"github.com/mulberryspool/mulberryspool/internal/entry/promptguard"
+	"github.com/mulberryspool/mulberryspool/internal/observe/logging"
 )
 
 const (
@@ -78,7 +79,7 @@
 		return a.handleLost(ctx, err)
 	}
 	defer response.Body.Close()
-	a.logRateLimit(response)
+	a.recordLimit(response)
 	switch {
 	case response.Head.NotRun:
 		return a.handleRejected(response)
@@ -96,6 +97,27 @@
 	return a.bufferResponse(ctx, response)
 }
 
+// recordLimit records the rate limit that the response names. Only a success shows
+// that the server names none any more.
+func (a *attempt) recordLimit(response *httpconn.Answer) {
+	rate := response.Head.RateLimit
+	if rate == nil && (response.StatusCode >= http.StatusMultipleChoices || !response.Head.Signed) {
+		return
+	}
+	if rate != nil {
+		a.handler.count("limited_answers", a.route.Name, a.pool.Name, "")
+	}
+	if !a.handler.Scheduler.RecordLimit(a.pool.Name, a.decision.Server, rate, a.sentAt) {
+		return
+	}
+	e := a.handler.Logger.Info().EmbedObject(logging.Fields{Pool: a.pool.Name, RequestID: a.head.ID, Peer: string(a.decision.Server.Instance)}).
+		Int64("born", a.decision.Server.Born).Int("inFlight", a.decision.InFlight)
+	if rate != nil {
+		e.Float64("rateLimit", *rate)
+	}
+	e.Bool("limited", rate != nil).Msg("rate limit of a backend server has changed")
+}
+
 // outgoingHead returns the values of the headers that the entry adds to the
 // request.
 func (a *attempt) outgoingHead() mulberryspool.OutgoingHead {
--- a/internal/entry/forward/log.go
+++ b/internal/entry/forward/log.go
@@ -89,21 +89,6 @@
 	return q.head.PromptParts[:min(len(q.head.PromptParts), maxLoggedParts)]
 }
 
-// logRateLimit records the metric and writes the log line of an answer whose server
-// names a rate limit. The lines are sampled.
-func (a *attempt) logRateLimit(response *httpconn.Answer) {
-	if response.Head.RateLimit == nil {
-		return
-	}
-	a.handler.count("limited_answers", a.route.Name, a.pool.Name, "")
-	if !a.handler.Sampled(a.head.ID) {
-		return
-	}
-	a.handler.Logger.Info().EmbedObject(logging.Fields{Route: a.route.Name, Pool: a.pool.Name, RequestID: a.head.ID, Peer: string(a.decision.Server.Instance)}).
-		Int64("born", a.decision.Server.Born).Int("status", response.StatusCode).Float64("rateLimit", *response.Head.RateLimit).
-		Int("inFlight", a.decision.InFlight).Dur("took", a.handler.Clock.Since(a.sentAt)).Msg("backend server names a rate limit")
-}
-
 // logOutdatedStart records the metric and writes the log line of a response that
 // began on an older version after the grace of a newer named one.
 func (a *attempt) logOutdatedStart(response *httpconn.Answer, startedAt time.Time) {
--- a/internal/entry/placement/choose.go
+++ b/internal/entry/placement/choose.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"strconv"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -44,7 +45,7 @@
 		if !p.usable(s, r, now) || now.Before(s.fullUntil) || s.inFlight() >= p.capacity(s) || !q.late && !p.meetsObjective(s, r, now) {
 			continue
 		}
-		if !r.Reattempt && now.Before(p.turnAt(s, now)) {
+		if now.Before(s.limit.AvailableAt(now)) || !r.Reattempt && now.Before(p.turnAt(s, now)) {
 			continue
 		}
 		if avoid && s.health.avoided(now) {
@@ -180,6 +181,23 @@
 	return usable, capacity, inFlight
 }
 
+// effectiveSlots is the capacity of the usable servers, of which those with a rate
+// limit can't use all.
+func (p *Placer) effectiveSlots(r Request, now time.Time) float64 {
+	var slots float64
+	for _, s := range p.ordered {
+		if !p.usable(s, r, now) {
+			continue
+		}
+		capacity := float64(p.capacity(s))
+		if s.limit.Active(now) {
+			capacity = min(capacity, s.limit.Rate()*p.serviceTime().Seconds())
+		}
+		slots += capacity
+	}
+	return slots
+}
+
 // mayAvoidSuspects reports whether at most half of the servers would be avoided
 // now. If more would be, the fault may be the entry's own, and none is avoided.
 func (p *Placer) mayAvoidSuspects(now time.Time) bool {
@@ -223,31 +241,43 @@
 	}
 }
 
-// turnAt is when this entry may use capacity that another entry has freed. All
-// entries learn of it at the same moment, so those with waiting requests take
-// turns: first those in the server's failure domain, then in an order that
-// differs from server to server.
+// turnAt is when this entry may use capacity that another entry has freed, or the
+// next request that a rate limit allows. All entries learn of it at the same moment,
+// so those with waiting requests take turns: first those in the server's failure
+// domain, then in an order that differs from server to server. With a rate limit the
+// order differs from request to request and prefers no failure domain, since the
+// server may be the only one.
 func (p *Placer) turnAt(s *server, now time.Time) time.Time {
-	if now.Sub(s.freedAt) > time.Duration(len(p.peers))*turnInterval {
+	available := s.limit.AvailableAt(now)
+	limited := !available.IsZero()
+	from := s.freedAt
+	if available.After(from) {
+		from = available
+	}
+	if now.Sub(from) > time.Duration(len(p.peers))*turnInterval {
 		return time.Time{}
 	}
 	rank := 0
-	local, key := p.Config.FailureDomain == s.FailureDomain, turnKey(p.Config.EntryName, s)
+	local, key := limited || p.Config.FailureDomain == s.FailureDomain, turnKey(p.Config.EntryName, s)
 	for name, peer := range p.peers {
 		if peer.waiting == 0 {
 			continue
 		}
-		peerLocal := peer.failureDomain == s.FailureDomain
+		peerLocal := limited || peer.failureDomain == s.FailureDomain
 		if peerLocal && !local || peerLocal == local && turnKey(name, s) < key {
 			rank++
 		}
 	}
-	return s.freedAt.Add(time.Duration(rank) * turnInterval)
+	return from.Add(time.Duration(rank) * turnInterval)
 }
 
 // turnKey orders the entries that take turns at a server.
 func turnKey(entry string, s *server) uint64 {
-	return xxhash.Sum64String(entry + "@" + string(s.Instance))
+	key := entry + "@" + string(s.Instance)
+	if total := s.limit.Total(); total > 0 {
+		key += "#" + strconv.FormatUint(total, 10)
+	}
+	return xxhash.Sum64String(key)
 }
 
 // Summary returns the number of usable servers, their total capacity and what
--- a/internal/entry/placement/placer.go
+++ b/internal/entry/placement/placer.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/mulberryspool/mulberryspool"
+	"github.com/mulberryspool/mulberryspool/internal/entry/serverlimit"
 )
 
 const (
@@ -62,6 +63,7 @@
 		// misdirectedUntil is set while the version is in doubt.
 		misdirectedUntil time.Time
 		fullUntil        time.Time
+		limit            serverlimit.Limit
 		// acceptsUntil is when the server stops accepting requests; zero if unknown.
 		acceptsUntil time.Time
 		ownLoad      Load
@@ -226,6 +228,39 @@
 	}
 }
 
+// RecordLimit records the rate limit that an answer named, nil for none, to a request
+// that was sent at the given time. It reports whether the limit has changed.
+func (p *Placer) RecordLimit(id mulberryspool.InstanceID, born int64, rate *float64, sentAt, now time.Time) bool {
+	s := p.servers[id]
+	if s == nil || s.Born != born {
+		return false
+	}
+	if rate == nil {
+		return s.limit.Lift(sentAt, now)
+	}
+	return s.limit.Name(*rate, now)
+}
+
+// MergeLimits adopts what another entry reports of rate limits.
+func (p *Placer) MergeLimits(peer string, reports []serverlimit.Report, now time.Time) {
+	for _, r := range reports {
+		if s := p.servers[r.Instance]; s != nil && s.Born == r.Born {
+			s.limit.Merge(peer, r, now)
+		}
+	}
+}
+
+// AddLimits adds what other entries need to know of rate limits to the list.
+func (p *Placer) AddLimits(reports []serverlimit.Report, now time.Time) []serverlimit.Report {
+	for _, s := range p.ordered {
+		if r, ok := s.limit.Report(now); ok {
+			r.Instance, r.Born = s.Instance, s.Born
+			reports = append(reports, r)
+		}
+	}
+	return reports
+}
+
 // DecideWaiting places waiting requests while there is capacity, and ends the
 // waits that have timed out. Call it after any change, and at NextWake.
 func (p *Placer) DecideWaiting(now time.Time) []Decision {
@@ -275,7 +310,11 @@
 	}
 	if len(p.waiting) > 0 {
 		for _, s := range p.ordered {
-			if at := p.turnAt(s, now); at.After(now) && s.inFlight() < p.capacity(s) {
+			at := p.turnAt(s, now)
+			if available := s.limit.AvailableAt(now); available.After(at) {
+				at = available
+			}
+			if at.After(now) && s.inFlight() < p.capacity(s) {
 				earliest(at)
 			}
 		}
@@ -325,6 +364,7 @@
 	if p.pool.Model != "" {
 		d.StartBy = p.graceEnd(s.version)
 	}
+	s.limit.Take(now)
 	s.ownLoad.Requests++
 	s.ownLoad.PendingPromptTokens += q.request.PromptTokens
 	s.health.recordSent(now)
@@ -333,7 +373,7 @@
 
 // enqueueOrRefuse queues a request if capacity is expected to be free in time.
 func (p *Placer) enqueueOrRefuse(q *queuedRequest, now time.Time) Decision {
-	usable, capacity, _ := p.usableCapacity(q.request, now)
+	usable, _, _ := p.usableCapacity(q.request, now)
 	if usable == 0 {
 		reason := ReasonNoServer
 		if len(q.request.Exclude) > 0 {
@@ -342,7 +382,7 @@
 		return p.refuse(q, reason, now)
 	}
 	limit := p.maxWait(q.request, now)
-	if p.expectedWait(capacity) > limit {
+	if p.expectedWait(q.request, now) > limit {
 		return p.refuse(q, ReasonFull, now)
 	}
 	q.waitUntil = now.Add(limit)
@@ -400,17 +440,18 @@
 
 // expectedWait is the time until there is capacity for one more waiting request.
 // It assumes that all entries get an equal share of the capacity.
-func (p *Placer) expectedWait(capacity int) time.Duration {
-	if capacity == 0 {
+func (p *Placer) expectedWait(r Request, now time.Time) time.Duration {
+	slots := p.effectiveSlots(r, now)
+	if slots == 0 {
 		return maxRetryAfter
 	}
-	share := float64(capacity) / float64(1+len(p.peers))
+	share := slots / float64(1+len(p.peers))
 	return time.Duration(float64(len(p.waiting)+1) / share * float64(p.serviceTime()))
 }
 
 func (p *Placer) refuse(q *queuedRequest, reason Reason, now time.Time) Decision {
 	_, capacity, inFlight := p.usableCapacity(q.request, now)
-	retryAfter := min(max(2*p.expectedWait(capacity), minRetryAfter), maxRetryAfter)
+	retryAfter := min(max(2*p.expectedWait(q.request, now), minRetryAfter), maxRetryAfter)
 	if reason == ReasonNoServer || capacity > 0 && inFlight >= capacity {
 		retryAfter = maxRetryAfter
 	}
--- a/internal/peer/heartbeat/heartbeat.go
+++ b/internal/peer/heartbeat/heartbeat.go
@@ -1,7 +1,7 @@
 // Package heartbeat exchanges heartbeats between entries and agents as UDP datagrams.
 //
 //	entry  --> entries: requests in flight, summary of its state, addresses of other entries,
-//	                    parts of prompts that crash backend servers
+//	                    parts of prompts that crash backend servers, rate limits of these
 //	entry  --> agents:  its address, named versions, parts of prompts
 //	agent  --> entries: the version that its backend server serves, parts of prompts
 //
@@ -26,6 +26,7 @@
 	"github.com/mulberryspool/mulberryspool"
 	"github.com/mulberryspool/mulberryspool/internal/entry/placement"
 	"github.com/mulberryspool/mulberryspool/internal/entry/quarantine"
+	"github.com/mulberryspool/mulberryspool/internal/entry/serverlimit"
 	"github.com/mulberryspool/mulberryspool/internal/platform/fleet"
 )
 
@@ -77,6 +78,9 @@
 		// Findings holds what the sender knows of parts of prompts that crash
 		// backend servers.
 		Findings []quarantine.Finding `msgpack:",omitempty"`
+		// Limits holds the rate limits of backend servers. With Partial set, it holds
+		// only those that have changed.
+		Limits []serverlimit.Report `msgpack:",omitempty"`
 	}
 
 	// AgentReport is an agent's report on its backend server. It is encoded as
--- a/internal/peer/heartbeat/heartbeat_test.go
+++ b/internal/peer/heartbeat/heartbeat_test.go
@@ -9,6 +9,7 @@
 	"github.com/mulberryspool/mulberryspool"
 	"github.com/mulberryspool/mulberryspool/internal/entry/placement"
 	"github.com/mulberryspool/mulberryspool/internal/entry/quarantine"
+	"github.com/mulberryspool/mulberryspool/internal/entry/serverlimit"
 	"github.com/mulberryspool/mulberryspool/internal/platform/fleet"
 )
 
@@ -44,6 +45,7 @@
 func TestFirstBuildsReadHeartbeats(t *testing.T) {
 	summary := fleet.Summary{Config: 7, ServersAt: 9, Servers: 11, Named: map[string][]fleet.NamedVersionAge{"m": {{Version: 2, AgeMillis: 30}}}}
 	findings := []quarantine.Finding{{Part: "m/p", Proven: true, Crashes: []quarantine.CrashFinding{{Server: 3, AgeMillis: 4, Refuted: true}}, TrialRequest: "r", TrialAgeMillis: 5}}
+	limits := []serverlimit.Report{{Instance: "i-1", Born: 6, Rate: 3.8, AgeMillis: 20, Sent: 12}}
 	first := firstMessage{
 		Role: mulberryspool.RoleEntry, Sender: "e-1", Boot: 3, Sequence: 4, Summary: &summary,
 		Loads:   map[mulberryspool.InstanceID]placement.Load{"i-1": {Requests: 2, PendingPromptTokens: 5}},
@@ -52,7 +54,7 @@
 	}
 	message := Message{
 		Role: first.Role, Sender: first.Sender, Boot: first.Boot, Sequence: first.Sequence,
-		Summary: &Summary{Summary: summary, Findings: findings}, Loads: first.Loads, Partial: first.Partial,
+		Summary: &Summary{Summary: summary, Findings: findings, Limits: limits}, Loads: first.Loads, Partial: first.Partial,
 		EntryAddresses: first.EntryAddresses, Report: first.Report, FailureDomain: first.FailureDomain, Waiting: first.Waiting,
 	}
 	var asFirst firstMessage
@@ -62,11 +64,11 @@
 	}
 	var asMessage Message
 	recode(t, &first, &asMessage)
-	message.Summary.Findings = nil
+	message.Summary.Findings, message.Summary.Limits = nil, nil
 	if !reflect.DeepEqual(asMessage, message) {
 		t.Errorf("read %+v of first builds, want %+v", asMessage, message)
 	}
-	message.Summary.Findings = findings
+	message.Summary.Findings, message.Summary.Limits = findings, limits
 	asMessage = Message{}
 	recode(t, &message, &asMessage)
 	if !reflect.DeepEqual(asMessage, message) {
--- a/internal/role/hosted/entryheartbeats.go
+++ b/internal/role/hosted/entryheartbeats.go
@@ -10,6 +10,7 @@
 	"github.com/mulberryspool/mulberryspool"
 	"github.com/mulberryspool/mulberryspool/internal/entry/placement"
 	"github.com/mulberryspool/mulberryspool/internal/entry/scheduler"
+	"github.com/mulberryspool/mulberryspool/internal/entry/serverlimit"
 	"github.com/mulberryspool/mulberryspool/internal/observe/logging"
 	"github.com/mulberryspool/mulberryspool/internal/peer/heartbeat"
 	"github.com/mulberryspool/mulberryspool/platform"
@@ -48,6 +49,7 @@
 	}
 	if m.Summary != nil {
 		e.promptGuard.Merge(m.Sender, m.Summary.Findings)
+		e.scheduler.MergeLimits(m.Sender, m.Summary.Limits)
 	}
 	e.stateSync.handleHeartbeat(m, from)
 	if m.Role == mulberryspool.RoleEntry {
@@ -118,10 +120,12 @@
 		e.scheduler.ExpirePeers()
 		e.promptGuard.Expire()
 		if round++; round%fullLoadRounds == 0 {
-			loads, waiting := e.scheduler.Loads(), e.scheduler.Waiting()
-			e.heartbeats.Send(heartbeat.Message{Summary: e.summary(), Loads: loads, Waiting: waiting}, e.heartbeats.ActivePeers(mulberryspool.RoleEntry))
+			loads, waiting, limits := e.scheduler.Loads(), e.scheduler.Waiting(), e.scheduler.Limits()
+			summary := e.summary()
+			summary.Limits = limits
+			e.heartbeats.Send(heartbeat.Message{Summary: summary, Loads: loads, Waiting: waiting}, e.heartbeats.ActivePeers(mulberryspool.RoleEntry))
 			now := e.clock.Now()
-			*local, *remote = sentLoads{loads, waiting, now}, sentLoads{loads, waiting, now}
+			*local, *remote = sentLoads{loads, waiting, limits, now}, sentLoads{loads, waiting, limits, now}
 		} else {
 			toLocal, toRemote := e.heartbeats.ActivePeersByDomain(mulberryspool.RoleEntry)
 			e.sendLoadChanges(local, toLocal)
@@ -134,17 +138,18 @@
 	}
 }
 
-// sentLoads holds the loads last sent to a group of entries.
+// sentLoads holds the loads and rate limits last sent to a group of entries.
 type sentLoads struct {
 	loads   map[mulberryspool.InstanceID]placement.Load
 	waiting map[string]int
+	limits  []serverlimit.Report
 	sentAt  time.Time
 }
 
 // sendLoadChanges sends a group of entries the loads that have changed since
 // the previous call for the group. A removed load is sent as a zero Load.
 func (e *entryRole) sendLoadChanges(previous *sentLoads, to []netip.AddrPort) {
-	loads, waiting := e.scheduler.Loads(), e.scheduler.Waiting()
+	loads, waiting, limits := e.scheduler.Loads(), e.scheduler.Waiting(), e.scheduler.Limits()
 	changed := make(map[mulberryspool.InstanceID]placement.Load)
 	for id, l := range loads {
 		if previous.loads[id] != l {
@@ -156,10 +161,29 @@
 			changed[id] = placement.Load{}
 		}
 	}
-	if len(changed) > 0 || !maps.Equal(waiting, previous.waiting) {
-		e.heartbeats.Send(heartbeat.Message{Loads: changed, Partial: true, Waiting: waiting}, to)
+	m := heartbeat.Message{Loads: changed, Partial: true, Waiting: waiting}
+	if newLimits := changedLimits(previous.limits, limits); len(newLimits) > 0 {
+		m.Summary = &heartbeat.Summary{Summary: e.fleet.Summary(), Limits: newLimits}
 	}
-	*previous = sentLoads{loads, waiting, e.clock.Now()}
+	if len(changed) > 0 || m.Summary != nil || !maps.Equal(waiting, previous.waiting) {
+		e.heartbeats.Send(m, to)
+	}
+	*previous = sentLoads{loads, waiting, limits, e.clock.Now()}
+}
+
+// changedLimits returns the reports that say more than that time has passed.
+func changedLimits(previous, limits []serverlimit.Report) []serverlimit.Report {
+	known := make(map[serverlimit.Report]bool, len(previous))
+	for _, r := range previous {
+		known[r.Content()] = true
+	}
+	var changed []serverlimit.Report
+	for _, r := range limits {
+		if !known[r.Content()] {
+			changed = append(changed, r)
+		}
+	}
+	return changed
 }
 
 // announce sends the summary of the state to agents, to the other entries and,
