Report only changes of the findings on prompts between entries

Cause: findings were sent whole, twice a second by each entry and with each heartbeat of each agent, and again by every entry that knew more than the sender. After a restart nothing was proven, so each crash left tens of suspected parts in them. The class of fault: the cost of what is shared grows with entries, agents and trouble at once.

Ruled out: load of the servers, whose rejections came after the links were full.

Change: changes are sent once, at most every 25 ms, and what is rejected or has changed within 3 s every 2 s to all; agents report rejected parts only, every 2 s; what peers report is not a change; an entry answers only about parts that are new to it.

--- a/internal/entry/promptguard/guard.go
+++ b/internal/entry/promptguard/guard.go
@@ -30,8 +30,8 @@
 		Metrics tally.Scope
 		// Entry is the name of this entry among its peers.
 		Entry string
-		// Changed is called when Findings should be reported to the other entries
-		// soon; it must not block. It may be nil.
+		// Changed is called when ChangedFindings should be reported to the other
+		// entries soon; it must not block. It may be nil.
 		Changed func()
 
 		mu         sync.Mutex
@@ -151,7 +151,7 @@
 
 // Close ends an exchange that may have had no result. It must be called for each one.
 func (e *Exchange) Close() {
-	e.settle(func(q *quarantine.Quarantine, _ time.Time) bool { return q.EndTrial(e.id, e.parts) })
+	e.settle(func(q *quarantine.Quarantine, now time.Time) bool { return q.EndTrial(e.id, e.parts, now) })
 }
 
 // settle records the result of the exchange, unless it has one.
@@ -175,7 +175,7 @@
 func (g *Guard) Withdraw(id mulberryspool.RequestID, parts []quarantine.Part) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if g.quarantine.EndTrial(id, parts) {
+	if g.quarantine.EndTrial(id, parts, g.Clock.Now()) {
 		g.notifyChanged()
 	}
 }
@@ -194,6 +194,13 @@
 	g.apply(now, "", peer)
 }
 
+// ChangedFindings returns what has changed since the given time.
+func (g *Guard) ChangedFindings(since time.Time) []quarantine.Finding {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.quarantine.ChangedFindings(since, g.Clock.Now())
+}
+
 // Findings returns what the other processes need to know.
 func (g *Guard) Findings() []quarantine.Finding {
 	g.mu.Lock()
--- a/internal/entry/quarantine/quarantine.go
+++ b/internal/entry/quarantine/quarantine.go
@@ -82,10 +82,9 @@
 	// maxCrashes limits the crashes that are kept of a part.
 	maxCrashes = 12
 	// maxFindings limits the parts that are reported at a time.
-	maxFindings = 32
-	// reportTime is how long a change is reported of a part that is not under
-	// suspicion.
-	reportTime = 2 * time.Second
+	maxFindings = 16
+	// reportTime is how long a change is reported of a part that is not rejected.
+	reportTime = 3 * time.Second
 	// maxPartBytes limits the part of an ID that is used as it is.
 	maxPartBytes = 48
 	// maxProven limits each of the two generations of proven parts, provenTime is
@@ -131,11 +130,14 @@
 		TrialAgeMillis int64                   `msgpack:",omitempty"`
 	}
 
-	// CrashFinding is a crash of a backend server in a Finding.
+	// CrashFinding is a crash of a backend server in a Finding. It is encoded as an
+	// array, so the order of the fields is part of the protocol.
 	CrashFinding struct {
+		_msgpack struct{} `msgpack:",as_array"` //nolint:unused // Read by the codec.
+
 		Server    Server
 		AgeMillis int64
-		Refuted   bool `msgpack:",omitempty"`
+		Refuted   bool
 	}
 
 	// Quarantine is an entry's view of the parts that are under suspicion. Set the
@@ -163,7 +165,8 @@
 		lastCrash              time.Time
 		// ambiguous is set if another part was present in all of these crashes.
 		ambiguous bool
-		// changedAt is when something became known that other entries may not know.
+		// changedAt is when something became known here that other entries may not
+		// know. What they report doesn't change it.
 		changedAt time.Time
 	}
 
@@ -284,11 +287,11 @@
 
 // EndTrial ends the trial of a request that has no result, and reports whether
 // there was one.
-func (q *Quarantine) EndTrial(id mulberryspool.RequestID, parts []Part) bool {
+func (q *Quarantine) EndTrial(id mulberryspool.RequestID, parts []Part, now time.Time) bool {
 	ended := false
 	for _, p := range parts {
 		if s := q.suspects[p]; s != nil && s.trial.entry == q.Entry && s.trial.request == id {
-			s.trial, ended = trial{}, true
+			s.trial, s.changedAt, ended = trial{}, now, true
 		}
 	}
 	return ended
@@ -336,25 +339,22 @@
 	})
 }
 
-// Merge adopts the findings of another process. It reports whether this one knows
-// something about the same parts that the other one does not.
+// Merge adopts the findings of another process. It reports whether answers with a
+// part that is new here have begun at this entry, which the others need to know.
 func (q *Quarantine) Merge(sender string, findings []Finding, now time.Time) bool {
 	knowsMore := false
 	for _, f := range findings {
 		if len(f.Crashes) == 0 {
 			continue
 		}
+		_, known := q.suspects[f.Part]
 		s := q.suspect(f.Part)
-		more := s.proven && !f.Proven
+		if !known && s.proven && !f.Proven {
+			s.changedAt, knowsMore = now, true
+		}
 		s.proven = s.proven || f.Proven
 		for _, c := range f.Crashes[:min(len(f.Crashes), maxCrashes)] {
-			more = more || s.refuted(c.Server) && !c.Refuted
-			if s.add(crash{server: c.Server, at: now.Add(-age(c.AgeMillis)), refuted: c.Refuted}) {
-				s.changedAt = now
-			}
-		}
-		if more {
-			s.changedAt, knowsMore = now, true
+			s.add(crash{server: c.Server, at: now.Add(-age(c.AgeMillis)), refuted: c.Refuted})
 		}
 		s.mergeTrial(sender, f, now)
 	}
@@ -363,16 +363,32 @@
 	return knowsMore
 }
 
-// Findings returns what other entries need to know: the parts under suspicion, the
-// newest crashes first, and recent changes.
+// Findings returns what other processes need to know, the newest crashes first: the
+// rejected parts, and those that have changed within reportTime.
 func (q *Quarantine) Findings(now time.Time) []Finding {
+	return q.findings(now, func(s *suspect) bool {
+		return s.level(now) == Rejected || now.Sub(s.changedAt) <= reportTime
+	})
+}
+
+// ChangedFindings returns the parts that have changed since the given time.
+func (q *Quarantine) ChangedFindings(since, now time.Time) []Finding {
+	return q.findings(now, func(s *suspect) bool { return !s.changedAt.Before(since) })
+}
+
+// RejectedFindings returns the rejected parts.
+func (q *Quarantine) RejectedFindings(now time.Time) []Finding {
+	return q.findings(now, func(s *suspect) bool { return s.level(now) == Rejected })
+}
+
+func (q *Quarantine) findings(now time.Time, report func(*suspect) bool) []Finding {
 	var findings []Finding
 	for _, p := range q.byLastCrash() {
 		if len(findings) == maxFindings {
 			break
 		}
 		s := q.suspects[p]
-		if s.level(now) == Clear && now.Sub(s.changedAt) > reportTime {
+		if !report(s) {
 			continue
 		}
 		f := Finding{Part: p, Proven: s.proven}
@@ -517,11 +533,6 @@
 	return isNew
 }
 
-// refuted reports whether the crash of the server is known to be refuted.
-func (s *suspect) refuted(server Server) bool {
-	return slices.ContainsFunc(s.crashes, func(c crash) bool { return c.server == server && c.refuted })
-}
-
 // refute marks all crashes as refuted and reports whether any was not.
 func (s *suspect) refute() bool {
 	changed := false
--- a/internal/entry/quarantine/quarantine_test.go
+++ b/internal/entry/quarantine/quarantine_test.go
@@ -65,7 +65,7 @@
 	if d := a.Decide("other", parts, now); d.Verdict != Wait {
 		t.Errorf("decision on another request of a is %+v, want it to wait", d)
 	}
-	if !a.EndTrial("ra", parts) || a.EndTrial("ra", parts) {
+	if !a.EndTrial("ra", parts, now) || a.EndTrial("ra", parts, now) {
 		t.Error("trial is not ended once")
 	}
 	now = now.Add(10 * time.Millisecond)
--- a/internal/entry/quarantine/replay_test.go
+++ b/internal/entry/quarantine/replay_test.go
@@ -8,6 +8,8 @@
 	"testing"
 	"time"
 
+	"github.com/vmihailenco/msgpack/v5"
+
 	"github.com/mulberryspool/mulberryspool"
 )
 
@@ -20,8 +22,8 @@
 	restartTime = 3 * time.Second
 	// reportInterval is the interval between two reports without a change, and
 	// keeperInterval that of the process which only keeps the findings.
-	reportInterval = 500 * time.Millisecond
-	keeperInterval = 750 * time.Millisecond
+	reportInterval = 2 * time.Second
+	keeperInterval = 3 * time.Second
 	// maxAttempts is the number of servers that a request is sent to.
 	maxAttempts = 2
 	// maxAdmissionWait is how long a request waits for a trial.
@@ -64,6 +66,8 @@
 		sound       int
 		servedSound int
 		refused     int
+		// reportedBytes is what the entries have sent to each other.
+		reportedBytes int
 		// rejectedSound holds the sound parts that were ever rejected.
 		rejectedSound map[Part]bool
 	}
@@ -74,6 +78,9 @@
 		reportAt  time.Time
 		waiting   []*simRequest
 		inbox     []report
+		// changedSince is when the node last reported what has changed.
+		changedSince time.Time
+		fullReportAt time.Time
 	}
 
 	report struct {
@@ -178,14 +185,22 @@
 			continue
 		}
 		n.Expire(r.now)
-		n.reportAt = r.now.Add(reportInterval)
-		if i == r.entries {
-			n.reportAt = r.now.Add(keeperInterval)
+		findings := n.ChangedFindings(n.changedSince, r.now)
+		if !n.fullReportAt.After(r.now) {
+			findings = n.Findings(r.now)
+			n.fullReportAt = r.now.Add(reportInterval)
+			if i == r.entries {
+				findings = n.RejectedFindings(r.now)
+				n.fullReportAt = r.now.Add(keeperInterval)
+			}
 		}
-		findings := n.Findings(r.now)
+		n.reportAt, n.changedSince = n.fullReportAt, r.now
 		if len(findings) == 0 {
 			continue
 		}
+		if encoded, err := msgpack.Marshal(findings); err == nil && i < r.entries {
+			r.reportedBytes += len(encoded) * r.entries
+		}
 		for j, to := range r.nodes {
 			if j != i && !r.isCut(i, j) && r.random.Float64() >= lossRate {
 				delay := tick + time.Duration(r.random.IntN(3))*tick
@@ -243,7 +258,7 @@
 			}
 		}
 		if len(up) == 0 {
-			n.EndTrial(q.id, q.parts)
+			n.EndTrial(q.id, q.parts, r.now)
 			r.refuse(q)
 			return true
 		}
@@ -339,7 +354,12 @@
 // Guards against parts that go on crashing servers, and against sound requests that
 // are refused for the parts that they share with them.
 func TestDeadlyPartStopsAfterFewCrashes(t *testing.T) {
-	const maxSent = 3
+	const (
+		maxSent = 3
+		// maxReportRate is what the findings of an entry may take of its link, in bytes
+		// per second.
+		maxReportRate = 8 << 10
+	)
 	small := replay{entries: 8, servers: 9, soundRate: 60, deadlyRate: 3, deadlyFrom: 4 * time.Second, length: 34 * time.Second}
 	for name, vary := range map[string]func(r *replay){
 		"as it is":            func(*replay) {},
@@ -366,7 +386,10 @@
 			calm.deadlyRate = 0
 			calm.run(t, seed)
 			share, calmShare := float64(r.servedSound)/float64(r.sound), float64(calm.servedSound)/float64(calm.sound)
-			t.Logf("%s, seed %d: %d crashes, %d sent, sound %.3f, calm %.3f, refused %d of %d, rejected %d", name, seed, len(r.crashes), r.sentAfterFifthCrash(), share, calmShare, r.refused, r.sound, len(r.rejectedSound))
+			t.Logf("%s, seed %d: %d crashes, %d sent, sound %.3f, calm %.3f, refused %d of %d, %.0f bytes/s, rejected %d", name, seed, len(r.crashes), r.sentAfterFifthCrash(), share, calmShare, r.refused, r.sound, float64(r.reportedBytes)/float64(r.entries)/r.length.Seconds(), len(r.rejectedSound))
+			if rate := float64(r.reportedBytes) / float64(r.entries) / r.length.Seconds(); rate > maxReportRate {
+				t.Errorf("%s, seed %d: an entry reports %.0f bytes per second, want at most %d", name, seed, rate, maxReportRate)
+			}
 			if share < 0.85*calmShare {
 				t.Errorf("%s, seed %d: %.2f of the sound requests were served, %.2f without the part", name, seed, share, calmShare)
 			}
--- a/internal/role/hosted/agent.go
+++ b/internal/role/hosted/agent.go
@@ -81,6 +81,9 @@
 	// agentHeartbeatRounds is the number of rounds of the loop between two heartbeats
 	// while the report does not change.
 	agentHeartbeatRounds = 3
+	// findingsReportInterval is the interval between two heartbeats with rejected
+	// parts of prompts.
+	findingsReportInterval = 2 * time.Second
 	// agentTimelineEvents is the capacity of an agent's time line.
 	agentTimelineEvents = 256
 	// membersInterval is the interval at which a transfer reads the list of
@@ -136,6 +139,9 @@
 		// newest version.
 		nextNewestQuery time.Time
 
+		// findingsSentAt is when entries were last sent the rejected parts of prompts.
+		findingsSentAt time.Time
+
 		mu sync.Mutex
 		// quarantine holds what entries report of parts of prompts.
 		quarantine quarantine.Quarantine
--- a/internal/role/hosted/agentloop.go
+++ b/internal/role/hosted/agentloop.go
@@ -11,6 +11,7 @@
 	"github.com/mulberryspool/mulberryspool/internal/agent/manifests"
 	"github.com/mulberryspool/mulberryspool/internal/agent/staging"
 	"github.com/mulberryspool/mulberryspool/internal/agent/swap"
+	"github.com/mulberryspool/mulberryspool/internal/entry/quarantine"
 	"github.com/mulberryspool/mulberryspool/internal/observe/logging"
 	"github.com/mulberryspool/mulberryspool/internal/peer/heartbeat"
 	"github.com/mulberryspool/mulberryspool/platform"
@@ -372,17 +373,20 @@
 	if hasDeadline {
 		report.LeftMillis = max(1, a.clock.Until(until).Milliseconds())
 	}
-	a.heartbeats.Send(heartbeat.Message{Summary: a.summary(), Report: &report}, a.heartbeats.ActivePeers(mulberryspool.RoleEntry))
+	summary := &heartbeat.Summary{Summary: a.fleet.Summary()}
+	if now := a.clock.Now(); now.Sub(a.findingsSentAt) >= findingsReportInterval {
+		summary.Findings, a.findingsSentAt = a.rejectedFindings(now), now
+	}
+	a.heartbeats.Send(heartbeat.Message{Summary: summary, Report: &report}, a.heartbeats.ActivePeers(mulberryspool.RoleEntry))
 }
 
-// summary returns the agent's state, with what entries have found out about
-// prompts: entries that all restart at once learn it from the agents again.
-func (a *agentRole) summary() *heartbeat.Summary {
+// rejectedFindings returns the parts of prompts that entries have rejected. Entries
+// that all restart at once learn them from the agents again.
+func (a *agentRole) rejectedFindings(now time.Time) []quarantine.Finding {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	now := a.clock.Now()
 	a.quarantine.Expire(now)
-	return &heartbeat.Summary{Summary: a.fleet.Summary(), Findings: a.quarantine.Findings(now)}
+	return a.quarantine.RejectedFindings(now)
 }
 
 // serverID returns the model server's instance in the store, empty while it is
--- a/internal/role/hosted/entry.go
+++ b/internal/role/hosted/entry.go
@@ -43,10 +43,16 @@
 	// entries of other failure domains, which choose the servers in this failure
 	// domain last.
 	remoteSendInterval = 25 * time.Millisecond
+	// findingsSendInterval is the minimum interval between two heartbeats about
+	// changed findings on prompts.
+	findingsSendInterval = 25 * time.Millisecond
 	// fullLoadRounds is the number of rounds between two heartbeats with all loads.
 	fullLoadRounds = 5
 	// announceRounds is the number of rounds between two heartbeats to agents.
 	announceRounds = 10
+	// findingsRounds is the number of rounds between two heartbeats to all processes
+	// with findings on prompts, which repeat those about changes.
+	findingsRounds = 20
 	// versionDelayMargin is how late a change of the named version may become known.
 	versionDelayMargin = 100 * time.Millisecond
 	// A store that drops its history does not answer a waiting watch, so watches
--- a/internal/role/hosted/entryheartbeats.go
+++ b/internal/role/hosted/entryheartbeats.go
@@ -9,6 +9,7 @@
 
 	"github.com/mulberryspool/mulberryspool"
 	"github.com/mulberryspool/mulberryspool/internal/entry/placement"
+	"github.com/mulberryspool/mulberryspool/internal/entry/quarantine"
 	"github.com/mulberryspool/mulberryspool/internal/entry/scheduler"
 	"github.com/mulberryspool/mulberryspool/internal/entry/serverlimit"
 	"github.com/mulberryspool/mulberryspool/internal/observe/logging"
@@ -81,8 +82,8 @@
 	// Loads are sent separately to the entries of the same (local) and of other
 	// (remote) failure domains.
 	local, remote := &sentLoads{}, &sentLoads{}
-	var remoteDue, stateSendDue <-chan time.Time
-	var stateSentAt time.Time
+	var remoteDue, stateSendDue, findingsDue <-chan time.Time
+	var stateSentAt, findingsSentAt time.Time
 	for round := 1; ; {
 		select {
 		case <-ticker.Chan():
@@ -108,11 +109,17 @@
 			continue
 		case <-stateSendDue:
 			stateSendDue, stateSentAt = nil, e.clock.Now()
-			e.announce()
+			e.announce(nil)
 			continue
 		case <-e.findingsChanged:
-			e.clock.Sleep(localSendDelay)
-			e.heartbeats.Send(heartbeat.Message{Summary: e.summary()}, e.heartbeats.ActivePeers(mulberryspool.RoleEntry))
+			if findingsDue == nil {
+				findingsDue = e.clock.After(max(localSendDelay, findingsSendInterval-e.clock.Since(findingsSentAt)))
+			}
+			continue
+		case <-findingsDue:
+			summary := &heartbeat.Summary{Summary: e.fleet.Summary(), Findings: e.promptGuard.ChangedFindings(findingsSentAt)}
+			findingsDue, findingsSentAt = nil, e.clock.Now()
+			e.heartbeats.Send(heartbeat.Message{Summary: summary}, e.heartbeats.ActivePeers(mulberryspool.RoleEntry))
 			continue
 		case <-ctx.Done():
 			return
@@ -121,8 +128,7 @@
 		e.promptGuard.Expire()
 		if round++; round%fullLoadRounds == 0 {
 			loads, waiting, limits := e.scheduler.Loads(), e.scheduler.Waiting(), e.scheduler.Limits()
-			summary := e.summary()
-			summary.Limits = limits
+			summary := &heartbeat.Summary{Summary: e.fleet.Summary(), Limits: limits}
 			e.heartbeats.Send(heartbeat.Message{Summary: summary, Loads: loads, Waiting: waiting}, e.heartbeats.ActivePeers(mulberryspool.RoleEntry))
 			now := e.clock.Now()
 			*local, *remote = sentLoads{loads, waiting, limits, now}, sentLoads{loads, waiting, limits, now}
@@ -132,7 +138,11 @@
 			e.sendLoadChanges(remote, toRemote)
 		}
 		if round%announceRounds == 0 {
-			e.announce()
+			var findings []quarantine.Finding
+			if round%findingsRounds == 0 {
+				findings = e.promptGuard.Findings()
+			}
+			e.announce(findings)
 			e.reportMetrics()
 		}
 	}
@@ -186,11 +196,11 @@
 	return changed
 }
 
-// announce sends the summary of the state to agents, to the other entries and,
+// announce sends the summary of the state and findings on prompts to agents, to the other entries and,
 // with the addresses of all active entries, to registered entries that are not
 // active.
-func (e *entryRole) announce() {
-	summary := e.summary()
+func (e *entryRole) announce(findings []quarantine.Finding) {
+	summary := &heartbeat.Summary{Summary: e.fleet.Summary(), Findings: findings}
 	active := e.heartbeats.ActivePeers(mulberryspool.RoleEntry)
 	isActive := make(map[netip.AddrPort]bool, len(active))
 	var activeAddresses []string
@@ -210,10 +220,6 @@
 	e.heartbeats.Send(heartbeat.Message{Summary: summary}, append(e.agentAddresses(), active...))
 }
 
-func (e *entryRole) summary() *heartbeat.Summary {
-	return &heartbeat.Summary{Summary: e.fleet.Summary(), Findings: e.promptGuard.Findings()}
-}
-
 func (e *entryRole) reportMetrics() {
 	e.scheduler.Summary(func(pool string, usable, places, inFlight, waiting int) {
 		scope := e.metrics.Tagged(map[string]string{"pool": pool})
@@ -263,6 +269,6 @@
 		addresses = append(addresses, r.Address)
 	}
 	e.addEntries(addresses)
-	e.announce()
+	e.announce(nil)
 	return nil
 }
