--- a/internal/entry/forward/backend_test.go
+++ b/internal/entry/forward/backend_test.go
@@ -22,6 +22,7 @@
 	"github.com/mulberryspool/mulberryspool/internal/backend/httpconn"
 	"github.com/mulberryspool/mulberryspool/internal/entry/placement"
 	"github.com/mulberryspool/mulberryspool/internal/entry/promptguard"
+	"github.com/mulberryspool/mulberryspool/internal/entry/quarantine"
 	"github.com/mulberryspool/mulberryspool/internal/entry/retrybudget"
 	"github.com/mulberryspool/mulberryspool/internal/entry/scheduler"
 	"github.com/mulberryspool/mulberryspool/internal/peer/sockets"
@@ -180,7 +181,7 @@
 	pool := &httpconn.Pool{Clock: clock, HeaderCodec: platform.Headers{}, Dial: sockets.Dialer{}.DialContext}
 	h := &Handler{
 		Clock: clock, HeaderCodec: platform.Headers{}, Scheduler: s, ConnPool: pool,
-		PromptGuard: &promptguard.Guard{Clock: clock, Logger: zerolog.Nop(), Metrics: tally.NoopScope, Entry: "e"}, Logger: zerolog.Nop(), Metrics: tally.NoopScope,
+		PromptGuard: &promptguard.Guard{Clock: clock, Logger: zerolog.Nop(), Metrics: tally.NoopScope, Quarantine: &quarantine.Quarantine{Entry: "e"}}, Logger: zerolog.Nop(), Metrics: tally.NoopScope,
 		Sampled: func(mulberryspool.RequestID) bool { return true },
 	}
 	server := httptest.NewServer(h)
--- a/internal/entry/promptguard/guard.go
+++ b/internal/entry/promptguard/guard.go
@@ -28,14 +28,13 @@
 		Clock   mulberryspool.Clock
 		Logger  zerolog.Logger
 		Metrics tally.Scope
-		// Entry is the name of this entry among its peers.
-		Entry string
+		// Quarantine is used under the guard's lock only.
+		Quarantine *quarantine.Quarantine
 		// Changed is called when ChangedFindings should be reported to the other
 		// entries soon; it must not block. It may be nil.
 		Changed func()
 
-		mu         sync.Mutex
-		quarantine quarantine.Quarantine
+		mu sync.Mutex
 		// levels holds the levels last logged.
 		levels map[quarantine.Part]quarantine.Level
 		// starting holds the exchanges whose answers have not begun.
@@ -77,9 +76,8 @@
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.quarantine.Entry = g.Entry
 	now := g.Clock.Now()
-	d := g.quarantine.Decide(id, parts, now)
+	d := g.Quarantine.Decide(id, parts, now)
 	if d.Announced {
 		g.Logger.Info().Str("requestID", string(id)).Str("part", string(d.Part)).Int("crashes", d.Crashes).Msg("request is a trial of a suspected part of prompts")
 		g.notifyChanged()
@@ -165,7 +163,7 @@
 	defer g.mu.Unlock()
 	delete(g.starting, e)
 	now := g.Clock.Now()
-	if record(&g.quarantine, now) {
+	if record(g.Quarantine, now) {
 		g.apply(now, string(e.id), "")
 		g.notifyChanged()
 	}
@@ -175,7 +173,7 @@
 func (g *Guard) Withdraw(id mulberryspool.RequestID, parts []quarantine.Part) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if g.quarantine.EndTrial(id, parts, g.Clock.Now()) {
+	if g.Quarantine.EndTrial(id, parts, g.Clock.Now()) {
 		g.notifyChanged()
 	}
 }
@@ -188,7 +186,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := g.Clock.Now()
-	if g.quarantine.Merge(peer, findings, now) {
+	if g.Quarantine.Merge(peer, findings, now) {
 		g.notifyChanged()
 	}
 	g.apply(now, "", peer)
@@ -198,14 +196,14 @@
 func (g *Guard) ChangedFindings(since time.Time) []quarantine.Finding {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.quarantine.ChangedFindings(since, g.Clock.Now())
+	return g.Quarantine.ChangedFindings(since, g.Clock.Now())
 }
 
 // Findings returns what the other processes need to know.
 func (g *Guard) Findings() []quarantine.Finding {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.quarantine.Findings(g.Clock.Now())
+	return g.Quarantine.Findings(g.Clock.Now())
 }
 
 // Expire forgets what no longer counts. Call it regularly.
@@ -213,7 +211,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := g.Clock.Now()
-	g.quarantine.Expire(now)
+	g.Quarantine.Expire(now)
 	g.apply(now, "", "")
 }
 
@@ -221,12 +219,12 @@
 // have changed their level. The request or the peer is the source of the change.
 func (g *Guard) apply(now time.Time, request, peer string) {
 	for e := range g.starting {
-		if g.quarantine.Rejects(e.parts, now) {
+		if g.Quarantine.Rejects(e.parts, now) {
 			delete(g.starting, e)
 			e.cancel()
 		}
 	}
-	levels := g.quarantine.Levels(now)
+	levels := g.Quarantine.Levels(now)
 	if len(levels) == 0 && len(g.levels) == 0 {
 		return
 	}
--- a/internal/entry/promptguard/guard_test.go
+++ b/internal/entry/promptguard/guard_test.go
@@ -17,7 +17,7 @@
 func newGuard(entry string) (*Guard, *atomic.Int32) {
 	changes := new(atomic.Int32)
 	return &Guard{
-		Clock: clockwork.NewRealClock(), Logger: zerolog.Nop(), Metrics: tally.NoopScope, Entry: entry,
+		Clock: clockwork.NewRealClock(), Logger: zerolog.Nop(), Metrics: tally.NoopScope, Quarantine: &quarantine.Quarantine{Entry: entry},
 		Changed: func() { changes.Add(1) },
 	}, changes
 }
--- a/internal/entry/quarantine/quarantine.go
+++ b/internal/entry/quarantine/quarantine.go
@@ -12,16 +12,19 @@
 // An exchange that breaks before its answer has begun counts against all parts of
 // its prompt, an answer that has begun refutes that. A part under suspicion is
 // tried with one request at a time in the whole system, and rejected if that fails
-// too. A part with which answers have begun before needs more crashes, so that
-// common parts survive the crashes of others.
+// too. A part with which answers have begun before needs more crashes, and a crash
+// that a worse part explains does not count, so that common parts survive the crashes
+// of others.
 //
 // Every entry computes the same verdict, because crashes are merged as a set and
-// a refutation is never taken back. A Quarantine does no I/O and reads no clock. It
+// a refutation is never taken back. Processes that only merge findings keep them for
+// entries that restart. A Quarantine does no I/O and reads no clock. It
 // must be used by one goroutine at a time.
 package quarantine
 
 import (
 	"cmp"
+	"encoding/binary"
 	"maps"
 	"slices"
 	"strconv"
@@ -197,15 +200,7 @@
 
 // ServerOf returns the incarnation of a backend server.
 func ServerOf(b mulberryspool.BackendServer) Server {
-	d := xxhash.New()
-	// Writing to a digest does not fail.
-	_, _ = d.WriteString(string(b.Instance))
-	born := uint64(b.Born)
-	for range 8 {
-		_, _ = d.Write([]byte{byte(born)})
-		born >>= 8
-	}
-	return Server(d.Sum64())
+	return Server(xxhash.Sum64(binary.LittleEndian.AppendUint64([]byte(b.Instance), uint64(b.Born))))
 }
 
 // Decide decides on a request with the parts in its prompt. It may make the request
@@ -339,70 +334,6 @@
 	})
 }
 
-// Merge adopts the findings of another process. It reports whether answers with a
-// part that is new here have begun at this entry, which the others need to know.
-func (q *Quarantine) Merge(sender string, findings []Finding, now time.Time) bool {
-	knowsMore := false
-	for _, f := range findings {
-		if len(f.Crashes) == 0 {
-			continue
-		}
-		_, known := q.suspects[f.Part]
-		s := q.suspect(f.Part)
-		if !known && s.proven && !f.Proven {
-			s.changedAt, knowsMore = now, true
-		}
-		s.proven = s.proven || f.Proven
-		for _, c := range f.Crashes[:min(len(f.Crashes), maxCrashes)] {
-			s.add(crash{server: c.Server, at: now.Add(-age(c.AgeMillis)), refuted: c.Refuted})
-		}
-		s.mergeTrial(sender, f, now)
-	}
-	q.recount()
-	q.limit()
-	return knowsMore
-}
-
-// Findings returns what other processes need to know, the newest crashes first: the
-// rejected parts, and those that have changed within reportTime.
-func (q *Quarantine) Findings(now time.Time) []Finding {
-	return q.findings(now, func(s *suspect) bool {
-		return s.level(now) == Rejected || now.Sub(s.changedAt) <= reportTime
-	})
-}
-
-// ChangedFindings returns the parts that have changed since the given time.
-func (q *Quarantine) ChangedFindings(since, now time.Time) []Finding {
-	return q.findings(now, func(s *suspect) bool { return !s.changedAt.Before(since) })
-}
-
-// RejectedFindings returns the rejected parts.
-func (q *Quarantine) RejectedFindings(now time.Time) []Finding {
-	return q.findings(now, func(s *suspect) bool { return s.level(now) == Rejected })
-}
-
-func (q *Quarantine) findings(now time.Time, report func(*suspect) bool) []Finding {
-	var findings []Finding
-	for _, p := range q.byLastCrash() {
-		if len(findings) == maxFindings {
-			break
-		}
-		s := q.suspects[p]
-		if !report(s) {
-			continue
-		}
-		f := Finding{Part: p, Proven: s.proven}
-		for _, c := range s.crashes {
-			f.Crashes = append(f.Crashes, CrashFinding{Server: c.server, AgeMillis: now.Sub(c.at).Milliseconds(), Refuted: c.refuted})
-		}
-		if s.trial.entry == q.Entry && s.trial.running(now) {
-			f.TrialRequest, f.TrialAgeMillis = s.trial.request, now.Sub(s.trial.at).Milliseconds()
-		}
-		findings = append(findings, f)
-	}
-	return findings
-}
-
 // Expire forgets the parts whose crashes no longer count.
 func (q *Quarantine) Expire(now time.Time) {
 	before := len(q.suspects)
@@ -463,44 +394,6 @@
 	})
 }
 
-// recount counts the crashes of each part. A crash is explained by a part that would
-// be rejected and that more speaks against than against the other parts in it.
-func (q *Quarantine) recount() {
-	present := make(map[Server][]*suspect)
-	first := q.firstReports()
-	for _, s := range q.suspects {
-		for i := range s.crashes {
-			s.crashes[i].incidental = s.isIncidental(s.crashes[i], first)
-		}
-		s.allCrashes, _ = countCrashes(s.crashes, crash.counts)
-		for _, c := range s.crashes {
-			if c.counts() {
-				present[c.server] = append(present[c.server], s)
-			}
-		}
-	}
-	for _, s := range q.suspects {
-		s.crashCount, s.lastCrash = countCrashes(s.crashes, func(c crash) bool { return c.counts() && !s.isExplained(present[c.server]) })
-	}
-	for _, s := range q.suspects {
-		s.ambiguous = s.isAmbiguous(present)
-	}
-}
-
-// firstReports returns the earliest report of each server's crash, in the order of
-// time.
-func (q *Quarantine) firstReports() []crash {
-	byServer := make(map[Server]crash)
-	for _, s := range q.suspects {
-		for _, c := range s.crashes {
-			if known, ok := byServer[c.server]; !ok || c.at.Before(known.at) {
-				byServer[c.server] = c
-			}
-		}
-	}
-	return slices.SortedFunc(maps.Values(byServer), func(a, b crash) int { return a.at.Compare(b.at) })
-}
-
 // rotateProven starts a new generation of proven parts when the current one is full.
 func (q *Quarantine) rotateProven(now time.Time) {
 	if q.proven != nil && len(q.proven) < maxProven && now.Sub(q.provenSince) < provenTime {
@@ -509,154 +402,6 @@
 	q.proven, q.provenBefore, q.provenSince = make(map[uint64]struct{}), q.proven, now
 }
 
-// add adds a crash and reports true, unless the crash of the server is known. Of
-// two reports of a crash the earlier time counts, since a report can only be late.
-func (s *suspect) add(c crash) bool {
-	i := slices.IndexFunc(s.crashes, func(known crash) bool { return known.server == c.server })
-	isNew := i < 0
-	if isNew {
-		s.crashes = append(s.crashes, c)
-		if !c.refuted {
-			s.trial = trial{}
-		}
-	} else {
-		known := &s.crashes[i]
-		known.refuted = known.refuted || c.refuted
-		if c.at.Before(known.at) {
-			known.at = c.at
-		}
-	}
-	slices.SortStableFunc(s.crashes, func(a, b crash) int { return a.at.Compare(b.at) })
-	if len(s.crashes) > maxCrashes {
-		s.crashes = slices.Delete(s.crashes, 0, len(s.crashes)-maxCrashes)
-	}
-	return isNew
-}
-
-// refute marks all crashes as refuted and reports whether any was not.
-func (s *suspect) refute() bool {
-	changed := false
-	for i := range s.crashes {
-		changed = changed || !s.crashes[i].refuted
-		s.crashes[i].refuted = true
-	}
-	s.proven, s.trial = true, trial{}
-	return changed
-}
-
-// isIncidental reports whether other servers without the part crashed together with
-// that of the crash.
-func (s *suspect) isIncidental(c crash, firstReports []crash) bool {
-	from, _ := slices.BinarySearchFunc(firstReports, c.at.Add(1-crashInterval), func(c crash, at time.Time) int { return c.at.Compare(at) })
-	together, with := 0, 0
-	for _, other := range firstReports[from:] {
-		if other.at.Sub(c.at) >= crashInterval {
-			break
-		}
-		together++
-		if slices.ContainsFunc(s.crashes, func(c crash) bool { return c.server == other.server }) {
-			with++
-		}
-	}
-	return float64(with) < crashShare*float64(together)
-}
-
-// isExplained reports whether one of the parts that were present in a crash explains
-// it rather than this one.
-func (s *suspect) isExplained(present []*suspect) bool {
-	return slices.ContainsFunc(present, func(other *suspect) bool {
-		if other.allCrashes < other.allowance()+rejectCrashes {
-			return false
-		}
-		if other.proven != s.proven {
-			return s.proven
-		}
-		return other.allCrashes > s.allCrashes
-	})
-}
-
-// isAmbiguous reports whether another part, against which at least as much speaks,
-// was present in all crashes of this one that count.
-func (s *suspect) isAmbiguous(present map[Server][]*suspect) bool {
-	var others []*suspect
-	for _, c := range s.crashes {
-		if !c.counts() || s.isExplained(present[c.server]) {
-			continue
-		}
-		if others == nil {
-			others = slices.Clone(present[c.server])
-		}
-		others = slices.DeleteFunc(others, func(other *suspect) bool {
-			return other == s || other.proven && !s.proven || !slices.Contains(present[c.server], other)
-		})
-		if len(others) == 0 {
-			return false
-		}
-	}
-	return len(others) > 0
-}
-
-// level returns how much speaks against the part.
-func (s *suspect) level(now time.Time) Level {
-	if now.Before(s.rejectedUntil()) {
-		return Rejected
-	}
-	if s.crashCount >= s.allowance()+suspectCrashes {
-		return Suspected
-	}
-	return Clear
-}
-
-func (s *suspect) allowance() int {
-	if s.proven {
-		return provenAllowance
-	}
-	return 0
-}
-
-func (s *suspect) rejectedUntil() time.Time { return s.lastCrash.Add(s.rejectTime()) }
-
-// rejectTime is how long the part is rejected after the last crash; 0 if it is not.
-func (s *suspect) rejectTime() time.Duration {
-	excess := s.crashCount - s.allowance() - rejectCrashes
-	if excess < 0 {
-		return 0
-	}
-	return min(rejectTime<<excess, maxRejectTime)
-}
-
-// countCrashes returns the number of crashes that count, and the time of the last
-// one. Those that follow another one within crashInterval are not counted.
-func countCrashes(crashes []crash, counts func(crash) bool) (count int, last time.Time) {
-	for _, c := range crashes {
-		if counts(c) && (count == 0 || c.at.Sub(last) >= crashInterval) {
-			count++
-			last = c.at
-		}
-	}
-	return count, last
-}
-
-// mergeTrial adopts or ends the trial of another entry. Of two trials that were announced
-// at about the same time, that of the entry with the smaller name goes on, and
-// otherwise the one that was announced first.
-func (s *suspect) mergeTrial(sender string, f Finding, now time.Time) {
-	other := trial{entry: sender, request: f.TrialRequest, at: now.Add(-age(f.TrialAgeMillis))}
-	if s.trial.entry == sender && s.trial.request != other.request {
-		s.trial = trial{}
-	}
-	if other.request == "" || !other.running(now) || slices.ContainsFunc(s.crashes, func(c crash) bool { return c.at.After(other.at) }) {
-		return
-	}
-	if s.trial.running(now) {
-		gap := other.at.Sub(s.trial.at)
-		if gap > trialSettleTime || gap >= -trialSettleTime && s.trial.entry <= other.entry {
-			return
-		}
-	}
-	s.trial = other
-}
-
 // String returns the level as it appears in logs and metrics.
 func (l Level) String() string {
 	switch l {
@@ -670,16 +415,10 @@
 
 func (p Part) hash() uint64 { return xxhash.Sum64String(string(p)) }
 
-func (c crash) counts() bool { return !c.refuted && !c.incidental }
-
 func (t trial) running(now time.Time) bool {
 	return t.entry != "" && now.Sub(t.at) < trialTimeout
 }
 
-func age(millis int64) time.Duration {
-	return time.Duration(max(0, millis)) * time.Millisecond
-}
-
 func later(a, b time.Time) time.Time {
 	if a.After(b) {
 		return a
--- a/internal/role/hosted/entry.go
+++ b/internal/role/hosted/entry.go
@@ -19,6 +19,7 @@
 	"github.com/mulberryspool/mulberryspool/internal/entry/forward"
 	"github.com/mulberryspool/mulberryspool/internal/entry/placement"
 	"github.com/mulberryspool/mulberryspool/internal/entry/promptguard"
+	"github.com/mulberryspool/mulberryspool/internal/entry/quarantine"
 	"github.com/mulberryspool/mulberryspool/internal/entry/retrybudget"
 	"github.com/mulberryspool/mulberryspool/internal/entry/scheduler"
 	"github.com/mulberryspool/mulberryspool/internal/observe/logging"
@@ -178,7 +179,7 @@
 		RetryBudget: retrybudget.Budget{Window: b.RepeatWindow, Ratio: b.RepeatRatio, Slack: b.RepeatSlack / 2},
 	}
 	e.promptGuard = &promptguard.Guard{
-		Clock: e.clock, Logger: e.logger, Metrics: e.metrics, Entry: e.settings.Instance,
+		Clock: e.clock, Logger: e.logger, Metrics: e.metrics, Quarantine: &quarantine.Quarantine{Entry: e.settings.Instance},
 		Changed: func() { wake(e.findingsChanged) },
 	}
 	e.connPool = &httpconn.Pool{
