--- a/internal/entry/placement/choose.go
+++ b/internal/entry/placement/choose.go
@@ -167,35 +167,24 @@
 	return s.slots()
 }
 
-// usableCapacity returns the number of usable servers, their total capacity and
-// what is in flight there.
-func (p *Placer) usableCapacity(r Request, now time.Time) (usable, capacity, inFlight int) {
+// usableCapacity returns the capacity of the usable servers.
+func (p *Placer) usableCapacity(r Request, now time.Time) poolCapacity {
+	var c poolCapacity
 	for _, s := range p.ordered {
 		if !p.usable(s, r, now) {
 			continue
 		}
-		usable++
-		capacity += p.capacity(s)
-		inFlight += s.inFlight()
-	}
-	return usable, capacity, inFlight
-}
-
-// effectiveSlots is the capacity of the usable servers, of which those with a rate
-// limit can't use all.
-func (p *Placer) effectiveSlots(r Request, now time.Time) float64 {
-	var slots float64
-	for _, s := range p.ordered {
-		if !p.usable(s, r, now) {
-			continue
-		}
-		capacity := float64(p.capacity(s))
+		c.servers++
+		capacity := p.capacity(s)
+		c.requests += capacity
+		c.inFlight += s.inFlight()
 		if s.limit.Active(now) {
-			capacity = min(capacity, s.limit.Rate()*p.serviceTime().Seconds())
+			c.effective += min(float64(capacity), s.limit.Rate()*p.serviceTime().Seconds())
+		} else {
+			c.effective += float64(capacity)
 		}
-		slots += capacity
 	}
-	return slots
+	return c
 }
 
 // mayAvoidSuspects reports whether at most half of the servers would be avoided
@@ -283,7 +272,8 @@
 // Summary returns the number of usable servers, their total capacity and what
 // is in flight there, for metrics.
 func (p *Placer) Summary(now time.Time) (usable, capacity, inFlight int) {
-	return p.usableCapacity(Request{}, now)
+	c := p.usableCapacity(Request{}, now)
+	return c.servers, c.requests, c.inFlight
 }
 
 func (s *server) inFlight() int {
--- a/internal/entry/placement/placer.go
+++ b/internal/entry/placement/placer.go
@@ -83,6 +83,16 @@
 		loads         map[mulberryspool.InstanceID]Load
 	}
 
+	// poolCapacity is the capacity of some servers of a pool.
+	poolCapacity struct {
+		servers int
+		// requests is how many may be in flight, effective how many of them the rate
+		// limits of the servers allow.
+		requests  int
+		effective float64
+		inFlight  int
+	}
+
 	queuedRequest struct {
 		ticket    Ticket
 		request   Request
@@ -310,11 +320,13 @@
 	}
 	if len(p.waiting) > 0 {
 		for _, s := range p.ordered {
-			at := p.turnAt(s, now)
-			if available := s.limit.AvailableAt(now); available.After(at) {
-				at = available
+			if s.inFlight() >= p.capacity(s) {
+				continue
 			}
-			if at.After(now) && s.inFlight() < p.capacity(s) {
+			// The turn is found out when the server is available.
+			if available := s.limit.AvailableAt(now); available.After(now) {
+				earliest(available)
+			} else if at := p.turnAt(s, now); at.After(now) {
 				earliest(at)
 			}
 		}
@@ -373,8 +385,8 @@
 
 // enqueueOrRefuse queues a request if capacity is expected to be free in time.
 func (p *Placer) enqueueOrRefuse(q *queuedRequest, now time.Time) Decision {
-	usable, _, _ := p.usableCapacity(q.request, now)
-	if usable == 0 {
+	capacity := p.usableCapacity(q.request, now)
+	if capacity.servers == 0 {
 		reason := ReasonNoServer
 		if len(q.request.Exclude) > 0 {
 			reason = ReasonNoOtherServer
@@ -382,7 +394,7 @@
 		return p.refuse(q, reason, now)
 	}
 	limit := p.maxWait(q.request, now)
-	if p.expectedWait(q.request, now) > limit {
+	if p.expectedWait(capacity) > limit {
 		return p.refuse(q, ReasonFull, now)
 	}
 	q.waitUntil = now.Add(limit)
@@ -440,23 +452,22 @@
 
 // expectedWait is the time until there is capacity for one more waiting request.
 // It assumes that all entries get an equal share of the capacity.
-func (p *Placer) expectedWait(r Request, now time.Time) time.Duration {
-	slots := p.effectiveSlots(r, now)
-	if slots == 0 {
+func (p *Placer) expectedWait(capacity poolCapacity) time.Duration {
+	if capacity.effective == 0 {
 		return maxRetryAfter
 	}
-	share := slots / float64(1+len(p.peers))
+	share := capacity.effective / float64(1+len(p.peers))
 	return time.Duration(float64(len(p.waiting)+1) / share * float64(p.serviceTime()))
 }
 
 func (p *Placer) refuse(q *queuedRequest, reason Reason, now time.Time) Decision {
-	_, capacity, inFlight := p.usableCapacity(q.request, now)
-	retryAfter := min(max(2*p.expectedWait(q.request, now), minRetryAfter), maxRetryAfter)
-	if reason == ReasonNoServer || capacity > 0 && inFlight >= capacity {
+	capacity := p.usableCapacity(q.request, now)
+	retryAfter := min(max(2*p.expectedWait(capacity), minRetryAfter), maxRetryAfter)
+	if reason == ReasonNoServer || capacity.requests > 0 && capacity.inFlight >= capacity.requests {
 		retryAfter = maxRetryAfter
 	}
 	return Decision{
-		Ticket: q.ticket, Verdict: Refused, Reason: reason, InFlight: inFlight, Capacity: capacity,
+		Ticket: q.ticket, Verdict: Refused, Reason: reason, InFlight: capacity.inFlight, Capacity: capacity.requests,
 		// The jitter spreads the retries of callers that were refused together.
 		RetryAfter: time.Duration((0.7 + 0.3*p.Random.Float64()) * float64(retryAfter)),
 	}
