Give up a request whose prompt is rejected while its connection is opened

A request with a rejected part was still sent if the rejection came while its connection was opened (up to 0.8 s), and a trial that was refused for waiting too long kept others from trying the part for 2 s. The guard now cancels an exchange that starts after the rejection (TestRejectionCancelsStartingExchanges, failed before), the request counts as not sent, and a refused trial is withdrawn. The line of an attempt that was given up for its prompt says so.

--- a/internal/entry/forward/attempt.go
+++ b/internal/entry/forward/attempt.go
@@ -177,6 +177,12 @@
 	return isTimeout(err) && !a.promptRead && !by.IsZero() && !a.handler.Clock.Now().Before(by)
 }
 
+// isWithdrawn reports whether the exchange was cancelled because its prompt is
+// rejected.
+func (a *attempt) isWithdrawn(ctx context.Context) bool {
+	return errors.Is(ctx.Err(), context.Canceled) && a.incoming.Context().Err() == nil
+}
+
 // handleLost handles an exchange that broke before the response was complete, or
 // in which the backend server sent bytes that are no response.
 func (a *attempt) handleLost(ctx context.Context, err error) (attemptResult, placement.Outcome) {
@@ -186,6 +192,8 @@
 	switch {
 	case errors.Is(err, httpconn.ErrInvalidAnswer):
 		code = "invalid"
+	case a.isWithdrawn(ctx):
+		code = codePromptRejected
 	case a.isOutdated(err):
 		code = outcomeOutdated
 	}
--- a/internal/entry/forward/request.go
+++ b/internal/entry/forward/request.go
@@ -179,6 +179,7 @@
 
 // refusePrompt ends a request whose prompt is kept from backend servers.
 func (q *request) refusePrompt(admission quarantine.Decision) {
+	q.withdrawTrial()
 	if q.incoming.Context().Err() != nil {
 		q.abort()
 	}
@@ -324,6 +325,14 @@
 	a := &attempt{request: q, decision: decision, conn: conn, startedAt: startedAt}
 	a.exchange = q.handler.PromptGuard.Start(q.head.ID, q.promptParts, decision.Server, cancel)
 	defer a.exchange.Close()
+	if a.isWithdrawn(ctx) {
+		stop()
+		conn.Release(false)
+		q.lastError = errors.New("prompt was rejected while the connection was opened")
+		q.reportEnded(decision, false, placement.Cancelled, 0)
+		q.logAttempt(decision, codePromptRejected, startedAt)
+		return resultNotSent
+	}
 	result, outcome := a.run(ctx)
 	stop()
 	conn.Release(a.complete && ctx.Err() == nil)
--- a/internal/entry/forward/stream.go
+++ b/internal/entry/forward/stream.go
@@ -203,7 +203,10 @@
 	a.lastError = err
 	a.recordBroken(ctx, err)
 	code := "cutAfter" + strconv.Itoa(relayed)
-	if a.isOutdated(err) {
+	switch {
+	case a.isWithdrawn(ctx):
+		code = codePromptRejected
+	case a.isOutdated(err):
 		code = outcomeOutdated
 	}
 	a.logAttempt(a.decision, code, a.startedAt)
--- a/internal/entry/promptguard/guard.go
+++ b/internal/entry/promptguard/guard.go
@@ -102,8 +102,8 @@
 	}
 }
 
-// Start records that a request is about to be sent to a backend server. If a part of
-// its prompt is rejected before its answer has begun, cancel is called.
+// Start records that a request is about to be sent to a backend server. If its prompt
+// is rejected by now, or later before its answer has begun, cancel is called.
 func (g *Guard) Start(id mulberryspool.RequestID, parts []quarantine.Part, server mulberryspool.BackendServer, cancel context.CancelFunc) *Exchange {
 	e := &Exchange{guard: g, id: id, parts: parts, server: quarantine.ServerOf(server), cancel: cancel}
 	if len(parts) == 0 {
@@ -112,6 +112,10 @@
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	if g.Quarantine.Rejects(parts, g.Clock.Now()) {
+		cancel()
+		return e
+	}
 	if g.starting == nil {
 		g.starting = make(map[*Exchange]struct{})
 	}
--- a/internal/entry/promptguard/guard_test.go
+++ b/internal/entry/promptguard/guard_test.go
@@ -52,6 +52,11 @@
 	if cancelled.Load() != 1 || begun.Load() != 0 {
 		t.Errorf("%d exchanges with the part and %d others were cancelled, want 1 and 0", cancelled.Load(), begun.Load())
 	}
+	late := g.Start("r3", parts, server("i-4"), func() { cancelled.Add(1) })
+	defer late.Close()
+	if cancelled.Load() != 2 {
+		t.Error("exchange that starts after the rejection is not cancelled")
+	}
 	if d := g.Check("r3", parts); d.Verdict != quarantine.Reject {
 		t.Errorf("decision is %+v, want a rejection", d)
 	}
