Test crashing prompts with entries that share their findings

TestPromptPartCrashesOneServerAfterAnother had one entry; now also three, whose findings reach the others after 10 ms, with the same bounds.

--- a/internal/entry/forward/crash_test.go
+++ b/internal/entry/forward/crash_test.go
@@ -119,10 +119,45 @@
 	}
 }
 
+// reportDelay is the time until the other entries know of a finding.
+const reportDelay = 10 * time.Millisecond
+
+// newSharingEntries returns entries that report their findings to each other.
+func newSharingEntries(t *testing.T, count int, targets []*backend) []*entry {
+	t.Helper()
+	var entries []*entry
+	for i := range count {
+		e := newEntry(t, targets...)
+		e.handler.PromptGuard.Quarantine.Entry = fmt.Sprintf("e-%d", i)
+		entries = append(entries, e)
+	}
+	for _, e := range entries {
+		guard := e.handler.PromptGuard
+		guard.Changed = func() {
+			time.AfterFunc(reportDelay, func() {
+				findings := guard.Findings()
+				for _, peer := range entries {
+					if peer != e {
+						peer.handler.PromptGuard.Merge(guard.Quarantine.Entry, findings)
+					}
+				}
+			})
+		}
+	}
+	return entries
+}
+
 // Guards against requests with one part in their prompts that crash one backend
 // server after the other, and against sound requests that are kept from the servers
 // because they share their caller and other parts with them.
 func TestPromptPartCrashesOneServerAfterAnother(t *testing.T) {
+	for _, count := range []int{1, 3} {
+		t.Run(fmt.Sprintf("%d entries", count), func(t *testing.T) { testPromptPartCrashes(t, count) })
+	}
+}
+
+func testPromptPartCrashes(t *testing.T, entryCount int) {
+	t.Helper()
 	var (
 		backends []*crashingBackend
 		targets  []*backend
@@ -132,9 +167,9 @@
 		backends = append(backends, b)
 		targets = append(targets, &backend{T: t, id: b.id, address: b.address})
 	}
-	e := newEntry(t, targets...)
+	entries := newSharingEntries(t, entryCount, targets)
 	sound := func(i int) bool {
-		head, body, complete := e.call(t, http.MethodPost, "/stream/x", "q", "X-Prompt-Prefix", fmt.Sprintf("shared:40,own%d:100", i))
+		head, body, complete := entries[i%entryCount].call(t, http.MethodPost, "/stream/x", "q", "X-Prompt-Prefix", fmt.Sprintf("shared:40,own%d:100", i))
 		return head.StatusCode == http.StatusOK && complete && body == eventStreamBody(1, streamEvents)
 	}
 	if !sound(0) {
@@ -148,7 +183,7 @@
 	for i := range deadlyCount {
 		wait.Go(func() {
 			time.Sleep(time.Duration(i) * 100 * time.Millisecond)
-			head, _, complete := e.call(t, http.MethodPost, "/stream/x", "q", "X-Prompt-Prefix", fmt.Sprintf("shared:40,%s:9,dead%d:100", crashPart, i))
+			head, _, complete := entries[i%entryCount].call(t, http.MethodPost, "/stream/x", "q", "X-Prompt-Prefix", fmt.Sprintf("shared:40,%s:9,last%d:100", crashPart, i))
 			if complete && head.StatusCode == http.StatusOK {
 				t.Error("a request that crashes its server has a complete answer")
 			}
