Compare an entry's share of a rate limit with what it was offered

Now a share is that of the requests offered to the entry, it is checked from 20 requests on, and the cases with a small limit for many entries have a larger one, so that they are checked.

--- a/internal/entry/placement/limit_replay_test.go
+++ b/internal/entry/placement/limit_replay_test.go
@@ -21,6 +21,9 @@
 	limitWindow = 4 * time.Second
 	// reportLossRate is the share of reports that are lost.
 	reportLossRate = 0.02
+	// minFairShare is the number of requests below which an entry may get less than a
+	// quarter of its share by chance.
+	minFairShare = 20
 )
 
 var limitSeeds = flag.Uint64("limit.seeds", 1, "number of seeds of each replay of rate limits")
@@ -43,9 +46,9 @@
 		pending []limitAnswer
 		reports []limitReport
 		// sent holds the requests to each server, servedBy their number by entry while
-		// there is a limit.
-		sent     [][]limitSend
-		servedBy []int
+		// there is a limit, offeredBy what the entry was offered meanwhile.
+		sent                [][]limitSend
+		servedBy, offeredBy []int
 	}
 
 	limitNode struct {
@@ -93,9 +96,14 @@
 	return since >= r.limitedFrom && since < r.limitedUntil
 }
 
+// mustKeepLimit reports whether the limit has been named for contactTime.
+func (r *limitReplay) mustKeepLimit() bool {
+	return r.limited(r.now) && r.now.Sub(start) >= r.limitedFrom+contactTime
+}
+
 func (r *limitReplay) run(seed uint64) {
 	r.random, r.now = rand.New(rand.NewPCG(seed, 2)), start
-	r.sent, r.servedBy = make([][]limitSend, r.servers), make([]int, r.entries)
+	r.sent, r.servedBy, r.offeredBy = make([][]limitSend, r.servers), make([]int, r.entries), make([]int, r.entries)
 	for i := range r.entries {
 		r.nodes = append(r.nodes, r.newNode(i))
 	}
@@ -110,6 +118,9 @@
 		for expected := r.requestRate * limitTick.Seconds(); expected > 0; expected-- {
 			if r.random.Float64() < expected {
 				i := r.random.IntN(r.entries)
+				if r.mustKeepLimit() {
+					r.offeredBy[i]++
+				}
 				r.decide(i, r.nodes[i].Offer(Request{LatencyObjective: 300 * time.Millisecond, ArrivedAt: r.now, Deadline: r.now.Add(3 * time.Second)}, r.now))
 			}
 		}
@@ -129,7 +140,7 @@
 	var server int
 	_, _ = fmt.Sscan(string(d.Server.Instance), &server)
 	r.sent[server] = append(r.sent[server], limitSend{at: r.now, counted: r.now.Sub(n.startedAt) >= contactTime || n.startedAt.Equal(start)})
-	if r.limited(r.now) && r.now.Sub(start) >= r.limitedFrom+contactTime {
+	if r.mustKeepLimit() {
 		r.servedBy[i]++
 	}
 	r.pending = append(r.pending, limitAnswer{node: n, server: d.Server, sentAt: r.now, headAt: r.now.Add(answerTime), endAt: r.now.Add(2 * answerTime)})
@@ -221,9 +232,9 @@
 	plain := limitReplay{entries: 8, servers: 3, limit: 4, requestRate: 60, limitedFrom: 3 * time.Second, limitedUntil: 23 * time.Second, length: 28 * time.Second}
 	for name, vary := range map[string]func(r *limitReplay){
 		"as it is":        func(*limitReplay) {},
-		"single server":   func(r *limitReplay) { r.servers = 1 },
+		"single server":   func(r *limitReplay) { r.servers, r.limit = 1, 12 },
 		"single entry":    func(r *limitReplay) { r.entries = 1 },
-		"many entries":    func(r *limitReplay) { r.entries, r.requestRate = 24, 100 },
+		"many entries":    func(r *limitReplay) { r.entries, r.requestRate, r.limit = 24, 150, 12 },
 		"small limit":     func(r *limitReplay) { r.limit = 0.7 },
 		"large limit":     func(r *limitReplay) { r.limit, r.requestRate = 40, 250 },
 		"few requests":    func(r *limitReplay) { r.requestRate = 8 },
@@ -248,9 +259,14 @@
 					t.Errorf("%s, seed %d: server %d got %d of %.0f requests", name, seed, server, total, usable)
 				}
 			}
+			served, offered := 0, 0
+			for i := range r.entries {
+				served, offered = served+r.servedBy[i], offered+r.offeredBy[i]
+			}
 			for i, n := range r.servedBy {
-				if expected := usable * float64(r.servers) / float64(r.entries); expected >= 8 && float64(n) < expected/4 {
-					t.Errorf("%s, seed %d: %s sent %d requests, a fair share is %.0f", name, seed, r.name(i), n, expected)
+				fair := float64(r.offeredBy[i]) * float64(served) / float64(offered)
+				if fair >= minFairShare && float64(n) < fair/4 {
+					t.Errorf("%s, seed %d: %s sent %d of %d requests, a fair share is %.0f", name, seed, r.name(i), n, r.offeredBy[i], fair)
 				}
 			}
 		}
