Make the test of trials fail without what it guards

TestTrialGoesToServerWithFewestRequests passed without the cost of a trial: the server with the fewest requests had the best score as well. It now has so many pending prompt tokens that another one scores better; without the cost the test fails.

--- a/internal/entry/placement/placer_test.go
+++ b/internal/entry/placement/placer_test.go
@@ -437,7 +437,7 @@
 // server has few.
 func TestTrialGoesToServerWithFewestRequests(t *testing.T) {
 	p := newPlacer(3)
-	p.SetPeer("other", PeerReport{Loads: map[mulberryspool.InstanceID]Load{"i-0": {Requests: 3}, "i-1": {Requests: 1, PendingPromptTokens: 3000}, "i-2": {Requests: 2}}}, start)
+	p.SetPeer("other", PeerReport{Loads: map[mulberryspool.InstanceID]Load{"i-0": {Requests: 3}, "i-1": {Requests: 1, PendingPromptTokens: 6000}, "i-2": {Requests: 2}}}, start)
 	r := request(start)
 	r.Trial = true
 	if d := p.Offer(r, start); d.Verdict != Placed || d.Server.Instance != "i-1" {
