--- a/internal/entry/quarantine/quarantine_test.go
+++ b/internal/entry/quarantine/quarantine_test.go
@@ -119,6 +119,25 @@
 	}
 }
 
+// Guards against a part that is rejected because it was at one of many servers that
+// crashed together, twice.
+func TestPartAtOneOfServersThatCrashTogetherDoesNotCount(t *testing.T) {
+	q := &Quarantine{Entry: "a"}
+	for round := range 2 {
+		now := at(time.Duration(round) * time.Second)
+		for i := range 9 {
+			parts := []Part{Part(fmt.Sprintf("other-%d-%d", round, i))}
+			if i == 0 {
+				parts = []Part{"rare"}
+			}
+			q.RecordBroken(parts, Server(9*round+i), now.Add(time.Duration(i)*time.Millisecond))
+		}
+	}
+	if levels := q.Levels(at(2 * time.Second)); len(levels) > 0 {
+		t.Errorf("levels are %v, want none", levels)
+	}
+}
+
 // Guards against a rejection without end, and against one that ends for all requests
 // at once.
 func TestRejectionEndsWithTrial(t *testing.T) {
