Replace a queued read that its callers cancelled instead of joining it

Callers saw a read of the object API fail with 'unavailable: context canceled' that they had not cancelled, while the object API was well.

Cause: of the reads of one key, one runs and one is queued behind it. The queued one is cancelled with its last caller, but stayed in its place, and the next caller joined it; the running one was checked for that, the queued one was not.

--- a/internal/platform/objectapi/client_test.go
+++ b/internal/platform/objectapi/client_test.go
@@ -277,8 +277,8 @@
 			for range 50 {
 				ctx, cancel := context.WithCancel(context.Background())
 				timer := time.AfterFunc(time.Duration(random.IntN(3000))*time.Microsecond, cancel)
-				if _, err := c.Get(ctx, "kind", "a"); err != nil && !errors.Is(err, context.Canceled) {
-					t.Errorf("get returned %v, want no error or context.Canceled", err)
+				if _, err := c.Get(ctx, "kind", "a"); err != nil && (ctx.Err() == nil || !errors.Is(err, context.Canceled)) {
+					t.Errorf("get returned %v, want no error, or context.Canceled after its caller cancelled it", err)
 				}
 				timer.Stop()
 				cancel()
@@ -296,6 +296,56 @@
 	}
 }
 
+// Guards against a read that joins one which is queued behind the running one, but was
+// cancelled by its last caller.
+func TestCancelledQueuedReadIsNotJoined(t *testing.T) {
+	var (
+		c       coalescer[int]
+		release = make(chan struct{})
+		sending = make(chan struct{})
+		group   sync.WaitGroup
+	)
+	c.freshOnly = true
+	get := func(ctx context.Context, value int) (int, error) {
+		return c.do(ctx, "key", func(ctx context.Context, onSend func(bool)) (int, error) {
+			onSend(true)
+			if value == 1 {
+				close(sending)
+				<-release
+			}
+			return value, ctx.Err()
+		}, func() {})
+	}
+	group.Go(func() {
+		if value, err := get(context.Background(), 1); value != 1 || err != nil {
+			t.Errorf("running read returned %d, %v, want 1", value, err)
+		}
+	})
+	<-sending
+	cancelled, cancel := context.WithCancel(context.Background())
+	cancel()
+	if _, err := get(cancelled, 2); !errors.Is(err, context.Canceled) {
+		t.Errorf("cancelled read returned %v, want context.Canceled", err)
+	}
+	group.Go(func() {
+		if value, err := get(context.Background(), 3); value != 3 || err != nil {
+			t.Errorf("read after the cancelled one returned %d, %v, want 3", value, err)
+		}
+	})
+	// The third read is queued once it has replaced or joined the second one.
+	for {
+		c.mu.Lock()
+		queued := c.queues["key"].next.waiters
+		c.mu.Unlock()
+		if queued > 0 {
+			break
+		}
+		time.Sleep(time.Millisecond)
+	}
+	close(release)
+	group.Wait()
+}
+
 // Guards against concurrent reads that are not shared, and against shared reads
 // that return an older value than one that was written before the read began.
 func TestCoalescedReadsAreNeverStale(t *testing.T) {
--- a/internal/platform/objectapi/coalesce.go
+++ b/internal/platform/objectapi/coalesce.go
@@ -74,9 +74,10 @@
 		return q.current, false
 	case q.current.joinable(c.freshOnly):
 		r = q.current
-	case q.next != nil:
+	case q.next != nil && q.next.ctx.Err() == nil:
 		r = q.next
 	default:
+		// A queued read that its callers cancelled is replaced.
 		q.next = newSharedRead(ctx, run)
 		return q.next, false
 	}
