Assign each crash to the part of prompts that explains it best

Cause: a crash was explained by a part only if more crashes, all told, spoke against it than against the others in it. A bystander at crashes of several crashing parts collects as many as each of these, so no crash was explained.

One crash, where a request was cancelled just before, is not explained by this change. Ruled out: a third crashing part.

Now the part that explains most is taken first, and its crashes no longer count for the others; of equals the one that was rejected first. Parts in the same crashes still share them. TestBystanderOfTwoPartsIsNotRejected failed before. The replay now cancels requests whose prompt is rejected and has cases with two crashing parts.

--- a/internal/entry/quarantine/evidence.go
+++ b/internal/entry/quarantine/evidence.go
@@ -1,33 +1,72 @@
 package quarantine
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"time"
 )
 
-// recount counts the crashes of each part. A crash is explained by a part that would
-// be rejected and that more speaks against than against the other parts in it.
+// recount assigns each crash to the part that explains it best, and counts the crashes
+// of each part that no other part explains. Parts that were present in the same crashes
+// explain them together.
 func (q *Quarantine) recount() {
-	present := make(map[Server][]*suspect)
 	first := q.firstReports()
-	for _, s := range q.suspects {
+	unassigned := make(map[Part]*suspect, len(q.suspects))
+	for p, s := range q.suspects {
+		s.open = nil
 		for i := range s.crashes {
 			s.crashes[i].incidental = s.isIncidental(s.crashes[i], first)
-		}
-		s.allCrashes, _ = countCrashes(s.crashes, crash.counts)
-		for _, c := range s.crashes {
-			if c.counts() {
-				present[c.server] = append(present[c.server], s)
+			if s.crashes[i].counts() {
+				s.open = append(s.open, s.crashes[i])
 			}
 		}
+		s.count()
+		s.ambiguous = false
+		unassigned[p] = s
 	}
-	for _, s := range q.suspects {
-		s.crashCount, s.lastCrash = countCrashes(s.crashes, func(c crash) bool { return c.counts() && !s.isExplained(present[c.server]) })
+	for best := bestExplanation(unassigned); best != nil; best = bestExplanation(unassigned) {
+		explained := best.open
+		var equals []*suspect
+		maps.DeleteFunc(unassigned, func(_ Part, s *suspect) bool {
+			equal := s.proven == best.proven && sameServers(s.open, explained)
+			if equal {
+				equals = append(equals, s)
+			}
+			return equal
+		})
+		for _, s := range equals {
+			s.ambiguous = len(equals) > 1
+		}
+		for _, s := range unassigned {
+			s.open = slices.DeleteFunc(s.open, func(c crash) bool { return hasServer(explained, c.server) })
+			s.count()
+		}
 	}
-	for _, s := range q.suspects {
-		s.ambiguous = s.isAmbiguous(present)
+}
+
+// bestExplanation returns the part that explains the most crashes, nil if none would be
+// rejected for them. A part that is not proven precedes those that are. Of several with
+// as many crashes, the one that was rejected first precedes the others.
+func bestExplanation(suspects map[Part]*suspect) *suspect {
+	var (
+		best     *suspect
+		bestPart Part
+	)
+	for p, s := range suspects {
+		if s.crashCount < s.allowance()+rejectCrashes {
+			continue
+		}
+		if best == nil || cmp.Or(
+			cmp.Compare(s.allowance(), best.allowance()),
+			cmp.Compare(best.crashCount, s.crashCount),
+			s.rejectedAt().Compare(best.rejectedAt()),
+			cmp.Compare(p, bestPart),
+		) < 0 {
+			best, bestPart = s, p
+		}
 	}
+	return best
 }
 
 // firstReports returns the earliest report of each server's crash, in the order of
@@ -89,46 +128,27 @@
 			break
 		}
 		together++
-		if slices.ContainsFunc(s.crashes, func(c crash) bool { return c.server == other.server }) {
+		if hasServer(s.crashes, other.server) {
 			with++
 		}
 	}
 	return float64(with) < crashShare*float64(together)
 }
 
-// isExplained reports whether one of the parts that were present in a crash explains
-// it rather than this one.
-func (s *suspect) isExplained(present []*suspect) bool {
-	return slices.ContainsFunc(present, func(other *suspect) bool {
-		if other.allCrashes < other.allowance()+rejectCrashes {
-			return false
-		}
-		if other.proven != s.proven {
-			return s.proven
-		}
-		return other.allCrashes > s.allCrashes
-	})
+// count counts the crashes that no other part explains.
+func (s *suspect) count() {
+	s.crashCount, s.lastCrash = countCrashes(s.open)
 }
 
-// isAmbiguous reports whether another part, against which at least as much speaks,
-// was present in all crashes of this one that count.
-func (s *suspect) isAmbiguous(present map[Server][]*suspect) bool {
-	var others []*suspect
-	for _, c := range s.crashes {
-		if !c.counts() || s.isExplained(present[c.server]) {
-			continue
-		}
-		if others == nil {
-			others = slices.Clone(present[c.server])
-		}
-		others = slices.DeleteFunc(others, func(other *suspect) bool {
-			return other == s || other.proven && !s.proven || !slices.Contains(present[c.server], other)
-		})
-		if len(others) == 0 {
-			return false
+// rejectedAt returns the time of the crash for which the part is rejected. The part
+// must have as many.
+func (s *suspect) rejectedAt() time.Time {
+	for i := range s.open {
+		if count, last := countCrashes(s.open[:i+1]); count >= s.allowance()+rejectCrashes {
+			return last
 		}
 	}
-	return len(others) > 0
+	return time.Time{}
 }
 
 // level returns how much speaks against the part.
@@ -160,11 +180,11 @@
 	return min(rejectTime<<excess, maxRejectTime)
 }
 
-// countCrashes returns the number of crashes that count, and the time of the last
-// one. Those that follow another one within crashInterval are not counted.
-func countCrashes(crashes []crash, counts func(crash) bool) (count int, last time.Time) {
+// countCrashes returns the number of crashes, and the time of the last one. Those that
+// follow another one within crashInterval are not counted.
+func countCrashes(crashes []crash) (count int, last time.Time) {
 	for _, c := range crashes {
-		if counts(c) && (count == 0 || c.at.Sub(last) >= crashInterval) {
+		if count == 0 || c.at.Sub(last) >= crashInterval {
 			count++
 			last = c.at
 		}
@@ -172,4 +192,12 @@
 	return count, last
 }
 
+func hasServer(crashes []crash, server Server) bool {
+	return slices.ContainsFunc(crashes, func(c crash) bool { return c.server == server })
+}
+
+func sameServers(a, b []crash) bool {
+	return len(a) == len(b) && !slices.ContainsFunc(a, func(c crash) bool { return !hasServer(b, c.server) })
+}
+
 func (c crash) counts() bool { return !c.refuted && !c.incidental }
--- a/internal/entry/quarantine/quarantine.go
+++ b/internal/entry/quarantine/quarantine.go
@@ -161,12 +161,12 @@
 		// crashes has one element for each server, in the order of time.
 		crashes []crash
 		trial   trial
-		// allCrashes is the number of crashes that are not refuted, crashCount the
-		// number of those that no other part explains, and lastCrash the time of the
-		// last of these.
-		allCrashes, crashCount int
-		lastCrash              time.Time
-		// ambiguous is set if another part was present in all of these crashes.
+		// open holds the crashes that count and that no other part explains, crashCount
+		// their number and lastCrash the time of the last one.
+		open       []crash
+		crashCount int
+		lastCrash  time.Time
+		// ambiguous is set if another part explains the same crashes.
 		ambiguous bool
 		// changedAt is when something became known here that other entries may not
 		// know. What they report doesn't change it.
--- a/internal/entry/quarantine/quarantine_test.go
+++ b/internal/entry/quarantine/quarantine_test.go
@@ -107,6 +107,21 @@
 	}
 }
 
+// Guards against a part that is rejected because its requests were in flight at crashes
+// that two other parts explain.
+func TestBystanderOfTwoPartsIsNotRejected(t *testing.T) {
+	q := &Quarantine{Entry: "a"}
+	for i, parts := range [][]Part{{"first"}, {"first", "bystander"}, {"second", "bystander"}, {"second"}} {
+		for _, p := range parts {
+			q.RecordBroken([]Part{p}, Server(i), at(time.Duration(i)*time.Second))
+		}
+	}
+	want := map[Part]Level{"first": Rejected, "second": Rejected}
+	if levels := q.Levels(at(4 * time.Second)); !reflect.DeepEqual(levels, want) {
+		t.Errorf("levels are %v, want %v", levels, want)
+	}
+}
+
 // Guards against servers that crash together, for a reason other than a prompt, and
 // count as several crashes.
 func TestServersThatCrashTogetherCountOnce(t *testing.T) {
--- a/internal/entry/quarantine/replay_test.go
+++ b/internal/entry/quarantine/replay_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -29,6 +30,9 @@
 	// maxAdmissionWait is how long a request waits for a trial.
 	maxAdmissionWait = time.Second
 	deadlyPart       = "deadly"
+	// cancelTime is the time from the cancellation of a request at the entry to its
+	// end at the server.
+	cancelTime = 60 * time.Millisecond
 	// lossRate is the share of reports that are lost.
 	lossRate = 0.02
 )
@@ -44,6 +48,8 @@
 		// deadlyFrom is when deadlyPart begins to crash servers; before that, requests
 		// with it are answered from provenFrom on, if that is not 0.
 		provenFrom, deadlyFrom, length time.Duration
+		// deadlyParts is the number of parts that crash servers, at least one.
+		deadlyParts int
 		// crashShare of the servers crash by themselves at once each crashInterval.
 		crashShare    float64
 		crashInterval time.Duration
@@ -101,6 +107,8 @@
 		deadly   bool
 		entry    int
 		attempts int
+		// cancelledAt is when the entry gave up the request, zero if it didn't.
+		cancelledAt time.Time
 		// arrivedAt is when the request arrived at the entry, or was cut off.
 		arrivedAt                time.Time
 		startAt, beginsAt, endAt time.Time
@@ -147,6 +155,7 @@
 		for i := range r.entries {
 			r.admit(i)
 		}
+		r.cancelRejected()
 		for _, s := range r.states {
 			r.serve(s)
 		}
@@ -225,7 +234,7 @@
 	// Requests share callers, some of which are rare.
 	q.parts = []Part{Part(fmt.Sprintf("caller-%d", int(60*r.random.Float64()*r.random.Float64())))}
 	if deadly {
-		q.parts = append(q.parts, deadlyPart)
+		q.parts = append(q.parts, deadlyPart+Part(fmt.Sprint(r.random.IntN(max(1, r.deadlyParts)))))
 	} else {
 		r.sound++
 	}
@@ -244,7 +253,7 @@
 		if d.Verdict == Wait && r.now.Sub(q.arrivedAt) < maxAdmissionWait {
 			return false
 		}
-		if d.Verdict == Reject && d.Part != deadlyPart {
+		if d.Verdict == Reject && !strings.HasPrefix(string(d.Part), deadlyPart) {
 			r.rejectedSound[d.Part] = true
 		}
 		if d.Verdict != Send {
@@ -283,6 +292,17 @@
 	return r.now.Sub(r.nodes[i].startedAt) >= contactTime && !wasCut
 }
 
+// cancelRejected cancels the requests that have not begun and are rejected by now.
+func (r *replay) cancelRejected() {
+	for _, s := range r.states {
+		for _, q := range s.inFlight {
+			if n := r.nodes[q.entry]; !q.begun && q.cancelledAt.IsZero() && n.Rejects(q.parts, r.now) {
+				q.cancelledAt = r.now
+			}
+		}
+	}
+}
+
 func (r *replay) refuse(q *simRequest) {
 	if !q.deadly {
 		r.refused++
@@ -299,6 +319,13 @@
 		}
 	}
 	s.inFlight = slices.DeleteFunc(s.inFlight, func(q *simRequest) bool {
+		if !q.cancelledAt.IsZero() {
+			if r.now.Sub(q.cancelledAt) < cancelTime {
+				return false
+			}
+			r.refuse(q)
+			return true
+		}
 		ended := !q.endAt.After(r.now)
 		if !q.begun && (ended || !q.beginsAt.After(r.now)) {
 			q.begun = true
@@ -320,6 +347,10 @@
 	cut := s.inFlight
 	s.inFlight, s.upAt = nil, r.now.Add(restartTime)
 	for _, q := range cut {
+		if !q.cancelledAt.IsZero() {
+			r.refuse(q)
+			continue
+		}
 		n := r.nodes[q.entry]
 		if !q.begun && len(n.RecordBroken(q.parts, s.id, r.now)) > 0 {
 			n.reportAt = r.now
@@ -372,6 +403,8 @@
 		"entries restart":     func(r *replay) { r.restartInterval = 2 * time.Second },
 		"all entries restart": func(r *replay) { r.restartInterval, r.restartAll = 11*time.Second, true },
 		"entry is cut off":    func(r *replay) { r.cutFor = 10 * time.Second },
+		"two parts":           func(r *replay) { r.deadlyParts = 2 },
+		"two parts often":     func(r *replay) { r.deadlyParts, r.deadlyRate = 2, 20 },
 		"servers crash too":   func(r *replay) { r.crashInterval, r.crashShare = 4*time.Second, 0.2 },
 	} {
 		for seed := range *replaySeeds {
