Reject a part of prompts that was answered before only after a failed trial

Sound requests with a common part were rejected for 30 s and longer, and crashing ones were not, after most servers of a pool had crashed at once.

Cause: a part with which answers had begun was rejected after three crashes. Some request with a common part is in flight at almost each crash, so when many servers crash it has more crashes than the part that is to blame, and explains them. Rejected parts aren't tried for 30 s, so no answer could refute it.

Ruled out: too few crashes that count, and reports that came late: all entries had the same crashes 20 ms later.

Such a part is now only suspected, that is sent with one request at a time, until such a request has failed as well; the result is shared with the crash. TestProvenPartIsRejectedOnlyAfterFailedTrial fails without it.

--- a/internal/entry/promptguard/guard.go
+++ b/internal/entry/promptguard/guard.go
@@ -48,7 +48,9 @@
 		id     mulberryspool.RequestID
 		parts  []quarantine.Part
 		server quarantine.Server
-		cancel context.CancelFunc
+		// isTrial is set if the request is the trial of one of the parts.
+		isTrial bool
+		cancel  context.CancelFunc
 		// firstEventAt is zero before the first event.
 		firstEventAt time.Time
 		// settled is set once the result is recorded.
@@ -116,6 +118,7 @@
 		cancel()
 		return e
 	}
+	e.isTrial = g.Quarantine.IsTrial(id, parts)
 	if g.starting == nil {
 		g.starting = make(map[*Exchange]struct{})
 	}
@@ -145,7 +148,7 @@
 // Broken records that the connection broke.
 func (e *Exchange) Broken() {
 	e.settle(func(q *quarantine.Quarantine, now time.Time) bool {
-		added := q.RecordBroken(e.parts, e.server, now)
+		added := q.RecordBroken(e.parts, e.server, e.isTrial, now)
 		e.guard.Metrics.Counter("prompt_part_crashes").Inc(int64(len(added)))
 		return len(added) > 0
 	})
--- a/internal/entry/quarantine/evidence.go
+++ b/internal/entry/quarantine/evidence.go
@@ -54,7 +54,7 @@
 		bestPart Part
 	)
 	for p, s := range suspects {
-		if s.crashCount < s.allowance()+rejectCrashes {
+		if !s.isConvicted() {
 			continue
 		}
 		if best == nil || cmp.Or(
@@ -95,7 +95,7 @@
 		}
 	} else {
 		known := &s.crashes[i]
-		known.refuted = known.refuted || c.refuted
+		known.refuted, known.trial = known.refuted || c.refuted, known.trial || c.trial
 		if c.at.Before(known.at) {
 			known.at = c.at
 		}
@@ -173,11 +173,19 @@
 
 // rejectTime is how long the part is rejected after the last crash; 0 if it is not.
 func (s *suspect) rejectTime() time.Duration {
-	excess := s.crashCount - s.allowance() - rejectCrashes
-	if excess < 0 {
+	if !s.isConvicted() {
 		return 0
 	}
-	return min(rejectTime<<excess, maxRejectTime)
+	return min(rejectTime<<(s.crashCount-s.allowance()-rejectCrashes), maxRejectTime)
+}
+
+// isConvicted reports whether the crashes are enough to reject the part. A part that is
+// proven was probably in flight at the crashes of others, so it must have failed alone.
+func (s *suspect) isConvicted() bool {
+	if s.crashCount < s.allowance()+rejectCrashes {
+		return false
+	}
+	return !s.proven || slices.ContainsFunc(s.open, func(c crash) bool { return c.trial })
 }
 
 // countCrashes returns the number of crashes, and the time of the last one. Those that
--- a/internal/entry/quarantine/findings.go
+++ b/internal/entry/quarantine/findings.go
@@ -20,7 +20,7 @@
 		}
 		s.proven = s.proven || f.Proven
 		for _, c := range f.Crashes[:min(len(f.Crashes), maxCrashes)] {
-			s.add(crash{server: c.Server, at: now.Add(-age(c.AgeMillis)), refuted: c.Refuted})
+			s.add(crash{server: c.Server, at: now.Add(-age(c.AgeMillis)), refuted: c.Refuted, trial: c.Trial})
 		}
 		s.mergeTrial(sender, f, now)
 	}
@@ -59,7 +59,7 @@
 		}
 		f := Finding{Part: p, Proven: s.proven}
 		for _, c := range s.crashes {
-			f.Crashes = append(f.Crashes, CrashFinding{Server: c.server, AgeMillis: now.Sub(c.at).Milliseconds(), Refuted: c.refuted})
+			f.Crashes = append(f.Crashes, CrashFinding{Server: c.server, AgeMillis: now.Sub(c.at).Milliseconds(), Refuted: c.refuted, Trial: c.trial})
 		}
 		if s.trial.entry == q.Entry && s.trial.running(now) {
 			f.TrialRequest, f.TrialAgeMillis = s.trial.request, now.Sub(s.trial.at).Milliseconds()
--- a/internal/entry/quarantine/quarantine.go
+++ b/internal/entry/quarantine/quarantine.go
@@ -12,9 +12,9 @@
 // An exchange that breaks before its answer has begun counts against all parts of
 // its prompt, an answer that has begun refutes that. A part under suspicion is
 // tried with one request at a time in the whole system, and rejected if that fails
-// too. A part with which answers have begun before needs more crashes, and a crash
-// that a worse part explains does not count, so that common parts survive the crashes
-// of others.
+// too. A part with which answers have begun before needs more crashes and a failed
+// trial, and a crash that a worse part explains does not count, so that common parts
+// survive the crashes of others.
 //
 // Every entry computes the same verdict, because crashes are merged as a set and
 // a refutation is never taken back. Processes that only merge findings keep them for
@@ -141,6 +141,8 @@
 		Server    Server
 		AgeMillis int64
 		Refuted   bool
+		// Trial means that the part was being tried at the server.
+		Trial bool
 	}
 
 	// Quarantine is an entry's view of the parts that are under suspicion. Set the
@@ -179,6 +181,8 @@
 		// refuted is set once an answer has begun after the crash was known,
 		// incidental if too few of the servers that crashed together had the part.
 		refuted, incidental bool
+		// trial is set if the part was being tried at the server.
+		trial bool
 	}
 
 	// trial is the zero value if the part is not being tried.
@@ -292,6 +296,14 @@
 	return ended
 }
 
+// IsTrial reports whether the request is the trial of one of the parts.
+func (q *Quarantine) IsTrial(id mulberryspool.RequestID, parts []Part) bool {
+	return slices.ContainsFunc(parts, func(p Part) bool {
+		s := q.suspects[p]
+		return s != nil && s.trial.entry == q.Entry && s.trial.request == id
+	})
+}
+
 // RecordBegun records that an answer to a prompt with the parts has begun. It
 // returns the parts that are no longer under suspicion.
 func (q *Quarantine) RecordBegun(parts []Part, now time.Time) []Part {
@@ -311,12 +323,13 @@
 }
 
 // RecordBroken records that an exchange broke before the answer to a prompt with
-// the parts had begun. It returns the parts for which that was not known.
-func (q *Quarantine) RecordBroken(parts []Part, server Server, now time.Time) []Part {
+// the parts had begun; isTrial means that the request was sent as a trial. It returns
+// the parts for which that was not known.
+func (q *Quarantine) RecordBroken(parts []Part, server Server, isTrial bool, now time.Time) []Part {
 	var added []Part
 	for _, p := range parts {
 		s := q.suspect(p)
-		if s.add(crash{server: server, at: now}) {
+		if s.add(crash{server: server, at: now, trial: isTrial && s.level(now) != Clear}) {
 			s.changedAt = now
 			added = append(added, p)
 		}
--- a/internal/entry/quarantine/quarantine_test.go
+++ b/internal/entry/quarantine/quarantine_test.go
@@ -45,7 +45,7 @@
 func TestOneTrialInAllEntries(t *testing.T) {
 	a, b := &Quarantine{Entry: "a"}, &Quarantine{Entry: "b"}
 	parts := []Part{"p"}
-	a.RecordBroken(parts, 1, at(0))
+	a.RecordBroken(parts, 1, false, at(0))
 	exchange(a, b, at(10*time.Millisecond))
 	now := at(20 * time.Millisecond)
 	if d := a.Decide("ra", parts, now); d.Verdict != Wait || !d.Announced {
@@ -85,8 +85,8 @@
 	q := &Quarantine{Entry: "a"}
 	q.RecordBegun([]Part{"proven"}, at(0))
 	for i := range 2 {
-		q.RecordBroken([]Part{"proven", "deadly"}, Server(i), at(time.Duration(i+1)*time.Second))
-		q.RecordBroken([]Part{"new"}, Server(i), at(time.Duration(i+1)*time.Second))
+		q.RecordBroken([]Part{"proven", "deadly"}, Server(i), false, at(time.Duration(i+1)*time.Second))
+		q.RecordBroken([]Part{"new"}, Server(i), false, at(time.Duration(i+1)*time.Second))
 	}
 	now := at(2100 * time.Millisecond)
 	if d := q.Decide("r", []Part{"proven"}, now); d.Verdict != Send {
@@ -113,7 +113,7 @@
 	q := &Quarantine{Entry: "a"}
 	for i, parts := range [][]Part{{"first"}, {"first", "bystander"}, {"second", "bystander"}, {"second"}} {
 		for _, p := range parts {
-			q.RecordBroken([]Part{p}, Server(i), at(time.Duration(i)*time.Second))
+			q.RecordBroken([]Part{p}, Server(i), false, at(time.Duration(i)*time.Second))
 		}
 	}
 	want := map[Part]Level{"first": Rejected, "second": Rejected}
@@ -122,12 +122,36 @@
 	}
 }
 
+// Guards against a part with many sound requests that is rejected because some of these
+// were in flight at several crashes.
+func TestProvenPartIsRejectedOnlyAfterFailedTrial(t *testing.T) {
+	q := &Quarantine{Entry: "a"}
+	parts := []Part{"p"}
+	q.RecordBegun(parts, at(0))
+	for i := range 4 {
+		q.RecordBroken(parts, Server(i), false, at(time.Duration(i+1)*time.Second))
+	}
+	now := at(5 * time.Second)
+	if d := q.Decide("r", parts, now); d.Verdict != Wait || !d.Announced {
+		t.Fatalf("decision is %+v, want a trial", d)
+	}
+	q.RecordBroken(parts, 4, q.IsTrial("r", parts), now.Add(time.Second))
+	if d := q.Decide("other", parts, now.Add(time.Second)); d.Verdict != Reject || d.Crashes != 5 {
+		t.Errorf("decision after the failed trial is %+v, want a rejection", d)
+	}
+	peer := &Quarantine{Entry: "b"}
+	peer.Merge("a", q.Findings(now.Add(time.Second)), now.Add(time.Second))
+	if d := peer.Decide("other", parts, now.Add(time.Second)); d.Verdict != Reject {
+		t.Errorf("decision of a peer is %+v, want a rejection", d)
+	}
+}
+
 // Guards against servers that crash together, for a reason other than a prompt, and
 // count as several crashes.
 func TestServersThatCrashTogetherCountOnce(t *testing.T) {
 	q := &Quarantine{Entry: "a"}
 	for i := range 9 {
-		q.RecordBroken([]Part{"p"}, Server(i), at(time.Duration(i)*time.Millisecond))
+		q.RecordBroken([]Part{"p"}, Server(i), false, at(time.Duration(i)*time.Millisecond))
 	}
 	if level := q.Levels(at(time.Second))["p"]; level != Suspected {
 		t.Errorf("level is %s, want %s", level, Suspected)
@@ -145,7 +169,7 @@
 			if i == 0 {
 				parts = []Part{"rare"}
 			}
-			q.RecordBroken(parts, Server(9*round+i), now.Add(time.Duration(i)*time.Millisecond))
+			q.RecordBroken(parts, Server(9*round+i), false, now.Add(time.Duration(i)*time.Millisecond))
 		}
 	}
 	if levels := q.Levels(at(2 * time.Second)); len(levels) > 0 {
@@ -158,8 +182,8 @@
 func TestRejectionEndsWithTrial(t *testing.T) {
 	q := &Quarantine{Entry: "a"}
 	parts := []Part{"p"}
-	q.RecordBroken(parts, 1, at(0))
-	q.RecordBroken(parts, 2, at(time.Second))
+	q.RecordBroken(parts, 1, false, at(0))
+	q.RecordBroken(parts, 2, false, at(time.Second))
 	d := q.Decide("r", parts, at(2*time.Second))
 	if d.Verdict != Reject || !d.Until.Equal(at(time.Second+rejectTime)) || d.Crashes != 2 {
 		t.Fatalf("decision is %+v", d)
@@ -171,7 +195,7 @@
 	if d := q.Decide("r2", parts, now); d.Verdict != Wait || d.Announced {
 		t.Errorf("second decision after the rejection is %+v, want it to wait", d)
 	}
-	q.RecordBroken(parts, 3, now.Add(time.Second))
+	q.RecordBroken(parts, 3, false, now.Add(time.Second))
 	if d := q.Decide("r2", parts, now.Add(time.Second)); d.Verdict != Reject || d.Until.Sub(now.Add(time.Second)) != 2*rejectTime {
 		t.Errorf("decision after the failed trial is %+v, want a rejection of twice the time", d)
 	}
@@ -195,7 +219,7 @@
 		q.RecordBegun([]Part{part + "x"}, now)
 		if i%256 == 0 {
 			for j := range 2 * maxCrashes {
-				q.RecordBroken([]Part{part}, Server(i+j), now.Add(time.Duration(j)*time.Second))
+				q.RecordBroken([]Part{part}, Server(i+j), false, now.Add(time.Duration(j)*time.Second))
 			}
 		}
 	}
--- a/internal/entry/quarantine/replay_test.go
+++ b/internal/entry/quarantine/replay_test.go
@@ -107,6 +107,7 @@
 		deadly   bool
 		entry    int
 		attempts int
+		isTrial  bool
 		// cancelledAt is when the entry gave up the request, zero if it didn't.
 		cancelledAt time.Time
 		// arrivedAt is when the request arrived at the entry, or was cut off.
@@ -273,7 +274,7 @@
 		}
 		s := up[r.random.IntN(len(up))]
 		q.attempts++
-		q.begun = false
+		q.begun, q.isTrial = false, n.IsTrial(q.id, q.parts)
 		q.startAt = r.now.Add(50*time.Millisecond + time.Duration(r.random.IntN(300))*time.Millisecond)
 		q.beginsAt = q.startAt.Add(BeginTime)
 		q.endAt = q.startAt.Add(300*time.Millisecond + time.Duration(r.random.IntN(1000))*time.Millisecond)
@@ -352,7 +353,7 @@
 			continue
 		}
 		n := r.nodes[q.entry]
-		if !q.begun && len(n.RecordBroken(q.parts, s.id, r.now)) > 0 {
+		if !q.begun && len(n.RecordBroken(q.parts, s.id, q.isTrial, r.now)) > 0 {
 			n.reportAt = r.now
 		}
 		if q.attempts < maxAttempts {
