Count a cancelled request as in flight at a crash of its server

Cause: an exchange that the entry ends itself says nothing of its server, so it was not recorded. A server goes on with a cancelled request for a moment; the crash that follows has then no part that explains it, but all others at the server.

An exchange that was ended here counts with a crash of its server within 250 ms, if other exchanges show one; 64 of them are kept.

--- a/internal/entry/forward/attempt.go
+++ b/internal/entry/forward/attempt.go
@@ -202,9 +202,12 @@
 }
 
 // recordBroken tells the prompt guard of an exchange whose connection the backend
-// server broke. It ignores timeouts and bytes that are no response.
+// server broke, or that was ended here. It ignores bytes that are no response.
 func (a *attempt) recordBroken(ctx context.Context, err error) {
-	if ctx.Err() == nil && !isTimeout(err) && (errors.Is(err, httpconn.ErrAnswerLost) || errors.Is(err, io.ErrUnexpectedEOF)) {
+	switch {
+	case ctx.Err() != nil || isTimeout(err):
+		a.exchange.Abandoned()
+	case errors.Is(err, httpconn.ErrAnswerLost) || errors.Is(err, io.ErrUnexpectedEOF):
 		a.exchange.Broken()
 	}
 }
--- a/internal/entry/promptguard/guard.go
+++ b/internal/entry/promptguard/guard.go
@@ -1,7 +1,7 @@
 // Package promptguard lets requests wait for the decisions of package quarantine,
 // and tells it how their exchanges with backend servers end.
 //
-//	Admit --> Exchange: Event, Complete, Broken, Close --> quarantine.Quarantine
+//	Admit --> Exchange: Event, Complete, Broken, Abandoned, Close --> quarantine.Quarantine
 //
 // Its findings are shared between the entries as heartbeats carry them.
 package promptguard
@@ -154,6 +154,14 @@
 	})
 }
 
+// Abandoned records that this entry ended the exchange before its answer had begun.
+func (e *Exchange) Abandoned() {
+	e.settle(func(q *quarantine.Quarantine, now time.Time) bool {
+		ended := q.EndTrial(e.id, e.parts, now)
+		return len(q.RecordAbandoned(e.parts, e.server, e.isTrial, now)) > 0 || ended
+	})
+}
+
 // Close ends an exchange that may have had no result. It must be called for each one.
 func (e *Exchange) Close() {
 	e.settle(func(q *quarantine.Quarantine, now time.Time) bool { return q.EndTrial(e.id, e.parts, now) })
--- a/internal/entry/promptguard/guard_test.go
+++ b/internal/entry/promptguard/guard_test.go
@@ -65,6 +65,34 @@
 	}
 }
 
+// Guards against a crash that is blamed on the other requests at the server, because the
+// one which caused it was cancelled just before.
+func TestAbandonedExchangeCountsWithCrashOfItsServer(t *testing.T) {
+	g, changes := newGuard("a")
+	peer, _ := newGuard("b")
+	parts := Parts("m", []string{"deadly", "own"})
+	e := g.Start("r1", parts, server("i-1"), func() {})
+	e.Abandoned()
+	e.Close()
+	if findings := g.Findings(); len(findings) > 0 || changes.Load() != 0 {
+		t.Fatalf("findings before the crash are %+v, reported %d times", findings, changes.Load())
+	}
+	breakExchange(peer, "i-1", Parts("m", []string{"sound", "own"}))
+	g.Merge("b", peer.Findings())
+	if changes.Load() != 1 {
+		t.Errorf("crash is reported %d times, want once", changes.Load())
+	}
+	crashes := 0
+	for _, f := range g.Findings() {
+		if f.Part == parts[0] {
+			crashes += len(f.Crashes)
+		}
+	}
+	if crashes != 1 {
+		t.Errorf("part of the abandoned exchange has %d crashes, want 1", crashes)
+	}
+}
+
 // Guards against requests that wait longer than the trial of their prompt.
 func TestAdmissionFollowsTrial(t *testing.T) {
 	g, changes := newGuard("a")
--- a/internal/entry/quarantine/findings.go
+++ b/internal/entry/quarantine/findings.go
@@ -5,8 +5,9 @@
 	"time"
 )
 
-// Merge adopts the findings of another process. It reports whether answers with a
-// part that is new here have begun at this entry, which the others need to know.
+// Merge adopts the findings of another process. It reports whether this entry knows more
+// that the others need to know: that answers with a part that is new here have begun, or
+// that an exchange it has abandoned was at a server that crashed.
 func (q *Quarantine) Merge(sender string, findings []Finding, now time.Time) bool {
 	knowsMore := false
 	for _, f := range findings {
@@ -24,6 +25,7 @@
 		}
 		s.mergeTrial(sender, f, now)
 	}
+	knowsMore = len(q.addAbandoned(now)) > 0 || knowsMore
 	q.recount()
 	q.limit()
 	return knowsMore
--- a/internal/entry/quarantine/quarantine.go
+++ b/internal/entry/quarantine/quarantine.go
@@ -73,6 +73,11 @@
 	// crash doubles it, up to maxRejectTime. The next request after that is a trial.
 	rejectTime    = 30 * time.Second
 	maxRejectTime = 10 * time.Minute
+	// abandonTime is the time between the end of an abandoned exchange and a crash of
+	// its server within which the exchange counts as broken by the crash.
+	abandonTime = 250 * time.Millisecond
+	// maxAbandoned limits the abandoned exchanges that are kept for abandonTime.
+	maxAbandoned = 64
 	// memoryTime is how long crashes count beyond the time of rejection.
 	memoryTime = time.Minute
 	// trialSettleTime is the time between the announcement of a trial and its
@@ -156,6 +161,16 @@
 		// answers have begun, as hashes.
 		proven, provenBefore map[uint64]struct{}
 		provenSince          time.Time
+		// abandoned holds the exchanges that ended less than abandonTime ago.
+		abandoned []abandoned
+	}
+
+	// abandoned is an exchange that the entry ended before the answer had begun.
+	abandoned struct {
+		parts   []Part
+		server  Server
+		isTrial bool
+		at      time.Time
 	}
 
 	suspect struct {
@@ -326,16 +341,55 @@
 // the parts had begun; isTrial means that the request was sent as a trial. It returns
 // the parts for which that was not known.
 func (q *Quarantine) RecordBroken(parts []Part, server Server, isTrial bool, now time.Time) []Part {
+	added := q.addCrash(parts, crash{server: server, at: now, trial: isTrial}, now)
+	added = append(added, q.addAbandoned(now)...)
+	q.recount()
+	q.limit()
+	return added
+}
+
+// RecordAbandoned is RecordBroken for an exchange that the entry ended itself. It counts
+// only if the server crashes at about this time, which other exchanges show: a server
+// may go on with a request that was just cancelled.
+func (q *Quarantine) RecordAbandoned(parts []Part, server Server, isTrial bool, now time.Time) []Part {
+	q.abandoned = append(q.abandoned, abandoned{parts: parts, server: server, isTrial: isTrial, at: now})
+	if len(q.abandoned) > maxAbandoned {
+		q.abandoned = slices.Delete(q.abandoned, 0, len(q.abandoned)-maxAbandoned)
+	}
+	added := q.addAbandoned(now)
+	if len(added) > 0 {
+		q.recount()
+		q.limit()
+	}
+	return added
+}
+
+// addCrash adds a crash to the parts and returns those for which it is new.
+func (q *Quarantine) addCrash(parts []Part, c crash, now time.Time) []Part {
 	var added []Part
 	for _, p := range parts {
 		s := q.suspect(p)
-		if s.add(crash{server: server, at: now, trial: isTrial && s.level(now) != Clear}) {
+		of := c
+		of.trial = c.trial && s.level(now) != Clear
+		if s.add(of) {
 			s.changedAt = now
 			added = append(added, p)
 		}
 	}
-	q.recount()
-	q.limit()
+	return added
+}
+
+// addAbandoned adds the crashes that are known by now to the parts of abandoned
+// exchanges, and returns those for which one is new.
+func (q *Quarantine) addAbandoned(now time.Time) []Part {
+	var added []Part
+	q.abandoned = slices.DeleteFunc(q.abandoned, func(a abandoned) bool {
+		if at, ok := q.crashedAt(a.server); ok && at.Sub(a.at).Abs() <= abandonTime {
+			added = append(added, q.addCrash(a.parts, crash{server: a.server, at: at, trial: a.isTrial}, now)...)
+			return true
+		}
+		return now.Sub(a.at) > abandonTime
+	})
 	return added
 }
 
@@ -356,6 +410,7 @@
 	if len(q.suspects) != before {
 		q.recount()
 	}
+	q.abandoned = slices.DeleteFunc(q.abandoned, func(a abandoned) bool { return now.Sub(a.at) > abandonTime })
 }
 
 // Levels returns the parts that are not clear.
--- a/internal/entry/quarantine/quarantine_test.go
+++ b/internal/entry/quarantine/quarantine_test.go
@@ -122,6 +122,59 @@
 	}
 }
 
+// Guards against a part that is rejected for a crash which follows from a request that
+// was cancelled just before.
+func TestCrashAfterCancelledRequestIsExplained(t *testing.T) {
+	for name, at2 := range map[string]time.Duration{"cancelled before": 2 * time.Second, "cancelled after": 2200 * time.Millisecond} {
+		a, b := &Quarantine{Entry: "a"}, &Quarantine{Entry: "b"}
+		for i := range 2 {
+			a.RecordBroken([]Part{"deadly"}, Server(i), false, at(time.Duration(i)*time.Second))
+		}
+		b.RecordBroken([]Part{"bystander"}, 1, false, at(time.Second))
+		cancel := func() { a.RecordAbandoned([]Part{"deadly"}, 2, false, at(at2)) }
+		crash := func() { b.RecordBroken([]Part{"bystander"}, 2, false, at(2100*time.Millisecond)) }
+		if at2 < 2100*time.Millisecond {
+			cancel()
+			crash()
+			exchange(a, b, at(2110*time.Millisecond))
+		} else {
+			crash()
+			exchange(a, b, at(2110*time.Millisecond))
+			cancel()
+		}
+		now := at(2210 * time.Millisecond)
+		exchange(a, b, now)
+		want := map[Part]Level{"deadly": Rejected}
+		for _, q := range []*Quarantine{a, b} {
+			if levels := q.Levels(now); !reflect.DeepEqual(levels, want) {
+				t.Errorf("%s: levels at %s are %v, want %v", name, q.Entry, levels, want)
+			}
+		}
+	}
+}
+
+// Guards against a cancelled request that counts against its parts although its server
+// does not crash, or does much later.
+func TestCancelledRequestWithoutCrashDoesNotCount(t *testing.T) {
+	q := &Quarantine{Entry: "a"}
+	for i := range 2 * maxAbandoned {
+		q.RecordAbandoned([]Part{"p"}, Server(i), false, at(0))
+	}
+	if len(q.abandoned) > maxAbandoned {
+		t.Errorf("%d abandoned exchanges are kept, want at most %d", len(q.abandoned), maxAbandoned)
+	}
+	for i := range 2 * maxAbandoned {
+		q.RecordBroken([]Part{"other"}, Server(i), false, at(abandonTime+time.Duration(i+1)*crashInterval))
+	}
+	if level := q.Levels(at(time.Minute))["p"]; level != Clear {
+		t.Errorf("level is %s, want %s", level, Clear)
+	}
+	q.Expire(at(time.Minute))
+	if len(q.abandoned) > 0 {
+		t.Errorf("%d abandoned exchanges are kept for a minute", len(q.abandoned))
+	}
+}
+
 // Guards against a part with many sound requests that is rejected because some of these
 // were in flight at several crashes.
 func TestProvenPartIsRejectedOnlyAfterFailedTrial(t *testing.T) {
--- a/internal/entry/quarantine/replay_test.go
+++ b/internal/entry/quarantine/replay_test.go
@@ -299,6 +299,10 @@
 		for _, q := range s.inFlight {
 			if n := r.nodes[q.entry]; !q.begun && q.cancelledAt.IsZero() && n.Rejects(q.parts, r.now) {
 				q.cancelledAt = r.now
+				n.EndTrial(q.id, q.parts, r.now)
+				if len(n.RecordAbandoned(q.parts, s.id, q.isTrial, r.now)) > 0 {
+					n.reportAt = r.now
+				}
 			}
 		}
 	}
