Let a restarted entry adopt the overdrawn budget of a rate limit

Cause: budgets of all entries are below zero while requests wait everywhere, and the budget of an entry that learns of a limit starts at zero.

Ruled out: lost reports, since a share is that uneven only while an entry restarts, and each entry counts the requests of all others.

Each entry reports its budget, without a report for a change of it alone; an entry adopts it from the first report of a peer if it is overdrawn. The smallest one counts once, so budgets don't add up.

--- a/internal/entry/serverlimit/limit.go
+++ b/internal/entry/serverlimit/limit.go
@@ -12,8 +12,10 @@
 // many it has sent in total, so that lost reports are made up for by the next one. What
 // others have sent before it was known here overdraws the budget, and is waited for
 // later. Budgets tend to zero at the rate of the limit, so that those of all entries
-// become equal: the entry with the largest would send all requests. An entry reports only the limits that it has read itself, with their age, so
-// that no limit is kept alive by reports alone.
+// become equal: the entry with the largest would send all requests. An entry that has
+// just started adopts the smallest budget of the others. An entry reports only the limits
+// that it has read itself, with their age, so that no limit is kept alive by reports
+// alone.
 //
 // A Limit does no I/O and reads no clock. It must be used by one goroutine at a time.
 package serverlimit
@@ -32,9 +34,9 @@
 	reportTime = 2 * time.Second
 	// burstTime is the time whose requests may be sent at once, at least one.
 	burstTime = 500 * time.Millisecond
-	// minBudget is the budget from which a request may be sent. It makes the mean
+	// sendBudget is the budget from which a request may be sent. It makes the mean
 	// budget zero at the rate of the limit.
-	minBudget = 0.5
+	sendBudget = 0.5
 	// settleTime is the time constant with which budgets become equal. With small
 	// limits it is the time of settleRequests.
 	settleTime     = 2 * time.Second
@@ -87,6 +89,9 @@
 		AgeMillis int64
 		// Sent is the number of requests of the sender.
 		Sent uint64 `msgpack:",omitempty"`
+		// Budget is the number of requests that the sender may send; negative after too
+		// many.
+		Budget float64 `msgpack:",omitempty"`
 	}
 )
 
@@ -133,7 +138,7 @@
 		return time.Time{}
 	}
 	full := l.settleSeconds() * l.Rate()
-	wait := l.settleSeconds() * math.Log((full-l.budget)/(full-minBudget))
+	wait := l.settleSeconds() * math.Log((full-l.budget)/(full-sendBudget))
 	return l.updatedAt.Add(time.Duration(wait * float64(time.Second)))
 }
 
@@ -158,8 +163,16 @@
 	if l.peerSent == nil {
 		l.peerSent = make(map[string]uint64)
 	}
-	// A smaller number is that of a restarted entry.
-	if known, ok := l.peerSent[peer]; ok && r.Sent > known && l.Active(now) {
+	known, ok := l.peerSent[peer]
+	switch {
+	case !l.Active(now):
+	case !ok && r.Budget < 0:
+		// An entry that has just started adopts what the others are overdrawn by.
+		l.refill(now)
+		l.budget = min(l.budget, max(r.Budget, l.minBudget()))
+	case !ok:
+	case r.Sent > known:
+		// A smaller number is that of a restarted entry.
 		l.spend(r.Sent-known, now)
 	}
 	l.peerSent[peer] = r.Sent
@@ -167,13 +180,17 @@
 
 // Content returns the report without what changes as time passes.
 func (r Report) Content() Report {
-	r.AgeMillis = 0
+	r.AgeMillis, r.Budget = 0, 0
 	return r
 }
 
 // Report returns what the other entries need to know, and false if that is nothing.
 func (l *Limit) Report(now time.Time) (Report, bool) {
 	r := Report{AgeMillis: -1, Sent: l.sent}
+	if l.Active(now) {
+		l.refill(now)
+		r.Budget = l.budget
+	}
 	if !l.own.heardAt.IsZero() {
 		r.Rate, r.Lifted, r.AgeMillis = l.own.rate, !l.own.named, now.Sub(l.own.heardAt).Milliseconds()
 	}
@@ -183,16 +200,19 @@
 func (l *Limit) spend(requests uint64, now time.Time) {
 	l.refill(now)
 	l.total += requests
-	l.budget = max(l.budget-float64(requests), -l.Rate()*maxDebtTime.Seconds())
+	l.budget = max(l.budget-float64(requests), l.minBudget())
 }
 
+// minBudget is the most that the budget can be overdrawn by, as a negative number.
+func (l *Limit) minBudget() float64 { return -l.Rate() * maxDebtTime.Seconds() }
+
 // refill brings the budget up to date. It grows by the rate, less its own value in
 // each settleTime.
 func (l *Limit) refill(now time.Time) {
 	elapsed := max(0, now.Sub(l.updatedAt).Seconds())
 	full := l.settleSeconds() * l.Rate()
 	l.budget = full + (l.budget-full)*math.Exp(-elapsed/l.settleSeconds())
-	l.budget = min(l.budget, max(minBudget, l.Rate()*burstTime.Seconds()))
+	l.budget = min(l.budget, max(sendBudget, l.Rate()*burstTime.Seconds()))
 	l.updatedAt = now
 }
 
--- a/internal/entry/serverlimit/limit_test.go
+++ b/internal/entry/serverlimit/limit_test.go
@@ -65,6 +65,35 @@
 	}
 }
 
+// Guards against an entry that has just restarted and sends most of what a limit allows,
+// because the budgets of the others are overdrawn.
+func TestRestartedEntryAdoptsBudget(t *testing.T) {
+	var a, b Limit
+	a.Name(4, at(0))
+	for range 8 {
+		a.Take(at(time.Second))
+	}
+	now := at(1100 * time.Millisecond)
+	r, ok := a.Report(now)
+	if !ok || r.Budget >= 0 {
+		t.Fatalf("report is %+v, want an overdrawn budget", r)
+	}
+	b.Merge("a", r, now)
+	if want, got := a.AvailableAt(now), b.AvailableAt(now); !got.Equal(want) {
+		t.Errorf("next request of the restarted entry at %s, want %s", got, want)
+	}
+	// A repeated report is not adopted again.
+	later := at(30 * time.Second)
+	r.AgeMillis = later.Sub(at(0)).Milliseconds()
+	b.Merge("a", r, later)
+	if at := b.AvailableAt(later); at.After(later) {
+		t.Errorf("next request 30 s later at %s, want at once", at)
+	}
+	if (Report{Budget: 1}).Content() != (Report{Budget: 2}).Content() {
+		t.Error("a change of the budget alone is reported")
+	}
+}
+
 // Guards against a limit that one entry knows and another does not, and against one
 // that comes back by an older report.
 func TestNewestAnswerDecides(t *testing.T) {
