Expect a request to wait only for those that go before it

Cause: a request is refused at once if its expected wait is longer than it may wait. That counted all waiting requests, but the queue is in the order of due times: a request that is due soon goes before most of them.

Now only the waiting requests that precede it count.

--- a/internal/entry/placement/placer.go
+++ b/internal/entry/placement/placer.go
@@ -394,7 +394,13 @@
 		return p.refuse(q, reason, now)
 	}
 	limit := p.maxWait(q.request, now)
-	if p.expectedWait(capacity) > limit {
+	ahead := 0
+	for _, other := range p.waiting {
+		if !p.precedes(q.request, other.request) {
+			ahead++
+		}
+	}
+	if p.expectedWait(capacity, ahead) > limit {
 		return p.refuse(q, ReasonFull, now)
 	}
 	q.waitUntil = now.Add(limit)
@@ -450,19 +456,20 @@
 	return time.Duration(passes*float64(p.passTime())) + time.Duration(e.Slots)*p.prefillTime(e.MeanPromptTokens)
 }
 
-// expectedWait is the time until there is capacity for one more waiting request.
-// It assumes that all entries get an equal share of the capacity.
-func (p *Placer) expectedWait(capacity poolCapacity) time.Duration {
+// expectedWait is the time until there is capacity for one more waiting request behind
+// the given number of others. It assumes that all entries get an equal share of the
+// capacity.
+func (p *Placer) expectedWait(capacity poolCapacity, ahead int) time.Duration {
 	if capacity.effective == 0 {
 		return maxRetryAfter
 	}
 	share := capacity.effective / float64(1+len(p.peers))
-	return time.Duration(float64(len(p.waiting)+1) / share * float64(p.serviceTime()))
+	return time.Duration(float64(ahead+1) / share * float64(p.serviceTime()))
 }
 
 func (p *Placer) refuse(q *queuedRequest, reason Reason, now time.Time) Decision {
 	capacity := p.usableCapacity(q.request, now)
-	retryAfter := min(max(2*p.expectedWait(capacity), minRetryAfter), maxRetryAfter)
+	retryAfter := min(max(2*p.expectedWait(capacity, len(p.waiting)), minRetryAfter), maxRetryAfter)
 	if reason == ReasonNoServer || capacity.requests > 0 && capacity.inFlight >= capacity.requests {
 		retryAfter = maxRetryAfter
 	}
