Report a failed trial of a part although its crash is known

Entries went on sending a part of prompts one request at a time after a trial had failed, until the next full report (at most 2 s), if another entry had reported the crash first: the crash was not new, so nothing was reported.

--- a/internal/entry/quarantine/evidence.go
+++ b/internal/entry/quarantine/evidence.go
@@ -54,7 +54,7 @@
 		bestPart Part
 	)
 	for p, s := range suspects {
-		if !s.isConvicted() {
+		if !s.isRejectable() {
 			continue
 		}
 		if best == nil || cmp.Or(
@@ -95,7 +95,7 @@
 	return at, ok
 }
 
-// add adds a crash and reports true, unless the crash of the server is known. Of
+// add adds a crash and reports whether it is new, or known now to be a failed trial. Of
 // two reports of a crash the earlier time counts, since a report can only be late.
 func (s *suspect) add(c crash) bool {
 	i := slices.IndexFunc(s.crashes, func(known crash) bool { return known.server == c.server })
@@ -107,6 +107,7 @@
 		}
 	} else {
 		known := &s.crashes[i]
+		isNew = c.trial && !known.trial
 		known.refuted, known.trial = known.refuted || c.refuted, known.trial || c.trial
 		if c.at.Before(known.at) {
 			known.at = c.at
@@ -185,15 +186,15 @@
 
 // rejectTime is how long the part is rejected after the last crash; 0 if it is not.
 func (s *suspect) rejectTime() time.Duration {
-	if !s.isConvicted() {
+	if !s.isRejectable() {
 		return 0
 	}
 	return min(rejectTime<<(s.crashCount-s.allowance()-rejectCrashes), maxRejectTime)
 }
 
-// isConvicted reports whether the crashes are enough to reject the part. A part that is
+// isRejectable reports whether the crashes are enough to reject the part. A part that is
 // proven was probably in flight at the crashes of others, so it must have failed alone.
-func (s *suspect) isConvicted() bool {
+func (s *suspect) isRejectable() bool {
 	if s.crashCount < s.allowance()+rejectCrashes {
 		return false
 	}
--- a/internal/entry/quarantine/quarantine_test.go
+++ b/internal/entry/quarantine/quarantine_test.go
@@ -199,6 +199,26 @@
 	}
 }
 
+// Guards against a failed trial that the other entries don't learn of, because one of
+// them has reported the crash before.
+func TestFailedTrialOfKnownCrashIsReported(t *testing.T) {
+	q, peer := &Quarantine{Entry: "a"}, &Quarantine{Entry: "b"}
+	parts := []Part{"p"}
+	q.RecordBegun(parts, at(0))
+	for i := range 3 {
+		peer.RecordBroken(parts, Server(i), false, at(time.Duration(i+1)*time.Second))
+	}
+	now := at(4 * time.Second)
+	q.Merge("b", peer.Findings(now), now)
+	if added := q.RecordBroken(parts, 2, true, now); len(added) != 1 {
+		t.Errorf("%d parts have changed, want 1", len(added))
+	}
+	peer.Merge("a", q.ChangedFindings(now, now), now)
+	if d := peer.Decide("r", parts, now); d.Verdict != Reject {
+		t.Errorf("decision of the peer is %+v, want a rejection", d)
+	}
+}
+
 // Guards against servers that crash together, for a reason other than a prompt, and
 // count as several crashes.
 func TestServersThatCrashTogetherCountOnce(t *testing.T) {
