--- a/internal/entry/forward/attempt.go
+++ b/internal/entry/forward/attempt.go
@@ -201,7 +201,7 @@
 	return resultUnknown, a.attributeOutcome(ctx, a.failureOutcome(err))
 }
 
-// recordBroken tells the prompt guard of an exchange whose connection the backend
+// recordBroken reports to the prompt guard an exchange whose connection the backend
 // server broke, or that was ended here. It ignores bytes that are no response.
 func (a *attempt) recordBroken(ctx context.Context, err error) {
 	switch {
--- a/internal/entry/forward/unframed_test.go
+++ b/internal/entry/forward/unframed_test.go
@@ -24,7 +24,7 @@
 		body string
 		// ends closes the listener of the first server, reset resets its connection.
 		ends, reset bool
-		// resumed is the event after which the second server goes on; "none" if it gets
+		// resumed is the event after which the second server continues; "none" if it gets
 		// no request.
 		resumed string
 	}{
--- a/internal/entry/promptguard/guard.go
+++ b/internal/entry/promptguard/guard.go
@@ -1,5 +1,5 @@
 // Package promptguard lets requests wait for the decisions of package quarantine,
-// and tells it how their exchanges with backend servers end.
+// and reports to it how their exchanges with backend servers end.
 //
 //	Admit --> Exchange: Event, Complete, Broken, Abandoned, Close --> quarantine.Quarantine
 //
--- a/internal/entry/quarantine/evidence.go
+++ b/internal/entry/quarantine/evidence.go
@@ -83,18 +83,6 @@
 	return slices.SortedFunc(maps.Values(byServer), func(a, b crash) int { return a.at.Compare(b.at) })
 }
 
-// crashedAt returns when the server crashed, and false if no exchange shows that it did.
-func (q *Quarantine) crashedAt(server Server) (at time.Time, ok bool) {
-	for _, s := range q.suspects {
-		for _, c := range s.crashes {
-			if c.server == server && (!ok || c.at.Before(at)) {
-				at, ok = c.at, true
-			}
-		}
-	}
-	return at, ok
-}
-
 // add adds a crash and reports whether it is new, or known now to be a failed trial. Of
 // two reports of a crash the earlier time counts, since a report can only be late.
 func (s *suspect) add(c crash) bool {
--- a/internal/entry/quarantine/findings.go
+++ b/internal/entry/quarantine/findings.go
@@ -72,7 +72,7 @@
 }
 
 // mergeTrial adopts or ends the trial of another entry. Of two trials that were announced
-// at about the same time, that of the entry with the smaller name goes on, and
+// at about the same time, that of the entry with the smaller name is kept, and
 // otherwise the one that was announced first.
 func (s *suspect) mergeTrial(sender string, f Finding, now time.Time) {
 	other := trial{entry: sender, request: f.TrialRequest, at: now.Add(-age(f.TrialAgeMillis))}
--- a/internal/entry/quarantine/replay_test.go
+++ b/internal/entry/quarantine/replay_test.go
@@ -387,7 +387,7 @@
 }
 
 // Replays requests with one part that crash their servers among sound requests.
-// Guards against parts that go on crashing servers, and against sound requests that
+// Guards against parts that keep crashing servers, and against sound requests that
 // are refused for the parts that they share with them.
 func TestDeadlyPartStopsAfterFewCrashes(t *testing.T) {
 	const (
@@ -436,7 +436,7 @@
 }
 
 // Guards against sound parts that are rejected because servers crash by themselves.
-// A part whose only two requests were in flight at two crashes can't be told from
+// A part whose only two requests were in flight at two crashes can't be distinguished from
 // one that crashes servers.
 func TestCrashesWithoutDeadlyPartRejectAtMostOne(t *testing.T) {
 	const maxRejected = 1
