Test that a request of a caller who left counts with a crash of its server

No test noticed when attempts did not report that they were abandoned; the new one then fails. The test of the guard uses a fake clock, since it depended on less than 250 ms between two of its steps.

--- a/internal/entry/forward/crash_test.go
+++ b/internal/entry/forward/crash_test.go
@@ -2,14 +2,21 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"github.com/mulberryspool/mulberryspool/internal/entry/promptguard"
+	"github.com/mulberryspool/mulberryspool/internal/entry/quarantine"
 )
 
 const (
@@ -211,3 +218,45 @@
 		t.Errorf("%d of %d sound requests were served", served.Load(), soundCount)
 	}
 }
+
+// Guards against a crash that is blamed on other requests, because the caller of the one
+// which caused it left just before.
+func TestRequestOfLeftCallerCountsWithCrash(t *testing.T) {
+	received, done := make(chan struct{}), make(chan struct{})
+	defer close(done)
+	b := newBackend(t, "i-1", func(*bufio.Writer, *http.Request, int) bool {
+		close(received)
+		<-done
+		return false
+	})
+	e := newEntry(t, b)
+	guard := e.handler.PromptGuard
+	guard.Clock = clockwork.NewFakeClock()
+	ctx, cancel := context.WithCancel(t.Context())
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, e.URL+"/stream/x", strings.NewReader("q"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.Host = "h.example"
+	for name, value := range map[string]string{"X-Attempt-Id": "r1", "X-Deadline-Ms": "3000", "Authorization": "Bearer key", "X-Prompt-Prefix": crashPart + ":9,own:100"} {
+		r.Header.Set(name, value)
+	}
+	go func() {
+		<-received
+		cancel()
+	}()
+	if response, err := http.DefaultTransport.RoundTrip(r); err == nil {
+		response.Body.Close()
+		t.Fatal("cancelled request has a response")
+	}
+	guard.Merge("peer", []quarantine.Finding{{Part: "other", Crashes: []quarantine.CrashFinding{{Server: quarantine.ServerOf(b.server("p"))}}}})
+	part := promptguard.Parts("", []string{crashPart, "own"})[0]
+	for deadline := time.Now().Add(10 * time.Second); ; time.Sleep(time.Millisecond) {
+		if slices.ContainsFunc(guard.Findings(), func(f quarantine.Finding) bool { return f.Part == part }) {
+			return
+		}
+		if time.Now().After(deadline) {
+			t.Fatalf("findings are %+v, want a crash of %s", guard.Findings(), part)
+		}
+	}
+}
--- a/internal/entry/promptguard/guard_test.go
+++ b/internal/entry/promptguard/guard_test.go
@@ -70,6 +70,8 @@
 func TestAbandonedExchangeCountsWithCrashOfItsServer(t *testing.T) {
 	g, changes := newGuard("a")
 	peer, _ := newGuard("b")
+	clock := clockwork.NewFakeClock()
+	g.Clock, peer.Clock = clock, clock
 	parts := Parts("m", []string{"deadly", "own"})
 	e := g.Start("r1", parts, server("i-1"), func() {})
 	e.Abandoned()
