Make the outcome of a refused write independent of its deadline's moment

Cause: the test. The object API refuses each attempt until the call's deadline of 3 s.

Product code is unchanged.

--- a/internal/platform/objectapi/client_test.go
+++ b/internal/platform/objectapi/client_test.go
@@ -115,21 +115,28 @@
 		rule    fault.Rule
 		want    error
 		applied bool
-		// causes must be counted once each.
+		// causes must be counted once each, and no others.
 		causes []string
+		// backoff replaces the pause after a failed attempt; 0 for the usual one.
+		backoff time.Duration
 	}{
-		{"answer lost", fault.Rule{Kind: fault.LoseAnswer, Calls: 1}, mulberryspool.ErrUncertain, true, []string{"uncertain"}},
-		{"answer late", fault.Rule{Kind: fault.HangAnswer, Calls: 1}, mulberryspool.ErrUncertain, true, []string{"uncertain"}},
-		{"connection closed", fault.Rule{Kind: fault.Refuse, Calls: 1}, mulberryspool.ErrUncertain, false, []string{"uncertain"}},
-		{"hang", fault.Rule{Kind: fault.Hang, Calls: 1}, mulberryspool.ErrUncertain, false, []string{"uncertain"}},
-		{"refused once", fault.Rule{Kind: fault.Unavailable, Calls: 1}, nil, true, []string{"unavailable", "ok"}},
-		{"refused", fault.Rule{Kind: fault.Unavailable}, mulberryspool.ErrUnavailable, false, []string{"notSent"}},
+		{"answer lost", fault.Rule{Kind: fault.LoseAnswer, Calls: 1}, mulberryspool.ErrUncertain, true, []string{"uncertain"}, 0},
+		{"answer late", fault.Rule{Kind: fault.HangAnswer, Calls: 1}, mulberryspool.ErrUncertain, true, []string{"uncertain"}, 0},
+		{"connection closed", fault.Rule{Kind: fault.Refuse, Calls: 1}, mulberryspool.ErrUncertain, false, []string{"uncertain"}, 0},
+		{"hang", fault.Rule{Kind: fault.Hang, Calls: 1}, mulberryspool.ErrUncertain, false, []string{"uncertain"}, 0},
+		{"refused once", fault.Rule{Kind: fault.Unavailable, Calls: 1}, nil, true, []string{"unavailable", "ok"}, 0},
+		{"refused", fault.Rule{Kind: fault.Unavailable}, mulberryspool.ErrUnavailable, false, []string{"unavailable", "notSent"}, 1000 * time.Hour},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			t.Parallel()
 			s := &standin.Server{}
 			c := newClient(t, startServer(t, s), "one", 2)
 			c.AttemptTimeout, c.CallTimeout = time.Second, 3*time.Second
+			if test.backoff > 0 {
+				// The deadline passes between two attempts, not during one, which would
+				// leave the outcome of the last one uncertain.
+				c.MinBackoff, c.MaxBackoff = test.backoff, test.backoff
+			}
 			metrics := tally.NewTestScope("", nil)
 			c.Metrics = metrics
 			addFault(t, s, test.rule)
@@ -144,6 +151,9 @@
 				t.Errorf("create took effect: %v, want %v", applied, test.applied)
 			}
 			counters := metrics.Snapshot().Counters()
+			if len(counters) != len(test.causes) {
+				t.Errorf("counters are %v, want one for each of %v", counters, test.causes)
+			}
 			for _, cause := range test.causes {
 				counter := counters["objectAPICalls+cause="+cause+",operation=create"]
 				if counter == nil || counter.Value() != 1 {
@@ -154,6 +164,40 @@
 	}
 }
 
+// Guards against a refused write that is repeated after its deadline, and against an
+// outcome that its last attempt doesn't support: only one that the deadline cut is
+// uncertain.
+func TestRefusedWriteEndsAtItsDeadline(t *testing.T) {
+	s := &standin.Server{}
+	c := newClient(t, startServer(t, s), "one", 2)
+	c.CallTimeout = time.Second
+	metrics := tally.NewTestScope("", nil)
+	c.Metrics = metrics
+	addFault(t, s, fault.Rule{Kind: fault.Unavailable})
+	_, err := c.Create(context.Background(), "kind", "a", []byte("x"))
+	// The last attempt is cut before it has a connection, or is not begun.
+	want, endings := mulberryspool.ErrUnavailable, []string{"notSent", "cancelled"}
+	if errors.Is(err, mulberryspool.ErrUncertain) {
+		want, endings = mulberryspool.ErrUncertain, []string{"uncertain"}
+	}
+	if !errors.Is(err, want) || len(s.Objects("kind")) > 0 {
+		t.Errorf("create returned %v, want %v, and %d objects, want none", err, want, len(s.Objects("kind")))
+	}
+	counters := metrics.Snapshot().Counters()
+	ended := 0
+	for _, cause := range endings {
+		if c := counters["objectAPICalls+cause="+cause+",operation=create"]; c != nil {
+			ended += int(c.Value())
+		}
+	}
+	if ended != 1 || len(counters) != 2 {
+		t.Errorf("counters are %v, want refused attempts and one with a cause of %v", counters, endings)
+	}
+	if c := counters["objectAPICalls+cause=unavailable,operation=create"]; c == nil || c.Value() < 2 {
+		t.Errorf("counters are %v, want at least two refused attempts", counters)
+	}
+}
+
 // Guards against a write that is reported as uncertain although no connection
 // could be opened.
 func TestWriteWithoutConnectionHadNoEffect(t *testing.T) {
