Log where a list of servers comes from and which servers are in grace

Callers' requests reach servers that left seconds before (DRAIN). The lines on servers that are listed again name the store or a peer, but neither the peer nor whether the list contains servers in their grace period, and give the revision that the list is reported under instead of the one that it includes. So a list of the process's own that keeps removed servers, a stale list of a peer and a watch that continues at an older revision look the same, and no line says when the grace period of a server begins.

The lines now have the reporter, the list's own revision and whether it is uncertain; a new line names each object that is kept for its grace period and the time left of it. No change of behavior.

--- a/internal/platform/fleet/fleet.go
+++ b/internal/platform/fleet/fleet.go
@@ -82,6 +82,14 @@
 		UnseenMillis int64 `json:"unseenMillis,omitempty"`
 	}
 
+	// serverList is where a list of servers comes from, for the log.
+	serverList struct {
+		source, reporter string
+		// revision is the store's revision that the list includes.
+		revision  mulberryspool.Revision
+		uncertain bool
+	}
+
 	// namedVersion is a named version and when it was first seen.
 	namedVersion struct {
 		version int64
@@ -250,7 +258,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if s.ServersAt > f.state.ServersAt {
-		f.replaceServers(s.Servers, s.ServersAt, fromPeer)
+		f.replaceServers(s.Servers, s.ServersAt, serverList{source: fromPeer, reporter: peer, revision: s.ServersAt})
 	}
 }
 
@@ -309,11 +317,16 @@
 		// process adopt theirs.
 		at = f.state.ServersAt
 	}
-	f.replaceServers(servers, at, fromStore)
+	f.replaceServers(servers, at, serverList{source: fromStore, revision: d.Revision, uncertain: d.Uncertain})
+}
+
+// MarshalZerologObject implements zerolog.LogObjectMarshaler.
+func (l serverList) MarshalZerologObject(e *zerolog.Event) {
+	e.Str("source", l.source).Str("reporter", l.reporter).Uint64("listRevision", uint64(l.revision)).Bool("uncertain", l.uncertain)
 }
 
 // replaceServers requires the mutex.
-func (f *Fleet) replaceServers(servers Servers, at mulberryspool.Revision, source string) {
+func (f *Fleet) replaceServers(servers Servers, at mulberryspool.Revision, list serverList) {
 	before := f.state.Servers
 	f.state.Servers, f.state.ServersAt, f.serversHash = servers, at, hashServers(servers)
 	for id, b := range servers {
@@ -321,13 +334,13 @@
 		if known && old.Leaving == b.Leaving && old.Born == b.Born && old.Address == b.Address && maps.Equal(loadedVersions(old), loadedVersions(b)) {
 			continue
 		}
-		f.Logger.Info().Str("step", "add server").Str("source", source).Str("peer", string(id)).Str("pool", b.Pool).
+		f.Logger.Info().Str("step", "add server").EmbedObject(list).Str("peer", string(id)).Str("pool", b.Pool).
 			Str("address", b.Address).Bool("known", known).Int64("born", b.Born).Bool("leaving", b.Leaving).
 			Interface("models", b.Models).Uint64("revision", uint64(at)).Msg("backend server listed")
 	}
 	for id, b := range before {
 		if _, ok := servers[id]; !ok {
-			f.Logger.Info().Str("step", "remove server").Str("source", source).Str("peer", string(id)).Str("pool", b.Pool).
+			f.Logger.Info().Str("step", "remove server").EmbedObject(list).Str("peer", string(id)).Str("pool", b.Pool).
 				Uint64("revision", uint64(at)).Msg("backend server no longer listed")
 		}
 	}
--- a/internal/platform/listwatch/follower.go
+++ b/internal/platform/listwatch/follower.go
@@ -184,6 +184,10 @@
 	for name, err := range d.Unreadable {
 		f.Logger.Warn().Err(err).Str("kind", f.Kind).Str("object", name).Msg("object cannot be decoded; ignoring it")
 	}
+	for _, name := range d.Kept {
+		f.Logger.Info().Str("kind", f.Kind).Str("object", name).Uint64("revision", uint64(at)).
+			Dur("graceLeft", f.Set.expiring[name].Sub(now)).Msg("object was removed; keeping it for the grace period after the outage")
+	}
 	d.Revision, d.Uncertain = f.revision, len(f.Set.expiring) > 0
 	if first || d.Changed() {
 		f.Changed(f.Set.Items(), d)
--- a/internal/platform/listwatch/set.go
+++ b/internal/platform/listwatch/set.go
@@ -36,6 +36,8 @@
 	// Delta is what one call of Replace, Apply or Expire changed, by object name.
 	Delta struct {
 		Updated, Removed []string
+		// Kept holds the removed objects whose grace periods have begun.
+		Kept []string
 		// Unreadable holds the objects that Decode rejected, with its errors.
 		Unreadable map[string]error
 		// Revision is the store's revision after the change.
@@ -153,6 +155,7 @@
 	until := s.recoveredAt.Add(s.GracePeriod)
 	if s.GracePeriod > 0 && !s.recoveredAt.IsZero() && now.Before(until) {
 		s.expiring[name] = until
+		d.Kept = append(d.Kept, name)
 		return
 	}
 	s.drop(d, name)
