Add a failing test for peers that are not read because one does not answer

An entry that the store refuses learns of servers that leave from its peers only (DRAIN). It reads the state of the peer whose heartbeat arrives first, waits for 1 s if that peer does not answer, and then chooses again in the same way.

--- a/internal/role/hosted/statesync_test.go
+++ b/internal/role/hosted/statesync_test.go
@@ -5,6 +5,7 @@
 	"net/netip"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -116,3 +117,30 @@
 	case <-time.After(20 * time.Millisecond):
 	}
 }
+
+// Guards against state that is never read because one peer, whose heartbeats arrive
+// first, does not answer.
+func TestUnresponsivePeerDoesNotPreventReadsFromOthers(t *testing.T) {
+	const bound = 2 * time.Second
+	synctest.Test(t, func(t *testing.T) {
+		var fetched atomic.Int32
+		s := newStateSync(clockwork.NewRealClock(), &fetched)
+		unresponsive, answer := netip.MustParseAddrPort("10.0.0.1:1"), s.fetch
+		s.fetch = func(ctx context.Context, entry netip.AddrPort) (fleet.State, error) {
+			if entry == unresponsive {
+				<-ctx.Done()
+				return fleet.State{}, ctx.Err()
+			}
+			return answer(ctx, entry)
+		}
+		for begin := time.Now(); time.Since(begin) < bound; time.Sleep(fullLoadRounds * heartbeatInterval) {
+			s.handleHeartbeat(heartbeatOf("unresponsive", 5), unresponsive)
+			s.handleHeartbeat(heartbeatOf("newer", 5), netip.MustParseAddrPort("10.0.0.2:1"))
+		}
+		if got := s.fleet.State().Ingress.Version; got != 5 {
+			t.Errorf("after %v the configuration has version %d, want 5 from the peer that answers", bound, got)
+		}
+		// Reads that have begun must end within the bubble.
+		time.Sleep(2 * peerCallTimeout)
+	})
+}
