Merge what is known of backend servers by the store's revisions

Cause: an entry's own list of servers replaced a peer's as a whole. After the store had refused an entry, its own list held servers in their grace period, which a peer's exact list had removed; each change of its own list added them again, at the peer's revision.

In TestServerRemovedByPeerIsNotReinstatedByOwnWatch the server is back with the next change.

Ruled out: lists of peers that are adopted too early (no such line), requests that wait or are delayed on their way (sent 6 to 9 ms before they arrived).

Change: each row has the revision of its object's last change, each list the revision as of which it is complete. The newer row wins, a missing row wins against one that is not newer than the list, and an incarnation that leaves does not return. The result depends neither on the order of the lists nor on who sent them. A removal is no longer undone by an assumption, in this process or through it in another.

The scripted store of the tests now gives objects their revisions, as the platform does.

--- a/fleet.go
+++ b/fleet.go
@@ -123,6 +123,9 @@
 		Leaving bool `json:"leaving,omitzero"`
 		// Models holds the completely loaded models; empty for plain services.
 		Models []LoadedModel `json:"models,omitzero"`
+		// Revision is the store's revision of the last change of the backend server's
+		// object; 0 if not known.
+		Revision Revision `json:"revision,omitzero"`
 	}
 
 	// LoadedModel is a model version that a backend server serves.
--- a/internal/platform/fleet/fleet.go
+++ b/internal/platform/fleet/fleet.go
@@ -23,6 +23,7 @@
 
 	"github.com/mulberryspool/mulberryspool"
 	"github.com/mulberryspool/mulberryspool/internal/platform/listwatch"
+	"github.com/mulberryspool/mulberryspool/internal/platform/membership"
 )
 
 const (
@@ -45,7 +46,7 @@
 
 type (
 	// Servers maps instances to backend servers.
-	Servers = map[mulberryspool.InstanceID]mulberryspool.BackendServer
+	Servers = membership.Servers
 
 	// State is what a process knows of the configuration and the backend servers.
 	State struct {
@@ -82,12 +83,12 @@
 		UnseenMillis int64 `json:"unseenMillis,omitempty"`
 	}
 
-	// serverList is where a list of servers comes from, for the log.
+	// serverList says where a list of servers comes from, for the log.
 	serverList struct {
 		source, reporter string
-		// revision is the store's revision that the list includes.
-		revision  mulberryspool.Revision
-		uncertain bool
+		// revision is the store's revision as of which the list is complete.
+		revision mulberryspool.Revision
+		assumed  bool
 	}
 
 	// namedVersion is a named version and when it was first seen.
@@ -139,16 +140,17 @@
 		// already named then, until a peer reports the age.
 		AssumedAge time.Duration
 
-		once     sync.Once
-		config   listwatch.Follower[mulberryspool.Ingress]
-		servers  listwatch.Follower[mulberryspool.BackendServer]
-		versions listwatch.Follower[mulberryspool.NamedVersion]
+		once            sync.Once
+		configFollower  listwatch.Follower[mulberryspool.Ingress]
+		serverFollower  listwatch.Follower[mulberryspool.BackendServer]
+		versionFollower listwatch.Follower[mulberryspool.NamedVersion]
 
-		mu    sync.Mutex
-		state State
+		mu          sync.Mutex
+		ingress     *mulberryspool.Ingress
+		servers     membership.View
+		serversHash uint64
 		// namedVersions holds the newest named versions of each model, oldest first.
 		namedVersions map[string][]namedVersion
-		serversHash   uint64
 	}
 )
 
@@ -162,9 +164,9 @@
 func (f *Fleet) Run(ctx context.Context) {
 	f.init()
 	var running sync.WaitGroup
-	running.Go(func() { f.config.Run(ctx) })
-	running.Go(func() { f.servers.Run(ctx) })
-	running.Go(func() { f.versions.Run(ctx) })
+	running.Go(func() { f.configFollower.Run(ctx) })
+	running.Go(func() { f.serverFollower.Run(ctx) })
+	running.Go(func() { f.versionFollower.Run(ctx) })
 	running.Wait()
 }
 
@@ -174,17 +176,17 @@
 }
 
 func (f *Fleet) initFollowers() {
-	f.config = listwatch.Follower[mulberryspool.Ingress]{
+	f.configFollower = listwatch.Follower[mulberryspool.Ingress]{
 		Store: f.Store, Kind: f.Kinds.Config, Clock: f.Clock, WatchTimeout: f.WatchTimeout, WatchPause: f.ConfigWatchPause, Paused: f.Paused, Logger: f.Logger,
 		Set:     listwatch.Set[mulberryspool.Ingress]{Decode: f.Kinds.DecodeIngress},
 		Changed: f.setIngresses,
 	}
-	f.servers = listwatch.Follower[mulberryspool.BackendServer]{
+	f.serverFollower = listwatch.Follower[mulberryspool.BackendServer]{
 		Store: f.Store, Kind: f.Kinds.Servers, Clock: f.Clock, WatchTimeout: f.WatchTimeout, WatchPause: f.ServersWatchPause, Paused: f.Paused, Logger: f.Logger,
 		Set:     listwatch.Set[mulberryspool.BackendServer]{Decode: f.Kinds.DecodeServer, GracePeriod: reregisterTime},
 		Changed: f.setServers,
 	}
-	f.versions = listwatch.Follower[mulberryspool.NamedVersion]{
+	f.versionFollower = listwatch.Follower[mulberryspool.NamedVersion]{
 		Store: f.Store, Kind: f.Kinds.Versions, Clock: f.Clock, WatchTimeout: f.versionsWatchTimeout(), Paused: f.Paused, Logger: f.Logger,
 		Set:     listwatch.Set[mulberryspool.NamedVersion]{Decode: f.Kinds.DecodeVersion},
 		Changed: f.setVersions,
@@ -204,7 +206,8 @@
 func (f *Fleet) State() State {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.state
+	snapshot := f.servers.Snapshot()
+	return State{Ingress: f.ingress, Servers: snapshot.Servers, ServersAt: snapshot.CompleteAt}
 }
 
 // ForAgents returns the state without the parts that only entries need, which
@@ -227,9 +230,9 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := f.Clock.Now()
-	s := Summary{ServersAt: f.state.ServersAt, Servers: f.serversHash, Named: make(map[string][]NamedVersionAge, len(f.namedVersions))}
-	if f.state.Ingress != nil {
-		s.Config = f.state.Ingress.Version
+	s := Summary{ServersAt: f.servers.Snapshot().CompleteAt, Servers: f.serversHash, Named: make(map[string][]NamedVersionAge, len(f.namedVersions))}
+	if f.ingress != nil {
+		s.Config = f.ingress.Version
 	}
 	for model, versions := range f.namedVersions {
 		for _, n := range versions {
@@ -255,11 +258,7 @@
 	if s.Ingress != nil {
 		f.setIngress(*s.Ingress, fromPeer, peer)
 	}
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if s.ServersAt > f.state.ServersAt {
-		f.replaceServers(s.Servers, s.ServersAt, serverList{source: fromPeer, reporter: peer, revision: s.ServersAt})
-	}
+	f.mergeServers(membership.Snapshot{Servers: s.Servers, CompleteAt: s.ServersAt}, fromPeer, peer)
 }
 
 // MergeNamedVersions adds the named versions of a peer.
@@ -287,48 +286,45 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	var before int64
-	if f.state.Ingress != nil {
-		before = f.state.Ingress.Version
+	if f.ingress != nil {
+		before = f.ingress.Version
 	}
 	if i.Version <= before {
 		return
 	}
-	f.state.Ingress = &i
+	f.ingress = &i
 	f.Logger.Info().Str("step", "apply configuration").Str("source", source).Str("peer", peer).
 		Int64("before", before).Int64("version", i.Version).Int("routes", len(i.Routes)).Msg("configuration in force")
 	f.IngressChanged(i)
 }
 
 func (f *Fleet) setServers(items map[string]mulberryspool.BackendServer, d listwatch.Delta) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	// A peer has reported newer servers than this answer of a delayed watch.
-	if d.Revision < f.state.ServersAt {
-		return
-	}
 	servers := make(Servers, len(items))
 	for _, b := range items {
 		servers[b.Instance] = b
 	}
-	at := d.Revision
-	if d.Uncertain {
-		// The list has servers in their grace period. Keeping the old revision
-		// stops peers that saw them leave from adopting this list, and lets this
-		// process adopt theirs.
-		at = f.state.ServersAt
+	f.mergeServers(membership.Snapshot{Servers: servers, CompleteAt: d.Revision, Assumed: d.Uncertain}, fromStore, "")
+}
+
+func (f *Fleet) mergeServers(s membership.Snapshot, source, reporter string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	before := f.servers.Servers()
+	if f.servers.Merge(s) {
+		f.publishServers(before, serverList{source: source, reporter: reporter, revision: s.CompleteAt, assumed: s.Assumed})
 	}
-	f.replaceServers(servers, at, serverList{source: fromStore, revision: d.Revision, uncertain: d.Uncertain})
 }
 
 // MarshalZerologObject implements zerolog.LogObjectMarshaler.
 func (l serverList) MarshalZerologObject(e *zerolog.Event) {
-	e.Str("source", l.source).Str("reporter", l.reporter).Uint64("listRevision", uint64(l.revision)).Bool("uncertain", l.uncertain)
+	e.Str("source", l.source).Str("reporter", l.reporter).Uint64("listRevision", uint64(l.revision)).Bool("uncertain", l.assumed)
 }
 
-// replaceServers requires the mutex.
-func (f *Fleet) replaceServers(servers Servers, at mulberryspool.Revision, list serverList) {
-	before := f.state.Servers
-	f.state.Servers, f.state.ServersAt, f.serversHash = servers, at, hashServers(servers)
+// publishServers logs how the servers have changed and calls ServersChanged. It
+// requires the mutex.
+func (f *Fleet) publishServers(before Servers, list serverList) {
+	servers, at := f.servers.Servers(), f.servers.Snapshot().CompleteAt
+	f.serversHash = hashServers(servers)
 	for id, b := range servers {
 		old, known := before[id]
 		if known && old.Leaving == b.Leaving && old.Born == b.Born && old.Address == b.Address && maps.Equal(loadedVersions(old), loadedVersions(b)) {
@@ -336,7 +332,7 @@
 		}
 		f.Logger.Info().Str("step", "add server").EmbedObject(list).Str("peer", string(id)).Str("pool", b.Pool).
 			Str("address", b.Address).Bool("known", known).Int64("born", b.Born).Bool("leaving", b.Leaving).
-			Interface("models", b.Models).Uint64("revision", uint64(at)).Msg("backend server listed")
+			Interface("models", b.Models).Uint64("changedAt", uint64(b.Revision)).Uint64("revision", uint64(at)).Msg("backend server listed")
 	}
 	for id, b := range before {
 		if _, ok := servers[id]; !ok {
--- a/internal/platform/fleet/fleet_test.go
+++ b/internal/platform/fleet/fleet_test.go
@@ -45,10 +45,11 @@
 	return map[string]mulberryspool.NamedVersion{"m": {Model: "m", Version: version}}
 }
 
-func newServers(leaving bool, ids ...string) map[string]mulberryspool.BackendServer {
+// newServers returns servers that were last changed at a revision.
+func newServers(changedAt mulberryspool.Revision, leaving bool, ids ...string) map[string]mulberryspool.BackendServer {
 	items := make(map[string]mulberryspool.BackendServer)
 	for _, id := range ids {
-		items[id] = mulberryspool.BackendServer{Instance: mulberryspool.InstanceID(id), Leaving: leaving}
+		items[id] = mulberryspool.BackendServer{Instance: mulberryspool.InstanceID(id), Born: 1, Leaving: leaving, Revision: changedAt}
 	}
 	return items
 }
@@ -70,10 +71,10 @@
 func TestUncertainServersAreNotMerged(t *testing.T) {
 	exact, uncertain := newFleet(clockwork.NewFakeClock()), newFleet(clockwork.NewFakeClock())
 	for _, f := range []*Fleet{exact, uncertain} {
-		f.setServers(newServers(false, "a", "b"), listwatch.Delta{Revision: 10})
+		f.setServers(newServers(5, false, "a", "b"), listwatch.Delta{Revision: 10})
 	}
-	exact.setServers(newServers(false, "a"), listwatch.Delta{Revision: 20})
-	uncertain.setServers(newServers(false, "a", "b"), listwatch.Delta{Revision: 30, Uncertain: true})
+	exact.setServers(newServers(5, false, "a"), listwatch.Delta{Revision: 20})
+	uncertain.setServers(newServers(5, false, "a", "b"), listwatch.Delta{Revision: 30, Uncertain: true})
 	if exact.IsBehind(uncertain.Summary()) {
 		t.Error("a list with servers in their grace period counts as newer")
 	}
@@ -93,12 +94,12 @@
 // Guards against fetching a peer's state that differs in its revision only.
 func TestEqualServersAtOtherRevisionAreNotNewer(t *testing.T) {
 	a, b := newFleet(clockwork.NewFakeClock()), newFleet(clockwork.NewFakeClock())
-	a.setServers(newServers(false, "x"), listwatch.Delta{Revision: 10})
-	b.setServers(newServers(false, "x"), listwatch.Delta{Revision: 12})
+	a.setServers(newServers(5, false, "x"), listwatch.Delta{Revision: 10})
+	b.setServers(newServers(5, false, "x"), listwatch.Delta{Revision: 12})
 	if a.IsBehind(b.Summary()) {
 		t.Error("a list with the same servers counts as newer")
 	}
-	b.setServers(newServers(true, "x"), listwatch.Delta{Revision: 14})
+	b.setServers(newServers(14, true, "x"), listwatch.Delta{Revision: 14})
 	if !a.IsBehind(b.Summary()) {
 		t.Error("a list in which a server is leaving does not count as newer")
 	}
--- a/internal/platform/fleet/outage_test.go
+++ b/internal/platform/fleet/outage_test.go
@@ -64,10 +64,10 @@
 	if kind == "servers" && s.relisted != nil {
 		r := *s.relisted
 		s.relisted = nil
-		return objects(r.listed), r.at, nil
+		return objects(r.listed, 0), r.at, nil
 	}
 	r, err := s.next(ctx, kind)
-	return objects(r.listed), r.at, err
+	return objects(r.listed, 0), r.at, err
 }
 
 func (s *scriptedStore) Changes(ctx context.Context, kind string, _ mulberryspool.Revision, _ time.Duration) (mulberryspool.ChangeList, error) {
@@ -76,7 +76,7 @@
 		s.relisted, err = &r, mulberryspool.ErrCompacted
 	}
 	var changes []mulberryspool.ObjectChange
-	for _, o := range objects(r.changed) {
+	for _, o := range objects(r.changed, r.at) {
 		changes = append(changes, mulberryspool.ObjectChange{Object: o})
 	}
 	for _, name := range r.removed {
@@ -85,22 +85,33 @@
 	return mulberryspool.ChangeList{Changes: changes, Revision: r.at}, err
 }
 
-func objects(states map[string]string) []mulberryspool.Object {
+// objects returns objects that were last changed at a revision; 0 is when they got
+// their state.
+func objects(states map[string]string, changedAt mulberryspool.Revision) []mulberryspool.Object {
 	var list []mulberryspool.Object
 	for name, state := range states {
-		list = append(list, mulberryspool.Object{Name: name, Value: []byte(state)})
+		version := mulberryspool.Revision(10)
+		switch {
+		case changedAt > 0:
+			version = changedAt
+		case name == "c" || state == draining:
+			version = 15
+		case name == "d":
+			version = 25
+		}
+		list = append(list, mulberryspool.Object{Name: name, Version: version, Value: []byte(state)})
 	}
 	return list
 }
 
 func decode(o mulberryspool.Object) (mulberryspool.BackendServer, error) {
-	return mulberryspool.BackendServer{Instance: mulberryspool.InstanceID(o.Name), Leaving: string(o.Value) == draining}, nil
+	return mulberryspool.BackendServer{Instance: mulberryspool.InstanceID(o.Name), Leaving: string(o.Value) == draining, Revision: o.Version}, nil
 }
 
 // reported is a peer's exact list of servers.
 func reported(at mulberryspool.Revision, states map[string]string) fleet.State {
 	s := fleet.State{Servers: make(fleet.Servers), ServersAt: at}
-	for _, o := range objects(states) {
+	for _, o := range objects(states, 0) {
 		b, _ := decode(o)
 		s.Servers[b.Instance] = b
 	}
@@ -160,9 +171,9 @@
 		e.Merge(reported(20, map[string]string{"a": ready}), "peer")
 		e.answer(reply{removed: []string{"b"}, at: 20})
 		e.expectUsable(t, "after the watch that catches up", "a")
-		e.Merge(reported(30, map[string]string{"a": ready, "c": ready}), "peer")
-		e.answer(reply{changed: map[string]string{"c": ready}, at: 30})
-		e.expectUsable(t, "after the next change", "a", "c")
+		e.Merge(reported(30, map[string]string{"a": ready, "d": ready}), "peer")
+		e.answer(reply{changed: map[string]string{"d": ready}, at: 30})
+		e.expectUsable(t, "after the next change", "a", "d")
 	})
 }
 
--- /dev/null
+++ b/internal/platform/membership/membership.go
@@ -0,0 +1,149 @@
+// Package membership merges what the store, other processes and the backend servers
+// themselves report about backend servers.
+//
+//	Merge (own list or watch, peers), MarkLeaving (answers) --> View --> Servers, Snapshot
+//
+// Reports arrive late, repeatedly and in any order, and the store may refuse a process
+// while it serves the others. The revisions of the store order them: each server has
+// the revision of its object's last change, and each snapshot has the revision as of
+// which it is complete. The result of merging depends neither on the order of the
+// snapshots nor on their sender, and an older one brings back nothing that was removed.
+package membership
+
+import (
+	"maps"
+
+	"github.com/mulberryspool/mulberryspool"
+)
+
+// maxMarks is the number of leaving incarnations that are remembered.
+const maxMarks = 4096
+
+type (
+	// Servers maps instances to backend servers.
+	Servers = map[mulberryspool.InstanceID]mulberryspool.BackendServer
+
+	// Snapshot is a set of backend servers as of a revision of the store.
+	Snapshot struct {
+		// Servers may contain rows that are newer than CompleteAt.
+		Servers Servers
+		// CompleteAt is the revision as of which no server is missing: one that is not
+		// in Servers and was last changed at or before CompleteAt has been removed.
+		CompleteAt mulberryspool.Revision
+		// Assumed is set if Servers contains some whose objects have been removed, but
+		// that may only have been unable to renew them.
+		Assumed bool
+	}
+
+	// View is a process's knowledge of the backend servers. It does no I/O, and is not
+	// safe for concurrent use.
+	View struct {
+		servers Servers
+		// completeAt is the revision as of which no server is missing.
+		completeAt mulberryspool.Revision
+		// exactAt is the revision as of which, in addition, no server was removed.
+		exactAt mulberryspool.Revision
+		// leaving holds the start of the newest leaving incarnation of an instance.
+		leaving map[mulberryspool.InstanceID]int64
+		// marked holds the keys of leaving, the first marked first.
+		marked []mulberryspool.InstanceID
+	}
+)
+
+// Merge adopts the parts of a snapshot that are newer. It reports whether the servers
+// have changed.
+func (v *View) Merge(s Snapshot) bool {
+	if s.CompleteAt == 0 {
+		return false
+	}
+	changed := v.servers == nil
+	merged := make(Servers, len(v.servers))
+	for id, known := range v.servers {
+		if _, listed := s.Servers[id]; listed || known.Revision > s.CompleteAt {
+			merged[id] = known
+		}
+	}
+	if len(merged) < len(v.servers) {
+		changed = true
+	}
+	for id, b := range s.Servers {
+		if b.Leaving && b.Born > 0 {
+			v.mark(id, b.Born)
+		}
+		if v.isNewer(b) {
+			merged[id], changed = b, true
+		}
+	}
+	if v.applyMarks(merged) {
+		changed = true
+	}
+	v.servers = merged
+	v.completeAt = max(v.completeAt, s.CompleteAt)
+	if !s.Assumed {
+		v.exactAt = max(v.exactAt, s.CompleteAt)
+	}
+	return changed
+}
+
+// isNewer reports whether a row of a snapshot is newer than what is known of the
+// server, or than its removal.
+func (v *View) isNewer(b mulberryspool.BackendServer) bool {
+	if v.servers == nil {
+		return true
+	}
+	if known, ok := v.servers[b.Instance]; ok {
+		return b.Revision > known.Revision
+	}
+	return b.Revision > v.completeAt
+}
+
+// MarkLeaving records that an incarnation of a backend server accepts no new requests
+// any more. It reports whether the servers have changed.
+func (v *View) MarkLeaving(id mulberryspool.InstanceID, born int64) bool {
+	v.mark(id, born)
+	marked := maps.Clone(v.servers)
+	if !v.applyMarks(marked) {
+		return false
+	}
+	v.servers = marked
+	return true
+}
+
+// Servers returns the servers in use, including assumed ones; nil if no list is known.
+// The caller must not modify the map.
+func (v *View) Servers() Servers {
+	return v.servers
+}
+
+// Snapshot returns what other processes may merge. The caller must not modify the map.
+func (v *View) Snapshot() Snapshot {
+	return Snapshot{Servers: v.servers, CompleteAt: v.exactAt}
+}
+
+func (v *View) mark(id mulberryspool.InstanceID, born int64) {
+	known, ok := v.leaving[id]
+	switch {
+	case ok:
+		v.leaving[id] = max(known, born)
+		return
+	case v.leaving == nil:
+		v.leaving = make(map[mulberryspool.InstanceID]int64)
+	case len(v.marked) == maxMarks:
+		delete(v.leaving, v.marked[0])
+		v.marked = v.marked[1:]
+	}
+	v.leaving[id] = born
+	v.marked = append(v.marked, id)
+}
+
+// applyMarks sets Leaving in the servers whose incarnation is known to leave.
+func (v *View) applyMarks(servers Servers) bool {
+	changed := false
+	for id, b := range servers {
+		if born, ok := v.leaving[id]; ok && b.Born <= born && !b.Leaving {
+			b.Leaving, changed = true, true
+			servers[id] = b
+		}
+	}
+	return changed
+}
