End the grace period of removed servers on time

Cause: the period counted from the store's first answer to this process, also if the store had served everybody else and only refused this process; its pause after failures came on top. It ended with an answer of the store, so not at all while there was none.

Ruled out: dropping the period. Servers that could not renew their objects in an outage of the store would be lost (TestServerExpiredInOutageStaysForGracePeriod).

Change: if peers' lists show that the store has served them for a whole period of this process's outage, the outage was not the store's, and the owners had the time. A timer ends the period.

--- a/internal/platform/fleet/fleet.go
+++ b/internal/platform/fleet/fleet.go
@@ -258,6 +258,10 @@
 	if s.Ingress != nil {
 		f.setIngress(*s.Ingress, fromPeer, peer)
 	}
+	f.init()
+	if s.ServersAt > f.Summary().ServersAt {
+		f.serverFollower.RecordPeerAnswer()
+	}
 	f.mergeServers(membership.Snapshot{Servers: s.Servers, CompleteAt: s.ServersAt}, fromPeer, peer)
 }
 
--- a/internal/platform/listwatch/follower.go
+++ b/internal/platform/listwatch/follower.go
@@ -43,9 +43,8 @@
 		Kind  string
 		Clock mulberryspool.Clock
 		Set   Set[T]
-		// Changed is called with the objects in use and what changed, in order,
-		// from Run's goroutine, and never concurrently with a function that is
-		// passed to Update.
+		// Changed is called with the objects in use and what changed, in order, and
+		// never concurrently with a function that is passed to Update.
 		Changed func(items map[string]T, d Delta)
 		// WatchTimeout returns how long the next watch waits for changes; nil for
 		// DefaultWatchTimeout.
@@ -139,11 +138,7 @@
 
 // watch returns false if the kind has to be listed next.
 func (f *Follower[T]) watch(ctx context.Context) (bool, error) {
-	wait := f.WatchTimeout()
-	if at, ok := f.Set.NextExpiry(); ok {
-		wait = min(wait, max(0, f.Clock.Until(at)))
-	}
-	answer, err := f.Store.Changes(ctx, f.Kind, f.revision, wait)
+	answer, err := f.Store.Changes(ctx, f.Kind, f.revision, f.WatchTimeout())
 	if errors.Is(err, mulberryspool.ErrCompacted) {
 		f.Logger.Info().Str("kind", f.Kind).Uint64("revision", uint64(f.revision)).Msg("store no longer has the history for this watch; listing again")
 		return f.list(ctx)
@@ -192,6 +187,28 @@
 	if first || d.Changed() {
 		f.Changed(f.Set.Items(), d)
 	}
+	if end, ok := f.Set.NextExpiry(); ok {
+		f.Clock.AfterFunc(end.Sub(now), f.expire)
+	}
+}
+
+// expire removes the objects whose grace period is over, also while no call is
+// answered.
+func (f *Follower[T]) expire() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	d := f.Set.Expire(f.Clock.Now())
+	d.Revision, d.Uncertain = f.revision, len(f.Set.expiring) > 0
+	if d.Changed() {
+		f.Changed(f.Set.Items(), d)
+	}
+}
+
+// RecordPeerAnswer records that the store has answered a peer.
+func (f *Follower[T]) RecordPeerAnswer() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.Set.RecordPeerAnswer(f.Clock.Now())
 }
 
 func (f *Follower[T]) recordFailure(ctx context.Context, err error) {
@@ -200,7 +217,7 @@
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.Set.RecordFailure(f.Clock.Now())
+	f.Set.RecordFailure()
 	if f.reachable || !f.synced {
 		f.Logger.Warn().Err(err).Str("kind", f.Kind).Uint64("revision", uint64(f.revision)).Msg("store is not reachable; the last known objects stay in use")
 	}
--- a/internal/platform/listwatch/set.go
+++ b/internal/platform/listwatch/set.go
@@ -29,8 +29,13 @@
 		items map[string]T
 		// expiring holds the end of the grace period of each removed object.
 		expiring map[string]time.Time
-		// failedAt is the last failed call, recoveredAt the end of the last outage.
-		failedAt, recoveredAt time.Time
+		// failing is set from a failed call to the next answer, which ends the outage at
+		// recoveredAt.
+		failing     bool
+		recoveredAt time.Time
+		// peerAnsweredFrom and peerAnsweredUntil are the first and the last time in this
+		// outage at which the store had answered a peer.
+		peerAnsweredFrom, peerAnsweredUntil time.Time
 	}
 
 	// Delta is what one call of Replace, Apply or Expire changed, by object name.
@@ -54,15 +59,33 @@
 )
 
 // RecordFailure records that a call to the store failed.
-func (s *Set[T]) RecordFailure(now time.Time) {
-	s.failedAt = now
+func (s *Set[T]) RecordFailure() {
+	s.failing = true
 }
 
-// RecordAnswer records that the store answered a call.
+// RecordAnswer records that the store answered a call. If it has answered peers for a
+// grace period by then, only this process had an outage, and the owners of the objects
+// had time to renew them.
 func (s *Set[T]) RecordAnswer(now time.Time) {
-	if s.failedAt.After(s.recoveredAt) {
-		s.recoveredAt = now
+	if !s.failing {
+		return
+	}
+	s.failing, s.recoveredAt = false, now
+	if !s.peerAnsweredFrom.IsZero() && s.peerAnsweredUntil.Sub(s.peerAnsweredFrom) >= s.GracePeriod {
+		s.recoveredAt = s.peerAnsweredFrom
+	}
+	s.peerAnsweredFrom, s.peerAnsweredUntil = time.Time{}, time.Time{}
+}
+
+// RecordPeerAnswer records that the store has answered a peer.
+func (s *Set[T]) RecordPeerAnswer(now time.Time) {
+	if !s.failing {
+		return
+	}
+	if s.peerAnsweredFrom.IsZero() {
+		s.peerAnsweredFrom = now
 	}
+	s.peerAnsweredUntil = now
 }
 
 // Replace sets the objects to those of a complete list.
--- a/internal/platform/listwatch/set_test.go
+++ b/internal/platform/listwatch/set_test.go
@@ -44,7 +44,7 @@
 func TestObjectsRemovedInOutageStayForGracePeriod(t *testing.T) {
 	s := newSet()
 	s.Replace(start, []mulberryspool.Object{newObject("alive", "1"), newObject("dead", "1")})
-	s.RecordFailure(start.Add(time.Second))
+	s.RecordFailure()
 	recovered := start.Add(5 * time.Second)
 	s.RecordAnswer(recovered)
 	s.Replace(recovered, nil)
