Log when a version counts as named, and starts shortly before its bound

Requests began on an old version 49 ms and 126 ms after the bound of a newer one, 9.86 s and 9.88 s after which they had reached their servers. The logs can't distinguish the hypotheses. The entry's own count of the bound shows in no line: `age` is relative to a line that is written up to 50 ms later, with seconds only in `time`; whether a version was named while its watch waited, or before the watch was sent, isn't written; and a start that is late by the users' clock but not by the entry's leaves no line at all, since lines of successful requests are sampled.

`named version added or its age corrected` gets `namedAt` in Unix milliseconds, and `watched`, the time that the watch had waited. Starts in the last 250 ms of a grace are logged like those after it, with the time that was left when they were placed. No decision changes.

--- a/internal/entry/forward/log.go
+++ b/internal/entry/forward/log.go
@@ -13,8 +13,13 @@
 	"github.com/mulberryspool/mulberryspool/internal/observe/logging"
 )
 
-// maxLoggedParts limits the parts of a prompt in a log line.
-const maxLoggedParts = 8
+const (
+	// maxLoggedParts limits the parts of a prompt in a log line.
+	maxLoggedParts = 8
+	// loggedStartWindow is the last part of a version's grace in which each start of
+	// a response on the older version is logged.
+	loggedStartWindow = 250 * time.Millisecond
+)
 
 // logEnd records the metrics and writes the log line of a request that has
 // ended. The lines of requests that succeeded without a failed attempt are
@@ -90,19 +95,28 @@
 }
 
 // logOutdatedStart records the metric and writes the log line of a response that
-// began on an older version after the grace of a newer named one.
+// began on an older version after the grace of a newer named one. One that began
+// shortly before its end is logged too, because the grace itself may end late.
 func (a *attempt) logOutdatedStart(response *httpconn.Answer, startedAt time.Time) {
 	version := cmp.Or(response.Head.Version, a.decision.Version)
 	if version == 0 {
 		return
 	}
 	newer, since := a.handler.Scheduler.FirstNewerVersion(a.pool.Name, version)
-	if newer == 0 || startedAt.Sub(since) <= a.handler.Scheduler.Placement.VersionGrace {
+	left := since.Add(a.handler.Scheduler.Placement.VersionGrace).Sub(startedAt)
+	if newer == 0 || left > loggedStartWindow {
 		return
 	}
-	a.handler.count("outdated_starts", a.route.Name, a.pool.Name, strconv.FormatInt(version, 10))
-	a.handler.Logger.Warn().EmbedObject(logging.Fields{Route: a.route.Name, Pool: a.pool.Name, RequestID: a.head.ID, Peer: string(a.decision.Server.Instance)}).
+	level, message := zerolog.InfoLevel, "response began on an older version shortly before the bound of a newer one"
+	if left < 0 {
+		level, message = zerolog.WarnLevel, "response began on an older version after the bound of a newer one"
+		a.handler.count("outdated_starts", a.route.Name, a.pool.Name, strconv.FormatInt(version, 10))
+	}
+	e := a.handler.Logger.WithLevel(level).EmbedObject(logging.Fields{Route: a.route.Name, Pool: a.pool.Name, RequestID: a.head.ID, Peer: string(a.decision.Server.Instance)}).
 		Int64("version", version).Int64("newer", newer).Dur("newerAge", startedAt.Sub(since)).Dur("newerAgeWhenSent", a.sentAt.Sub(since)).
-		Int("inFlight", a.decision.InFlight).Int("places", a.decision.Capacity).Int("unread", a.decision.PendingPromptTokens).
-		Msg("response began on an older version after the bound of a newer one")
+		Int("inFlight", a.decision.InFlight).Int("places", a.decision.Capacity).Int("unread", a.decision.PendingPromptTokens)
+	if by := a.decision.StartBy; !by.IsZero() {
+		e.Dur("leftWhenPlaced", by.Sub(a.startedAt))
+	}
+	e.Msg(message)
 }
--- a/internal/platform/fleet/fleet.go
+++ b/internal/platform/fleet/fleet.go
@@ -92,6 +92,9 @@
 		// first seen; unseen is how long at most, or Fleet.AssumedAge.
 		ageUnknown bool
 		unseen     time.Duration
+		// watched is how long the watch that delivered the version had waited; 0 for a
+		// list or a peer's report.
+		watched time.Duration
 	}
 
 	// Kinds holds the names of the store's kinds and the functions that decode
@@ -339,6 +342,9 @@
 	if !d.Since.IsZero() {
 		n.unseen = min(n.unseen, n.seen.Sub(d.Since))
 	}
+	if !d.SentAt.IsZero() {
+		n.watched = n.seen.Sub(d.SentAt)
+	}
 	// The other items are not new, so their age is not that of this change.
 	for _, name := range d.Updated {
 		if v, ok := items[name]; ok {
@@ -375,7 +381,10 @@
 	since := n.since()
 	e := f.Logger.Info().Str("step", "apply named version").Str("source", source).Str("peer", peer).Str("model", model).
 		Int64("version", n.version).Int64("newest", known[len(known)-1].version).
-		Dur("age", f.Clock.Since(since)).Bool("ageKnown", !n.ageUnknown)
+		Dur("age", f.Clock.Since(since)).Bool("ageKnown", !n.ageUnknown).Int64("namedAt", since.UnixMilli())
+	if n.watched > 0 {
+		e.Dur("watched", n.watched)
+	}
 	if exists {
 		e.Dur("ageBefore", f.Clock.Since(before))
 	}
--- a/internal/platform/listwatch/follower.go
+++ b/internal/platform/listwatch/follower.go
@@ -158,6 +158,7 @@
 	f.polling = len(seen) < len(answer.Changes)
 	f.apply(func(now time.Time) Delta {
 		d := f.Set.Apply(now, answer.Changes)
+		d.SentAt = answer.SentAt
 		d.AgeUnknown = answer.SentAt.Sub(f.answeredAt) > maxWatchGap && now.Sub(answer.SentAt) < minWaited
 		return d
 	}, answer.Revision)
--- a/internal/platform/listwatch/set.go
+++ b/internal/platform/listwatch/set.go
@@ -45,6 +45,8 @@
 		// after Since, the previous answer of the store; zero if there was none.
 		AgeUnknown bool
 		Since      time.Time
+		// SentAt is when the watch that delivered the changes was sent; zero for a list.
+		SentAt time.Time
 		// Uncertain is set while some objects in use are in their grace period,
 		// so that their owners may be gone.
 		Uncertain bool
