Add failing tests for bounds of versions that end late

By their record both were under way for over 0.5 s between the entry's decision and the server, and reached it 9.86 s and 9.88 s after the newer version was acknowledged.

--- a/internal/entry/forward/outdated_test.go
+++ b/internal/entry/forward/outdated_test.go
@@ -230,3 +230,107 @@
 		t.Errorf("response is %d %q, complete %v, want three events", response.StatusCode, body, complete)
 	}
 }
+
+// isOpenAt waits until the time and reports whether the entry has left the
+// connection of the request open.
+func (b *backend) isOpenAt(at time.Time) bool {
+	b.mu.Lock()
+	conn := b.lastConn
+	b.mu.Unlock()
+	if err := conn.SetReadDeadline(at); err != nil {
+		b.Error(err)
+	}
+	_, err := conn.Read(make([]byte, 1))
+	return isTimeout(err)
+}
+
+// Guards against a request that an outdated server begins although its version was
+// found to be named earlier while the request was in flight.
+func TestRequestInFlightFollowsCorrectedTimeOfNaming(t *testing.T) {
+	const left = 100 * time.Millisecond
+	var e *entry
+	var outdated *backend
+	open := make(chan bool, 1)
+	outdated = newBackend(t, "i-1", func(*bufio.Writer, *http.Request, int) bool {
+		now := time.Now()
+		e.scheduler.SetNamedVersion("m", 2, now.Add(left-versionGrace))
+		open <- outdated.isOpenAt(now.Add(2 * left))
+		return false
+	})
+	e, _ = newVersionedEntry(t, outdated)
+	e.scheduler.SetNamedVersion("m", 2, time.Now().Add(-versionAge))
+	e.call(t, http.MethodPost, "/once/1", "x")
+	if <-open {
+		t.Errorf("the server may begin the request %v after the corrected end of the grace", left)
+	}
+}
+
+// slowLink is a connection whose bytes and end reach the server after a delay.
+type slowLink struct {
+	net.Conn
+	delay time.Duration
+	sent  chan func()
+}
+
+func newSlowLink(conn net.Conn, delay time.Duration) *slowLink {
+	l := &slowLink{Conn: conn, delay: delay, sent: make(chan func(), 100)}
+	go func() {
+		for deliver := range l.sent {
+			deliver()
+		}
+	}()
+	return l
+}
+
+func (l *slowLink) send(deliver func()) {
+	at := time.Now().Add(l.delay)
+	l.sent <- func() { time.Sleep(time.Until(at)); deliver() }
+}
+
+func (l *slowLink) Write(p []byte) (int, error) {
+	kept := bytes.Clone(p)
+	l.send(func() { _, _ = l.Conn.Write(kept) })
+	return len(p), nil
+}
+
+func (l *slowLink) Close() error {
+	l.send(func() { l.Conn.Close() })
+	return nil
+}
+
+// Guards against a request that an outdated server begins after the bound of the
+// newer version, because the end of the connection has not reached it yet.
+func TestEndOfGraceReachesOutdatedServerWithinBound(t *testing.T) {
+	const (
+		pathDelay = 200 * time.Millisecond
+		// boundMargin is how much longer the bound is than the grace.
+		boundMargin = 100 * time.Millisecond
+	)
+	var outdated *backend
+	named := time.Now().Add(-versionAge)
+	open := make(chan bool, 1)
+	outdated = newBackend(t, "i-1", func(*bufio.Writer, *http.Request, int) bool {
+		open <- outdated.isOpenAt(named.Add(versionGrace + boundMargin))
+		return false
+	})
+	e, _ := newVersionedEntry(t, outdated)
+	dial := e.handler.ConnPool.Dial
+	e.handler.ConnPool.Dial = func(ctx context.Context, network, address string) (net.Conn, error) {
+		time.Sleep(pathDelay)
+		conn, err := dial(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return newSlowLink(conn, pathDelay), nil
+	}
+	e.scheduler.SetNamedVersion("m", 2, named)
+	e.call(t, http.MethodPost, "/once/1", "x")
+	select {
+	case stillOpen := <-open:
+		if stillOpen {
+			t.Errorf("the server may begin the request after the bound: bytes take %v to it, and its connection ends with the grace, %v before the bound", pathDelay, boundMargin)
+		}
+	case <-time.After(time.Second):
+		// The request was not sent.
+	}
+}
