Do not give up a response of the store while it arrives

Cause: an attempt was given up after 0.7 s, whether or not its response was arriving. A configuration of 1 MB takes longer on a link of 20 Mbit/s that eight entries share, so it was given up and sent again from its beginning, which kept the link full.

Ruled out: a store that does not answer (its answers begin at once).

Change: the timeout is for the beginning of the response, and for each further part of it. CallTimeout still limits the call.

--- a/internal/platform/objectapi/attempt.go
+++ b/internal/platform/objectapi/attempt.go
@@ -35,6 +35,13 @@
 		retryAfter time.Duration
 	}
 
+	// renewingBody renews the timeout of an attempt with each part of its response.
+	renewingBody struct {
+		io.ReadCloser
+		timer   clockwork.Timer
+		timeout time.Duration
+	}
+
 	listing struct {
 		Objects []mulberryspool.Object `json:"objects"`
 	}
@@ -47,11 +54,15 @@
 	healthDown
 )
 
-// attempt sends a call once.
+// attempt sends a call once. The response must begin within the timeout, and each further
+// part must arrive within AttemptTimeout of the previous one: over a slow link, a large
+// response that was given up would only be sent again.
 func (c *Client) attempt(ctx context.Context, r call, timeout time.Duration) result {
 	parent := ctx
-	ctx, cancel := clockwork.WithTimeout(ctx, c.Clock, timeout)
-	defer cancel()
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	timer := c.Clock.AfterFunc(timeout, func() { cancel(context.DeadlineExceeded) })
+	defer timer.Stop()
 	var connections atomic.Int32
 	request, err := c.newRequest(ctx, r, &connections)
 	if err != nil {
@@ -62,10 +73,20 @@
 	if err != nil {
 		return c.failedResult(parent, r, err, connections.Load() > 0)
 	}
+	response.Body = &renewingBody{ReadCloser: response.Body, timer: timer, timeout: c.AttemptTimeout}
 	defer response.Body.Close()
 	return c.responseResult(parent, r, response)
 }
 
+// Read implements io.Reader.
+func (b *renewingBody) Read(buffer []byte) (int, error) {
+	n, err := b.ReadCloser.Read(buffer)
+	if n > 0 {
+		b.timer.Reset(b.timeout)
+	}
+	return n, err
+}
+
 func (c *Client) newRequest(ctx context.Context, r call, connections *atomic.Int32) (*http.Request, error) {
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) {
 		// The transport resends a read by itself when the connection turns out
