Read servers and configuration from peers separately, and only what changed

What callers saw: requests reached servers more than 3 s after these had said that they leave (DRAIN), in regions other than the store's, while large configurations arrived.

Cause: an entry read a peer's state as a whole for each change of one server, up to 1 MB with the configuration. A read that took over 1 s was given up, and began anew with the next heartbeat, so the links stayed full and the changes of servers waited behind them. A peer that does not answer kept its place until the next heartbeat, of the same peer.

Change: the parts have a place each; the reader says what it has, and gets the servers that changed and the names of the others. A read ends if it makes no progress, and its peer is then left alone for 2 s. Requests and answers of earlier builds are understood.

--- a/internal/platform/fleet/fleet.go
+++ b/internal/platform/fleet/fleet.go
@@ -56,8 +56,14 @@
 		// ServersAt is the store's revision at which Servers was last known to be
 		// exact; 0 while no list is known.
 		ServersAt mulberryspool.Revision `json:"serversAt,omitempty"`
+		// Unchanged holds the servers that are left out of Servers because the reader
+		// has them already.
+		Unchanged []mulberryspool.InstanceID `json:"unchanged,omitempty"`
 	}
 
+	// Part is a part of a State.
+	Part string
+
 	// Summary says how recent a process's state is, so that a peer can tell
 	// whether it is newer than the peer's own.
 	Summary struct {
@@ -157,6 +163,12 @@
 	}
 )
 
+// Parts of a State.
+const (
+	PartConfig  Part = "config"
+	PartServers Part = "servers"
+)
+
 // Values of the log field source.
 const (
 	fromStore = "store"
@@ -222,6 +234,29 @@
 	return s
 }
 
+// Part returns a part of the state, for a reader whose own state has the version of the
+// configuration and the exact list of servers. An empty part is the whole state.
+func (s State) Part(part Part, config int64, serversAt mulberryspool.Revision) State {
+	if part == PartServers || s.Ingress != nil && s.Ingress.Version <= config {
+		s.Ingress = nil
+	}
+	if part == PartConfig {
+		s.Servers, s.ServersAt = nil, 0
+		return s
+	}
+	changed := make(Servers)
+	for id, b := range s.Servers {
+		// Leaving may have been learned without a change of the object.
+		if b.Revision == 0 || b.Revision > serversAt || b.Leaving {
+			changed[id] = b
+		} else {
+			s.Unchanged = append(s.Unchanged, id)
+		}
+	}
+	s.Servers = changed
+	return s
+}
+
 // HasSynced reports whether the process has a configuration and a list of servers.
 func (f *Fleet) HasSynced() bool {
 	s := f.State()
@@ -252,8 +287,16 @@
 // IsBehind reports whether a peer's state is newer than that of this process. The
 // store may be about to deliver the same change.
 func (f *Fleet) IsBehind(peer Summary) bool {
+	return f.Lacks(peer, PartConfig) || f.Lacks(peer, PartServers)
+}
+
+// Lacks reports whether a part of a peer's state is newer.
+func (f *Fleet) Lacks(peer Summary, part Part) bool {
 	own := f.Summary()
-	return peer.Config > own.Config || peer.ServersAt > own.ServersAt && peer.Servers != own.Servers
+	if part == PartConfig {
+		return peer.Config > own.Config
+	}
+	return peer.ServersAt > own.ServersAt && peer.Servers != own.Servers
 }
 
 // Merge adopts the parts of a peer's state that are newer.
@@ -265,7 +308,7 @@
 	if s.ServersAt > f.Summary().ServersAt {
 		f.serverFollower.RecordPeerAnswer()
 	}
-	f.mergeServers(membership.Snapshot{Servers: s.Servers, CompleteAt: s.ServersAt}, fromPeer, peer)
+	f.mergeServers(membership.Snapshot{Servers: s.Servers, Unchanged: s.Unchanged, CompleteAt: s.ServersAt}, fromPeer, peer)
 }
 
 // MergeNamedVersions adds the named versions of a peer.
--- a/internal/platform/fleet/fleet_test.go
+++ b/internal/platform/fleet/fleet_test.go
@@ -303,3 +303,31 @@
 		t.Errorf("%d corrections by 50ms, the version counts as %v old", corrections, clock.Since(at))
 	}
 }
+
+// Guards against a whole state for each change of one server: the parts that a reader
+// has are left out, and the reader loses nothing by that.
+func TestPeerSendsOnlyWhatChanged(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	peer, reader := newFleet(clock), newFleet(clock)
+	read := func(part Part) State {
+		own := reader.Summary()
+		s := peer.State().Part(part, own.Config, own.ServersAt)
+		reader.Merge(s, "peer")
+		return s
+	}
+	peer.Merge(State{Ingress: &mulberryspool.Ingress{Version: 3}}, "store")
+	peer.setServers(newServers(5, false, "a", "b", "c"), listwatch.Delta{Revision: 10})
+	read(PartServers)
+	if s := read(PartConfig); len(s.Servers) > 0 || reader.State().Ingress == nil {
+		t.Errorf("the configuration was read as %+v", s)
+	}
+	items := newServers(5, false, "a")
+	items["d"] = newServers(15, false, "d")["d"]
+	peer.setServers(items, listwatch.Delta{Revision: 20})
+	if s := read(PartServers); len(s.Servers) != 1 || s.Ingress != nil {
+		t.Errorf("%d servers and the configuration %v were sent, want only the added server", len(s.Servers), s.Ingress)
+	}
+	if reader.IsBehind(peer.Summary()) || len(reader.State().Servers) != 2 {
+		t.Errorf("servers after the read are %v, want a and d", reader.State().Servers)
+	}
+}
--- a/internal/platform/membership/membership.go
+++ b/internal/platform/membership/membership.go
@@ -27,8 +27,10 @@
 	Snapshot struct {
 		// Servers may contain rows that are newer than CompleteAt.
 		Servers Servers
-		// CompleteAt is the revision as of which no server is missing: one that is not
-		// in Servers and was last changed at or before CompleteAt has been removed.
+		// Unchanged holds further servers, of which the snapshot has nothing new.
+		Unchanged []mulberryspool.InstanceID
+		// CompleteAt is the revision as of which no server is missing: one that is in
+		// neither and was last changed at or before CompleteAt has been removed.
 		CompleteAt mulberryspool.Revision
 		// Assumed is set if Servers contains some whose objects have been removed, but
 		// that may only have been unable to renew them.
@@ -63,6 +65,11 @@
 			merged[id] = known
 		}
 	}
+	for _, id := range s.Unchanged {
+		if known, ok := v.servers[id]; ok {
+			merged[id] = known
+		}
+	}
 	if len(merged) < len(v.servers) {
 		changed = true
 	}
--- a/internal/role/hosted/agent.go
+++ b/internal/role/hosted/agent.go
@@ -238,7 +238,7 @@
 		return a.fleet.HasSynced() && len(a.heartbeats.ActivePeers(mulberryspool.RoleEntry)) > 0
 	}
 	a.stateSync = &stateSync{
-		fleet: a.fleet, clock: a.clock, fetch: a.stateFetcher(agentStatePath), logger: a.logger,
+		fleet: a.fleet, clock: a.clock, fetch: a.stateFetcher(a.fleet, agentStatePath), logger: a.logger,
 		failureDomain: a.identity.FailureDomain, minInterval: agentStateInterval,
 	}
 }
--- a/internal/role/hosted/entry.go
+++ b/internal/role/hosted/entry.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"io"
 	"math/rand/v2"
 	"net"
@@ -206,7 +205,7 @@
 		e.signalStateChange()
 	}
 	e.stateSync = &stateSync{
-		fleet: e.fleet, clock: e.clock, fetch: e.stateFetcher(statePath), logger: e.logger, failureDomain: e.identity.FailureDomain,
+		fleet: e.fleet, clock: e.clock, fetch: e.stateFetcher(e.fleet, statePath), logger: e.logger, failureDomain: e.identity.FailureDomain,
 	}
 }
 
@@ -229,19 +228,6 @@
 	}
 }
 
-func (e *entryRole) stateServer() *http.Server {
-	mux := http.NewServeMux()
-	answer := func(w http.ResponseWriter, s fleet.State) {
-		w.Header().Set("Content-Type", "application/json")
-		if err := json.NewEncoder(w).Encode(s); err != nil {
-			e.logger.Info().Err(err).Str(logging.FieldStep, "send state").Msg("state could not be sent")
-		}
-	}
-	mux.HandleFunc("GET "+statePath, func(w http.ResponseWriter, _ *http.Request) { answer(w, e.fleet.State()) })
-	mux.HandleFunc("GET "+agentStatePath, func(w http.ResponseWriter, _ *http.Request) { answer(w, e.fleet.State().ForAgents()) })
-	return &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout}
-}
-
 func (e *entryRole) readinessServer() *http.Server {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+platform.ReadinessPath, func(w http.ResponseWriter, _ *http.Request) {
--- a/internal/role/hosted/hosted.go
+++ b/internal/role/hosted/hosted.go
@@ -14,10 +14,11 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
-	"net/netip"
+	"net/url"
 	"os"
 	"os/signal"
 	"runtime/debug"
+	"strconv"
 	"syscall"
 	"time"
 
@@ -60,7 +61,7 @@
 	// storeCallsPerSecond limits the calls of a process. The store accepts 2,000
 	// per second from all machines together.
 	storeCallsPerSecond = 12
-	// peerCallTimeout limits a read of a peer's state or manifest.
+	// peerCallTimeout limits a read of a peer's manifest.
 	peerCallTimeout = time.Second
 	// maxStateBytes is the maximum size of a peer's encoded state.
 	maxStateBytes = 16 << 20
@@ -68,8 +69,21 @@
 	statePath = "/state"
 	// agentStatePath serves the part of the state that agents need.
 	agentStatePath = "/state/agent"
+	// queryPart is the part of the state that is read. queryConfig and queryServers are
+	// the version of the configuration and the revision of the list of servers that the
+	// reader has.
+	queryPart    = "part"
+	queryConfig  = "config"
+	queryServers = "servers"
 )
 
+// progressReader counts the bytes that are read and reports progress.
+type progressReader struct {
+	io.Reader
+	progress func()
+	count    int64
+}
+
 // process holds what both roles need.
 type process struct {
 	settings       settings.Settings
@@ -109,7 +123,7 @@
 		settings: s, identity: identity, clock: clock, logger: logger, logWriter: logWriter,
 		metrics: metrics, metricsHandler: metricsHandler, metricsCloser: metricsCloser, storeClient: storeClient,
 		store:      &platform.Store{Client: storeClient, Logger: logger},
-		peerClient: &http.Client{Timeout: peerCallTimeout, Transport: newTransport(1)},
+		peerClient: &http.Client{Transport: newTransport(1)},
 		boot:       clock.Now().UnixNano(),
 	}, nil
 }
@@ -137,29 +151,61 @@
 	}
 }
 
-// stateFetcher returns a function that reads an entry's state from the path.
-func (p *process) stateFetcher(path string) func(context.Context, netip.AddrPort) (fleet.State, error) {
-	return func(ctx context.Context, entry netip.AddrPort) (fleet.State, error) {
-		return p.fetchState(ctx, entry, path)
+// stateFetcher returns a function that reads from an entry, at the path, what the fleet
+// does not have of a part of the state.
+func (p *process) stateFetcher(f *fleet.Fleet, path string) func(context.Context, stateRead) (fleet.State, error) {
+	return func(ctx context.Context, r stateRead) (fleet.State, error) {
+		return p.fetchState(ctx, path, r, f.Summary())
 	}
 }
 
-func (p *process) fetchState(ctx context.Context, entry netip.AddrPort, path string) (fleet.State, error) {
+func (p *process) fetchState(ctx context.Context, path string, r stateRead, own fleet.Summary) (fleet.State, error) {
 	var state fleet.State
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+entry.String()+path, nil)
+	peer := r.entry.String()
+	query := url.Values{
+		queryPart:    {string(r.part)},
+		queryConfig:  {strconv.FormatInt(own.Config, 10)},
+		queryServers: {strconv.FormatUint(uint64(own.ServersAt), 10)},
+	}
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+peer+path+"?"+query.Encode(), nil)
 	if err != nil {
 		return state, errors.Wrap(err, "create request")
 	}
 	response, err := p.peerClient.Do(request)
 	if err != nil {
-		return state, mulberryspool.AtStep(err, "read state", entry.String())
+		return state, mulberryspool.AtStep(err, "read state", peer)
 	}
 	defer response.Body.Close()
 	if response.StatusCode != http.StatusOK {
-		return state, mulberryspool.AtStep(errors.Newf("unexpected status %s", response.Status), "read state", entry.String())
+		return state, mulberryspool.AtStep(errors.Newf("unexpected status %s", response.Status), "read state", peer)
+	}
+	body := &progressReader{Reader: io.LimitReader(response.Body, maxStateBytes), progress: r.progress}
+	err = json.NewDecoder(body).Decode(&state)
+	counters := p.metrics.Tagged(map[string]string{"part": string(r.part)})
+	counters.Counter("peer_state_reads").Inc(1)
+	counters.Counter("peer_state_bytes").Inc(body.count)
+	return state, mulberryspool.AtStep(err, "decode state", peer)
+}
+
+// missingState returns the part of a state that a request asks for. A request of an
+// earlier build asks for nothing and gets the whole state.
+func missingState(s fleet.State, r *http.Request) fleet.State {
+	query := r.URL.Query()
+	if !query.Has(queryPart) {
+		return s
 	}
-	err = json.NewDecoder(io.LimitReader(response.Body, maxStateBytes)).Decode(&state)
-	return state, mulberryspool.AtStep(err, "decode state", entry.String())
+	// An invalid number is 0, for which nothing is left out.
+	config, _ := strconv.ParseInt(query.Get(queryConfig), 10, 64)
+	servers, _ := strconv.ParseUint(query.Get(queryServers), 10, 64)
+	return s.Part(fleet.Part(query.Get(queryPart)), config, mulberryspool.Revision(servers))
+}
+
+// Read implements io.Reader.
+func (r *progressReader) Read(buffer []byte) (int, error) {
+	n, err := r.Reader.Read(buffer)
+	r.count += int64(n)
+	r.progress()
+	return n, err
 }
 
 // serveMetrics serves /metrics until the context ends.
--- a/internal/role/hosted/statesync.go
+++ b/internal/role/hosted/statesync.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/jonboulle/clockwork"
 	"github.com/rs/zerolog"
 
 	"github.com/mulberryspool/mulberryspool"
@@ -22,62 +23,87 @@
 	// longer because a peer in the same one usually has the change by then, and
 	// traffic within a failure domain is free.
 	remotePeerFetchDelay = 400 * time.Millisecond
+	// peerStallTimeout is how long a read may make no progress.
+	peerStallTimeout = 500 * time.Millisecond
+	// peerReadTimeout limits a read with progress.
+	peerReadTimeout = 10 * time.Second
+	// peerBackoff is how long a peer is not read after a read from it has failed.
+	peerBackoff = 2 * time.Second
 )
 
-// stateSync updates a fleet from entries that have newer state, for the time in
-// which the store does not answer this process or answers it later than others.
-type stateSync struct {
-	fleet  *fleet.Fleet
-	clock  mulberryspool.Clock
-	fetch  func(ctx context.Context, entry netip.AddrPort) (fleet.State, error)
-	logger zerolog.Logger
-	// failureDomain is that of this process.
-	failureDomain string
-	// minInterval is the minimum interval between two reads of a peer's state.
-	minInterval time.Duration
+type (
+	// stateSync updates a fleet from entries that have newer state, for the time in
+	// which the store does not answer this process or answers it later than others.
+	// The servers and the configuration are read separately, since a configuration may
+	// take seconds and the servers are urgent.
+	stateSync struct {
+		fleet  *fleet.Fleet
+		clock  mulberryspool.Clock
+		fetch  func(context.Context, stateRead) (fleet.State, error)
+		logger zerolog.Logger
+		// failureDomain is that of this process.
+		failureDomain string
+		// minInterval is the minimum interval between two reads of a part.
+		minInterval time.Duration
 
-	mu sync.Mutex
-	// inProgress is set from the heartbeat that shows a peer with newer state until
-	// minInterval after its state was read. The key is true for peers in the same
-	// failure domain and false for others.
-	inProgress map[bool]bool
-}
+		mu sync.Mutex
+		// inProgress is set from the heartbeat that shows a peer with newer state until
+		// minInterval after its state was read.
+		inProgress map[readSlot]bool
+		// failedAt is when a read from a peer last failed.
+		failedAt map[netip.AddrPort]time.Time
+	}
+
+	// stateRead is a read of a part of a peer's state.
+	stateRead struct {
+		entry netip.AddrPort
+		part  fleet.Part
+		// progress must be called when a part of the response has arrived.
+		progress func()
+	}
 
-// handleHeartbeat merges the named versions in a heartbeat and schedules a read
-// of the sender's state if it is newer.
+	// readSlot is used by one read at a time.
+	readSlot struct {
+		part fleet.Part
+		// local is set for peers in the same failure domain.
+		local bool
+	}
+)
+
+// handleHeartbeat merges the named versions in a heartbeat and schedules reads of the
+// parts of the sender's state that are newer.
 func (s *stateSync) handleHeartbeat(m heartbeat.Message, from netip.AddrPort) {
 	if m.Summary == nil {
 		return
 	}
 	s.fleet.MergeNamedVersions(m.Summary.Named, m.Sender)
-	if m.Role != mulberryspool.RoleEntry || !s.fleet.IsBehind(m.Summary.Summary) {
+	if m.Role != mulberryspool.RoleEntry {
 		return
 	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	local, wait := m.FailureDomain == s.failureDomain, peerFetchDelay
-	if !local {
-		wait = remotePeerFetchDelay
+	for _, part := range []fleet.Part{fleet.PartServers, fleet.PartConfig} {
+		if s.fleet.Lacks(m.Summary.Summary, part) {
+			s.schedule(m, from, part)
+		}
 	}
-	if s.inProgress[local] {
+}
+
+func (s *stateSync) schedule(m heartbeat.Message, from netip.AddrPort, part fleet.Part) {
+	slot := readSlot{part: part, local: m.FailureDomain == s.failureDomain}
+	if !s.begin(slot, from) {
 		return
 	}
-	if s.inProgress == nil {
-		s.inProgress = make(map[bool]bool)
-	}
-	s.inProgress[local] = true
-	summary := m.Summary.Summary
 	done := func() {
 		s.mu.Lock()
 		defer s.mu.Unlock()
-		s.inProgress[local] = false
+		delete(s.inProgress, slot)
 	}
-	s.clock.AfterFunc(wait, func() {
-		if !s.fleet.IsBehind(summary) {
+	summary := m.Summary.Summary
+	s.clock.AfterFunc(s.delay(slot), func() {
+		if !s.fleet.Lacks(summary, part) {
 			done()
 			return
 		}
-		s.fetchFrom(from, m.Sender)
+		s.read(stateRead{entry: from, part: part}, m.Sender)
 		if s.minInterval == 0 {
 			done()
 			return
@@ -86,14 +112,48 @@
 	})
 }
 
-// fetchFrom reads a peer's state and merges it.
-func (s *stateSync) fetchFrom(from netip.AddrPort, sender string) {
-	ctx, cancel := context.WithTimeout(context.Background(), peerCallTimeout)
+// begin takes a slot. It returns false if the slot is in use, or if the last read from
+// the peer has just failed.
+func (s *stateSync) begin(slot readSlot, entry netip.AddrPort) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if at, ok := s.failedAt[entry]; ok {
+		if s.clock.Since(at) < peerBackoff {
+			return false
+		}
+		delete(s.failedAt, entry)
+	}
+	if s.inProgress[slot] {
+		return false
+	}
+	if s.inProgress == nil {
+		s.inProgress, s.failedAt = make(map[readSlot]bool), make(map[netip.AddrPort]time.Time)
+	}
+	s.inProgress[slot] = true
+	return true
+}
+
+func (s *stateSync) delay(slot readSlot) time.Duration {
+	if slot.local {
+		return peerFetchDelay
+	}
+	return remotePeerFetchDelay
+}
+
+// read reads a part of a peer's state and merges it.
+func (s *stateSync) read(r stateRead, sender string) {
+	ctx, cancel := clockwork.WithTimeout(context.Background(), s.clock, peerReadTimeout)
 	defer cancel()
-	state, err := s.fetch(ctx, from)
-	if err != nil {
-		s.logger.Info().EmbedObject(logging.Fields{}.WithStep(err)).Err(err).Msg("state of a peer could not be read")
-	} else {
+	stalled := s.clock.AfterFunc(peerStallTimeout, cancel)
+	defer stalled.Stop()
+	r.progress = func() { stalled.Reset(peerStallTimeout) }
+	state, err := s.fetch(ctx, r)
+	if err == nil {
 		s.fleet.Merge(state, sender)
+		return
 	}
+	s.logger.Info().EmbedObject(logging.Fields{}.WithStep(err)).Err(err).Str("part", string(r.part)).Msg("state of a peer could not be read")
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.failedAt[r.entry] = s.clock.Now()
 }
--- a/internal/role/hosted/statesync_test.go
+++ b/internal/role/hosted/statesync_test.go
@@ -24,7 +24,7 @@
 		NamedVersionChanged: func(string, int64, time.Time) {},
 	}
 	f.Merge(fleet.State{Ingress: &mulberryspool.Ingress{Version: 3}}, "start")
-	return &stateSync{fleet: f, clock: clock, logger: zerolog.Nop(), fetch: func(context.Context, netip.AddrPort) (fleet.State, error) {
+	return &stateSync{fleet: f, clock: clock, logger: zerolog.Nop(), fetch: func(context.Context, stateRead) (fleet.State, error) {
 		fetched.Add(1)
 		return fleet.State{Ingress: &mulberryspool.Ingress{Version: 5}}, nil
 	}}
@@ -69,7 +69,7 @@
 	deadline := time.Now().Add(10 * time.Second)
 	for {
 		s.mu.Lock()
-		inProgress := s.inProgress[true]
+		inProgress := s.inProgress[readSlot{part: fleet.PartConfig, local: true}]
 		s.mu.Unlock()
 		if !inProgress {
 			break
@@ -93,9 +93,9 @@
 	s.failureDomain = "here"
 	read := make(chan netip.AddrPort, 4)
 	inner := s.fetch
-	s.fetch = func(ctx context.Context, entry netip.AddrPort) (fleet.State, error) {
-		read <- entry
-		return inner(ctx, entry)
+	s.fetch = func(ctx context.Context, r stateRead) (fleet.State, error) {
+		read <- r.entry
+		return inner(ctx, r)
 	}
 	remote, local := netip.MustParseAddrPort("10.2.0.1:1"), netip.MustParseAddrPort("10.1.0.1:1")
 	remoteHeartbeat, localHeartbeat := heartbeatOf("remote", 5), heartbeatOf("local", 5)
@@ -126,12 +126,12 @@
 		var fetched atomic.Int32
 		s := newStateSync(clockwork.NewRealClock(), &fetched)
 		unresponsive, answer := netip.MustParseAddrPort("10.0.0.1:1"), s.fetch
-		s.fetch = func(ctx context.Context, entry netip.AddrPort) (fleet.State, error) {
-			if entry == unresponsive {
+		s.fetch = func(ctx context.Context, r stateRead) (fleet.State, error) {
+			if r.entry == unresponsive {
 				<-ctx.Done()
 				return fleet.State{}, ctx.Err()
 			}
-			return answer(ctx, entry)
+			return answer(ctx, r)
 		}
 		for begin := time.Now(); time.Since(begin) < bound; time.Sleep(fullLoadRounds * heartbeatInterval) {
 			s.handleHeartbeat(heartbeatOf("unresponsive", 5), unresponsive)
