Read the configuration from the store in few entries of each failure domain

Cause: each entry watched the configuration, and the store sends it whole with each change. Eight entries behind a link of 20 Mbit/s were sent 1 MB each, several times within seconds; changes of servers and requests waited behind that.

Ruled out: a longer timeout alone, since the copies would still take 3.5 s of the link for each version.

Change: entries rank themselves in their failure domain. The first one watches, and more do if fewer than two entries of all say in their heartbeats that the store answers them. The others read from the entries that have the configuration, those of other failure domains one after the other, compressed, and encoded once for each version.

Checked: both tests of the election fail if each entry watches or none does.

--- /dev/null
+++ b/internal/platform/configwatch/election.go
@@ -0,0 +1,134 @@
+// Package configwatch decides which entries read the configuration from the store, and
+// which read it from those.
+//
+//	heartbeats --> Record --> Election --> Watches, Watchers, RemoteDelay
+//
+// A watch delivers the whole configuration with each change. On the links between
+// regions, a copy for each entry takes longer than a change may take to be in force,
+// and delays everything behind it: changes of servers, versions and live requests. So a
+// few entries of each failure domain watch, and the others read from entries nearby.
+package configwatch
+
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+const (
+	// watchersPerDomain is the number of entries of a failure domain that watch.
+	watchersPerDomain = 1
+	// minWatchers is the number of watchers without which further entries watch: one
+	// more of each failure domain, and another one after each expandInterval.
+	minWatchers    = 2
+	expandInterval = 500 * time.Millisecond
+	// answerTimeout is how long after its last answer an entry counts as watching. It is
+	// longer than a watch waits.
+	answerTimeout = 5 * time.Second
+	// peerTimeout is how long after its last report a peer counts.
+	peerTimeout = 5 * time.Second
+	// remoteDelay is how long a process waits for a peer in its failure domain to have a
+	// configuration before it reads it from another failure domain.
+	remoteDelay = 400 * time.Millisecond
+	// rankDelay is added for each process of the failure domain that reads earlier.
+	rankDelay = 600 * time.Millisecond
+	// watcherDelay is added while the store answers this process, because it is
+	// probably about to deliver the same configuration.
+	watcherDelay = 800 * time.Millisecond
+)
+
+type (
+	// Election is an entry's view of who watches. Set the exported fields before the
+	// first call. It does no I/O, and is not safe for concurrent use.
+	Election struct {
+		// Self is the name of this entry.
+		Self string
+		// FailureDomain is that of this entry.
+		FailureDomain string
+
+		peers map[string]peer
+		// shortSince is since when there are fewer than minWatchers; zero if there are
+		// enough.
+		shortSince time.Time
+	}
+
+	peer struct {
+		failureDomain string
+		reportedAt    time.Time
+		// answeredAt is when the store last answered the peer's call for the
+		// configuration; zero if it does not watch.
+		answeredAt time.Time
+	}
+)
+
+// Record records a heartbeat of another entry. The store answered its last call for the
+// configuration that long ago; a negative duration means that it does not watch.
+func (e *Election) Record(name, failureDomain string, answered time.Duration, now time.Time) {
+	if e.peers == nil {
+		e.peers = make(map[string]peer)
+	}
+	p := peer{failureDomain: failureDomain, reportedAt: now}
+	if answered >= 0 {
+		p.answeredAt = now.Add(-answered)
+	}
+	e.peers[name] = p
+}
+
+// Watches reports whether this entry watches the configuration.
+func (e *Election) Watches(now time.Time) bool {
+	limit := watchersPerDomain
+	switch {
+	case e.watching(now) >= minWatchers:
+		e.shortSince = time.Time{}
+	case e.shortSince.IsZero():
+		e.shortSince = now
+		limit++
+	default:
+		limit += 1 + int(now.Sub(e.shortSince)/expandInterval)
+	}
+	return e.rank(now) < limit
+}
+
+// Watchers returns the number of entries that watch, including this one if it does.
+func (e *Election) Watchers(now time.Time) int {
+	watchers := e.watching(now)
+	if e.Watches(now) {
+		watchers++
+	}
+	return watchers
+}
+
+// RemoteDelay returns how long this entry waits before it reads a configuration from
+// another failure domain, so that the entries of its own do not all do so.
+func (e *Election) RemoteDelay(reachable bool, now time.Time) time.Duration {
+	delay := remoteDelay + time.Duration(e.rank(now))*rankDelay
+	if reachable && e.Watches(now) {
+		delay += watcherDelay
+	}
+	return delay
+}
+
+// watching returns the number of peers that the store has answered recently.
+func (e *Election) watching(now time.Time) int {
+	n := 0
+	for name, p := range e.peers {
+		if now.Sub(p.reportedAt) > peerTimeout {
+			delete(e.peers, name)
+		} else if now.Sub(p.answeredAt) <= answerTimeout {
+			n++
+		}
+	}
+	return n
+}
+
+// rank returns this entry's position among those of its failure domain, in the same
+// order for all of them.
+func (e *Election) rank(now time.Time) int {
+	rank, own := 0, xxhash.Sum64String(e.Self)
+	for name, p := range e.peers {
+		if p.failureDomain == e.FailureDomain && now.Sub(p.reportedAt) <= peerTimeout && xxhash.Sum64String(name) < own {
+			rank++
+		}
+	}
+	return rank
+}
--- /dev/null
+++ b/internal/platform/configwatch/election_test.go
@@ -0,0 +1,87 @@
+package configwatch
+
+import (
+	"strconv"
+	"testing"
+	"time"
+)
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// newElections returns the elections of three failure domains with eight entries each,
+// of which each has heartbeats of all others.
+func newElections(answered func(name string) time.Duration) map[string]*Election {
+	elections := make(map[string]*Election)
+	for i := range 24 {
+		name := "entry-" + strconv.Itoa(i)
+		elections[name] = &Election{Self: name, FailureDomain: strconv.Itoa(i % 3)}
+	}
+	for _, e := range elections {
+		for name, peer := range elections {
+			if name != e.Self {
+				e.Record(name, peer.FailureDomain, answered(name), start)
+			}
+		}
+	}
+	return elections
+}
+
+func countWatching(elections map[string]*Election, now time.Time) map[string]int {
+	watching := make(map[string]int)
+	for _, e := range elections {
+		if e.Watches(now) {
+			watching[e.FailureDomain]++
+		}
+	}
+	return watching
+}
+
+// Guards against a copy of the configuration for each entry on the links between
+// regions.
+func TestLargeConfigurationIsWatchedByFewEntriesOfEachDomain(t *testing.T) {
+	elections := newElections(func(string) time.Duration { return time.Second })
+	for domain, n := range countWatching(elections, start) {
+		if n != watchersPerDomain {
+			t.Errorf("%d entries of failure domain %s watch, want %d", n, domain, watchersPerDomain)
+		}
+	}
+	delays := make(map[time.Duration]int)
+	for _, e := range elections {
+		if e.FailureDomain == "0" {
+			delays[e.RemoteDelay(false, start)]++
+		}
+	}
+	if len(delays) != 8 || delays[remoteDelay] != 1 {
+		t.Errorf("the entries of a failure domain read from others after %v, want one of them first, and each at another time", delays)
+	}
+}
+
+// Guards against a configuration that no entry reads, because those that should watch
+// are refused by the store, do not run, or have no peers yet.
+func TestEntriesWatchWithoutWatchers(t *testing.T) {
+	refused := newElections(func(string) time.Duration { return -1 })
+	silent := newElections(func(string) time.Duration { return time.Second })
+	alone := map[string]*Election{"entry-0": {Self: "entry-0", FailureDomain: "0"}}
+	for name, c := range map[string]struct {
+		elections map[string]*Election
+		now       time.Time
+	}{
+		"refused by the store": {refused, start},
+		"silent watches":       {silent, start.Add(answerTimeout)},
+		"no peers":             {alone, start},
+	} {
+		total := 0
+		for _, at := range []time.Duration{0, 7 * expandInterval} {
+			total = 0
+			for _, n := range countWatching(c.elections, c.now.Add(at)) {
+				total += n
+			}
+			if at == 0 && total < min(minWatchers, len(c.elections)) {
+				t.Errorf("%s: %d entries watch at once, want at least %d", name, total, minWatchers)
+			}
+		}
+		if total != len(c.elections) {
+			t.Errorf("%s: %d of %d entries watch in the end, want all", name, total, len(c.elections))
+		}
+	}
+}
--- a/internal/platform/fleet/fleet.go
+++ b/internal/platform/fleet/fleet.go
@@ -73,6 +73,9 @@
 		Servers   uint64                 `json:"servers,omitempty"`
 		// Named holds the newest named versions of each model, oldest first.
 		Named map[string][]NamedVersionAge `json:"named,omitempty"`
+		// ConfigAnsweredMillis is the time since the store last answered the process's
+		// call for the configuration; 0 if the process does not watch it.
+		ConfigAnsweredMillis int64 `json:"configAnsweredMillis,omitempty" msgpack:",omitempty"`
 	}
 
 	// NamedVersionAge is a named version and the time since it was named.
@@ -135,10 +138,14 @@
 		// Paused reports whether peers supply the state, so that the store need not
 		// be called; see listwatch.Follower.Paused.
 		Paused func() bool
+		// ConfigPaused is Paused for the configuration; nil for Paused.
+		ConfigPaused func() bool
 		// WatchTimeout returns how long a watch waits for changes; nil for
 		// listwatch.DefaultWatchTimeout. A watch that is already waiting may not
 		// notice that the store dropped its history.
 		WatchTimeout func() time.Duration
+		// ConfigWatchTimeout is WatchTimeout for the configuration; nil for WatchTimeout.
+		ConfigWatchTimeout func() time.Duration
 
 		IngressChanged func(mulberryspool.Ingress)
 		ServersChanged func(Servers)
@@ -154,10 +161,12 @@
 		serverFollower  listwatch.Follower[mulberryspool.BackendServer]
 		versionFollower listwatch.Follower[mulberryspool.NamedVersion]
 
-		mu          sync.Mutex
-		ingress     *mulberryspool.Ingress
-		servers     membership.View
-		serversHash uint64
+		mu      sync.Mutex
+		ingress *mulberryspool.Ingress
+		// configAnsweredAt is when the store last answered a call for the configuration.
+		configAnsweredAt time.Time
+		servers          membership.View
+		serversHash      uint64
 		// namedVersions holds the newest named versions of each model, oldest first.
 		namedVersions map[string][]namedVersion
 	}
@@ -191,10 +200,16 @@
 }
 
 func (f *Fleet) initFollowers() {
+	if f.ConfigPaused == nil {
+		f.ConfigPaused = f.Paused
+	}
+	if f.ConfigWatchTimeout == nil {
+		f.ConfigWatchTimeout = f.WatchTimeout
+	}
 	f.configFollower = listwatch.Follower[mulberryspool.Ingress]{
-		Store: f.Store, Kind: f.Kinds.Config, Clock: f.Clock, WatchTimeout: f.WatchTimeout, WatchPause: f.ConfigWatchPause, Paused: f.Paused, Logger: f.Logger,
+		Store: f.Store, Kind: f.Kinds.Config, Clock: f.Clock, WatchTimeout: f.ConfigWatchTimeout, WatchPause: f.ConfigWatchPause, Paused: f.ConfigPaused, Logger: f.Logger,
 		Set:     listwatch.Set[mulberryspool.Ingress]{Decode: f.Kinds.DecodeIngress},
-		Changed: f.setIngresses,
+		Changed: f.setIngresses, Answered: f.recordConfigAnswer,
 	}
 	f.serverFollower = listwatch.Follower[mulberryspool.BackendServer]{
 		Store: f.Store, Kind: f.Kinds.Servers, Clock: f.Clock, WatchTimeout: f.WatchTimeout, WatchPause: f.ServersWatchPause, Paused: f.Paused, Logger: f.Logger,
@@ -263,12 +278,29 @@
 	return s.Ingress != nil && s.Servers != nil
 }
 
+// WatchesConfig reports whether the process calls the store for the configuration, and
+// it answered the last call.
+func (f *Fleet) WatchesConfig() bool {
+	f.init()
+	return f.configFollower.Reachable() && (f.ConfigPaused == nil || !f.ConfigPaused())
+}
+
+func (f *Fleet) recordConfigAnswer() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.configAnsweredAt = f.Clock.Now()
+}
+
 // Summary returns the summary of the current state.
 func (f *Fleet) Summary() Summary {
+	watchesConfig := f.WatchesConfig()
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := f.Clock.Now()
 	s := Summary{ServersAt: f.servers.Snapshot().CompleteAt, Servers: f.serversHash, Named: make(map[string][]NamedVersionAge, len(f.namedVersions))}
+	if watchesConfig {
+		s.ConfigAnsweredMillis = max(1, now.Sub(f.configAnsweredAt).Milliseconds())
+	}
 	if f.ingress != nil {
 		s.Config = f.ingress.Version
 	}
--- a/internal/platform/listwatch/follower.go
+++ b/internal/platform/listwatch/follower.go
@@ -46,6 +46,8 @@
 		// Changed is called with the objects in use and what changed, in order, and
 		// never concurrently with a function that is passed to Update.
 		Changed func(items map[string]T, d Delta)
+		// Answered is called with each answer of the store; nil for none.
+		Answered func()
 		// WatchTimeout returns how long the next watch waits for changes; nil for
 		// DefaultWatchTimeout.
 		WatchTimeout func() time.Duration
@@ -172,6 +174,9 @@
 	}
 	first := !f.synced
 	f.synced = true
+	if f.Answered != nil {
+		f.Answered()
+	}
 	d := change(now)
 	d.Since, f.answeredAt = f.answeredAt, now
 	expired := f.Set.Expire(now)
--- a/internal/role/hosted/entry.go
+++ b/internal/role/hosted/entry.go
@@ -24,6 +24,7 @@
 	"github.com/mulberryspool/mulberryspool/internal/observe/logging"
 	"github.com/mulberryspool/mulberryspool/internal/peer/heartbeat"
 	"github.com/mulberryspool/mulberryspool/internal/peer/sockets"
+	"github.com/mulberryspool/mulberryspool/internal/platform/configwatch"
 	"github.com/mulberryspool/mulberryspool/internal/platform/fleet"
 	"github.com/mulberryspool/mulberryspool/internal/platform/listwatch"
 	settings "github.com/mulberryspool/mulberryspool/internal/settings/hosted"
@@ -107,6 +108,10 @@
 		stateChanged chan struct{}
 
 		mu sync.Mutex
+		// configWatch decides whether this entry watches the configuration.
+		configWatch configwatch.Election
+		// encodedConfig is the response with the newest configuration.
+		encodedConfig encodedConfig
 		// registered holds the heartbeat addresses of the other entries, from the
 		// store and from heartbeats.
 		registered map[netip.AddrPort]struct{}
@@ -190,7 +195,10 @@
 		Sampled: logging.Sampler(e.settings.LogSample),
 	}
 	e.fleet = e.process.newFleet()
-	e.fleet.WatchTimeout = e.watchWait
+	e.configWatch = configwatch.Election{Self: e.settings.Instance, FailureDomain: e.identity.FailureDomain}
+	e.fleet.WatchTimeout = func() time.Duration { return watchWait(1 + len(e.heartbeats.ActivePeers(mulberryspool.RoleEntry))) }
+	e.fleet.ConfigWatchTimeout = func() time.Duration { return watchWait(e.configWatchers()) }
+	e.fleet.ConfigPaused = func() bool { return !e.watchesConfig() }
 	e.fleet.AssumedAge = b.NamedVersion - versionDelayMargin - unknownAgeGrace
 	e.fleet.IngressChanged = func(i mulberryspool.Ingress) {
 		e.scheduler.SetIngress(i)
@@ -206,17 +214,39 @@
 	}
 	e.stateSync = &stateSync{
 		fleet: e.fleet, clock: e.clock, fetch: e.stateFetcher(e.fleet, statePath), logger: e.logger, failureDomain: e.identity.FailureDomain,
+		remoteConfigDelay: e.remoteConfigDelay,
 	}
 }
 
 // watchWait returns a random wait for the next watch of the store, so that the
-// watches of the entries are spread over time.
-func (e *entryRole) watchWait() time.Duration {
-	entries := 1 + len(e.heartbeats.ActivePeers(mulberryspool.RoleEntry))
+// watches of the entries that watch are spread over time.
+func watchWait(entries int) time.Duration {
 	mean := min(watchBaseWait+time.Duration(entries)*watchWaitPerEntry, listwatch.DefaultWatchTimeout/2)
 	return time.Duration((1 - watchJitter + 2*watchJitter*rand.Float64()) * float64(mean))
 }
 
+// watchesConfig reports whether this entry reads the configuration from the store.
+func (e *entryRole) watchesConfig() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.configWatch.Watches(e.clock.Now())
+}
+
+func (e *entryRole) configWatchers() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.configWatch.Watchers(e.clock.Now())
+}
+
+// remoteConfigDelay returns how long to wait before the configuration is read from
+// another failure domain.
+func (e *entryRole) remoteConfigDelay() time.Duration {
+	reachable := e.fleet.WatchesConfig()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.configWatch.RemoteDelay(reachable, e.clock.Now())
+}
+
 // signalStateChange makes runHeartbeats announce the state.
 func (e *entryRole) signalStateChange() { wake(e.stateChanged) }
 
--- a/internal/role/hosted/entryheartbeats.go
+++ b/internal/role/hosted/entryheartbeats.go
@@ -59,7 +59,21 @@
 			e.scheduler.SetPeer(m.Sender, placement.PeerReport{FailureDomain: m.FailureDomain, Loads: m.Loads, Partial: m.Partial}, m.Waiting)
 		}
 		e.addEntries(m.EntryAddresses)
+		if m.Summary != nil {
+			e.recordConfigWatch(m)
+		}
+	}
+}
+
+// recordConfigWatch records whether another entry watches the configuration.
+func (e *entryRole) recordConfigWatch(m heartbeat.Message) {
+	answered := time.Duration(-1)
+	if m.Summary.ConfigAnsweredMillis > 0 {
+		answered = time.Duration(m.Summary.ConfigAnsweredMillis) * time.Millisecond
 	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.configWatch.Record(m.Sender, m.FailureDomain, answered, e.clock.Now())
 }
 
 func (e *entryRole) addEntries(addresses []string) {
--- a/internal/role/hosted/hosted.go
+++ b/internal/role/hosted/hosted.go
@@ -7,6 +7,7 @@
 package hosted
 
 import (
+	"compress/gzip"
 	"context"
 	"encoding/json"
 	"io"
@@ -171,6 +172,7 @@
 	if err != nil {
 		return state, errors.Wrap(err, "create request")
 	}
+	request.Header.Set("Accept-Encoding", encodingGzip)
 	response, err := p.peerClient.Do(request)
 	if err != nil {
 		return state, mulberryspool.AtStep(err, "read state", peer)
@@ -179,11 +181,17 @@
 	if response.StatusCode != http.StatusOK {
 		return state, mulberryspool.AtStep(errors.Newf("unexpected status %s", response.Status), "read state", peer)
 	}
-	body := &progressReader{Reader: io.LimitReader(response.Body, maxStateBytes), progress: r.progress}
-	err = json.NewDecoder(body).Decode(&state)
+	received := &progressReader{Reader: response.Body, progress: r.progress}
+	body := io.Reader(received)
+	if response.Header.Get("Content-Encoding") == encodingGzip {
+		if body, err = gzip.NewReader(received); err != nil {
+			return state, mulberryspool.AtStep(err, "decode state", peer)
+		}
+	}
+	err = json.NewDecoder(io.LimitReader(body, maxStateBytes)).Decode(&state)
 	counters := p.metrics.Tagged(map[string]string{"part": string(r.part)})
 	counters.Counter("peer_state_reads").Inc(1)
-	counters.Counter("peer_state_bytes").Inc(body.count)
+	counters.Counter("peer_state_bytes").Inc(received.count)
 	return state, mulberryspool.AtStep(err, "decode state", peer)
 }
 
--- a/internal/role/hosted/statesync.go
+++ b/internal/role/hosted/statesync.go
@@ -45,6 +45,9 @@
 		failureDomain string
 		// minInterval is the minimum interval between two reads of a part.
 		minInterval time.Duration
+		// remoteConfigDelay returns how long to wait before the configuration is read
+		// from another failure domain; nil for remotePeerFetchDelay.
+		remoteConfigDelay func() time.Duration
 
 		mu sync.Mutex
 		// inProgress is set from the heartbeat that shows a peer with newer state until
@@ -134,8 +137,11 @@
 }
 
 func (s *stateSync) delay(slot readSlot) time.Duration {
-	if slot.local {
+	switch {
+	case slot.local:
 		return peerFetchDelay
+	case slot.part == fleet.PartConfig && s.remoteConfigDelay != nil:
+		return s.remoteConfigDelay()
 	}
 	return remotePeerFetchDelay
 }
