Count the bound of a version from the last answer of the store without it

What callers saw: requests began on an old version 49 and 126 ms after the bound of the newer one (VERSION).

Cause: a version counted as named when a process received it, if the gap between its two calls was below 0.5 s or the call had waited for over 1 s.

Change: the time of naming is an interval. It begins with the last answer of the store, to any process, at a smaller revision than the version's, and ends with the first sight of any process. Bounds count from its beginning.

--- a/fleet.go
+++ b/fleet.go
@@ -139,6 +139,8 @@
 	NamedVersion struct {
 		Model   string `json:"model,omitzero"`
 		Version int64  `json:"version,omitzero"`
+		// Revision is the store's revision of the last change of the version's object.
+		Revision Revision `json:"revision,omitzero"`
 	}
 
 	// RequestHead is the information in the headers of a live request.
--- a/internal/agent/swap/swap.go
+++ b/internal/agent/swap/swap.go
@@ -126,6 +126,17 @@
 	}
 }
 
+// CorrectNamedVersion records that a version was named, and replaces an earlier report of
+// when.
+func (d *Decider) CorrectNamedVersion(version int64, at time.Time) {
+	d.SetNamedVersion(version, at)
+	for i := range d.named {
+		if d.named[i].version == version {
+			d.named[i].at = at
+		}
+	}
+}
+
 // SetMembers sets the agents whose model servers take turns.
 func (d *Decider) SetMembers(members []mulberryspool.InstanceID) {
 	d.members = members
--- a/internal/platform/fleet/fleet.go
+++ b/internal/platform/fleet/fleet.go
@@ -10,20 +10,17 @@
 package fleet
 
 import (
-	"cmp"
 	"context"
-	"fmt"
 	"maps"
-	"slices"
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/rs/zerolog"
 
 	"github.com/mulberryspool/mulberryspool"
 	"github.com/mulberryspool/mulberryspool/internal/platform/listwatch"
 	"github.com/mulberryspool/mulberryspool/internal/platform/membership"
+	"github.com/mulberryspool/mulberryspool/internal/platform/namedversion"
 )
 
 const (
@@ -33,65 +30,9 @@
 	// versionsWaitFactor is how many times longer a watch on the named versions
 	// waits; they may take four times as long as configurations to arrive.
 	versionsWaitFactor = 3
-	// maxKeptVersions is the number of named versions of a model whose times are
-	// kept. A third version makes the first one irrelevant in any case.
-	maxKeptVersions = 4
-	// minCorrection is the smallest correction of the time at which a version was
-	// named. Each correction wakes the process and is announced to its peers.
-	minCorrection = 10 * time.Millisecond
-	// maxReportDelay is how long after the first sight of a version a process that
-	// watches for it may see it, if neither its watch nor the process was held up.
-	maxReportDelay = 500 * time.Millisecond
 )
 
 type (
-	// Servers maps instances to backend servers.
-	Servers = membership.Servers
-
-	// State is what a process knows of the configuration and the backend servers.
-	State struct {
-		// Ingress is the configuration; nil while none is known.
-		Ingress *mulberryspool.Ingress `json:"ingress,omitempty"`
-		Servers Servers                `json:"servers,omitempty"`
-		// ServersAt is the store's revision at which Servers was last known to be
-		// exact; 0 while no list is known.
-		ServersAt mulberryspool.Revision `json:"serversAt,omitempty"`
-		// Unchanged holds the servers that are left out of Servers because the reader
-		// has them already.
-		Unchanged []mulberryspool.InstanceID `json:"unchanged,omitempty"`
-	}
-
-	// Part is a part of a State.
-	Part string
-
-	// Summary says how recent a process's state is, so that a peer can tell
-	// whether it is newer than the peer's own.
-	Summary struct {
-		Config int64 `json:"config,omitempty"`
-		// ServersAt is State.ServersAt; Servers is a hash of State.Servers.
-		ServersAt mulberryspool.Revision `json:"serversAt,omitempty"`
-		Servers   uint64                 `json:"servers,omitempty"`
-		// Named holds the newest named versions of each model, oldest first.
-		Named map[string][]NamedVersionAge `json:"named,omitempty"`
-		// ConfigAnsweredMillis is the time since the store last answered the process's
-		// call for the configuration; 0 if the process does not watch it.
-		ConfigAnsweredMillis int64 `json:"configAnsweredMillis,omitempty" msgpack:",omitempty"`
-	}
-
-	// NamedVersionAge is a named version and the time since it was named.
-	NamedVersionAge struct {
-		Version int64 `json:"version"`
-		// AgeMillis is negative if the version was already named when the process
-		// first saw it, and no peer has reported the age.
-		AgeMillis int64 `json:"ageMillis"`
-		// SeenMillis is the time since any process first saw the version. It is
-		// given if AgeMillis is negative.
-		SeenMillis int64 `json:"seenMillis,omitempty"`
-		// UnseenMillis is how long before the first sight the version may have been
-		// named; 0 if that is not known. It is given if AgeMillis is negative.
-		UnseenMillis int64 `json:"unseenMillis,omitempty"`
-	}
-
 	// serverList says where a list of servers comes from, for the log.
 	serverList struct {
 		source, reporter string
@@ -167,17 +108,10 @@
 		configAnsweredAt time.Time
 		servers          membership.View
 		serversHash      uint64
-		// namedVersions holds the newest named versions of each model, oldest first.
-		namedVersions map[string][]namedVersion
+		named            namedversion.History
 	}
 )
 
-// Parts of a State.
-const (
-	PartConfig  Part = "config"
-	PartServers Part = "servers"
-)
-
 // Values of the log field source.
 const (
 	fromStore = "store"
@@ -214,12 +148,12 @@
 	f.serverFollower = listwatch.Follower[mulberryspool.BackendServer]{
 		Store: f.Store, Kind: f.Kinds.Servers, Clock: f.Clock, WatchTimeout: f.WatchTimeout, WatchPause: f.ServersWatchPause, Paused: f.Paused, Logger: f.Logger,
 		Set:     listwatch.Set[mulberryspool.BackendServer]{Decode: f.Kinds.DecodeServer, GracePeriod: reregisterTime},
-		Changed: f.setServers,
+		Changed: f.setServers, Answered: f.recordAnswer,
 	}
 	f.versionFollower = listwatch.Follower[mulberryspool.NamedVersion]{
 		Store: f.Store, Kind: f.Kinds.Versions, Clock: f.Clock, WatchTimeout: f.versionsWatchTimeout(), Paused: f.Paused, Logger: f.Logger,
 		Set:     listwatch.Set[mulberryspool.NamedVersion]{Decode: f.Kinds.DecodeVersion},
-		Changed: f.setVersions,
+		Changed: f.setVersions, Answered: f.recordAnswer,
 	}
 }
 
@@ -240,38 +174,6 @@
 	return State{Ingress: f.ingress, Servers: snapshot.Servers, ServersAt: snapshot.CompleteAt}
 }
 
-// ForAgents returns the state without the parts that only entries need, which
-// are most of the bytes.
-func (s State) ForAgents() State {
-	if s.Ingress != nil {
-		s.Ingress = &mulberryspool.Ingress{Version: s.Ingress.Version, Pools: s.Ingress.Pools}
-	}
-	return s
-}
-
-// Part returns a part of the state, for a reader whose own state has the version of the
-// configuration and the exact list of servers. An empty part is the whole state.
-func (s State) Part(part Part, config int64, serversAt mulberryspool.Revision) State {
-	if part == PartServers || s.Ingress != nil && s.Ingress.Version <= config {
-		s.Ingress = nil
-	}
-	if part == PartConfig {
-		s.Servers, s.ServersAt = nil, 0
-		return s
-	}
-	changed := make(Servers)
-	for id, b := range s.Servers {
-		// Leaving may have been learned without a change of the object.
-		if b.Revision == 0 || b.Revision > serversAt || b.Leaving {
-			changed[id] = b
-		} else {
-			s.Unchanged = append(s.Unchanged, id)
-		}
-	}
-	s.Servers = changed
-	return s
-}
-
 // HasSynced reports whether the process has a configuration and a list of servers.
 func (f *Fleet) HasSynced() bool {
 	s := f.State()
@@ -285,7 +187,8 @@
 	return f.configFollower.Reachable() && (f.ConfigPaused == nil || !f.ConfigPaused())
 }
 
-func (f *Fleet) recordConfigAnswer() {
+func (f *Fleet) recordConfigAnswer(after time.Time, at mulberryspool.Revision) {
+	f.recordAnswer(after, at)
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.configAnsweredAt = f.Clock.Now()
@@ -297,22 +200,10 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := f.Clock.Now()
-	s := Summary{ServersAt: f.servers.Snapshot().CompleteAt, Servers: f.serversHash, Named: make(map[string][]NamedVersionAge, len(f.namedVersions))}
+	s := Summary{Config: f.configVersion(), ServersAt: f.servers.Snapshot().CompleteAt, Servers: f.serversHash, Named: f.named.Reports(now)}
 	if watchesConfig {
 		s.ConfigAnsweredMillis = max(1, now.Sub(f.configAnsweredAt).Milliseconds())
 	}
-	if f.ingress != nil {
-		s.Config = f.ingress.Version
-	}
-	for model, versions := range f.namedVersions {
-		for _, n := range versions {
-			age := NamedVersionAge{Version: n.version, AgeMillis: now.Sub(n.seen).Milliseconds()}
-			if n.ageUnknown {
-				age.AgeMillis, age.SeenMillis, age.UnseenMillis = -1, age.AgeMillis, n.unseen.Milliseconds()
-			}
-			s.Named[model] = append(s.Named[model], age)
-		}
-	}
 	return s
 }
 
@@ -324,11 +215,20 @@
 
 // Lacks reports whether a part of a peer's state is newer.
 func (f *Fleet) Lacks(peer Summary, part Part) bool {
-	own := f.Summary()
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	if part == PartConfig {
-		return peer.Config > own.Config
+		return peer.Config > f.configVersion()
 	}
-	return peer.ServersAt > own.ServersAt && peer.Servers != own.Servers
+	return peer.ServersAt > f.servers.Snapshot().CompleteAt && peer.Servers != f.serversHash
+}
+
+// configVersion requires the mutex.
+func (f *Fleet) configVersion() int64 {
+	if f.ingress == nil {
+		return 0
+	}
+	return f.ingress.Version
 }
 
 // Merge adopts the parts of a peer's state that are newer.
@@ -337,27 +237,12 @@
 		f.setIngress(*s.Ingress, fromPeer, peer)
 	}
 	f.init()
-	if s.ServersAt > f.Summary().ServersAt {
+	if s.ServersAt > f.State().ServersAt {
 		f.serverFollower.RecordPeerAnswer()
 	}
 	f.mergeServers(membership.Snapshot{Servers: s.Servers, Unchanged: s.Unchanged, CompleteAt: s.ServersAt}, fromPeer, peer)
 }
 
-// MergeNamedVersions adds the named versions of a peer.
-func (f *Fleet) MergeNamedVersions(ages map[string][]NamedVersionAge, peer string) {
-	now := f.Clock.Now()
-	for model, versions := range ages {
-		for _, v := range versions {
-			n := namedVersion{version: v.Version, seen: now.Add(-time.Duration(v.AgeMillis) * time.Millisecond)}
-			if v.AgeMillis < 0 {
-				n.seen, n.ageUnknown = now.Add(-time.Duration(v.SeenMillis)*time.Millisecond), true
-				n.unseen = min(f.AssumedAge, cmp.Or(time.Duration(v.UnseenMillis)*time.Millisecond, f.AssumedAge))
-			}
-			f.setNamedVersion(model, n, fromPeer, peer)
-		}
-	}
-}
-
 func (f *Fleet) setIngresses(items map[string]mulberryspool.Ingress, _ listwatch.Delta) {
 	for _, i := range items {
 		f.setIngress(i, fromStore, "")
@@ -367,10 +252,7 @@
 func (f *Fleet) setIngress(i mulberryspool.Ingress, source, peer string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	var before int64
-	if f.ingress != nil {
-		before = f.ingress.Version
-	}
+	before := f.configVersion()
 	if i.Version <= before {
 		return
 	}
@@ -424,122 +306,3 @@
 	}
 	f.ServersChanged(servers)
 }
-
-func (f *Fleet) setVersions(items map[string]mulberryspool.NamedVersion, d listwatch.Delta) {
-	n := namedVersion{seen: f.Clock.Now(), ageUnknown: d.AgeUnknown, unseen: f.AssumedAge}
-	if !d.Since.IsZero() {
-		n.unseen = min(n.unseen, n.seen.Sub(d.Since))
-	}
-	if !d.SentAt.IsZero() {
-		n.watched = n.seen.Sub(d.SentAt)
-	}
-	// The other items are not new, so their age is not that of this change.
-	for _, name := range d.Updated {
-		if v, ok := items[name]; ok {
-			n.version = v.Version
-			f.setNamedVersion(v.Model, n, fromStore, "")
-		}
-	}
-}
-
-// setNamedVersion adds a version, or corrects when it was named.
-func (f *Fleet) setNamedVersion(model string, n namedVersion, source, peer string) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	known := f.namedVersions[model]
-	i, exists := slices.BinarySearchFunc(known, n, func(a, b namedVersion) int { return cmp.Compare(a.version, b.version) })
-	var before time.Time
-	switch {
-	case exists && !n.corrects(known[i]):
-		return
-	case exists:
-		before = known[i].since()
-		known = slices.Clone(known)
-		known[i] = n
-	case i == 0 && len(known) == maxKeptVersions:
-		return
-	default:
-		known = slices.Insert(slices.Clone(known), i, n)
-		known = known[max(0, len(known)-maxKeptVersions):]
-	}
-	if f.namedVersions == nil {
-		f.namedVersions = make(map[string][]namedVersion)
-	}
-	f.namedVersions[model] = known
-	since := n.since()
-	e := f.Logger.Info().Str("step", "apply named version").Str("source", source).Str("peer", peer).Str("model", model).
-		Int64("version", n.version).Int64("newest", known[len(known)-1].version).
-		Dur("age", f.Clock.Since(since)).Bool("ageKnown", !n.ageUnknown).Int64("namedAt", since.UnixMilli())
-	if n.watched > 0 {
-		e.Dur("watched", n.watched)
-	}
-	if exists {
-		e.Dur("ageBefore", f.Clock.Since(before))
-	}
-	e.Msg("named version added or its age corrected")
-	f.NamedVersionChanged(model, n.version, since)
-}
-
-// since returns when a version counts as named.
-func (n namedVersion) since() time.Time {
-	if n.ageUnknown {
-		return n.seen.Add(-n.unseen)
-	}
-	return n.seen
-}
-
-// corrects reports whether n replaces what is known of the same version. A
-// report can only be late, so the first sight counts. A later one whose age is
-// said to be known shows the age only if it follows the first sight at once.
-func (n namedVersion) corrects(known namedVersion) bool {
-	if known.ageUnknown && !n.ageUnknown {
-		return n.seen.Sub(known.seen) <= maxReportDelay
-	}
-	if n.ageUnknown && !known.ageUnknown {
-		return known.seen.Sub(n.seen) > maxReportDelay
-	}
-	return known.seen.Sub(n.seen) >= minCorrection
-}
-
-// NamedVersion returns the newest named version of a model, 0 for none, and since
-// when it is named.
-func (f *Fleet) NamedVersion(model string) (int64, time.Time) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	known := f.namedVersions[model]
-	if len(known) == 0 {
-		return 0, time.Time{}
-	}
-	newest := known[len(known)-1]
-	return newest.version, newest.since()
-}
-
-// NamedVersions returns when each of the newest versions of a model was named.
-func (f *Fleet) NamedVersions(model string) map[int64]time.Time {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	known := make(map[int64]time.Time, len(f.namedVersions[model]))
-	for _, n := range f.namedVersions[model] {
-		known[n.version] = n.since()
-	}
-	return known
-}
-
-// hashServers returns a hash of the servers' properties that does not depend on
-// their order.
-func hashServers(servers Servers) uint64 {
-	var sum uint64
-	for id, b := range servers {
-		sum += xxhash.Sum64String(fmt.Sprint(id, b.Born, b.Address, b.Leaving, b.Models))
-	}
-	return sum
-}
-
-// loadedVersions returns the loaded version of each model.
-func loadedVersions(b mulberryspool.BackendServer) map[string]int64 {
-	loaded := make(map[string]int64, len(b.Models))
-	for _, m := range b.Models {
-		loaded[m.Model] = m.Version
-	}
-	return loaded
-}
--- /dev/null
+++ b/internal/platform/fleet/versions.go
@@ -0,0 +1,78 @@
+package fleet
+
+import (
+	"cmp"
+	"time"
+
+	"github.com/mulberryspool/mulberryspool"
+	"github.com/mulberryspool/mulberryspool/internal/platform/listwatch"
+	"github.com/mulberryspool/mulberryspool/internal/platform/namedversion"
+)
+
+// MergeNamedVersions adds the named versions of a peer.
+func (f *Fleet) MergeNamedVersions(reports map[string][]NamedVersionAge, peer string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.named.AssumedAge = f.AssumedAge
+	now := f.Clock.Now()
+	for model, versions := range reports {
+		for _, r := range versions {
+			if change, ok := f.named.Merge(peer, model, r, now); ok {
+				f.publishVersion(change, fromPeer, peer)
+			}
+		}
+	}
+}
+
+// NamedVersion returns the newest named version of a model, 0 for none, and when it was
+// named at the earliest.
+func (f *Fleet) NamedVersion(model string) (int64, time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.named.Newest(model)
+}
+
+// NamedVersions returns when each of the newest versions of a model was named at the
+// earliest.
+func (f *Fleet) NamedVersions(model string) map[int64]time.Time {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.named.Since(model)
+}
+
+func (f *Fleet) setVersions(items map[string]mulberryspool.NamedVersion, d listwatch.Delta) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.named.AssumedAge = f.AssumedAge
+	for _, name := range d.Updated {
+		v, ok := items[name]
+		if !ok {
+			continue
+		}
+		if change, ok := f.named.RecordVersion(v.Model, v.Version, cmp.Or(v.Revision, d.Revision), f.Clock.Now()); ok {
+			f.publishVersion(change, fromStore, "")
+		}
+	}
+}
+
+// publishVersion logs a change of the named versions and calls NamedVersionChanged. It
+// requires the mutex.
+func (f *Fleet) publishVersion(c namedversion.Change, source, peer string) {
+	newest, _ := f.named.Newest(c.Model)
+	e := f.Logger.Info().Str("step", "apply named version").Str("source", source).Str("peer", peer).Str("model", c.Model).
+		Int64("version", c.Version).Int64("newest", newest).Int64("namedAt", c.Since.UnixMilli()).
+		Dur("age", f.Clock.Since(c.Since)).Dur("ageUncertainty", c.Seen.Sub(c.Since))
+	if !c.Before.IsZero() {
+		e.Dur("ageBefore", f.Clock.Since(c.Before))
+	}
+	e.Msg("named version added or its age corrected")
+	f.NamedVersionChanged(c.Model, c.Version, c.Since)
+}
+
+// recordAnswer records that the store answered at a revision after the given time.
+// Versions with a greater revision were named after that time as well.
+func (f *Fleet) recordAnswer(after time.Time, at mulberryspool.Revision) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.named.RecordAnswer(after, at)
+}
--- a/internal/platform/listwatch/follower.go
+++ b/internal/platform/listwatch/follower.go
@@ -24,13 +24,6 @@
 	DefaultWatchPause = 250 * time.Millisecond
 	// retryDelay is the mean pause after a call that failed with all its retries.
 	retryDelay = 250 * time.Millisecond
-	// maxWatchGap is the time between an answer and the next watch up to which a
-	// change that was made in between counts as just made.
-	maxWatchGap = 2 * DefaultWatchPause
-	// minWaited is how long a watch has waited if the change that it returns was
-	// made meanwhile. The store answers at once with earlier changes, and slowly at
-	// times.
-	minWaited = time.Second
 	// pausedCheckInterval is how often a paused follower calls Paused again.
 	pausedCheckInterval = 200 * time.Millisecond
 )
@@ -46,8 +39,9 @@
 		// Changed is called with the objects in use and what changed, in order, and
 		// never concurrently with a function that is passed to Update.
 		Changed func(items map[string]T, d Delta)
-		// Answered is called with each answer of the store; nil for none.
-		Answered func()
+		// Answered is called before Changed with each answer of the store: a time
+		// before that of the answer, and the store's revision in it. It may be nil.
+		Answered func(after time.Time, at mulberryspool.Revision)
 		// WatchTimeout returns how long the next watch waits for changes; nil for
 		// DefaultWatchTimeout.
 		WatchTimeout func() time.Duration
@@ -62,8 +56,6 @@
 		revision  mulberryspool.Revision
 		reachable bool
 		synced    bool
-		// answeredAt is the time of the last successful answer.
-		answeredAt time.Time
 
 		// polling is set while an object changes more than once between two
 		// watches. A watch would return each of its versions in full although
@@ -127,6 +119,7 @@
 }
 
 func (f *Follower[T]) list(ctx context.Context) (bool, error) {
+	sentAt := f.Clock.Now()
 	objects, at, err := f.Store.List(ctx, f.Kind)
 	if err != nil {
 		return false, err
@@ -134,13 +127,14 @@
 	sum := hashObjects(objects)
 	f.polling = f.polling && sum != f.listHash
 	f.listHash = sum
-	f.apply(func(now time.Time) Delta { return f.Set.Replace(now, objects) }, at)
+	f.apply(func(now time.Time) Delta { return f.Set.Replace(now, objects) }, sentAt, at)
 	return true, nil
 }
 
 // watch returns false if the kind has to be listed next.
 func (f *Follower[T]) watch(ctx context.Context) (bool, error) {
-	answer, err := f.Store.Changes(ctx, f.Kind, f.revision, f.WatchTimeout())
+	wait := f.WatchTimeout()
+	answer, err := f.Store.Changes(ctx, f.Kind, f.revision, wait)
 	if errors.Is(err, mulberryspool.ErrCompacted) {
 		f.Logger.Info().Str("kind", f.Kind).Uint64("revision", uint64(f.revision)).Msg("store no longer has the history for this watch; listing again")
 		return f.list(ctx)
@@ -153,17 +147,21 @@
 		seen[c.Object.Name] = struct{}{}
 	}
 	f.polling = len(seen) < len(answer.Changes)
-	f.apply(func(now time.Time) Delta {
-		d := f.Set.Apply(now, answer.Changes)
-		d.SentAt = answer.SentAt
-		d.AgeUnknown = answer.SentAt.Sub(f.answeredAt) > maxWatchGap && now.Sub(answer.SentAt) < minWaited
-		return d
-	}, answer.Revision)
+	f.apply(func(now time.Time) Delta { return f.Set.Apply(now, answer.Changes) }, f.answeredAfter(answer, wait), answer.Revision)
 	return true, nil
 }
 
-// apply runs a successful call's change of the set and calls Changed.
-func (f *Follower[T]) apply(change func(time.Time) Delta, at mulberryspool.Revision) {
+// answeredAfter returns a time after which the store answered a watch. It answers one
+// without changes at the end of the wait.
+func (f *Follower[T]) answeredAfter(answer mulberryspool.ChangeList, wait time.Duration) time.Time {
+	if len(answer.Changes) == 0 && f.Clock.Since(answer.SentAt) >= wait {
+		return answer.SentAt.Add(wait)
+	}
+	return answer.SentAt
+}
+
+// apply runs a successful call's change of the set and calls Answered and Changed.
+func (f *Follower[T]) apply(change func(time.Time) Delta, after time.Time, at mulberryspool.Revision) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := f.Clock.Now()
@@ -175,10 +173,9 @@
 	first := !f.synced
 	f.synced = true
 	if f.Answered != nil {
-		f.Answered()
+		f.Answered(after, at)
 	}
 	d := change(now)
-	d.Since, f.answeredAt = f.answeredAt, now
 	expired := f.Set.Expire(now)
 	d.Removed = append(d.Removed, expired.Removed...)
 	f.revision = max(f.revision, at)
--- a/internal/platform/listwatch/set.go
+++ b/internal/platform/listwatch/set.go
@@ -47,13 +47,6 @@
 		Unreadable map[string]error
 		// Revision is the store's revision after the change.
 		Revision mulberryspool.Revision
-		// AgeUnknown is set if the changes may have been made long before they were
-		// delivered, by a list or by a watch that followed a gap. They were made
-		// after Since, the previous answer of the store; zero if there was none.
-		AgeUnknown bool
-		Since      time.Time
-		// SentAt is when the watch that delivered the changes was sent; zero for a list.
-		SentAt time.Time
 		// Uncertain is set while some objects in use are in their grace period,
 		// so that their owners may be gone.
 		Uncertain bool
@@ -93,7 +86,7 @@
 // Replace sets the objects to those of a complete list.
 func (s *Set[T]) Replace(now time.Time, objects []mulberryspool.Object) Delta {
 	s.init()
-	d := Delta{AgeUnknown: true, Unreadable: make(map[string]error)}
+	d := Delta{Unreadable: make(map[string]error)}
 	listed := make(map[string]struct{}, len(objects))
 	for _, o := range objects {
 		listed[o.Name] = struct{}{}
--- /dev/null
+++ b/internal/platform/namedversion/history.go
@@ -0,0 +1,230 @@
+// Package namedversion tells when the versions of models were named.
+//
+//	RecordAnswer (each answer of the store) --\
+//	RecordVersion (list, watch) --------------> History --> Since, Reports
+//	Merge (reports of peers) ----------------/
+//
+// The named version of a model is the one that the platform's operators want served.
+//
+// A process learns of a version at some time after it was named: its watch may have
+// been lost, its messages may wait, and it may not have run. So the time at which a
+// version was named is an interval. It begins with the last answer of the store at a
+// smaller revision, of any process, and ends with the first sight of any process.
+// Bounds count from its beginning.
+package namedversion
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/mulberryspool/mulberryspool"
+)
+
+const (
+	// maxVersions is the number of versions of a model that are kept. A third version
+	// makes the first one irrelevant in any case.
+	maxVersions = 4
+	// maxAnswers is the number of recent answers of the store that are kept.
+	maxAnswers = 64
+	// minCorrection is the smallest correction that is reported to the caller. Each one
+	// wakes the process and is sent to its peers.
+	minCorrection = 10 * time.Millisecond
+)
+
+type (
+	// Report is what a process tells its peers about a named version.
+	Report struct {
+		Version int64 `json:"version"`
+		// AgeMillis is the time since the beginning of the interval.
+		AgeMillis int64 `json:"ageMillis"`
+		// SeenMillis is the time since the first sight; 0 if it is that of AgeMillis.
+		SeenMillis int64 `json:"seenMillis,omitempty"`
+		// Revision is the store's revision at which the version was named; 0 if not known.
+		Revision mulberryspool.Revision `json:"revision,omitempty"`
+		// UnnamedMillis is the time since the store's last answer to the sender at a
+		// smaller revision; 0 if there was none.
+		UnnamedMillis int64 `json:"unnamedMillis,omitempty"`
+	}
+
+	// Change is a version that was added, or whose time was corrected.
+	Change struct {
+		Model   string
+		Version int64
+		// Since is when the version was named at the earliest, Seen at the latest.
+		Since, Seen time.Time
+		// Before is the previous Since; zero if the version was added.
+		Before time.Time
+	}
+
+	// History holds the newest named versions of each model. Set the exported fields
+	// before the first call. It does no I/O, and is not safe for concurrent use.
+	History struct {
+		// AssumedAge is the assumed age at its first sight of a version that may have
+		// been named long before; it also limits the length of an interval.
+		AssumedAge time.Duration
+
+		// answers holds the recent answers of the store, the oldest first.
+		answers []answer
+		// models holds the versions of each model, the oldest first.
+		models map[string][]version
+	}
+
+	// answer is an answer that the store gave after a time. It had the revision, or a
+	// smaller one, at that time.
+	answer struct {
+		after    time.Time
+		revision mulberryspool.Revision
+	}
+
+	version struct {
+		number   int64
+		revision mulberryspool.Revision
+		seen     time.Time
+		// unnamed holds when the version was not yet named, by the processes that know
+		// such a time; the key of this process is empty. A report can only be late, so
+		// the earliest time of each process counts.
+		unnamed map[string]time.Time
+		// reported is the last Since that was returned in a Change.
+		reported time.Time
+	}
+)
+
+// RecordAnswer records that the store gave an answer at a revision after the given time.
+func (h *History) RecordAnswer(after time.Time, revision mulberryspool.Revision) {
+	if len(h.answers) == maxAnswers {
+		h.answers = slices.Delete(h.answers, 0, 1)
+	}
+	h.answers = append(h.answers, answer{after: after, revision: revision})
+}
+
+// RecordVersion records that the store has a named version, whose object was last
+// changed at a revision.
+func (h *History) RecordVersion(model string, number int64, revision mulberryspool.Revision, now time.Time) (Change, bool) {
+	return h.update(model, version{number: number, revision: revision, seen: now})
+}
+
+// Merge adopts a report of a peer.
+func (h *History) Merge(sender, model string, r Report, now time.Time) (Change, bool) {
+	before := func(millis int64) time.Time { return now.Add(-time.Duration(millis) * time.Millisecond) }
+	learned := version{number: r.Version, revision: r.Revision, seen: before(cmp.Or(r.SeenMillis, r.AgeMillis))}
+	switch {
+	case r.UnnamedMillis > 0:
+		learned.unnamed = map[string]time.Time{sender: before(r.UnnamedMillis)}
+	case r.Revision == 0 && r.AgeMillis >= 0:
+		// Peers of an earlier build report the age as exact.
+		learned.unnamed = map[string]time.Time{sender: before(r.AgeMillis)}
+	}
+	return h.update(model, learned)
+}
+
+// update adds a version, or what was learned of a known one.
+func (h *History) update(model string, learned version) (Change, bool) {
+	versions := h.models[model]
+	i, known := slices.BinarySearchFunc(versions, learned.number, func(a version, number int64) int { return cmp.Compare(a.number, number) })
+	switch {
+	case known:
+		v := &versions[i]
+		v.merge(learned)
+		h.addOwn(v)
+		since := h.since(*v)
+		if difference := since.Sub(v.reported).Abs(); difference < minCorrection {
+			return Change{}, false
+		}
+		change := Change{Model: model, Version: v.number, Since: since, Seen: v.seen, Before: v.reported}
+		v.reported = since
+		return change, true
+	case i == 0 && len(versions) == maxVersions:
+		return Change{}, false
+	}
+	if learned.unnamed == nil {
+		learned.unnamed = make(map[string]time.Time)
+	}
+	h.addOwn(&learned)
+	learned.reported = h.since(learned)
+	versions = slices.Insert(versions, i, learned)
+	if h.models == nil {
+		h.models = make(map[string][]version)
+	}
+	h.models[model] = versions[max(0, len(versions)-maxVersions):]
+	return Change{Model: model, Version: learned.number, Since: learned.reported, Seen: learned.seen}, true
+}
+
+// merge adopts what was learned of the same version.
+func (v *version) merge(learned version) {
+	if learned.seen.Before(v.seen) {
+		v.seen = learned.seen
+	}
+	// A later change of the object may have kept the version.
+	if learned.revision > 0 && (v.revision == 0 || learned.revision < v.revision) {
+		v.revision = learned.revision
+		delete(v.unnamed, "")
+	}
+	for sender, at := range learned.unnamed {
+		if known, ok := v.unnamed[sender]; !ok || at.Before(known) {
+			v.unnamed[sender] = at
+		}
+	}
+}
+
+// addOwn adds the time of the last answer to this process at a smaller revision than that
+// of the version.
+func (h *History) addOwn(v *version) {
+	var last time.Time
+	for _, a := range h.answers {
+		if a.revision < v.revision && a.after.After(last) {
+			last = a.after
+		}
+	}
+	if !last.IsZero() {
+		v.unnamed[""] = last
+	}
+}
+
+// since returns when a version was named at the earliest. A time after the first sight
+// was delayed on its way, and does not count.
+func (h *History) since(v version) time.Time {
+	since := v.seen.Add(-h.AssumedAge)
+	found := false
+	for _, at := range v.unnamed {
+		if !at.After(v.seen) && (at.After(since) || !found && h.AssumedAge == 0) {
+			since, found = at, true
+		}
+	}
+	return since
+}
+
+// Since returns when each of the newest versions of a model was named at the earliest.
+func (h *History) Since(model string) map[int64]time.Time {
+	known := make(map[int64]time.Time, len(h.models[model]))
+	for _, v := range h.models[model] {
+		known[v.number] = h.since(v)
+	}
+	return known
+}
+
+// Newest returns the newest named version of a model, 0 for none, and when it was named
+// at the earliest.
+func (h *History) Newest(model string) (int64, time.Time) {
+	versions := h.models[model]
+	if len(versions) == 0 {
+		return 0, time.Time{}
+	}
+	newest := versions[len(versions)-1]
+	return newest.number, h.since(newest)
+}
+
+// Reports returns what to tell the peers, by model.
+func (h *History) Reports(now time.Time) map[string][]Report {
+	reports := make(map[string][]Report, len(h.models))
+	for model, versions := range h.models {
+		for _, v := range versions {
+			r := Report{Version: v.number, Revision: v.revision, AgeMillis: now.Sub(h.since(v)).Milliseconds(), SeenMillis: max(1, now.Sub(v.seen).Milliseconds())}
+			if at, ok := v.unnamed[""]; ok {
+				r.UnnamedMillis = max(1, now.Sub(at).Milliseconds())
+			}
+			reports[model] = append(reports[model], r)
+		}
+	}
+	return reports
+}
--- a/internal/role/hosted/agentloop.go
+++ b/internal/role/hosted/agentloop.go
@@ -120,7 +120,7 @@
 // count too: the bound of the served version begins with the first newer one.
 func (a *agentRole) updateNamedVersions(ctx context.Context, model string) {
 	for version, at := range a.fleet.NamedVersions(model) {
-		a.decider.SetNamedVersion(version, at)
+		a.decider.CorrectNamedVersion(version, at)
 	}
 	a.decider.SetNamedVersion(a.wantedVersion(ctx, model))
 }
