--- a/fleet.go
+++ b/fleet.go
@@ -191,6 +191,11 @@
 		// RateLimit is the number of requests per second that the backend server
 		// accepts from all entries together; nil if it names none.
 		RateLimit *float64
+		// RetryAfter is how long the backend server, which has refused the request, wants
+		// none from this entry; 0 if not specified.
+		RetryAfter time.Duration
+		// Leaving means that the backend server is about to end.
+		Leaving bool
 		// Instance is the backend server that answered; empty if not specified.
 		Instance InstanceID
 	}
