Send no requests to a server for the time of its Retry-After

The header was read nowhere; such a server was skipped for 80 ms, like any full one.

Package serverpause holds until when each incarnation of a server wants no requests from this entry. The end of each refusal's time binds, so the latest counts, and nothing ends it earlier; it outlasts the server's absence from the list. Only the machine that was refused is bound, so pauses are not reported to other entries.

The placement skips paused servers. If all that could serve a request are paused for longer than it can wait, it is refused at once ('serversPaused'), also if it waits already, and the caller's Retry-After is the first end; otherwise it waits for that end. The same hint goes to callers whose attempts were used up by refusals.

A request that waits for its connection when the pause begins would reach the server much later. It is checked right before it is written, and placed again if its server is paused, leaves or is gone. The server is not excluded, because the pause may end in time.

--- /dev/null
+++ b/internal/entry/forward/announcement.go
@@ -0,0 +1,51 @@
+package forward
+
+import (
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/rs/zerolog"
+
+	"github.com/mulberryspool/mulberryspool/internal/backend/httpconn"
+	"github.com/mulberryspool/mulberryspool/internal/entry/placement"
+	"github.com/mulberryspool/mulberryspool/internal/observe/logging"
+)
+
+// recordAnnouncements records what the head of a response says about its backend
+// server: a rate limit or a pause. Call it before the response
+// is passed on.
+func (a *attempt) recordAnnouncements(response *httpconn.Answer) {
+	a.recordLimit(response)
+	a.recordPause(response)
+}
+
+// recordPause records that the server has refused the request and wants none for a time.
+func (a *attempt) recordPause(response *httpconn.Answer) {
+	pause := response.Head.RetryAfter
+	if pause <= 0 || !a.handler.Scheduler.RecordPause(a.pool.Name, a.decision.Server, pause) {
+		return
+	}
+	a.handler.count("server_pauses", a.route.Name, a.pool.Name, "")
+	a.serverEvent().Dur("pause", pause).Msg("backend server wants no requests for a time")
+}
+
+// serverEvent returns a log line about the attempt's server.
+func (a *attempt) serverEvent() *zerolog.Event {
+	return a.handler.Logger.Info().EmbedObject(logging.Fields{Pool: a.pool.Name, RequestID: a.head.ID, Peer: string(a.decision.Server.Instance)}).
+		Int64("born", a.decision.Server.Born).Int("inFlight", a.decision.InFlight)
+}
+
+// withhold reports whether a placed request must not be sent any more, because its
+// server left or paused while the connection was opened. It then records the end of the
+// attempt.
+func (q *request) withhold(decision placement.Decision, startedAt time.Time) bool {
+	reason := q.handler.Scheduler.Withheld(q.pool.Name, decision.Server)
+	if reason == "" {
+		return false
+	}
+	q.withdrawTrial()
+	q.lastError = errors.Newf("backend server is %s since the request was placed", reason)
+	q.reportEnded(decision, false, placement.Cancelled, 0)
+	q.logAttempt(decision, string(reason), startedAt)
+	return true
+}
--- a/internal/entry/forward/attempt.go
+++ b/internal/entry/forward/attempt.go
@@ -16,7 +16,6 @@
 	"github.com/mulberryspool/mulberryspool/internal/backend/httpconn"
 	"github.com/mulberryspool/mulberryspool/internal/entry/placement"
 	"github.com/mulberryspool/mulberryspool/internal/entry/promptguard"
-	"github.com/mulberryspool/mulberryspool/internal/observe/logging"
 )
 
 const (
@@ -79,7 +78,7 @@
 		return a.handleLost(ctx, err)
 	}
 	defer response.Body.Close()
-	a.recordLimit(response)
+	a.recordAnnouncements(response)
 	switch {
 	case response.Head.NotRun:
 		return a.handleRejected(response)
@@ -110,8 +109,7 @@
 	if !a.handler.Scheduler.RecordLimit(a.pool.Name, a.decision.Server, rate, a.sentAt) {
 		return
 	}
-	e := a.handler.Logger.Info().EmbedObject(logging.Fields{Pool: a.pool.Name, RequestID: a.head.ID, Peer: string(a.decision.Server.Instance)}).
-		Int64("born", a.decision.Server.Born).Int("inFlight", a.decision.InFlight)
+	e := a.serverEvent()
 	if rate != nil {
 		e.Float64("rateLimit", *rate)
 	}
--- a/internal/entry/forward/request.go
+++ b/internal/entry/forward/request.go
@@ -53,6 +53,9 @@
 	resultNotRun
 	// resultNotSent means that no byte of the request was sent.
 	resultNotSent
+	// resultWithheld means that no byte was sent, because the backend server takes no
+	// requests since the placement.
+	resultWithheld
 	// resultUnknown means that the request may have run.
 	resultUnknown
 	// resultServerError means that the backend server responded with a 5xx status.
@@ -150,6 +153,9 @@
 		switch q.sendTo(ctx, decision) {
 		case resultFinished:
 			return
+		case resultWithheld:
+			// The server isn't excluded: the placement knows until when it takes none.
+			continue
 		case resultNotSent:
 		case resultNotRun:
 			q.sentCount++
@@ -273,7 +279,8 @@
 	case q.serverError != nil:
 		q.writeResponse(q.serverError, "failure:"+reason)
 	case !q.mayHaveRun:
-		q.writeError(http.StatusServiceUnavailable, typeNotRun, reason, q.capRetryAfter(rejectedRetryAfter))
+		retryAfter := max(rejectedRetryAfter, q.handler.Scheduler.PauseLeft(q.pool.Name))
+		q.writeError(http.StatusServiceUnavailable, typeNotRun, reason, q.capRetryAfter(retryAfter))
 	case q.handler.Clock.Until(q.deadline) <= 0:
 		q.writeError(http.StatusGatewayTimeout, typeUnknown, reason, 0)
 	default:
@@ -319,6 +326,10 @@
 		q.logAttempt(decision, outcomeOutdated, startedAt)
 		return resultNotSent
 	}
+	if q.withhold(decision, startedAt) {
+		conn.Release(true)
+		return resultWithheld
+	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	stop := conn.InterruptOnDone(ctx)
--- a/internal/entry/placement/choose.go
+++ b/internal/entry/placement/choose.go
@@ -45,7 +45,7 @@
 		if !p.usable(s, r, now) || now.Before(s.fullUntil) || s.inFlight() >= p.capacity(s) || !q.late && !p.meetsObjective(s, r, now) {
 			continue
 		}
-		if now.Before(s.limit.AvailableAt(now)) || !r.Reattempt && now.Before(p.turnAt(s, now)) {
+		if !p.pausedUntil(s, now).IsZero() || now.Before(s.limit.AvailableAt(now)) || !r.Reattempt && now.Before(p.turnAt(s, now)) {
 			continue
 		}
 		if avoid && s.health.avoided(now) {
@@ -167,17 +167,31 @@
 	return s.slots()
 }
 
-// usableCapacity returns the capacity of the usable servers.
-func (p *Placer) usableCapacity(r Request, now time.Time) poolCapacity {
+// usableCapacity returns the capacity of the usable servers whose pauses end by the
+// given time.
+func (p *Placer) usableCapacity(r Request, now, by time.Time) poolCapacity {
 	var c poolCapacity
 	for _, s := range p.ordered {
 		if !p.usable(s, r, now) {
 			continue
 		}
+		end := p.pausedUntil(s, now)
+		if !end.IsZero() && end.After(by) {
+			if c.pausedUntil.IsZero() || end.Before(c.pausedUntil) {
+				c.pausedUntil = end
+			}
+			continue
+		}
+		if c.servers == 0 || end.Before(c.availableAt) {
+			c.availableAt = end
+		}
 		c.servers++
 		capacity := p.capacity(s)
 		c.requests += capacity
 		c.inFlight += s.inFlight()
+		if !end.IsZero() {
+			c.freeAfterPause += max(0, capacity-s.inFlight())
+		}
 		if s.limit.Active(now) {
 			c.effective += min(float64(capacity), s.limit.Rate()*p.serviceTime().Seconds())
 		} else {
@@ -272,7 +286,7 @@
 // Summary returns the number of usable servers, their total capacity and what
 // is in flight there, for metrics.
 func (p *Placer) Summary(now time.Time) (usable, capacity, inFlight int) {
-	c := p.usableCapacity(Request{}, now)
+	c := p.usableCapacity(Request{}, now, now)
 	return c.servers, c.requests, c.inFlight
 }
 
--- a/internal/entry/placement/placement.go
+++ b/internal/entry/placement/placement.go
@@ -41,6 +41,17 @@
 	ReasonNoServer      Reason = "noServerServes"
 	ReasonWaitTimeout   Reason = "waitedTooLong"
 	ReasonNoOtherServer Reason = "noOtherServer"
+	// ReasonPaused means that all servers that could serve the request want none.
+	ReasonPaused Reason = "serversPaused"
+)
+
+// Reasons why a placed request must not be sent any more.
+const (
+	ReasonServerPaused  Reason = "paused"
+	ReasonServerLeaving Reason = "leaving"
+	// ReasonServerGone means that the server is not listed, or has been replaced by
+	// another incarnation.
+	ReasonServerGone Reason = "gone"
 )
 
 // Outcomes of an exchange with a backend server.
--- a/internal/entry/placement/placer.go
+++ b/internal/entry/placement/placer.go
@@ -9,6 +9,7 @@
 
 	"github.com/mulberryspool/mulberryspool"
 	"github.com/mulberryspool/mulberryspool/internal/entry/serverlimit"
+	"github.com/mulberryspool/mulberryspool/internal/entry/serverpause"
 )
 
 const (
@@ -47,6 +48,8 @@
 		// ordered holds the servers sorted by instance ID.
 		ordered []*server
 		peers   map[string]peerState
+		// pauses outlasts the listing of a server, which may be interrupted.
+		pauses serverpause.Pauses
 		// namedVersions holds when each version became the named version.
 		namedVersions map[int64]time.Time
 		// meanServiceTime is the moving average of the time that requests take;
@@ -91,6 +94,13 @@
 		requests  int
 		effective float64
 		inFlight  int
+		// availableAt is when the first of the servers has no pause; zero if that is now.
+		availableAt time.Time
+		// freeAfterPause is how many requests those of them that are paused could get.
+		freeAfterPause int
+		// pausedUntil is the first end of the longer pauses of further servers, which are
+		// not counted; zero if there are none.
+		pausedUntil time.Time
 	}
 
 	queuedRequest struct {
@@ -285,10 +295,14 @@
 		p.waiting = slices.Delete(p.waiting, i, i+1)
 	}
 	p.waiting = slices.DeleteFunc(p.waiting, func(q *queuedRequest) bool {
-		if now.Before(q.waitUntil) {
+		switch {
+		case !now.Before(q.waitUntil):
+			decisions = append(decisions, p.expire(q, now))
+		case p.allPaused(q.request, q.waitUntil, now):
+			decisions = append(decisions, p.refuse(q, ReasonPaused, now))
+		default:
 			return false
 		}
-		decisions = append(decisions, p.expire(q, now))
 		return true
 	})
 	return decisions
@@ -324,7 +338,9 @@
 				continue
 			}
 			// The turn is found out when the server is available.
-			if available := s.limit.AvailableAt(now); available.After(now) {
+			if end := p.pausedUntil(s, now); !end.IsZero() {
+				earliest(end)
+			} else if available := s.limit.AvailableAt(now); available.After(now) {
 				earliest(available)
 			} else if at := p.turnAt(s, now); at.After(now) {
 				earliest(at)
@@ -397,16 +413,20 @@
 
 // enqueueOrRefuse queues a request if capacity is expected to be free in time.
 func (p *Placer) enqueueOrRefuse(q *queuedRequest, now time.Time) Decision {
-	capacity := p.usableCapacity(q.request, now)
+	limit := p.maxWait(q.request, now)
+	capacity := p.usableCapacity(q.request, now, now.Add(limit))
 	if capacity.servers == 0 {
 		reason := ReasonNoServer
-		if len(q.request.Exclude) > 0 {
+		switch {
+		case !capacity.pausedUntil.IsZero():
+			reason = ReasonPaused
+		case len(q.request.Exclude) > 0:
 			reason = ReasonNoOtherServer
 		}
 		return p.refuse(q, reason, now)
 	}
-	limit := p.maxWait(q.request, now)
-	if p.expectedWait(capacity, p.waitingAheadOf(q.request)) > limit {
+	ahead := p.waitingAheadOf(q.request) - capacity.freeAfterPause
+	if ahead >= 0 && max(0, capacity.availableAt.Sub(now))+p.expectedWait(capacity, ahead) > limit {
 		return p.refuse(q, ReasonFull, now)
 	}
 	q.waitUntil = now.Add(limit)
@@ -415,14 +435,19 @@
 }
 
 func (p *Placer) refuse(q *queuedRequest, reason Reason, now time.Time) Decision {
-	capacity := p.usableCapacity(q.request, now)
+	capacity := p.usableCapacity(q.request, now, now)
 	retryAfter := min(max(2*p.expectedWait(capacity, len(p.waiting)), minRetryAfter), maxRetryAfter)
 	if reason == ReasonNoServer || capacity.requests > 0 && capacity.inFlight >= capacity.requests {
 		retryAfter = maxRetryAfter
 	}
+	// The jitter spreads the retries of callers that were refused together.
+	retryAfter = time.Duration((0.7 + 0.3*p.Random.Float64()) * float64(retryAfter))
+	if capacity.servers == 0 && !capacity.pausedUntil.IsZero() {
+		// A caller that returns earlier is refused again.
+		retryAfter = capacity.pausedUntil.Sub(now) + time.Duration(p.Random.Float64()*float64(minRetryAfter))
+	}
 	return Decision{
 		Ticket: q.ticket, Verdict: Refused, Reason: reason, InFlight: capacity.inFlight, Capacity: capacity.requests,
-		// The jitter spreads the retries of callers that were refused together.
-		RetryAfter: time.Duration((0.7 + 0.3*p.Random.Float64()) * float64(retryAfter)),
+		RetryAfter: retryAfter,
 	}
 }
--- a/internal/role/hosted/entryheartbeats.go
+++ b/internal/role/hosted/entryheartbeats.go
@@ -228,6 +228,9 @@
 		scope.Gauge("in_flight").Update(float64(inFlight))
 		scope.Gauge("waiting").Update(float64(waiting))
 	})
+	e.scheduler.Paused(func(pool string, servers int) {
+		e.metrics.Tagged(map[string]string{"pool": pool}).Gauge("paused_servers").Update(float64(servers))
+	})
 	e.metrics.Gauge("log_lines_dropped").Update(float64(e.logWriter.Dropped()))
 }
 
