Report that a backend server leaves before its answer is passed on

The header was read nowhere; an entry learned of a leave from the store and from peers only.

The new callback Handler.ServerLeaving gets the incarnation from the head of any answer (success, failure, refusal, stream), before a byte of it is sent to the caller. It is not wired to the fleet's knowledge of servers yet, which is what stops further placements. An answer that names another instance says nothing about the server that was meant.

TestLeavingServerGetsRequests has a stream that sends its first event only after the report, a refusal without a signature, a server error and a plain answer, each while another request waits for its connection: without the report it is called 0 times, and without the check before the write the leaving server gets 2 requests instead of 1.

--- a/internal/entry/forward/announcement.go
+++ b/internal/entry/forward/announcement.go
@@ -12,11 +12,12 @@
 )
 
 // recordAnnouncements records what the head of a response says about its backend
-// server: a rate limit or a pause. Call it before the response
+// server: a rate limit, a pause, or that the server leaves. Call it before the response
 // is passed on.
 func (a *attempt) recordAnnouncements(response *httpconn.Answer) {
 	a.recordLimit(response)
 	a.recordPause(response)
+	a.recordLeaving(response)
 }
 
 // recordPause records that the server has refused the request and wants none for a time.
@@ -29,6 +30,21 @@
 	a.serverEvent().Dur("pause", pause).Msg("backend server wants no requests for a time")
 }
 
+// recordLeaving reports that the server leaves, unless the response is that of another
+// server at its address.
+func (a *attempt) recordLeaving(response *httpconn.Answer) {
+	server := a.decision.Server
+	if !response.Head.Leaving || a.handler.ServerLeaving == nil || response.Head.Instance != "" && response.Head.Instance != server.Instance {
+		return
+	}
+	known := a.handler.Scheduler.Withheld(a.pool.Name, server)
+	a.handler.ServerLeaving(server.Instance, server.Born)
+	if known != placement.ReasonServerLeaving && known != placement.ReasonServerGone {
+		a.handler.count("leaving_answers", a.route.Name, a.pool.Name, "")
+		a.serverEvent().Int("status", response.StatusCode).Msg("answer of a backend server says that it leaves")
+	}
+}
+
 // serverEvent returns a log line about the attempt's server.
 func (a *attempt) serverEvent() *zerolog.Event {
 	return a.handler.Logger.Info().EmbedObject(logging.Fields{Pool: a.pool.Name, RequestID: a.head.ID, Peer: string(a.decision.Server.Instance)}).
--- a/internal/entry/forward/announcement_test.go
+++ b/internal/entry/forward/announcement_test.go
@@ -11,6 +11,8 @@
 	"sync/atomic"
 	"testing"
 	"time"
+
+	"github.com/mulberryspool/mulberryspool"
 )
 
 // refuse writes a refusal that asks for a pause; without a pause, one that does not.
@@ -172,9 +174,79 @@
 	}
 }
 
+// Guards against a leaving server that gets requests: whatever it answers, the scheduler
+// must know before the caller does, and a request that waits for a connection meanwhile
+// goes to another server.
+func TestLeavingServerGetsRequests(t *testing.T) {
+	const leaving = "Server-Leaving: 1\r\n"
+	for name, c := range map[string]struct {
+		path   string
+		answer func(w *bufio.Writer, r *http.Request, marked <-chan struct{}) bool
+	}{
+		"stream at its head": {"/stream/1", func(w *bufio.Writer, r *http.Request, marked <-chan struct{}) bool {
+			_, _ = fmt.Fprintf(w, "HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\n%s%sContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n", r.Header.Get("X-Attempt-Id"), signatureHeader, leaving)
+			_ = w.Flush()
+			wait(marked)
+			r.Header.Del("Last-Event-Id")
+			writeEvents(w, r, 2, 3, true)
+			return true
+		}},
+		"refusal without a signature": {"/read/1", func(w *bufio.Writer, r *http.Request, _ <-chan struct{}) bool { return refuse(w, r, 0, leaving) }},
+		"server error":                {"/write/1", func(w *bufio.Writer, r *http.Request, _ <-chan struct{}) bool { return answer(w, r, 500, leaving) }},
+		"plain answer":                {"/read/1", func(w *bufio.Writer, r *http.Request, _ <-chan struct{}) bool { return answer(w, r, 200, leaving) }},
+	} {
+		t.Run(name, func(t *testing.T) {
+			marked, dialing := make(chan struct{}), make(chan struct{})
+			left := newBackend(t, "i-1", func(w *bufio.Writer, r *http.Request, _ int) bool { return c.answer(w, r, marked) })
+			other := newBackend(t, "i-2", func(w *bufio.Writer, r *http.Request, _ int) bool { return writeResponse(w, r, http.StatusOK, "ok") })
+			e := newEntry(t, left)
+			var calls, dials atomic.Int32
+			e.handler.ServerLeaving = func(instance mulberryspool.InstanceID, born int64) {
+				if instance != "i-1" || born != 1 {
+					t.Errorf("%s born %d leaves, want i-1 born 1", instance, born)
+				}
+				gone := left.server("p")
+				gone.Leaving = true
+				e.scheduler.SetServers(map[mulberryspool.InstanceID]mulberryspool.BackendServer{"i-1": gone, "i-2": other.server("p")})
+				if calls.Add(1) == 1 {
+					close(marked)
+				}
+			}
+			e.delayDials(left.address, func() time.Duration {
+				if dials.Add(1) == 1 {
+					close(dialing)
+					wait(marked)
+				}
+				return 0
+			})
+			waited := make(chan responseHead)
+			go func() {
+				head, _, _ := e.call(t, http.MethodPost, "/write/2", "x")
+				waited <- head
+			}()
+			wait(dialing)
+			if _, _, complete := e.call(t, http.MethodPost, c.path, "x"); !complete || calls.Load() != 1 {
+				t.Errorf("complete %t, reported %d times", complete, calls.Load())
+			}
+			if head := <-waited; head.StatusCode != http.StatusOK {
+				t.Errorf("response to the request that waited for a connection is %d", head.StatusCode)
+			}
+			if n := left.requests.Load(); n != 1 {
+				t.Errorf("the leaving server got %d requests, want 1", n)
+			}
+		})
+	}
+}
+
 func wait(done <-chan struct{}) {
 	select {
 	case <-done:
 	case <-time.After(2 * time.Second):
 	}
 }
+
+// answer writes a signed answer with further headers.
+func answer(w *bufio.Writer, r *http.Request, status int, headers string) bool {
+	_, _ = fmt.Fprintf(w, "HTTP/1.1 %d x\r\nX-Attempt-Id: %s\r\n%s%sContent-Length: 2\r\n\r\nok", status, r.Header.Get("X-Attempt-Id"), signatureHeader, headers)
+	return true
+}
--- a/internal/entry/forward/handler.go
+++ b/internal/entry/forward/handler.go
@@ -70,6 +70,9 @@
 		Stopping atomic.Bool
 		// Sampled reports whether the log line of a successful request is written.
 		Sampled func(mulberryspool.RequestID) bool
+		// ServerLeaving is called, before the response is passed on, when one says that
+		// this incarnation of a backend server leaves; may be nil.
+		ServerLeaving func(instance mulberryspool.InstanceID, born int64)
 
 		mu sync.Mutex
 		// longestDeadline holds the longest deadline seen on each route.
