Make the test of a paused server fail reliably without the check before the write

TestPausedServerGetsRequests noticed a missing check only on a busy machine: the other server answered so fast that the entry opened one or two connections to the paused one. The limit of two requests is unchanged.

--- a/internal/entry/forward/announcement_test.go
+++ b/internal/entry/forward/announcement_test.go
@@ -15,15 +15,29 @@
 	"github.com/mulberryspool/mulberryspool"
 )
 
-// refuse writes a refusal that asks for a pause; without a pause, one that does not.
-func refuse(w *bufio.Writer, r *http.Request, pause time.Duration, headers string) bool {
-	if pause > 0 {
-		headers += fmt.Sprintf("Retry-After: %g\r\n", pause.Seconds())
-	}
-	_, _ = fmt.Fprintf(w, "HTTP/1.1 503 x\r\nX-Attempt-Id: %s\r\nX-Not-Executed: 1\r\n%sContent-Length: 0\r\n\r\n", r.Header.Get("X-Attempt-Id"), headers)
+const refused = "X-Not-Executed: 1\r\n"
+
+// respond writes a response with the headers.
+func respond(w *bufio.Writer, r *http.Request, status int, headers string) bool {
+	_, _ = fmt.Fprintf(w, "HTTP/1.1 %d x\r\nX-Attempt-Id: %s\r\n%sContent-Length: 2\r\n\r\nok", status, r.Header.Get("X-Attempt-Id"), headers)
 	return true
 }
 
+// pauseFor writes a refusal that asks for a pause.
+func pauseFor(w *bufio.Writer, r *http.Request, pause time.Duration) bool {
+	return respond(w, r, http.StatusServiceUnavailable, fmt.Sprintf("%sRetry-After: %g\r\n", refused, pause.Seconds()))
+}
+
+// pauseOnce refuses the first request.
+func pauseOnce(pause time.Duration) script {
+	return func(w *bufio.Writer, r *http.Request, n int) bool {
+		if n == 1 {
+			return pauseFor(w, r, pause)
+		}
+		return writeResponse(w, r, http.StatusOK, "ok")
+	}
+}
+
 // delayDials makes connections to the address take the time.
 func (e *entry) delayDials(address string, delay func() time.Duration) {
 	dial := e.handler.ConnPool.Dial
@@ -42,7 +56,7 @@
 	const (
 		rate     = 60
 		length   = 4 * time.Second
-		refusing = 1200 * time.Millisecond
+		refusing = 1400 * time.Millisecond
 	)
 	type refusal struct{ at, until time.Time }
 	var (
@@ -64,16 +78,17 @@
 		// Later refusals ask for less.
 		pause := []time.Duration{1800 * time.Millisecond, 600 * time.Millisecond}[min(1, len(refusals))]
 		refusals = append(refusals, refusal{now, now.Add(pause)})
-		return refuse(w, r, pause, "")
+		return pauseFor(w, r, pause)
 	})
 	open := newBackend(t, "i-2", func(w *bufio.Writer, r *http.Request, _ int) bool {
-		time.Sleep(5 * time.Millisecond)
+		// Several in flight here make the entry open several connections to the other.
+		time.Sleep(60 * time.Millisecond)
 		return writeResponse(w, r, http.StatusOK, "ok")
 	})
 	e := newEntry(t, paused, open)
 	e.delayDials(paused.address, func() time.Duration {
 		if dials.Add(1) == 1 {
-			return 150 * time.Millisecond
+			return 300 * time.Millisecond
 		}
 		return time.Second
 	})
@@ -111,12 +126,7 @@
 // requests that reach it or are held meanwhile.
 func TestCallersOfPausedPoolWaitForItsEnd(t *testing.T) {
 	const pause = 900 * time.Millisecond
-	b := newBackend(t, "i-1", func(w *bufio.Writer, r *http.Request, n int) bool {
-		if n == 1 {
-			return refuse(w, r, pause, "")
-		}
-		return writeResponse(w, r, http.StatusOK, "ok")
-	})
+	b := newBackend(t, "i-1", pauseOnce(pause))
 	e := newEntry(t, b)
 	began := time.Now()
 	for i, path := range []string{"/write/1", "/write/2", "/read/3"} {
@@ -141,13 +151,8 @@
 // opened, although the pause ends in time.
 func TestRequestWithheldDuringPauseIsSentAfterIt(t *testing.T) {
 	const pause = 300 * time.Millisecond
-	dialing, refused := make(chan struct{}), make(chan struct{})
-	b := newBackend(t, "i-1", func(w *bufio.Writer, r *http.Request, n int) bool {
-		if n == 1 {
-			return refuse(w, r, pause, "")
-		}
-		return writeResponse(w, r, http.StatusOK, "ok")
-	})
+	dialing, paused := make(chan struct{}), make(chan struct{})
+	b := newBackend(t, "i-1", pauseOnce(pause))
 	e := newEntry(t, b)
 	patient := ingress()
 	patient.Version = 2
@@ -159,14 +164,14 @@
 	e.delayDials(b.address, func() time.Duration {
 		if dials.Add(1) == 1 {
 			close(dialing)
-			wait(refused)
+			wait(paused)
 		}
 		return 0
 	})
 	go func() {
 		wait(dialing)
 		e.call(t, http.MethodPost, "/write/1", "x")
-		close(refused)
+		close(paused)
 	}()
 	began := time.Now()
 	if head, _, _ := e.call(t, http.MethodPost, "/write/2", "x"); head.StatusCode != http.StatusOK || time.Since(began) < pause {
@@ -191,9 +196,15 @@
 			writeEvents(w, r, 2, 3, true)
 			return true
 		}},
-		"refusal without a signature": {"/read/1", func(w *bufio.Writer, r *http.Request, _ <-chan struct{}) bool { return refuse(w, r, 0, leaving) }},
-		"server error":                {"/write/1", func(w *bufio.Writer, r *http.Request, _ <-chan struct{}) bool { return answer(w, r, 500, leaving) }},
-		"plain answer":                {"/read/1", func(w *bufio.Writer, r *http.Request, _ <-chan struct{}) bool { return answer(w, r, 200, leaving) }},
+		"refusal without a signature": {"/read/1", func(w *bufio.Writer, r *http.Request, _ <-chan struct{}) bool {
+			return respond(w, r, 503, refused+leaving)
+		}},
+		"server error": {"/write/1", func(w *bufio.Writer, r *http.Request, _ <-chan struct{}) bool {
+			return respond(w, r, 500, leaving+signatureHeader)
+		}},
+		"plain answer": {"/read/1", func(w *bufio.Writer, r *http.Request, _ <-chan struct{}) bool {
+			return respond(w, r, 200, leaving+signatureHeader)
+		}},
 	} {
 		t.Run(name, func(t *testing.T) {
 			marked, dialing := make(chan struct{}), make(chan struct{})
@@ -244,9 +255,3 @@
 	case <-time.After(2 * time.Second):
 	}
 }
-
-// answer writes a signed answer with further headers.
-func answer(w *bufio.Writer, r *http.Request, status int, headers string) bool {
-	_, _ = fmt.Fprintf(w, "HTTP/1.1 %d x\r\nX-Attempt-Id: %s\r\n%s%sContent-Length: 2\r\n\r\nok", status, r.Header.Get("X-Attempt-Id"), signatureHeader, headers)
-	return true
-}
