Keep a backend server that says it leaves from getting requests

The report of an answer that its server leaves ended at the handler. It now marks the incarnation in the entry's list of servers, which no later report takes back, in touch with the store or not: the store's object may not say so yet, or not at all.

--- a/internal/platform/fleet/fleet.go
+++ b/internal/platform/fleet/fleet.go
@@ -116,6 +116,8 @@
 const (
 	fromStore = "store"
 	fromPeer  = "peer"
+	// fromServer is an answer of the backend server itself.
+	fromServer = "server"
 )
 
 // Run lists and watches the store's kinds until the context ends.
@@ -279,6 +281,17 @@
 	}
 }
 
+// MarkLeaving records that an incarnation of a backend server accepts no new requests any
+// more, as the server itself says.
+func (f *Fleet) MarkLeaving(id mulberryspool.InstanceID, born int64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	before := f.servers.Servers()
+	if f.servers.MarkLeaving(id, born) {
+		f.publishServers(before, serverList{source: fromServer, reporter: string(id)})
+	}
+}
+
 // MarshalZerologObject implements zerolog.LogObjectMarshaler.
 func (l serverList) MarshalZerologObject(e *zerolog.Event) {
 	e.Str("source", l.source).Str("reporter", l.reporter).Uint64("listRevision", uint64(l.revision)).Bool("uncertain", l.assumed)
--- a/internal/platform/membership/membership.go
+++ b/internal/platform/membership/membership.go
@@ -108,6 +108,9 @@
 // any more. It reports whether the servers have changed.
 func (v *View) MarkLeaving(id mulberryspool.InstanceID, born int64) bool {
 	v.mark(id, born)
+	if b, ok := v.servers[id]; !ok || b.Leaving || b.Born > born {
+		return false
+	}
 	marked := maps.Clone(v.servers)
 	if !v.applyMarks(marked) {
 		return false
--- a/internal/role/hosted/entry.go
+++ b/internal/role/hosted/entry.go
@@ -212,6 +212,7 @@
 		e.scheduler.SetNamedVersion(model, version, at)
 		e.signalStateChange()
 	}
+	e.handler.ServerLeaving = e.fleet.MarkLeaving
 	e.stateSync = &stateSync{
 		fleet: e.fleet, clock: e.clock, fetch: e.stateFetcher(e.fleet, statePath), logger: e.logger, failureDomain: e.identity.FailureDomain,
 		remoteConfigDelay: e.remoteConfigDelay,
