Accept an answer without an ID on a new connection only

Here, a caller of a non-idempotent request got 503 with the type notRun while the server ran the request (REFUSED), or a second server got it too (TWICE).

Cause: Receive took any answer without an ID that says that a request was not run for that of the current request, also on a reused connection. Seen on a raw TCP stand-in whenever the repeated refusal names no ID, says not run (any status with the header, or 421), and arrives after the next request: with a length, in chunks, until the end of the connection, with Connection: close and after an informational answer, in 10 of the 72 cases of the new test. With one server the caller got 503 in place of the server's 200.

Ruled out, by the other 62 cases: refusals with the ID of the earlier request are skipped; those that arrive behind the previous answer or while the connection is idle end the connection; those without an ID that do not say not run were skipped before.

An answer without an ID is now accepted on a new connection only, where nothing was refused earlier; on a reused one it is skipped like one to another request. A request without an ID has a new connection, because its answers can't be matched on a reused one.

Cost: a server that names no ID in its refusals is waited for in vain on kept connections.

TestRepeatedRefusalIsNotTakenForAnswer and TestRequestWithoutIDGetsNewConnection fail without the change ('second server got 1 requests', 'response is 200 "ok", want 502', 'server got 1 connections').

--- a/internal/backend/httpconn/conn.go
+++ b/internal/backend/httpconn/conn.go
@@ -138,8 +138,8 @@
 
 // Receive reads the head of the answer to the request with the ID. It skips
 // up to maxSkippedAnswers informational answers (1xx) and answers to other requests.
-// An answer without an ID is accepted on a new connection, or if it says that the
-// request was not run.
+// An answer without an ID is accepted on a new connection only, because on a reused one
+// it may belong to an earlier request.
 func (c *Conn) Receive(method string, id mulberryspool.RequestID) (*Answer, error) {
 	for range maxSkippedAnswers + 1 {
 		response, err := c.readHead(method) //nolint:bodyclose // The caller closes it with the answer.
@@ -150,7 +150,7 @@
 			continue
 		}
 		head := c.pool.HeaderCodec.DecodeAnswer(response.StatusCode, response.Header)
-		if head.ID == id || head.ID == "" && (head.NotRun || !c.reused) {
+		if head.ID == "" && !c.reused || head.ID != "" && head.ID == id {
 			c.applyKeepAlive(response)
 			c.answerRead = response.Body == http.NoBody
 			response.Body = &answerBody{Reader: response.Body, conn: c}
--- a/internal/backend/httpconn/pool.go
+++ b/internal/backend/httpconn/pool.go
@@ -87,6 +87,12 @@
 		}
 		c.close()
 	}
+	return p.Open(ctx, target)
+}
+
+// Open opens a new connection. Requests without an ID need one, because Receive can't
+// match their answers on a reused connection.
+func (p *Pool) Open(ctx context.Context, target Target) (*Conn, error) {
 	netConn, err := p.Dial(ctx, "tcp", target.Address)
 	if err != nil {
 		return nil, errors.Mark(err, ErrNotSent)
--- /dev/null
+++ b/internal/entry/forward/answers_test.go
@@ -0,0 +1,109 @@
+package forward
+
+import (
+	"bufio"
+	"fmt"
+	"net/http"
+	"strconv"
+	"testing"
+	"time"
+)
+
+const (
+	notRunMark  = "X-Not-Executed: 1\r\n"
+	earlierID   = "X-Attempt-Id: r0\r\n"
+	emptyLength = "Content-Length: 0\r\n\r\n"
+)
+
+// newOrderedEntry returns an entry that sends each request to the first of two backend
+// servers, if it may, and allows two attempts on each route.
+func newOrderedEntry(t *testing.T, first, second *backend) *entry {
+	t.Helper()
+	e := newEntry(t, first, second)
+	table := ingress()
+	table.Version++
+	for i := range table.Routes {
+		table.Routes[i].Attempts = 2
+	}
+	e.scheduler.SetIngress(table)
+	for range 100 {
+		e.scheduler.RecordSlowdown("p", "i-2", 8)
+	}
+	return e
+}
+
+// Guards against an earlier refusal, written once more on a kept connection, that
+// is taken for the answer to a request that the server runs: its caller is told that
+// it did not run, or another server runs it again.
+func TestRepeatedRefusalIsNotTakenForAnswer(t *testing.T) {
+	const unnamed = "HTTP/1.1 503 x\r\n" + notRunMark
+	refusals := map[string]string{
+		"in chunks":                  unnamed + "Transfer-Encoding: chunked\r\n\r\n2\r\nno\r\n0\r\n\r\n",
+		"after an informational one": "HTTP/1.1 103 x\r\n\r\n" + unnamed + emptyLength,
+		"without length":             unnamed + "\r\nno",
+		"closing":                    unnamed + "Connection: close\r\n" + emptyLength,
+	}
+	for _, status := range []int{400, 408, 421, 429, 503} {
+		for _, fields := range []string{"", notRunMark, earlierID, earlierID + notRunMark} {
+			refusals[strconv.Itoa(status)+fields] = fmt.Sprintf("HTTP/1.1 %d x\r\n%sContent-Length: 2\r\n\r\nno", status, fields)
+		}
+	}
+	for name, refusal := range refusals {
+		for _, moment := range []string{"with the earlier answer", "while idle", "after the request"} {
+			t.Run(name+"/"+moment, func(t *testing.T) {
+				t.Parallel()
+				first := newBackend(t, "i-1", func(w *bufio.Writer, r *http.Request, n int) bool {
+					repeat := func() {
+						_ = w.Flush()
+						time.Sleep(10 * time.Millisecond)
+						_, _ = w.WriteString(refusal)
+						_ = w.Flush()
+					}
+					if n == 2 && moment == "after the request" {
+						repeat()
+					}
+					writeResponse(w, r, 200, "ok")
+					if n == 1 && moment == "while idle" {
+						repeat()
+					}
+					if n == 1 && moment == "with the earlier answer" {
+						_, _ = w.WriteString(refusal)
+					}
+					return true
+				})
+				second := newBackend(t, "i-2", func(w *bufio.Writer, r *http.Request, _ int) bool { return writeResponse(w, r, 200, "ok") })
+				e := newOrderedEntry(t, first, second)
+				e.call(t, http.MethodPost, "/write/1", "x", "X-Attempt-Id", "r0")
+				time.Sleep(30 * time.Millisecond)
+				want := http.StatusOK
+				if moment == "after the request" && (name == "without length" || name == "closing") {
+					// The connection ends with the refusal, before the answer.
+					want = http.StatusBadGateway
+				}
+				if got, body, _ := e.call(t, http.MethodPost, "/write/1", "x"); got.StatusCode != want || want == http.StatusOK && body != "ok" {
+					t.Errorf("response is %d %q, want %d", got.StatusCode, body, want)
+				}
+				if n := second.requests.Load(); n > 0 {
+					t.Errorf("second server got %d requests", n)
+				}
+			})
+		}
+	}
+}
+
+// Guards against an answer to an earlier request that is taken for that to a request
+// without an ID.
+func TestRequestWithoutIDGetsNewConnection(t *testing.T) {
+	b := newBackend(t, "i-1", func(w *bufio.Writer, r *http.Request, _ int) bool { return writeResponse(w, r, 200, "ok") })
+	e := newEntry(t, b)
+	for _, id := range []string{"r0", "r1", "", ""} {
+		if got, body, _ := e.call(t, http.MethodGet, "/read/1", "", "X-Attempt-Id", id); got.StatusCode != http.StatusOK || body != "ok" {
+			t.Errorf("response to request %q is %d %q", id, got.StatusCode, body)
+		}
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.conns != 3 {
+		t.Errorf("server got %d connections, want one for the requests with an ID and one for each without", b.conns)
+	}
+}
--- a/internal/entry/forward/request.go
+++ b/internal/entry/forward/request.go
@@ -299,11 +299,7 @@
 // sendTo makes an attempt at the backend server of a placement decision.
 func (q *request) sendTo(ctx context.Context, decision placement.Decision) attemptResult {
 	startedAt := q.handler.Clock.Now()
-	longestIdle := time.Duration(0)
-	if !q.retryable() {
-		longestIdle = maxIdleNonRetryable
-	}
-	conn, err := q.handler.ConnPool.Acquire(ctx, targetOf(decision), longestIdle)
+	conn, err := q.connect(ctx, targetOf(decision))
 	if err != nil {
 		q.withdrawTrial()
 		q.lastError = err
@@ -340,6 +336,17 @@
 	return result
 }
 
+// connect returns a connection that the request may use.
+func (q *request) connect(ctx context.Context, target httpconn.Target) (*httpconn.Conn, error) {
+	switch {
+	case q.head.ID == "":
+		return q.handler.ConnPool.Open(ctx, target)
+	case !q.retryable():
+		return q.handler.ConnPool.Acquire(ctx, target, maxIdleNonRetryable)
+	}
+	return q.handler.ConnPool.Acquire(ctx, target, 0)
+}
+
 func targetOf(d placement.Decision) httpconn.Target {
 	return httpconn.Target{Instance: d.Server.Instance, Born: d.Server.Born, Address: d.Server.Address}
 }
