Relay a refusal of a non-retryable request only if it is marked

A caller of a request that may run only once got a backend server's 408, 429 or 503 as it was, also without the header that says that the request was not run. The caller takes these statuses for a promise and sends the request again (REFUSED), but only the header makes one: a server may answer 503 after it has run the request.

Ruled out: answers with the header, and 421, lead to a 503 of our own; 404 and 500 promise nothing; retryable requests may run again, and get the server's answer unchanged.

The caller now gets our own 502 without a signature, as for a lost answer.

TestUnmarkedRefusalIsNoPromise fails without the change for all three statuses, on a non-idempotent route and on a stream that can't be resumed ('response is 503 "own text", want 502').

--- a/internal/entry/forward/answers_test.go
+++ b/internal/entry/forward/answers_test.go
@@ -7,6 +7,8 @@
 	"strconv"
 	"testing"
 	"time"
+
+	"github.com/mulberryspool/mulberryspool"
 )
 
 const (
@@ -107,3 +109,31 @@
 		t.Errorf("server got %d connections, want one for the requests with an ID and one for each without", b.conns)
 	}
 }
+
+// Guards against a caller who is told that its request did not run by a backend server's
+// status alone, without the header that promises it.
+func TestUnmarkedRefusalIsNoPromise(t *testing.T) {
+	const own = "own text"
+	for path, unknown := range map[string]bool{"/write/1": true, "/oneshot/1": true, "/read/1": false, "/stream/1": false} {
+		for _, status := range []int{404, 408, 429, 500, 503} {
+			t.Run(strconv.Itoa(status)+path, func(t *testing.T) {
+				b := newBackend(t, "i-1", func(w *bufio.Writer, r *http.Request, _ int) bool { return writeResponse(w, r, status, own) })
+				e := newEntry(t, b)
+				table := ingress()
+				table.Version++
+				once := route("oneshot", mulberryspool.Streaming, 2)
+				once.Resumable = false
+				table.Routes = append(table.Routes, once)
+				e.scheduler.SetIngress(table)
+				want := status
+				if unknown && (status == 408 || status == 429 || status == 503) {
+					want = http.StatusBadGateway
+				}
+				got, body, _ := e.call(t, http.MethodPost, path, "x")
+				if relayed := body == own && got.Header.Get("X-Response-Signature") != ""; got.StatusCode != want || relayed != (want == status) {
+					t.Errorf("response is %d %q, want %d", got.StatusCode, body, want)
+				}
+			})
+		}
+	}
+}
--- a/internal/entry/forward/attempt.go
+++ b/internal/entry/forward/attempt.go
@@ -246,6 +246,11 @@
 	}
 	a.logOutdatedStart(response, a.handler.Clock.Now())
 	a.handler.Scheduler.RecordFirstEvent(a.pool.Name, a.decision.Server.Instance, a.head.PromptTokens)
+	if isPromise(response.StatusCode) && !a.retryable() {
+		a.lastError = errors.Newf("backend server responded with status %d, but not that it did not run the request", response.StatusCode)
+		a.logAttempt(a.decision, "unmarked"+strconv.Itoa(response.StatusCode), a.startedAt)
+		return resultUnknown, placement.Failed
+	}
 	buffered := &bufferedResponse{status: response.StatusCode, header: response.Header, body: body}
 	if response.StatusCode >= http.StatusInternalServerError {
 		a.serverError = buffered
@@ -319,6 +324,16 @@
 	}
 }
 
+// isPromise reports whether a response with the status says to the caller of a
+// non-retryable request that it did not run and never will.
+func isPromise(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	}
+	return false
+}
+
 func isTimeout(err error) bool {
 	var timeout net.Error
 	return errors.Is(err, os.ErrDeadlineExceeded) || errors.As(err, &timeout) && timeout.Timeout()
