Continue a stream only with an answer of its own status

What could happen: an answer with another success than the stream's own, 204 or 206 with the type of an event stream, was taken for its continuation. After 204 the stream ended as if complete; the content of a 206 was joined to it.

An answer to a resumed stream now needs the status of the stream's first answer. Else it counts as failed, and the next server is tried, if the route allows, or the response is aborted.

TestStreamIsContinuedByEventsOnly fails without the change for these two answers after each of five broken streams ('response is 200, complete true, "id: 1 ... e2"'). A framed answer with the stream's status and no event is still the end of a stream: it is what a server sends that resumes after the last event.

--- a/internal/entry/forward/answers_test.go
+++ b/internal/entry/forward/answers_test.go
@@ -137,3 +137,64 @@
 		}
 	}
 }
+
+// Guards against an answer that does not continue a stream that has begun, but is given
+// to the caller as a part of it or as its end.
+func TestStreamIsContinuedByEventsOnly(t *testing.T) {
+	const (
+		part   = "id: 3\nda"
+		events = "Content-Type: text/event-stream\r\n"
+		boom   = "id: 3\ndata: boom\n\n"
+	)
+	chunk := func(text string) string { return fmt.Sprintf("%s%x\r\n%s\r\n", chunkedHead, len(text), text) }
+	answer := func(status int, fields, body string) string {
+		return fmt.Sprintf("HTTP/1.1 %d x\r\nX-Attempt-Id: r1\r\n%s\r\n%s", status, fields, body)
+	}
+	firsts := map[string]string{
+		"in chunks, inside an event":   streamHead + chunk(eventStreamBody(1, 2)+part),
+		"in chunks, before the end":    streamHead + chunk(eventStreamBody(1, 2)) + "0\r\n",
+		"with length, between events":  streamHead + "Content-Length: 99\r\n\r\n" + eventStreamBody(1, 2),
+		"with length, inside an event": streamHead + "Content-Length: 99\r\n\r\n" + eventStreamBody(1, 2) + part,
+		"until close, inside an event": streamHead + "\r\n" + eventStreamBody(1, 2) + part,
+	}
+	seconds := map[string]string{
+		"error with text":                answer(500, "Content-Type: text/plain\r\n"+signatureHeader, "boom"),
+		"error with events":              answer(500, events+signatureHeader+"Content-Length: 18\r\n", boom),
+		"error after informational head": "HTTP/1.1 103 x\r\n\r\n" + answer(502, events, boom),
+		"redirection":                    answer(302, events+signatureHeader, boom),
+		"refusal":                        answer(429, notRunMark, "boom"),
+		"unmarked refusal":               answer(503, events+signatureHeader, boom),
+		"no content":                     answer(204, events+signatureHeader, ""),
+		"other success":                  answer(206, events+signatureHeader+"Content-Length: 18\r\n", boom),
+		"other content type":             answer(200, "Content-Type: text/plain\r\n"+signatureHeader, boom),
+		"unsigned":                       answer(200, events+"Content-Length: 18\r\n", boom),
+		"encoded":                        answer(200, events+signatureHeader+"Content-Encoding: gzip\r\n", boom),
+		"to another request":             foreignHead + events + "Content-Length: 18\r\n\r\n" + boom,
+		"head that ends early":           streamHead,
+		"event that ends early":          streamHead + "\r\n" + part,
+		"nothing":                        "",
+	}
+	writing := func(text string) script {
+		return func(w *bufio.Writer, _ *http.Request, _ int) bool {
+			_, _ = w.WriteString(text)
+			_ = w.Flush()
+			return false
+		}
+	}
+	for name, first := range firsts {
+		for secondName, second := range seconds {
+			t.Run(name+"/"+secondName, func(t *testing.T) {
+				t.Parallel()
+				a, b := newBackend(t, "i-1", writing(first)), newBackend(t, "i-2", writing(second))
+				e := newOrderedEntry(t, a, b)
+				got, body, complete := e.call(t, http.MethodPost, "/stream/x", "q")
+				if got.StatusCode != http.StatusOK || complete || body != eventStreamBody(1, 2) {
+					t.Errorf("response is %d, complete %t, %q", got.StatusCode, complete, body)
+				}
+				if n := b.requests.Load(); n != 1 {
+					t.Errorf("second server got %d requests", n)
+				}
+			})
+		}
+	}
+}
--- a/internal/entry/forward/attempt.go
+++ b/internal/entry/forward/attempt.go
@@ -87,12 +87,12 @@
 		a.lastError = errors.Newf("response with status %d has no signature", response.StatusCode)
 		a.logAttempt(a.decision, "unsigned", a.startedAt)
 		return resultUnknown, a.attributeOutcome(ctx, placement.Broken)
-	case response.StatusCode < http.StatusMultipleChoices && strings.HasPrefix(response.Header.Get("Content-Type"), eventStream):
-		return a.relayEvents(ctx, response)
-	case a.stream != nil:
+	case a.stream != nil && (response.StatusCode != a.stream.status || !isEventStream(response)):
 		a.lastError = errors.Newf("resumed stream got status %d instead of events", response.StatusCode)
 		a.logAttempt(a.decision, "notResumed", a.startedAt)
 		return resultUnknown, a.attributeOutcome(ctx, placement.Failed)
+	case response.StatusCode < http.StatusMultipleChoices && isEventStream(response):
+		return a.relayEvents(ctx, response)
 	}
 	return a.bufferResponse(ctx, response)
 }
@@ -324,6 +324,10 @@
 	}
 }
 
+func isEventStream(response *httpconn.Answer) bool {
+	return strings.HasPrefix(response.Header.Get("Content-Type"), eventStream)
+}
+
 // isPromise reports whether a response with the status says to the caller of a
 // non-retryable request that it did not run and never will.
 func isPromise(status int) bool {
