Reset the connection of a broken response to a caller with HTTP/1.0

Cause: the handler aborts such a response, and net/http then closes the connection. HTTP/1.1 callers miss the last chunk, also with Connection: close; for HTTP/1.0 there are no chunks, and the end of the connection is that of the body.

The connection is now reset. Responses with HTTP/1.1 are aborted as before.

TestBrokenResponseToOldCallerIsReset fails without the change ('response with 186 bytes ends like a complete one').

--- a/internal/entry/forward/answers_test.go
+++ b/internal/entry/forward/answers_test.go
@@ -3,8 +3,11 @@
 import (
 	"bufio"
 	"fmt"
+	"io"
+	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"testing"
 	"time"
 
@@ -198,3 +201,29 @@
 		}
 	}
 }
+
+// Guards against a broken response that looks complete to a caller with HTTP/1.0, which
+// has no chunks: the end of the connection is that of the body, unless it is reset.
+func TestBrokenResponseToOldCallerIsReset(t *testing.T) {
+	for name, s := range map[string]script{
+		"stream": func(w *bufio.Writer, r *http.Request, _ int) bool { writeEvents(w, r, 1, 2, false); return false },
+		"long body": func(w *bufio.Writer, _ *http.Request, _ int) bool {
+			_, _ = w.WriteString(ownHead + signatureHeader + chunkedHead + strings.Repeat("100000\r\n"+strings.Repeat("m", 1<<20)+"\r\n", 2))
+			_ = w.Flush()
+			return false
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			e := newEntry(t, newBackend(t, "i-1", s))
+			conn, err := net.Dial("tcp", e.Listener.Addr().String())
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer conn.Close()
+			_, _ = io.WriteString(conn, "POST /stream/1 HTTP/1.0\r\nHost: h.example\r\nX-Attempt-Id: r1\r\nAuthorization: Bearer key\r\n\r\n")
+			if data, err := io.ReadAll(conn); err == nil {
+				t.Errorf("response with %d bytes ends like a complete one", len(data))
+			}
+		})
+	}
+}
--- a/internal/entry/forward/attempt.go
+++ b/internal/entry/forward/attempt.go
@@ -280,7 +280,7 @@
 		a.reportEnded(a.decision, a.promptRead, a.attributeOutcome(ctx, placement.Broken), 0)
 		a.conn.Abort()
 		a.logEnd(response.StatusCode, "broken:long", 0)
-		panic(http.ErrAbortHandler)
+		a.abortResponse()
 	}
 	a.complete = true
 	a.exchange.Complete()
--- a/internal/entry/forward/request.go
+++ b/internal/entry/forward/request.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"time"
 
@@ -268,8 +269,7 @@
 	switch {
 	case q.stream != nil:
 		q.logEnd(q.stream.status, "broken:"+reason, 0)
-		// Aborts the connection so that the truncated response doesn't look complete.
-		panic(http.ErrAbortHandler)
+		q.abortResponse()
 	case q.serverError != nil:
 		q.writeResponse(q.serverError, "failure:"+reason)
 	case !q.mayHaveRun:
@@ -281,6 +281,30 @@
 	}
 }
 
+// abortResponse ends a response that has begun, so that it does not look complete. It
+// does not return.
+func (q *request) abortResponse() {
+	if !q.incoming.ProtoAtLeast(1, 1) {
+		// Without chunks, the end of the connection is that of the body.
+		q.resetConnection()
+	}
+	panic(http.ErrAbortHandler)
+}
+
+// resetConnection resets the caller's connection.
+func (q *request) resetConnection() {
+	conn, _, err := http.NewResponseController(q.writer).Hijack()
+	if err != nil {
+		q.handler.Logger.Warn().Err(err).Str("requestID", string(q.head.ID)).Msg("connection of a broken response could not be reset")
+		return
+	}
+	if stream, ok := conn.(*net.TCPConn); ok {
+		// Fails only if the connection is closed already.
+		_ = stream.SetLinger(0)
+	}
+	conn.Close()
+}
+
 // abort ends a request whose caller has disconnected.
 func (q *request) abort() {
 	q.logEnd(0, "callerLeft", 0)
