Test that a head that ends early is no answer

TestHeadThatEndsEarlyIsNoResponse ends heads with a length, without one, of a chunked stream, of a refusal, and of a 204 after an informational head at each byte. A non-idempotent request ends with 502 and is sent once; the others get the next server's answer. With a blank line added to what has arrived, it fails ('is 200 "", complete true'). TestHeadThatEndsEarlyIsUncertain shows the same for the agents' client.

The agents' client is not open to repeated refusals either, since it opens a connection for each request; TestRepeatedRefusalIsNotTakenForAnswer in httpcall fails if it keeps them ('answer is 503 ""').

--- a/internal/backend/httpcall/httpcall_test.go
+++ b/internal/backend/httpcall/httpcall_test.go
@@ -1,7 +1,9 @@
 package httpcall
 
 import (
+	"bufio"
 	"io"
+	"net"
 	"net/http"
 	"strings"
 	"testing"
@@ -135,3 +137,68 @@
 		})
 	}
 }
+
+// Guards against a head that ends early, at whichever byte, and is taken for a whole
+// answer, or after which the request counts as not sent.
+func TestHeadThatEndsEarlyIsUncertain(t *testing.T) {
+	const head = answerHead + "Content-Type: text/plain\r\nContent-Length: 10\r\n\r\n"
+	for end := range head {
+		c := &Client{BaseURL: "http://" + serveRaw(t, head[:end])}
+		answer, err := c.Submit(t.Context(), mulberryspool.BackendRequest{RequestID: "r1", Method: http.MethodPost, Path: "/"})
+		if err == nil {
+			answer.Body.Close()
+		}
+		if !errors.Is(err, mulberryspool.ErrUncertain) {
+			t.Errorf("error after %q is %v, want ErrUncertain", head[:end], err)
+		}
+	}
+}
+
+// Guards against an earlier refusal, written once more on a kept connection, that is
+// taken for the answer to a later request.
+func TestRepeatedRefusalIsNotTakenForAnswer(t *testing.T) {
+	const ok, refusal = answerHead + "Content-Length: 2\r\n\r\nok", "HTTP/1.1 503 x\r\nContent-Length: 0\r\n\r\n"
+	c := &Client{BaseURL: "http://" + serveRaw(t, ok, refusal+ok)}
+	for range 3 {
+		answer, err := c.Submit(t.Context(), mulberryspool.BackendRequest{RequestID: "r1", Method: http.MethodPost, Path: "/"})
+		if err != nil {
+			t.Fatal(err)
+		}
+		body, err := io.ReadAll(answer.Body)
+		if answer.Status != http.StatusOK || string(body) != "ok" || err != nil {
+			t.Errorf("answer is %d %q, %v", answer.Status, body, err)
+		}
+		answer.Body.Close()
+	}
+}
+
+// serveRaw writes the answers to the first requests on each connection, then closes it,
+// and returns the address.
+func serveRaw(t *testing.T, answers ...string) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { listener.Close() })
+	serve := func(conn net.Conn) {
+		defer conn.Close()
+		reader := bufio.NewReader(conn)
+		for _, answer := range answers {
+			if _, err := http.ReadRequest(reader); err != nil {
+				return
+			}
+			_, _ = io.WriteString(conn, answer)
+		}
+	}
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go serve(conn)
+		}
+	}()
+	return listener.Addr().String()
+}
--- a/internal/entry/forward/answers_test.go
+++ b/internal/entry/forward/answers_test.go
@@ -227,3 +227,33 @@
 		})
 	}
 }
+
+// Guards against a head that ends early, at whichever byte, and is taken for a whole
+// response: as an empty or short success, as a refusal, or as an empty stream.
+func TestHeadThatEndsEarlyIsNoResponse(t *testing.T) {
+	for _, head := range []string{
+		ownHead + signatureHeader + "Content-Length: 25\r\n\r\n",
+		ownHead + signatureHeader + "\r\n",
+		streamHead + chunkedHead,
+		refusalHead + emptyLength,
+		"HTTP/1.1 103 x\r\nLink: l\r\n\r\nHTTP/1.1 204 x\r\nX-Attempt-Id: r1\r\n" + signatureHeader + "\r\n",
+	} {
+		for end := range head {
+			for path, want := range map[string]int{"/write/1": http.StatusBadGateway, "/read/1": http.StatusOK, "/stream/1": http.StatusOK} {
+				t.Run(fmt.Sprintf("%.12q to %d%s", head, end, path), func(t *testing.T) {
+					t.Parallel()
+					first := newBackend(t, "i-1", func(w *bufio.Writer, _ *http.Request, _ int) bool {
+						_, _ = w.WriteString(head[:end])
+						_ = w.Flush()
+						return false
+					})
+					second := newBackend(t, "i-2", func(w *bufio.Writer, r *http.Request, _ int) bool { return writeResponse(w, r, 200, "whole") })
+					got, body, complete := newOrderedEntry(t, first, second).call(t, http.MethodPost, path, "x")
+					if retried := second.requests.Load() == 1; got.StatusCode != want || !complete || retried != (want == http.StatusOK) || retried != (body == "whole") {
+						t.Errorf("response after %q is %d %q, complete %t", head[:end], got.StatusCode, body, complete)
+					}
+				})
+			}
+		}
+	}
+}
