Write events of a stream whole, so that its error completes none

In the product's own entry, a stream that breaks off gets a last event with the error. If it broke off inside an event, the caller got a part of that event as a whole one: the blank line before the error completed it, as in 'id: 2, data: first line, blank line, event: error' where the agent had sent 'id: 2, data: first line, data: sec'. If a line was longer than 64 KiB, the error was joined to the part that had been written. Found with a report of other operators on errors in the middle of streams.

Ruled out: a response that has begun is not retried unless it is buffered, so no second server's answer gets into it (simulation in dispatch); each such response is aborted, so none ends as if complete (TestBrokenStreamHasNoDoneMarker).

Cause: events were written line by line. They are now written when they are complete, and a part that broke off is dropped. Of an event of more than 64 KiB, of which a part is written, the error event is left out; the connection is aborted as before. An event of an engine is one line and a blank line, so callers get it no later.

TestBrokenEventIsNotCompleted fails without the change in all of its cases. The tests of streams and chats in integration pass.

--- a/internal/entry/callers/server_test.go
+++ b/internal/entry/callers/server_test.go
@@ -195,6 +195,44 @@
 	}
 }
 
+// Guards against a broken event that the error event at the end of its stream completes,
+// or joins, so that the caller takes a part of it for the whole.
+func TestBrokenEventIsNotCompleted(t *testing.T) {
+	const whole, broken, failure = "id: 1\ndata: a\n\n", "id: 2\r\ndata: first line\r\ndata: second line", "event: error\n"
+	longLine := "data: " + strings.Repeat("x", maxPendingEvent)
+	for _, test := range []struct {
+		parts []string
+		want  string
+	}{
+		{[]string{whole + broken}, whole + failure},
+		{[]string{whole + broken + "\r\n"}, whole + failure},
+		{[]string{whole, broken, "\r\n\r\n", "id: 3"}, whole + broken + "\r\n\r\n" + failure},
+		{[]string{whole + "\n" + broken[:3]}, whole + "\n" + failure},
+		{[]string{broken}, failure},
+		{[]string{whole + longLine + "\nda"}, whole + longLine + "\n"},
+		{[]string{longLine, "\nid: 2"}, longLine},
+		{[]string{longLine, "\n\nid: 2"}, longLine + "\n\n" + failure},
+	} {
+		recorder := httptest.NewRecorder()
+		writer := &streamWriter{w: recorder}
+		writer.writeHead(http.StatusOK, eventStream)
+		for _, part := range test.parts {
+			writer.write([]byte(part))
+		}
+		func() {
+			defer func() {
+				if recover() == nil {
+					t.Error("response is not aborted")
+				}
+			}()
+			writer.fail(dispatch.Error{Outcome: mulberryspool.OutcomeUnknown, Code: dispatch.CodeAnswerLost})
+		}()
+		if got, _, _ := strings.Cut(recorder.Body.String(), `data: {"error"`); got != test.want {
+			t.Errorf("%.60q is written as %.60q, %d bytes, want %d", test.parts, got, len(got), len(test.want))
+		}
+	}
+}
+
 // Guards against a truncated plain response that looks complete to the caller.
 func TestFailedBodyIsAborted(t *testing.T) {
 	f := newFixture(t, func(_ dispatch.Submission, b *ResponseBuffer) {
--- a/internal/entry/callers/stream.go
+++ b/internal/entry/callers/stream.go
@@ -9,21 +9,25 @@
 	"github.com/mulberryspool/mulberryspool/internal/entry/dispatch"
 )
 
-// maxPendingLine limits the bytes of an incomplete line of a server-sent event
-// that are held back. A longer line is written in parts.
-const maxPendingLine = 64 << 10
+// maxPendingEvent limits the bytes of an incomplete server-sent event that are held
+// back. A longer event is written in parts.
+const maxPendingEvent = 64 << 10
 
 // streamWriter writes one response as it is received. Server-sent events are
-// written in complete lines, and the [DONE] marker only after the end of the
+// written when they are complete, and the [DONE] marker only after the end of the
 // response was verified, because clients take it for the end.
 type streamWriter struct {
 	w             http.ResponseWriter
 	id            mulberryspool.RequestID
 	headSent      bool
 	isEventStream bool
-	// pending is an incomplete line, or everything from the done marker on.
+	// pending is an incomplete event, or everything from the event with the done
+	// marker on.
 	pending        []byte
 	doneMarkerSeen bool
+	// insideEvent and insideLine are set while only a part of an event, or of a
+	// line, is written.
+	insideEvent, insideLine bool
 }
 
 func (s *streamWriter) writeHead(status int, contentType string) {
@@ -53,34 +57,55 @@
 		return
 	}
 	s.pending = append(s.pending, data...)
-	writable := s.writableBytes()
-	if writable == 0 {
-		return
+	wrote := false
+	for writable := s.takeWritable(); len(writable) > 0; writable = s.takeWritable() {
+		_, _ = s.w.Write(writable)
+		wrote = true
+	}
+	if wrote {
+		s.flush()
 	}
-	_, _ = s.w.Write(s.pending[:writable])
-	s.pending = append([]byte(nil), s.pending[writable:]...)
-	s.flush()
 }
 
-// writableBytes returns the number of pending bytes that may be written:
-// complete lines before the done marker.
-func (s *streamWriter) writableBytes() int {
-	writable := 0
+// takeWritable removes from pending what may be written, and returns it: complete
+// events before the one with the done marker, else a part of an event that is longer
+// than maxPendingEvent.
+func (s *streamWriter) takeWritable() []byte {
+	events, lines := 0, 0
 	for !s.doneMarkerSeen {
-		lineEnd := bytes.IndexByte(s.pending[writable:], '\n')
-		if lineEnd < 0 {
-			if len(s.pending)-writable > maxPendingLine {
-				return len(s.pending)
-			}
-			return writable
+		length := bytes.IndexByte(s.pending[lines:], '\n')
+		if length < 0 {
+			break
 		}
-		if isDoneMarker(s.pending[writable : writable+lineEnd]) {
+		line, isRest := s.pending[lines:lines+length], lines == 0 && s.insideLine
+		if !isRest && isDoneMarker(line) {
 			s.doneMarkerSeen = true
-			return writable
+			break
+		}
+		lines += length + 1
+		if !isRest && len(bytes.TrimSuffix(line, []byte("\r"))) == 0 {
+			events = lines
 		}
-		writable += lineEnd + 1
 	}
-	return 0
+	switch {
+	case events > 0:
+		s.insideEvent, s.insideLine = false, false
+		return s.take(events)
+	case s.doneMarkerSeen || len(s.pending) <= maxPendingEvent:
+		return nil
+	case lines > 0:
+		s.insideEvent, s.insideLine = true, false
+		return s.take(lines)
+	}
+	s.insideEvent, s.insideLine = true, true
+	return s.take(len(s.pending))
+}
+
+// take removes the first n bytes from pending and returns them.
+func (s *streamWriter) take(n int) []byte {
+	taken := s.pending[:n]
+	s.pending = append([]byte(nil), s.pending[n:]...)
+	return taken
 }
 
 func isDoneMarker(line []byte) bool {
@@ -98,14 +123,14 @@
 
 // fail responds with the error. A response that has begun is aborted instead, so
 // that no client takes it for complete; an event stream first gets a last event
-// with the error.
+// with the error, unless that would complete an event that broke off.
 func (s *streamWriter) fail(err dispatch.Error) {
 	if !s.headSent {
 		writeError(s.w, s.id, err)
 		return
 	}
-	if s.isEventStream {
-		_, _ = s.w.Write([]byte("\nevent: error\ndata: "))
+	if s.isEventStream && !s.insideEvent {
+		_, _ = s.w.Write([]byte("event: error\ndata: "))
 		_, _ = s.w.Write(errorJSON(s.id, err))
 		_, _ = s.w.Write([]byte("\n\n"))
 		s.flush()
