--- a/internal/entry/forward/attempt.go
+++ b/internal/entry/forward/attempt.go
@@ -86,12 +86,12 @@
 		a.lastError = errors.Newf("response with status %d has no signature", response.StatusCode)
 		a.logAttempt(a.decision, "unsigned", a.startedAt)
 		return resultUnknown, a.attributeOutcome(ctx, placement.Broken)
-	case response.StatusCode < http.StatusMultipleChoices && strings.HasPrefix(response.Header.Get("Content-Type"), eventStream):
-		return a.relayEvents(ctx, response)
-	case a.stream != nil:
+	case a.stream != nil && (response.StatusCode != a.stream.status || !isEventStream(response)):
 		a.lastError = errors.Newf("resumed stream got status %d instead of events", response.StatusCode)
 		a.logAttempt(a.decision, "notResumed", a.startedAt)
 		return resultUnknown, a.attributeOutcome(ctx, placement.Failed)
+	case response.StatusCode < http.StatusMultipleChoices && isEventStream(response):
+		return a.relayEvents(ctx, response)
 	}
 	return a.bufferResponse(ctx, response)
 }
@@ -244,6 +244,11 @@
 	}
 	a.logOutdatedStart(response, a.handler.Clock.Now())
 	a.handler.Scheduler.RecordFirstEvent(a.pool.Name, a.decision.Server.Instance, a.head.PromptTokens)
+	if isPromise(response.StatusCode) && !a.retryable() {
+		a.lastError = errors.Newf("backend server responded with status %d, but not that it did not run the request", response.StatusCode)
+		a.logAttempt(a.decision, "unmarked"+strconv.Itoa(response.StatusCode), a.startedAt)
+		return resultUnknown, placement.Failed
+	}
 	buffered := &bufferedResponse{status: response.StatusCode, header: response.Header, body: body}
 	if response.StatusCode >= http.StatusInternalServerError {
 		a.serverError = buffered
@@ -273,7 +278,7 @@
 		a.reportEnded(a.decision, a.promptRead, a.attributeOutcome(ctx, placement.Broken), 0)
 		a.conn.Abort()
 		a.logEnd(response.StatusCode, "broken:long", 0)
-		panic(http.ErrAbortHandler)
+		a.abortResponse()
 	}
 	a.complete = true
 	a.exchange.Complete()
@@ -317,6 +322,20 @@
 	}
 }
 
+func isEventStream(response *httpconn.Answer) bool {
+	return strings.HasPrefix(response.Header.Get("Content-Type"), eventStream)
+}
+
+// isPromise reports whether a response with the status says to the caller of a
+// non-retryable request that it did not run and never will.
+func isPromise(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	}
+	return false
+}
+
 func isTimeout(err error) bool {
 	var timeout net.Error
 	return errors.Is(err, os.ErrDeadlineExceeded) || errors.As(err, &timeout) && timeout.Timeout()
--- a/internal/entry/forward/request.go
+++ b/internal/entry/forward/request.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"time"
 
@@ -274,8 +275,7 @@
 	switch {
 	case q.stream != nil:
 		q.logEnd(q.stream.status, "broken:"+reason, 0)
-		// Aborts the connection so that the truncated response doesn't look complete.
-		panic(http.ErrAbortHandler)
+		q.abortResponse()
 	case q.serverError != nil:
 		q.writeResponse(q.serverError, "failure:"+reason)
 	case !q.mayHaveRun:
@@ -288,6 +288,30 @@
 	}
 }
 
+// abortResponse ends a response that has begun, so that it does not look complete. It
+// does not return.
+func (q *request) abortResponse() {
+	if !q.incoming.ProtoAtLeast(1, 1) {
+		// Without chunks, the end of the connection is that of the body.
+		q.resetConnection()
+	}
+	panic(http.ErrAbortHandler)
+}
+
+// resetConnection resets the caller's connection.
+func (q *request) resetConnection() {
+	conn, _, err := http.NewResponseController(q.writer).Hijack()
+	if err != nil {
+		q.handler.Logger.Warn().Err(err).Str("requestID", string(q.head.ID)).Msg("connection of a broken response could not be reset")
+		return
+	}
+	if stream, ok := conn.(*net.TCPConn); ok {
+		// Fails only if the connection is closed already.
+		_ = stream.SetLinger(0)
+	}
+	conn.Close()
+}
+
 // abort ends a request whose caller has disconnected.
 func (q *request) abort() {
 	q.logEnd(0, "callerLeft", 0)
@@ -306,11 +330,7 @@
 // sendTo makes an attempt at the backend server of a placement decision.
 func (q *request) sendTo(ctx context.Context, decision placement.Decision) attemptResult {
 	startedAt := q.handler.Clock.Now()
-	longestIdle := time.Duration(0)
-	if !q.retryable() {
-		longestIdle = maxIdleNonRetryable
-	}
-	conn, err := q.handler.ConnPool.Acquire(ctx, targetOf(decision), longestIdle)
+	conn, err := q.connect(ctx, targetOf(decision))
 	if err != nil {
 		q.withdrawTrial()
 		q.lastError = err
@@ -351,6 +371,17 @@
 	return result
 }
 
+// connect returns a connection that the request may use.
+func (q *request) connect(ctx context.Context, target httpconn.Target) (*httpconn.Conn, error) {
+	switch {
+	case q.head.ID == "":
+		return q.handler.ConnPool.Open(ctx, target)
+	case !q.retryable():
+		return q.handler.ConnPool.Acquire(ctx, target, maxIdleNonRetryable)
+	}
+	return q.handler.ConnPool.Acquire(ctx, target, 0)
+}
+
 func targetOf(d placement.Decision) httpconn.Target {
 	return httpconn.Target{Instance: d.Server.Instance, Born: d.Server.Born, Address: d.Server.Address}
 }
