--- a/internal/platform/fleet/fleet.go
+++ b/internal/platform/fleet/fleet.go
@@ -41,21 +41,6 @@
 		assumed  bool
 	}
 
-	// namedVersion is a named version and when it was first seen.
-	namedVersion struct {
-		version int64
-		// seen is when a process first saw the version, as far as known. The version
-		// was named at that time or before.
-		seen time.Time
-		// ageUnknown is set if the version may have been named long before it was
-		// first seen; unseen is how long at most, or Fleet.AssumedAge.
-		ageUnknown bool
-		unseen     time.Duration
-		// watched is how long the watch that delivered the version had waited; 0 for a
-		// list or a peer's report.
-		watched time.Duration
-	}
-
 	// Kinds holds the names of the store's kinds and the functions that decode
 	// their objects.
 	Kinds struct {
