Apply corrections of when a version was named to requests in flight

What callers saw: requests began on an old version after the bound of the newer one (VERSION).

Cause: the time until which a response must have started was fixed when its request was placed. A version that was learned of later, or whose time was corrected, did not reach the requests that were on their way then.

Ruled out: a goroutine for each request; a change of a named version calls the attempts that wait for their response, of which there are as many as requests in flight.

Change: an attempt asks the placement each time it limits the wait for the start of its response, and again when a named version changes.

--- a/internal/entry/forward/attempt.go
+++ b/internal/entry/forward/attempt.go
@@ -42,6 +42,7 @@
 		// promptRead is set once the backend server has read the prompt, which
 		// the first event or a complete response shows.
 		promptRead bool
+		start      startDeadline
 		// complete is set once the response was read to its end, so that the
 		// connection may be reused.
 		complete bool
@@ -70,7 +71,8 @@
 		a.recordBroken(ctx, err)
 		return resultUnknown, a.attributeOutcome(ctx, placement.Broken)
 	}
-	if err := a.conn.SetReadDeadline(a.startDeadline(a.handler.Clock.Now().Add(a.readTimeout()))); err != nil {
+	defer a.handler.Scheduler.OnGraceChange(a.renewStartDeadline)()
+	if err := a.setStartDeadline(a.handler.Clock.Now().Add(a.readTimeout())); err != nil {
 		return a.handleLost(ctx, err)
 	}
 	response, err := a.conn.Receive(a.incoming.Method, a.head.ID)
@@ -141,7 +143,7 @@
 func (a *attempt) handleRejected(response *httpconn.Answer) (attemptResult, placement.Outcome) {
 	a.lastError = errors.Newf("backend server rejected the request with status %d without running it", response.StatusCode)
 	// The body is not needed; it is read so that the connection can be reused.
-	err := a.conn.SetReadDeadline(a.handler.Clock.Now().Add(rejectedBodyTimeout))
+	err := a.setReadDeadline(a.handler.Clock.Now().Add(rejectedBodyTimeout))
 	var read int64
 	if err == nil {
 		read, err = io.Copy(io.Discard, io.LimitReader(response.Body, maxRejectedBytes))
@@ -159,22 +161,6 @@
 	return resultNotRun, outcome
 }
 
-// startDeadline returns the earlier one of the given time and the time by which
-// the response must have started.
-func (a *attempt) startDeadline(at time.Time) time.Time {
-	if by := a.decision.StartBy; !by.IsZero() && by.Before(at) {
-		return by
-	}
-	return at
-}
-
-// isOutdated reports whether an exchange timed out because its response did not
-// start before the backend server's version was out of date.
-func (a *attempt) isOutdated(err error) bool {
-	by := a.decision.StartBy
-	return isTimeout(err) && !a.promptRead && !by.IsZero() && !a.handler.Clock.Now().Before(by)
-}
-
 // isWithdrawn reports whether the exchange was cancelled because its prompt is
 // rejected.
 func (a *attempt) isWithdrawn(ctx context.Context) bool {
@@ -263,7 +249,7 @@
 // relayOversized streams a response that is too long to be buffered. If it
 // breaks off or has no end, the caller's connection is aborted.
 func (a *attempt) relayOversized(ctx context.Context, response *httpconn.Answer, prefix []byte) (attemptResult, placement.Outcome) {
-	if err := a.conn.SetReadDeadline(a.deadline); err != nil {
+	if err := a.setReadDeadline(a.deadline); err != nil {
 		return a.handleLost(ctx, err)
 	}
 	a.handler.HeaderCodec.RemoveHopHeaders(response.Header)
@@ -290,7 +276,7 @@
 func (r *stallReader) Read(buffer []byte) (int, error) {
 	if r.renew || !r.started {
 		r.started = true
-		if err := r.conn.SetReadDeadline(r.handler.Clock.Now().Add(r.readTimeout())); err != nil {
+		if err := r.setReadDeadline(r.handler.Clock.Now().Add(r.readTimeout())); err != nil {
 			return 0, err
 		}
 	}
--- a/internal/entry/forward/request.go
+++ b/internal/entry/forward/request.go
@@ -338,7 +338,7 @@
 		q.logAttempt(decision, "unreached", startedAt)
 		return resultNotSent
 	}
-	if by := decision.StartBy; !by.IsZero() && !q.handler.Clock.Now().Before(by) {
+	if by := q.handler.Scheduler.StartBy(q.pool.Name, decision); !by.IsZero() && !q.handler.Clock.Now().Before(by) {
 		conn.Release(true)
 		q.withdrawTrial()
 		q.lastError = errors.Newf("version %d is out of date since the connection was opened", decision.Version)
--- a/internal/entry/forward/stream.go
+++ b/internal/entry/forward/stream.go
@@ -58,7 +58,7 @@
 	for {
 		if progressed {
 			progressed, bytesWithoutProgress = false, 0
-			if err := a.conn.SetReadDeadline(a.eventDeadline()); err != nil {
+			if err := a.setEventDeadline(); err != nil {
 				return a.handleBrokenStream(ctx, relayed, err)
 			}
 		}
@@ -140,8 +140,9 @@
 	s.lastEventAt = now
 }
 
-// eventDeadline returns the time at which the stream counts as silent.
-func (a *attempt) eventDeadline() time.Time {
+// setEventDeadline limits the wait for the next event to the time at which the stream
+// counts as silent.
+func (a *attempt) setEventDeadline() error {
 	silence := a.readTimeout()
 	if a.promptRead && a.retryable() && a.sentCount+1 < a.route.Attempts {
 		silence = max(minReadTimeout, eventGapFactor*a.route.GapObjective)
@@ -151,9 +152,9 @@
 		at = a.deadline
 	}
 	if !a.promptRead {
-		return a.startDeadline(at)
+		return a.setStartDeadline(at)
 	}
-	return at
+	return a.setReadDeadline(at)
 }
 
 // checkUnframedEnd returns an error if a stream that has ended between two events
--- a/internal/entry/placement/placer.go
+++ b/internal/entry/placement/placer.go
@@ -163,6 +163,15 @@
 	p.namedVersions = namedVersions
 }
 
+// StartBy returns Decision.StartBy for a request that was placed before, by what is known
+// now.
+func (p *Placer) StartBy(d Decision) time.Time {
+	if p.pool.Model == "" {
+		return time.Time{}
+	}
+	return p.graceEnd(d.Version)
+}
+
 // SetPeer records the report of another entry.
 func (p *Placer) SetPeer(name string, report PeerReport, now time.Time) {
 	if p.peers == nil {
--- /dev/null
+++ b/internal/entry/scheduler/grace.go
@@ -0,0 +1,62 @@
+package scheduler
+
+import (
+	"time"
+
+	"github.com/mulberryspool/mulberryspool/internal/entry/placement"
+)
+
+// SetNamedVersion records when a version became the named version of a model.
+func (s *Scheduler) SetNamedVersion(model string, version int64, at time.Time) {
+	for _, changed := range s.setNamedVersion(model, version, at) {
+		changed()
+	}
+}
+
+// setNamedVersion returns the callbacks of requests in flight.
+func (s *Scheduler) setNamedVersion(model string, version int64, at time.Time) []func() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.initMaps()
+	if s.namedVersions[model] == nil {
+		s.namedVersions[model] = make(map[int64]time.Time)
+	}
+	s.namedVersions[model][version] = at
+	for name, p := range s.pools {
+		s.syncServers(name, p)
+	}
+	callbacks := make([]func(), 0, len(s.graceChanged))
+	for _, changed := range s.graceChanged {
+		callbacks = append(callbacks, changed)
+	}
+	return callbacks
+}
+
+// StartBy returns placement.Decision.StartBy for a request that was placed before, by what
+// is known now.
+func (s *Scheduler) StartBy(name string, d placement.Decision) time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if p := s.pools[name]; p != nil {
+		return p.placer.StartBy(d)
+	}
+	return d.StartBy
+}
+
+// OnGraceChange calls a function whenever the results of StartBy may have changed, until
+// the returned function is called.
+func (s *Scheduler) OnGraceChange(changed func()) (stop func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.graceChanged == nil {
+		s.graceChanged = make(map[uint64]func())
+	}
+	s.lastGraceCallback++
+	id := s.lastGraceCallback
+	s.graceChanged[id] = changed
+	return func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		delete(s.graceChanged, id)
+	}
+}
--- a/internal/entry/scheduler/scheduler.go
+++ b/internal/entry/scheduler/scheduler.go
@@ -51,6 +51,9 @@
 		namedVersions map[string]map[int64]time.Time
 		// peers holds the time of the last report of each peer.
 		peers map[string]time.Time
+		// graceChanged holds the callbacks of OnGraceChange.
+		graceChanged      map[uint64]func()
+		lastGraceCallback uint64
 	}
 
 	// AgentReport is a report of an agent on its backend server.
@@ -142,20 +145,6 @@
 	}
 }
 
-// SetNamedVersion records when a version became the named version of a model.
-func (s *Scheduler) SetNamedVersion(model string, version int64, at time.Time) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.initMaps()
-	if s.namedVersions[model] == nil {
-		s.namedVersions[model] = make(map[int64]time.Time)
-	}
-	s.namedVersions[model][version] = at
-	for name, p := range s.pools {
-		s.syncServers(name, p)
-	}
-}
-
 // FirstNewerVersion returns that named version of the pool's model that was named
 // first of those newer than the given one, and when; 0 if there is none.
 func (s *Scheduler) FirstNewerVersion(name string, version int64) (int64, time.Time) {
