Give up requests on an old version earlier by the delay of their path

Cause: at the end of the bound the entry resets the connections of requests that have not begun. On a full link the reset waits behind the request, in the same queue, and reaches the server after it has begun; the margin was 0.1 s for everything.

Change: an entry measures how long connections to the servers of each failure domain take to open, and gives up the requests on an old version by the largest recent one earlier; the placement counts it as well. The margin for the processor is 0.15 s, since a share of it may be used up for the rest of a tenth of a second.

--- a/internal/backend/httpconn/conn.go
+++ b/internal/backend/httpconn/conn.go
@@ -46,6 +46,8 @@
 		reader    *bufio.Reader
 		// reused is set if the connection has carried a request before.
 		reused bool
+		// openTook is how long it took to open the connection.
+		openTook time.Duration
 		// unusable is set if the connection must be closed after the current request.
 		unusable bool
 		// interrupted is set once the context of InterruptOnDone is done.
@@ -93,6 +95,11 @@
 	return &Conn{target: target, pool: pool, netConn: netConn, headLimit: headLimit, reader: bufio.NewReaderSize(headLimit, readBufferBytes)}
 }
 
+// OpenTook returns how long it took to open the connection; false if it is reused.
+func (c *Conn) OpenTook() (time.Duration, bool) {
+	return c.openTook, !c.reused
+}
+
 // Abort resets the connection of a request that is given up. Bytes that have not
 // reached the backend server are dropped, and it does not mistake the end for that
 // of the request only.
--- a/internal/backend/httpconn/pool.go
+++ b/internal/backend/httpconn/pool.go
@@ -93,14 +93,18 @@
 // Open opens a new connection. Requests without an ID need one, because Receive can't
 // match their answers on a reused connection.
 func (p *Pool) Open(ctx context.Context, target Target) (*Conn, error) {
+	startedAt := p.Clock.Now()
 	netConn, err := p.Dial(ctx, "tcp", target.Address)
 	if err != nil {
 		return nil, errors.Mark(err, ErrNotSent)
 	}
+	took := p.Clock.Since(startedAt)
 	if p.OnOpen != nil {
 		p.OnOpen(target)
 	}
-	return newConn(netConn, target, p), nil
+	c := newConn(netConn, target, p)
+	c.openTook = took
+	return c, nil
 }
 
 // CloseIdle closes the idle connections to a backend server that no longer
--- a/internal/entry/forward/request.go
+++ b/internal/entry/forward/request.go
@@ -338,6 +338,9 @@
 		q.logAttempt(decision, "unreached", startedAt)
 		return resultNotSent
 	}
+	if took, opened := conn.OpenTook(); opened {
+		q.handler.Scheduler.RecordPathDelay(decision.Server.FailureDomain, took)
+	}
 	if by := q.handler.Scheduler.StartBy(q.pool.Name, decision); !by.IsZero() && !q.handler.Clock.Now().Before(by) {
 		conn.Release(true)
 		q.withdrawTrial()
--- a/internal/entry/placement/choose.go
+++ b/internal/entry/placement/choose.go
@@ -86,7 +86,7 @@
 // startsWithinGrace reports whether the response starts before the version grace
 // of every newer named version ends.
 func (p *Placer) startsWithinGrace(s *server, r Request, now time.Time) bool {
-	end := p.graceEnd(s.version)
+	end := p.startBy(s.FailureDomain, s.version, now)
 	if end.IsZero() {
 		return true
 	}
@@ -97,6 +97,17 @@
 	return startsAt.Before(end)
 }
 
+// startBy returns when requests to a server of the failure domain are given up that run on
+// the version and have not started; zero if no newer version is named. The end of their
+// connections takes as long to reach the server as they do.
+func (p *Placer) startBy(domain string, version int64, now time.Time) time.Time {
+	end := p.graceEnd(version)
+	if end.IsZero() || p.Config.PathDelays == nil {
+		return end
+	}
+	return end.Add(-p.Config.PathDelays.Max(domain, now))
+}
+
 // graceEnd returns when the first version grace of the versions that are newer
 // than the given one ends; zero if there is none.
 func (p *Placer) graceEnd(version int64) time.Time {
--- a/internal/entry/placement/placement.go
+++ b/internal/entry/placement/placement.go
@@ -23,6 +23,7 @@
 	"time"
 
 	"github.com/mulberryspool/mulberryspool"
+	"github.com/mulberryspool/mulberryspool/internal/entry/pathdelay"
 )
 
 const (
@@ -99,6 +100,9 @@
 		// VersionGrace is how long responses of a version may still start after a
 		// newer one became the named version.
 		VersionGrace time.Duration
+		// PathDelays holds how long messages to the backend servers of each failure
+		// domain take; nil if that is not known.
+		PathDelays *pathdelay.Delays
 	}
 
 	// Request is the input of a decision.
@@ -136,8 +140,8 @@
 		// Server is set for placed requests, Version is the one it serves.
 		Server  mulberryspool.BackendServer
 		Version int64
-		// StartBy is when the response must have started, because a newer version
-		// is named; zero if there is none.
+		// StartBy is when the request is given up unless its response has started,
+		// because a newer version is named; zero if there is none.
 		StartBy time.Time
 		// InFlight is the number of requests known to be in flight at the server,
 		// or at all usable servers for a refusal; Capacity is their capacity.
--- a/internal/entry/placement/placer.go
+++ b/internal/entry/placement/placer.go
@@ -165,11 +165,11 @@
 
 // StartBy returns Decision.StartBy for a request that was placed before, by what is known
 // now.
-func (p *Placer) StartBy(d Decision) time.Time {
+func (p *Placer) StartBy(d Decision, now time.Time) time.Time {
 	if p.pool.Model == "" {
 		return time.Time{}
 	}
-	return p.graceEnd(d.Version)
+	return p.startBy(d.Server.FailureDomain, d.Version, now)
 }
 
 // SetPeer records the report of another entry.
@@ -411,7 +411,7 @@
 		InFlight: s.inFlight(), Capacity: p.capacity(s), PendingPromptTokens: s.pendingPromptTokens(),
 	}
 	if p.pool.Model != "" {
-		d.StartBy = p.graceEnd(s.version)
+		d.StartBy = p.startBy(s.FailureDomain, s.version, now)
 	}
 	s.limit.Take(now)
 	s.ownLoad.Requests++
--- a/internal/entry/scheduler/grace.go
+++ b/internal/entry/scheduler/grace.go
@@ -38,7 +38,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if p := s.pools[name]; p != nil {
-		return p.placer.StartBy(d)
+		return p.placer.StartBy(d, s.Clock.Now())
 	}
 	return d.StartBy
 }
@@ -60,3 +60,11 @@
 		delete(s.graceChanged, id)
 	}
 }
+
+// RecordPathDelay records how long it took to open a connection to a backend server of a
+// failure domain.
+func (s *Scheduler) RecordPathDelay(domain string, took time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.pathDelays.Record(domain, took, s.Clock.Now())
+}
--- a/internal/entry/scheduler/scheduler.go
+++ b/internal/entry/scheduler/scheduler.go
@@ -19,6 +19,7 @@
 
 	"github.com/mulberryspool/mulberryspool"
 	"github.com/mulberryspool/mulberryspool/internal/entry/ingress"
+	"github.com/mulberryspool/mulberryspool/internal/entry/pathdelay"
 	"github.com/mulberryspool/mulberryspool/internal/entry/placement"
 	"github.com/mulberryspool/mulberryspool/internal/entry/retrybudget"
 	"github.com/mulberryspool/mulberryspool/internal/entry/serverlimit"
@@ -50,7 +51,8 @@
 		// version.
 		namedVersions map[string]map[int64]time.Time
 		// peers holds the time of the last report of each peer.
-		peers map[string]time.Time
+		peers      map[string]time.Time
+		pathDelays pathdelay.Delays
 		// graceChanged holds the callbacks of OnGraceChange.
 		graceChanged      map[uint64]func()
 		lastGraceCallback uint64
@@ -393,12 +395,18 @@
 	s.peers = make(map[string]time.Time)
 }
 
+func (s *Scheduler) placementConfig() placement.Config {
+	config := s.Placement
+	config.PathDelays = &s.pathDelays
+	return config
+}
+
 // addPool returns the pool with the name and creates it if needed.
 func (s *Scheduler) addPool(name string) *pool {
 	p := s.pools[name]
 	if p == nil {
 		p = &pool{
-			placer:      placement.Placer{Config: s.Placement, Random: s.Random},
+			placer:      placement.Placer{Config: s.placementConfig(), Random: s.Random},
 			retryBudget: s.RetryBudget,
 			waiting:     make(map[placement.Ticket]chan placement.Decision),
 		}
--- a/internal/role/hosted/entry.go
+++ b/internal/role/hosted/entry.go
@@ -54,8 +54,10 @@
 	// findingsRounds is the number of rounds between two heartbeats to all processes
 	// with findings on prompts, which repeat those about changes.
 	findingsRounds = 20
-	// versionDelayMargin is how late a change of the named version may become known.
-	versionDelayMargin = 100 * time.Millisecond
+	// versionEndMargin is how long before the end of a version's bound the requests on
+	// the older one are given up. An entry may have used up its share of the processor
+	// for the rest of a tenth of a second, and its timers fire late.
+	versionEndMargin = 150 * time.Millisecond
 	// A store that drops its history does not answer a waiting watch, so watches
 	// have a limited wait. The first entry that watches again informs the others,
 	// so the mean wait grows with the number of entries: with watchBaseWait and
@@ -178,7 +180,7 @@
 		Clock: e.clock, Random: newRandom(),
 		LoadChanged: func() { wake(e.loadChanged) },
 		Placement: placement.Config{
-			EntryName: e.settings.Instance, FailureDomain: e.identity.FailureDomain, CrossDomainDelay: crossDomainDelay, VersionGrace: b.NamedVersion - versionDelayMargin,
+			EntryName: e.settings.Instance, FailureDomain: e.identity.FailureDomain, CrossDomainDelay: crossDomainDelay, VersionGrace: b.NamedVersion - versionEndMargin,
 		},
 		RetryBudget: retrybudget.Budget{Window: b.RepeatWindow, Ratio: b.RepeatRatio, Slack: b.RepeatSlack / 2},
 	}
@@ -199,7 +201,7 @@
 	e.fleet.WatchTimeout = func() time.Duration { return watchWait(1 + len(e.heartbeats.ActivePeers(mulberryspool.RoleEntry))) }
 	e.fleet.ConfigWatchTimeout = func() time.Duration { return watchWait(e.configWatchers()) }
 	e.fleet.ConfigPaused = func() bool { return !e.watchesConfig() }
-	e.fleet.AssumedAge = b.NamedVersion - versionDelayMargin - unknownAgeGrace
+	e.fleet.AssumedAge = b.NamedVersion - versionEndMargin - unknownAgeGrace
 	e.fleet.IngressChanged = func(i mulberryspool.Ingress) {
 		e.scheduler.SetIngress(i)
 		e.signalStateChange()
