--- a/fleet.go
+++ b/fleet.go
@@ -123,6 +123,9 @@
 		Leaving bool `json:"leaving,omitzero"`
 		// Models holds the completely loaded models; empty for plain services.
 		Models []LoadedModel `json:"models,omitzero"`
+		// Revision is the store's revision of the last change of the backend server's
+		// object; 0 if not known.
+		Revision Revision `json:"revision,omitzero"`
 	}
 
 	// LoadedModel is a model version that a backend server serves.
@@ -136,6 +139,8 @@
 	NamedVersion struct {
 		Model   string `json:"model,omitzero"`
 		Version int64  `json:"version,omitzero"`
+		// Revision is the store's revision of the last change of the version's object.
+		Revision Revision `json:"revision,omitzero"`
 	}
 
 	// RequestHead is the information in the headers of a live request.
@@ -191,6 +196,11 @@
 		// RateLimit is the number of requests per second that the backend server
 		// accepts from all entries together; nil if it names none.
 		RateLimit *float64
+		// RetryAfter is how long the backend server, which has refused the request, wants
+		// none from this entry; 0 if not specified.
+		RetryAfter time.Duration
+		// Leaving means that the backend server is about to end.
+		Leaving bool
 		// Instance is the backend server that answered; empty if not specified.
 		Instance InstanceID
 	}
--- a/internal/backend/httpconn/conn.go
+++ b/internal/backend/httpconn/conn.go
@@ -46,6 +46,8 @@
 		reader    *bufio.Reader
 		// reused is set if the connection has carried a request before.
 		reused bool
+		// openTook is how long it took to open the connection.
+		openTook time.Duration
 		// unusable is set if the connection must be closed after the current request.
 		unusable bool
 		// interrupted is set once the context of InterruptOnDone is done.
@@ -93,6 +95,11 @@
 	return &Conn{target: target, pool: pool, netConn: netConn, headLimit: headLimit, reader: bufio.NewReaderSize(headLimit, readBufferBytes)}
 }
 
+// OpenTook returns how long it took to open the connection; false if it is reused.
+func (c *Conn) OpenTook() (time.Duration, bool) {
+	return c.openTook, !c.reused
+}
+
 // Abort resets the connection of a request that is given up. Bytes that have not
 // reached the backend server are dropped, and it does not mistake the end for that
 // of the request only.
@@ -138,8 +145,8 @@
 
 // Receive reads the head of the answer to the request with the ID. It skips
 // up to maxSkippedAnswers informational answers (1xx) and answers to other requests.
-// An answer without an ID is accepted on a new connection, or if it says that the
-// request was not run.
+// An answer without an ID is accepted on a new connection only, because on a reused one
+// it may belong to an earlier request.
 func (c *Conn) Receive(method string, id mulberryspool.RequestID) (*Answer, error) {
 	for range maxSkippedAnswers + 1 {
 		response, err := c.readHead(method) //nolint:bodyclose // The caller closes it with the answer.
@@ -150,7 +157,7 @@
 			continue
 		}
 		head := c.pool.HeaderCodec.DecodeAnswer(response.StatusCode, response.Header)
-		if head.ID == id || head.ID == "" && (head.NotRun || !c.reused) {
+		if head.ID == "" && !c.reused || head.ID != "" && head.ID == id {
 			c.applyKeepAlive(response)
 			c.answerRead = response.Body == http.NoBody
 			response.Body = &answerBody{Reader: response.Body, conn: c}
--- a/internal/entry/forward/attempt.go
+++ b/internal/entry/forward/attempt.go
@@ -16,7 +16,6 @@
 	"github.com/mulberryspool/mulberryspool/internal/backend/httpconn"
 	"github.com/mulberryspool/mulberryspool/internal/entry/placement"
 	"github.com/mulberryspool/mulberryspool/internal/entry/promptguard"
-	"github.com/mulberryspool/mulberryspool/internal/observe/logging"
 )
 
 const (
@@ -43,6 +42,7 @@
 		// promptRead is set once the backend server has read the prompt, which
 		// the first event or a complete response shows.
 		promptRead bool
+		start      startDeadline
 		// complete is set once the response was read to its end, so that the
 		// connection may be reused.
 		complete bool
@@ -71,7 +71,8 @@
 		a.recordBroken(ctx, err)
 		return resultUnknown, a.attributeOutcome(ctx, placement.Broken)
 	}
-	if err := a.conn.SetReadDeadline(a.startDeadline(a.handler.Clock.Now().Add(a.readTimeout()))); err != nil {
+	defer a.handler.Scheduler.OnGraceChange(a.renewStartDeadline)()
+	if err := a.setStartDeadline(a.handler.Clock.Now().Add(a.readTimeout())); err != nil {
 		return a.handleLost(ctx, err)
 	}
 	response, err := a.conn.Receive(a.incoming.Method, a.head.ID)
@@ -79,7 +80,7 @@
 		return a.handleLost(ctx, err)
 	}
 	defer response.Body.Close()
-	a.recordLimit(response)
+	a.recordAnnouncements(response)
 	switch {
 	case response.Head.NotRun:
 		return a.handleRejected(response)
@@ -87,12 +88,12 @@
 		a.lastError = errors.Newf("response with status %d has no signature", response.StatusCode)
 		a.logAttempt(a.decision, "unsigned", a.startedAt)
 		return resultUnknown, a.attributeOutcome(ctx, placement.Broken)
-	case response.StatusCode < http.StatusMultipleChoices && strings.HasPrefix(response.Header.Get("Content-Type"), eventStream):
-		return a.relayEvents(ctx, response)
-	case a.stream != nil:
+	case a.stream != nil && (response.StatusCode != a.stream.status || !isEventStream(response)):
 		a.lastError = errors.Newf("resumed stream got status %d instead of events", response.StatusCode)
 		a.logAttempt(a.decision, "notResumed", a.startedAt)
 		return resultUnknown, a.attributeOutcome(ctx, placement.Failed)
+	case response.StatusCode < http.StatusMultipleChoices && isEventStream(response):
+		return a.relayEvents(ctx, response)
 	}
 	return a.bufferResponse(ctx, response)
 }
@@ -110,8 +111,7 @@
 	if !a.handler.Scheduler.RecordLimit(a.pool.Name, a.decision.Server, rate, a.sentAt) {
 		return
 	}
-	e := a.handler.Logger.Info().EmbedObject(logging.Fields{Pool: a.pool.Name, RequestID: a.head.ID, Peer: string(a.decision.Server.Instance)}).
-		Int64("born", a.decision.Server.Born).Int("inFlight", a.decision.InFlight)
+	e := a.serverEvent()
 	if rate != nil {
 		e.Float64("rateLimit", *rate)
 	}
@@ -143,7 +143,7 @@
 func (a *attempt) handleRejected(response *httpconn.Answer) (attemptResult, placement.Outcome) {
 	a.lastError = errors.Newf("backend server rejected the request with status %d without running it", response.StatusCode)
 	// The body is not needed; it is read so that the connection can be reused.
-	err := a.conn.SetReadDeadline(a.handler.Clock.Now().Add(rejectedBodyTimeout))
+	err := a.setReadDeadline(a.handler.Clock.Now().Add(rejectedBodyTimeout))
 	var read int64
 	if err == nil {
 		read, err = io.Copy(io.Discard, io.LimitReader(response.Body, maxRejectedBytes))
@@ -161,22 +161,6 @@
 	return resultNotRun, outcome
 }
 
-// startDeadline returns the earlier one of the given time and the time by which
-// the response must have started.
-func (a *attempt) startDeadline(at time.Time) time.Time {
-	if by := a.decision.StartBy; !by.IsZero() && by.Before(at) {
-		return by
-	}
-	return at
-}
-
-// isOutdated reports whether an exchange timed out because its response did not
-// start before the backend server's version was out of date.
-func (a *attempt) isOutdated(err error) bool {
-	by := a.decision.StartBy
-	return isTimeout(err) && !a.promptRead && !by.IsZero() && !a.handler.Clock.Now().Before(by)
-}
-
 // isWithdrawn reports whether the exchange was cancelled because its prompt is
 // rejected.
 func (a *attempt) isWithdrawn(ctx context.Context) bool {
@@ -246,6 +230,11 @@
 	}
 	a.logOutdatedStart(response, a.handler.Clock.Now())
 	a.handler.Scheduler.RecordFirstEvent(a.pool.Name, a.decision.Server.Instance, a.head.PromptTokens)
+	if isPromise(response.StatusCode) && !a.retryable() {
+		a.lastError = errors.Newf("backend server responded with status %d, but not that it did not run the request", response.StatusCode)
+		a.logAttempt(a.decision, "unmarked"+strconv.Itoa(response.StatusCode), a.startedAt)
+		return resultUnknown, placement.Failed
+	}
 	buffered := &bufferedResponse{status: response.StatusCode, header: response.Header, body: body}
 	if response.StatusCode >= http.StatusInternalServerError {
 		a.serverError = buffered
@@ -260,7 +249,7 @@
 // relayOversized streams a response that is too long to be buffered. If it
 // breaks off or has no end, the caller's connection is aborted.
 func (a *attempt) relayOversized(ctx context.Context, response *httpconn.Answer, prefix []byte) (attemptResult, placement.Outcome) {
-	if err := a.conn.SetReadDeadline(a.deadline); err != nil {
+	if err := a.setReadDeadline(a.deadline); err != nil {
 		return a.handleLost(ctx, err)
 	}
 	a.handler.HeaderCodec.RemoveHopHeaders(response.Header)
@@ -275,7 +264,7 @@
 		a.reportEnded(a.decision, a.promptRead, a.attributeOutcome(ctx, placement.Broken), 0)
 		a.conn.Abort()
 		a.logEnd(response.StatusCode, "broken:long", 0)
-		panic(http.ErrAbortHandler)
+		a.abortResponse()
 	}
 	a.complete = true
 	a.exchange.Complete()
@@ -287,7 +276,7 @@
 func (r *stallReader) Read(buffer []byte) (int, error) {
 	if r.renew || !r.started {
 		r.started = true
-		if err := r.conn.SetReadDeadline(r.handler.Clock.Now().Add(r.readTimeout())); err != nil {
+		if err := r.setReadDeadline(r.handler.Clock.Now().Add(r.readTimeout())); err != nil {
 			return 0, err
 		}
 	}
@@ -319,6 +308,20 @@
 	}
 }
 
+func isEventStream(response *httpconn.Answer) bool {
+	return strings.HasPrefix(response.Header.Get("Content-Type"), eventStream)
+}
+
+// isPromise reports whether a response with the status says to the caller of a
+// non-retryable request that it did not run and never will.
+func isPromise(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	}
+	return false
+}
+
 func isTimeout(err error) bool {
 	var timeout net.Error
 	return errors.Is(err, os.ErrDeadlineExceeded) || errors.As(err, &timeout) && timeout.Timeout()
--- a/internal/entry/forward/request.go
+++ b/internal/entry/forward/request.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"time"
 
@@ -53,6 +54,9 @@
 	resultNotRun
 	// resultNotSent means that no byte of the request was sent.
 	resultNotSent
+	// resultWithheld means that no byte was sent, because the backend server takes no
+	// requests since the placement.
+	resultWithheld
 	// resultUnknown means that the request may have run.
 	resultUnknown
 	// resultServerError means that the backend server responded with a 5xx status.
@@ -150,6 +154,9 @@
 		switch q.sendTo(ctx, decision) {
 		case resultFinished:
 			return
+		case resultWithheld:
+			// The server isn't excluded: the placement knows until when it takes none.
+			continue
 		case resultNotSent:
 		case resultNotRun:
 			q.sentCount++
@@ -268,12 +275,12 @@
 	switch {
 	case q.stream != nil:
 		q.logEnd(q.stream.status, "broken:"+reason, 0)
-		// Aborts the connection so that the truncated response doesn't look complete.
-		panic(http.ErrAbortHandler)
+		q.abortResponse()
 	case q.serverError != nil:
 		q.writeResponse(q.serverError, "failure:"+reason)
 	case !q.mayHaveRun:
-		q.writeError(http.StatusServiceUnavailable, typeNotRun, reason, q.capRetryAfter(rejectedRetryAfter))
+		retryAfter := max(rejectedRetryAfter, q.handler.Scheduler.PauseLeft(q.pool.Name))
+		q.writeError(http.StatusServiceUnavailable, typeNotRun, reason, q.capRetryAfter(retryAfter))
 	case q.handler.Clock.Until(q.deadline) <= 0:
 		q.writeError(http.StatusGatewayTimeout, typeUnknown, reason, 0)
 	default:
@@ -281,6 +288,30 @@
 	}
 }
 
+// abortResponse ends a response that has begun, so that it does not look complete. It
+// does not return.
+func (q *request) abortResponse() {
+	if !q.incoming.ProtoAtLeast(1, 1) {
+		// Without chunks, the end of the connection is that of the body.
+		q.resetConnection()
+	}
+	panic(http.ErrAbortHandler)
+}
+
+// resetConnection resets the caller's connection.
+func (q *request) resetConnection() {
+	conn, _, err := http.NewResponseController(q.writer).Hijack()
+	if err != nil {
+		q.handler.Logger.Warn().Err(err).Str("requestID", string(q.head.ID)).Msg("connection of a broken response could not be reset")
+		return
+	}
+	if stream, ok := conn.(*net.TCPConn); ok {
+		// Fails only if the connection is closed already.
+		_ = stream.SetLinger(0)
+	}
+	conn.Close()
+}
+
 // abort ends a request whose caller has disconnected.
 func (q *request) abort() {
 	q.logEnd(0, "callerLeft", 0)
@@ -299,11 +330,7 @@
 // sendTo makes an attempt at the backend server of a placement decision.
 func (q *request) sendTo(ctx context.Context, decision placement.Decision) attemptResult {
 	startedAt := q.handler.Clock.Now()
-	longestIdle := time.Duration(0)
-	if !q.retryable() {
-		longestIdle = maxIdleNonRetryable
-	}
-	conn, err := q.handler.ConnPool.Acquire(ctx, targetOf(decision), longestIdle)
+	conn, err := q.connect(ctx, targetOf(decision))
 	if err != nil {
 		q.withdrawTrial()
 		q.lastError = err
@@ -311,7 +338,10 @@
 		q.logAttempt(decision, "unreached", startedAt)
 		return resultNotSent
 	}
-	if by := decision.StartBy; !by.IsZero() && !q.handler.Clock.Now().Before(by) {
+	if took, opened := conn.OpenTook(); opened {
+		q.handler.Scheduler.RecordPathDelay(decision.Server.FailureDomain, took)
+	}
+	if by := q.handler.Scheduler.StartBy(q.pool.Name, decision); !by.IsZero() && !q.handler.Clock.Now().Before(by) {
 		conn.Release(true)
 		q.withdrawTrial()
 		q.lastError = errors.Newf("version %d is out of date since the connection was opened", decision.Version)
@@ -319,6 +349,10 @@
 		q.logAttempt(decision, outcomeOutdated, startedAt)
 		return resultNotSent
 	}
+	if q.withhold(decision, startedAt) {
+		conn.Release(true)
+		return resultWithheld
+	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	stop := conn.InterruptOnDone(ctx)
@@ -340,6 +374,17 @@
 	return result
 }
 
+// connect returns a connection that the request may use.
+func (q *request) connect(ctx context.Context, target httpconn.Target) (*httpconn.Conn, error) {
+	switch {
+	case q.head.ID == "":
+		return q.handler.ConnPool.Open(ctx, target)
+	case !q.retryable():
+		return q.handler.ConnPool.Acquire(ctx, target, maxIdleNonRetryable)
+	}
+	return q.handler.ConnPool.Acquire(ctx, target, 0)
+}
+
 func targetOf(d placement.Decision) httpconn.Target {
 	return httpconn.Target{Instance: d.Server.Instance, Born: d.Server.Born, Address: d.Server.Address}
 }
--- a/internal/entry/placement/placement.go
+++ b/internal/entry/placement/placement.go
@@ -23,6 +23,7 @@
 	"time"
 
 	"github.com/mulberryspool/mulberryspool"
+	"github.com/mulberryspool/mulberryspool/internal/entry/pathdelay"
 )
 
 const (
@@ -41,6 +42,17 @@
 	ReasonNoServer      Reason = "noServerServes"
 	ReasonWaitTimeout   Reason = "waitedTooLong"
 	ReasonNoOtherServer Reason = "noOtherServer"
+	// ReasonPaused means that all servers that could serve the request want none.
+	ReasonPaused Reason = "serversPaused"
+)
+
+// Reasons why a placed request must not be sent any more.
+const (
+	ReasonServerPaused  Reason = "paused"
+	ReasonServerLeaving Reason = "leaving"
+	// ReasonServerGone means that the server is not listed, or has been replaced by
+	// another incarnation.
+	ReasonServerGone Reason = "gone"
 )
 
 // Outcomes of an exchange with a backend server.
@@ -88,6 +100,9 @@
 		// VersionGrace is how long responses of a version may still start after a
 		// newer one became the named version.
 		VersionGrace time.Duration
+		// PathDelays holds how long messages to the backend servers of each failure
+		// domain take; nil if that is not known.
+		PathDelays *pathdelay.Delays
 	}
 
 	// Request is the input of a decision.
@@ -125,8 +140,8 @@
 		// Server is set for placed requests, Version is the one it serves.
 		Server  mulberryspool.BackendServer
 		Version int64
-		// StartBy is when the response must have started, because a newer version
-		// is named; zero if there is none.
+		// StartBy is when the request is given up unless its response has started,
+		// because a newer version is named; zero if there is none.
 		StartBy time.Time
 		// InFlight is the number of requests known to be in flight at the server,
 		// or at all usable servers for a refusal; Capacity is their capacity.
--- a/internal/entry/scheduler/scheduler.go
+++ b/internal/entry/scheduler/scheduler.go
@@ -19,6 +19,7 @@
 
 	"github.com/mulberryspool/mulberryspool"
 	"github.com/mulberryspool/mulberryspool/internal/entry/ingress"
+	"github.com/mulberryspool/mulberryspool/internal/entry/pathdelay"
 	"github.com/mulberryspool/mulberryspool/internal/entry/placement"
 	"github.com/mulberryspool/mulberryspool/internal/entry/retrybudget"
 	"github.com/mulberryspool/mulberryspool/internal/entry/serverlimit"
@@ -50,7 +51,11 @@
 		// version.
 		namedVersions map[string]map[int64]time.Time
 		// peers holds the time of the last report of each peer.
-		peers map[string]time.Time
+		peers      map[string]time.Time
+		pathDelays pathdelay.Delays
+		// graceChanged holds the callbacks of OnGraceChange.
+		graceChanged      map[uint64]func()
+		lastGraceCallback uint64
 	}
 
 	// AgentReport is a report of an agent on its backend server.
@@ -142,20 +147,6 @@
 	}
 }
 
-// SetNamedVersion records when a version became the named version of a model.
-func (s *Scheduler) SetNamedVersion(model string, version int64, at time.Time) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.initMaps()
-	if s.namedVersions[model] == nil {
-		s.namedVersions[model] = make(map[int64]time.Time)
-	}
-	s.namedVersions[model][version] = at
-	for name, p := range s.pools {
-		s.syncServers(name, p)
-	}
-}
-
 // FirstNewerVersion returns that named version of the pool's model that was named
 // first of those newer than the given one, and when; 0 if there is none.
 func (s *Scheduler) FirstNewerVersion(name string, version int64) (int64, time.Time) {
@@ -404,12 +395,18 @@
 	s.peers = make(map[string]time.Time)
 }
 
+func (s *Scheduler) placementConfig() placement.Config {
+	config := s.Placement
+	config.PathDelays = &s.pathDelays
+	return config
+}
+
 // addPool returns the pool with the name and creates it if needed.
 func (s *Scheduler) addPool(name string) *pool {
 	p := s.pools[name]
 	if p == nil {
 		p = &pool{
-			placer:      placement.Placer{Config: s.Placement, Random: s.Random},
+			placer:      placement.Placer{Config: s.placementConfig(), Random: s.Random},
 			retryBudget: s.RetryBudget,
 			waiting:     make(map[placement.Ticket]chan placement.Decision),
 		}
--- a/internal/platform/fleet/fleet.go
+++ b/internal/platform/fleet/fleet.go
@@ -10,19 +10,17 @@
 package fleet
 
 import (
-	"cmp"
 	"context"
-	"fmt"
 	"maps"
-	"slices"
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/rs/zerolog"
 
 	"github.com/mulberryspool/mulberryspool"
 	"github.com/mulberryspool/mulberryspool/internal/platform/listwatch"
+	"github.com/mulberryspool/mulberryspool/internal/platform/membership"
+	"github.com/mulberryspool/mulberryspool/internal/platform/namedversion"
 )
 
 const (
@@ -32,66 +30,15 @@
 	// versionsWaitFactor is how many times longer a watch on the named versions
 	// waits; they may take four times as long as configurations to arrive.
 	versionsWaitFactor = 3
-	// maxKeptVersions is the number of named versions of a model whose times are
-	// kept. A third version makes the first one irrelevant in any case.
-	maxKeptVersions = 4
-	// minCorrection is the smallest correction of the time at which a version was
-	// named. Each correction wakes the process and is announced to its peers.
-	minCorrection = 10 * time.Millisecond
-	// maxReportDelay is how long after the first sight of a version a process that
-	// watches for it may see it, if neither its watch nor the process was held up.
-	maxReportDelay = 500 * time.Millisecond
 )
 
 type (
-	// Servers maps instances to backend servers.
-	Servers = map[mulberryspool.InstanceID]mulberryspool.BackendServer
-
-	// State is what a process knows of the configuration and the backend servers.
-	State struct {
-		// Ingress is the configuration; nil while none is known.
-		Ingress *mulberryspool.Ingress `json:"ingress,omitempty"`
-		Servers Servers                `json:"servers,omitempty"`
-		// ServersAt is the store's revision at which Servers was last known to be
-		// exact; 0 while no list is known.
-		ServersAt mulberryspool.Revision `json:"serversAt,omitempty"`
-	}
-
-	// Summary says how recent a process's state is, so that a peer can tell
-	// whether it is newer than the peer's own.
-	Summary struct {
-		Config int64 `json:"config,omitempty"`
-		// ServersAt is State.ServersAt; Servers is a hash of State.Servers.
-		ServersAt mulberryspool.Revision `json:"serversAt,omitempty"`
-		Servers   uint64                 `json:"servers,omitempty"`
-		// Named holds the newest named versions of each model, oldest first.
-		Named map[string][]NamedVersionAge `json:"named,omitempty"`
-	}
-
-	// NamedVersionAge is a named version and the time since it was named.
-	NamedVersionAge struct {
-		Version int64 `json:"version"`
-		// AgeMillis is negative if the version was already named when the process
-		// first saw it, and no peer has reported the age.
-		AgeMillis int64 `json:"ageMillis"`
-		// SeenMillis is the time since any process first saw the version. It is
-		// given if AgeMillis is negative.
-		SeenMillis int64 `json:"seenMillis,omitempty"`
-		// UnseenMillis is how long before the first sight the version may have been
-		// named; 0 if that is not known. It is given if AgeMillis is negative.
-		UnseenMillis int64 `json:"unseenMillis,omitempty"`
-	}
-
-	// namedVersion is a named version and when it was first seen.
-	namedVersion struct {
-		version int64
-		// seen is when a process first saw the version, as far as known. The version
-		// was named at that time or before.
-		seen time.Time
-		// ageUnknown is set if the version may have been named long before it was
-		// first seen; unseen is how long at most, or Fleet.AssumedAge.
-		ageUnknown bool
-		unseen     time.Duration
+	// serverList says where a list of servers comes from, for the log.
+	serverList struct {
+		source, reporter string
+		// revision is the store's revision as of which the list is complete.
+		revision mulberryspool.Revision
+		assumed  bool
 	}
 
 	// Kinds holds the names of the store's kinds and the functions that decode
@@ -117,10 +64,14 @@
 		// Paused reports whether peers supply the state, so that the store need not
 		// be called; see listwatch.Follower.Paused.
 		Paused func() bool
+		// ConfigPaused is Paused for the configuration; nil for Paused.
+		ConfigPaused func() bool
 		// WatchTimeout returns how long a watch waits for changes; nil for
 		// listwatch.DefaultWatchTimeout. A watch that is already waiting may not
 		// notice that the store dropped its history.
 		WatchTimeout func() time.Duration
+		// ConfigWatchTimeout is WatchTimeout for the configuration; nil for WatchTimeout.
+		ConfigWatchTimeout func() time.Duration
 
 		IngressChanged func(mulberryspool.Ingress)
 		ServersChanged func(Servers)
@@ -131,16 +82,18 @@
 		// already named then, until a peer reports the age.
 		AssumedAge time.Duration
 
-		once     sync.Once
-		config   listwatch.Follower[mulberryspool.Ingress]
-		servers  listwatch.Follower[mulberryspool.BackendServer]
-		versions listwatch.Follower[mulberryspool.NamedVersion]
+		once            sync.Once
+		configFollower  listwatch.Follower[mulberryspool.Ingress]
+		serverFollower  listwatch.Follower[mulberryspool.BackendServer]
+		versionFollower listwatch.Follower[mulberryspool.NamedVersion]
 
-		mu    sync.Mutex
-		state State
-		// namedVersions holds the newest named versions of each model, oldest first.
-		namedVersions map[string][]namedVersion
-		serversHash   uint64
+		mu      sync.Mutex
+		ingress *mulberryspool.Ingress
+		// configAnsweredAt is when the store last answered a call for the configuration.
+		configAnsweredAt time.Time
+		servers          membership.View
+		serversHash      uint64
+		named            namedversion.History
 	}
 )
 
@@ -148,15 +101,17 @@
 const (
 	fromStore = "store"
 	fromPeer  = "peer"
+	// fromServer is an answer of the backend server itself.
+	fromServer = "server"
 )
 
 // Run lists and watches the store's kinds until the context ends.
 func (f *Fleet) Run(ctx context.Context) {
 	f.init()
 	var running sync.WaitGroup
-	running.Go(func() { f.config.Run(ctx) })
-	running.Go(func() { f.servers.Run(ctx) })
-	running.Go(func() { f.versions.Run(ctx) })
+	running.Go(func() { f.configFollower.Run(ctx) })
+	running.Go(func() { f.serverFollower.Run(ctx) })
+	running.Go(func() { f.versionFollower.Run(ctx) })
 	running.Wait()
 }
 
@@ -166,20 +121,26 @@
 }
 
 func (f *Fleet) initFollowers() {
-	f.config = listwatch.Follower[mulberryspool.Ingress]{
-		Store: f.Store, Kind: f.Kinds.Config, Clock: f.Clock, WatchTimeout: f.WatchTimeout, WatchPause: f.ConfigWatchPause, Paused: f.Paused, Logger: f.Logger,
+	if f.ConfigPaused == nil {
+		f.ConfigPaused = f.Paused
+	}
+	if f.ConfigWatchTimeout == nil {
+		f.ConfigWatchTimeout = f.WatchTimeout
+	}
+	f.configFollower = listwatch.Follower[mulberryspool.Ingress]{
+		Store: f.Store, Kind: f.Kinds.Config, Clock: f.Clock, WatchTimeout: f.ConfigWatchTimeout, WatchPause: f.ConfigWatchPause, Paused: f.ConfigPaused, Logger: f.Logger,
 		Set:     listwatch.Set[mulberryspool.Ingress]{Decode: f.Kinds.DecodeIngress},
-		Changed: f.setIngresses,
+		Changed: f.setIngresses, Answered: f.recordConfigAnswer,
 	}
-	f.servers = listwatch.Follower[mulberryspool.BackendServer]{
+	f.serverFollower = listwatch.Follower[mulberryspool.BackendServer]{
 		Store: f.Store, Kind: f.Kinds.Servers, Clock: f.Clock, WatchTimeout: f.WatchTimeout, WatchPause: f.ServersWatchPause, Paused: f.Paused, Logger: f.Logger,
 		Set:     listwatch.Set[mulberryspool.BackendServer]{Decode: f.Kinds.DecodeServer, GracePeriod: reregisterTime},
-		Changed: f.setServers,
+		Changed: f.setServers, Answered: f.recordAnswer,
 	}
-	f.versions = listwatch.Follower[mulberryspool.NamedVersion]{
+	f.versionFollower = listwatch.Follower[mulberryspool.NamedVersion]{
 		Store: f.Store, Kind: f.Kinds.Versions, Clock: f.Clock, WatchTimeout: f.versionsWatchTimeout(), Paused: f.Paused, Logger: f.Logger,
 		Set:     listwatch.Set[mulberryspool.NamedVersion]{Decode: f.Kinds.DecodeVersion},
-		Changed: f.setVersions,
+		Changed: f.setVersions, Answered: f.recordAnswer,
 	}
 }
 
@@ -196,16 +157,8 @@
 func (f *Fleet) State() State {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.state
-}
-
-// ForAgents returns the state without the parts that only entries need, which
-// are most of the bytes.
-func (s State) ForAgents() State {
-	if s.Ingress != nil {
-		s.Ingress = &mulberryspool.Ingress{Version: s.Ingress.Version, Pools: s.Ingress.Pools}
-	}
-	return s
+	snapshot := f.servers.Snapshot()
+	return State{Ingress: f.ingress, Servers: snapshot.Servers, ServersAt: snapshot.CompleteAt}
 }
 
 // HasSynced reports whether the process has a configuration and a list of servers.
@@ -214,23 +167,29 @@
 	return s.Ingress != nil && s.Servers != nil
 }
 
+// WatchesConfig reports whether the process calls the store for the configuration, and
+// it answered the last call.
+func (f *Fleet) WatchesConfig() bool {
+	f.init()
+	return f.configFollower.Reachable() && (f.ConfigPaused == nil || !f.ConfigPaused())
+}
+
+func (f *Fleet) recordConfigAnswer(after time.Time, at mulberryspool.Revision) {
+	f.recordAnswer(after, at)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.configAnsweredAt = f.Clock.Now()
+}
+
 // Summary returns the summary of the current state.
 func (f *Fleet) Summary() Summary {
+	watchesConfig := f.WatchesConfig()
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := f.Clock.Now()
-	s := Summary{ServersAt: f.state.ServersAt, Servers: f.serversHash, Named: make(map[string][]NamedVersionAge, len(f.namedVersions))}
-	if f.state.Ingress != nil {
-		s.Config = f.state.Ingress.Version
-	}
-	for model, versions := range f.namedVersions {
-		for _, n := range versions {
-			age := NamedVersionAge{Version: n.version, AgeMillis: now.Sub(n.seen).Milliseconds()}
-			if n.ageUnknown {
-				age.AgeMillis, age.SeenMillis, age.UnseenMillis = -1, age.AgeMillis, n.unseen.Milliseconds()
-			}
-			s.Named[model] = append(s.Named[model], age)
-		}
+	s := Summary{Config: f.configVersion(), ServersAt: f.servers.Snapshot().CompleteAt, Servers: f.serversHash, Named: f.named.Reports(now)}
+	if watchesConfig {
+		s.ConfigAnsweredMillis = max(1, now.Sub(f.configAnsweredAt).Milliseconds())
 	}
 	return s
 }
@@ -238,35 +197,37 @@
 // IsBehind reports whether a peer's state is newer than that of this process. The
 // store may be about to deliver the same change.
 func (f *Fleet) IsBehind(peer Summary) bool {
-	own := f.Summary()
-	return peer.Config > own.Config || peer.ServersAt > own.ServersAt && peer.Servers != own.Servers
+	return f.Lacks(peer, PartConfig) || f.Lacks(peer, PartServers)
 }
 
-// Merge adopts the parts of a peer's state that are newer.
-func (f *Fleet) Merge(s State, peer string) {
-	if s.Ingress != nil {
-		f.setIngress(*s.Ingress, fromPeer, peer)
-	}
+// Lacks reports whether a part of a peer's state is newer.
+func (f *Fleet) Lacks(peer Summary, part Part) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if s.ServersAt > f.state.ServersAt {
-		f.replaceServers(s.Servers, s.ServersAt, fromPeer)
+	if part == PartConfig {
+		return peer.Config > f.configVersion()
 	}
+	return peer.ServersAt > f.servers.Snapshot().CompleteAt && peer.Servers != f.serversHash
 }
 
-// MergeNamedVersions adds the named versions of a peer.
-func (f *Fleet) MergeNamedVersions(ages map[string][]NamedVersionAge, peer string) {
-	now := f.Clock.Now()
-	for model, versions := range ages {
-		for _, v := range versions {
-			n := namedVersion{version: v.Version, seen: now.Add(-time.Duration(v.AgeMillis) * time.Millisecond)}
-			if v.AgeMillis < 0 {
-				n.seen, n.ageUnknown = now.Add(-time.Duration(v.SeenMillis)*time.Millisecond), true
-				n.unseen = min(f.AssumedAge, cmp.Or(time.Duration(v.UnseenMillis)*time.Millisecond, f.AssumedAge))
-			}
-			f.setNamedVersion(model, n, fromPeer, peer)
-		}
+// configVersion requires the mutex.
+func (f *Fleet) configVersion() int64 {
+	if f.ingress == nil {
+		return 0
 	}
+	return f.ingress.Version
+}
+
+// Merge adopts the parts of a peer's state that are newer.
+func (f *Fleet) Merge(s State, peer string) {
+	if s.Ingress != nil {
+		f.setIngress(*s.Ingress, fromPeer, peer)
+	}
+	f.init()
+	if s.ServersAt > f.State().ServersAt {
+		f.serverFollower.RecordPeerAnswer()
+	}
+	f.mergeServers(membership.Snapshot{Servers: s.Servers, Unchanged: s.Unchanged, CompleteAt: s.ServersAt}, fromPeer, peer)
 }
 
 func (f *Fleet) setIngresses(items map[string]mulberryspool.Ingress, _ listwatch.Delta) {
@@ -278,171 +239,68 @@
 func (f *Fleet) setIngress(i mulberryspool.Ingress, source, peer string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	var before int64
-	if f.state.Ingress != nil {
-		before = f.state.Ingress.Version
-	}
+	before := f.configVersion()
 	if i.Version <= before {
 		return
 	}
-	f.state.Ingress = &i
+	f.ingress = &i
 	f.Logger.Info().Str("step", "apply configuration").Str("source", source).Str("peer", peer).
 		Int64("before", before).Int64("version", i.Version).Int("routes", len(i.Routes)).Msg("configuration in force")
 	f.IngressChanged(i)
 }
 
 func (f *Fleet) setServers(items map[string]mulberryspool.BackendServer, d listwatch.Delta) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	// A peer has reported newer servers than this answer of a delayed watch.
-	if d.Revision < f.state.ServersAt {
-		return
-	}
 	servers := make(Servers, len(items))
 	for _, b := range items {
 		servers[b.Instance] = b
 	}
-	at := d.Revision
-	if d.Uncertain {
-		// The list has servers in their grace period. Keeping the old revision
-		// stops peers that saw them leave from adopting this list, and lets this
-		// process adopt theirs.
-		at = f.state.ServersAt
-	}
-	f.replaceServers(servers, at, fromStore)
+	f.mergeServers(membership.Snapshot{Servers: servers, CompleteAt: d.Revision, Assumed: d.Uncertain}, fromStore, "")
 }
 
-// replaceServers requires the mutex.
-func (f *Fleet) replaceServers(servers Servers, at mulberryspool.Revision, source string) {
-	before := f.state.Servers
-	f.state.Servers, f.state.ServersAt, f.serversHash = servers, at, hashServers(servers)
-	for id, b := range servers {
-		old, known := before[id]
-		if known && old.Leaving == b.Leaving && old.Born == b.Born && old.Address == b.Address && maps.Equal(loadedVersions(old), loadedVersions(b)) {
-			continue
-		}
-		f.Logger.Info().Str("step", "add server").Str("source", source).Str("peer", string(id)).Str("pool", b.Pool).
-			Str("address", b.Address).Bool("known", known).Int64("born", b.Born).Bool("leaving", b.Leaving).
-			Interface("models", b.Models).Uint64("revision", uint64(at)).Msg("backend server listed")
-	}
-	for id, b := range before {
-		if _, ok := servers[id]; !ok {
-			f.Logger.Info().Str("step", "remove server").Str("source", source).Str("peer", string(id)).Str("pool", b.Pool).
-				Uint64("revision", uint64(at)).Msg("backend server no longer listed")
-		}
-	}
-	f.ServersChanged(servers)
-}
-
-func (f *Fleet) setVersions(items map[string]mulberryspool.NamedVersion, d listwatch.Delta) {
-	n := namedVersion{seen: f.Clock.Now(), ageUnknown: d.AgeUnknown, unseen: f.AssumedAge}
-	if !d.Since.IsZero() {
-		n.unseen = min(n.unseen, n.seen.Sub(d.Since))
-	}
-	// The other items are not new, so their age is not that of this change.
-	for _, name := range d.Updated {
-		if v, ok := items[name]; ok {
-			n.version = v.Version
-			f.setNamedVersion(v.Model, n, fromStore, "")
-		}
-	}
-}
-
-// setNamedVersion adds a version, or corrects when it was named.
-func (f *Fleet) setNamedVersion(model string, n namedVersion, source, peer string) {
+func (f *Fleet) mergeServers(s membership.Snapshot, source, reporter string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	known := f.namedVersions[model]
-	i, exists := slices.BinarySearchFunc(known, n, func(a, b namedVersion) int { return cmp.Compare(a.version, b.version) })
-	var before time.Time
-	switch {
-	case exists && !n.corrects(known[i]):
-		return
-	case exists:
-		before = known[i].since()
-		known = slices.Clone(known)
-		known[i] = n
-	case i == 0 && len(known) == maxKeptVersions:
-		return
-	default:
-		known = slices.Insert(slices.Clone(known), i, n)
-		known = known[max(0, len(known)-maxKeptVersions):]
-	}
-	if f.namedVersions == nil {
-		f.namedVersions = make(map[string][]namedVersion)
-	}
-	f.namedVersions[model] = known
-	since := n.since()
-	e := f.Logger.Info().Str("step", "apply named version").Str("source", source).Str("peer", peer).Str("model", model).
-		Int64("version", n.version).Int64("newest", known[len(known)-1].version).
-		Dur("age", f.Clock.Since(since)).Bool("ageKnown", !n.ageUnknown)
-	if exists {
-		e.Dur("ageBefore", f.Clock.Since(before))
+	before := f.servers.Servers()
+	if f.servers.Merge(s) {
+		f.publishServers(before, serverList{source: source, reporter: reporter, revision: s.CompleteAt, assumed: s.Assumed})
 	}
-	e.Msg("named version added or its age corrected")
-	f.NamedVersionChanged(model, n.version, since)
 }
 
-// since returns when a version counts as named.
-func (n namedVersion) since() time.Time {
-	if n.ageUnknown {
-		return n.seen.Add(-n.unseen)
-	}
-	return n.seen
-}
-
-// corrects reports whether n replaces what is known of the same version. A
-// report can only be late, so the first sight counts. A later one whose age is
-// said to be known shows the age only if it follows the first sight at once.
-func (n namedVersion) corrects(known namedVersion) bool {
-	if known.ageUnknown && !n.ageUnknown {
-		return n.seen.Sub(known.seen) <= maxReportDelay
-	}
-	if n.ageUnknown && !known.ageUnknown {
-		return known.seen.Sub(n.seen) > maxReportDelay
-	}
-	return known.seen.Sub(n.seen) >= minCorrection
-}
-
-// NamedVersion returns the newest named version of a model, 0 for none, and since
-// when it is named.
-func (f *Fleet) NamedVersion(model string) (int64, time.Time) {
+// MarkLeaving records that an incarnation of a backend server accepts no new requests any
+// more, as the server itself says.
+func (f *Fleet) MarkLeaving(id mulberryspool.InstanceID, born int64) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	known := f.namedVersions[model]
-	if len(known) == 0 {
-		return 0, time.Time{}
+	before := f.servers.Servers()
+	if f.servers.MarkLeaving(id, born) {
+		f.publishServers(before, serverList{source: fromServer, reporter: string(id)})
 	}
-	newest := known[len(known)-1]
-	return newest.version, newest.since()
 }
 
-// NamedVersions returns when each of the newest versions of a model was named.
-func (f *Fleet) NamedVersions(model string) map[int64]time.Time {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	known := make(map[int64]time.Time, len(f.namedVersions[model]))
-	for _, n := range f.namedVersions[model] {
-		known[n.version] = n.since()
-	}
-	return known
+// MarshalZerologObject implements zerolog.LogObjectMarshaler.
+func (l serverList) MarshalZerologObject(e *zerolog.Event) {
+	e.Str("source", l.source).Str("reporter", l.reporter).Uint64("listRevision", uint64(l.revision)).Bool("uncertain", l.assumed)
 }
 
-// hashServers returns a hash of the servers' properties that does not depend on
-// their order.
-func hashServers(servers Servers) uint64 {
-	var sum uint64
+// publishServers logs how the servers have changed and calls ServersChanged. It
+// requires the mutex.
+func (f *Fleet) publishServers(before Servers, list serverList) {
+	servers, at := f.servers.Servers(), f.servers.Snapshot().CompleteAt
+	f.serversHash = hashServers(servers)
 	for id, b := range servers {
-		sum += xxhash.Sum64String(fmt.Sprint(id, b.Born, b.Address, b.Leaving, b.Models))
+		old, known := before[id]
+		if known && old.Leaving == b.Leaving && old.Born == b.Born && old.Address == b.Address && maps.Equal(loadedVersions(old), loadedVersions(b)) {
+			continue
+		}
+		f.Logger.Info().Str("step", "add server").EmbedObject(list).Str("peer", string(id)).Str("pool", b.Pool).
+			Str("address", b.Address).Bool("known", known).Int64("born", b.Born).Bool("leaving", b.Leaving).
+			Interface("models", b.Models).Uint64("changedAt", uint64(b.Revision)).Uint64("revision", uint64(at)).Msg("backend server listed")
 	}
-	return sum
-}
-
-// loadedVersions returns the loaded version of each model.
-func loadedVersions(b mulberryspool.BackendServer) map[string]int64 {
-	loaded := make(map[string]int64, len(b.Models))
-	for _, m := range b.Models {
-		loaded[m.Model] = m.Version
+	for id, b := range before {
+		if _, ok := servers[id]; !ok {
+			f.Logger.Info().Str("step", "remove server").EmbedObject(list).Str("peer", string(id)).Str("pool", b.Pool).
+				Uint64("revision", uint64(at)).Msg("backend server no longer listed")
+		}
 	}
-	return loaded
+	f.ServersChanged(servers)
 }
--- a/internal/platform/fleet/fleet_test.go
+++ b/internal/platform/fleet/fleet_test.go
@@ -42,13 +42,30 @@
 // namedVersions returns the objects of a store in which one version of model m is
 // named.
 func namedVersions(version int64) map[string]mulberryspool.NamedVersion {
-	return map[string]mulberryspool.NamedVersion{"m": {Model: "m", Version: version}}
+	return map[string]mulberryspool.NamedVersion{"m": {Model: "m", Version: version, Revision: revisionOf(version)}}
 }
 
-func newServers(leaving bool, ids ...string) map[string]mulberryspool.BackendServer {
+// revisionOf returns the revision at which a version is named.
+func revisionOf(version int64) mulberryspool.Revision {
+	return mulberryspool.Revision(10 * version)
+}
+
+// list delivers a named version to a process that the store did not answer before.
+func list(f *Fleet, version int64) {
+	f.setVersions(namedVersions(version), listwatch.Delta{Updated: []string{"m"}})
+}
+
+// watch delivers a named version to a process that the store answered just before.
+func watch(f *Fleet, version int64) {
+	f.recordAnswer(f.Clock.Now(), revisionOf(version)-1)
+	list(f, version)
+}
+
+// newServers returns servers that were last changed at a revision.
+func newServers(changedAt mulberryspool.Revision, leaving bool, ids ...string) map[string]mulberryspool.BackendServer {
 	items := make(map[string]mulberryspool.BackendServer)
 	for _, id := range ids {
-		items[id] = mulberryspool.BackendServer{Instance: mulberryspool.InstanceID(id), Leaving: leaving}
+		items[id] = mulberryspool.BackendServer{Instance: mulberryspool.InstanceID(id), Born: 1, Leaving: leaving, Revision: changedAt}
 	}
 	return items
 }
@@ -70,10 +87,10 @@
 func TestUncertainServersAreNotMerged(t *testing.T) {
 	exact, uncertain := newFleet(clockwork.NewFakeClock()), newFleet(clockwork.NewFakeClock())
 	for _, f := range []*Fleet{exact, uncertain} {
-		f.setServers(newServers(false, "a", "b"), listwatch.Delta{Revision: 10})
+		f.setServers(newServers(5, false, "a", "b"), listwatch.Delta{Revision: 10})
 	}
-	exact.setServers(newServers(false, "a"), listwatch.Delta{Revision: 20})
-	uncertain.setServers(newServers(false, "a", "b"), listwatch.Delta{Revision: 30, Uncertain: true})
+	exact.setServers(newServers(5, false, "a"), listwatch.Delta{Revision: 20})
+	uncertain.setServers(newServers(5, false, "a", "b"), listwatch.Delta{Revision: 30, Uncertain: true})
 	if exact.IsBehind(uncertain.Summary()) {
 		t.Error("a list with servers in their grace period counts as newer")
 	}
@@ -93,12 +110,12 @@
 // Guards against fetching a peer's state that differs in its revision only.
 func TestEqualServersAtOtherRevisionAreNotNewer(t *testing.T) {
 	a, b := newFleet(clockwork.NewFakeClock()), newFleet(clockwork.NewFakeClock())
-	a.setServers(newServers(false, "x"), listwatch.Delta{Revision: 10})
-	b.setServers(newServers(false, "x"), listwatch.Delta{Revision: 12})
+	a.setServers(newServers(5, false, "x"), listwatch.Delta{Revision: 10})
+	b.setServers(newServers(5, false, "x"), listwatch.Delta{Revision: 12})
 	if a.IsBehind(b.Summary()) {
 		t.Error("a list with the same servers counts as newer")
 	}
-	b.setServers(newServers(true, "x"), listwatch.Delta{Revision: 14})
+	b.setServers(newServers(14, true, "x"), listwatch.Delta{Revision: 14})
 	if !a.IsBehind(b.Summary()) {
 		t.Error("a list in which a server is leaving does not count as newer")
 	}
@@ -109,9 +126,9 @@
 func TestAgeOfNamedVersionIsLearnedFromPeers(t *testing.T) {
 	clock := clockwork.NewFakeClock()
 	old, restarted := newFleet(clock), newFleet(clock)
-	old.setVersions(namedVersions(2), listwatch.Delta{Updated: []string{"m"}})
+	watch(old, 2)
 	clock.Advance(3 * time.Second)
-	restarted.setVersions(namedVersions(2), listwatch.Delta{AgeUnknown: true, Updated: []string{"m"}})
+	list(restarted, 2)
 	if _, at := restarted.NamedVersion("m"); clock.Since(at) != 5*time.Second {
 		t.Errorf("a version that was already named counts as %v old, want the assumed 5s", clock.Since(at))
 	}
@@ -128,7 +145,7 @@
 
 func newFleetWithAssumedAge(clock clockwork.Clock) *Fleet {
 	f := newFleet(clock)
-	f.setVersions(namedVersions(2), listwatch.Delta{AgeUnknown: true, Updated: []string{"m"}})
+	list(f, 2)
 	return f
 }
 
@@ -138,13 +155,13 @@
 	clock := clockwork.NewFakeClock()
 	f, peer := newFleet(clock), newFleet(clock)
 	for version := range int64(6) {
-		f.setVersions(namedVersions(version+1), listwatch.Delta{Updated: []string{"m"}})
+		watch(f, version+1)
 		clock.Advance(time.Second)
 	}
 	peer.MergeNamedVersions(f.Summary().Named, "f")
 	ages := peer.Summary().Named["m"]
-	if len(ages) != maxKeptVersions {
-		t.Fatalf("%d versions are kept, want %d", len(ages), maxKeptVersions)
+	if len(ages) != 4 {
+		t.Fatalf("%d versions are kept, want 4", len(ages))
 	}
 	for i, v := range ages {
 		if want := int64(3 + i); v.Version != want || v.AgeMillis != (7-want)*1000 {
@@ -158,10 +175,9 @@
 // peers know better.
 func TestVersionLearnedLateKeepsItsAge(t *testing.T) {
 	const lateness = 6 * time.Second
-	named := namedVersions(2)
 	for name, learnLate := range map[string]func(late *Fleet, stale map[string][]NamedVersionAge){
 		"from the store's watch": func(late *Fleet, _ map[string][]NamedVersionAge) {
-			late.setVersions(named, listwatch.Delta{Updated: []string{"m"}})
+			list(late, 2)
 		},
 		"from a heartbeat that waited in the socket": func(late *Fleet, stale map[string][]NamedVersionAge) {
 			late.MergeNamedVersions(stale, "peer")
@@ -171,7 +187,8 @@
 		peer, late := newFleet(clock), newFleet(clock)
 		var reported time.Time
 		late.NamedVersionChanged = func(_ string, _ int64, at time.Time) { reported = at }
-		peer.setVersions(named, listwatch.Delta{Updated: []string{"m"}})
+		late.recordAnswer(clock.Now(), revisionOf(2)-1)
+		watch(peer, 2)
 		stale := peer.Summary().Named
 		clock.Advance(lateness)
 		learnLate(late, stale)
@@ -193,7 +210,8 @@
 	clock := clockwork.NewFakeClock()
 	f := newFleetWithAssumedAge(clock)
 	items := namedVersions(2)
-	items["other"] = mulberryspool.NamedVersion{Model: "other", Version: 7}
+	items["other"] = mulberryspool.NamedVersion{Model: "other", Version: 7, Revision: 70}
+	f.recordAnswer(clock.Now(), 69)
 	f.setVersions(items, listwatch.Delta{Updated: []string{"other"}})
 	if _, at := f.NamedVersion("m"); clock.Since(at) != f.AssumedAge {
 		t.Errorf("the version counts as %v old, want the assumed %v", clock.Since(at), f.AssumedAge)
@@ -221,11 +239,11 @@
 func TestKnownVersionDoesNotBecomeYoungerThanItsFirstSight(t *testing.T) {
 	for name, learn := range map[string]func(f, late *Fleet){
 		"report of a peer that learned of it late": func(f, late *Fleet) {
-			late.setVersions(namedVersions(2), listwatch.Delta{Updated: []string{"m"}})
+			watch(late, 2)
 			f.MergeNamedVersions(late.Summary().Named, "late")
 		},
 		"change of the object that keeps the version": func(f, _ *Fleet) {
-			f.setVersions(namedVersions(2), listwatch.Delta{Updated: []string{"m"}})
+			watch(f, 2)
 		},
 	} {
 		clock := clockwork.NewFakeClock()
@@ -244,7 +262,7 @@
 	clock := clockwork.NewFakeClock()
 	listed, late := newFleetWithAssumedAge(clock), newFleet(clock)
 	clock.Advance(3 * time.Second)
-	late.setVersions(namedVersions(2), listwatch.Delta{Updated: []string{"m"}})
+	watch(late, 2)
 	late.MergeNamedVersions(listed.Summary().Named, "listed")
 	_, want := listed.NamedVersion("m")
 	if _, at := late.NamedVersion("m"); !at.Equal(want) {
@@ -252,87 +270,36 @@
 	}
 }
 
-// Guards against a version that stays of unknown age although a process that
-// watched the store saw it at the same time.
-func TestAgeIsLearnedFromWatchJustAfterFirstSight(t *testing.T) {
+// Guards against a version that counts as named after a process first saw it,
+// because the watch of another process delivered it later.
+func TestVersionIsNotNamedAfterItsFirstSight(t *testing.T) {
+	const delay = 400 * time.Millisecond
 	clock := clockwork.NewFakeClock()
 	listed, watching := newFleetWithAssumedAge(clock), newFleet(clock)
-	clock.Advance(100 * time.Millisecond)
-	watching.setVersions(namedVersions(2), listwatch.Delta{Updated: []string{"m"}})
+	clock.Advance(delay)
+	watch(watching, 2)
+	atFirstSight := listed.Summary().Named
 	listed.MergeNamedVersions(watching.Summary().Named, "watching")
-	if _, at := listed.NamedVersion("m"); clock.Since(at) != 0 {
-		t.Errorf("the version counts as %v old, want just named", clock.Since(at))
-	}
-}
-
-// lossyStore names version 2 shortly after a watch began, loses that watch's
-// answer, and delivers the change to the next watch.
-type lossyStore struct {
-	unresponsiveStore
-	clock   *clockwork.FakeClock
-	watches int
-	named   time.Time
-}
-
-func (s *lossyStore) object(version string) mulberryspool.Object {
-	return mulberryspool.Object{Name: "m", Value: []byte(version)}
-}
-
-func (s *lossyStore) List(ctx context.Context, kind string) ([]mulberryspool.Object, mulberryspool.Revision, error) {
-	if kind != "versions" {
-		return s.unresponsiveStore.List(ctx, kind)
+	watching.MergeNamedVersions(atFirstSight, "listed")
+	for name, f := range map[string]*Fleet{"that listed it first": listed, "whose watch delivered it later": watching} {
+		if _, at := f.NamedVersion("m"); clock.Since(at) < delay {
+			t.Errorf("at the process %s the version counts as %v old, want at least the %v since it was listed", name, clock.Since(at), delay)
+		}
 	}
-	return []mulberryspool.Object{s.object("1")}, 1, nil
-}
-
-func (s *lossyStore) Changes(ctx context.Context, kind string, after mulberryspool.Revision, wait time.Duration) (mulberryspool.ChangeList, error) {
-	if kind != "versions" {
-		return s.unresponsiveStore.Changes(ctx, kind, after, wait)
-	}
-	s.watches++
-	switch s.watches {
-	case 1:
-		s.clock.Advance(100 * time.Millisecond)
-		s.named = s.clock.Now()
-		s.clock.Advance(2 * time.Second)
-		return mulberryspool.ChangeList{}, context.DeadlineExceeded
-	case 2:
-		return mulberryspool.ChangeList{Changes: []mulberryspool.ObjectChange{{Object: s.object("2")}}, Revision: 2, SentAt: s.clock.Now()}, nil
-	}
-	return s.unresponsiveStore.Changes(ctx, kind, after, wait)
 }
 
-// Guards against a version that counts as just named although the watch that
-// would have reported it in time was lost.
-func TestVersionFoundAfterLostWatchIsNotJustNamed(t *testing.T) {
-	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
-	defer cancel()
+// Guards against a version that stays of unknown age although the store answered
+// another process shortly before it was named.
+func TestAgeIsLearnedFromWatchJustAfterFirstSight(t *testing.T) {
 	clock := clockwork.NewFakeClock()
-	s := &lossyStore{clock: clock}
-	f := newFleet(clock)
-	f.Store = s
-	f.Kinds = Kinds{Config: "config", Servers: "servers", Versions: "versions", DecodeVersion: func(o mulberryspool.Object) (mulberryspool.NamedVersion, error) {
-		return mulberryspool.NamedVersion{Model: o.Name, Version: int64(o.Value[0] - '0')}, nil
-	}}
-	known := make(chan time.Time, 1)
-	f.NamedVersionChanged = func(_ string, version int64, at time.Time) {
-		if version == 2 {
-			known <- at
-		}
-	}
-	go f.Run(ctx)
-	for {
-		select {
-		case at := <-known:
-			if late := at.Sub(s.named); late > 100*time.Millisecond {
-				t.Errorf("the version counts as named %v after it was, and its age is reported as %v", late, f.Summary().Named["m"])
-			}
-			return
-		case <-time.After(time.Millisecond):
-			clock.Advance(20 * time.Millisecond)
-		case <-ctx.Done():
-			t.Fatal("the version was never learned")
-		}
+	watching := newFleet(clock)
+	watching.recordAnswer(clock.Now(), revisionOf(2)-1)
+	listed := newFleetWithAssumedAge(clock)
+	clock.Advance(100 * time.Millisecond)
+	list(watching, 2)
+	listed.MergeNamedVersions(watching.Summary().Named, "watching")
+	if _, at := listed.NamedVersion("m"); clock.Since(at) != 100*time.Millisecond {
+		t.Errorf("the version counts as %v old, want 100ms as since the watching process's last answer without it", clock.Since(at))
 	}
 }
 
@@ -341,7 +308,7 @@
 func TestSmallDifferencesOfReportsAreNoCorrections(t *testing.T) {
 	clock := clockwork.NewFakeClock()
 	f := newFleet(clock)
-	f.setVersions(namedVersions(2), listwatch.Delta{Updated: []string{"m"}})
+	watch(f, 2)
 	corrections := 0
 	f.NamedVersionChanged = func(string, int64, time.Time) { corrections++ }
 	for age := range int64(5) {
@@ -355,3 +322,31 @@
 		t.Errorf("%d corrections by 50ms, the version counts as %v old", corrections, clock.Since(at))
 	}
 }
+
+// Guards against a whole state for each change of one server: the parts that a reader
+// has are left out, and the reader loses nothing by that.
+func TestPeerSendsOnlyWhatChanged(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	peer, reader := newFleet(clock), newFleet(clock)
+	read := func(part Part) State {
+		own := reader.Summary()
+		s := peer.State().Part(part, own.Config, own.ServersAt)
+		reader.Merge(s, "peer")
+		return s
+	}
+	peer.Merge(State{Ingress: &mulberryspool.Ingress{Version: 3}}, "store")
+	peer.setServers(newServers(5, false, "a", "b", "c"), listwatch.Delta{Revision: 10})
+	read(PartServers)
+	if s := read(PartConfig); len(s.Servers) > 0 || reader.State().Ingress == nil {
+		t.Errorf("the configuration was read as %+v", s)
+	}
+	items := newServers(5, false, "a")
+	items["d"] = newServers(15, false, "d")["d"]
+	peer.setServers(items, listwatch.Delta{Revision: 20})
+	if s := read(PartServers); len(s.Servers) != 1 || s.Ingress != nil {
+		t.Errorf("%d servers and the configuration %v were sent, want only the added server", len(s.Servers), s.Ingress)
+	}
+	if reader.IsBehind(peer.Summary()) || len(reader.State().Servers) != 2 {
+		t.Errorf("servers after the read are %v, want a and d", reader.State().Servers)
+	}
+}
--- a/internal/platform/listwatch/set.go
+++ b/internal/platform/listwatch/set.go
@@ -29,22 +29,24 @@
 		items map[string]T
 		// expiring holds the end of the grace period of each removed object.
 		expiring map[string]time.Time
-		// failedAt is the last failed call, recoveredAt the end of the last outage.
-		failedAt, recoveredAt time.Time
+		// failing is set from a failed call to the next answer, which ends the outage at
+		// recoveredAt.
+		failing     bool
+		recoveredAt time.Time
+		// peerAnsweredFrom and peerAnsweredUntil are the first and the last time in this
+		// outage at which the store had answered a peer.
+		peerAnsweredFrom, peerAnsweredUntil time.Time
 	}
 
 	// Delta is what one call of Replace, Apply or Expire changed, by object name.
 	Delta struct {
 		Updated, Removed []string
+		// Kept holds the removed objects whose grace periods have begun.
+		Kept []string
 		// Unreadable holds the objects that Decode rejected, with its errors.
 		Unreadable map[string]error
 		// Revision is the store's revision after the change.
 		Revision mulberryspool.Revision
-		// AgeUnknown is set if the changes may have been made long before they were
-		// delivered, by a list or by a watch that followed a gap. They were made
-		// after Since, the previous answer of the store; zero if there was none.
-		AgeUnknown bool
-		Since      time.Time
 		// Uncertain is set while some objects in use are in their grace period,
 		// so that their owners may be gone.
 		Uncertain bool
@@ -52,21 +54,39 @@
 )
 
 // RecordFailure records that a call to the store failed.
-func (s *Set[T]) RecordFailure(now time.Time) {
-	s.failedAt = now
+func (s *Set[T]) RecordFailure() {
+	s.failing = true
 }
 
-// RecordAnswer records that the store answered a call.
+// RecordAnswer records that the store answered a call. If it has answered peers for a
+// grace period by then, only this process had an outage, and the owners of the objects
+// had time to renew them.
 func (s *Set[T]) RecordAnswer(now time.Time) {
-	if s.failedAt.After(s.recoveredAt) {
-		s.recoveredAt = now
+	if !s.failing {
+		return
+	}
+	s.failing, s.recoveredAt = false, now
+	if !s.peerAnsweredFrom.IsZero() && s.peerAnsweredUntil.Sub(s.peerAnsweredFrom) >= s.GracePeriod {
+		s.recoveredAt = s.peerAnsweredFrom
+	}
+	s.peerAnsweredFrom, s.peerAnsweredUntil = time.Time{}, time.Time{}
+}
+
+// RecordPeerAnswer records that the store has answered a peer.
+func (s *Set[T]) RecordPeerAnswer(now time.Time) {
+	if !s.failing {
+		return
 	}
+	if s.peerAnsweredFrom.IsZero() {
+		s.peerAnsweredFrom = now
+	}
+	s.peerAnsweredUntil = now
 }
 
 // Replace sets the objects to those of a complete list.
 func (s *Set[T]) Replace(now time.Time, objects []mulberryspool.Object) Delta {
 	s.init()
-	d := Delta{AgeUnknown: true, Unreadable: make(map[string]error)}
+	d := Delta{Unreadable: make(map[string]error)}
 	listed := make(map[string]struct{}, len(objects))
 	for _, o := range objects {
 		listed[o.Name] = struct{}{}
@@ -153,6 +173,7 @@
 	until := s.recoveredAt.Add(s.GracePeriod)
 	if s.GracePeriod > 0 && !s.recoveredAt.IsZero() && now.Before(until) {
 		s.expiring[name] = until
+		d.Kept = append(d.Kept, name)
 		return
 	}
 	s.drop(d, name)
--- a/internal/role/hosted/entry.go
+++ b/internal/role/hosted/entry.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"io"
 	"math/rand/v2"
 	"net"
@@ -25,6 +24,7 @@
 	"github.com/mulberryspool/mulberryspool/internal/observe/logging"
 	"github.com/mulberryspool/mulberryspool/internal/peer/heartbeat"
 	"github.com/mulberryspool/mulberryspool/internal/peer/sockets"
+	"github.com/mulberryspool/mulberryspool/internal/platform/configwatch"
 	"github.com/mulberryspool/mulberryspool/internal/platform/fleet"
 	"github.com/mulberryspool/mulberryspool/internal/platform/listwatch"
 	settings "github.com/mulberryspool/mulberryspool/internal/settings/hosted"
@@ -54,8 +54,10 @@
 	// findingsRounds is the number of rounds between two heartbeats to all processes
 	// with findings on prompts, which repeat those about changes.
 	findingsRounds = 20
-	// versionDelayMargin is how late a change of the named version may become known.
-	versionDelayMargin = 100 * time.Millisecond
+	// versionEndMargin is how long before the end of a version's bound the requests on
+	// the older one are given up. An entry may have used up its share of the processor
+	// for the rest of a tenth of a second, and its timers fire late.
+	versionEndMargin = 150 * time.Millisecond
 	// A store that drops its history does not answer a waiting watch, so watches
 	// have a limited wait. The first entry that watches again informs the others,
 	// so the mean wait grows with the number of entries: with watchBaseWait and
@@ -108,6 +110,10 @@
 		stateChanged chan struct{}
 
 		mu sync.Mutex
+		// configWatch decides whether this entry watches the configuration.
+		configWatch configwatch.Election
+		// encodedConfig is the response with the newest configuration.
+		encodedConfig encodedConfig
 		// registered holds the heartbeat addresses of the other entries, from the
 		// store and from heartbeats.
 		registered map[netip.AddrPort]struct{}
@@ -174,7 +180,7 @@
 		Clock: e.clock, Random: newRandom(),
 		LoadChanged: func() { wake(e.loadChanged) },
 		Placement: placement.Config{
-			EntryName: e.settings.Instance, FailureDomain: e.identity.FailureDomain, CrossDomainDelay: crossDomainDelay, VersionGrace: b.NamedVersion - versionDelayMargin,
+			EntryName: e.settings.Instance, FailureDomain: e.identity.FailureDomain, CrossDomainDelay: crossDomainDelay, VersionGrace: b.NamedVersion - versionEndMargin,
 		},
 		RetryBudget: retrybudget.Budget{Window: b.RepeatWindow, Ratio: b.RepeatRatio, Slack: b.RepeatSlack / 2},
 	}
@@ -191,8 +197,11 @@
 		Sampled: logging.Sampler(e.settings.LogSample),
 	}
 	e.fleet = e.process.newFleet()
-	e.fleet.WatchTimeout = e.watchWait
-	e.fleet.AssumedAge = b.NamedVersion - versionDelayMargin - unknownAgeGrace
+	e.configWatch = configwatch.Election{Self: e.settings.Instance, FailureDomain: e.identity.FailureDomain}
+	e.fleet.WatchTimeout = func() time.Duration { return watchWait(1 + len(e.heartbeats.ActivePeers(mulberryspool.RoleEntry))) }
+	e.fleet.ConfigWatchTimeout = func() time.Duration { return watchWait(e.configWatchers()) }
+	e.fleet.ConfigPaused = func() bool { return !e.watchesConfig() }
+	e.fleet.AssumedAge = b.NamedVersion - versionEndMargin - unknownAgeGrace
 	e.fleet.IngressChanged = func(i mulberryspool.Ingress) {
 		e.scheduler.SetIngress(i)
 		e.signalStateChange()
@@ -205,19 +214,42 @@
 		e.scheduler.SetNamedVersion(model, version, at)
 		e.signalStateChange()
 	}
+	e.handler.ServerLeaving = e.fleet.MarkLeaving
 	e.stateSync = &stateSync{
-		fleet: e.fleet, clock: e.clock, fetch: e.stateFetcher(statePath), logger: e.logger, failureDomain: e.identity.FailureDomain,
+		fleet: e.fleet, clock: e.clock, fetch: e.stateFetcher(e.fleet, statePath), logger: e.logger, failureDomain: e.identity.FailureDomain,
+		remoteConfigDelay: e.remoteConfigDelay,
 	}
 }
 
 // watchWait returns a random wait for the next watch of the store, so that the
-// watches of the entries are spread over time.
-func (e *entryRole) watchWait() time.Duration {
-	entries := 1 + len(e.heartbeats.ActivePeers(mulberryspool.RoleEntry))
+// watches of the entries that watch are spread over time.
+func watchWait(entries int) time.Duration {
 	mean := min(watchBaseWait+time.Duration(entries)*watchWaitPerEntry, listwatch.DefaultWatchTimeout/2)
 	return time.Duration((1 - watchJitter + 2*watchJitter*rand.Float64()) * float64(mean))
 }
 
+// watchesConfig reports whether this entry reads the configuration from the store.
+func (e *entryRole) watchesConfig() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.configWatch.Watches(e.clock.Now())
+}
+
+func (e *entryRole) configWatchers() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.configWatch.Watchers(e.clock.Now())
+}
+
+// remoteConfigDelay returns how long to wait before the configuration is read from
+// another failure domain.
+func (e *entryRole) remoteConfigDelay() time.Duration {
+	reachable := e.fleet.WatchesConfig()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.configWatch.RemoteDelay(reachable, e.clock.Now())
+}
+
 // signalStateChange makes runHeartbeats announce the state.
 func (e *entryRole) signalStateChange() { wake(e.stateChanged) }
 
@@ -229,19 +261,6 @@
 	}
 }
 
-func (e *entryRole) stateServer() *http.Server {
-	mux := http.NewServeMux()
-	answer := func(w http.ResponseWriter, s fleet.State) {
-		w.Header().Set("Content-Type", "application/json")
-		if err := json.NewEncoder(w).Encode(s); err != nil {
-			e.logger.Info().Err(err).Str(logging.FieldStep, "send state").Msg("state could not be sent")
-		}
-	}
-	mux.HandleFunc("GET "+statePath, func(w http.ResponseWriter, _ *http.Request) { answer(w, e.fleet.State()) })
-	mux.HandleFunc("GET "+agentStatePath, func(w http.ResponseWriter, _ *http.Request) { answer(w, e.fleet.State().ForAgents()) })
-	return &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout}
-}
-
 func (e *entryRole) readinessServer() *http.Server {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+platform.ReadinessPath, func(w http.ResponseWriter, _ *http.Request) {
--- a/internal/role/hosted/entryheartbeats.go
+++ b/internal/role/hosted/entryheartbeats.go
@@ -59,9 +59,23 @@
 			e.scheduler.SetPeer(m.Sender, placement.PeerReport{FailureDomain: m.FailureDomain, Loads: m.Loads, Partial: m.Partial}, m.Waiting)
 		}
 		e.addEntries(m.EntryAddresses)
+		if m.Summary != nil {
+			e.recordConfigWatch(m)
+		}
 	}
 }
 
+// recordConfigWatch records whether another entry watches the configuration.
+func (e *entryRole) recordConfigWatch(m heartbeat.Message) {
+	answered := time.Duration(-1)
+	if m.Summary.ConfigAnsweredMillis > 0 {
+		answered = time.Duration(m.Summary.ConfigAnsweredMillis) * time.Millisecond
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.configWatch.Record(m.Sender, m.FailureDomain, answered, e.clock.Now())
+}
+
 func (e *entryRole) addEntries(addresses []string) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -228,6 +242,9 @@
 		scope.Gauge("in_flight").Update(float64(inFlight))
 		scope.Gauge("waiting").Update(float64(waiting))
 	})
+	e.scheduler.Paused(func(pool string, servers int) {
+		e.metrics.Tagged(map[string]string{"pool": pool}).Gauge("paused_servers").Update(float64(servers))
+	})
 	e.metrics.Gauge("log_lines_dropped").Update(float64(e.logWriter.Dropped()))
 }
 
