Let the next entry watch the configuration 1.5 s after a watcher stopped

An entry that stands still or is cut off counted as a watcher for 5 s. If those of all failure domains did so at once, a configuration could be read later than the 2 s within which it must be in force.

Entries report twice a second, so one that is silent for 1.5 s no longer counts. TestNextEntryWatchesForSilentOne fails with the longer timeout.

--- a/internal/platform/configwatch/election.go
+++ b/internal/platform/configwatch/election.go
@@ -25,8 +25,9 @@
 	// answerTimeout is how long after its last answer an entry counts as watching. It is
 	// longer than a watch waits.
 	answerTimeout = 5 * time.Second
-	// peerTimeout is how long after its last report a peer counts.
-	peerTimeout = 5 * time.Second
+	// peerTimeout is how long after its last report a peer counts. Reports come at least
+	// twice a second, and a change must be in force within seconds.
+	peerTimeout = 1500 * time.Millisecond
 	// remoteDelay is how long a process waits for a peer in its failure domain to have a
 	// configuration before it reads it from another failure domain.
 	remoteDelay = 400 * time.Millisecond
--- a/internal/platform/configwatch/election_test.go
+++ b/internal/platform/configwatch/election_test.go
@@ -56,6 +56,30 @@
 	}
 }
 
+// Guards against a configuration that is read late because the watcher of a failure
+// domain stopped without notice.
+func TestNextEntryWatchesForSilentOne(t *testing.T) {
+	elections := newElections(func(string) time.Duration { return time.Second })
+	var stopped string
+	for name, e := range elections {
+		if e.FailureDomain == "0" && e.Watches(start) {
+			stopped = name
+		}
+	}
+	later := start.Add(peerTimeout + time.Millisecond)
+	delete(elections, stopped)
+	for _, e := range elections {
+		for name, peer := range elections {
+			if name != e.Self {
+				e.Record(name, peer.FailureDomain, time.Second, later)
+			}
+		}
+	}
+	if n := countWatching(elections, later)["0"]; n != watchersPerDomain {
+		t.Errorf("%d entries of the failure domain watch %v after its watcher stopped, want %d", n, peerTimeout, watchersPerDomain)
+	}
+}
+
 // Guards against a configuration that no entry reads, because those that should watch
 // are refused by the store, do not run, or have no peers yet.
 func TestEntriesWatchWithoutWatchers(t *testing.T) {
