--- a/internal/entry/forward/answers_test.go
+++ b/internal/entry/forward/answers_test.go
@@ -38,7 +38,7 @@
 }
 
 // Guards against an earlier refusal, written once more on a kept connection, that
-// is taken for the answer to a request that the server runs: its caller is told that
+// is treated as the answer to a request that the server runs: its caller learns that
 // it did not run, or another server runs it again.
 func TestRepeatedRefusalIsNotTakenForAnswer(t *testing.T) {
 	const unnamed = "HTTP/1.1 503 x\r\n" + notRunMark
@@ -113,7 +113,7 @@
 	}
 }
 
-// Guards against a caller who is told that its request did not run by a backend server's
+// Guards against a caller whose request is reported as not run by a backend server's
 // status alone, without the header that promises it.
 func TestUnmarkedRefusalIsNoPromise(t *testing.T) {
 	const own = "own text"
--- a/internal/entry/pathdelay/pathdelay.go
+++ b/internal/entry/pathdelay/pathdelay.go
@@ -1,5 +1,5 @@
-// Package pathdelay tells how long messages to the backend servers of a failure domain
-// take at most.
+// Package pathdelay measures how long messages to the backend servers of a failure
+// domain take at most.
 //
 //	opened connections --> Record --> Delays --> Max
 //
--- a/internal/platform/namedversion/history.go
+++ b/internal/platform/namedversion/history.go
@@ -1,4 +1,4 @@
-// Package namedversion tells when the versions of models were named.
+// Package namedversion determines when the versions of models were named.
 //
 //	RecordAnswer (each answer of the store) --\
 //	RecordVersion (list, watch) --------------> History --> Since, Reports
@@ -33,7 +33,7 @@
 )
 
 type (
-	// Report is what a process tells its peers about a named version.
+	// Report is what a process sends its peers about a named version.
 	Report struct {
 		Version int64 `json:"version"`
 		// AgeMillis is the time since the beginning of the interval.
@@ -214,7 +214,7 @@
 	return newest.number, h.since(newest)
 }
 
-// Reports returns what to tell the peers, by model.
+// Reports returns the reports for the peers, by model.
 func (h *History) Reports(now time.Time) map[string][]Report {
 	reports := make(map[string][]Report, len(h.models))
 	for model, versions := range h.models {
