--- a/internal/entry/placement/choose.go
+++ b/internal/entry/placement/choose.go
@@ -83,43 +83,6 @@
 	return p.startsWithinGrace(s, r, now)
 }
 
-// startsWithinGrace reports whether the response starts before the version grace
-// of every newer named version ends.
-func (p *Placer) startsWithinGrace(s *server, r Request, now time.Time) bool {
-	end := p.startBy(s.FailureDomain, s.version, now)
-	if end.IsZero() {
-		return true
-	}
-	startsAt := now.Add(firstEventFactor*(2*p.passTime()+p.prefillTime(s.pendingPromptTokens()+r.PromptTokens)) + firstEventMargin)
-	if s.inFlight() >= s.slots() {
-		startsAt = startsAt.Add(queuedSlotDelay)
-	}
-	return startsAt.Before(end)
-}
-
-// startBy returns when requests to a server of the failure domain are given up that run on
-// the version and have not started; zero if no newer version is named. The end of their
-// connections takes as long to reach the server as they do.
-func (p *Placer) startBy(domain string, version int64, now time.Time) time.Time {
-	end := p.graceEnd(version)
-	if end.IsZero() || p.Config.PathDelays == nil {
-		return end
-	}
-	return end.Add(-p.Config.PathDelays.Max(domain, now))
-}
-
-// graceEnd returns when the first version grace of the versions that are newer
-// than the given one ends; zero if there is none.
-func (p *Placer) graceEnd(version int64) time.Time {
-	var end time.Time
-	for newer, since := range p.namedVersions {
-		if at := since.Add(p.Config.VersionGrace); newer > version && (end.IsZero() || at.Before(end)) {
-			end = at
-		}
-	}
-	return end
-}
-
 // score is the expected time to the first event.
 func (p *Placer) score(s *server, now time.Time) time.Duration {
 	n := s.inFlight()
@@ -224,37 +187,6 @@
 	return 2*suspects <= len(p.ordered)
 }
 
-// ExpirePeers removes the entries that have not reported within peerTimeout.
-func (p *Placer) ExpirePeers(now time.Time) {
-	for name, peer := range p.peers {
-		if now.Sub(peer.reportedAt) > peerTimeout {
-			delete(p.peers, name)
-		}
-	}
-	p.sumPeerLoads(now)
-}
-
-// sumPeerLoads adds up what the peers have in flight, and records which full
-// servers have free capacity again. With a zero time, nothing is recorded.
-func (p *Placer) sumPeerLoads(now time.Time) {
-	for _, s := range p.ordered {
-		s.previousInFlight, s.peerLoad = s.inFlight(), Load{}
-	}
-	for _, peer := range p.peers {
-		for id, load := range peer.loads {
-			if s := p.servers[id]; s != nil {
-				s.peerLoad.Requests += load.Requests
-				s.peerLoad.PendingPromptTokens += load.PendingPromptTokens
-			}
-		}
-	}
-	for _, s := range p.ordered {
-		if capacity := p.capacity(s); !now.IsZero() && s.previousInFlight >= capacity && s.inFlight() < capacity {
-			s.freedAt = now
-		}
-	}
-}
-
 // turnAt is when this entry may use capacity that another entry has freed, or the
 // next request that a rate limit allows. All entries learn of it at the same moment,
 // so those with waiting requests take turns: first those in the server's failure
--- a/internal/entry/placement/placer.go
+++ b/internal/entry/placement/placer.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"maps"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -157,45 +156,6 @@
 	s.acceptsUntil = until
 }
 
-// SetNamedVersions replaces the named versions, with the time at which each was
-// named. The caller must not change the map before the next call.
-func (p *Placer) SetNamedVersions(namedVersions map[int64]time.Time) {
-	p.namedVersions = namedVersions
-}
-
-// StartBy returns Decision.StartBy for a request that was placed before, by what is known
-// now.
-func (p *Placer) StartBy(d Decision, now time.Time) time.Time {
-	if p.pool.Model == "" {
-		return time.Time{}
-	}
-	return p.startBy(d.Server.FailureDomain, d.Version, now)
-}
-
-// SetPeer records the report of another entry.
-func (p *Placer) SetPeer(name string, report PeerReport, now time.Time) {
-	if p.peers == nil {
-		p.peers = make(map[string]peerState)
-	}
-	peer, ok := p.peers[name]
-	if !ok || !report.Partial {
-		peer.loads = make(map[mulberryspool.InstanceID]Load, len(report.Loads))
-	}
-	peer.reportedAt, peer.waiting, peer.failureDomain = now, report.Waiting, cmp.Or(report.FailureDomain, peer.failureDomain)
-	maps.Copy(peer.loads, report.Loads)
-	p.peers[name] = peer
-	p.sumPeerLoads(now)
-}
-
-// AddOwnLoads adds what this entry has in flight to the map.
-func (p *Placer) AddOwnLoads(loads map[mulberryspool.InstanceID]Load) {
-	for _, s := range p.ordered {
-		if s.ownLoad.Requests > 0 {
-			loads[s.Instance] = s.ownLoad
-		}
-	}
-}
-
 // Waiting returns the number of waiting requests.
 func (p *Placer) Waiting() int { return len(p.waiting) }
 
@@ -257,39 +217,6 @@
 	}
 }
 
-// RecordLimit records the rate limit that an answer named, nil for none, to a request
-// that was sent at the given time. It reports whether the limit has changed.
-func (p *Placer) RecordLimit(id mulberryspool.InstanceID, born int64, rate *float64, sentAt, now time.Time) bool {
-	s := p.servers[id]
-	if s == nil || s.Born != born {
-		return false
-	}
-	if rate == nil {
-		return s.limit.Lift(sentAt, now)
-	}
-	return s.limit.Name(*rate, now)
-}
-
-// MergeLimits adopts what another entry reports of rate limits.
-func (p *Placer) MergeLimits(peer string, reports []serverlimit.Report, now time.Time) {
-	for _, r := range reports {
-		if s := p.servers[r.Instance]; s != nil && s.Born == r.Born {
-			s.limit.Merge(peer, r, now)
-		}
-	}
-}
-
-// AddLimits adds what other entries need to know of rate limits to the list.
-func (p *Placer) AddLimits(reports []serverlimit.Report, now time.Time) []serverlimit.Report {
-	for _, s := range p.ordered {
-		if r, ok := s.limit.Report(now); ok {
-			r.Instance, r.Born = s.Instance, s.Born
-			reports = append(reports, r)
-		}
-	}
-	return reports
-}
-
 // DecideWaiting places waiting requests while there is capacity, and ends the
 // waits that have timed out. Call it after any change, and at NextWake.
 func (p *Placer) DecideWaiting(now time.Time) []Decision {
--- a/internal/entry/scheduler/grace.go
+++ b/internal/entry/scheduler/grace.go
@@ -32,6 +32,27 @@
 	return callbacks
 }
 
+// FirstNewerVersion returns that named version of the pool's model that was named
+// first of those newer than the given one, and when; 0 if there is none.
+func (s *Scheduler) FirstNewerVersion(name string, version int64) (int64, time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	table := s.table.Load()
+	if table == nil {
+		return 0, time.Time{}
+	}
+	var (
+		first int64
+		since time.Time
+	)
+	for newer, at := range s.namedVersions[table.Ingress.Pools[name].Model] {
+		if newer > version && (first == 0 || at.Before(since)) {
+			first, since = newer, at
+		}
+	}
+	return first, since
+}
+
 // StartBy returns placement.Decision.StartBy for a request that was placed before, by what
 // is known now.
 func (s *Scheduler) StartBy(name string, d placement.Decision) time.Time {
--- a/internal/entry/scheduler/scheduler.go
+++ b/internal/entry/scheduler/scheduler.go
@@ -22,7 +22,6 @@
 	"github.com/mulberryspool/mulberryspool/internal/entry/pathdelay"
 	"github.com/mulberryspool/mulberryspool/internal/entry/placement"
 	"github.com/mulberryspool/mulberryspool/internal/entry/retrybudget"
-	"github.com/mulberryspool/mulberryspool/internal/entry/serverlimit"
 )
 
 type (
@@ -147,27 +146,6 @@
 	}
 }
 
-// FirstNewerVersion returns that named version of the pool's model that was named
-// first of those newer than the given one, and when; 0 if there is none.
-func (s *Scheduler) FirstNewerVersion(name string, version int64) (int64, time.Time) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	table := s.table.Load()
-	if table == nil {
-		return 0, time.Time{}
-	}
-	var (
-		first int64
-		since time.Time
-	)
-	for newer, at := range s.namedVersions[table.Ingress.Pools[name].Model] {
-		if newer > version && (first == 0 || at.Before(since)) {
-			first, since = newer, at
-		}
-	}
-	return first, since
-}
-
 // SetPeer records the report of another entry, with the number of its requests
 // that wait in each pool.
 func (s *Scheduler) SetPeer(peer string, report placement.PeerReport, waiting map[string]int) {
@@ -199,44 +177,6 @@
 	}
 }
 
-// RecordLimit records the rate limit that a server's answer named, nil for none, to a
-// request that was sent at the given time. It reports whether the limit has changed.
-func (s *Scheduler) RecordLimit(name string, server mulberryspool.BackendServer, rate *float64, sentAt time.Time) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	p := s.pools[name]
-	if p == nil || !p.placer.RecordLimit(server.Instance, server.Born, rate, sentAt, s.Clock.Now()) {
-		return false
-	}
-	s.decideWaiting(p)
-	s.notifyLoadChanged()
-	return true
-}
-
-// MergeLimits adopts what another entry reports of rate limits.
-func (s *Scheduler) MergeLimits(peer string, reports []serverlimit.Report) {
-	if len(reports) == 0 {
-		return
-	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for _, p := range s.pools {
-		p.placer.MergeLimits(peer, reports, s.Clock.Now())
-		s.decideWaiting(p)
-	}
-}
-
-// Limits returns what other entries need to know of rate limits.
-func (s *Scheduler) Limits() []serverlimit.Report {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	var reports []serverlimit.Report
-	for _, p := range s.pools {
-		reports = p.placer.AddLimits(reports, s.Clock.Now())
-	}
-	return reports
-}
-
 // Loads returns what this entry has in flight at each backend server.
 func (s *Scheduler) Loads() map[mulberryspool.InstanceID]placement.Load {
 	s.mu.Lock()
