Do not replace a corrected start deadline by an outdated one

Cause: the attempt determined its deadline, a correction came, and the attempt then set the deadline from before it.

--- a/internal/entry/forward/startdeadline.go
+++ b/internal/entry/forward/startdeadline.go
@@ -8,6 +8,8 @@
 // startDeadline ends the wait for the start of a response when the backend server's
 // version is out of date. A correction of when the newer one was named moves it.
 type startDeadline struct {
+	// mu is held while the deadline is determined and set, so that an outdated one does
+	// not replace a corrected one.
 	mu sync.Mutex
 	// waiting is set while the response has not started, and latest is when the wait for
 	// it ends in any case.
@@ -17,11 +19,10 @@
 
 // setStartDeadline limits the wait for the start of the response.
 func (a *attempt) setStartDeadline(latest time.Time) error {
-	by := a.startBy()
 	a.start.mu.Lock()
 	defer a.start.mu.Unlock()
 	a.start.waiting, a.start.latest = true, latest
-	return a.conn.SetReadDeadline(earlier(by, latest))
+	return a.conn.SetReadDeadline(earlier(a.startBy(), latest))
 }
 
 // setReadDeadline limits a read of a response that has started.
@@ -34,12 +35,11 @@
 
 // renewStartDeadline applies what is known now of the newer versions.
 func (a *attempt) renewStartDeadline() {
-	by := a.startBy()
 	a.start.mu.Lock()
 	defer a.start.mu.Unlock()
 	if a.start.waiting {
 		// Fails only if the connection is closed, which ends the attempt as well.
-		_ = a.conn.SetReadDeadline(earlier(by, a.start.latest))
+		_ = a.conn.SetReadDeadline(earlier(a.startBy(), a.start.latest))
 	}
 }
 
