--- a/internal/platform/configwatch/election_test.go
+++ b/internal/platform/configwatch/election_test.go
@@ -85,3 +85,35 @@
 		}
 	}
 }
+
+// Guards against entries that replace refused watchers and stop at once, all together,
+// because they count each other.
+func TestReplacementsOfRefusedWatchersKeepWatching(t *testing.T) {
+	elections := newElections(func(string) time.Duration { return -1 })
+	now, before, changes := start, map[string]bool{}, 0
+	for range 20 {
+		now = now.Add(500 * time.Millisecond)
+		watches := make(map[string]bool)
+		for name, e := range elections {
+			watches[name] = e.Watches(now)
+			if watches[name] != before[name] {
+				changes++
+			}
+		}
+		for _, e := range elections {
+			for name, peer := range elections {
+				answered := time.Duration(-1)
+				if refused := peer.rank(now) == 0 && peer.FailureDomain != "0"; watches[name] && !refused {
+					answered = 0
+				}
+				if name != e.Self {
+					e.Record(name, peer.FailureDomain, answered, now)
+				}
+			}
+		}
+		before = watches
+	}
+	if changes > len(elections) {
+		t.Errorf("entries began or stopped to watch %d times in 10 s, want at most once each", changes)
+	}
+}
