Compare the start of a leaving incarnation for equality

A server that starts again under its ID after its machine's clock went back has an earlier start than the incarnation that left, and counted as leaving for good.

The marks hold pairs of instance and start. A row without a start is not marked, since its next incarnation looks the same; its revisions order it. TestIncarnationWithEarlierStartIsUsed failed before.

--- a/internal/platform/membership/membership.go
+++ b/internal/platform/membership/membership.go
@@ -45,10 +45,16 @@
 		completeAt mulberryspool.Revision
 		// exactAt is the revision as of which, in addition, no server was removed.
 		exactAt mulberryspool.Revision
-		// leaving holds the start of the newest leaving incarnation of an instance.
-		leaving map[mulberryspool.InstanceID]int64
+		// leaving holds the incarnations that are known to leave.
+		leaving map[incarnation]struct{}
 		// marked holds the keys of leaving, the first marked first.
-		marked []mulberryspool.InstanceID
+		marked []incarnation
+	}
+
+	incarnation struct {
+		instance mulberryspool.InstanceID
+		// born is the start of the incarnation in Unix milliseconds, by its own clock.
+		born int64
 	}
 )
 
@@ -74,7 +80,7 @@
 		changed = true
 	}
 	for id, b := range s.Servers {
-		if b.Leaving && b.Born > 0 {
+		if b.Leaving {
 			v.mark(id, b.Born)
 		}
 		if v.isNewer(b) {
@@ -108,13 +114,13 @@
 // any more. It reports whether the servers have changed.
 func (v *View) MarkLeaving(id mulberryspool.InstanceID, born int64) bool {
 	v.mark(id, born)
-	if b, ok := v.servers[id]; !ok || b.Leaving || b.Born > born {
+	if b, ok := v.servers[id]; !ok || b.Leaving || b.Born != born {
 		return false
 	}
 	marked := maps.Clone(v.servers)
-	if !v.applyMarks(marked) {
-		return false
-	}
+	b := marked[id]
+	b.Leaving = true
+	marked[id] = b
 	v.servers = marked
 	return true
 }
@@ -130,27 +136,29 @@
 	return Snapshot{Servers: v.servers, CompleteAt: v.exactAt}
 }
 
+// mark remembers that an incarnation leaves. Without its start, it can't be told from the
+// next one.
 func (v *View) mark(id mulberryspool.InstanceID, born int64) {
-	known, ok := v.leaving[id]
-	switch {
-	case ok:
-		v.leaving[id] = max(known, born)
+	key := incarnation{id, born}
+	if _, ok := v.leaving[key]; ok || born == 0 {
 		return
-	case v.leaving == nil:
-		v.leaving = make(map[mulberryspool.InstanceID]int64)
-	case len(v.marked) == maxMarks:
+	}
+	if v.leaving == nil {
+		v.leaving = make(map[incarnation]struct{})
+	}
+	if len(v.marked) == maxMarks {
 		delete(v.leaving, v.marked[0])
 		v.marked = v.marked[1:]
 	}
-	v.leaving[id] = born
-	v.marked = append(v.marked, id)
+	v.leaving[key] = struct{}{}
+	v.marked = append(v.marked, key)
 }
 
 // applyMarks sets Leaving in the servers whose incarnation is known to leave.
 func (v *View) applyMarks(servers Servers) bool {
 	changed := false
 	for id, b := range servers {
-		if born, ok := v.leaving[id]; ok && b.Born <= born && !b.Leaving {
+		if _, ok := v.leaving[incarnation{id, b.Born}]; ok && !b.Leaving {
 			b.Leaving, changed = true, true
 			servers[id] = b
 		}
