Do not take a list without revisions for complete

A list of a peer of an earlier build has no revisions. Its new rows can't be ordered and were not adopted, but the list counted as complete, so that the store's own row of such a server was refused as outdated, here and at the peers.

Such a list still removes servers and marks those that leave. TestServerListedWithoutRevisionIsUsed failed before.

--- a/internal/platform/membership/membership.go
+++ b/internal/platform/membership/membership.go
@@ -79,6 +79,7 @@
 	if len(merged) < len(v.servers) {
 		changed = true
 	}
+	ordered := true
 	for id, b := range s.Servers {
 		if b.Leaving {
 			v.mark(id, b.Born)
@@ -86,11 +87,17 @@
 		if v.isNewer(b) {
 			merged[id], changed = b, true
 		}
+		ordered = ordered && b.Revision > 0
 	}
 	if v.applyMarks(merged) {
 		changed = true
 	}
 	v.servers = merged
+	if !ordered {
+		// A peer of an earlier build sends no revisions, so that rows of its list may be
+		// missing here.
+		return changed
+	}
 	v.completeAt = max(v.completeAt, s.CompleteAt)
 	if !s.Assumed {
 		v.exactAt = max(v.exactAt, s.CompleteAt)
