Watch the configuration often enough for few watchers

The waits of watches were made for all entries to watch: a store that drops its history answers none of them, and the first that ends finds the change.

A watcher counts for 2.2 s after its last answer.

--- a/internal/platform/configwatch/election.go
+++ b/internal/platform/configwatch/election.go
@@ -1,7 +1,7 @@
 // Package configwatch decides which entries read the configuration from the store, and
 // which read it from those.
 //
-//	heartbeats --> Record --> Election --> Watches, Watchers, RemoteDelay
+//	heartbeats --> Record --> Election --> Watches, RemoteDelay
 //
 // A watch delivers the whole configuration with each change. On the links between
 // regions, a copy for each entry takes longer than a change may take to be in force,
@@ -15,6 +15,13 @@
 	"github.com/cespare/xxhash/v2"
 )
 
+// MinWait and MaxWait limit how long a watch waits for a change. A store that drops its
+// history does not answer a waiting watch, and few entries watch.
+const (
+	MinWait = 500 * time.Millisecond
+	MaxWait = 1300 * time.Millisecond
+)
+
 const (
 	// watchersPerDomain is the number of entries of a failure domain that watch.
 	watchersPerDomain = 1
@@ -23,8 +30,8 @@
 	minWatchers    = 2
 	expandInterval = 500 * time.Millisecond
 	// answerTimeout is how long after its last answer an entry counts as watching. It is
-	// longer than a watch waits.
-	answerTimeout = 5 * time.Second
+	// longer than MaxWait and the time that the answer may take.
+	answerTimeout = 2200 * time.Millisecond
 	// peerTimeout is how long after its last report a peer counts. Reports come at least
 	// twice a second, and a change must be in force within seconds.
 	peerTimeout = 1500 * time.Millisecond
@@ -48,9 +55,9 @@
 		FailureDomain string
 
 		peers map[string]peer
-		// shortSince is since when there are fewer than minWatchers; zero if there are
+		// tooFewSince is since when there are fewer than minWatchers; zero if there are
 		// enough.
-		shortSince time.Time
+		tooFewSince time.Time
 	}
 
 	peer struct {
@@ -80,25 +87,16 @@
 	limit := watchersPerDomain
 	switch {
 	case e.watching(now) >= minWatchers:
-		e.shortSince = time.Time{}
-	case e.shortSince.IsZero():
-		e.shortSince = now
+		e.tooFewSince = time.Time{}
+	case e.tooFewSince.IsZero():
+		e.tooFewSince = now
 		limit++
 	default:
-		limit += 1 + int(now.Sub(e.shortSince)/expandInterval)
+		limit += 1 + int(now.Sub(e.tooFewSince)/expandInterval)
 	}
 	return e.rank(now) < limit
 }
 
-// Watchers returns the number of entries that watch, including this one if it does.
-func (e *Election) Watchers(now time.Time) int {
-	watchers := e.watching(now)
-	if e.Watches(now) {
-		watchers++
-	}
-	return watchers
-}
-
 // RemoteDelay returns how long this entry waits before it reads a configuration from
 // another failure domain, so that the entries of its own do not all do so.
 func (e *Election) RemoteDelay(reachable bool, now time.Time) time.Duration {
--- a/internal/role/hosted/entry.go
+++ b/internal/role/hosted/entry.go
@@ -199,7 +199,9 @@
 	e.fleet = e.process.newFleet()
 	e.configWatch = configwatch.Election{Self: e.settings.Instance, FailureDomain: e.identity.FailureDomain}
 	e.fleet.WatchTimeout = func() time.Duration { return watchWait(1 + len(e.heartbeats.ActivePeers(mulberryspool.RoleEntry))) }
-	e.fleet.ConfigWatchTimeout = func() time.Duration { return watchWait(e.configWatchers()) }
+	e.fleet.ConfigWatchTimeout = func() time.Duration {
+		return configwatch.MinWait + rand.N(configwatch.MaxWait-configwatch.MinWait)
+	}
 	e.fleet.ConfigPaused = func() bool { return !e.watchesConfig() }
 	e.fleet.AssumedAge = b.NamedVersion - versionEndMargin - unknownAgeGrace
 	e.fleet.IngressChanged = func(i mulberryspool.Ingress) {
@@ -235,12 +237,6 @@
 	return e.configWatch.Watches(e.clock.Now())
 }
 
-func (e *entryRole) configWatchers() int {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	return e.configWatch.Watchers(e.clock.Now())
-}
-
 // remoteConfigDelay returns how long to wait before the configuration is read from
 // another failure domain.
 func (e *entryRole) remoteConfigDelay() time.Duration {
