Keep replacements of watchers for five seconds

Entries that watched in place of refused ones counted each other, stopped all together, and began again half a second later, each time with a whole list. TestReplacementsOfRefusedWatchersKeepWatching failed before.

--- a/internal/platform/configwatch/election.go
+++ b/internal/platform/configwatch/election.go
@@ -32,6 +32,8 @@
 	// answerTimeout is how long after its last answer an entry counts as watching. It is
 	// longer than MaxWait and the time that the answer may take.
 	answerTimeout = 2200 * time.Millisecond
+	// extraTime is how long an entry watches at least that replaces others.
+	extraTime = 5 * time.Second
 	// peerTimeout is how long after its last report a peer counts. Reports come at least
 	// twice a second, and a change must be in force within seconds.
 	peerTimeout = 1500 * time.Millisecond
@@ -58,6 +60,8 @@
 		// tooFewSince is since when there are fewer than minWatchers; zero if there are
 		// enough.
 		tooFewSince time.Time
+		// extraUntil is until when this entry watches in place of others.
+		extraUntil time.Time
 	}
 
 	peer struct {
@@ -94,7 +98,14 @@
 	default:
 		limit += 1 + int(now.Sub(e.tooFewSince)/expandInterval)
 	}
-	return e.rank(now) < limit
+	rank := e.rank(now)
+	if rank < watchersPerDomain {
+		return true
+	}
+	if rank < limit && !now.Before(e.extraUntil) {
+		e.extraUntil = now.Add(extraTime)
+	}
+	return now.Before(e.extraUntil)
 }
 
 // RemoteDelay returns how long this entry waits before it reads a configuration from
