--- a/internal/role/hosted/entry.go
+++ b/internal/role/hosted/entry.go
@@ -109,11 +109,13 @@
 		// stateChanged is signalled when the routes, servers or named versions change.
 		stateChanged chan struct{}
 
+		configMu sync.Mutex
+		// encodedConfig is the response with the newest configuration.
+		encodedConfig encodedConfig
+
 		mu sync.Mutex
 		// configWatch decides whether this entry watches the configuration.
 		configWatch configwatch.Election
-		// encodedConfig is the response with the newest configuration.
-		encodedConfig encodedConfig
 		// registered holds the heartbeat addresses of the other entries, from the
 		// store and from heartbeats.
 		registered map[netip.AddrPort]struct{}
--- a/internal/role/hosted/stateserver.go
+++ b/internal/role/hosted/stateserver.go
@@ -59,8 +59,8 @@
 
 // compressedConfig encodes a state with the configuration only, once for each version.
 func (e *entryRole) compressedConfig(s fleet.State) ([]byte, error) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
+	e.configMu.Lock()
+	defer e.configMu.Unlock()
 	if e.encodedConfig.version != s.Ingress.Version {
 		var compressed bytes.Buffer
 		writer, err := gzip.NewWriterLevel(&compressed, gzip.BestSpeed)
