Begin the delay of a read from a peer once, not after each failure

A read that failed because its peer was gone began the whole delay again, up to 1.6 s for a configuration of another failure domain. A queue of half a second on a link made each read fail before its first byte, and connections that were idle for long may be silent.

The delay counts from when the part is first lacking, a response may take 1 s to begin, and idle connections are closed after 1 s.

--- a/internal/role/hosted/hosted.go
+++ b/internal/role/hosted/hosted.go
@@ -64,6 +64,8 @@
 	storeCallsPerSecond = 12
 	// peerCallTimeout limits a read of a peer's manifest.
 	peerCallTimeout = time.Second
+	// peerIdleTimeout is how long a connection to a peer is kept for its next read.
+	peerIdleTimeout = time.Second
 	// maxStateBytes is the maximum size of a peer's encoded state.
 	maxStateBytes = 16 << 20
 	// statePath is where an entry serves its state to other entries.
@@ -124,7 +126,7 @@
 		settings: s, identity: identity, clock: clock, logger: logger, logWriter: logWriter,
 		metrics: metrics, metricsHandler: metricsHandler, metricsCloser: metricsCloser, storeClient: storeClient,
 		store:      &platform.Store{Client: storeClient, Logger: logger},
-		peerClient: &http.Client{Transport: newTransport(1)},
+		peerClient: &http.Client{Transport: newPeerTransport()},
 		boot:       clock.Now().UnixNano(),
 	}, nil
 }
@@ -261,6 +263,14 @@
 	}
 }
 
+// newPeerTransport returns a transport for reads of peers' states, which are seldom: a
+// connection that was idle for longer may be silent.
+func newPeerTransport() *http.Transport {
+	transport := newTransport(1)
+	transport.IdleConnTimeout = peerIdleTimeout
+	return transport
+}
+
 // newTransport returns a transport that keeps idle connections to each host and
 // detects silent ones.
 func newTransport(idleConns int) *http.Transport {
--- a/internal/role/hosted/statesync.go
+++ b/internal/role/hosted/statesync.go
@@ -23,7 +23,9 @@
 	// longer because a peer in the same one usually has the change by then, and
 	// traffic within a failure domain is free.
 	remotePeerFetchDelay = 400 * time.Millisecond
-	// peerStallTimeout is how long a read may make no progress.
+	// peerStartTimeout limits the time until a response begins, peerStallTimeout the time
+	// between two parts of it.
+	peerStartTimeout = time.Second
 	peerStallTimeout = 500 * time.Millisecond
 	// peerReadTimeout limits a read with progress.
 	peerReadTimeout = 10 * time.Second
@@ -53,6 +55,9 @@
 		// inProgress is set from the heartbeat that shows a peer with newer state until
 		// minInterval after its state was read.
 		inProgress map[readSlot]bool
+		// lackingSince is since when a part is to be read: failed reads do not begin the
+		// delay of the next one again.
+		lackingSince map[readSlot]time.Time
 		// failedAt is when a read from a peer last failed.
 		failedAt map[netip.AddrPort]time.Time
 	}
@@ -95,12 +100,16 @@
 	if !s.begin(slot, from) {
 		return
 	}
+	summary := m.Summary.Summary
 	done := func() {
+		lacks := s.fleet.Lacks(summary, part)
 		s.mu.Lock()
 		defer s.mu.Unlock()
 		delete(s.inProgress, slot)
+		if !lacks {
+			delete(s.lackingSince, slot)
+		}
 	}
-	summary := m.Summary.Summary
 	s.clock.AfterFunc(s.delay(slot), func() {
 		if !s.fleet.Lacks(summary, part) {
 			done()
@@ -131,26 +140,34 @@
 	}
 	if s.inProgress == nil {
 		s.inProgress, s.failedAt = make(map[readSlot]bool), make(map[netip.AddrPort]time.Time)
+		s.lackingSince = make(map[readSlot]time.Time)
 	}
 	s.inProgress[slot] = true
+	if s.lackingSince[slot].IsZero() {
+		s.lackingSince[slot] = s.clock.Now()
+	}
 	return true
 }
 
+// delay returns the rest of the delay before a read.
 func (s *stateSync) delay(slot readSlot) time.Duration {
+	delay := remotePeerFetchDelay
 	switch {
 	case slot.local:
-		return peerFetchDelay
+		delay = peerFetchDelay
 	case slot.part == fleet.PartConfig && s.remoteConfigDelay != nil:
-		return s.remoteConfigDelay()
+		delay = s.remoteConfigDelay()
 	}
-	return remotePeerFetchDelay
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return max(0, delay-s.clock.Since(s.lackingSince[slot]))
 }
 
 // read reads a part of a peer's state and merges it.
 func (s *stateSync) read(r stateRead, sender string) {
 	ctx, cancel := clockwork.WithTimeout(context.Background(), s.clock, peerReadTimeout)
 	defer cancel()
-	stalled := s.clock.AfterFunc(peerStallTimeout, cancel)
+	stalled := s.clock.AfterFunc(peerStartTimeout, cancel)
 	defer stalled.Stop()
 	r.progress = func() { stalled.Reset(peerStallTimeout) }
 	state, err := s.fetch(ctx, r)
