--- a/internal/platform/fleet/state.go
+++ b/internal/platform/fleet/state.go
@@ -36,7 +36,7 @@
 	// Part is a part of a State.
 	Part string
 
-	// Summary says how recent a process's state is, so that a peer can tell
+	// Summary says how recent a process's state is, so that a peer knows
 	// whether it is newer than the peer's own.
 	Summary struct {
 		Config int64 `json:"config,omitempty"`
--- a/internal/platform/membership/membership.go
+++ b/internal/platform/membership/membership.go
@@ -143,8 +143,7 @@
 	return Snapshot{Servers: v.servers, CompleteAt: v.exactAt}
 }
 
-// mark remembers that an incarnation leaves. Without its start, it can't be told from the
-// next one.
+// mark records that an incarnation leaves. Without its start, it looks like the next one.
 func (v *View) mark(id mulberryspool.InstanceID, born int64) {
 	key := incarnation{id, born}
 	if _, ok := v.leaving[key]; ok || born == 0 {
