--- a/internal/platform/fleet/fleet.go
+++ b/internal/platform/fleet/fleet.go
@@ -18,6 +18,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/mulberryspool/mulberryspool"
+	"github.com/mulberryspool/mulberryspool/internal/peer/messagedelay"
 	"github.com/mulberryspool/mulberryspool/internal/platform/listwatch"
 	"github.com/mulberryspool/mulberryspool/internal/platform/membership"
 	"github.com/mulberryspool/mulberryspool/internal/platform/namedversion"
@@ -94,6 +95,9 @@
 		servers          membership.View
 		serversHash      uint64
 		named            namedversion.History
+		delays           messagedelay.Estimator
+		// clockStart is the zero of Summary.SentMillis.
+		clockStart time.Time
 	}
 )
 
@@ -187,7 +191,10 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := f.Clock.Now()
-	s := Summary{Config: f.configVersion(), ServersAt: f.servers.Snapshot().CompleteAt, Servers: f.serversHash, Named: f.named.Reports(now)}
+	if f.clockStart.IsZero() {
+		f.clockStart = now.Add(-time.Millisecond)
+	}
+	s := Summary{SentMillis: now.Sub(f.clockStart).Milliseconds(), Config: f.configVersion(), ServersAt: f.servers.Snapshot().CompleteAt, Servers: f.serversHash, Named: f.named.Reports(now)}
 	if watchesConfig {
 		s.ConfigAnsweredMillis = max(1, now.Sub(f.configAnsweredAt).Milliseconds())
 	}
--- a/internal/platform/fleet/fleet_test.go
+++ b/internal/platform/fleet/fleet_test.go
@@ -132,12 +132,12 @@
 	if _, at := restarted.NamedVersion("m"); clock.Since(at) != 5*time.Second {
 		t.Errorf("a version that was already named counts as %v old, want the assumed 5s", clock.Since(at))
 	}
-	restarted.MergeNamedVersions(old.Summary().Named, "old")
+	restarted.MergeNamedVersions(old.Summary(), "old", 1)
 	if _, at := restarted.NamedVersion("m"); clock.Since(at) != 3*time.Second {
 		t.Errorf("after merging the peer's versions it counts as %v old, want 3s", clock.Since(at))
 	}
 	// An assumed age does not replace a known one.
-	old.MergeNamedVersions(newFleetWithAssumedAge(clock).Summary().Named, "third")
+	old.MergeNamedVersions(newFleetWithAssumedAge(clock).Summary(), "third", 1)
 	if _, at := old.NamedVersion("m"); clock.Since(at) != 3*time.Second {
 		t.Errorf("a peer that does not know the age changed it to %v", clock.Since(at))
 	}
@@ -158,7 +158,7 @@
 		watch(f, version+1)
 		clock.Advance(time.Second)
 	}
-	peer.MergeNamedVersions(f.Summary().Named, "f")
+	peer.MergeNamedVersions(f.Summary(), "f", 1)
 	ages := peer.Summary().Named["m"]
 	if len(ages) != 4 {
 		t.Fatalf("%d versions are kept, want 4", len(ages))
@@ -175,12 +175,12 @@
 // peers know better.
 func TestVersionLearnedLateKeepsItsAge(t *testing.T) {
 	const lateness = 6 * time.Second
-	for name, learnLate := range map[string]func(late *Fleet, stale map[string][]NamedVersionAge){
-		"from the store's watch": func(late *Fleet, _ map[string][]NamedVersionAge) {
+	for name, learnLate := range map[string]func(late *Fleet, stale Summary){
+		"from the store's watch": func(late *Fleet, _ Summary) {
 			list(late, 2)
 		},
-		"from a heartbeat that waited in the socket": func(late *Fleet, stale map[string][]NamedVersionAge) {
-			late.MergeNamedVersions(stale, "peer")
+		"from a heartbeat that waited in the socket": func(late *Fleet, stale Summary) {
+			late.MergeNamedVersions(stale, "peer", 1)
 		},
 	} {
 		clock := clockwork.NewFakeClock()
@@ -189,15 +189,15 @@
 		late.NamedVersionChanged = func(_ string, _ int64, at time.Time) { reported = at }
 		late.recordAnswer(clock.Now(), revisionOf(2)-1)
 		watch(peer, 2)
-		stale := peer.Summary().Named
+		stale := peer.Summary()
 		clock.Advance(lateness)
 		learnLate(late, stale)
-		late.MergeNamedVersions(peer.Summary().Named, "peer")
+		late.MergeNamedVersions(peer.Summary(), "peer", 1)
 		if _, at := late.NamedVersion("m"); clock.Since(at) != lateness || !reported.Equal(at) {
 			t.Errorf("%s: the version counts as %v old and was reported as %v old, want %v", name, clock.Since(at), clock.Since(reported), lateness)
 		}
 		// The late process does not make its peer's age smaller.
-		peer.MergeNamedVersions(stale, "late")
+		peer.MergeNamedVersions(stale, "late", 1)
 		if _, at := peer.NamedVersion("m"); clock.Since(at) != lateness {
 			t.Errorf("%s: an outdated heartbeat changed the peer's age to %v, want %v", name, clock.Since(at), lateness)
 		}
@@ -227,7 +227,7 @@
 	clock := clockwork.NewFakeClock()
 	first, late := newFleetWithAssumedAge(clock), newFleet(clock)
 	clock.Advance(4 * time.Second)
-	late.MergeNamedVersions(first.Summary().Named, "first")
+	late.MergeNamedVersions(first.Summary(), "first", 1)
 	_, a := first.NamedVersion("m")
 	if _, b := late.NamedVersion("m"); b.After(a) {
 		t.Errorf("the version counts as %v old, at the peer that reported it as %v", clock.Since(b), clock.Since(a))
@@ -240,7 +240,7 @@
 	for name, learn := range map[string]func(f, late *Fleet){
 		"report of a peer that learned of it late": func(f, late *Fleet) {
 			watch(late, 2)
-			f.MergeNamedVersions(late.Summary().Named, "late")
+			f.MergeNamedVersions(late.Summary(), "late", 1)
 		},
 		"change of the object that keeps the version": func(f, _ *Fleet) {
 			watch(f, 2)
@@ -263,7 +263,7 @@
 	listed, late := newFleetWithAssumedAge(clock), newFleet(clock)
 	clock.Advance(3 * time.Second)
 	watch(late, 2)
-	late.MergeNamedVersions(listed.Summary().Named, "listed")
+	late.MergeNamedVersions(listed.Summary(), "listed", 1)
 	_, want := listed.NamedVersion("m")
 	if _, at := late.NamedVersion("m"); !at.Equal(want) {
 		t.Errorf("the version counts as %v old, want %v as at the process that listed it 3s ago", clock.Since(at), clock.Since(want))
@@ -278,9 +278,9 @@
 	listed, watching := newFleetWithAssumedAge(clock), newFleet(clock)
 	clock.Advance(delay)
 	watch(watching, 2)
-	atFirstSight := listed.Summary().Named
-	listed.MergeNamedVersions(watching.Summary().Named, "watching")
-	watching.MergeNamedVersions(atFirstSight, "listed")
+	atFirstSight := listed.Summary()
+	listed.MergeNamedVersions(watching.Summary(), "watching", 1)
+	watching.MergeNamedVersions(atFirstSight, "listed", 1)
 	for name, f := range map[string]*Fleet{"that listed it first": listed, "whose watch delivered it later": watching} {
 		if _, at := f.NamedVersion("m"); clock.Since(at) < delay {
 			t.Errorf("at the process %s the version counts as %v old, want at least the %v since it was listed", name, clock.Since(at), delay)
@@ -297,7 +297,7 @@
 	listed := newFleetWithAssumedAge(clock)
 	clock.Advance(100 * time.Millisecond)
 	list(watching, 2)
-	listed.MergeNamedVersions(watching.Summary().Named, "watching")
+	listed.MergeNamedVersions(watching.Summary(), "watching", 1)
 	if _, at := listed.NamedVersion("m"); clock.Since(at) != 100*time.Millisecond {
 		t.Errorf("the version counts as %v old, want 100ms as since the watching process's last answer without it", clock.Since(at))
 	}
@@ -312,12 +312,12 @@
 	corrections := 0
 	f.NamedVersionChanged = func(string, int64, time.Time) { corrections++ }
 	for age := range int64(5) {
-		f.MergeNamedVersions(map[string][]NamedVersionAge{"m": {{Version: 2, AgeMillis: age}}}, "peer")
+		f.MergeNamedVersions(Summary{Named: map[string][]NamedVersionAge{"m": {{Version: 2, AgeMillis: age}}}}, "peer", 1)
 	}
 	if corrections != 0 {
 		t.Errorf("%d corrections by up to 4ms, want none", corrections)
 	}
-	f.MergeNamedVersions(map[string][]NamedVersionAge{"m": {{Version: 2, AgeMillis: 50}}}, "peer")
+	f.MergeNamedVersions(Summary{Named: map[string][]NamedVersionAge{"m": {{Version: 2, AgeMillis: 50}}}}, "peer", 1)
 	if _, at := f.NamedVersion("m"); corrections != 1 || clock.Since(at) != 50*time.Millisecond {
 		t.Errorf("%d corrections by 50ms, the version counts as %v old", corrections, clock.Since(at))
 	}
--- a/internal/platform/fleet/state.go
+++ b/internal/platform/fleet/state.go
@@ -48,6 +48,9 @@
 		// ConfigAnsweredMillis is the time since the store last answered the process's
 		// call for the configuration; 0 if the process does not watch it.
 		ConfigAnsweredMillis int64 `json:"configAnsweredMillis,omitempty" msgpack:",omitempty"`
+		// SentMillis is the sender's monotonic clock, which the ages refer to; 0 from a
+		// build that does not send it.
+		SentMillis int64 `json:"sentMillis,omitempty" msgpack:",omitempty"`
 	}
 
 	// NamedVersionAge is what a peer reports of a named version.
--- a/internal/platform/fleet/versions.go
+++ b/internal/platform/fleet/versions.go
@@ -9,15 +9,21 @@
 	"github.com/mulberryspool/mulberryspool/internal/platform/namedversion"
 )
 
-// MergeNamedVersions adds the named versions of a peer.
-func (f *Fleet) MergeNamedVersions(reports map[string][]NamedVersionAge, peer string) {
+// MergeNamedVersions adds the named versions of a peer. The argument boot identifies the
+// peer's incarnation.
+func (f *Fleet) MergeNamedVersions(s Summary, peer string, boot int64) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.named.AssumedAge = f.AssumedAge
 	now := f.Clock.Now()
-	for model, versions := range reports {
+	var delay namedversion.Delay
+	if s.SentMillis > 0 {
+		sent := time.Duration(s.SentMillis) * time.Millisecond
+		delay.Beyond, delay.Known = f.delays.Record(peer, boot, sent, now)
+	}
+	for model, versions := range s.Named {
 		for _, r := range versions {
-			if change, ok := f.named.Merge(peer, model, r, now); ok {
+			if change, ok := f.named.Merge(peer, model, r, delay, now); ok {
 				f.publishVersion(change, fromPeer, peer)
 			}
 		}
--- a/internal/platform/namedversion/delayed_test.go
+++ b/internal/platform/namedversion/delayed_test.go
@@ -10,12 +10,21 @@
 func TestDelayedReportDoesNotMoveTimeOfNaming(t *testing.T) {
 	named := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 	at := func(ms int) time.Time { return named.Add(time.Duration(ms) * time.Millisecond) }
-	h := History{AssumedAge: 5 * time.Second}
-	h.RecordAnswer(at(-50), 9)
-	h.RecordVersion("m", 2, 10, at(350))
-	// The store's last answer to the peer was at -20 ms. The report, sent at 0 ms, takes 300 ms.
-	h.Merge("peer", "m", Report{Version: 2, AgeMillis: 20, SeenMillis: 1, Revision: 10, UnnamedMillis: 20}, at(300))
-	if _, since := h.Newest("m"); since.After(named) {
-		t.Errorf("version counts as named %v too late", since.Sub(named))
+	for _, c := range []struct {
+		name  string
+		delay Delay
+		want  time.Time
+	}{
+		{"delay not known", Delay{}, at(-50)},
+		{"delay known", Delay{Known: true, Beyond: 300 * time.Millisecond}, at(-20)},
+	} {
+		h := History{AssumedAge: 5 * time.Second}
+		h.RecordAnswer(at(-50), 9)
+		h.RecordVersion("m", 2, 10, at(350))
+		// The store's last answer to the peer was at -20 ms. The report, sent at 0 ms, takes 300 ms.
+		h.Merge("peer", "m", Report{Version: 2, AgeMillis: 20, SeenMillis: 1, Revision: 10, UnnamedMillis: 20}, c.delay, at(300))
+		if _, since := h.Newest("m"); !since.Equal(c.want) {
+			t.Errorf("%s: version counts as named %v after it was, want %v", c.name, since.Sub(named), c.want.Sub(named))
+		}
 	}
 }
--- a/internal/platform/namedversion/history.go
+++ b/internal/platform/namedversion/history.go
@@ -47,6 +47,13 @@
 		UnnamedMillis int64 `json:"unnamedMillis,omitempty"`
 	}
 
+	// Delay is how much longer a report was on its way than the fastest message of its
+	// sender; Beyond is 0 unless it is known.
+	Delay struct {
+		Known  bool
+		Beyond time.Duration
+	}
+
 	// Change is a version that was added, or whose time was corrected.
 	Change struct {
 		Model   string
@@ -85,6 +92,8 @@
 		// such a time; the key of this process is empty. A report can only be late, so
 		// the earliest time of each process counts.
 		unnamed map[string]time.Time
+		// undated holds the same by reports whose delay is not known.
+		undated map[string]time.Time
 		// reported is the last Since that was returned in a Change.
 		reported time.Time
 	}
@@ -104,16 +113,23 @@
 	return h.update(model, version{number: number, revision: revision, seen: now})
 }
 
-// Merge adopts a report of a peer.
-func (h *History) Merge(sender, model string, r Report, now time.Time) (Change, bool) {
-	before := func(millis int64) time.Time { return now.Add(-time.Duration(millis) * time.Millisecond) }
+// Merge adopts a report of a peer that arrived after a delay, which may not be known.
+func (h *History) Merge(sender, model string, r Report, delay Delay, now time.Time) (Change, bool) {
+	sentAt := now.Add(-delay.Beyond)
+	before := func(millis int64) time.Time { return sentAt.Add(-time.Duration(millis) * time.Millisecond) }
 	learned := version{number: r.Version, revision: r.Revision, seen: before(cmp.Or(r.SeenMillis, r.AgeMillis))}
+	unnamed := make(map[string]time.Time, 1)
 	switch {
 	case r.UnnamedMillis > 0:
-		learned.unnamed = map[string]time.Time{sender: before(r.UnnamedMillis)}
+		unnamed[sender] = before(r.UnnamedMillis)
 	case r.Revision == 0 && r.AgeMillis >= 0:
 		// Peers of an earlier build report the age as exact.
-		learned.unnamed = map[string]time.Time{sender: before(r.AgeMillis)}
+		unnamed[sender] = before(r.AgeMillis)
+	}
+	if delay.Known {
+		learned.unnamed = unnamed
+	} else {
+		learned.undated = unnamed
 	}
 	return h.update(model, learned)
 }
@@ -140,6 +156,9 @@
 	if learned.unnamed == nil {
 		learned.unnamed = make(map[string]time.Time)
 	}
+	if learned.undated == nil {
+		learned.undated = make(map[string]time.Time)
+	}
 	h.addOwn(&learned)
 	learned.reported = h.since(learned)
 	versions = slices.Insert(versions, i, learned)
@@ -160,9 +179,15 @@
 		v.revision = learned.revision
 		delete(v.unnamed, "")
 	}
-	for sender, at := range learned.unnamed {
-		if known, ok := v.unnamed[sender]; !ok || at.Before(known) {
-			v.unnamed[sender] = at
+	keepEarliest(v.unnamed, learned.unnamed)
+	keepEarliest(v.undated, learned.undated)
+}
+
+// keepEarliest adds the times to those known, of which the earliest of each sender counts.
+func keepEarliest(known, learned map[string]time.Time) {
+	for sender, at := range learned {
+		if before, ok := known[sender]; !ok || at.Before(before) {
+			known[sender] = at
 		}
 	}
 }
@@ -181,17 +206,32 @@
 	}
 }
 
-// since returns when a version was named at the earliest. A time after the first sight
-// was delayed on its way, and does not count.
+// since returns when a version was named at the earliest. A report whose delay is not
+// known may make the version younger than it is, so it counts only if nothing else does.
 func (h *History) since(v version) time.Time {
-	since := v.seen.Add(-h.AssumedAge)
-	found := false
-	for _, at := range v.unnamed {
-		if !at.After(v.seen) && (at.After(since) || !found && h.AssumedAge == 0) {
-			since, found = at, true
+	if at, ok := h.latest(v, v.unnamed); ok {
+		return at
+	}
+	if at, ok := h.latest(v, v.undated); ok {
+		return at
+	}
+	return v.seen.Add(-h.AssumedAge)
+}
+
+// latest returns the latest of the times at which a version was not yet named, and false
+// if none counts. One after the first sight was delayed on its way.
+func (h *History) latest(v version, times map[string]time.Time) (time.Time, bool) {
+	earliest := v.seen.Add(-h.AssumedAge)
+	var latest time.Time
+	for _, at := range times {
+		if at.After(v.seen) || h.AssumedAge > 0 && !at.After(earliest) {
+			continue
+		}
+		if latest.IsZero() || at.After(latest) {
+			latest = at
 		}
 	}
-	return since
+	return latest, !latest.IsZero()
 }
 
 // Since returns when each of the newest versions of a model was named at the earliest.
--- a/internal/platform/namedversion/history_test.go
+++ b/internal/platform/namedversion/history_test.go
@@ -47,8 +47,13 @@
 				reports = append(reports, delayed{sender, h.Reports(now.Add(-delay))["m"][0], delay})
 			}
 		}
+		dated := History{AssumedAge: reader.AssumedAge}
 		for _, r := range rapid.Permutation(reports).Draw(t, "order") {
-			reader.Merge(r.sender, "m", r.report, now)
+			reader.Merge(r.sender, "m", r.report, Delay{}, now)
+			dated.Merge(r.sender, "m", r.report, Delay{Known: true, Beyond: r.delay}, now)
+			if _, since := dated.Newest("m"); since.After(named) {
+				t.Errorf("with known delays, the version counts as named %v after it was", since.Sub(named))
+			}
 		}
 		_, since := reader.Newest("m")
 		if late := since.Sub(named); late > 0 {
--- a/internal/role/hosted/agentloop_test.go
+++ b/internal/role/hosted/agentloop_test.go
@@ -30,7 +30,7 @@
 			a.fleet = &fleet.Fleet{Clock: clock, NamedVersionChanged: func(string, int64, time.Time) {}}
 			a.decider.SetMembers(members)
 			for _, versions := range reports {
-				a.fleet.MergeNamedVersions(map[string][]fleet.NamedVersionAge{"m": versions}, "peer")
+				a.fleet.MergeNamedVersions(fleet.Summary{Named: map[string][]fleet.NamedVersionAge{"m": versions}}, "peer", 1)
 				a.updateNamedVersions(context.Background(), "m")
 			}
 			now := clock.Now()
--- a/internal/role/hosted/statesync.go
+++ b/internal/role/hosted/statesync.go
@@ -84,7 +84,7 @@
 	if m.Summary == nil {
 		return
 	}
-	s.fleet.MergeNamedVersions(m.Summary.Named, m.Sender)
+	s.fleet.MergeNamedVersions(m.Summary.Summary, m.Sender, m.Boot)
 	if m.Role != mulberryspool.RoleEntry {
 		return
 	}
