--- a/internal/platform/listwatch/follower.go
+++ b/internal/platform/listwatch/follower.go
@@ -26,6 +26,10 @@
 	retryDelay = 250 * time.Millisecond
 	// pausedCheckInterval is how often a paused follower calls Paused again.
 	pausedCheckInterval = 200 * time.Millisecond
+	// maxLoggedUnreadable is the number of objects that can't be decoded of which it is
+	// known that they were logged, maxLoggedBytes the length of what is logged of them.
+	maxLoggedUnreadable = 1024
+	maxLoggedBytes      = 200
 )
 
 type (
@@ -56,6 +60,8 @@
 		revision  mulberryspool.Revision
 		reachable bool
 		synced    bool
+		// loggedUnreadable holds hashes of the objects, with their errors, that were logged.
+		loggedUnreadable map[uint64]struct{}
 
 		// polling is set while an object changes more than once between two
 		// watches. A watch would return each of its versions in full although
@@ -178,9 +184,7 @@
 	expired := f.Set.Expire(now)
 	d.Removed = append(d.Removed, expired.Removed...)
 	f.revision = max(f.revision, at)
-	for name, err := range d.Unreadable {
-		f.Logger.Warn().Err(err).Str("kind", f.Kind).Str("object", name).Msg("object cannot be decoded; ignoring it")
-	}
+	f.logUnreadable(d.Unreadable)
 	for _, name := range d.Kept {
 		f.Logger.Info().Str("kind", f.Kind).Str("object", name).Uint64("revision", uint64(at)).
 			Dur("graceLeft", f.Set.expiring[name].Sub(now)).Msg("object was removed; keeping it for the grace period after the outage")
@@ -194,6 +198,27 @@
 	}
 }
 
+// logUnreadable logs each object that can't be decoded once: lists contain it again and
+// again.
+func (f *Follower[T]) logUnreadable(unreadable map[string]error) {
+	for name, err := range unreadable {
+		sum := xxhash.Sum64String(name + ": " + err.Error())
+		if _, ok := f.loggedUnreadable[sum]; ok {
+			continue
+		}
+		if f.loggedUnreadable == nil || len(f.loggedUnreadable) >= maxLoggedUnreadable {
+			f.loggedUnreadable = make(map[uint64]struct{})
+		}
+		f.loggedUnreadable[sum] = struct{}{}
+		f.Logger.Warn().Str("error", truncate(err.Error())).Str("kind", f.Kind).Str("object", truncate(name)).Msg("object cannot be decoded; ignoring it")
+	}
+}
+
+// truncate shortens a text that another writer may have made very long.
+func truncate(text string) string {
+	return text[:min(len(text), maxLoggedBytes)]
+}
+
 // expire removes the objects whose grace period is over, also while no call is
 // answered.
 func (f *Follower[T]) expire() {
--- a/internal/platform/membership/membership.go
+++ b/internal/platform/membership/membership.go
@@ -81,6 +81,14 @@
 	}
 	ordered := true
 	for id, b := range s.Servers {
+		if b.Validate() != nil || b.Instance != id {
+			// A peer of an earlier build accepts such rows. The server has none any more.
+			if known, ok := merged[id]; ok && b.Revision > known.Revision {
+				delete(merged, id)
+				changed = true
+			}
+			continue
+		}
 		if b.Leaving {
 			v.mark(id, b.Born)
 		}
--- a/internal/role/hosted/agent.go
+++ b/internal/role/hosted/agent.go
@@ -313,8 +313,9 @@
 		}
 		address, err := netip.ParseAddrPort(b.Address)
 		if err != nil {
-			// Not expected: the decoder has validated the address.
-			return nil, errors.Wrapf(err, "address of %s", b.Instance)
+			// Not expected: rows with an invalid address are not merged.
+			a.logger.Warn().Err(err).Str(logging.FieldPeer, string(b.Instance)).Msg("address of a backend server is invalid")
+			continue
 		}
 		ip := address.Addr().String()
 		rows = append(rows, mulberryspool.ListedInstance{
--- a/internal/role/hosted/entry.go
+++ b/internal/role/hosted/entry.go
@@ -86,6 +86,8 @@
 	// changed state to all processes; of many configurations in a row only the last
 	// one matters.
 	stateSendInterval = 60 * time.Millisecond
+	// maxRegistered limits the addresses of other entries that are kept.
+	maxRegistered = 4096
 	// registerRetryInterval is the pause after a failed registration.
 	registerRetryInterval = time.Second
 )
--- a/internal/role/hosted/entryheartbeats.go
+++ b/internal/role/hosted/entryheartbeats.go
@@ -80,7 +80,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	for _, a := range addresses {
-		if parsed, err := netip.ParseAddrPort(a); err == nil && a != e.settings.EntryHeartbeatAddress(e.settings.Address) {
+		if parsed, err := netip.ParseAddrPort(a); err == nil && parsed.Port() != 0 && len(e.registered) < maxRegistered && a != e.settings.EntryHeartbeatAddress(e.settings.Address) {
 			e.registered[parsed] = struct{}{}
 		}
 	}
--- a/internal/role/hosted/hosted.go
+++ b/internal/role/hosted/hosted.go
@@ -125,7 +125,7 @@
 	return &process{
 		settings: s, identity: identity, clock: clock, logger: logger, logWriter: logWriter,
 		metrics: metrics, metricsHandler: metricsHandler, metricsCloser: metricsCloser, storeClient: storeClient,
-		store:      &platform.Store{Client: storeClient, Logger: logger},
+		store:      &platform.Store{Client: storeClient, Logger: logger, Metrics: metrics},
 		peerClient: &http.Client{Transport: newPeerTransport()},
 		boot:       clock.Now().UnixNano(),
 	}, nil
