--- a/internal/peer/heartbeat/heartbeat.go
+++ b/internal/peer/heartbeat/heartbeat.go
@@ -148,7 +148,7 @@
 			return mulberryspool.AtStep(err, "receive heartbeat", t.Conn.LocalAddr().String())
 		}
 		var m Message
-		if err := msgpack.Unmarshal(buffer[:n], &m); err != nil {
+		if err := decode(buffer[:n], &m); err != nil {
 			t.Logger.Warn().Err(err).Str("peer", from.String()).Msg("heartbeat cannot be decoded")
 			continue
 		}
@@ -158,6 +158,13 @@
 	}
 }
 
+func decode(datagram []byte, m *Message) error {
+	if err := validate(datagram); err != nil {
+		return err
+	}
+	return errors.Wrap(msgpack.Unmarshal(datagram, m), "decode message")
+}
+
 // accept records the sender of a heartbeat. It returns false for a heartbeat
 // that is not newer than the previous one from the same sender.
 func (t *Transport) accept(m Message, from netip.AddrPort) bool {
