--- a/internal/entry/forward/attempt.go
+++ b/internal/entry/forward/attempt.go
@@ -164,7 +164,7 @@
 // isWithdrawn reports whether the exchange was cancelled because its prompt is
 // rejected.
 func (a *attempt) isWithdrawn(ctx context.Context) bool {
-	return errors.Is(ctx.Err(), context.Canceled) && a.incoming.Context().Err() == nil
+	return errors.Is(ctx.Err(), context.Canceled) && a.incoming.Context().Err() == nil && !a.handler.mustAnswer()
 }
 
 // handleLost handles an exchange that broke before the response was complete, or
@@ -242,6 +242,7 @@
 		a.logAttempt(a.decision, "failed"+strconv.Itoa(response.StatusCode), a.startedAt)
 		return resultServerError, placement.Failed
 	}
+	a.answered = succeeded
 	a.writeResponse(buffered, "answered")
 	return resultFinished, placement.Answered
 }
@@ -268,6 +269,7 @@
 	}
 	a.complete = true
 	a.exchange.Complete()
+	a.answered = response.StatusCode < http.StatusMultipleChoices
 	a.logEnd(response.StatusCode, "answered", 0)
 	return resultFinished, placement.Answered
 }
--- a/internal/entry/forward/backend_test.go
+++ b/internal/entry/forward/backend_test.go
@@ -182,7 +182,7 @@
 	h := &Handler{
 		Clock: clock, HeaderCodec: platform.Headers{}, Scheduler: s, ConnPool: pool,
 		PromptGuard: &promptguard.Guard{Clock: clock, Logger: zerolog.Nop(), Metrics: tally.NoopScope, Quarantine: &quarantine.Quarantine{Entry: "e"}}, Logger: zerolog.Nop(), Metrics: tally.NoopScope,
-		Sampled: func(mulberryspool.RequestID) bool { return true },
+		Sampled: func(mulberryspool.RequestID) bool { return true }, GracefulStop: time.Minute,
 	}
 	server := httptest.NewServer(h)
 	t.Cleanup(func() { server.Close(); pool.Close() })
--- a/internal/entry/forward/forward_test.go
+++ b/internal/entry/forward/forward_test.go
@@ -362,7 +362,7 @@
 func TestStoppingEntryClosesCallerConnections(t *testing.T) {
 	b := newBackend(t, "i-1", func(w *bufio.Writer, r *http.Request, _ int) bool { return writeResponse(w, r, 200, "ok") })
 	e := newEntry(t, b)
-	e.handler.Stopping.Store(true)
+	e.handler.BeginStop()
 	response, body, _ := e.call(t, http.MethodGet, "/read/1", "")
 	if response.StatusCode != http.StatusOK || body != "ok" || !response.Close {
 		t.Errorf("response is %d %q, closing %v, want a served request and a closed connection", response.StatusCode, body, response.Close)
--- a/internal/entry/forward/handler.go
+++ b/internal/entry/forward/handler.go
@@ -19,7 +19,6 @@
 	"strconv"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -66,14 +65,17 @@
 		ConnPool    *httpconn.Pool
 		Logger      zerolog.Logger
 		Metrics     tally.Scope
-		// Stopping is set during shutdown. Each response then closes its connection.
-		Stopping atomic.Bool
+		// GracefulStop is the time from the beginning of a planned stop until the process
+		// is killed.
+		GracefulStop time.Duration
 		// Sampled reports whether the log line of a successful request is written.
 		Sampled func(mulberryspool.RequestID) bool
 		// ServerLeaving is called, before the response is passed on, when one says that
 		// this incarnation of a backend server leaves; may be nil.
 		ServerLeaving func(instance mulberryspool.InstanceID, born int64)
 
+		stopping stopState
+
 		mu sync.Mutex
 		// longestDeadline holds the longest deadline seen on each route.
 		longestDeadline map[string]time.Duration
@@ -94,7 +96,7 @@
 // ServeHTTP implements http.Handler.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	arrived := h.Clock.Now()
-	if h.Stopping.Load() {
+	if h.Stopping() {
 		w.Header().Set("Connection", "close")
 	}
 	head := h.HeaderCodec.DecodeRequest(r.Header)
--- a/internal/entry/forward/request.go
+++ b/internal/entry/forward/request.go
@@ -32,6 +32,8 @@
 	// rejectedRetryAfter is the Retry-After hint when the backend servers
 	// rejected a request.
 	rejectedRetryAfter = 300 * time.Millisecond
+	// stoppingRetryAfter is the Retry-After hint of an entry that stops.
+	stoppingRetryAfter = 10 * time.Millisecond
 	// maxTrialWait is how long a request waits for the trial of a part of its prompt.
 	maxTrialWait = time.Second
 )
@@ -99,6 +101,8 @@
 		queueTime    time.Duration
 		// lastError is the error of the last failed attempt.
 		lastError error
+		// answered is set once the caller got a complete successful response.
+		answered bool
 	}
 
 	// bufferedResponse is a complete response.
@@ -122,6 +126,13 @@
 	q.deadline = q.arrivedAt.Add(timeout)
 	ctx, cancel := clockwork.WithDeadline(q.incoming.Context(), q.handler.Clock, q.deadline)
 	defer cancel()
+	defer context.AfterFunc(q.handler.stopState().answer, cancel)()
+	defer q.arrive()()
+	if !q.canEnd() {
+		// Another entry can serve it at once.
+		q.writeError(http.StatusServiceUnavailable, typeNotRun, codeStopping, stoppingRetryAfter)
+		return
+	}
 	q.handler.Scheduler.RecordRequest(q.pool.Name)
 	for {
 		admission := q.admit(ctx)
@@ -237,12 +248,16 @@
 // empty if it may be.
 func (q *request) noRetryReason() string {
 	switch {
+	case q.handler.mustAnswer():
+		return codeStopping
 	case q.mayHaveRun && !q.retryable():
 		return "notRepeatable"
 	case q.sentCount >= q.route.Attempts || len(q.tried) >= q.route.Attempts+maxUnreachable:
 		return "attemptsUsed"
 	case q.handler.Clock.Until(q.deadline) < minRetryTime:
 		return "noTimeLeft"
+	case !q.canEnd():
+		return codeStopping
 	case q.sentCount > 0 && !q.handler.Scheduler.AllowRetry(q.pool.Name):
 		return "repeatBudgetUsed"
 	}
--- a/internal/entry/forward/stream.go
+++ b/internal/entry/forward/stream.go
@@ -195,6 +195,7 @@
 		meanGap := a.stream.lastEventAt.Sub(firstEventAt) / time.Duration(relayed-1)
 		a.handler.Scheduler.RecordSlowdown(a.pool.Name, a.decision.Server.Instance, float64(meanGap)/float64(passTime))
 	}
+	a.answered = true
 	a.logEnd(a.stream.status, "answered", 0)
 	return resultFinished, placement.Answered
 }
--- a/internal/role/hosted/entry.go
+++ b/internal/role/hosted/entry.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/jonboulle/clockwork"
 	"golang.org/x/sync/errgroup"
 
 	"github.com/mulberryspool/mulberryspool"
@@ -72,12 +73,10 @@
 	// crossDomainDelay is added to the expected delay of servers in other failure
 	// domains. It accounts for the network latency and the cost of the traffic.
 	crossDomainDelay = 25 * time.Millisecond
-	// drainTime is how long connections are still accepted and served after
-	// SIGTERM. The platform stops sending new ones after two failed readiness
-	// checks, which are a second apart.
-	drainTime = 2800 * time.Millisecond
-	// killMargin is the time left between the end of the graceful stop and SIGKILL.
-	killMargin = 500 * time.Millisecond
+	// stopPollInterval is how often a stopping entry checks whether requests still come,
+	// stopQuietTime the time without new connections after which none is expected.
+	stopPollInterval = 50 * time.Millisecond
+	stopQuietTime    = 500 * time.Millisecond
 	// headerTimeout limits the reading of a request's headers.
 	headerTimeout = 10 * time.Second
 	// idleTimeout is longer than callers keep a connection idle.
@@ -198,7 +197,7 @@
 	}
 	e.handler = &forward.Handler{
 		Clock: e.clock, HeaderCodec: platform.Headers{}, Scheduler: e.scheduler, PromptGuard: e.promptGuard, ConnPool: e.connPool, Logger: e.logger, Metrics: e.metrics,
-		Sampled: logging.Sampler(e.settings.LogSample),
+		Sampled: logging.Sampler(e.settings.LogSample), GracefulStop: b.GracefulStop,
 	}
 	e.fleet = e.process.newFleet()
 	e.configWatch = configwatch.Election{Self: e.settings.Instance, FailureDomain: e.identity.FailureDomain}
@@ -264,7 +263,7 @@
 func (e *entryRole) readinessServer() *http.Server {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+platform.ReadinessPath, func(w http.ResponseWriter, _ *http.Request) {
-		if e.handler.Stopping.Load() || !e.fleet.HasSynced() {
+		if e.handler.Stopping() || !e.fleet.HasSynced() {
 			w.WriteHeader(http.StatusServiceUnavailable)
 			return
 		}
@@ -273,11 +272,14 @@
 	return &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout}
 }
 
-// serveCallers serves until ctx ends on SIGTERM and the requests in flight have
-// ended. Connections stay open for drainTime, because a request that arrives
-// while its connection is closed would be lost.
+// serveCallers serves until ctx ends on SIGTERM and the requests in flight have ended.
+// Connections stay open for a while, because a request that arrives while its connection is
+// closed would be lost, and new ones are accepted until no more come.
 func (e *entryRole) serveCallers(ctx, background context.Context, listener net.Listener) error {
-	server := &http.Server{Handler: e.handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, ErrorLog: discardLog()}
+	connections := &connTracker{clock: e.clock}
+	server := &http.Server{
+		Handler: e.handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, ErrorLog: discardLog(), ConnState: connections.record,
+	}
 	served := make(chan error, 1)
 	go func() { served <- server.Serve(listener) }()
 	select {
@@ -287,11 +289,14 @@
 		return errors.Wrap(server.Close(), "close connections")
 	case <-ctx.Done():
 	}
-	e.handler.Stopping.Store(true)
+	closeIdleBy, answerBy, endBy := e.handler.BeginStop()
 	e.logger.Info().Str(logging.FieldStep, "stop").Msg("not ready any more, open connections are still served")
-	<-e.clock.After(drainTime)
-	remaining := e.settings.Bounds.GracefulStop - drainTime - killMargin
-	bounded, cancel := context.WithTimeout(context.WithoutCancel(ctx), remaining)
+	e.clock.Sleep(e.clock.Until(closeIdleBy))
+	server.SetKeepAlivesEnabled(false)
+	for !connections.quiet() && e.clock.Now().Before(answerBy) {
+		e.clock.Sleep(stopPollInterval)
+	}
+	bounded, cancel := clockwork.WithDeadline(context.WithoutCancel(ctx), e.clock, endBy)
 	defer cancel()
 	if err := server.Shutdown(bounded); err != nil {
 		e.logger.Warn().Err(err).Str(logging.FieldStep, "stop").Msg("graceful stop timed out, closing connections with requests in flight")
--- /dev/null
+++ b/internal/testkit/hostedsystem/caller.go
@@ -0,0 +1,154 @@
+package hostedsystem
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/mulberryspool/mulberryspool/internal/standin/backendserver"
+)
+
+type (
+	// Caller sends requests and keeps their results. It is safe for concurrent use.
+	Caller struct {
+		// Client decides whether connections are kept.
+		Client *http.Client
+		// Timeout is how long a caller waits.
+		Timeout time.Duration
+
+		last    atomic.Int64
+		running sync.WaitGroup
+		mu      sync.Mutex
+		results []Result
+	}
+
+	// Call is a request.
+	Call struct {
+		// URL is that of the entry, Prefix that of the route.
+		URL, Prefix string
+		// Take is how long the answer takes, Events the number of its events; 0 for an
+		// answer that is no stream.
+		Take   time.Duration
+		Events int
+	}
+
+	// Result is how a request ended.
+	Result struct {
+		Call   Call
+		ID     string
+		SentAt time.Time
+		Took   time.Duration
+		// Status is 0 if there was no answer; then Err says why.
+		Status int
+		Err    error
+		// Complete is set if the answer came to its end, Wrong if it has bytes that the
+		// backend server did not send, or belong to another request.
+		Complete bool
+		Wrong    string
+	}
+)
+
+// NewCaller returns a caller that keeps connections, or opens one for each request.
+func NewCaller(timeout time.Duration, keep bool) *Caller {
+	transport := &http.Transport{DisableKeepAlives: !keep, DisableCompression: true, MaxIdleConnsPerHost: 100}
+	return &Caller{Client: &http.Client{Transport: transport}, Timeout: timeout}
+}
+
+// Go sends a request in the background.
+func (c *Caller) Go(call Call) {
+	c.running.Go(func() { c.Do(call) })
+}
+
+// Wait waits for the requests and returns all results.
+func (c *Caller) Wait() []Result {
+	c.running.Wait()
+	c.Client.CloseIdleConnections()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.results
+}
+
+// Do sends a request and returns its result.
+func (c *Caller) Do(call Call) Result {
+	r := Result{Call: call, ID: fmt.Sprintf("%p-%d", c, c.last.Add(1)), SentAt: time.Now()}
+	ctx, cancel := context.WithTimeout(context.Background(), c.Timeout)
+	defer cancel()
+	r.Err = c.exchange(ctx, &r)
+	r.Took = time.Since(r.SentAt)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.results = append(c.results, r)
+	return r
+}
+
+func (c *Caller) exchange(ctx context.Context, r *Result) error {
+	target := r.Call.URL + r.Call.Prefix + "x?take=" + r.Call.Take.String()
+	if r.Call.Events > 0 {
+		target += "&events=" + strconv.Itoa(r.Call.Events)
+	}
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, target, strings.NewReader("body of "+r.ID))
+	if err != nil {
+		return err
+	}
+	// The client must not send a request again by itself.
+	request.GetBody = nil
+	request.Host = Host
+	request.Header.Set(backendserver.HeaderID, r.ID)
+	request.Header.Set(backendserver.HeaderDeadline, strconv.FormatInt(c.Timeout.Milliseconds(), 10))
+	response, err := c.Client.Do(request)
+	if err != nil {
+		return err
+	}
+	defer response.Body.Close()
+	r.Status = response.StatusCode
+	if id := response.Header.Get(backendserver.HeaderID); id != "" && id != r.ID {
+		r.Wrong = "answer to " + id
+	}
+	if r.Status != http.StatusOK {
+		_, err := io.Copy(io.Discard, response.Body)
+		r.Complete = err == nil
+		return err
+	}
+	if r.Call.Events > 0 {
+		return r.readEvents(response.Body)
+	}
+	body, err := io.ReadAll(response.Body)
+	r.Complete = err == nil
+	if err == nil && string(body) != backendserver.Answer(r.ID) {
+		r.Wrong = fmt.Sprintf("body %.100q", body)
+	}
+	return err
+}
+
+// readEvents reads the events of a stream and checks their order.
+func (r *Result) readEvents(body io.Reader) error {
+	scanner := bufio.NewScanner(body)
+	last := 0
+	for scanner.Scan() {
+		line := scanner.Text()
+		if id, ok := strings.CutPrefix(line, "id: "); ok {
+			last++
+			if id != strconv.Itoa(last) {
+				r.Wrong = fmt.Sprintf("event %s, want %d", id, last)
+			}
+		}
+		if data, ok := strings.CutPrefix(line, "data: "); ok && data != backendserver.Answer(r.ID) {
+			r.Wrong = fmt.Sprintf("event %.100q", data)
+		}
+	}
+	if err := scanner.Err(); err != nil {
+		return err
+	}
+	if last < r.Call.Events {
+		r.Wrong = fmt.Sprintf("stream ends as complete after %d of %d events", last, r.Call.Events)
+	}
+	r.Complete = true
+	return nil
+}
--- /dev/null
+++ b/internal/testkit/hostedsystem/system.go
@@ -0,0 +1,151 @@
+// Package hostedsystem runs the hosted entries as separate processes against the stand-ins
+// of the platform on loopback. Each entry has an IP address of its own.
+package hostedsystem
+
+import (
+	"fmt"
+	"net/http"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/mulberryspool/mulberryspool/internal/standin/backendserver"
+	"github.com/mulberryspool/mulberryspool/internal/standin/kindstore"
+	"github.com/mulberryspool/mulberryspool/internal/standin/loopback"
+	"github.com/mulberryspool/mulberryspool/internal/standin/serve"
+	"github.com/mulberryspool/mulberryspool/internal/testkit/process"
+	"github.com/mulberryspool/mulberryspool/platform"
+)
+
+const (
+	// Host is that of all routes.
+	Host = "system.example"
+	// Prefixes of the routes, by what may be repeated.
+	StreamPrefix, LookupPrefix, OrderPrefix = "/stream/", "/lookup/", "/order/"
+
+	program = "github.com/mulberryspool/mulberryspool/cmd/mulberryspool"
+	// pool is the name of the only pool, failureDomain that of all processes.
+	pool, failureDomain = "pool", "a"
+	// Ports of an entry, on its own IP address.
+	callersPort, readinessPort, firstInternalPort, metricsPort = 7100, 7101, 7110, 7120
+)
+
+var addresses loopback.Allocator
+
+type (
+	// System is a set of entries with their backend servers. Set the exported fields
+	// before Start.
+	System struct {
+		Builder *process.Builder
+		// GracefulStop is the time between SIGTERM and SIGKILL.
+		GracefulStop time.Duration
+		// Timeout is that of the routes.
+		Timeout time.Duration
+		// Entries and Backends are how many of each are started.
+		Entries, Backends int
+
+		Store   kindstore.Server
+		Servers []*backendserver.Server
+		Members []*Entry
+
+		storeAddress string
+	}
+
+	// Entry is a running entry.
+	Entry struct {
+		// URL is that of its listener for callers.
+		URL          string
+		ReadinessURL string
+		Process      *process.Process
+
+		settings string
+	}
+)
+
+// Start starts the system and waits until all entries are ready. Everything ends with the
+// test.
+func (s *System) Start(t testing.TB) {
+	t.Helper()
+	s.storeAddress = s.listen(t, &s.Store)
+	s.PutConfiguration(1)
+	for i := range s.Backends {
+		server := &backendserver.Server{Instance: fmt.Sprintf("i-%d", i)}
+		s.Servers = append(s.Servers, server)
+		s.PutServer(i, s.listen(t, server), "ready")
+	}
+	for i := range s.Entries {
+		e := s.newEntry(t, i)
+		s.Members = append(s.Members, e)
+		e.Start(t, s.Builder)
+	}
+	for _, e := range s.Members {
+		e.Process.AwaitURL(t, e.ReadinessURL)
+	}
+}
+
+func (s *System) listen(t testing.TB, handler http.Handler) string {
+	t.Helper()
+	server, err := serve.Start(handler, addresses.Address())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(server.Close)
+	return server.Address
+}
+
+// PutConfiguration writes a version of the configuration.
+func (s *System) PutConfiguration(version int) {
+	route := func(name, prefix, kind string) map[string]any {
+		return map[string]any{
+			"name": name, "host": Host, "path-prefix": prefix, "kind": kind, "service": pool, "attempts": 2, "resumable": true,
+			"timeout-ms": s.Timeout.Milliseconds(), "target-latency-ms": 500, "target-gap-ms": 400,
+		}
+	}
+	s.Store.Put(platform.KindConfig, platform.ConfigName, map[string]any{
+		"version": version, "services": []any{map[string]any{"name": pool, "connection-limit": 500}},
+		"limits": map[string]any{"max-body-bytes": 1 << 20},
+		"routes": []any{route("stream", StreamPrefix, "streaming"), route("lookup", LookupPrefix, "idempotent"), route("order", OrderPrefix, "non_idempotent")},
+	})
+}
+
+// PutServer writes the object of a backend server.
+func (s *System) PutServer(i int, address, state string) {
+	s.Store.Put(platform.KindServers, s.Servers[i].Instance, map[string]any{
+		"service": pool, "address": address, "zone": failureDomain, "version": "v1", "slots": 16, "state": state, "sequence": 1, "born": 1,
+	})
+}
+
+func (s *System) newEntry(t testing.TB, i int) *Entry {
+	t.Helper()
+	// The IP addresses of other tests end with the process ID, too, behind smaller numbers.
+	ip := fmt.Sprintf("127.%d.%d.%d", 128+i, os.Getpid()>>8&255, os.Getpid()&255)
+	e := &Entry{
+		URL: fmt.Sprintf("http://%s:%d", ip, callersPort), ReadinessURL: fmt.Sprintf("http://%s:%d%s", ip, readinessPort, platform.ReadinessPath),
+		settings: filepath.Join(t.TempDir(), "entry.yaml"),
+	}
+	text := fmt.Sprintf(`instance: entry-%d
+failureDomain: %s
+region: r
+address: %s
+ports: {first: %d, last: %d}
+regions: [{failureDomain: %s, region: r}]
+listen: {callers: "%s:%d", readiness: "%s:%d"}
+firstStart: true
+store: %s
+bounds: {gracefulStop: %s, namedVersion: 8s, repeatRatio: 0.2, repeatWindow: 10s, repeatSlack: 200}
+limits: {memory: 206 MB, link: 700 Mbit/s}
+logSample: 1
+metricsPort: %d
+`, i, failureDomain, ip, firstInternalPort, firstInternalPort+5, failureDomain, ip, callersPort, ip, readinessPort, s.storeAddress, s.GracefulStop, metricsPort)
+	if err := os.WriteFile(e.settings, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return e
+}
+
+// Start starts the entry's process.
+func (e *Entry) Start(t testing.TB, builder *process.Builder) {
+	t.Helper()
+	e.Process = process.Start(t, builder.Build(t, program), "--settings", e.settings, "hosted", "entry")
+}
