--- a/internal/entry/forward/attempt.go
+++ b/internal/entry/forward/attempt.go
@@ -80,6 +80,7 @@
 		return a.handleLost(ctx, err)
 	}
 	defer response.Body.Close()
+	a.decision.Activity.Heard(a.handler.Clock.Now())
 	a.recordAnnouncements(response)
 	switch {
 	case response.Head.NotRun:
--- a/internal/entry/placement/choose.go
+++ b/internal/entry/placement/choose.go
@@ -36,11 +36,12 @@
 func (p *Placer) choose(q *queuedRequest, now time.Time) *server {
 	r := q.request
 	var (
-		best      *server
-		bestScore time.Duration
-		fallback  *server
+		best       *server
+		bestScore  time.Duration
+		fallback   *server
+		lastResort *server
 	)
-	avoid := p.mayAvoidSuspects(now)
+	avoid := p.mayAvoid(now)
 	for _, s := range p.ordered {
 		if !p.usable(s, r, now) || now.Before(s.fullUntil) || s.inFlight() >= p.capacity(s) || !q.late && !p.meetsObjective(s, r, now) {
 			continue
@@ -48,6 +49,12 @@
 		if !p.pausedUntil(s, now).IsZero() || now.Before(s.limit.AvailableAt(now)) || !r.Reattempt && now.Before(p.turnAt(s, now)) {
 			continue
 		}
+		if s.silent {
+			if !avoid {
+				lastResort = s
+			}
+			continue
+		}
 		if avoid && s.health.avoided(now) {
 			if fallback == nil || s.health.suspicion < fallback.health.suspicion {
 				fallback = s
@@ -62,9 +69,12 @@
 			best, bestScore = s, score
 		}
 	}
-	if best == nil && r.Reattempt {
+	if best == nil && r.Reattempt && fallback != nil {
 		return fallback
 	}
+	if best == nil {
+		return lastResort
+	}
 	return best
 }
 
@@ -145,8 +155,9 @@
 // given time.
 func (p *Placer) usableCapacity(r Request, now, by time.Time) poolCapacity {
 	var c poolCapacity
+	avoid := p.mayAvoid(now)
 	for _, s := range p.ordered {
-		if !p.usable(s, r, now) {
+		if !p.usable(s, r, now) || avoid && s.silent {
 			continue
 		}
 		end := p.pausedUntil(s, now)
@@ -175,18 +186,6 @@
 	return c
 }
 
-// mayAvoidSuspects reports whether at most half of the servers would be avoided
-// now. If more would be, the fault may be the entry's own, and none is avoided.
-func (p *Placer) mayAvoidSuspects(now time.Time) bool {
-	suspects := 0
-	for _, s := range p.ordered {
-		if s.health.avoided(now) {
-			suspects++
-		}
-	}
-	return 2*suspects <= len(p.ordered)
-}
-
 // turnAt is when this entry may use capacity that another entry has freed, or the
 // next request that a rate limit allows. All entries learn of it at the same moment,
 // so those with waiting requests take turns: first those in the server's failure
--- a/internal/entry/placement/placer.go
+++ b/internal/entry/placement/placer.go
@@ -9,6 +9,7 @@
 	"github.com/mulberryspool/mulberryspool"
 	"github.com/mulberryspool/mulberryspool/internal/entry/serverlimit"
 	"github.com/mulberryspool/mulberryspool/internal/entry/serverpause"
+	"github.com/mulberryspool/mulberryspool/internal/entry/silence"
 )
 
 const (
@@ -55,7 +56,9 @@
 		// 0 before the first response.
 		meanServiceTime time.Duration
 		lastTicket      Ticket
-		waiting         []*queuedRequest
+		// silenceObservedAt is when ObserveSilence was last called.
+		silenceObservedAt time.Time
+		waiting           []*queuedRequest
 	}
 
 	server struct {
@@ -76,6 +79,14 @@
 		// previousInFlight is used by sumPeerLoads only.
 		previousInFlight int
 		health           health
+		silence          silence.Silence
+		activity         *Activity
+		// silent is set while the server has stopped sending.
+		silent bool
+		// reportedSilent is what SilenceChanges returned last, probedAt when the server
+		// was last probed because of its silence.
+		reportedSilent bool
+		probedAt       time.Time
 	}
 
 	peerState struct {
@@ -205,6 +216,11 @@
 	case Misdirected:
 		s.misdirectedUntil = now.Add(misdirectedBackoff)
 	}
+	s.silence.Ended()
+	switch o {
+	case Answered, Failed, Full, Misdirected:
+		s.silence.Heard(now)
+	}
 	s.health.recordOutcome(o, now)
 	return wasFull && s.inFlight() < p.capacity(s)
 }
@@ -340,6 +356,11 @@
 	if p.pool.Model != "" {
 		d.StartBy = p.startBy(s.FailureDomain, s.version, now)
 	}
+	if s.activity == nil {
+		s.activity = &Activity{base: now}
+	}
+	d.Activity = s.activity
+	s.silence.Sent(now)
 	s.limit.Take(now)
 	s.ownLoad.Requests++
 	s.ownLoad.PendingPromptTokens += q.request.PromptTokens
--- a/internal/peer/heartbeat/heartbeat.go
+++ b/internal/peer/heartbeat/heartbeat.go
@@ -1,7 +1,7 @@
 // Package heartbeat exchanges heartbeats between entries and agents as UDP datagrams.
 //
 //	entry  --> entries: requests in flight, summary of its state, addresses of other entries,
-//	                    parts of prompts that crash backend servers, rate limits of these
+//	                    parts of prompts that crash backend servers, rate limits and silence of these
 //	entry  --> agents:  its address, named versions, parts of prompts
 //	agent  --> entries: the version that its backend server serves, parts of prompts
 //
@@ -27,6 +27,7 @@
 	"github.com/mulberryspool/mulberryspool/internal/entry/placement"
 	"github.com/mulberryspool/mulberryspool/internal/entry/quarantine"
 	"github.com/mulberryspool/mulberryspool/internal/entry/serverlimit"
+	"github.com/mulberryspool/mulberryspool/internal/entry/silence"
 	"github.com/mulberryspool/mulberryspool/internal/platform/fleet"
 )
 
@@ -81,6 +82,8 @@
 		// Limits holds the rate limits of backend servers. With Partial set, it holds
 		// only those that have changed.
 		Limits []serverlimit.Report `msgpack:",omitempty"`
+		// Silences holds the backend servers that have fallen silent.
+		Silences []silence.Report `msgpack:",omitempty"`
 	}
 
 	// AgentReport is an agent's report on its backend server. It is encoded as
--- a/internal/role/hosted/entry.go
+++ b/internal/role/hosted/entry.go
@@ -22,6 +22,7 @@
 	"github.com/mulberryspool/mulberryspool/internal/entry/quarantine"
 	"github.com/mulberryspool/mulberryspool/internal/entry/retrybudget"
 	"github.com/mulberryspool/mulberryspool/internal/entry/scheduler"
+	"github.com/mulberryspool/mulberryspool/internal/entry/silence"
 	"github.com/mulberryspool/mulberryspool/internal/observe/logging"
 	"github.com/mulberryspool/mulberryspool/internal/peer/heartbeat"
 	"github.com/mulberryspool/mulberryspool/internal/peer/sockets"
@@ -81,6 +82,11 @@
 	headerTimeout = 10 * time.Second
 	// idleTimeout is longer than callers keep a connection idle.
 	idleTimeout = 2 * time.Minute
+	// silenceSendInterval is the interval at which unchanged reports of silent backend
+	// servers are repeated.
+	silenceSendInterval = 500 * time.Millisecond
+	// silenceProbeTimeout limits a probe of a silent backend server.
+	silenceProbeTimeout = 400 * time.Millisecond
 	// stateSendInterval is the minimum interval between two heartbeats about
 	// changed state to all processes; of many configurations in a row only the last
 	// one matters.
@@ -110,6 +116,11 @@
 		// stateChanged is signalled when the routes, servers or named versions change.
 		stateChanged chan struct{}
 
+		// silencesSent is what was last reported of silent backend servers. It is used by
+		// runHeartbeats only.
+		silencesSent   map[silence.Content]struct{}
+		silencesSentAt time.Time
+
 		configMu sync.Mutex
 		// encodedConfig is the response with the newest configuration.
 		encodedConfig encodedConfig
--- a/internal/role/hosted/entryheartbeats.go
+++ b/internal/role/hosted/entryheartbeats.go
@@ -51,6 +51,7 @@
 	if m.Summary != nil {
 		e.promptGuard.Merge(m.Sender, m.Summary.Findings)
 		e.scheduler.MergeLimits(m.Sender, m.Summary.Limits)
+		e.scheduler.MergeSilences(m.Summary.Silences)
 	}
 	e.stateSync.handleHeartbeat(m, from)
 	if m.Role == mulberryspool.RoleEntry {
@@ -140,6 +141,7 @@
 		}
 		e.scheduler.ExpirePeers()
 		e.promptGuard.Expire()
+		e.observeSilence()
 		if round++; round%fullLoadRounds == 0 {
 			loads, waiting, limits := e.scheduler.Loads(), e.scheduler.Waiting(), e.scheduler.Limits()
 			summary := &heartbeat.Summary{Summary: e.fleet.Summary(), Limits: limits}
