--- a/fleet.go
+++ b/fleet.go
@@ -77,6 +77,8 @@
 		Engine *EngineProfile `json:"engine,omitzero"`
 		// Origin is the address of the origin of the weights; empty for other pools.
 		Origin string `json:"origin,omitzero"`
+		// OriginBytesPerSecond is the bandwidth of the origin's link; 0 if not known.
+		OriginBytesPerSecond int64 `json:"originBytesPerSecond,omitzero"`
 	}
 
 	// EngineProfile holds the published performance of a pool's model engines.
--- a/internal/agent/fetch/fetcher.go
+++ b/internal/agent/fetch/fetcher.go
@@ -70,6 +70,9 @@
 		Listener net.Listener
 		// Recorder receives the events about corrupt chunks.
 		Recorder mulberryspool.Recorder
+		// OriginBytesPerSecond returns the bandwidth of the origin's link when a transfer
+		// begins, 0 for that in Limits; nil for always.
+		OriginBytesPerSecond func() int64
 		// Logger and Metrics are optional.
 		Logger  zerolog.Logger
 		Metrics tally.Scope
--- a/internal/agent/fetch/stage.go
+++ b/internal/agent/fetch/stage.go
@@ -103,7 +103,11 @@
 	case held == nil:
 		return t, nil
 	}
-	f.send(swarm.Start{Manifest: manifest, Held: held})
+	start := swarm.Start{Manifest: manifest, Held: held}
+	if f.OriginBytesPerSecond != nil {
+		start.OriginBytesPerSecond = f.OriginBytesPerSecond()
+	}
+	f.send(start)
 	select {
 	case f.transferStarted <- struct{}{}:
 	default:
--- a/internal/agent/swarm/planner.go
+++ b/internal/agent/swarm/planner.go
@@ -181,6 +181,9 @@
 
 func (p *Planner) start(e Start) {
 	p.manifest, p.active, p.startedAt = e.Manifest, true, p.now
+	if e.OriginBytesPerSecond > 0 {
+		p.limits.OriginBytesPerSecond = e.OriginBytesPerSecond
+	}
 	p.held = e.Held.Resized(len(e.Manifest.Chunks))
 	p.rare = bitset.New(len(e.Manifest.Chunks))
 	p.interestedPools = map[string]bool{p.Self.Pool: true}
--- a/internal/agent/swarm/swarm.go
+++ b/internal/agent/swarm/swarm.go
@@ -80,6 +80,8 @@
 		Manifest mulberryspool.Manifest
 		// Held contains the chunks that are already staged.
 		Held bitset.Set
+		// OriginBytesPerSecond replaces Limits.OriginBytesPerSecond unless it is 0.
+		OriginBytesPerSecond int64
 	}
 	// Stop ends the transfer.
 	Stop struct{}
--- a/internal/role/hosted/agent.go
+++ b/internal/role/hosted/agent.go
@@ -182,7 +182,7 @@
 	toOrigin.IdleConnTimeout = originIdleTimeout
 	a.origin = &platform.Weights{Address: a.originAddress, PieceBytes: a.pieceBytes, HTTP: &http.Client{Timeout: originTimeout, Transport: toOrigin}}
 	limits := agentLimits
-	// On this platform the origin's link has the same bandwidth as an agent's.
+	// Holds until the configuration says otherwise.
 	limits.OriginBytesPerSecond = int64(s.Limits.Link)
 	control, err := listen(s.AgentControlAddress(s.Address))
 	if err != nil {
@@ -209,7 +209,7 @@
 		Recorder: &timeline.Ring{Identity: p.identity, HLC: hybridClock, Capacity: agentTimelineEvents},
 		Logger:   p.logger, Metrics: p.metrics, Seed: newRandom().Uint64(), Limits: limits,
 		ListInterval: membersInterval, CallTimeout: peerCallTimeout, UploadSlots: uploadSlots,
-		Uplink: a.uplink,
+		Uplink: a.uplink, OriginBytesPerSecond: a.originBytesPerSecond,
 	}
 	p.logger.Info().Str(logging.FieldStep, "start").Int64("boot", p.boot).Str("backend", s.Backend).Msg("process started")
 	group, ctx := errgroup.WithContext(ctx)
@@ -337,15 +337,20 @@
 	return mulberryspool.IngressPool{}
 }
 
-func (a *agentRole) originAddress() string {
+func (a *agentRole) originAddress() string { return a.originPool().Origin }
+
+func (a *agentRole) originBytesPerSecond() int64 { return a.originPool().OriginBytesPerSecond }
+
+// originPool returns the pool that serves weights.
+func (a *agentRole) originPool() mulberryspool.IngressPool {
 	if i := a.fleet.State().Ingress; i != nil {
 		for _, p := range i.Pools {
 			if p.Origin != "" {
-				return p.Origin
+				return p
 			}
 		}
 	}
-	return ""
+	return mulberryspool.IngressPool{}
 }
 
 func (a *agentRole) pieceBytes() int64 {
