--- a/backendserver.go
+++ b/backendserver.go
@@ -19,9 +19,9 @@
 
 // Validate returns an error if a value can't be that of a backend server. Values that are
 // not given are valid.
-func (b BackendServer) Validate() error {
-	names := []string{string(b.Instance), b.Pool, b.FailureDomain}
-	for _, m := range b.Models {
+func (s BackendServer) Validate() error {
+	names := []string{string(s.Instance), s.Pool, s.FailureDomain}
+	for _, m := range s.Models {
 		names = append(names, m.Model)
 		if m.Version < 0 {
 			return errors.Newf("version %d of model %.40q is negative", m.Version, m.Model)
@@ -33,18 +33,18 @@
 		}
 	}
 	switch {
-	case b.Instance == "":
+	case s.Instance == "":
 		return errors.New("backend server has no name")
-	case b.Slots < 0 || b.Slots > MaxSlots:
-		return errors.Newf("%d slots, want 0 to %d", b.Slots, MaxSlots)
-	case b.Born < 0:
-		return errors.Newf("start at %d ms is negative", b.Born)
-	case len(b.Models) > MaxLoadedModels:
-		return errors.Newf("%d models, more than %d", len(b.Models), MaxLoadedModels)
-	case b.Address == "":
+	case s.Slots < 0 || s.Slots > MaxSlots:
+		return errors.Newf("%d slots, want 0 to %d", s.Slots, MaxSlots)
+	case s.Born < 0:
+		return errors.Newf("start at %d ms is negative", s.Born)
+	case len(s.Models) > MaxLoadedModels:
+		return errors.Newf("%d models, more than %d", len(s.Models), MaxLoadedModels)
+	case s.Address == "":
 		return nil
 	}
-	return validateAddress(b.Address)
+	return validateAddress(s.Address)
 }
 
 // validateAddress returns an error unless connections can be opened to the address.
--- a/internal/testkit/hostedsystem/system.go
+++ b/internal/testkit/hostedsystem/system.go
@@ -21,8 +21,12 @@
 const (
 	// Host is that of all routes.
 	Host = "system.example"
-	// Prefixes of the routes, by what may be repeated.
-	StreamPrefix, LookupPrefix, OrderPrefix = "/stream/", "/lookup/", "/order/"
+	// StreamPrefix is that of the route for streams.
+	StreamPrefix = "/stream/"
+	// LookupPrefix is that of the route for requests that may be repeated.
+	LookupPrefix = "/lookup/"
+	// OrderPrefix is that of the route for requests that may run once.
+	OrderPrefix = "/order/"
 
 	program = "github.com/mulberryspool/mulberryspool/cmd/mulberryspool"
 	// pool is the name of the only pool, failureDomain that of all processes.
