--- a/internal/entry/placement/silence_test.go
+++ b/internal/entry/placement/silence_test.go
@@ -85,7 +85,7 @@
 		for _, peer := range r.entries {
 			if peer != p {
 				peer.SetPeer(fmt.Sprint("e-", i), PeerReport{FailureDomain: "a", Loads: loads}, now)
-				peer.MergeSilences(reports, now)
+				peer.MergeSilences(reports, 0, now)
 			}
 		}
 	}
@@ -128,6 +128,17 @@
 	}
 }
 
+// Guards against a report that waited while its receiver stood still, and counts as new.
+func TestDelayedReportOfSilenceIsOld(t *testing.T) {
+	for delay, want := range map[time.Duration]int{0: 1, time.Second: 1, 5 * time.Second: 0} {
+		p := newPlacer(3)
+		p.MergeSilences([]silence.Report{{Instance: "i-1", Born: 1, SilentMillis: 100, HeardMillis: -1}}, delay, start)
+		if got := len(p.SilenceChanges()); got != want {
+			t.Errorf("report delayed by %v: %d servers are silent, want %d", delay, got, want)
+		}
+	}
+}
+
 // Guards against an entry that takes its own delay, or its own lost links, for the silence
 // of most servers.
 func TestOwnFaultIsNoSilence(t *testing.T) {
--- a/internal/entry/scheduler/silence.go
+++ b/internal/entry/scheduler/silence.go
@@ -1,6 +1,8 @@
 package scheduler
 
 import (
+	"time"
+
 	"github.com/mulberryspool/mulberryspool"
 	"github.com/mulberryspool/mulberryspool/internal/entry/placement"
 	"github.com/mulberryspool/mulberryspool/internal/entry/silence"
@@ -31,15 +33,16 @@
 	}
 }
 
-// MergeSilences adopts what another entry reports of silent backend servers.
-func (s *Scheduler) MergeSilences(reports []silence.Report) {
+// MergeSilences adopts what another entry has reported of silent backend servers in a
+// message that was delayed.
+func (s *Scheduler) MergeSilences(reports []silence.Report, delay time.Duration) {
 	if len(reports) == 0 {
 		return
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, p := range s.pools {
-		p.placer.MergeSilences(reports, s.Clock.Now())
+		p.placer.MergeSilences(reports, delay, s.Clock.Now())
 		s.decideWaiting(p)
 	}
 }
--- a/internal/platform/fleet/versions.go
+++ b/internal/platform/fleet/versions.go
@@ -10,8 +10,8 @@
 )
 
 // MergeNamedVersions adds the named versions of a peer. The argument boot identifies the
-// peer's incarnation.
-func (f *Fleet) MergeNamedVersions(s Summary, peer string, boot int64) {
+// peer's incarnation. It returns how long the summary was delayed, as far as known.
+func (f *Fleet) MergeNamedVersions(s Summary, peer string, boot int64) time.Duration {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.named.AssumedAge = f.AssumedAge
@@ -28,6 +28,7 @@
 			}
 		}
 	}
+	return delay.Beyond
 }
 
 // NamedVersion returns the newest named version of a model, 0 for none, and when it was
--- a/internal/role/hosted/entryheartbeats.go
+++ b/internal/role/hosted/entryheartbeats.go
@@ -48,12 +48,12 @@
 		}
 		e.scheduler.SetAgentReport(m.Report.Instance, report)
 	}
+	delay := e.stateSync.handleHeartbeat(m, from)
 	if m.Summary != nil {
 		e.promptGuard.Merge(m.Sender, m.Summary.Findings)
 		e.scheduler.MergeLimits(m.Sender, m.Summary.Limits)
-		e.scheduler.MergeSilences(m.Summary.Silences)
+		e.scheduler.MergeSilences(m.Summary.Silences, delay)
 	}
-	e.stateSync.handleHeartbeat(m, from)
 	if m.Role == mulberryspool.RoleEntry {
 		// Heartbeats sent by announce carry no loads; those known are kept.
 		if m.Loads != nil {
--- a/internal/role/hosted/statesync.go
+++ b/internal/role/hosted/statesync.go
@@ -79,20 +79,22 @@
 )
 
 // handleHeartbeat merges the named versions in a heartbeat and schedules reads of the
-// parts of the sender's state that are newer.
-func (s *stateSync) handleHeartbeat(m heartbeat.Message, from netip.AddrPort) {
+// parts of the sender's state that are newer. It returns how long the heartbeat was
+// delayed, as far as known.
+func (s *stateSync) handleHeartbeat(m heartbeat.Message, from netip.AddrPort) time.Duration {
 	if m.Summary == nil {
-		return
+		return 0
 	}
-	s.fleet.MergeNamedVersions(m.Summary.Summary, m.Sender, m.Boot)
+	delay := s.fleet.MergeNamedVersions(m.Summary.Summary, m.Sender, m.Boot)
 	if m.Role != mulberryspool.RoleEntry {
-		return
+		return delay
 	}
 	for _, part := range []fleet.Part{fleet.PartServers, fleet.PartConfig} {
 		if s.fleet.Lacks(m.Summary.Summary, part) {
 			s.schedule(m, from, part)
 		}
 	}
+	return delay
 }
 
 func (s *stateSync) schedule(m heartbeat.Message, from netip.AddrPort, part fleet.Part) {
