--- a/internal/entry/placement/placer.go
+++ b/internal/entry/placement/placer.go
@@ -75,12 +75,10 @@
 		// peerLoad is the sum of the loads that the peers reported.
 		peerLoad Load
 		// freedAt is when a peer last freed capacity while the server was full.
-		freedAt time.Time
-		// previousInFlight is used by sumPeerLoads only.
-		previousInFlight int
-		health           health
-		silence          silence.Silence
-		activity         *Activity
+		freedAt  time.Time
+		health   health
+		silence  silence.Silence
+		activity *Activity
 		// silent is set while the server has stopped sending.
 		silent bool
 		// reportedSilent is what SilenceChanges returned last, probedAt when the server
@@ -148,7 +146,7 @@
 		p.ordered = append(p.ordered, s)
 	}
 	slices.SortFunc(p.ordered, func(a, b *server) int { return cmp.Compare(a.Instance, b.Instance) })
-	p.sumPeerLoads(time.Time{})
+	p.sumPeerLoads()
 }
 
 // SetServedVersion records what an agent reports of its backend server: the
--- a/internal/entry/scheduler/scheduler.go
+++ b/internal/entry/scheduler/scheduler.go
@@ -156,8 +156,9 @@
 	s.peers[peer] = now
 	for name, p := range s.pools {
 		report.Waiting = waiting[name]
-		p.placer.SetPeer(peer, report, now)
-		s.decideWaiting(p)
+		if p.placer.SetPeer(peer, report, now) {
+			s.decideWaiting(p)
+		}
 	}
 }
 
