--- a/internal/role/hosted/entry.go
+++ b/internal/role/hosted/entry.go
@@ -44,8 +44,10 @@
 	localSendDelay = 5 * time.Millisecond
 	// remoteSendInterval is the minimum interval between two heartbeats to the
 	// entries of other failure domains, which choose the servers in this failure
-	// domain last.
-	remoteSendInterval = 25 * time.Millisecond
+	// domain last. With more than remotePeersPerInterval of them it is longer, so that
+	// what each entry sends and receives does not grow with their number.
+	remoteSendInterval     = 25 * time.Millisecond
+	remotePeersPerInterval = 16
 	// findingsSendInterval is the minimum interval between two heartbeats about
 	// changed findings on prompts.
 	findingsSendInterval = 25 * time.Millisecond
--- a/internal/role/hosted/entryheartbeats.go
+++ b/internal/role/hosted/entryheartbeats.go
@@ -106,7 +106,7 @@
 			e.clock.Sleep(localSendDelay)
 			toLocal, toRemote := e.heartbeats.ActivePeersByDomain(mulberryspool.RoleEntry)
 			e.sendLoadChanges(local, toLocal)
-			if pause := remoteSendInterval - e.clock.Since(remote.sentAt); pause <= 0 {
+			if pause := remoteInterval(len(toRemote)) - e.clock.Since(remote.sentAt); pause <= 0 {
 				e.sendLoadChanges(remote, toRemote)
 			} else if remoteDue == nil {
 				remoteDue = e.clock.After(pause)
@@ -151,7 +151,9 @@
 		} else {
 			toLocal, toRemote := e.heartbeats.ActivePeersByDomain(mulberryspool.RoleEntry)
 			e.sendLoadChanges(local, toLocal)
-			e.sendLoadChanges(remote, toRemote)
+			if e.clock.Since(remote.sentAt) >= remoteInterval(len(toRemote)) {
+				e.sendLoadChanges(remote, toRemote)
+			}
 		}
 		if round%announceRounds == 0 {
 			var findings []quarantine.Finding
@@ -164,6 +166,12 @@
 	}
 }
 
+// remoteInterval returns the minimum interval between two heartbeats to a number of
+// entries of other failure domains.
+func remoteInterval(peers int) time.Duration {
+	return remoteSendInterval * time.Duration(max(remotePeersPerInterval, peers)) / remotePeersPerInterval
+}
+
 // sentLoads holds the loads and rate limits last sent to a group of entries.
 type sentLoads struct {
 	loads   map[mulberryspool.InstanceID]placement.Load
