--- a/internal/entry/forward/request.go
+++ b/internal/entry/forward/request.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"net/http"
 	"time"
 
@@ -318,7 +317,7 @@
 		q.handler.Logger.Warn().Err(err).Str("requestID", string(q.head.ID)).Msg("connection of a broken response could not be reset")
 		return
 	}
-	if stream, ok := conn.(*net.TCPConn); ok {
+	if stream, ok := conn.(interface{ SetLinger(int) error }); ok {
 		// Fails only if the connection is closed already.
 		_ = stream.SetLinger(0)
 	}
--- a/internal/role/hosted/conntracker.go
+++ b/internal/role/hosted/conntracker.go
@@ -6,41 +6,137 @@
 	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/mulberryspool/mulberryspool"
 )
 
-// connTracker counts the connections with a request in flight.
-type connTracker struct {
-	clock mulberryspool.Clock
+type (
+	// connTracker knows which connections of callers have a request in flight, and closes
+	// the others. The HTTP server itself closes a connection as idle while its next request
+	// is being read, and serves that request nevertheless.
+	connTracker struct {
+		net.Listener
+		clock mulberryspool.Clock
+
+		mu    sync.Mutex
+		conns map[*trackedConn]struct{}
+		// lastNew is when the last connection was accepted.
+		lastNew time.Time
+	}
+
+	// trackedConn is a caller's connection.
+	trackedConn struct {
+		*net.TCPConn
+
+		mu sync.Mutex
+		// busy is set from the first byte of a request to the end of its answer.
+		busy bool
+		// closing is set before the connection is closed as idle.
+		closing bool
+	}
+)
+
+// errIdleClosed is the error of reads from a connection that was closed as idle.
+var errIdleClosed = errors.New("connection was closed while it was idle")
 
-	mu sync.Mutex
-	// active holds the connections with a request in flight.
-	active map[net.Conn]struct{}
-	// lastNew is when the last connection was accepted.
-	lastNew time.Time
+// Accept implements net.Listener.
+func (t *connTracker) Accept() (net.Conn, error) {
+	conn, err := t.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	stream, ok := conn.(*net.TCPConn)
+	if !ok {
+		// Not expected: the listener is one for TCP.
+		return conn, nil
+	}
+	c := &trackedConn{TCPConn: stream}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.conns == nil {
+		t.conns = make(map[*trackedConn]struct{})
+	}
+	t.conns[c] = struct{}{}
+	t.lastNew = t.clock.Now()
+	return c, nil
 }
 
 // record is a http.Server.ConnState.
 func (t *connTracker) record(conn net.Conn, state http.ConnState) {
+	c, ok := conn.(*trackedConn)
+	if !ok {
+		return
+	}
+	switch state {
+	case http.StateIdle:
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		c.busy = false
+	case http.StateClosed, http.StateHijacked:
+		t.mu.Lock()
+		defer t.mu.Unlock()
+		delete(t.conns, c)
+	}
+}
+
+// Read implements io.Reader.
+func (c *trackedConn) Read(buffer []byte) (int, error) {
+	n, err := c.TCPConn.Read(buffer)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closing {
+		return 0, errIdleClosed
+	}
+	c.busy = c.busy || n > 0
+	return n, err
+}
+
+// closeIdle closes the connection unless a byte of a request was read.
+func (c *trackedConn) closeIdle() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.busy || c.closing {
+		return
+	}
+	c.closing = true
+	// The read that waits for the next request returns with an error.
+	_ = c.TCPConn.Close()
+}
+
+// list returns the connections.
+func (t *connTracker) list() []*trackedConn {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.active == nil {
-		t.active = make(map[net.Conn]struct{})
+	conns := make([]*trackedConn, 0, len(t.conns))
+	for c := range t.conns {
+		conns = append(conns, c)
 	}
-	switch state {
-	case http.StateNew:
-		t.lastNew = t.clock.Now()
-	case http.StateActive:
-		t.active[conn] = struct{}{}
-	default:
-		delete(t.active, conn)
+	return conns
+}
+
+// closeIdle closes the connections without a request.
+func (t *connTracker) closeIdle() {
+	for _, c := range t.list() {
+		c.closeIdle()
 	}
 }
 
 // quiet reports whether no request is in flight and no connection was accepted for
 // stopQuietTime.
 func (t *connTracker) quiet() bool {
+	for _, c := range t.list() {
+		if c.isBusy() {
+			return false
+		}
+	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return len(t.active) == 0 && t.clock.Since(t.lastNew) >= stopQuietTime
+	return t.clock.Since(t.lastNew) >= stopQuietTime
+}
+
+func (c *trackedConn) isBusy() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.busy
 }
--- /dev/null
+++ b/internal/role/hosted/conntracker_test.go
@@ -0,0 +1,98 @@
+package hosted
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+)
+
+// Guards against a connection that is closed as idle while the first bytes of its next
+// request are being read, and whose request is served nevertheless: its caller gets no
+// answer. The request arrives in two parts, and idle connections are closed in between.
+func TestIdleConnectionIsNotClosedInsideRequest(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	tracker := &connTracker{Listener: listener, clock: clockwork.NewRealClock()}
+	var served atomic.Int32
+	server := &http.Server{ConnState: tracker.record, Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		served.Add(1)
+		_, _ = io.WriteString(w, "ok")
+	})}
+	go func() { _ = server.Serve(tracker) }()
+	t.Cleanup(func() { server.Close() })
+
+	idle, inside := dialTracked(t, tracker), dialTracked(t, tracker)
+	for _, conn := range []net.Conn{idle, inside} {
+		exchange(t, conn, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+	}
+	await(t, "both connections are idle", func() bool { return tracker.count(false) == 2 })
+	if _, err := io.WriteString(inside, "GET / HTT"); err != nil {
+		t.Fatal(err)
+	}
+	await(t, "the first part of the request was read", func() bool { return tracker.count(true) == 1 })
+	tracker.closeIdle()
+	if _, err := idle.Read(make([]byte, 1)); err == nil {
+		t.Error("the idle connection stayed open")
+	}
+	exchange(t, inside, "P/1.1\r\nHost: h\r\n\r\n")
+	if got := served.Load(); got != 3 {
+		t.Errorf("%d requests were served, want 3", got)
+	}
+}
+
+// count returns the number of connections with, or without, a request.
+func (t *connTracker) count(busy bool) int {
+	n := 0
+	for _, c := range t.list() {
+		if c.isBusy() == busy {
+			n++
+		}
+	}
+	return n
+}
+
+func dialTracked(t *testing.T, tracker *connTracker) net.Conn {
+	t.Helper()
+	conn, err := net.Dial("tcp", tracker.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { conn.Close() })
+	if err := conn.SetDeadline(time.Now().Add(10 * time.Second)); err != nil {
+		t.Fatal(err)
+	}
+	return conn
+}
+
+// exchange sends the rest of a request and reads the answer.
+func exchange(t *testing.T, conn net.Conn, request string) {
+	t.Helper()
+	if _, err := io.WriteString(conn, request); err != nil {
+		t.Fatal(err)
+	}
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		t.Fatalf("no answer: %v", err)
+	}
+	defer response.Body.Close()
+	if body, err := io.ReadAll(response.Body); err != nil || string(body) != "ok" {
+		t.Fatalf("answer is %q, %v", body, err)
+	}
+}
+
+func await(t *testing.T, what string, done func() bool) {
+	t.Helper()
+	for deadline := time.Now().Add(10 * time.Second); !done(); time.Sleep(time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatalf("timed out: %s", what)
+		}
+	}
+}
--- a/internal/role/hosted/entry.go
+++ b/internal/role/hosted/entry.go
@@ -283,12 +283,12 @@
 // Connections stay open for a while, because a request that arrives while its connection is
 // closed would be lost, and new ones are accepted until no more come.
 func (e *entryRole) serveCallers(ctx, background context.Context, listener net.Listener) error {
-	connections := &connTracker{clock: e.clock}
+	connections := &connTracker{Listener: listener, clock: e.clock}
 	server := &http.Server{
 		Handler: e.handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, ErrorLog: discardLog(), ConnState: connections.record,
 	}
 	served := make(chan error, 1)
-	go func() { served <- server.Serve(listener) }()
+	go func() { served <- server.Serve(connections) }()
 	select {
 	case err := <-served:
 		return mulberryspool.AtStep(err, "serve callers", listener.Addr().String())
@@ -299,10 +299,11 @@
 	closeIdleBy, answerBy, endBy := e.handler.BeginStop()
 	e.logger.Info().Str(logging.FieldStep, "stop").Msg("not ready any more, open connections are still served")
 	e.clock.Sleep(e.clock.Until(closeIdleBy))
-	server.SetKeepAlivesEnabled(false)
+	connections.closeIdle()
 	for !connections.quiet() && e.clock.Now().Before(answerBy) {
 		e.clock.Sleep(stopPollInterval)
 	}
+	connections.closeIdle()
 	bounded, cancel := clockwork.WithDeadline(context.WithoutCancel(ctx), e.clock, endBy)
 	defer cancel()
 	if err := server.Shutdown(bounded); err != nil {
--- a/internal/testkit/hostedsystem/system.go
+++ b/internal/testkit/hostedsystem/system.go
@@ -54,6 +54,8 @@
 		Members []*Entry
 
 		storeAddress string
+		// addresses holds those of Servers.
+		addresses []string
 	}
 
 	// Entry is a running entry.
@@ -73,10 +75,8 @@
 	t.Helper()
 	s.storeAddress = s.listen(t, &s.Store)
 	s.PutConfiguration(1)
-	for i := range s.Backends {
-		server := &backendserver.Server{Instance: fmt.Sprintf("i-%d", i)}
-		s.Servers = append(s.Servers, server)
-		s.PutServer(i, s.listen(t, server), "ready")
+	for range s.Backends {
+		s.AddServer(t)
 	}
 	for i := range s.Entries {
 		e := s.newEntry(t, i)
@@ -113,10 +113,23 @@
 	})
 }
 
-// PutServer writes the object of a backend server.
-func (s *System) PutServer(i int, address, state string) {
+// AddServer starts a backend server and returns its index in Servers.
+func (s *System) AddServer(t testing.TB) int {
+	t.Helper()
+	i := len(s.Servers)
+	server := &backendserver.Server{Instance: fmt.Sprintf("i-%d", i)}
+	s.Servers = append(s.Servers, server)
+	s.addresses = append(s.addresses, s.listen(t, server))
+	s.putServer(i, "ready")
+	return i
+}
+
+// SetLeaving makes a backend server leave. It goes on to serve.
+func (s *System) SetLeaving(i int) { s.putServer(i, "draining") }
+
+func (s *System) putServer(i int, state string) {
 	s.Store.Put(platform.KindServers, s.Servers[i].Instance, map[string]any{
-		"service": pool, "address": address, "zone": failureDomain, "version": "v1", "slots": 16, "state": state, "sequence": 1, "born": 1,
+		"service": pool, "address": s.addresses[i], "zone": failureDomain, "version": "v1", "slots": 16, "state": state, "sequence": 1, "born": 1,
 	})
 }
 
