--- a/internal/platform/configwatch/election.go
+++ b/internal/platform/configwatch/election.go
@@ -1,13 +1,12 @@
-// Package configwatch decides which entries read the configuration and the backend servers
-// from the store, and which read them from those.
+// Package configwatch decides which entries read the configuration from the store, and
+// which read it from those.
 //
-//	heartbeats --> Record --> Election --> Watches, WatchesServers, RemoteDelay
+//	heartbeats --> Record --> Election --> Watches, RemoteDelay
 //
 // A watch delivers the whole configuration with each change. On the links between
 // regions, a copy for each entry takes longer than a change may take to be in force,
 // and delays everything behind it: changes of servers, versions and live requests. So a
-// few entries of each failure domain watch, and the others read from entries nearby. Lists
-// of hundreds of servers, which change with each of them, are the same.
+// few entries of each failure domain watch, and the others read from entries nearby.
 package configwatch
 
 import (
@@ -26,10 +25,6 @@
 const (
 	// watchersPerDomain is the number of entries of a failure domain that watch.
 	watchersPerDomain = 1
-	// serverWatchersPerDomain is the number of those that watch the backend servers. They
-	// change often, and a change that is learned late costs requests, so that one of them
-	// may stand still without a delay.
-	serverWatchersPerDomain = 2
 	// minWatchers is the number of watchers without which further entries watch: one
 	// more of each failure domain, and another one after each expandInterval.
 	minWatchers    = 2
@@ -113,11 +108,6 @@
 	return now.Before(e.extraUntil)
 }
 
-// WatchesServers reports whether this entry watches the backend servers.
-func (e *Election) WatchesServers(now time.Time) bool {
-	return e.Watches(now) || e.rank(now) < serverWatchersPerDomain
-}
-
 // RemoteDelay returns how long this entry waits before it reads a configuration from
 // another failure domain, so that the entries of its own do not all do so.
 func (e *Election) RemoteDelay(reachable bool, now time.Time) time.Duration {
--- a/internal/platform/fleet/fleet.go
+++ b/internal/platform/fleet/fleet.go
@@ -67,20 +67,13 @@
 		Paused func() bool
 		// ConfigPaused is Paused for the configuration; nil for Paused.
 		ConfigPaused func() bool
-		// ServersPaused is Paused for the backend servers; nil for Paused.
-		ServersPaused func() bool
 		// WatchTimeout returns how long a watch waits for changes; nil for
 		// listwatch.DefaultWatchTimeout. A watch that is already waiting may not
 		// notice that the store dropped its history.
 		WatchTimeout func() time.Duration
 		// ConfigWatchTimeout is WatchTimeout for the configuration; nil for WatchTimeout.
 		ConfigWatchTimeout func() time.Duration
-		// ServersWatchTimeout is WatchTimeout for the backend servers; nil for WatchTimeout.
-		ServersWatchTimeout func() time.Duration
 
-		// Learned is called after a change of the state that was not learned from a peer;
-		// may be nil.
-		Learned        func()
 		IngressChanged func(mulberryspool.Ingress)
 		ServersChanged func(Servers)
 		// NamedVersionChanged is called with the time at which the version was named, as
@@ -138,19 +131,13 @@
 	if f.ConfigWatchTimeout == nil {
 		f.ConfigWatchTimeout = f.WatchTimeout
 	}
-	if f.ServersPaused == nil {
-		f.ServersPaused = f.Paused
-	}
-	if f.ServersWatchTimeout == nil {
-		f.ServersWatchTimeout = f.WatchTimeout
-	}
 	f.configFollower = listwatch.Follower[mulberryspool.Ingress]{
 		Store: f.Store, Kind: f.Kinds.Config, Clock: f.Clock, WatchTimeout: f.ConfigWatchTimeout, WatchPause: f.ConfigWatchPause, Paused: f.ConfigPaused, Logger: f.Logger,
 		Set:     listwatch.Set[mulberryspool.Ingress]{Decode: f.Kinds.DecodeIngress},
 		Changed: f.setIngresses, Answered: f.recordConfigAnswer,
 	}
 	f.serverFollower = listwatch.Follower[mulberryspool.BackendServer]{
-		Store: f.Store, Kind: f.Kinds.Servers, Clock: f.Clock, WatchTimeout: f.ServersWatchTimeout, WatchPause: f.ServersWatchPause, Paused: f.ServersPaused, Logger: f.Logger,
+		Store: f.Store, Kind: f.Kinds.Servers, Clock: f.Clock, WatchTimeout: f.WatchTimeout, WatchPause: f.ServersWatchPause, Paused: f.Paused, Logger: f.Logger,
 		Set:     listwatch.Set[mulberryspool.BackendServer]{Decode: f.Kinds.DecodeServer, GracePeriod: reregisterTime},
 		Changed: f.setServers, Answered: f.recordAnswer,
 	}
@@ -267,15 +254,6 @@
 	f.Logger.Info().Str("step", "apply configuration").Str("source", source).Str("peer", peer).
 		Int64("before", before).Int64("version", i.Version).Int("routes", len(i.Routes)).Msg("configuration in force")
 	f.IngressChanged(i)
-	f.notifyLearned(source)
-}
-
-// notifyLearned calls Learned unless the source of a change is a peer, which has told the
-// others itself.
-func (f *Fleet) notifyLearned(source string) {
-	if source != fromPeer && f.Learned != nil {
-		f.Learned()
-	}
 }
 
 func (f *Fleet) setServers(items map[string]mulberryspool.BackendServer, d listwatch.Delta) {
@@ -332,5 +310,4 @@
 		}
 	}
 	f.ServersChanged(servers)
-	f.notifyLearned(list.source)
 }
--- a/internal/platform/fleet/versions.go
+++ b/internal/platform/fleet/versions.go
@@ -74,7 +74,6 @@
 	}
 	e.Msg("named version added or its age corrected")
 	f.NamedVersionChanged(c.Model, c.Version, c.Since)
-	f.notifyLearned(source)
 }
 
 // recordAnswer records that the store answered at a revision after the given time.
--- a/internal/role/hosted/entry.go
+++ b/internal/role/hosted/entry.go
@@ -218,14 +218,20 @@
 	e.fleet.ConfigWatchTimeout = func() time.Duration {
 		return configwatch.MinWait + rand.N(configwatch.MaxWait-configwatch.MinWait)
 	}
-	e.fleet.ServersWatchTimeout = e.fleet.ConfigWatchTimeout
-	e.fleet.ConfigPaused = func() bool { return !e.watches((*configwatch.Election).Watches) }
-	e.fleet.ServersPaused = func() bool { return !e.watches((*configwatch.Election).WatchesServers) }
-	e.fleet.Learned = e.signalStateChange
+	e.fleet.ConfigPaused = func() bool { return !e.watchesConfig() }
 	e.fleet.AssumedAge = b.NamedVersion - versionEndMargin - unknownAgeGrace
-	e.fleet.IngressChanged = func(i mulberryspool.Ingress) { e.scheduler.SetIngress(i) }
-	e.fleet.ServersChanged = func(s fleet.Servers) { e.scheduler.SetServers(s) }
-	e.fleet.NamedVersionChanged = e.scheduler.SetNamedVersion
+	e.fleet.IngressChanged = func(i mulberryspool.Ingress) {
+		e.scheduler.SetIngress(i)
+		e.signalStateChange()
+	}
+	e.fleet.ServersChanged = func(s fleet.Servers) {
+		e.scheduler.SetServers(s)
+		e.signalStateChange()
+	}
+	e.fleet.NamedVersionChanged = func(model string, version int64, at time.Time) {
+		e.scheduler.SetNamedVersion(model, version, at)
+		e.signalStateChange()
+	}
 	e.handler.ServerLeaving = e.fleet.MarkLeaving
 	e.stateSync = &stateSync{
 		fleet: e.fleet, clock: e.clock, fetch: e.stateFetcher(e.fleet, statePath), logger: e.logger, failureDomain: e.identity.FailureDomain,
@@ -240,11 +246,11 @@
 	return time.Duration((1 - watchJitter + 2*watchJitter*rand.Float64()) * float64(mean))
 }
 
-// watches reports whether this entry reads a part of the state from the store.
-func (e *entryRole) watches(part func(*configwatch.Election, time.Time) bool) bool {
+// watchesConfig reports whether this entry reads the configuration from the store.
+func (e *entryRole) watchesConfig() bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return part(&e.configWatch, e.clock.Now())
+	return e.configWatch.Watches(e.clock.Now())
 }
 
 // remoteConfigDelay returns how long to wait before the configuration is read from
