--- a/internal/entry/silence/silence.go
+++ b/internal/entry/silence/silence.go
@@ -48,11 +48,11 @@
 		heard, observed       time.Time
 	}
 
-	// Content is what a Report says apart from its times.
-	Content struct {
-		Instance      mulberryspool.InstanceID
-		Born          int64
-		Silent, Heard bool
+	// Incarnation is one run of a backend server.
+	Incarnation struct {
+		Instance mulberryspool.InstanceID
+		// Born is its start in Unix milliseconds.
+		Born int64
 	}
 
 	// Report is what an entry has observed of a server. It is encoded as a map, so the
@@ -67,10 +67,8 @@
 	}
 )
 
-// Content returns the report without its times.
-func (r Report) Content() Content {
-	return Content{r.Instance, r.Born, r.SilentMillis >= 0, r.HeardMillis >= 0}
-}
+// Incarnation returns the incarnation of the server.
+func (r Report) Incarnation() Incarnation { return Incarnation{r.Instance, r.Born} }
 
 // Sent records that a request is being sent.
 func (s *Silence) Sent(now time.Time) {
--- a/internal/role/hosted/entry.go
+++ b/internal/role/hosted/entry.go
@@ -84,9 +84,9 @@
 	headerTimeout = 10 * time.Second
 	// idleTimeout is longer than callers keep a connection idle.
 	idleTimeout = 2 * time.Minute
-	// silenceSendInterval is the interval at which unchanged reports of silent backend
-	// servers are repeated.
-	silenceSendInterval = 500 * time.Millisecond
+	// silenceSendInterval is the minimum interval between two heartbeats about backend
+	// servers that have just fallen silent.
+	silenceSendInterval = 200 * time.Millisecond
 	// silenceProbeTimeout limits a probe of a silent backend server.
 	silenceProbeTimeout = 400 * time.Millisecond
 	// stateSendInterval is the minimum interval between two heartbeats about
@@ -118,9 +118,9 @@
 		// stateChanged is signalled when the routes, servers or named versions change.
 		stateChanged chan struct{}
 
-		// silencesSent is what was last reported of silent backend servers. It is used by
+		// silencesSent holds the silent backend servers that were reported. It is used by
 		// runHeartbeats only.
-		silencesSent   map[silence.Content]struct{}
+		silencesSent   map[silence.Incarnation]struct{}
 		silencesSentAt time.Time
 
 		configMu sync.Mutex
--- a/internal/role/hosted/entryheartbeats.go
+++ b/internal/role/hosted/entryheartbeats.go
@@ -144,7 +144,7 @@
 		e.observeSilence()
 		if round++; round%fullLoadRounds == 0 {
 			loads, waiting, limits := e.scheduler.Loads(), e.scheduler.Waiting(), e.scheduler.Limits()
-			summary := &heartbeat.Summary{Summary: e.fleet.Summary(), Limits: limits}
+			summary := &heartbeat.Summary{Summary: e.fleet.Summary(), Limits: limits, Silences: e.scheduler.Silences()}
 			e.heartbeats.Send(heartbeat.Message{Summary: summary, Loads: loads, Waiting: waiting}, e.heartbeats.ActivePeers(mulberryspool.RoleEntry))
 			now := e.clock.Now()
 			*local, *remote = sentLoads{loads, waiting, limits, now}, sentLoads{loads, waiting, limits, now}
--- a/internal/role/hosted/entrysilence.go
+++ b/internal/role/hosted/entrysilence.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"maps"
 
 	"github.com/jonboulle/clockwork"
 
@@ -27,18 +26,29 @@
 	}
 }
 
-// sendSilences reports silent backend servers to the other entries: at once if there are
-// others than before, and again while they count.
+// sendSilences reports backend servers that have just fallen silent to the other entries.
+// The summaries repeat them, and report what refutes the silence of others.
 func (e *entryRole) sendSilences(reports []silence.Report) {
-	content := make(map[silence.Content]struct{}, len(reports))
+	silent := make(map[silence.Incarnation]struct{}, len(reports))
+	isNew := false
 	for _, r := range reports {
-		content[r.Content()] = struct{}{}
+		if r.SilentMillis < 0 {
+			continue
+		}
+		silent[r.Incarnation()] = struct{}{}
+		if _, ok := e.silencesSent[r.Incarnation()]; !ok {
+			isNew = true
+		}
 	}
 	now := e.clock.Now()
-	if len(reports) == 0 || maps.Equal(content, e.silencesSent) && now.Sub(e.silencesSentAt) < silenceSendInterval {
+	if isNew && now.Sub(e.silencesSentAt) < silenceSendInterval {
 		return
 	}
-	e.silencesSent, e.silencesSentAt = content, now
+	e.silencesSent = silent
+	if !isNew {
+		return
+	}
+	e.silencesSentAt = now
 	summary := &heartbeat.Summary{Summary: e.fleet.Summary(), Silences: reports}
 	e.heartbeats.Send(heartbeat.Message{Summary: summary}, e.heartbeats.ActivePeers(mulberryspool.RoleEntry))
 }
