--- a/internal/entry/placement/silence_test.go
+++ b/internal/entry/placement/silence_test.go
@@ -76,6 +76,9 @@
 	}
 	for i, p := range r.entries {
 		p.ObserveSilence(now)
+		for _, b := range p.SilentToProbe(now) {
+			p.RecordProbe(b, !r.stopped[b.Instance], now)
+		}
 		loads := make(map[mulberryspool.InstanceID]Load)
 		p.AddOwnLoads(loads)
 		var reports []silence.Report
--- a/internal/entry/silence/silence.go
+++ b/internal/entry/silence/silence.go
@@ -32,6 +32,8 @@
 	forgetAfter = 2500 * time.Millisecond
 	// reportTime is how long an entry reports an observation.
 	reportTime = time.Second
+	// repeatAfter is how much newer than that of another entry an observation is reported.
+	repeatAfter = 400 * time.Millisecond
 )
 
 type (
@@ -43,9 +45,9 @@
 		outstanding  int
 		waitingSince time.Time
 		// ownHeard and ownObserved are the last byte to, and the last observation of, this
-		// entry; heard and observed those of any entry.
-		ownHeard, ownObserved time.Time
-		heard, observed       time.Time
+		// entry; peerHeard and peerObserved those of the other entries.
+		ownHeard, ownObserved   time.Time
+		peerHeard, peerObserved time.Time
 	}
 
 	// Incarnation is one run of a backend server.
@@ -55,9 +57,11 @@
 		Born int64
 	}
 
-	// Report is what an entry has observed of a server. It is encoded as a map, so the
-	// field names are part of the protocol.
+	// Report is what an entry has observed of a server. It is encoded as an array, because
+	// there may be many.
 	Report struct {
+		_msgpack struct{} `msgpack:",as_array"` //nolint:unused // Read by the codec.
+
 		Instance mulberryspool.InstanceID
 		Born     int64
 		// SilentMillis is the time since the sender's last observation of silence,
@@ -86,9 +90,6 @@
 	if at.After(s.ownHeard) {
 		s.ownHeard = at
 	}
-	if at.After(s.heard) {
-		s.heard = at
-	}
 }
 
 // Waits returns whether this entry waits for the server, and whether it has waited for so
@@ -108,35 +109,42 @@
 func (s *Silence) Excuse(now time.Time) { s.waitingSince = now }
 
 // Observe records that this entry has found the server silent.
-func (s *Silence) Observe(now time.Time) {
-	s.ownObserved = now
-	if now.After(s.observed) {
-		s.observed = now
-	}
-}
+func (s *Silence) Observe(now time.Time) { s.ownObserved = now }
 
 // Merge adopts a report of another entry.
 func (s *Silence) Merge(r Report, now time.Time) {
-	if at := now.Add(-time.Duration(r.SilentMillis) * time.Millisecond); r.SilentMillis >= 0 && at.After(s.observed) {
-		s.observed = at
+	if at := now.Add(-time.Duration(r.SilentMillis) * time.Millisecond); r.SilentMillis >= 0 && at.After(s.peerObserved) {
+		s.peerObserved = at
 	}
-	if at := now.Add(-time.Duration(r.HeardMillis) * time.Millisecond); r.HeardMillis >= 0 && at.After(s.heard) {
-		s.heard = at
+	if at := now.Add(-time.Duration(r.HeardMillis) * time.Millisecond); r.HeardMillis >= 0 && at.After(s.peerHeard) {
+		s.peerHeard = at
 	}
 }
 
 // Silent reports whether the server is silent.
 func (s *Silence) Silent(now time.Time) bool {
-	return !s.observed.IsZero() && now.Sub(s.observed) < forgetAfter && s.observed.Sub(s.heard) >= silentAfter
+	observed := latest(s.ownObserved, s.peerObserved)
+	return !observed.IsZero() && now.Sub(observed) < forgetAfter && observed.Sub(latest(s.ownHeard, s.peerHeard)) >= silentAfter
+}
+
+func latest(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
 }
 
-// Report returns what other entries need to know; false if that is nothing.
+// Report returns what other entries need to know; false if that is nothing. What one of
+// them has reported needs no repetition, so that there are not as many reports of a server
+// as entries.
 func (s *Silence) Report(now time.Time) (Report, bool) {
 	r := Report{SilentMillis: -1, HeardMillis: -1}
-	if !s.ownObserved.IsZero() && now.Sub(s.ownObserved) < reportTime {
+	if !s.ownObserved.IsZero() && now.Sub(s.ownObserved) < reportTime && s.ownObserved.Sub(s.peerObserved) >= repeatAfter {
 		r.SilentMillis = now.Sub(s.ownObserved).Milliseconds()
 	}
-	if !s.ownHeard.IsZero() && !s.observed.IsZero() && now.Sub(s.observed) < forgetAfter && s.observed.Sub(s.ownHeard) < silentAfter {
+	observed := latest(s.ownObserved, s.peerObserved)
+	refutes := observed.Sub(s.ownHeard) < silentAfter && observed.Sub(s.peerHeard) >= silentAfter
+	if refutes && !observed.IsZero() && !s.ownHeard.IsZero() && now.Sub(observed) < forgetAfter {
 		r.HeardMillis = max(0, now.Sub(s.ownHeard).Milliseconds())
 	}
 	return r, r.SilentMillis >= 0 || r.HeardMillis >= 0
--- a/internal/entry/silence/silence_test.go
+++ b/internal/entry/silence/silence_test.go
@@ -86,3 +86,38 @@
 		t.Error("silent although it has answered")
 	}
 }
+
+// Guards against as many reports of a server as there are entries.
+func TestWhatOthersReportedIsNotRepeated(t *testing.T) {
+	entries := make([]Silence, 50)
+	reports := 0
+	for i := range entries {
+		entries[i].Sent(at(0))
+	}
+	for ms := 0; ms <= 3000; ms += 100 {
+		for i := range entries {
+			if _, silent := entries[i].Waits(at(ms)); silent && ms < 2000 {
+				entries[i].Observe(at(ms))
+			}
+			if ms >= 2000 {
+				entries[i].Heard(at(ms))
+			}
+			if r, ok := entries[i].Report(at(ms)); ok {
+				reports++
+				for j := range entries {
+					if j != i {
+						entries[j].Merge(r, at(ms))
+					}
+				}
+			}
+		}
+	}
+	if reports == 0 || reports > len(entries) {
+		t.Errorf("%d reports of %d entries on a server that is silent for 2 s, want at most one each", reports, len(entries))
+	}
+	for i := range entries {
+		if entries[i].Silent(at(3000)) {
+			t.Errorf("the server is silent for entry %d although it sends", i)
+		}
+	}
+}
