--- a/internal/role/hosted/conntracker_test.go
+++ b/internal/role/hosted/conntracker_test.go
@@ -27,7 +27,7 @@
 		_, _ = io.WriteString(w, "ok")
 	})}
 	go func() { _ = server.Serve(tracker) }()
-	t.Cleanup(func() { server.Close() })
+	t.Cleanup(func() { _ = server.Close() })
 
 	idle, inside := dialTracked(t, tracker), dialTracked(t, tracker)
 	for _, conn := range []net.Conn{idle, inside} {
