--- a/internal/entry/placement/placement.go
+++ b/internal/entry/placement/placement.go
@@ -140,7 +140,7 @@
 		// Server is set for placed requests, Version is the one it serves.
 		Server  mulberryspool.BackendServer
 		Version int64
-		// Activity takes note of what the server sends; nil unless the request is placed.
+		// Activity records when the server sends something; nil unless the request is placed.
 		Activity *Activity
 		// StartBy is when the request is given up unless its response has started,
 		// because a newer version is named; zero if there is none.
--- a/internal/entry/placement/silence.go
+++ b/internal/entry/placement/silence.go
@@ -94,7 +94,7 @@
 }
 
 // MergeSilences adopts what another entry has reported of silent backend servers in a
-// message that was delayed. It may have waited while this entry stood still.
+// message that was delayed. It may have waited while this entry was suspended.
 func (p *Placer) MergeSilences(reports []silence.Report, delay time.Duration, now time.Time) {
 	for _, r := range reports {
 		if s := p.servers[r.Instance]; s != nil && s.Born == r.Born {
--- a/internal/entry/placement/silence_test.go
+++ b/internal/entry/placement/silence_test.go
@@ -12,13 +12,13 @@
 
 const silenceTick = 50 * time.Millisecond
 
-// silenceReplay plays entries with streams at servers, of which some stand still from 1 s
+// silenceReplay plays entries with streams at servers, of which some are suspended from 1 s
 // on. Each stream that gets no event for 1.2 s is sent to another server.
 type silenceReplay struct {
 	entries []*Placer
 	streams []*silenceStream
 	stopped map[mulberryspool.InstanceID]bool
-	// shared is whether entries tell each other what they have observed.
+	// shared is whether entries report to each other what they have observed.
 	shared bool
 	// secondAttempts counts the second attempts, lost those of them at stopped servers,
 	// and newAtStopped the new requests there from 2 s on.
@@ -115,7 +115,7 @@
 }
 
 // Guards against second attempts, and new requests, at servers of which other entries know
-// that they stand still. Replays the load pattern of silence.Silence.
+// that they are suspended. Replays the load pattern of silence.Silence.
 func TestSecondAttemptsAvoidSilentServers(t *testing.T) {
 	alone, shared := playSilence(false), playSilence(true)
 	t.Logf("second attempts %d, lost %d, new requests at silent servers %d; with reports %d, %d, %d",
@@ -131,7 +131,7 @@
 	}
 }
 
-// Guards against a report that waited while its receiver stood still, and counts as new.
+// Guards against a report that waited while its receiver was suspended, and counts as new.
 func TestDelayedReportOfSilenceIsOld(t *testing.T) {
 	for delay, want := range map[time.Duration]int{0: 1, time.Second: 1, 5 * time.Second: 0} {
 		p := newPlacer(3)
--- a/internal/entry/silence/silence.go
+++ b/internal/entry/silence/silence.go
@@ -4,7 +4,7 @@
 //	Merge (other entries) ----------------------> Silence --> Silent
 //	                                                    \--> Report, for the other entries
 //
-// The load pattern: a part of the servers stands still for seconds, and their connections
+// The load pattern: a part of the servers is suspended for seconds, and their connections
 // stay open. Each entry has requests at a few of them. It notices a silent server only by
 // its own requests, and sends a second attempt to the next one that it does not know of.
 //
--- a/internal/testkit/hostedsystem/system.go
+++ b/internal/testkit/hostedsystem/system.go
@@ -124,7 +124,7 @@
 	return i
 }
 
-// SetLeaving makes a backend server leave. It goes on to serve.
+// SetLeaving makes a backend server leave. It still serves.
 func (s *System) SetLeaving(i int) { s.putServer(i, "draining") }
 
 func (s *System) putServer(i int, state string) {
