--- a/internal/role/hosted/conntracker.go
+++ b/internal/role/hosted/conntracker.go
@@ -28,8 +28,11 @@
 	// trackedConn is a caller's connection.
 	trackedConn struct {
 		*net.TCPConn
+		acceptedAt time.Time
 
 		mu sync.Mutex
+		// used is set once a request was answered.
+		used bool
 		// busy is set from the first byte of a request to the end of its answer.
 		busy bool
 		// closing is set before the connection is closed as idle.
@@ -51,14 +54,14 @@
 		// Not expected: the listener is one for TCP.
 		return conn, nil
 	}
-	c := &trackedConn{TCPConn: stream}
+	c := &trackedConn{TCPConn: stream, acceptedAt: t.clock.Now()}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.conns == nil {
 		t.conns = make(map[*trackedConn]struct{})
 	}
 	t.conns[c] = struct{}{}
-	t.lastNew = t.clock.Now()
+	t.lastNew = c.acceptedAt
 	return c, nil
 }
 
@@ -72,7 +75,7 @@
 	case http.StateIdle:
 		c.mu.Lock()
 		defer c.mu.Unlock()
-		c.busy = false
+		c.busy, c.used = false, true
 	case http.StateClosed, http.StateHijacked:
 		t.mu.Lock()
 		defer t.mu.Unlock()
@@ -92,11 +95,12 @@
 	return n, err
 }
 
-// closeIdle closes the connection unless a byte of a request was read.
-func (c *trackedConn) closeIdle() {
+// closeIdle closes the connection unless a byte of a request was read, or the connection
+// is new and its first request may be on its way.
+func (c *trackedConn) closeIdle(now time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.busy || c.closing {
+	if c.busy || c.closing || !c.used && now.Sub(c.acceptedAt) < stopQuietTime {
 		return
 	}
 	c.closing = true
@@ -115,10 +119,10 @@
 	return conns
 }
 
-// closeIdle closes the connections without a request.
+// closeIdle closes the connections without a request, but for new ones.
 func (t *connTracker) closeIdle() {
 	for _, c := range t.list() {
-		c.closeIdle()
+		c.closeIdle(t.clock.Now())
 	}
 }
 
--- a/internal/role/hosted/conntracker_test.go
+++ b/internal/role/hosted/conntracker_test.go
@@ -12,23 +12,29 @@
 	"github.com/jonboulle/clockwork"
 )
 
-// Guards against a connection that is closed as idle while the first bytes of its next
-// request are being read, and whose request is served nevertheless: its caller gets no
-// answer. The request arrives in two parts, and idle connections are closed in between.
-func TestIdleConnectionIsNotClosedInsideRequest(t *testing.T) {
+// startTracked starts a server whose connections are tracked, and counts its requests.
+func startTracked(t *testing.T) (*connTracker, *atomic.Int32) {
+	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
 	tracker := &connTracker{Listener: listener, clock: clockwork.NewRealClock()}
-	var served atomic.Int32
+	served := new(atomic.Int32)
 	server := &http.Server{ConnState: tracker.record, Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		served.Add(1)
 		_, _ = io.WriteString(w, "ok")
 	})}
 	go func() { _ = server.Serve(tracker) }()
 	t.Cleanup(func() { _ = server.Close() })
+	return tracker, served
+}
 
+// Guards against a connection that is closed as idle while the first bytes of its next
+// request are being read, and whose request is served nevertheless: its caller gets no
+// answer. The request arrives in two parts, and idle connections are closed in between.
+func TestIdleConnectionIsNotClosedInsideRequest(t *testing.T) {
+	tracker, served := startTracked(t)
 	idle, inside := dialTracked(t, tracker), dialTracked(t, tracker)
 	for _, conn := range []net.Conn{idle, inside} {
 		exchange(t, conn, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
@@ -48,6 +54,16 @@
 	}
 }
 
+// Guards against a connection that was accepted, but whose request was not read yet, and
+// that is closed as idle: its caller gets no answer.
+func TestNewConnectionIsNotClosedAsIdle(t *testing.T) {
+	tracker, _ := startTracked(t)
+	conn := dialTracked(t, tracker)
+	await(t, "the connection is accepted", func() bool { return tracker.count(false) == 1 })
+	tracker.closeIdle()
+	exchange(t, conn, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+}
+
 // count returns the number of connections with, or without, a request.
 func (t *connTracker) count(busy bool) int {
 	n := 0
