--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -18,6 +18,9 @@
 		os.Exit(2)
 	}
 	switch os.Args[1] {
+	case "engine":
+		runEngine(os.Args[2:])
+		return
 	case "server":
 		runServer(os.Args[2:])
 		return
@@ -41,8 +44,9 @@
 }
 
 var cases = map[string]func(){
-	"unframed-answer": unframedAnswer,
-	"unframed-stream": unframedStream,
+	"spoiled-manifest": spoiledManifest,
+	"unframed-answer":  unframedAnswer,
+	"unframed-stream":  unframedStream,
 }
 
 // verdict ends the run.
@@ -60,13 +64,19 @@
 
 // noteServers records what the servers have run, by their own account.
 func noteServers() {
+	for name, log := range serverLogs() {
+		note("what server %s has run:\n%s", name, strings.TrimSpace(log))
+	}
+}
+
+// serverLogs returns the output of the servers by their names.
+func serverLogs() map[string]string {
+	logs := map[string]string{}
 	files, _ := filepath.Glob(filepath.Join(folder, "i-*.log"))
 	for _, file := range files {
-		log, err := os.ReadFile(file)
-		if err != nil {
-			continue
+		if log, err := os.ReadFile(file); err == nil {
+			logs[strings.TrimSuffix(filepath.Base(file), ".log")] = string(log)
 		}
-		name := strings.TrimSuffix(filepath.Base(file), ".log")
-		note("what server %s has run:\n%s", name, strings.TrimSpace(string(log)))
 	}
+	return logs
 }
--- a/review/harness/server.go
+++ b/review/harness/server.go
@@ -33,7 +33,8 @@
 //
 //	/lookup/...  a body of --size bytes in three parts over --work
 //	/stream/...  --events events, one each --gap
-//	/quick/...   a short body with a length; the channel is kept
+//	/quick/...   a short body with a length, after 30 ms; the channel is kept
+//	/order/...   the same after --work
 func runServer(args []string) {
 	set := flag.NewFlagSet("server", flag.ExitOnError)
 	address := set.String("address", "", "")
@@ -97,7 +98,11 @@
 			s.lookup(c, head, id)
 			return
 		}
-		time.Sleep(30 * time.Millisecond)
+		if strings.HasPrefix(r.URL.Path, "/order/") {
+			time.Sleep(s.work)
+		} else {
+			time.Sleep(30 * time.Millisecond)
+		}
 		body := wholeBody(s.id, id, 100)
 		fmt.Fprintf(c, "%sContent-Length: %d\r\n\r\n%s", head, len(body), body)
 	}
--- a/review/harness/unframed.go
+++ b/review/harness/unframed.go
@@ -33,7 +33,7 @@
 	}
 	return map[string]any{
 		"version":  version,
-		"routes":   []any{route("lookup", "/lookup/", "idempotent", false), route("quick", "/quick/", "idempotent", false), route("stream", "/stream/", "streaming", true)},
+		"routes":   []any{route("lookup", "/lookup/", "idempotent", false), route("quick", "/quick/", "idempotent", false), route("order", "/order/", "non_idempotent", false), route("stream", "/stream/", "streaming", true)},
 		"services": []any{map[string]any{"name": "desk", "health-path": "/health", "connection-limit": 192, "protocol": "h1", "tls": false}},
 		"limits":   map[string]any{"max-header-bytes": 16384, "max-body-bytes": 4194304, "header-timeout-ms": 3000, "idle-timeout-ms": 15000},
 	}
