--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -45,6 +45,7 @@
 
 var cases = map[string]func(){
 	"spoiled-manifest": spoiledManifest,
+	"planned-stop":     plannedStop,
 	"unframed-answer":  unframedAnswer,
 	"unframed-stream":  unframedStream,
 }
--- a/review/harness/server.go
+++ b/review/harness/server.go
@@ -32,7 +32,7 @@
 // own channel, in parts and without a length: the answer ends with its channel.
 //
 //	/lookup/...  a body of --size bytes in three parts over --work
-//	/stream/...  --events events, one each --gap
+//	/stream/...  --events events, or as many as the path says, one each --gap
 //	/quick/...   a short body with a length, after 30 ms; the channel is kept
 //	/order/...   the same after --work
 func runServer(args []string) {
@@ -92,7 +92,7 @@
 		head := fmt.Sprintf("HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\nX-Response-Signature: %s.%d.%s\r\n", id, s.id, s.born, id)
 		switch {
 		case strings.HasPrefix(r.URL.Path, "/stream/"):
-			s.stream(c, head, id, r.Header.Get("Last-Event-Id"))
+			s.stream(c, head, id, r.URL.Path, r.Header.Get("Last-Event-Id"))
 			return
 		case strings.HasPrefix(r.URL.Path, "/lookup/"):
 			s.lookup(c, head, id)
@@ -121,18 +121,22 @@
 }
 
 // stream sends the events after the last one that the caller has, without a length.
-func (s *server) stream(c net.Conn, head, id, last string) {
+func (s *server) stream(c net.Conn, head, id, path, last string) {
+	events := s.events
+	if parts := strings.Split(path, "/"); len(parts) == 5 {
+		fmt.Sscan(parts[3], &events)
+	}
 	first := 1
 	if n := 0; last != "" {
 		fmt.Sscan(last, &n)
 		first = n + 1
 	}
 	io.WriteString(c, head+"Content-Type: text/event-stream\r\nConnection: close\r\n\r\n")
-	for i := first; i <= s.events; i++ {
+	for i := first; i <= events; i++ {
 		time.Sleep(s.gap)
 		if _, err := io.WriteString(c, event(id, i)); err != nil {
 			return
 		}
 	}
-	fmt.Printf("%s has answered %s, up to event %d\n", s.id, id, s.events)
+	fmt.Printf("%s has answered %s, up to event %d\n", s.id, id, events)
 }
