Refuse late streams in a planned stop unless their deadline is in time

Cause: a repeatable request was passed on if the longest recent duration of its route fitted in. Earlier durations don't bound a later one: usual streams have 12 events, these had 40. Once a response has begun it can only be broken off.

TestPlannedStopBreaksOffNoLateStream without the change: 4 of 4 streams sent 2.1 s after the signal got an unexpected EOF (grace 4 s).

Change: a stream that arrives when idle connections are closed, or later, needs a deadline before the last answers; others are refused as not run. Responses that are buffered can still be replaced by a complete answer, so they go by durations as before.

--- a/internal/entry/forward/stop.go
+++ b/internal/entry/forward/stop.go
@@ -6,6 +6,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/mulberryspool/mulberryspool"
 	"github.com/mulberryspool/mulberryspool/internal/entry/gracefulstop"
 )
 
@@ -64,7 +65,11 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.stop.Accepts(gracefulstop.Request{Route: q.route.Name, Deadline: q.deadline, Repeatable: q.retryable()}, q.handler.Clock.Now())
+	r := gracefulstop.Request{
+		Route: q.route.Name, Deadline: q.deadline, ArrivedAt: q.arrivedAt,
+		Repeatable: q.retryable(), Stream: q.route.Kind == mulberryspool.Streaming,
+	}
+	return s.stop.Accepts(r, q.handler.Clock.Now())
 }
 
 // arrive records a request in flight. The returned function records its end.
--- a/internal/entry/gracefulstop/stop.go
+++ b/internal/entry/gracefulstop/stop.go
@@ -7,7 +7,8 @@
 // The load pattern: the platform takes the entry out of rotation within seconds, and
 // callers go on to use their open connections. A request that is passed on and can't end
 // before the process does is lost, and one that may not be repeated is lost for good. So
-// it is refused as not run while there is another entry to go to.
+// it is refused as not run while there is another entry to go to. A stream that takes longer
+// than all before it, or whose backend server pauses, is broken off if it was passed on late.
 //
 // A Stop does no I/O and reads no clock. It must be used by one goroutine at a time.
 package gracefulstop
@@ -64,8 +65,13 @@
 		Route string
 		// Deadline is when the request ends in any case.
 		Deadline time.Time
+		// ArrivedAt is when it arrived, also if it is passed on once more.
+		ArrivedAt time.Time
 		// Repeatable requests may be sent again after they were broken off.
 		Repeatable bool
+		// Stream is set if the response is passed on as it arrives, so that one that has
+		// begun can only be broken off.
+		Stream bool
 	}
 )
 
@@ -99,7 +105,9 @@
 	}
 }
 
-// Accepts reports whether a request can end before the last answers are written.
+// Accepts reports whether a request can end before the last answers are written. What the
+// durations of earlier requests promise is not certain, so streams that arrive when idle
+// connections are closed, or later, need a deadline before that.
 func (s *Stop) Accepts(r Request, now time.Time) bool {
 	if s.beganAt.IsZero() {
 		return true
@@ -108,8 +116,11 @@
 	if !r.Deadline.After(end) {
 		return true
 	}
+	if !r.Repeatable || r.Stream && !r.ArrivedAt.Before(s.CloseIdleBy()) {
+		return false
+	}
 	longest := s.longest(r.Route, now)
-	if !r.Repeatable || longest == 0 {
+	if longest == 0 {
 		return false
 	}
 	expected := time.Duration(durationFactor*float64(longest)) + durationMargin
--- a/internal/entry/gracefulstop/stop_test.go
+++ b/internal/entry/gracefulstop/stop_test.go
@@ -47,6 +47,32 @@
 	}
 }
 
+// Guards against streams that are passed on late in a stop because earlier ones were short,
+// and are then broken off at its end.
+func TestLateStreamNeedsDeadlineWithinStop(t *testing.T) {
+	const grace, timeout = 8 * time.Second, 6 * time.Second
+	s := Stop{Grace: grace}
+	s.End(s.Arrive("r", start), true, start.Add(100*time.Millisecond))
+	begin := start.Add(time.Second)
+	s.Begin(begin)
+	for at := time.Duration(0); at < grace; at += 50 * time.Millisecond {
+		now := begin.Add(at)
+		late := !now.Before(s.CloseIdleBy())
+		r := Request{Route: "r", Deadline: now.Add(timeout), ArrivedAt: now, Repeatable: true, Stream: true}
+		if got := s.Accepts(r, now); got == late {
+			t.Errorf("stream that arrives %v after the signal: accepted %t", at, got)
+		}
+		r.Deadline = s.AnswerBy()
+		if !s.Accepts(r, now) {
+			t.Errorf("stream that arrives %v after the signal is refused although its deadline is in time", at)
+		}
+		r.Deadline, r.ArrivedAt = now.Add(timeout), begin
+		if got, left := s.Accepts(r, now), s.AnswerBy().Sub(now); !got && left > time.Second {
+			t.Errorf("stream that arrived in time is not passed on once more with %v left", left)
+		}
+	}
+}
+
 // Guards against requests that are passed on although those in flight show that the
 // backend servers have just become slow.
 func TestRequestsInFlightShowSlowServers(t *testing.T) {
--- a/internal/integration/hostedstop_test.go
+++ b/internal/integration/hostedstop_test.go
@@ -77,6 +77,43 @@
 	}
 }
 
+// Guards against streams that are passed on late in a planned stop, because those before them
+// were shorter, and are broken off at its end. Their callers use connections that were busy
+// when idle ones were closed.
+func TestPlannedStopBreaksOffNoLateStream(t *testing.T) {
+	const (
+		grace   = 4 * time.Second
+		timeout = 3 * time.Second
+		callers = 4
+	)
+	s := &hostedsystem.System{Builder: &builder, GracefulStop: grace, Timeout: timeout, Entries: 1, Backends: 2}
+	s.Start(t)
+	e := s.Members[0]
+	usual := hostedsystem.NewCaller(timeout, true)
+	for range 3 {
+		usual.Do(hostedsystem.Call{URL: e.URL, Prefix: hostedsystem.StreamPrefix, Take: 200 * time.Millisecond, Events: 12})
+	}
+	usual.Wait()
+	results := make(chan hostedsystem.Result)
+	for range callers {
+		go func() {
+			c := hostedsystem.NewCaller(timeout, true)
+			c.Do(hostedsystem.Call{URL: e.URL, Prefix: hostedsystem.OrderPrefix, Take: 2200 * time.Millisecond})
+			results <- c.Do(hostedsystem.Call{URL: e.URL, Prefix: hostedsystem.StreamPrefix, Take: 1500 * time.Millisecond, Events: 12})
+		}()
+	}
+	time.Sleep(100 * time.Millisecond)
+	stoppedAt := time.Now()
+	if err := e.Process.Signal(syscall.SIGTERM); err != nil {
+		t.Fatal(err)
+	}
+	for range callers {
+		if r := <-results; r.Status == http.StatusOK && !r.Complete {
+			t.Errorf("%s sent %v after the signal was passed on and broken off: %v", r.Call.Prefix, r.SentAt.Sub(stoppedAt), r.Err)
+		}
+	}
+}
+
 // checkStop checks the results. If backend servers have become slow in the stop, streams may
 // be broken off at its end, but not end as complete.
 func checkStop(t *testing.T, s *hostedsystem.System, results []hostedsystem.Result, stoppedAt time.Time, slow bool) {
