Never order a version whose manifest the agent has dropped

Cause: an agent that had started anew noted an older version as staged, then dropped its manifest when the model server turned out to serve a newer one, by an order of its earlier incarnation. When that server crashed, the agent ordered the older version. Without a manifest there were no pieces to check, so the order went out, for staged pieces of the newer version.

Evidence: TestUnknownVersionIsNotLoaded, a real agent beside stand-ins.

Change: the note goes with the manifest, a transfer that ends later does not set it again, and ensureUploaded fails without a manifest.

--- /dev/null
+++ b/internal/integration/hostedweights_test.go
@@ -0,0 +1,177 @@
+package integration
+
+import (
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/mulberryspool/mulberryspool/internal/testkit/hostedagents"
+)
+
+var (
+	weightsSeeds = flag.Int("weights-seeds", 1, "seeds of TestAgentsLoadOnlyWholeVersions")
+	weightsSeed  = flag.Uint64("weights-seed", 1, "first seed of TestAgentsLoadOnlyWholeVersions")
+)
+
+// Guards against model servers that are ordered to load pieces that are missing, spoilt or of
+// another version, while agents are killed, model servers crash, lose their staged pieces,
+// stand still or delay writes, and pieces and what the origin sends are spoilt; and against servers that never get the last version.
+// A long run has -weights-seeds=50.
+func TestAgentsLoadOnlyWholeVersions(t *testing.T) {
+	for seed := *weightsSeed; seed < *weightsSeed+uint64(*weightsSeeds); seed++ {
+		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) { playWeights(t, seed) })
+	}
+}
+
+// delayWrites holds some writes for longer than an agent waits for an answer.
+func delayWrites(method, _ string) time.Duration {
+	if method == http.MethodGet || rand.IntN(4) > 0 {
+		return 0
+	}
+	return time.Duration(rand.IntN(5000)) * time.Millisecond
+}
+
+func playWeights(t *testing.T, seed uint64) {
+	const (
+		playTime = 20 * time.Second
+		bound    = 4 * time.Second
+	)
+	random := rand.New(rand.NewPCG(seed, 0))
+	s := &hostedagents.System{Builder: &builder, Agents: 3, Bound: bound}
+	s.Start(t)
+	s.Origin.SetSpoil(func(call string, body []byte) []byte {
+		time.Sleep(time.Duration(rand.IntN(200)) * time.Millisecond)
+		if call == "piece" && rand.IntN(20) == 0 {
+			body[rand.IntN(len(body))]++
+		}
+		return body
+	})
+	version, nextVersion := int64(1), time.Now().Add(time.Second)
+	for began := time.Now(); time.Since(began) < playTime; {
+		time.Sleep(time.Duration(50+random.IntN(500)) * time.Millisecond)
+		if time.Now().After(nextVersion) {
+			version++
+			s.Name(version)
+			t.Logf("%.2f s: version %d is named", time.Since(began).Seconds(), version)
+			nextVersion = time.Now().Add(time.Duration(500+random.IntN(4500)) * time.Millisecond)
+		}
+		i := random.IntN(len(s.Machines))
+		m := s.Machines[i]
+		action := "crashes"
+		switch random.IntN(8) {
+		case 0:
+			m.Server.Crash()
+		case 1:
+			action = "agent is killed"
+			m.KillAgent()
+			m.StartAgent(t)
+		case 2:
+			action = "agent is killed and the model server crashes"
+			m.KillAgent()
+			m.StartAgent(t)
+			time.Sleep(time.Duration(random.IntN(500)) * time.Millisecond)
+			m.Server.Crash()
+		case 3:
+			action = "stands still"
+			m.Server.Pause()
+			time.AfterFunc(time.Duration(random.IntN(4000))*time.Millisecond, m.Server.Resume)
+		case 4:
+			action = "has spoilt pieces"
+			for range 3 {
+				m.Server.Spoil(random.IntN(24))
+			}
+		case 5:
+			action = "writes are delayed"
+			m.Server.SetDelay(delayWrites)
+			time.AfterFunc(time.Duration(random.IntN(2000))*time.Millisecond, func() { m.Server.SetDelay(nil) })
+		case 6:
+			action = "loses power and is back at once"
+			m.Server.LosePower()
+		default:
+			continue
+		}
+		t.Logf("%.2f s: machine %d: %s", time.Since(began).Seconds(), i, action)
+	}
+	s.Origin.SetSpoil(nil)
+	for deadline := time.Now().Add(30 * time.Second); ; time.Sleep(100 * time.Millisecond) {
+		behind := 0
+		for _, m := range s.Machines {
+			if m.Version() != version {
+				behind++
+			}
+		}
+		if behind == 0 {
+			break
+		}
+		if time.Now().After(deadline) {
+			t.Errorf("%d model servers have not loaded version %d 30 s after the last disruption", behind, version)
+			break
+		}
+	}
+	checkLoads(t, s)
+}
+
+// Guards against an order for a version of which the agent has no manifest any more, so that
+// it can't check the pieces. An earlier incarnation of the agent has sent the order for the
+// newer version.
+func TestUnknownVersionIsNotLoaded(t *testing.T) {
+	s := &hostedagents.System{Builder: &builder, Agents: 1, Bound: 8 * time.Second}
+	s.Start(t)
+	m := s.Machines[0]
+	awaitReads(t, m, 24)
+	s.Origin.SetNewest(2)
+	s.Origin.SetSpoil(func(_ string, body []byte) []byte {
+		time.Sleep(3 * time.Second)
+		return body
+	})
+	m.Load(t, 2, s.Origin.Piece)
+	awaitVersion(t, m, 2)
+	time.Sleep(time.Second)
+	m.Server.Crash()
+	time.Sleep(time.Second)
+	m.Server.SetDelay(nil)
+	awaitVersion(t, m, 2)
+	checkLoads(t, s)
+}
+
+// awaitReads waits until the agent has read so many staged pieces.
+func awaitReads(t *testing.T, m *hostedagents.Machine, count int64) {
+	t.Helper()
+	var reads atomic.Int64
+	m.Server.SetDelay(func(method, path string) time.Duration {
+		if method == http.MethodGet && strings.Contains(path, "stage-get") {
+			reads.Add(1)
+		}
+		return 0
+	})
+	for deadline := time.Now().Add(20 * time.Second); reads.Load() < count; time.Sleep(20 * time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatalf("the agent has read %d staged pieces, want %d", reads.Load(), count)
+		}
+	}
+}
+
+func awaitVersion(t *testing.T, m *hostedagents.Machine, version int64) {
+	t.Helper()
+	for deadline := time.Now().Add(30 * time.Second); m.Version() != version; time.Sleep(20 * time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatalf("model server has not loaded version %d after 30 s", version)
+		}
+	}
+}
+
+func checkLoads(t *testing.T, s *hostedagents.System) {
+	t.Helper()
+	for i, m := range s.Machines {
+		for _, load := range m.Server.Loads() {
+			if len(load.Wrong) > 0 {
+				t.Errorf("machine %d was ordered at %s to load version %d with wrong pieces %v", i, load.At.Format("15:04:05.000"), load.Version, load.Wrong)
+			}
+		}
+	}
+}
--- a/internal/role/hosted/agentloop.go
+++ b/internal/role/hosted/agentloop.go
@@ -240,7 +240,7 @@
 		Int("kept", kept).Int64("originBytes", p.OriginBytes).Int64("regionBytes", p.RegionBytes).Int64("peerBytes", p.PeerBytes).
 		Msg("version is staged")
 	a.mu.Lock()
-	if version > a.staged {
+	if _, ok := a.manifests[version]; ok && version > a.staged {
 		a.staged, a.stagedAt = version, a.clock.Now()
 	}
 	if a.fetching == version {
@@ -333,9 +333,13 @@
 }
 
 // retainServed fetches the served version unless it is staged, so that the
-// agents of new servers can get it from this one, and drops older versions.
+// agents of new servers can get it from this one, and drops older versions. The
+// staged version is an older one if an earlier incarnation ordered the served one.
 func (a *agentRole) retainServed(ctx context.Context, model string, served int64) {
 	a.mu.Lock()
+	if a.staged < served {
+		a.staged = 0
+	}
 	done := a.staged >= served || a.fetching > 0
 	var old []mulberryspool.Manifest
 	for version, m := range a.manifests {
--- a/internal/role/hosted/agentupload.go
+++ b/internal/role/hosted/agentupload.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/mulberryspool/mulberryspool"
 	"github.com/mulberryspool/mulberryspool/internal/agent/bitset"
 	"github.com/mulberryspool/mulberryspool/internal/observe/logging"
@@ -88,8 +90,11 @@
 // pieces may become corrupt and the model server does not check them.
 func (a *agentRole) ensureUploaded(ctx context.Context, model string, version int64) (int, error) {
 	a.mu.Lock()
-	m := a.manifests[version]
+	m, ok := a.manifests[version]
 	a.mu.Unlock()
+	if !ok {
+		return 0, mulberryspool.AtStep(errors.Wrapf(mulberryspool.ErrNotFound, "manifest of version %d", version), "check pieces", "")
+	}
 	replaced := 0
 	for i, c := range m.Chunks {
 		if _, err := a.readStagedPiece(ctx, model, m, i); err == nil {
--- /dev/null
+++ b/internal/standin/pieceorigin/server.go
@@ -0,0 +1,109 @@
+// Package pieceorigin stands in for the platform's origin of weights, which sends manifests
+// and pieces of the two newest versions and may spoil what it sends.
+package pieceorigin
+
+import (
+	"crypto/sha256"
+	"encoding/binary"
+	"encoding/hex"
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"sync"
+)
+
+type (
+	// Server is the stand-in. Set the exported fields before the first call.
+	Server struct {
+		// Model is the name of the only model.
+		Model string
+		// Pieces is the number of pieces of a version, and PieceBytes their size.
+		Pieces, PieceBytes int
+		// Spoil changes the bytes of an answer; nil for never. Set it with SetSpoil while
+		// the server runs.
+		spoil func(call string, body []byte) []byte
+
+		mu     sync.Mutex
+		newest int64
+	}
+
+	manifest struct {
+		Model   string   `json:"model"`
+		Version int64    `json:"version"`
+		Bytes   int      `json:"chunk-bytes"`
+		Layers  int      `json:"layers"`
+		Digests []string `json:"digests"`
+	}
+)
+
+// SetNewest sets the newest version.
+func (s *Server) SetNewest(version int64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.newest = version
+}
+
+// SetSpoil sets what changes the bytes of answers; nil for nothing.
+func (s *Server) SetSpoil(spoil func(call string, body []byte) []byte) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.spoil = spoil
+}
+
+// Piece returns a piece. No two are the same.
+func (s *Server) Piece(version int64, index int) []byte {
+	data := make([]byte, s.PieceBytes)
+	for at := 0; at+16 <= len(data); at += 16 {
+		binary.BigEndian.PutUint64(data[at:], uint64(version))
+		binary.BigEndian.PutUint64(data[at+8:], uint64(index)<<32|uint64(at))
+	}
+	return data
+}
+
+// ServeHTTP implements http.Handler.
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	version, newest, spoil := s.newest, s.newest, s.spoil
+	s.mu.Unlock()
+	query := r.URL.Query()
+	if v, err := strconv.ParseInt(query.Get("version"), 10, 64); err == nil {
+		version = v
+	}
+	index, _ := strconv.Atoi(query.Get("sample-count"))
+	if version <= newest-2 {
+		w.WriteHeader(http.StatusGone)
+		return
+	}
+	var body []byte
+	call := "manifest"
+	switch {
+	case version < 1 || version > newest || index < 0 || index >= s.Pieces:
+	case r.URL.Path == "/v1/manifest/"+s.Model:
+		body = s.manifest(version)
+	case r.URL.Path == "/v1/piece/"+s.Model:
+		call = "piece"
+		body = s.Piece(version, index)
+	}
+	if body == nil {
+		w.WriteHeader(http.StatusNotFound)
+		return
+	}
+	if spoil != nil {
+		body = spoil(call, body)
+	}
+	_, _ = w.Write(body)
+}
+
+func (s *Server) manifest(version int64) []byte {
+	m := manifest{Model: s.Model, Version: version, Bytes: s.PieceBytes, Layers: 16}
+	for i := range s.Pieces {
+		sum := sha256.Sum256(s.Piece(version, i))
+		m.Digests = append(m.Digests, hex.EncodeToString(sum[:]))
+	}
+	body, err := json.Marshal(m)
+	if err != nil {
+		// The fields are plain strings and numbers, so this is a programming error.
+		panic(err)
+	}
+	return body
+}
