Order a load only if the checked pieces are those of this incarnation

Cause: the failed read counts as a missing piece, which is staged again, and the order is bound only to the server's count of orders, which begins at 0 in each incarnation.

Evidence: TestPiecesAreCheckedInOneIncarnation, a real agent beside stand-ins.

Change: the report is read once more between the check and the order, and has to show the same incarnation and count, and no load in progress.

--- a/internal/integration/hostedweights_test.go
+++ b/internal/integration/hostedweights_test.go
@@ -116,6 +116,26 @@
 	checkLoads(t, s)
 }
 
+// Guards against an order to a new incarnation of a model server that lacks the pieces that
+// were checked at the earlier one.
+func TestPiecesAreCheckedInOneIncarnation(t *testing.T) {
+	s := &hostedagents.System{Builder: &builder, Agents: 1, Bound: time.Second}
+	s.Start(t)
+	m := s.Machines[0]
+	var reads atomic.Int64
+	m.Server.SetDelay(func(method, path string) time.Duration {
+		// The agent reads the pieces of version 2 that it has staged once more before it
+		// orders the load.
+		if method == http.MethodGet && strings.Contains(path, "stage-get") && m.Server.Holds(2) && reads.Add(1) == 10 {
+			m.Server.LosePower()
+		}
+		return 0
+	})
+	s.Name(2)
+	awaitVersion(t, m, 2)
+	checkLoads(t, s)
+}
+
 // Guards against an order for a version of which the agent has no manifest any more, so that
 // it can't check the pieces. An earlier incarnation of the agent has sent the order for the
 // newer version.
--- a/internal/role/hosted/agentupload.go
+++ b/internal/role/hosted/agentupload.go
@@ -64,9 +64,11 @@
 	a.logger.Info().Str(logging.FieldStep, "upload pieces").Int64("staged", version).Int("piecesReplaced", replaced).Msg("pieces are uploaded to the model server")
 }
 
-// orderLoad verifies the pieces at the model server and orders it to load them.
+// orderLoad verifies the pieces at the model server and orders it to load them. What was
+// verified holds for one incarnation of the model server, whose count of orders may be the
+// same as that of the next one.
 func (a *agentRole) orderLoad(ctx context.Context, model string, version int64) {
-	began := a.clock.Now()
+	began, before := a.clock.Now(), a.engineState
 	replaced, err := a.ensureUploaded(ctx, model, version)
 	if err != nil {
 		a.logger.Warn().EmbedObject(logging.Fields{}.WithStep(err)).Err(err).Int64("ordered", version).Msg("pieces at the model server could not be verified")
@@ -74,6 +76,14 @@
 	}
 	a.uploaded = version
 	checked := a.clock.Since(began)
+	if !a.readEngineState(ctx, model) {
+		return
+	}
+	if a.engineState.Born != before.Born || a.engineState.Orders != before.Orders || a.engineState.Loading {
+		a.logger.Info().Str(logging.FieldStep, "order").Int64("ordered", version).Int64("bornBefore", before.Born).Int64("born", a.engineState.Born).
+			Int64("ordersBefore", before.Orders).Int64("orders", a.engineState.Orders).Msg("model server has changed while its pieces were verified, not ordered")
+		return
+	}
 	err = a.engine.LoadStaged(ctx, model, version, a.engineState.Orders)
 	e := a.logger.Info()
 	if err != nil {
