Check pieces again if the check is old when a load is ordered

Cause: the order follows the check, however long ago that was.

Evidence: TestPausedAgentChecksPiecesAgain, a real agent beside stand-ins.

Change: the time from the first read of the check to the report after it is measured, and the check repeated if it is over 2 s, at most twice: a model server that always takes longer would never serve otherwise.

--- a/internal/integration/hostedweights_test.go
+++ b/internal/integration/hostedweights_test.go
@@ -136,6 +136,26 @@
 	checkLoads(t, s)
 }
 
+// Guards against an agent that was paused between the check of the pieces and its order, and
+// orders pieces that have turned bad long before.
+func TestPausedAgentChecksPiecesAgain(t *testing.T) {
+	s := &hostedagents.System{Builder: &builder, Agents: 1, Bound: time.Second}
+	s.Start(t)
+	m := s.Machines[0]
+	var reads atomic.Int64
+	m.Server.SetDelay(func(method, path string) time.Duration {
+		if method == http.MethodGet && strings.Contains(path, "stage-get") && m.Server.Holds(2) && reads.Add(1) == 24 {
+			// The answer is that of the piece before.
+			time.AfterFunc(50*time.Millisecond, func() { m.Server.Spoil(3) })
+			m.PauseAgent(t, 4*time.Second)
+		}
+		return 0
+	})
+	s.Name(2)
+	awaitVersion(t, m, 2)
+	checkLoads(t, s)
+}
+
 // Guards against an order for a version of which the agent has no manifest any more, so that
 // it can't check the pieces. An earlier incarnation of the agent has sent the order for the
 // newer version.
--- a/internal/role/hosted/agentupload.go
+++ b/internal/role/hosted/agentupload.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -10,6 +11,22 @@
 	"github.com/mulberryspool/mulberryspool/internal/observe/logging"
 )
 
+const (
+	// maxCheckAge is how old the check of the first piece may be when the load is
+	// ordered. Pieces turn bad while the agent or the model server stands still.
+	maxCheckAge = 2 * time.Second
+	// maxChecks is the number of checks in a row after which a load is ordered although
+	// the last check took longer, because the model server would never serve otherwise.
+	maxChecks = 3
+)
+
+// pieceCheck is a check of all pieces at the model server.
+type pieceCheck struct {
+	// replaced is the number of pieces that were missing or wrong.
+	replaced int
+	took     time.Duration
+}
+
 // setUplinkRate limits uploads to other agents. While the model server serves,
 // they leave uplinkLiveShare of the link to its events, else they use
 // idleUplinkShare of it. The limiter always reserves uplinkLiveShare, so that the
@@ -64,37 +81,48 @@
 	a.logger.Info().Str(logging.FieldStep, "upload pieces").Int64("staged", version).Int("piecesReplaced", replaced).Msg("pieces are uploaded to the model server")
 }
 
-// orderLoad verifies the pieces at the model server and orders it to load them. What was
-// verified holds for one incarnation of the model server, whose count of orders may be the
-// same as that of the next one.
+// orderLoad verifies the pieces at the model server and orders it to load them.
 func (a *agentRole) orderLoad(ctx context.Context, model string, version int64) {
-	began, before := a.clock.Now(), a.engineState
-	replaced, err := a.ensureUploaded(ctx, model, version)
-	if err != nil {
-		a.logger.Warn().EmbedObject(logging.Fields{}.WithStep(err)).Err(err).Int64("ordered", version).Msg("pieces at the model server could not be verified")
-		return
+	var check pieceCheck
+	for i := 0; i == 0 || check.took > maxCheckAge && i < maxChecks; i++ {
+		var err error
+		check, err = a.checkPieces(ctx, model, version)
+		if err != nil {
+			a.logger.Warn().EmbedObject(logging.Fields{}.WithStep(err)).Err(err).Int64("ordered", version).Msg("pieces at the model server could not be verified")
+			return
+		}
 	}
 	a.uploaded = version
-	checked := a.clock.Since(began)
-	if !a.readEngineState(ctx, model) {
-		return
-	}
-	if a.engineState.Born != before.Born || a.engineState.Orders != before.Orders || a.engineState.Loading {
-		a.logger.Info().Str(logging.FieldStep, "order").Int64("ordered", version).Int64("bornBefore", before.Born).Int64("born", a.engineState.Born).
-			Int64("ordersBefore", before.Orders).Int64("orders", a.engineState.Orders).Msg("model server has changed while its pieces were verified, not ordered")
-		return
-	}
-	err = a.engine.LoadStaged(ctx, model, version, a.engineState.Orders)
+	err := a.engine.LoadStaged(ctx, model, version, a.engineState.Orders)
 	e := a.logger.Info()
 	if err != nil {
 		e = a.logger.Warn().EmbedObject(logging.Fields{}.WithStep(err)).Err(err)
 	}
 	e.Str(logging.FieldStep, "order").Int64("before", a.servedVersion(model)).Int64("ordered", version).Int64("expect", a.engineState.Orders).
-		Int("piecesReplaced", replaced).Dur("checking", checked).Int("running", a.engineState.Running).Msg("model server was ordered to load")
+		Int("piecesReplaced", check.replaced).Dur("checking", check.took).Int("running", a.engineState.Running).Msg("model server was ordered to load")
 	// The next read of the state says whether the order was accepted.
 	a.engineState.Loading = true
 }
 
+// checkPieces makes the model server hold the pieces of a version. It fails if the model
+// server has changed meanwhile: the pieces that were read first may be gone, and the count
+// of orders of a new incarnation may be the same as that of the one before.
+func (a *agentRole) checkPieces(ctx context.Context, model string, version int64) (pieceCheck, error) {
+	began, before := a.clock.Now(), a.engineState
+	replaced, err := a.ensureUploaded(ctx, model, version)
+	if err != nil {
+		return pieceCheck{}, err
+	}
+	if !a.readEngineState(ctx, model) {
+		return pieceCheck{}, mulberryspool.AtStep(mulberryspool.ErrUnavailable, "read report", a.settings.Backend)
+	}
+	if now := a.engineState; now.Born != before.Born || now.Orders != before.Orders || now.Loading {
+		return pieceCheck{}, mulberryspool.AtStep(errors.Wrapf(mulberryspool.ErrConflict, "model server was incarnation %d with %d orders, is %d with %d, loading %t",
+			before.Born, before.Orders, now.Born, now.Orders, now.Loading), "check pieces", a.settings.Backend)
+	}
+	return pieceCheck{replaced: replaced, took: a.clock.Since(began)}, nil
+}
+
 // ensureUploaded makes the model server hold the pieces of a version and returns
 // how many it replaced. Each piece is read back and verified, because staged
 // pieces may become corrupt and the model server does not check them.
--- a/internal/testkit/hostedagents/system.go
+++ b/internal/testkit/hostedagents/system.go
@@ -140,6 +140,14 @@
 	<-m.Agent.Done()
 }
 
+// PauseAgent stops the agent's process for a while.
+func (m *Machine) PauseAgent(t testing.TB, d time.Duration) {
+	if err := m.Agent.Signal(syscall.SIGSTOP); err != nil {
+		t.Error(err)
+	}
+	time.AfterFunc(d, func() { _ = m.Agent.Signal(syscall.SIGCONT) })
+}
+
 // Load stages a version and orders the model server to load it, as an earlier incarnation of
 // the agent.
 func (m *Machine) Load(t testing.TB, version int64, piece func(version int64, index int) []byte) {
