Hold back other versions while an earlier write may still take effect

Cause: a write without an answer was taken for one that failed. While the order for version 2 waited, the report said that nothing loads, and the agent uploaded pieces of version 3 over those of version 2. The order still fitted. By the same cause, a piece that is late may replace one of the next version, and an agent that was killed may have sent either.

Evidence: TestLateOrderLoadsNoMixture, a real agent beside stand-ins.

--- a/engine.go
+++ b/engine.go
@@ -107,7 +107,8 @@
 	}
 
 	// StagedEngine is a model engine that loads content that was staged on its
-	// machine before. It checks neither the staged content nor who staged it.
+	// machine before. It checks neither the staged content nor who staged it. Stage and
+	// LoadStaged fail with ErrUncertain if they may still take effect.
 	StagedEngine interface {
 		State(ctx context.Context) (EngineState, error)
 		// Stage writes a piece of a model's staged content.
--- a/internal/integration/hostedweights_test.go
+++ b/internal/integration/hostedweights_test.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net/http"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -116,6 +117,29 @@
 	checkLoads(t, s)
 }
 
+// Guards against pieces of a newer version that replace those of an order whose answer is
+// late: the model server accepts it afterwards and loads a mixture.
+func TestLateOrderLoadsNoMixture(t *testing.T) {
+	s := &hostedagents.System{Builder: &builder, Agents: 1, Bound: 8 * time.Second}
+	s.Start(t)
+	m := s.Machines[0]
+	var once sync.Once
+	m.Server.SetDelay(func(method, _ string) time.Duration {
+		if method != http.MethodPost {
+			return 0
+		}
+		once.Do(func() { s.Name(3) })
+		for deadline := time.Now().Add(6 * time.Second); m.Server.Holds(2) && time.Now().Before(deadline); {
+			time.Sleep(time.Millisecond)
+		}
+		return 0
+	})
+	m.Server.Crash()
+	s.Name(2)
+	awaitVersion(t, m, 3)
+	checkLoads(t, s)
+}
+
 // Guards against an order to a new incarnation of a model server that lacks the pieces that
 // were checked at the earlier one.
 func TestPiecesAreCheckedInOneIncarnation(t *testing.T) {
--- a/internal/role/hosted/agent.go
+++ b/internal/role/hosted/agent.go
@@ -15,6 +15,7 @@
 	"github.com/mulberryspool/mulberryspool"
 	"github.com/mulberryspool/mulberryspool/internal/agent/bitset"
 	"github.com/mulberryspool/mulberryspool/internal/agent/fetch"
+	"github.com/mulberryspool/mulberryspool/internal/agent/latewrites"
 	"github.com/mulberryspool/mulberryspool/internal/agent/swap"
 	"github.com/mulberryspool/mulberryspool/internal/agent/swarm"
 	"github.com/mulberryspool/mulberryspool/internal/entry/quarantine"
@@ -135,6 +136,8 @@
 		// server has.
 		uploadedPieces bitset.Set
 		uploading      int64
+		// lateWrites decides which versions may be written to the model server.
+		lateWrites latewrites.Guard
 		// nextNewestQuery is the earliest time of the next query for the origin's
 		// newest version.
 		nextNewestQuery time.Time
@@ -174,6 +177,10 @@
 		process: p, wakeup: make(chan struct{}, 1), manifests: make(map[int64]mulberryspool.Manifest),
 		uplink: &chunks.LinkLimiter{Clock: p.clock, BytesPerSecond: int64(s.Limits.Link), LiveShare: uplinkLiveShare},
 	}
+	if !s.FirstStart {
+		// An earlier incarnation of this agent may have sent one.
+		a.lateWrites.PieceLost(0)
+	}
 	a.decider = swap.Decider{Self: p.identity.Instance, Bound: s.Bounds.NamedVersion}
 	local := &http.Client{Timeout: engineTimeout, Transport: newTransport(2)}
 	a.engine = &platform.ModelServer{Address: s.Backend, HTTP: local}
--- a/internal/role/hosted/agentloop.go
+++ b/internal/role/hosted/agentloop.go
@@ -62,10 +62,16 @@
 	if !a.engineState.Loading {
 		a.uploadAvailable(ctx, model)
 	}
-	switch step.Action {
-	case swap.Upload:
+	late := a.lateWrites.Reorder()
+	switch {
+	case a.engineState.Loading:
+	case late != 0:
+		a.orderLoad(ctx, model, late)
+	case !a.lateWrites.Allows(step.Version):
+		a.logger.Debug().Str(logging.FieldStep, "write").Int64("version", step.Version).Msg("version is held back, an earlier write may still take effect")
+	case step.Action == swap.Upload:
 		a.uploadPieces(ctx, model, step.Version)
-	case swap.Load:
+	case step.Action == swap.Load:
 		a.orderLoad(ctx, model, step.Version)
 	}
 	if served > 0 && a.decider.Wanted() <= served {
@@ -73,7 +79,7 @@
 	}
 	a.reportServed(served, step.WakeAt)
 	pause := enginePollInterval
-	if a.engineState.Loading || step.Action != swap.Wait || a.isFetching() {
+	if a.engineState.Loading || step.Action != swap.Wait || a.isFetching() || a.lateWrites.Pending() {
 		pause = engineLoadPollInterval
 	}
 	if !step.WakeAt.IsZero() {
@@ -100,6 +106,7 @@
 			Int64("orders", state.Orders).Int("running", state.Running).Msg("model server state has changed")
 	}
 	a.engineState, a.engineReachable = state, true
+	a.lateWrites.ReportRead(state.Born, state.Orders, loadedVersion(state, model))
 	return true
 }
 
--- a/internal/role/hosted/agentupload.go
+++ b/internal/role/hosted/agentupload.go
@@ -46,7 +46,7 @@
 	version := max(a.fetching, a.staged)
 	m, ok := a.manifests[version]
 	a.mu.Unlock()
-	if !ok || version <= a.servedVersion(model) || a.uploaded == version {
+	if !ok || version <= a.servedVersion(model) || a.uploaded == version || !a.lateWrites.Allows(version) {
 		return
 	}
 	if a.uploading != version {
@@ -61,7 +61,7 @@
 		if !held {
 			continue
 		}
-		if err := a.engine.Stage(ctx, model, i, data); err != nil {
+		if err := a.stage(ctx, model, version, i, data); err != nil {
 			a.logger.Warn().EmbedObject(logging.Fields{Version: m.Version}.WithStep(err)).Err(err).Msg("piece could not be uploaded to the model server")
 			return
 		}
@@ -95,6 +95,11 @@
 	a.uploaded = version
 	err := a.engine.LoadStaged(ctx, model, version, a.engineState.Orders)
 	e := a.logger.Info()
+	if errors.Is(err, mulberryspool.ErrUncertain) {
+		a.lateWrites.OrderLost(version, a.engineState.Orders)
+	} else if err != nil {
+		a.lateWrites.OrderRefused(version)
+	}
 	if err != nil {
 		e = a.logger.Warn().EmbedObject(logging.Fields{}.WithStep(err)).Err(err)
 	}
@@ -123,6 +128,15 @@
 	return pieceCheck{replaced: replaced, took: a.clock.Since(began)}, nil
 }
 
+// stage writes a piece to the model server.
+func (a *agentRole) stage(ctx context.Context, model string, version int64, index int, data []byte) error {
+	err := a.engine.Stage(ctx, model, index, data)
+	if errors.Is(err, mulberryspool.ErrUncertain) {
+		a.lateWrites.PieceLost(version)
+	}
+	return err
+}
+
 // ensureUploaded makes the model server hold the pieces of a version and returns
 // how many it replaced. Each piece is read back and verified, because staged
 // pieces may become corrupt and the model server does not check them.
@@ -143,7 +157,7 @@
 			return replaced, mulberryspool.AtStep(mulberryspool.ErrNotFound, "read chunk", "")
 		}
 		replaced++
-		if err := a.engine.Stage(ctx, model, i, piece); err != nil {
+		if err := a.stage(ctx, model, version, i, piece); err != nil {
 			return replaced, err
 		}
 		if _, err := a.readStagedPiece(ctx, model, m, i); err != nil {
