Confirm the origin's newest version by a second read

Evidence: TestSpoiltNewestVersionIsNotBelieved. Before the change: versions 3 and 1 are believed instead of 2, and the spoilt manifests are kept. It was not seen with real agents.

Change: the manifest is read again by the version that it names, and believed if both reads are the same. The origin is asked only while no version is named and no server serves one, so the second read is rare.

--- a/internal/role/hosted/agentloop.go
+++ b/internal/role/hosted/agentloop.go
@@ -162,6 +162,9 @@
 	}
 	a.nextNewestQuery = now.Add(originNewestInterval)
 	m, version, err := a.origin.Newest(ctx, model)
+	if err == nil {
+		err = a.confirmManifest(ctx, model, version, m)
+	}
 	if err != nil {
 		a.logger.Info().EmbedObject(logging.Fields{}.WithStep(err)).Err(err).Msg("newest manifest could not be read from the origin")
 		return 0
@@ -172,6 +175,16 @@
 	return version
 }
 
+// confirmManifest reads the manifest of a version once more. One that was spoilt on its way
+// may name another version, for which there is nothing else to compare it with.
+func (a *agentRole) confirmManifest(ctx context.Context, model string, version int64, m mulberryspool.Manifest) error {
+	confirmed, err := a.origin.Manifest(ctx, model, version)
+	if err == nil && confirmed.Digest != m.Digest {
+		err = mulberryspool.AtStep(errors.Newf("two reads of the manifest of version %d differ", version), "confirm manifest", a.origin.Address())
+	}
+	return err
+}
+
 func (a *agentRole) swapView(served int64) swap.View {
 	p := a.fetcher.Progress()
 	a.mu.Lock()
