Give up a silent server's stream only if another server can take over

A sound server may now fall silent for a second or so and go on.

Cause: a stream was given up after 1.2 s without an event, and only then it was asked whether another attempt is possible. If the planned stop leaves no time for one, the retry budget is used up or the other servers have no room, the stream was broken off although its server would have gone on.

Evidence: TestStreamsOutlastSilenceOfServers, real processes, servers silent for 1.9 s.

Change: when a read times out, a place at another server and a retry are reserved; without both the attempt waits on until its deadline. Requests of which the caller has got nothing yet are given up as before, since they end with a complete answer.

--- a/internal/backend/httpconn/conn.go
+++ b/internal/backend/httpconn/conn.go
@@ -8,6 +8,7 @@
 	"math"
 	"net"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -38,6 +39,11 @@
 	// Conn is a connection to a backend server that carries one request and
 	// its answer at a time.
 	Conn struct {
+		// OnReadTimeout is called when a read has timed out. The read goes on if it
+		// returns true, for which it must have set a new read deadline; nil for never. It
+		// must not be set while a read is in progress.
+		OnReadTimeout func() bool
+
 		target  Target
 		pool    *Pool
 		netConn net.Conn
@@ -76,6 +82,9 @@
 		Head mulberryspool.AnswerHead
 	}
 
+	// patientReader reads from the connection. Readers above it don't go on after an error.
+	patientReader struct{ conn *Conn }
+
 	// answerBody is the body of an Answer. It replaces the one of net/http, whose
 	// Close reads the rest of the body, however long it is.
 	answerBody struct {
@@ -91,8 +100,21 @@
 }
 
 func newConn(netConn net.Conn, target Target, pool *Pool) *Conn {
-	headLimit := &io.LimitedReader{R: netConn, N: mulberryspool.MaxHeadBytes}
-	return &Conn{target: target, pool: pool, netConn: netConn, headLimit: headLimit, reader: bufio.NewReaderSize(headLimit, readBufferBytes)}
+	c := &Conn{target: target, pool: pool, netConn: netConn}
+	c.headLimit = &io.LimitedReader{R: patientReader{c}, N: mulberryspool.MaxHeadBytes}
+	c.reader = bufio.NewReaderSize(c.headLimit, readBufferBytes)
+	return c
+}
+
+// Read implements io.Reader.
+func (r patientReader) Read(buffer []byte) (int, error) {
+	c := r.conn
+	for {
+		n, err := c.netConn.Read(buffer)
+		if n > 0 || !errors.Is(err, os.ErrDeadlineExceeded) || c.OnReadTimeout == nil || c.interrupted.Load() || !c.OnReadTimeout() {
+			return n, err
+		}
+	}
 }
 
 // OpenTook returns how long it took to open the connection; false if it is reused.
--- a/internal/entry/forward/attempt.go
+++ b/internal/entry/forward/attempt.go
@@ -72,6 +72,8 @@
 		return resultUnknown, a.attributeOutcome(ctx, placement.Broken)
 	}
 	defer a.handler.Scheduler.OnGraceChange(a.renewStartDeadline)()
+	a.conn.OnReadTimeout = a.outlastSilence
+	defer func() { a.conn.OnReadTimeout = nil }()
 	if err := a.setStartDeadline(a.handler.Clock.Now().Add(a.readTimeout())); err != nil {
 		return a.handleLost(ctx, err)
 	}
@@ -144,6 +146,7 @@
 func (a *attempt) handleRejected(response *httpconn.Answer) (attemptResult, placement.Outcome) {
 	a.lastError = errors.Newf("backend server rejected the request with status %d without running it", response.StatusCode)
 	// The body is not needed; it is read so that the connection can be reused.
+	a.conn.OnReadTimeout = nil
 	err := a.setReadDeadline(a.handler.Clock.Now().Add(rejectedBodyTimeout))
 	var read int64
 	if err == nil {
--- a/internal/entry/forward/request.go
+++ b/internal/entry/forward/request.go
@@ -94,6 +94,8 @@
 		serverError *bufferedResponse
 		// stream is set once events were sent to the caller.
 		stream *stream
+		// takeover is what is reserved for the next attempt of a stream.
+		takeover takeover
 		// lastDecision is the last placement decision, queueTime the time that
 		// the request waited for it.
 		lastDecision placement.Decision
@@ -133,6 +135,7 @@
 		return
 	}
 	q.handler.Scheduler.RecordRequest(q.pool.Name)
+	defer q.releaseTakeover()
 	for {
 		admission := q.admit(ctx)
 		if admission.Verdict != quarantine.Send {
@@ -140,7 +143,7 @@
 			return
 		}
 		queuedAt := q.handler.Clock.Now()
-		decision := q.handler.Scheduler.Place(ctx, q.pool.Name, q.placementRequest(admission.Trial))
+		decision := q.place(ctx, admission.Trial)
 		q.lastDecision, q.queueTime = decision, q.handler.Clock.Since(queuedAt)
 		q.handler.Metrics.Timer("queue").Record(q.queueTime)
 		if q.incoming.Context().Err() != nil {
@@ -246,20 +249,29 @@
 // noRetryReason returns the reason why the request must not be sent again,
 // empty if it may be.
 func (q *request) noRetryReason() string {
+	reason := q.retryRefusal(q.sentCount, len(q.tried), q.mayHaveRun)
+	q.takeover.budgeted = false
+	return reason
+}
+
+// retryRefusal returns the reason why the request must not be sent again after it was sent to
+// some of the servers that were tried, empty if it may be. The retry is taken from the budget.
+func (q *request) retryRefusal(sentCount, triedCount int, mayHaveRun bool) string {
 	switch {
 	case q.handler.mustAnswer():
 		return codeStopping
-	case q.mayHaveRun && !q.retryable():
+	case mayHaveRun && !q.retryable():
 		return "notRepeatable"
-	case q.sentCount >= q.route.Attempts || len(q.tried) >= q.route.Attempts+maxUnreachable:
+	case sentCount >= q.route.Attempts || triedCount >= q.route.Attempts+maxUnreachable:
 		return "attemptsUsed"
 	case q.handler.Clock.Until(q.deadline) < minRetryTime:
 		return "noTimeLeft"
 	case !q.canEnd():
 		return codeStopping
-	case q.sentCount > 0 && !q.handler.Scheduler.AllowRetry(q.pool.Name):
+	case sentCount > 0 && !q.takeover.budgeted && !q.handler.Scheduler.AllowRetry(q.pool.Name):
 		return "repeatBudgetUsed"
 	}
+	q.takeover.budgeted = true
 	return ""
 }
 
--- a/internal/entry/forward/startdeadline.go
+++ b/internal/entry/forward/startdeadline.go
@@ -52,8 +52,14 @@
 // isOutdated reports whether an exchange timed out because its response did not
 // start before the backend server's version was out of date.
 func (a *attempt) isOutdated(err error) bool {
+	return isTimeout(err) && a.startOverdue()
+}
+
+// startOverdue reports whether the response has not started and the backend server's version
+// is out of date.
+func (a *attempt) startOverdue() bool {
 	by := a.startBy()
-	return isTimeout(err) && !a.promptRead && !by.IsZero() && !a.handler.Clock.Now().Before(by)
+	return !a.promptRead && !by.IsZero() && !a.handler.Clock.Now().Before(by)
 }
 
 // earlier returns the earlier time; a zero one does not count.
--- a/internal/integration/hostedodd_test.go
+++ b/internal/integration/hostedodd_test.go
@@ -15,7 +15,7 @@
 // nothing.
 func TestHostedEntriesFollowServersBesideOddEntries(t *testing.T) {
 	const timeout = 3 * time.Second
-	s := &hostedsystem.System{Builder: &builder, GracefulStop: 4 * time.Second, Timeout: timeout, Entries: 2, Backends: 2}
+	s := &hostedsystem.System{Builder: &builder, RepeatSlack: 200, GracefulStop: 4 * time.Second, Timeout: timeout, Entries: 2, Backends: 2}
 	s.Start(t)
 	for name, specification := range map[string]string{
 		"deep":       strings.Repeat("[", 300_000) + strings.Repeat("]", 300_000),
--- a/internal/integration/hostedstop_test.go
+++ b/internal/integration/hostedstop_test.go
@@ -31,7 +31,7 @@
 		"slow servers": {interval: 150 * time.Millisecond, slowdown: 4},
 	} {
 		t.Run(name, func(t *testing.T) {
-			s := &hostedsystem.System{Builder: &builder, GracefulStop: grace, Timeout: timeout, Entries: 1, Backends: 8}
+			s := &hostedsystem.System{Builder: &builder, RepeatSlack: 200, GracefulStop: grace, Timeout: timeout, Entries: 1, Backends: 8}
 			s.Start(t)
 			e := s.Members[0]
 			kept, fresh := hostedsystem.NewCaller(timeout, true), hostedsystem.NewCaller(timeout, false)
@@ -86,7 +86,7 @@
 		timeout = 3 * time.Second
 		callers = 4
 	)
-	s := &hostedsystem.System{Builder: &builder, GracefulStop: grace, Timeout: timeout, Entries: 1, Backends: 2}
+	s := &hostedsystem.System{Builder: &builder, RepeatSlack: 200, GracefulStop: grace, Timeout: timeout, Entries: 1, Backends: 2}
 	s.Start(t)
 	e := s.Members[0]
 	usual := hostedsystem.NewCaller(timeout, true)
@@ -114,6 +114,50 @@
 	}
 }
 
+// Guards against streams that are broken off because their backend servers are silent for a
+// while and go on, although the stream may not be sent to another one.
+func TestStreamsOutlastSilenceOfServers(t *testing.T) {
+	const (
+		grace, timeout = 8 * time.Second, 6 * time.Second
+		streams        = 20
+		take, pause    = 2400 * time.Millisecond, 1900 * time.Millisecond
+	)
+	for name, c := range map[string]struct {
+		stops bool
+		slack int
+	}{
+		"at the end of a planned stop": {true, 200},
+		"without a budget for repeats": {false, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := &hostedsystem.System{Builder: &builder, RepeatSlack: c.slack, GracefulStop: grace, Timeout: timeout, Entries: 1, Backends: 3}
+			s.Start(t)
+			e := s.Members[0]
+			call := hostedsystem.Call{URL: e.URL, Prefix: hostedsystem.StreamPrefix, Take: take, Events: 24}
+			caller := hostedsystem.NewCaller(timeout, true)
+			caller.Do(call)
+			if c.stops {
+				if err := e.Process.Signal(syscall.SIGTERM); err != nil {
+					t.Fatal(err)
+				}
+				time.Sleep(2500 * time.Millisecond)
+			}
+			for range streams {
+				caller.Go(call)
+			}
+			time.Sleep(take / 2)
+			for _, server := range s.Servers {
+				server.Pause(pause)
+			}
+			for _, r := range caller.Wait() {
+				if !r.Complete || r.Status != http.StatusOK {
+					t.Errorf("stream got status %d after %v, complete %t: %v", r.Status, r.Took, r.Complete, r.Err)
+				}
+			}
+		})
+	}
+}
+
 // checkStop checks the results. If backend servers have become slow in the stop, streams may
 // be broken off at its end, but not end as complete.
 func checkStop(t *testing.T, s *hostedsystem.System, results []hostedsystem.Result, stoppedAt time.Time, slow bool) {
--- a/internal/standin/backendserver/server.go
+++ b/internal/standin/backendserver/server.go
@@ -34,6 +34,8 @@
 		runs []Run
 		// slowdown multiplies the times of requests; 0 means 1.
 		slowdown float64
+		// pausedUntil is when the server writes again.
+		pausedUntil time.Time
 	}
 
 	// Run is an execution of a request.
@@ -52,6 +54,21 @@
 	s.slowdown = factor
 }
 
+// Pause makes the server write nothing for a while. What runs goes on afterwards.
+func (s *Server) Pause(d time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.pausedUntil = time.Now().Add(d)
+}
+
+// awaitResume returns false if the caller leaves while the server is paused.
+func (s *Server) awaitResume(r *http.Request) bool {
+	s.mu.Lock()
+	left := time.Until(s.pausedUntil)
+	s.mu.Unlock()
+	return left <= 0 || sleep(r, left)
+}
+
 // Runs returns the executions so far.
 func (s *Server) Runs() []Run {
 	s.mu.Lock()
@@ -78,7 +95,7 @@
 	complete := false
 	if events, err := strconv.Atoi(query.Get("events")); err == nil {
 		complete = s.stream(w, r, id, events, scaled(query.Get("head"), slowdown), take)
-	} else if sleep(r, take) {
+	} else if sleep(r, take) && s.awaitResume(r) {
 		_, err := fmt.Fprint(w, Answer(id))
 		complete = err == nil
 	}
@@ -97,6 +114,9 @@
 		return false
 	}
 	for n := last + 1; n <= events; n++ {
+		if !s.awaitResume(r) {
+			return false
+		}
 		if _, err := fmt.Fprintf(w, "id: %d\ndata: %s\n\n", n, Answer(id)); err != nil || controller.Flush() != nil {
 			return false
 		}
--- a/internal/testkit/hostedsystem/system.go
+++ b/internal/testkit/hostedsystem/system.go
@@ -46,6 +46,8 @@
 		GracefulStop time.Duration
 		// Timeout is that of the routes.
 		Timeout time.Duration
+		// RepeatSlack is the number of repeats beyond the ratio of the budget.
+		RepeatSlack int
 		// Entries and Backends are how many of each are started.
 		Entries, Backends int
 
@@ -150,11 +152,11 @@
 listen: {callers: "%s:%d", readiness: "%s:%d"}
 firstStart: true
 store: %s
-bounds: {gracefulStop: %s, namedVersion: 8s, repeatRatio: 0.2, repeatWindow: 10s, repeatSlack: 200}
+bounds: {gracefulStop: %s, namedVersion: 8s, repeatRatio: 0.2, repeatWindow: 10s, repeatSlack: %d}
 limits: {memory: 206 MB, link: 700 Mbit/s}
 logSample: 1
 metricsPort: %d
-`, i, failureDomain, ip, firstInternalPort, firstInternalPort+5, failureDomain, ip, callersPort, ip, readinessPort, s.storeAddress, s.GracefulStop, metricsPort)
+`, i, failureDomain, ip, firstInternalPort, firstInternalPort+5, failureDomain, ip, callersPort, ip, readinessPort, s.storeAddress, s.GracefulStop, s.RepeatSlack, metricsPort)
 	if err := os.WriteFile(e.settings, []byte(text), 0o600); err != nil {
 		t.Fatal(err)
 	}
