Bound the memory of all answers that are kept until they are whole

From a report of another operator: a faulty server sent bytes without end and the machine that had called it ran out of memory.

Cause: each buffered answer ends at 1 MiB, but nothing bounded their sum.

Change: a budget of a fifth of the memory setting (internal/entry/bodybudget). A successful answer that doesn't fit is passed on as it arrives; a failure that doesn't fit counts as no answer.

--- a/internal/entry/forward/attempt.go
+++ b/internal/entry/forward/attempt.go
@@ -14,6 +14,7 @@
 
 	"github.com/mulberryspool/mulberryspool"
 	"github.com/mulberryspool/mulberryspool/internal/backend/httpconn"
+	"github.com/mulberryspool/mulberryspool/internal/entry/bodybudget"
 	"github.com/mulberryspool/mulberryspool/internal/entry/placement"
 	"github.com/mulberryspool/mulberryspool/internal/entry/promptguard"
 )
@@ -217,16 +218,22 @@
 // caller, so that the request can still be retried if the response breaks off.
 func (a *attempt) bufferResponse(ctx context.Context, response *httpconn.Answer) (attemptResult, placement.Outcome) {
 	succeeded := response.StatusCode < http.StatusMultipleChoices
-	body, err := io.ReadAll(io.LimitReader(&stallReader{attempt: a, body: response.Body, renew: succeeded}, maxBufferedBytes))
-	if err != nil {
+	body, err := a.handler.Bodies.Read(&stallReader{attempt: a, body: response.Body, renew: succeeded}, response.ContentLength, maxBufferedBytes)
+	a.bodies = append(a.bodies, body)
+	full := errors.Is(err, bodybudget.ErrFull)
+	if err != nil && !full {
+		body.Release()
 		return a.handleLost(ctx, errors.Wrap(err, "read body"))
 	}
-	if len(body) == maxBufferedBytes {
+	if full {
+		a.handler.count("bodies_without_memory", a.route.Name, a.pool.Name, "answer")
+	}
+	if full || len(body.Bytes) == maxBufferedBytes {
 		if !succeeded {
-			err := errors.Newf("body of the response with status %d has more than %d bytes", response.StatusCode, maxBufferedBytes)
+			err := errors.Newf("body of the response with status %d has more than %d bytes, or there is no memory for it", response.StatusCode, maxBufferedBytes)
 			return a.handleLost(ctx, errors.Mark(err, httpconn.ErrInvalidAnswer))
 		}
-		return a.relayOversized(ctx, response, body)
+		return a.relayOversized(ctx, response, body.Bytes)
 	}
 	a.complete, a.promptRead = true, true
 	if succeeded {
@@ -239,7 +246,7 @@
 		a.logAttempt(a.decision, "unmarked"+strconv.Itoa(response.StatusCode), a.startedAt)
 		return resultUnknown, placement.Failed
 	}
-	buffered := &bufferedResponse{status: response.StatusCode, header: response.Header, body: body}
+	buffered := &bufferedResponse{status: response.StatusCode, header: response.Header, body: body.Bytes}
 	if response.StatusCode >= http.StatusInternalServerError {
 		a.serverError = buffered
 		a.lastError = errors.Newf("backend server responded with status %d", response.StatusCode)
@@ -251,7 +258,7 @@
 	return resultFinished, placement.Answered
 }
 
-// relayOversized streams a response that is too long to be buffered. If it
+// relayOversized streams a response that can't be buffered. If it
 // breaks off or has no end, the caller's connection is aborted.
 func (a *attempt) relayOversized(ctx context.Context, response *httpconn.Answer, prefix []byte) (attemptResult, placement.Outcome) {
 	if err := a.setReadDeadline(a.deadline); err != nil {
--- a/internal/entry/forward/handler.go
+++ b/internal/entry/forward/handler.go
@@ -27,6 +27,7 @@
 
 	"github.com/mulberryspool/mulberryspool"
 	"github.com/mulberryspool/mulberryspool/internal/backend/httpconn"
+	"github.com/mulberryspool/mulberryspool/internal/entry/bodybudget"
 	"github.com/mulberryspool/mulberryspool/internal/entry/promptguard"
 	"github.com/mulberryspool/mulberryspool/internal/entry/scheduler"
 )
@@ -68,6 +69,8 @@
 		// GracefulStop is the time from the beginning of a planned stop until the process
 		// is killed.
 		GracefulStop time.Duration
+		// Bodies is the memory for bodies; nil for no bound.
+		Bodies *bodybudget.Budget
 		// Sampled reports whether the log line of a successful request is written.
 		Sampled func(mulberryspool.RequestID) bool
 		// ServerLeaving is called, before the response is passed on, when one says that
@@ -101,6 +104,7 @@
 	}
 	head := h.HeaderCodec.DecodeRequest(r.Header)
 	q := &request{handler: h, writer: w, incoming: r, head: head, arrivedAt: arrived}
+	defer q.releaseBodies()
 	table := h.Scheduler.Table()
 	if table == nil {
 		q.writeError(http.StatusServiceUnavailable, typeNotRun, "notReady", notReadyRetryAfter)
--- a/internal/entry/forward/request.go
+++ b/internal/entry/forward/request.go
@@ -8,6 +8,7 @@
 	"github.com/jonboulle/clockwork"
 
 	"github.com/mulberryspool/mulberryspool"
+	"github.com/mulberryspool/mulberryspool/internal/entry/bodybudget"
 	"github.com/mulberryspool/mulberryspool/internal/entry/placement"
 	"github.com/mulberryspool/mulberryspool/internal/entry/quarantine"
 )
@@ -79,6 +80,8 @@
 		target        string
 		body          []byte
 		callerRetry   bool
+		// bodies holds the bodies in memory until the request ends.
+		bodies []*bodybudget.Body
 		// promptParts holds the parts of the prompt that other requests may share.
 		promptParts []quarantine.Part
 
@@ -187,6 +190,13 @@
 	}
 }
 
+// releaseBodies returns the memory of the bodies.
+func (q *request) releaseBodies() {
+	for _, b := range q.bodies {
+		b.Release()
+	}
+}
+
 // admit waits until the prompt may be sent to a backend server, or for the time
 // that is worth the wait.
 func (q *request) admit(ctx context.Context) quarantine.Decision {
--- a/internal/role/hosted/entry.go
+++ b/internal/role/hosted/entry.go
@@ -16,6 +16,7 @@
 
 	"github.com/mulberryspool/mulberryspool"
 	"github.com/mulberryspool/mulberryspool/internal/backend/httpconn"
+	"github.com/mulberryspool/mulberryspool/internal/entry/bodybudget"
 	"github.com/mulberryspool/mulberryspool/internal/entry/forward"
 	"github.com/mulberryspool/mulberryspool/internal/entry/placement"
 	"github.com/mulberryspool/mulberryspool/internal/entry/promptguard"
@@ -93,6 +94,8 @@
 	// changed state to all processes; of many configurations in a row only the last
 	// one matters.
 	stateSendInterval = 60 * time.Millisecond
+	// bodyMemoryShare is the share of the machine's memory that bodies in flight may take.
+	bodyMemoryShare = 0.2
 	// maxRegistered limits the addresses of other entries that are kept.
 	maxRegistered = 4096
 	// registerRetryInterval is the pause after a failed registration.
@@ -211,6 +214,7 @@
 	e.handler = &forward.Handler{
 		Clock: e.clock, HeaderCodec: platform.Headers{}, Scheduler: e.scheduler, PromptGuard: e.promptGuard, ConnPool: e.connPool, Logger: e.logger, Metrics: e.metrics,
 		Sampled: logging.Sampler(e.settings.LogSample), GracefulStop: b.GracefulStop,
+		Bodies: &bodybudget.Budget{Limit: int64(bodyMemoryShare * float64(e.settings.Limits.Memory))},
 	}
 	e.fleet = e.process.newFleet()
 	e.configWatch = configwatch.Election{Self: e.settings.Instance, FailureDomain: e.identity.FailureDomain}
--- a/internal/standin/backendserver/server.go
+++ b/internal/standin/backendserver/server.go
@@ -4,10 +4,12 @@
 //	take    how long the run takes, as a Go duration
 //	events  the number of events of a stream; without it, the answer is one body
 //	head    the delay of the first event
+//	bytes   the number of bytes that are written before the rest of the answer
 package backendserver
 
 import (
 	"fmt"
+	"io"
 	"net/http"
 	"strconv"
 	"sync"
@@ -38,6 +40,9 @@
 		pausedUntil time.Time
 	}
 
+	// zeros is a body without end.
+	zeros struct{}
+
 	// Run is an execution of a request.
 	Run struct {
 		ID, Instance string
@@ -93,6 +98,10 @@
 	take := scaled(query.Get("take"), slowdown)
 	w.Header().Set(HeaderSignature, s.Instance)
 	complete := false
+	if n, err := strconv.Atoi(query.Get("bytes")); err == nil {
+		_, _ = io.Copy(w, io.LimitReader(zeros{}, int64(n)))
+		_ = http.NewResponseController(w).Flush()
+	}
 	if events, err := strconv.Atoi(query.Get("events")); err == nil {
 		complete = s.stream(w, r, id, events, scaled(query.Get("head"), slowdown), take)
 	} else if sleep(r, take) && s.awaitResume(r) {
@@ -104,6 +113,12 @@
 	}
 }
 
+// Read implements io.Reader.
+func (zeros) Read(buffer []byte) (int, error) {
+	clear(buffer)
+	return len(buffer), nil
+}
+
 // stream writes the events after the last one that the request has, and reports whether it
 // wrote all.
 func (s *Server) stream(w http.ResponseWriter, r *http.Request, id string, events int, head, take time.Duration) bool {
--- a/internal/testkit/hostedsystem/caller.go
+++ b/internal/testkit/hostedsystem/caller.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"fmt"
 	"io"
@@ -37,6 +38,10 @@
 		// answer that is no stream.
 		Take   time.Duration
 		Events int
+		// Bytes is what an answer has before its usual text.
+		Bytes int
+		// Body is what the request has; empty for a short text.
+		Body []byte
 	}
 
 	// Result is how a request ended.
@@ -93,7 +98,14 @@
 	if r.Call.Events > 0 {
 		target += "&events=" + strconv.Itoa(r.Call.Events)
 	}
-	request, err := http.NewRequestWithContext(ctx, http.MethodPost, target, strings.NewReader("body of "+r.ID))
+	if r.Call.Bytes > 0 {
+		target += "&bytes=" + strconv.Itoa(r.Call.Bytes)
+	}
+	sent := r.Call.Body
+	if sent == nil {
+		sent = []byte("body of " + r.ID)
+	}
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, target, bytes.NewReader(sent))
 	if err != nil {
 		return err
 	}
@@ -119,10 +131,14 @@
 	if r.Call.Events > 0 {
 		return r.readEvents(response.Body)
 	}
+	skipped, err := io.CopyN(io.Discard, response.Body, int64(r.Call.Bytes))
+	if err != nil {
+		return err
+	}
 	body, err := io.ReadAll(response.Body)
 	r.Complete = err == nil
 	if err == nil && string(body) != backendserver.Answer(r.ID) {
-		r.Wrong = fmt.Sprintf("body %.100q", body)
+		r.Wrong = fmt.Sprintf("body %.100q after %d bytes", body, skipped)
 	}
 	return err
 }
--- a/internal/testkit/hostedsystem/system.go
+++ b/internal/testkit/hostedsystem/system.go
@@ -3,6 +3,7 @@
 package hostedsystem
 
 import (
+	"cmp"
 	"fmt"
 	"net/http"
 	"os"
@@ -46,6 +47,10 @@
 		GracefulStop time.Duration
 		// Timeout is that of the routes.
 		Timeout time.Duration
+		// MegabytesOfMemory is that of an entry's machine; 0 for 206.
+		MegabytesOfMemory int
+		// MaxBody is the largest body of a request in bytes; 0 for 1 MiB.
+		MaxBody int
 		// RepeatSlack is the number of repeats beyond the ratio of the budget.
 		RepeatSlack int
 		// Entries and Backends are how many of each are started.
@@ -110,7 +115,7 @@
 	}
 	s.Store.Put(platform.KindConfig, platform.ConfigName, map[string]any{
 		"version": version, "services": []any{map[string]any{"name": pool, "connection-limit": 500}},
-		"limits": map[string]any{"max-body-bytes": 1 << 20},
+		"limits": map[string]any{"max-body-bytes": cmp.Or(s.MaxBody, 1<<20)},
 		"routes": []any{route("stream", StreamPrefix, "streaming"), route("lookup", LookupPrefix, "idempotent"), route("order", OrderPrefix, "non_idempotent")},
 	})
 }
@@ -153,10 +158,10 @@
 firstStart: true
 store: %s
 bounds: {gracefulStop: %s, namedVersion: 8s, repeatRatio: 0.2, repeatWindow: 10s, repeatSlack: %d}
-limits: {memory: 206 MB, link: 700 Mbit/s}
+limits: {memory: %d MB, link: 700 Mbit/s}
 logSample: 1
 metricsPort: %d
-`, i, failureDomain, ip, firstInternalPort, firstInternalPort+5, failureDomain, ip, callersPort, ip, readinessPort, s.storeAddress, s.GracefulStop, s.RepeatSlack, metricsPort)
+`, i, failureDomain, ip, firstInternalPort, firstInternalPort+5, failureDomain, ip, callersPort, ip, readinessPort, s.storeAddress, s.GracefulStop, s.RepeatSlack, cmp.Or(s.MegabytesOfMemory, 206), metricsPort)
 	if err := os.WriteFile(e.settings, []byte(text), 0o600); err != nil {
 		t.Fatal(err)
 	}
