Drop a manifest that the origin's pieces don't match and read it again

Cause: the origin spoilt one digit of a digest in a manifest into another valid one. The agent kept the manifest and read that piece without end, since it never matches, and other agents got the manifest from it.

Change: if the origin sends the same bytes twice in place of a piece, the manifest is dropped, handed on no more and not taken from another agent again; the origin may confirm it. Pieces that match are kept.

--- a/internal/agent/fetch/effects.go
+++ b/internal/agent/fetch/effects.go
@@ -52,6 +52,10 @@
 		if reason == swarm.Unreachable || reason == swarm.WrongDigest || e.Source.Instance == "" {
 			f.recordFailure(e, err)
 		}
+		if reason == swarm.WrongDigest && e.Source.Kind == swarm.FromOrigin && f.recordMismatch(e, staging.DigestOf(data)) {
+			f.stopTransfer(e.Manifest, ErrDoubted)
+			return
+		}
 		f.send(swarm.Failed{Attempt: e.Attempt, Reason: reason, Err: err})
 		return
 	}
@@ -137,6 +141,23 @@
 	}
 }
 
+// recordMismatch records what the origin has sent in place of a chunk, and reports whether it
+// sent the same before. A chunk that is spoilt on its way differs each time.
+func (f *Fetcher) recordMismatch(e swarm.Fetch, sent mulberryspool.Digest) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	t := f.transfer
+	if t == nil || t.manifest.Digest != e.Manifest {
+		return false
+	}
+	if t.mismatches == nil {
+		t.mismatches = make(map[mulberryspool.Digest]mulberryspool.Digest)
+	}
+	repeated := t.mismatches[e.Chunk.Digest] == sent
+	t.mismatches[e.Chunk.Digest] = sent
+	return repeated
+}
+
 func (f *Fetcher) recordStored(e swarm.Fetch) {
 	f.Metrics.Tagged(map[string]string{"source": sourceNames[e.Source.Kind]}).Counter("chunk_bytes").Inc(e.Chunk.Size)
 	f.Metrics.Gauge("staged_bytes").Update(float64(f.store.Bytes()))
--- a/internal/agent/fetch/fetcher.go
+++ b/internal/agent/fetch/fetcher.go
@@ -46,9 +46,14 @@
 	maxEventBatch = 64
 )
 
-// ErrSuperseded is the result of a Stage whose manifest was replaced by that of a
-// later call.
-var ErrSuperseded = errors.New("transfer was superseded by another version")
+var (
+	// ErrSuperseded is the result of a Stage whose manifest was replaced by that of a
+	// later call.
+	ErrSuperseded = errors.New("transfer was superseded by another version")
+	// ErrDoubted is the result of a Stage whose manifest names another digest for a chunk
+	// than the origin has sent twice. The manifest itself may have been spoilt.
+	ErrDoubted = errors.New("content at the origin does not match the manifest")
+)
 
 type (
 	// Fetcher implements mulberryspool.Stager. Set the exported fields before the
@@ -130,6 +135,8 @@
 		done     chan struct{}
 		err      error
 		progress progress
+		// mismatches holds the digest of what the origin has sent last in place of a chunk.
+		mismatches map[mulberryspool.Digest]mulberryspool.Digest
 	}
 )
 
--- a/internal/agent/fetch/stage.go
+++ b/internal/agent/fetch/stage.go
@@ -31,7 +31,7 @@
 	case <-f.stopped:
 		return mulberryspool.AtStep(context.Canceled, "stage version "+manifest.Version, "")
 	case <-ctx.Done():
-		f.abandonTransfer(t)
+		f.stopTransfer(t.manifest.Digest, context.Canceled)
 		return mulberryspool.AtStep(ctx.Err(), "stage version "+manifest.Version, "")
 	}
 }
@@ -150,12 +150,12 @@
 	}
 }
 
-// abandonTransfer ends a transfer whose Stage call was cancelled. Its chunks are
+// stopTransfer ends the transfer of a manifest before it is complete. Its chunks are
 // kept until the next Stage or Release.
-func (f *Fetcher) abandonTransfer(t *transfer) {
+func (f *Fetcher) stopTransfer(manifest mulberryspool.Digest, err error) {
 	f.stageMu.Lock()
 	defer f.stageMu.Unlock()
-	if f.endTransfer(t.manifest.Digest, context.Canceled) {
+	if f.endTransfer(manifest, err) {
 		f.send(swarm.Stop{})
 	}
 }
--- a/internal/integration/hostedweights_test.go
+++ b/internal/integration/hostedweights_test.go
@@ -1,6 +1,7 @@
 package integration
 
 import (
+	"bytes"
 	"flag"
 	"fmt"
 	"math/rand/v2"
@@ -160,6 +161,35 @@
 	checkLoads(t, s)
 }
 
+// Guards against agents that keep a manifest with a wrong digit, and hand it on, although the
+// origin's piece never matches it: their model servers would never get the version.
+func TestSpoiltManifestIsReadAgain(t *testing.T) {
+	const agents = 3
+	s := &hostedagents.System{Builder: &builder, Agents: agents, Bound: 4 * time.Second}
+	s.Start(t)
+	var manifests atomic.Int64
+	s.Origin.SetSpoil(func(call string, body []byte) []byte {
+		if call != "manifest" || manifests.Add(1) > 1 {
+			return body
+		}
+		digit := &body[bytes.LastIndexByte(body, '"')-1]
+		if *digit == '0' {
+			*digit = '1'
+		} else {
+			*digit = '0'
+		}
+		return body
+	})
+	s.Name(2)
+	for _, m := range s.Machines {
+		awaitVersion(t, m, 2)
+	}
+	checkLoads(t, s)
+	if sent := manifests.Load(); sent > 3*agents {
+		t.Errorf("the origin has sent %d manifests to %d agents, want at most two more for each", sent, agents)
+	}
+}
+
 // Guards against an agent that was paused between the check of the pieces and its order, and
 // orders pieces that have turned bad long before.
 func TestPausedAgentChecksPiecesAgain(t *testing.T) {
--- a/internal/role/hosted/agent.go
+++ b/internal/role/hosted/agent.go
@@ -150,6 +150,9 @@
 		quarantine quarantine.Quarantine
 		// manifests holds the manifest of each version that is staged or being fetched.
 		manifests map[int64]mulberryspool.Manifest
+		// doubted holds the digest of the manifest of each version that was dropped
+		// because the origin's pieces don't match it.
+		doubted map[int64]mulberryspool.Digest
 		// staged is the newest version that the agent holds completely, since stagedAt.
 		staged   int64
 		stagedAt time.Time
@@ -174,7 +177,7 @@
 	// holds only the addresses of model servers.
 	p.identity.Instance = mulberryspool.InstanceID(s.Address)
 	a := &agentRole{
-		process: p, wakeup: make(chan struct{}, 1), manifests: make(map[int64]mulberryspool.Manifest),
+		process: p, wakeup: make(chan struct{}, 1), manifests: make(map[int64]mulberryspool.Manifest), doubted: make(map[int64]mulberryspool.Digest),
 		uplink: &chunks.LinkLimiter{Clock: p.clock, BytesPerSecond: int64(s.Limits.Link), LiveShare: uplinkLiveShare},
 	}
 	if !s.FirstStart {
@@ -187,7 +190,7 @@
 	a.buildFleet()
 	toOrigin := newTransport(agentLimits.OriginPipeline)
 	toOrigin.IdleConnTimeout = originIdleTimeout
-	a.origin = &platform.Weights{Address: a.originAddress, PieceBytes: a.pieceBytes, HTTP: &http.Client{Timeout: originTimeout, Transport: toOrigin}}
+	a.origin = &platform.Weights{Address: a.originAddress, PieceBytes: a.pieceBytes, Pieces: a.pieces, HTTP: &http.Client{Timeout: originTimeout, Transport: toOrigin}}
 	limits := agentLimits
 	// Holds until the configuration says otherwise.
 	limits.OriginBytesPerSecond = int64(s.Limits.Link)
@@ -366,3 +369,10 @@
 	}
 	return 0
 }
+
+func (a *agentRole) pieces() int {
+	if e := a.pool().Engine; e != nil {
+		return e.Chunks
+	}
+	return 0
+}
--- a/internal/role/hosted/agentloop.go
+++ b/internal/role/hosted/agentloop.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
 	"github.com/mulberryspool/mulberryspool"
+	"github.com/mulberryspool/mulberryspool/internal/agent/fetch"
 	"github.com/mulberryspool/mulberryspool/internal/agent/manifests"
 	"github.com/mulberryspool/mulberryspool/internal/agent/staging"
 	"github.com/mulberryspool/mulberryspool/internal/agent/swap"
@@ -250,6 +252,11 @@
 		a.logger.Info().EmbedObject(logging.Fields{Version: manifest.Version}.WithStep(err)).Err(err).Msg("version could not be fetched")
 		a.mu.Lock()
 		defer a.mu.Unlock()
+		if errors.Is(err, fetch.ErrDoubted) && a.manifests[version].Digest == manifest.Digest {
+			// Other agents don't get it any more. Its chunks are kept for the next one.
+			delete(a.manifests, version)
+			a.doubted[version] = manifest.Digest
+		}
 		if a.fetching == version {
 			a.fetching = 0
 		}
@@ -317,7 +324,19 @@
 	if !ok {
 		return a.origin.Manifest(ctx, model, version)
 	}
-	return a.readPeerManifest(ctx, control[peer], platform.ContentPath(model, version))
+	m, err := a.readPeerManifest(ctx, control[peer], platform.ContentPath(model, version))
+	if err == nil && a.isDoubted(version, m) {
+		// The origin may confirm it.
+		err = mulberryspool.AtStep(errors.Wrap(fetch.ErrDoubted, "agent has the manifest that was dropped"), "read manifest", control[peer])
+	}
+	return m, err
+}
+
+// isDoubted reports whether a manifest of a version was dropped.
+func (a *agentRole) isDoubted(version int64, m mulberryspool.Manifest) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.doubted[version] == m.Digest
 }
 
 // readPeerManifest reads a manifest from another agent.
@@ -368,6 +387,7 @@
 			delete(a.manifests, version)
 		}
 	}
+	maps.DeleteFunc(a.doubted, func(version int64, _ mulberryspool.Digest) bool { return version < served })
 	a.mu.Unlock()
 	for _, m := range old {
 		a.fetcher.Release(m.Digest)
--- a/internal/role/hosted/agentorigin_test.go
+++ b/internal/role/hosted/agentorigin_test.go
@@ -34,7 +34,7 @@
 			defer server.Close()
 			clock := clockwork.NewFakeClock()
 			a := &agentRole{process: &process{clock: clock, logger: zerolog.Nop()}, manifests: make(map[int64]mulberryspool.Manifest)}
-			a.origin = &platform.Weights{Address: func() string { return strings.TrimPrefix(server.URL, "http://") }, HTTP: http.DefaultClient}
+			a.origin = &platform.Weights{Address: func() string { return strings.TrimPrefix(server.URL, "http://") }, HTTP: http.DefaultClient, PieceBytes: func() int64 { return 64 }, Pieces: func() int { return 4 }}
 			clean, err := a.origin.Manifest(context.Background(), "m", 2)
 			if err != nil {
 				t.Fatal(err)
