Name the write step of the agent's loop, and bring the pages up to date

Found by reading the diff: the round of the agent's loop mixed the decision with late writes, and logged a version as held back also when nothing was to be written. The behaviour is the same otherwise.

--- a/internal/entry/bodybudget/budget.go
+++ b/internal/entry/bodybudget/budget.go
@@ -1,6 +1,6 @@
 // Package bodybudget bounds the memory that the bodies of all requests in flight take.
 //
-//	length, bytes read --> Budget.Reserve --> kept or refused --> Release
+//	length, reader --> Budget.Read --> Body or ErrFull --> Body.Release
 //
 // The load pattern: bodies are kept until their request ends, so that it can be sent again or
 // answered as a whole. Many long ones at a time, or a faulty peer that sends bytes without end,
--- a/internal/role/hosted/agentloop.go
+++ b/internal/role/hosted/agentloop.go
@@ -64,18 +64,7 @@
 	if !a.engineState.Loading {
 		a.uploadAvailable(ctx, model)
 	}
-	late := a.lateWrites.Reorder()
-	switch {
-	case a.engineState.Loading:
-	case late != 0:
-		a.orderLoad(ctx, model, late)
-	case !a.lateWrites.Allows(step.Version):
-		a.logger.Debug().Str(logging.FieldStep, "write").Int64("version", step.Version).Msg("version is held back, an earlier write may still take effect")
-	case step.Action == swap.Upload:
-		a.uploadPieces(ctx, model, step.Version)
-	case step.Action == swap.Load:
-		a.orderLoad(ctx, model, step.Version)
-	}
+	a.writeVersion(ctx, model, step)
 	if served > 0 && a.decider.Wanted() <= served {
 		a.retainServed(ctx, model, served)
 	}
@@ -90,6 +79,30 @@
 	return pause
 }
 
+// writeVersion uploads or loads what the decider decides, unless an earlier write may still
+// take effect.
+func (a *agentRole) writeVersion(ctx context.Context, model string, step swap.Decision) {
+	if a.engineState.Loading {
+		return
+	}
+	if late := a.lateWrites.Reorder(); late != 0 {
+		a.orderLoad(ctx, model, late)
+		return
+	}
+	if step.Action != swap.Upload && step.Action != swap.Load {
+		return
+	}
+	if !a.lateWrites.Allows(step.Version) {
+		a.logger.Debug().Str(logging.FieldStep, "write").Int64("version", step.Version).Msg("version is held back, an earlier write may still take effect")
+		return
+	}
+	if step.Action == swap.Upload {
+		a.uploadPieces(ctx, model, step.Version)
+		return
+	}
+	a.orderLoad(ctx, model, step.Version)
+}
+
 // readEngineState reads the model server's state and returns false if it does
 // not answer.
 func (a *agentRole) readEngineState(ctx context.Context, model string) bool {
