Count an answer without length as whole only if its server outlives it

Cause: such an answer ends with its connection, and the end of a process ends its connections as well. Buffered answers took the end as that of the body; streams opened a connection, which the kernel accepts for a process that is ending, until its listener is closed.

TestUnframedBodyThatBreaksOffIsNotComplete fails in 6 of 10 cases without the change, and the new case of TestUnframedStreamThatBreaksOffIsResumed. The former replaces TestUnframedBodyThatIsResetIsNotComplete and has its cases.

Change: only an answer on a connection that was opened after the end shows that the process has outlived it (internal/backend/liveness). The request is one that the server refuses at once. Without an answer in 1 s, the answer is repeated or resumed where it may be, else it fails.

--- a/internal/backend/httpconn/conn.go
+++ b/internal/backend/httpconn/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"cmp"
 	"context"
 	"io"
@@ -136,6 +137,17 @@
 // close closes a connection that carries no request.
 func (c *Conn) close() { c.netConn.Close() }
 
+// Head returns the request line and the headers of a request.
+func Head(method, target, host string, header http.Header) []byte {
+	var b bytes.Buffer
+	b.Grow(512)
+	b.WriteString(method + " " + target + " HTTP/1.1\r\nHost: " + host + "\r\n")
+	// Writing to a bytes.Buffer does not fail.
+	_ = header.Write(&b)
+	b.WriteString("\r\n")
+	return b.Bytes()
+}
+
 // Send writes a request. A long one is written in the background; Release closes
 // the connection if that write has failed or not ended.
 func (c *Conn) Send(head, body []byte, deadline time.Time) error {
--- /dev/null
+++ b/internal/backend/liveness/checker.go
@@ -0,0 +1,129 @@
+// Package liveness finds out whether a backend server still runs after a connection to it has
+// ended.
+//
+//	answer without length ends --> Checker.Check --> new connection, any answer --> Alive
+//	                                    |
+//	                                    \--> shared by all answers that ended before it began
+//
+// The load pattern: the end of a connection is that of a whole answer, or of the process, whose
+// connections the kernel closes in any order. Only an answer on a connection that was opened
+// afterwards shows that the process has outlived it. The request asks for an instance that is
+// not there, so that the server refuses it at once, without one of its slots.
+package liveness
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/jonboulle/clockwork"
+
+	"github.com/mulberryspool/mulberryspool"
+	"github.com/mulberryspool/mulberryspool/internal/backend/httpconn"
+)
+
+const (
+	// timeout limits a check.
+	timeout = time.Second
+	// gatherTime is how long a check waits for others that it may serve.
+	gatherTime = 2 * time.Millisecond
+	// noInstance is the name of no backend server.
+	noInstance = "none"
+)
+
+// Errors of a check. Test for them with errors.Is.
+var (
+	// ErrEnded means that the incarnation has ended.
+	ErrEnded = errors.New("backend server has ended")
+	// ErrUnknown means that it did not answer in time.
+	ErrUnknown = errors.New("backend server does not answer")
+)
+
+type (
+	// Checker checks backend servers. Set the exported fields before the first call.
+	Checker struct {
+		Clock       mulberryspool.Clock
+		Pool        *httpconn.Pool
+		HeaderCodec mulberryspool.HeaderCodec
+
+		mu sync.Mutex
+		// next holds the check of each target that has not begun.
+		next map[httpconn.Target]*check
+	}
+
+	check struct {
+		done chan struct{}
+		// err is set before done is closed.
+		err error
+	}
+)
+
+// Check returns nil if the incarnation of the backend server answers on a connection that is
+// opened after the call, and ErrEnded or ErrUnknown otherwise, or the error of the context.
+func (c *Checker) Check(ctx context.Context, target httpconn.Target) error {
+	k := c.join(target)
+	select {
+	case <-k.done:
+		return k.err
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// join returns the next check of a target.
+func (c *Checker) join(target httpconn.Target) *check {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if k := c.next[target]; k != nil {
+		return k
+	}
+	if c.next == nil {
+		c.next = make(map[httpconn.Target]*check)
+	}
+	k := &check{done: make(chan struct{})}
+	c.next[target] = k
+	go c.run(target, k)
+	return k
+}
+
+func (c *Checker) run(target httpconn.Target, k *check) {
+	defer close(k.done)
+	c.Clock.Sleep(gatherTime)
+	c.mu.Lock()
+	delete(c.next, target)
+	c.mu.Unlock()
+	ctx, cancel := clockwork.WithTimeout(context.Background(), c.Clock, timeout)
+	defer cancel()
+	k.err = c.ask(ctx, target)
+	if k.err != nil && ctx.Err() != nil {
+		k.err = errors.Mark(k.err, ErrUnknown)
+	} else if k.err != nil {
+		k.err = errors.Mark(k.err, ErrEnded)
+	}
+}
+
+// ask sends a request and waits for the head of any answer.
+func (c *Checker) ask(ctx context.Context, target httpconn.Target) error {
+	conn, err := c.Pool.Open(ctx, target)
+	if err != nil {
+		return err
+	}
+	defer conn.Abort()
+	defer conn.InterruptOnDone(ctx)()
+	head := make(http.Header)
+	c.HeaderCodec.PrepareRequest(head, mulberryspool.OutgoingHead{Instance: noInstance, Remaining: timeout})
+	if err := conn.Send(httpconn.Head(http.MethodGet, "/", target.Address, head), nil, c.Clock.Now().Add(timeout)); err != nil {
+		return err
+	}
+	answer, err := conn.Receive(http.MethodGet, "")
+	if err != nil {
+		return err
+	}
+	defer answer.Body.Close()
+	if got := answer.Head.Instance; got != "" && got != target.Instance {
+		return errors.Newf("instance %s answers at its address", got)
+	}
+	return nil
+}
--- a/internal/entry/forward/attempt.go
+++ b/internal/entry/forward/attempt.go
@@ -235,6 +235,10 @@
 		}
 		return a.relayOversized(ctx, response, body.Bytes)
 	}
+	if err := a.checkUnframedEnd(ctx, response); err != nil {
+		body.Release()
+		return a.handleLost(ctx, err)
+	}
 	a.complete, a.promptRead = true, true
 	if succeeded {
 		a.exchange.Complete()
@@ -271,6 +275,9 @@
 	if err == nil {
 		_, err = io.Copy(a.writer, response.Body)
 	}
+	if err == nil {
+		err = a.checkUnframedEnd(ctx, response)
+	}
 	if err != nil {
 		a.lastError = err
 		a.reportEnded(a.decision, a.promptRead, a.attributeOutcome(ctx, placement.Broken), 0)
--- a/internal/entry/forward/backend_test.go
+++ b/internal/entry/forward/backend_test.go
@@ -20,6 +20,7 @@
 
 	"github.com/mulberryspool/mulberryspool"
 	"github.com/mulberryspool/mulberryspool/internal/backend/httpconn"
+	"github.com/mulberryspool/mulberryspool/internal/backend/liveness"
 	"github.com/mulberryspool/mulberryspool/internal/entry/placement"
 	"github.com/mulberryspool/mulberryspool/internal/entry/promptguard"
 	"github.com/mulberryspool/mulberryspool/internal/entry/quarantine"
@@ -181,6 +182,7 @@
 	pool := &httpconn.Pool{Clock: clock, HeaderCodec: platform.Headers{}, Dial: sockets.Dialer{}.DialContext}
 	h := &Handler{
 		Clock: clock, HeaderCodec: platform.Headers{}, Scheduler: s, ConnPool: pool,
+		Liveness:    &liveness.Checker{Clock: clock, Pool: pool, HeaderCodec: platform.Headers{}},
 		PromptGuard: &promptguard.Guard{Clock: clock, Logger: zerolog.Nop(), Metrics: tally.NoopScope, Quarantine: &quarantine.Quarantine{Entry: "e"}}, Logger: zerolog.Nop(), Metrics: tally.NoopScope,
 		Sampled: func(mulberryspool.RequestID) bool { return true }, GracefulStop: time.Minute,
 	}
--- a/internal/entry/forward/handler.go
+++ b/internal/entry/forward/handler.go
@@ -11,7 +11,6 @@
 package forward
 
 import (
-	"bytes"
 	"cmp"
 	"encoding/json"
 	"io"
@@ -27,6 +26,7 @@
 
 	"github.com/mulberryspool/mulberryspool"
 	"github.com/mulberryspool/mulberryspool/internal/backend/httpconn"
+	"github.com/mulberryspool/mulberryspool/internal/backend/liveness"
 	"github.com/mulberryspool/mulberryspool/internal/entry/bodybudget"
 	"github.com/mulberryspool/mulberryspool/internal/entry/promptguard"
 	"github.com/mulberryspool/mulberryspool/internal/entry/scheduler"
@@ -64,6 +64,7 @@
 		Scheduler   *scheduler.Scheduler
 		PromptGuard *promptguard.Guard
 		ConnPool    *httpconn.Pool
+		Liveness    *liveness.Checker
 		Logger      zerolog.Logger
 		Metrics     tally.Scope
 		// GracefulStop is the time from the beginning of a planned stop until the process
@@ -201,11 +202,5 @@
 	if len(q.body) > 0 || q.incoming.ContentLength >= 0 && q.incoming.Method != http.MethodGet && q.incoming.Method != http.MethodHead {
 		header.Set("Content-Length", strconv.Itoa(len(q.body)))
 	}
-	var b bytes.Buffer
-	b.Grow(512)
-	b.WriteString(q.incoming.Method + " " + q.target + " HTTP/1.1\r\nHost: " + q.incoming.Host + "\r\n")
-	// Writing to a bytes.Buffer does not fail.
-	_ = header.Write(&b)
-	b.WriteString("\r\n")
-	return b.Bytes()
+	return httpconn.Head(q.incoming.Method, q.target, q.incoming.Host, header)
 }
--- a/internal/entry/forward/stream.go
+++ b/internal/entry/forward/stream.go
@@ -11,7 +11,6 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
-	"github.com/jonboulle/clockwork"
 
 	"github.com/mulberryspool/mulberryspool/internal/backend/httpconn"
 	"github.com/mulberryspool/mulberryspool/internal/entry/placement"
@@ -26,8 +25,6 @@
 	// eventGapFactor is the multiple of a route's gap objective after which a
 	// stream counts as silent.
 	eventGapFactor = 4
-	// serverCheckTimeout limits the check whether a server has ended.
-	serverCheckTimeout = 250 * time.Millisecond
 )
 
 var idField = []byte("id:")
@@ -158,28 +155,22 @@
 	return a.setReadDeadline(at)
 }
 
-// checkUnframedEnd returns an error if a stream that has ended between two events
-// was broken off. The end of one with neither a length nor chunks is that of its
-// connection, which a server that crashes closes as well.
+// checkUnframedEnd returns an error if an answer that has ended with its connection, between
+// two events if it is a stream, may have been broken off: it has neither a length nor chunks,
+// and a server that crashes closes its connections as well.
 func (a *attempt) checkUnframedEnd(ctx context.Context, response *httpconn.Answer) error {
 	if !response.EndsWithConnection() {
 		return nil
 	}
-	if a.stream == nil {
+	if a.stream == nil && isEventStream(response) {
 		return errors.Mark(errors.New("stream ended with its connection before its first event"), httpconn.ErrAnswerLost)
 	}
-	dialCtx, cancel := clockwork.WithTimeout(ctx, a.handler.Clock, serverCheckTimeout)
-	defer cancel()
-	conn, err := a.handler.ConnPool.Acquire(dialCtx, targetOf(a.decision), 0)
-	if dialCtx.Err() != nil && ctx.Err() == nil {
-		// A server that can't be reached in time is not known to have ended.
+	err := a.handler.Liveness.Check(ctx, targetOf(a.decision))
+	if err == nil {
 		return nil
 	}
-	if err != nil {
-		return errors.Mark(errors.Wrap(err, "backend server ended together with its stream"), httpconn.ErrAnswerLost)
-	}
-	conn.Release(true)
-	return nil
+	a.handler.count("unframed_answers_lost", a.route.Name, a.pool.Name, "")
+	return errors.Mark(errors.Wrap(err, "answer without length ended with its connection"), httpconn.ErrAnswerLost)
 }
 
 // finishStream completes a stream after its last event.
--- a/internal/entry/forward/unframed_test.go
+++ b/internal/entry/forward/unframed_test.go
@@ -22,8 +22,9 @@
 	const fourth = "id: 4\ndata: e4\n\n"
 	for name, test := range map[string]struct {
 		body string
-		// ends closes the listener of the first server, reset resets its connection.
-		ends, reset bool
+		// ends closes the listener of the first server, reset resets its connection. If it is
+		// ending, it still accepts connections, but answers nothing.
+		ends, reset, ending bool
 		// resumed is the event after which the second server continues; "none" if it gets
 		// no request.
 		resumed string
@@ -36,15 +37,19 @@
 		"server ends between two events":    {body: eventStreamBody(1, 2), ends: true, resumed: "2"},
 		"server ends before the last event": {body: eventStreamBody(1, 3), ends: true, resumed: "3"},
 		"server ends before any event":      {ends: true, resumed: ""},
+		"server is ending":                  {body: eventStreamBody(1, 2), ending: true, resumed: "2"},
 		"is reset between two events":       {body: eventStreamBody(1, 2), reset: true, resumed: "2"},
 		"is reset after the last event":     {body: eventStreamBody(1, 4), reset: true, resumed: "4"},
 	} {
 		t.Run(name, func(t *testing.T) {
 			var first *backend
-			first = newBackend(t, "i-1", func(w *bufio.Writer, r *http.Request, _ int) bool {
+			first = newBackend(t, "i-1", func(w *bufio.Writer, r *http.Request, n int) bool {
 				if test.ends {
 					first.listener.Close()
 				}
+				if test.ending && n > 1 {
+					return false
+				}
 				writeUnframed(w, r, test.body)
 				if test.reset {
 					// The entry reads the events before the reset.
@@ -79,38 +84,62 @@
 	}
 }
 
-// Guards against a body without a length that is reset on its way, but is given to
-// the caller as complete.
-func TestUnframedBodyThatIsResetIsNotComplete(t *testing.T) {
-	for name, reset := range map[string]bool{"ends": false, "is reset": true} {
-		t.Run(name, func(t *testing.T) {
-			var first *backend
-			answer := func(w *bufio.Writer, r *http.Request, body string) bool {
-				_, _ = fmt.Fprintf(w, "HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\n%s\r\n%s", r.Header.Get("X-Attempt-Id"), signatureHeader, body)
-				_ = w.Flush()
-				return false
-			}
-			first = newBackend(t, "i-1", func(w *bufio.Writer, r *http.Request, _ int) bool {
-				if !reset {
-					return answer(w, r, "whole")
+// Guards against a body without a length that breaks off, but is given to the caller as
+// complete, and against one that is complete and is asked for again.
+func TestUnframedBodyThatBreaksOffIsNotComplete(t *testing.T) {
+	for name, test := range map[string]struct {
+		// reset resets the connection of the first server, ends closes its listener. If it
+		// is ending, it still accepts connections, but answers nothing.
+		reset, ends, ending bool
+		// body is what it has sent until then.
+		body string
+	}{
+		"whole":            {body: "whole"},
+		"is reset":         {reset: true, body: "wh"},
+		"server has ended": {ends: true, body: "wh"},
+		"server is ending": {ending: true, body: "wh"},
+		"nothing was sent": {ends: true},
+	} {
+		for kind, target := range map[string]string{"repeatable": "/read/x", "once": "/write/x"} {
+			t.Run(name+" "+kind, func(t *testing.T) {
+				var first *backend
+				answer := func(w *bufio.Writer, r *http.Request, body string) bool {
+					_, _ = fmt.Fprintf(w, "HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\n%s\r\n%s", r.Header.Get("X-Attempt-Id"), signatureHeader, body)
+					_ = w.Flush()
+					return false
+				}
+				first = newBackend(t, "i-1", func(w *bufio.Writer, r *http.Request, n int) bool {
+					if test.ends {
+						first.listener.Close()
+					}
+					if test.ending && n > 1 {
+						return false
+					}
+					answer(w, r, test.body)
+					if test.reset {
+						time.Sleep(50 * time.Millisecond)
+						first.resetOnClose()
+					}
+					return false
+				})
+				second := newBackend(t, "i-2", func(w *bufio.Writer, r *http.Request, _ int) bool { return answer(w, r, "whole") })
+				e := newEntry(t, first, second)
+				for range 100 {
+					e.scheduler.RecordSlowdown("p", "i-2", 8)
+				}
+				head, body, complete := e.call(t, http.MethodGet, target, "")
+				brokenOff := test.body != "whole"
+				want, wantBody := http.StatusOK, "whole"
+				if brokenOff && kind == "once" {
+					want, wantBody = http.StatusBadGateway, body
+				}
+				if head.StatusCode != want || !complete || body != wantBody {
+					t.Errorf("response is %d, complete %t, %q, want %d, %q", head.StatusCode, complete, body, want, wantBody)
+				}
+				if sent := second.requests.Load() > 0; sent != (brokenOff && kind == "repeatable") {
+					t.Errorf("second server got a request: %t", sent)
 				}
-				answer(w, r, "wh")
-				time.Sleep(50 * time.Millisecond)
-				first.resetOnClose()
-				return false
 			})
-			second := newBackend(t, "i-2", func(w *bufio.Writer, r *http.Request, _ int) bool { return answer(w, r, "whole") })
-			e := newEntry(t, first, second)
-			for range 100 {
-				e.scheduler.RecordSlowdown("p", "i-2", 8)
-			}
-			head, body, complete := e.call(t, http.MethodGet, "/read/x", "")
-			if head.StatusCode != http.StatusOK || !complete || body != "whole" {
-				t.Errorf("response is %d, complete %t, %q", head.StatusCode, complete, body)
-			}
-			if sent := second.requests.Load() > 0; sent != reset {
-				t.Errorf("second server got a request: %t, want %t", sent, reset)
-			}
-		})
+		}
 	}
 }
--- a/internal/role/hosted/entry.go
+++ b/internal/role/hosted/entry.go
@@ -16,6 +16,7 @@
 
 	"github.com/mulberryspool/mulberryspool"
 	"github.com/mulberryspool/mulberryspool/internal/backend/httpconn"
+	"github.com/mulberryspool/mulberryspool/internal/backend/liveness"
 	"github.com/mulberryspool/mulberryspool/internal/entry/bodybudget"
 	"github.com/mulberryspool/mulberryspool/internal/entry/forward"
 	"github.com/mulberryspool/mulberryspool/internal/entry/placement"
@@ -212,7 +213,8 @@
 		OnOpen: func(httpconn.Target) { e.metrics.Counter("backend_connections").Inc(1) },
 	}
 	e.handler = &forward.Handler{
-		Clock: e.clock, HeaderCodec: platform.Headers{}, Scheduler: e.scheduler, PromptGuard: e.promptGuard, ConnPool: e.connPool, Logger: e.logger, Metrics: e.metrics,
+		Clock: e.clock, HeaderCodec: platform.Headers{}, Scheduler: e.scheduler, PromptGuard: e.promptGuard, ConnPool: e.connPool, Logger: e.logger,
+		Liveness: &liveness.Checker{Clock: e.clock, Pool: e.connPool, HeaderCodec: platform.Headers{}}, Metrics: e.metrics,
 		Sampled: logging.Sampler(e.settings.LogSample), GracefulStop: b.GracefulStop,
 		Bodies: &bodybudget.Budget{Limit: int64(bodyMemoryShare * float64(e.settings.Limits.Memory))},
 	}
