--- a/internal/agent/latewrites/guard.go
+++ b/internal/agent/latewrites/guard.go
@@ -1,12 +1,12 @@
-// Package latewrites decides what may be written to a model server while an earlier write, to
-// which no answer came, may still take effect.
+// Package latewrites decides what may be written to a model server while an earlier write that
+// got no answer may still take effect.
 //
 //	PieceLost, OrderLost --\
 //	OrderRefused -----------> Guard --> Allows, Reorder
 //	ReportRead ------------/
 //
-// The load pattern: a model server that stands still, or is slow with some calls, gets a piece
-// or an order after its agent has given up waiting, and perhaps after the agent was killed. A
+// The load pattern: a model server that is suspended, or is slow with some calls, receives a
+// piece or an order after its agent has stopped waiting, or was killed. A
 // late order loads the pieces that are staged by then, and a late piece replaces one of the
 // next version. So pieces of other versions are held back until neither can happen any more.
 //
@@ -14,9 +14,9 @@
 package latewrites
 
 const (
-	// settlingReports is the number of reports after which a write that no answer came to
-	// is taken for lost: the model server has read its connections since. Time doesn't show
-	// that, since it passes while the agent and the model server stand still.
+	// settlingReports is the number of reports after which a write without an answer counts
+	// as lost: the model server has read its connections since. A time would not show that,
+	// because it also passes while the agent and the model server are suspended.
 	settlingReports = 10
 	// abandonReports is that number for an order that could not be sent again.
 	abandonReports = 100
--- a/internal/backend/httpconn/conn.go
+++ b/internal/backend/httpconn/conn.go
@@ -40,7 +40,7 @@
 	// Conn is a connection to a backend server that carries one request and
 	// its answer at a time.
 	Conn struct {
-		// OnReadTimeout is called when a read has timed out. The read goes on if it
+		// OnReadTimeout is called when a read has timed out. The read continues if it
 		// returns true, for which it must have set a new read deadline; nil for never. It
 		// must not be set while a read is in progress.
 		OnReadTimeout func() bool
@@ -83,7 +83,7 @@
 		Head mulberryspool.AnswerHead
 	}
 
-	// patientReader reads from the connection. Readers above it don't go on after an error.
+	// patientReader reads from the connection. The readers that use it can't continue after an error.
 	patientReader struct{ conn *Conn }
 
 	// answerBody is the body of an Answer. It replaces the one of net/http, whose
--- a/internal/integration/hostedweights_test.go
+++ b/internal/integration/hostedweights_test.go
@@ -22,7 +22,7 @@
 
 // Guards against model servers that are ordered to load pieces that are missing, spoilt or of
 // another version, while agents are killed, model servers crash, lose their staged pieces,
-// stand still or delay writes, and pieces and what the origin sends are spoilt; and against servers that never get the last version.
+// are suspended or delay writes, and pieces and what the origin sends are spoilt; and against servers that never get the last version.
 // A long run has -weights-seeds=50.
 func TestAgentsLoadOnlyWholeVersions(t *testing.T) {
 	for seed := *weightsSeed; seed < *weightsSeed+uint64(*weightsSeeds); seed++ {
--- a/internal/role/hosted/agentupload.go
+++ b/internal/role/hosted/agentupload.go
@@ -13,7 +13,7 @@
 
 const (
 	// maxCheckAge is how old the check of the first piece may be when the load is
-	// ordered. Pieces turn bad while the agent or the model server stands still.
+	// ordered. Pieces become corrupt while the agent or the model server is suspended.
 	maxCheckAge = 2 * time.Second
 	// maxChecks is the number of checks in a row after which a load is ordered although
 	// the last check took longer, because the model server would never serve otherwise.
--- a/internal/standin/backendserver/server.go
+++ b/internal/standin/backendserver/server.go
@@ -59,7 +59,7 @@
 	s.slowdown = factor
 }
 
-// Pause makes the server write nothing for a while. What runs goes on afterwards.
+// Pause makes the server write nothing for a while. Requests in progress continue afterwards.
 func (s *Server) Pause(d time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/standin/pieceorigin/server.go
+++ b/internal/standin/pieceorigin/server.go
@@ -19,8 +19,7 @@
 		Model string
 		// Pieces is the number of pieces of a version, and PieceBytes their size.
 		Pieces, PieceBytes int
-		// Spoil changes the bytes of an answer; nil for never. Set it with SetSpoil while
-		// the server runs.
+		// spoil changes the bytes of an answer; nil for never.
 		spoil func(call string, body []byte) []byte
 
 		mu     sync.Mutex
