Report a check that timed out as unknown, whichever timer is first

Cause: the deadline of the connection and that of the context are the same time; when the read timed out first, the context was not done yet.

Change: a time-out of the network counts as unknown, too.

--- a/internal/backend/liveness/checker.go
+++ b/internal/backend/liveness/checker.go
@@ -13,6 +13,7 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"sync"
 	"time"
@@ -97,9 +98,12 @@
 	ctx, cancel := clockwork.WithTimeout(context.Background(), c.Clock, timeout)
 	defer cancel()
 	k.err = c.ask(ctx, target)
-	if k.err != nil && ctx.Err() != nil {
+	var network net.Error
+	switch {
+	case k.err == nil:
+	case ctx.Err() != nil || errors.As(k.err, &network) && network.Timeout():
 		k.err = errors.Mark(k.err, ErrUnknown)
-	} else if k.err != nil {
+	default:
 		k.err = errors.Mark(k.err, ErrEnded)
 	}
 }
--- a/internal/backend/liveness/checker_test.go
+++ b/internal/backend/liveness/checker_test.go
@@ -96,7 +96,7 @@
 	}
 }
 
-// Guards against a check that goes on after its caller has left.
+// Guards against a caller that waits for a check after its request has ended.
 func TestCheckEndsWithContext(t *testing.T) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
