Answer what is read at the end of a planned stop

Cause: net/http's conn.serve ends without an answer if it finds the server in Shutdown after it has read a request. A planned stop called Shutdown when the last answers are written, with connections open whose request had not been read.

TestRequestReadDuringDrainIsAnswered gets EOF with Shutdown.

Change: the stop closes the listener, waits until Serve has returned, and until no accepted connection is left, while idle ones are closed.

--- a/internal/role/hosted/conntracker.go
+++ b/internal/role/hosted/conntracker.go
@@ -139,6 +139,23 @@
 	return t.clock.Since(t.lastNew) >= stopQuietTime
 }
 
+// drain waits until no connection is left, at most until endBy, and reports whether that is
+// so. It closes connections without a request. The listener must be closed. It replaces
+// http.Server.Shutdown, which closes connections whose request is being read without an
+// answer.
+func (t *connTracker) drain(endBy time.Time) bool {
+	for {
+		t.closeIdle()
+		if len(t.list()) == 0 {
+			return true
+		}
+		if !t.clock.Now().Before(endBy) {
+			return false
+		}
+		t.clock.Sleep(drainPollInterval)
+	}
+}
+
 func (c *trackedConn) isBusy() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/role/hosted/conntracker_test.go
+++ b/internal/role/hosted/conntracker_test.go
@@ -64,6 +64,28 @@
 	exchange(t, conn, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
 }
 
+// Guards against requests whose bytes arrive while a stopping entry waits for the last ones,
+// and whose connections are closed without an answer. The request arrives in two parts: before
+// the listener is closed, and afterwards.
+func TestRequestReadDuringDrainIsAnswered(t *testing.T) {
+	tracker, _ := startTracked(t)
+	conn := dialTracked(t, tracker)
+	if _, err := io.WriteString(conn, "GET / HTT"); err != nil {
+		t.Fatal(err)
+	}
+	await(t, "the first part of the request was read", func() bool { return tracker.count(true) == 1 })
+	if err := tracker.Close(); err != nil {
+		t.Fatal(err)
+	}
+	drained := make(chan bool)
+	go func() { drained <- tracker.drain(time.Now().Add(10 * time.Second)) }()
+	time.Sleep(5 * drainPollInterval)
+	exchange(t, conn, "P/1.1\r\nHost: h\r\nConnection: close\r\n\r\n")
+	if !<-drained {
+		t.Error("the connection is still open")
+	}
+}
+
 // count returns the number of connections with, or without, a request.
 func (t *connTracker) count(busy bool) int {
 	n := 0
--- a/internal/role/hosted/entry.go
+++ b/internal/role/hosted/entry.go
@@ -11,7 +11,6 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
-	"github.com/jonboulle/clockwork"
 	"golang.org/x/sync/errgroup"
 
 	"github.com/mulberryspool/mulberryspool"
@@ -82,6 +81,9 @@
 	// stopQuietTime the time without new connections after which none is expected.
 	stopPollInterval = 50 * time.Millisecond
 	stopQuietTime    = 500 * time.Millisecond
+	// drainPollInterval is how often a stopping entry that accepts no more connections
+	// checks whether any is left.
+	drainPollInterval = 10 * time.Millisecond
 	// headerTimeout limits the reading of a request's headers.
 	headerTimeout = 10 * time.Second
 	// idleTimeout is longer than callers keep a connection idle.
@@ -315,14 +317,15 @@
 	for !connections.quiet() && e.clock.Now().Before(answerBy) {
 		e.clock.Sleep(stopPollInterval)
 	}
-	connections.closeIdle()
-	bounded, cancel := clockwork.WithDeadline(context.WithoutCancel(ctx), e.clock, endBy)
-	defer cancel()
-	if err := server.Shutdown(bounded); err != nil {
-		e.logger.Warn().Err(err).Str(logging.FieldStep, "stop").Msg("graceful stop timed out, closing connections with requests in flight")
-		return errors.Wrap(server.Close(), "close connections")
+	_ = connections.Close()
+	// Connections that were accepted until then are known when Serve returns.
+	if err := <-served; !errors.Is(err, net.ErrClosed) {
+		e.logger.Warn().Err(err).Str(logging.FieldStep, "stop").Msg("listener for callers failed")
 	}
-	return nil
+	if !connections.drain(endBy) {
+		e.logger.Warn().Str(logging.FieldStep, "stop").Msg("graceful stop timed out, closing connections with requests in flight")
+	}
+	return errors.Wrap(server.Close(), "close connections")
 }
 
 func serve(ctx context.Context, server *http.Server, listener net.Listener) error {
