Bound the memory of callers' bodies

Cause: bodies up to the configuration's limit were read whole before admission, and nothing bounded their sum.

Change: bodies share the budget of buffered answers. What doesn't fit is refused as not run, unread if its length is known. A body must arrive by the deadline of its request, or before the last answers of a planned stop, since a stalled caller would hold memory otherwise. Counted in bodies_without_memory; lines of such refusals are limited.

--- a/internal/entry/forward/handler.go
+++ b/internal/entry/forward/handler.go
@@ -13,14 +13,12 @@
 import (
 	"cmp"
 	"encoding/json"
-	"io"
 	"net/http"
 	"strconv"
 	"strings"
 	"sync"
 	"time"
 
-	"github.com/cockroachdb/errors"
 	"github.com/rs/zerolog"
 	"github.com/uber-go/tally/v4"
 
@@ -83,6 +81,8 @@
 		mu sync.Mutex
 		// longestDeadline holds the longest deadline seen on each route.
 		longestDeadline map[string]time.Duration
+		// noMemoryLoggedAt is when a refusal for want of memory was logged.
+		noMemoryLoggedAt time.Time
 	}
 
 	errorBody struct {
@@ -130,21 +130,15 @@
 	if limit <= 0 {
 		limit = defaultBodyBytes
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
-		q.writeError(http.StatusRequestEntityTooLarge, typeFailed, "bodyTooLarge", 0)
+	q.pool = table.Pool(q.route, head.ID)
+	ctx, cancel := q.context()
+	defer cancel()
+	if !q.readBody(ctx, limit) {
 		return
 	}
-	if err != nil {
-		h.Logger.Info().Err(err).Str("requestID", string(head.ID)).Msg("caller disconnected before its request was read")
-		panic(http.ErrAbortHandler)
-	}
-	q.body = body
-	q.pool = table.Pool(q.route, head.ID)
 	q.promptParts = promptguard.Parts(cmp.Or(head.Model, q.pool.Model), head.PromptParts)
 	q.callerRetry = h.isCallerRetry(q.route.Name, head.Deadline)
-	q.serve()
+	q.serve(ctx)
 }
 
 // target returns the path and the query exactly as the caller sent them.
--- a/internal/entry/forward/log.go
+++ b/internal/entry/forward/log.go
@@ -19,11 +19,14 @@
 	// loggedStartWindow is the last part of a version's grace in which each start of
 	// a response on the older version is logged.
 	loggedStartWindow = 250 * time.Millisecond
+	// noMemoryLogInterval is the minimum interval between two lines of requests that are
+	// refused for want of memory.
+	noMemoryLogInterval = 100 * time.Millisecond
 )
 
 // logEnd records the metrics and writes the log line of a request that has
 // ended. The lines of requests that succeeded without a failed attempt are
-// sampled.
+// sampled, and those of requests refused for want of memory limited.
 func (q *request) logEnd(status int, code string, retryAfter time.Duration) {
 	route := ""
 	if q.route != nil {
@@ -36,7 +39,7 @@
 	}
 	q.handler.Metrics.Timer("answer").Record(took)
 	succeeded := status > 0 && status < http.StatusMultipleChoices && q.lastError == nil
-	if succeeded && !q.handler.Sampled(q.head.ID) {
+	if succeeded && !q.handler.Sampled(q.head.ID) || code == codeNoMemory && !q.handler.logsNoMemory() {
 		return
 	}
 	e := q.handler.Logger.Info().EmbedObject(logging.Fields{Route: route, Pool: q.pool.Name, RequestID: q.head.ID, Peer: string(q.lastDecision.Server.Instance)}).
@@ -51,6 +54,18 @@
 	e.Msg("request ended")
 }
 
+// logsNoMemory reports whether the next refusal for want of memory is logged.
+func (h *Handler) logsNoMemory() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	now := h.Clock.Now()
+	if now.Sub(h.noMemoryLoggedAt) < noMemoryLogInterval {
+		return false
+	}
+	h.noMemoryLoggedAt = now
+	return true
+}
+
 // addDecisionFields adds the data behind the decisions on the request.
 func (q *request) addDecisionFields(e *zerolog.Event) {
 	if q.head.Deadline > 0 {
@@ -74,6 +89,9 @@
 	if q.stream != nil && q.stream.eventCount > 0 {
 		e.Dur("firstEvent", q.stream.firstEventAt.Sub(q.arrivedAt))
 	}
+	if q.incoming.ContentLength > 0 {
+		e.Int64("bodyBytes", q.incoming.ContentLength)
+	}
 	if q.lastError != nil {
 		e.AnErr("cause", q.lastError)
 	}
--- a/internal/entry/forward/request.go
+++ b/internal/entry/forward/request.go
@@ -117,9 +117,9 @@
 	}
 )
 
-// serve sends the request to backend servers until it has a response or may not
-// be sent again.
-func (q *request) serve() {
+// context sets the deadline of the request and returns a context that ends with it, when the
+// caller disconnects, or when requests in flight have to be answered in a planned stop.
+func (q *request) context() (context.Context, context.CancelFunc) {
 	timeout := q.route.Timeout
 	if timeout <= 0 {
 		timeout = defaultTimeout
@@ -129,8 +129,16 @@
 	}
 	q.deadline = q.arrivedAt.Add(timeout)
 	ctx, cancel := clockwork.WithDeadline(q.incoming.Context(), q.handler.Clock, q.deadline)
-	defer cancel()
-	defer context.AfterFunc(q.handler.stopState().answer, cancel)()
+	stop := context.AfterFunc(q.handler.stopState().answer, cancel)
+	return ctx, func() {
+		stop()
+		cancel()
+	}
+}
+
+// serve sends the request to backend servers until it has a response or may not
+// be sent again.
+func (q *request) serve(ctx context.Context) {
 	defer q.arrive()()
 	if !q.canEnd() {
 		// Another entry can serve it at once.
--- /dev/null
+++ b/internal/entry/forward/requestbody.go
@@ -0,0 +1,78 @@
+package forward
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/mulberryspool/mulberryspool/internal/entry/bodybudget"
+)
+
+const (
+	// codeNoMemory is the code of requests that are refused because there is no memory for
+	// their bodies.
+	codeNoMemory = "noMemory"
+	// noMemoryRetryAfter is the Retry-After hint of such a refusal. Bodies are kept until
+	// their requests end.
+	noMemoryRetryAfter = time.Second
+	// refusedBodyTimeout limits how long the rest of a refused body is discarded. A
+	// connection that is closed before that is reset, which may destroy the answer.
+	refusedBodyTimeout = 500 * time.Millisecond
+)
+
+// readBody reads the body of the request, which has at most limit bytes, into memory, and
+// reports whether the request can be served. If it can't, it has been answered. The body must
+// arrive before ctx ends, so that a slow caller does not hold memory for longer.
+func (q *request) readBody(ctx context.Context, limit int64) bool {
+	length := q.incoming.ContentLength
+	if length > limit {
+		q.refuseBody(http.StatusRequestEntityTooLarge, typeFailed, "bodyTooLarge", 0)
+		return false
+	}
+	inTime := func() bool { return true }
+	if length != 0 {
+		inTime = q.limitBodyRead(ctx)
+	}
+	body, err := q.handler.Bodies.Read(q.incoming.Body, length, limit+1)
+	q.bodies = append(q.bodies, body)
+	q.body = body.Bytes
+	arrivedInTime := inTime()
+	switch {
+	case errors.Is(err, bodybudget.ErrFull):
+		q.handler.count("bodies_without_memory", q.route.Name, q.pool.Name, "request")
+		q.refuseBody(http.StatusServiceUnavailable, typeNotRun, codeNoMemory, q.capRetryAfter(noMemoryRetryAfter))
+	case !arrivedInTime && q.handler.mustAnswer():
+		q.refuseBody(http.StatusServiceUnavailable, typeNotRun, codeStopping, stoppingRetryAfter)
+	case !arrivedInTime:
+		q.refuseBody(http.StatusRequestTimeout, typeNotRun, "bodyTooSlow", 0)
+	case err != nil:
+		q.handler.Logger.Info().Err(err).Str("requestID", string(q.head.ID)).Msg("caller disconnected before its request was read")
+		panic(http.ErrAbortHandler)
+	case int64(len(body.Bytes)) > limit:
+		q.refuseBody(http.StatusRequestEntityTooLarge, typeFailed, "bodyTooLarge", 0)
+	default:
+		return true
+	}
+	return false
+}
+
+// limitBodyRead makes reads of the body fail when ctx ends. The returned function ends that
+// and reports whether ctx has not ended.
+func (q *request) limitBodyRead(ctx context.Context) (inTime func() bool) {
+	return context.AfterFunc(ctx, func() { q.setBodyReadDeadline(time.Unix(1, 0)) })
+}
+
+func (q *request) setBodyReadDeadline(at time.Time) {
+	// Writers that support no deadlines, as in tests, have no connection that could stall.
+	_ = http.NewResponseController(q.writer).SetReadDeadline(at)
+}
+
+// refuseBody refuses the request without keeping the rest of its body. The connection is
+// closed afterwards.
+func (q *request) refuseBody(status int, kind, code string, retryAfter time.Duration) {
+	q.writer.Header().Set("Connection", "close")
+	q.setBodyReadDeadline(q.handler.Clock.Now().Add(refusedBodyTimeout))
+	q.writeError(status, kind, code, retryAfter)
+}
