Take SIGHUP before anything else

Cause: SIGHUP was taken only when the watch of the settings began, so one that came before ended the process. The watch read the file once more for itself and took a change since the first read for the settings in use.

Evidence: unchanged code, real processes that get SIGHUP every millisecond from the moment on at which they open their settings: entry and agent ended before they had read them.

Change: main takes SIGHUP first and keeps one for the watch, which compares what it reads with the settings in use. Commands that aren't hosted roles end on SIGHUP, unless it was ignored at the start.

Not covered is the time from exec to main.

--- a/cmd/mulberryspool/main.go
+++ b/cmd/mulberryspool/main.go
@@ -14,13 +14,21 @@
 )
 
 func main() {
+	// SIGHUP would end the process, so it is taken first. Hosted roles read their settings
+	// again; all other commands end, unless SIGHUP was ignored at the start, as under nohup.
+	hangupIgnored := signal.Ignored(syscall.SIGHUP)
+	hangup := make(chan os.Signal, 1)
+	signal.Notify(hangup, syscall.SIGHUP)
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	program := &command.Program{
-		Runners: runners(),
+		Runners: runners(hangup),
 		Clock:   clockwork.NewRealClock(),
 		Out:     os.Stdout,
 		Err:     os.Stderr,
 	}
+	if !hangupIgnored {
+		program.Hangup = hangup
+	}
 	code := program.Run(ctx, os.Args[1:])
 	stop()
 	os.Exit(code)
--- a/cmd/mulberryspool/runners.go
+++ b/cmd/mulberryspool/runners.go
@@ -23,20 +23,26 @@
 	"github.com/mulberryspool/mulberryspool/internal/role/agent"
 	"github.com/mulberryspool/mulberryspool/internal/role/entry"
 	"github.com/mulberryspool/mulberryspool/internal/role/hosted"
+	hostedsettings "github.com/mulberryspool/mulberryspool/internal/settings/hosted"
 )
 
 // operatorCaller is the caller name that the platform uses to count calls from
 // operators' commands.
 const operatorCaller = "operator"
 
-// runners connects the subcommands with the packages that implement them.
-func runners() command.Runners {
+// runners connects the subcommands with the packages that implement them. The hosted roles
+// read their settings again on each signal from reload.
+func runners(reload <-chan os.Signal) command.Runners {
 	return command.Runners{
 		Entry: entry.Run,
 		Agent: agent.Run,
 
-		HostedEntry: hosted.Entry,
-		HostedAgent: hosted.Agent,
+		HostedEntry: func(ctx context.Context, file string, s hostedsettings.Settings, logs io.Writer) error {
+			return hosted.Entry(ctx, hosted.SettingsFile{Name: file, Reload: reload}, s, logs)
+		},
+		HostedAgent: func(ctx context.Context, file string, s hostedsettings.Settings, logs io.Writer) error {
+			return hosted.Agent(ctx, hosted.SettingsFile{Name: file, Reload: reload}, s, logs)
+		},
 		Local: func(ctx context.Context, options command.LocalOptions, out io.Writer) error {
 			system := &local.System{Clock: clockwork.NewRealClock(), Out: out, Logs: os.Stderr, Keep: options.Keep}
 			return system.Run(ctx)
--- a/internal/operator/command/command.go
+++ b/internal/operator/command/command.go
@@ -94,6 +94,8 @@
 		// Err receives error messages, and the logs of the roles entry and
 		// agent.
 		Err io.Writer
+		// Hangup ends all commands but the hosted roles; nil for none.
+		Hangup <-chan os.Signal
 	}
 
 	// exitError is an error with an exit code.
@@ -155,6 +157,8 @@
 	if a.Hosted != nil {
 		return p.hosted(ctx, a)
 	}
+	ctx, cancel := p.cancelOnHangup(ctx)
+	defer cancel()
 	if err := a.readSettings(); err != nil {
 		return err
 	}
@@ -166,7 +170,7 @@
 	case a.Local != nil:
 		return p.local(ctx, a.Local)
 	}
-	ctx, cancel := context.WithTimeout(ctx, a.totalTimeout())
+	ctx, cancel = context.WithTimeout(ctx, a.totalTimeout())
 	defer cancel()
 	switch {
 	case a.Tables != nil:
@@ -181,6 +185,19 @@
 	return withCode(ExitBadInput, errors.New("no subcommand is given"))
 }
 
+// cancelOnHangup returns a context that ends on SIGHUP, too.
+func (p *Program) cancelOnHangup(ctx context.Context) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancel(ctx)
+	go func() {
+		select {
+		case <-p.Hangup:
+			cancel()
+		case <-ctx.Done():
+		}
+	}()
+	return ctx, cancel
+}
+
 // totalTimeout limits the whole command. It includes the wait time-out of
 // `tables apply --wait`.
 func (a *arguments) totalTimeout() time.Duration {
--- a/internal/operator/command/command_test.go
+++ b/internal/operator/command/command_test.go
@@ -12,8 +12,11 @@
 	"slices"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
+	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/jonboulle/clockwork"
 
 	"github.com/mulberryspool/mulberryspool"
@@ -303,3 +306,23 @@
 		t.Fatal(errText)
 	}
 }
+
+// Guards against commands that ignore the end of their terminal, because the program takes
+// SIGHUP for the hosted roles.
+func TestHangupEndsCommands(t *testing.T) {
+	hangup := make(chan os.Signal, 1)
+	hangup <- syscall.SIGHUP
+	p := &Program{Out: io.Discard, Err: io.Discard, Hangup: hangup, Runners: Runners{
+		Local: func(ctx context.Context, _ LocalOptions, _ io.Writer) error {
+			select {
+			case <-ctx.Done():
+				return nil
+			case <-time.After(10 * time.Second):
+				return errors.New("still running")
+			}
+		},
+	}}
+	if code := p.Run(t.Context(), []string{"local"}); code != ExitOK {
+		t.Errorf("exit code %d, want %d", code, ExitOK)
+	}
+}
--- a/internal/role/hosted/agent.go
+++ b/internal/role/hosted/agent.go
@@ -164,7 +164,7 @@
 )
 
 // Agent runs the agent role until the context ends.
-func Agent(ctx context.Context, file string, s settings.Settings, logs io.Writer) error {
+func Agent(ctx context.Context, file SettingsFile, s settings.Settings, logs io.Writer) error {
 	if s.Backend == "" || s.Pool == "" {
 		return errors.New("settings name no model server")
 	}
@@ -227,7 +227,7 @@
 	group.Go(func() error { return a.heartbeats.Run(ctx) })
 	group.Go(func() error { return endpoint.Serve(ctx, control) })
 	group.Go(func() error { return a.fetcher.Run(ctx) })
-	group.Go(func() error { p.watchSettings(ctx, file, func(settings.Settings) {}); return nil })
+	group.Go(func() error { p.watchSettings(ctx, file); return nil })
 	group.Go(func() error { return p.serveMetrics(ctx) })
 	group.Go(func() error { a.loop(ctx); return nil })
 	return group.Wait()
--- a/internal/role/hosted/entry.go
+++ b/internal/role/hosted/entry.go
@@ -149,7 +149,7 @@
 )
 
 // Entry runs the entry role until the context ends and requests have ended.
-func Entry(ctx context.Context, file string, s settings.Settings, logs io.Writer) error {
+func Entry(ctx context.Context, file SettingsFile, s settings.Settings, logs io.Writer) error {
 	p, err := newProcess(s, mulberryspool.RoleEntry, logs)
 	if err != nil {
 		return err
@@ -185,7 +185,7 @@
 	group.Go(func() error { return e.heartbeats.Run(groupCtx) })
 	group.Go(func() error { e.runHeartbeats(groupCtx); return nil })
 	group.Go(func() error { e.register(groupCtx); return nil })
-	group.Go(func() error { p.watchSettings(groupCtx, file, func(settings.Settings) {}); return nil })
+	group.Go(func() error { p.watchSettings(groupCtx, file); return nil })
 	group.Go(func() error { return p.serveMetrics(groupCtx) })
 	group.Go(func() error { return serve(groupCtx, e.stateServer(), state) })
 	group.Go(func() error { return serve(groupCtx, e.readinessServer(), readiness) })
--- a/internal/role/hosted/hosted.go
+++ b/internal/role/hosted/hosted.go
@@ -7,6 +7,7 @@
 package hosted
 
 import (
+	"bytes"
 	"compress/gzip"
 	"context"
 	"encoding/json"
@@ -17,10 +18,9 @@
 	"net/http"
 	"net/url"
 	"os"
-	"os/signal"
+	"reflect"
 	"runtime/debug"
 	"strconv"
-	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -80,6 +80,14 @@
 	queryServers = "servers"
 )
 
+// SettingsFile is the file from which the settings were read.
+type SettingsFile struct {
+	Name string
+	// Reload has a value for each signal to read the file again. It is buffered from before
+	// the first read on, so that no signal is lost.
+	Reload <-chan os.Signal
+}
+
 // progressReader counts the bytes that are read and reports progress.
 type progressReader struct {
 	io.Reader
@@ -227,39 +235,36 @@
 	return (&admin.Server{Metrics: p.metricsHandler}).Serve(ctx, listener)
 }
 
-// watchSettings reads the file again on SIGHUP and every settingsPollInterval,
-// and calls changed with new valid settings.
-func (p *process) watchSettings(ctx context.Context, file string, changed func(settings.Settings)) {
-	sighup := make(chan os.Signal, 1)
-	signal.Notify(sighup, syscall.SIGHUP)
-	defer signal.Stop(sighup)
-	last, err := os.ReadFile(file)
-	if err != nil {
-		p.logger.Warn().Err(err).Msg("settings file cannot be read")
-	}
+// watchSettings reads the file again on each signal and every settingsPollInterval, and logs
+// new valid settings. Signals that came before are taken first.
+func (p *process) watchSettings(ctx context.Context, file SettingsFile) {
+	var last []byte
 	for {
 		select {
-		case <-sighup:
+		case <-file.Reload:
 		case <-p.clock.After(settingsPollInterval):
 		case <-ctx.Done():
 			return
 		}
-		data, err := os.ReadFile(file)
+		data, err := os.ReadFile(file.Name)
 		if err != nil {
 			p.logger.Warn().Err(err).Str(logging.FieldStep, "reload").Msg("settings file cannot be read, keeping the current settings")
 			continue
 		}
-		if string(data) == string(last) {
+		first := last == nil
+		if !first && bytes.Equal(data, last) {
 			continue
 		}
 		last = data
-		s, err := settings.Parse(file, data)
+		s, err := settings.Parse(file.Name, data)
 		if err != nil {
 			p.logger.Warn().Err(err).Str(logging.FieldStep, "reload").Msg("settings are invalid, keeping the current ones")
 			continue
 		}
+		if first && reflect.DeepEqual(s, p.settings) {
+			continue
+		}
 		p.logger.Info().Str(logging.FieldStep, "reload").Msg("settings reloaded")
-		changed(s)
 	}
 }
 
--- a/internal/testkit/hostedagents/system.go
+++ b/internal/testkit/hostedagents/system.go
@@ -58,9 +58,11 @@
 	Machine struct {
 		Server modelserver.Server
 		Agent  *process.Process
+		// SettingsFile is that of the agent.
+		SettingsFile string
 
-		id, address, settings string
-		builder               *process.Builder
+		id, address string
+		builder     *process.Builder
 		// listed is the state that the store has of the model server.
 		listed []byte
 	}
@@ -131,7 +133,7 @@
 // StartAgent starts the agent's process.
 func (m *Machine) StartAgent(t testing.TB) {
 	t.Helper()
-	m.Agent = process.Start(t, m.builder.Build(t, program), "--settings", m.settings, "hosted", "agent")
+	m.Agent = process.Start(t, m.builder.Build(t, program), "--settings", m.SettingsFile, "hosted", "agent")
 }
 
 // KillAgent kills the agent's process and waits for its end.
@@ -196,7 +198,7 @@
 	ip := fmt.Sprintf("127.%d.%d.%d", 192+i, os.Getpid()>>8&255, os.Getpid()&255)
 	m := &Machine{
 		Server: modelserver.Server{Model: model, Pieces: pieces, Piece: s.Origin.Piece, WarmTime: 200 * time.Millisecond},
-		id:     fmt.Sprintf("i-%d", i), address: fmt.Sprintf("%s:%d", ip, serverPort), settings: filepath.Join(t.TempDir(), "agent.yaml"), builder: s.Builder,
+		id:     fmt.Sprintf("i-%d", i), address: fmt.Sprintf("%s:%d", ip, serverPort), SettingsFile: filepath.Join(t.TempDir(), "agent.yaml"), builder: s.Builder,
 	}
 	m.Server.Start(1)
 	text := fmt.Sprintf(`instance: side-%d
@@ -213,7 +215,7 @@
 logSample: 1
 metricsPort: %d
 `, i, failureDomain, ip, firstInternalPort, firstInternalPort+5, failureDomain, m.address, pool, s.storeAddress, s.Bound, metricsPort)
-	if err := os.WriteFile(m.settings, []byte(text), 0o600); err != nil {
+	if err := os.WriteFile(m.SettingsFile, []byte(text), 0o600); err != nil {
 		t.Fatal(err)
 	}
 	return m
--- a/internal/testkit/hostedsystem/system.go
+++ b/internal/testkit/hostedsystem/system.go
@@ -71,8 +71,7 @@
 		URL          string
 		ReadinessURL string
 		Process      *process.Process
-
-		settings string
+		SettingsFile string
 	}
 )
 
@@ -146,7 +145,7 @@
 	ip := fmt.Sprintf("127.%d.%d.%d", 128+i, os.Getpid()>>8&255, os.Getpid()&255)
 	e := &Entry{
 		URL: fmt.Sprintf("http://%s:%d", ip, callersPort), ReadinessURL: fmt.Sprintf("http://%s:%d%s", ip, readinessPort, platform.ReadinessPath),
-		settings: filepath.Join(t.TempDir(), "entry.yaml"),
+		SettingsFile: filepath.Join(t.TempDir(), "entry.yaml"),
 	}
 	text := fmt.Sprintf(`instance: entry-%d
 failureDomain: %s
@@ -162,7 +161,7 @@
 logSample: 1
 metricsPort: %d
 `, i, failureDomain, ip, firstInternalPort, firstInternalPort+5, failureDomain, ip, callersPort, ip, readinessPort, s.storeAddress, s.GracefulStop, s.RepeatSlack, cmp.Or(s.MegabytesOfMemory, 206), metricsPort)
-	if err := os.WriteFile(e.settings, []byte(text), 0o600); err != nil {
+	if err := os.WriteFile(e.SettingsFile, []byte(text), 0o600); err != nil {
 		t.Fatal(err)
 	}
 	return e
@@ -171,5 +170,5 @@
 // Start starts the entry's process.
 func (e *Entry) Start(t testing.TB, builder *process.Builder) {
 	t.Helper()
-	e.Process = process.Start(t, builder.Build(t, program), "--settings", e.settings, "hosted", "entry")
+	e.Process = process.Start(t, builder.Build(t, program), "--settings", e.SettingsFile, "hosted", "entry")
 }
