--- a/internal/entry/bodybudget/budget.go
+++ b/internal/entry/bodybudget/budget.go
@@ -16,8 +16,8 @@
 )
 
 const (
-	// ShortBytes is the size up to which a body may use the whole budget.
-	ShortBytes = 32 << 10
+	// shortBytes is the size up to which a body may use the whole budget.
+	shortBytes = 32 << 10
 	// longShare is the part of the budget that longer bodies may use.
 	longShare = 0.75
 	// firstBytes is the first size of a buffer for a body of unknown length.
@@ -63,7 +63,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	limit := b.Limit
-	if held+more > ShortBytes {
+	if held+more > shortBytes {
 		limit = int64(longShare * float64(limit))
 	}
 	if b.Limit > 0 && b.used+more > limit {
--- a/internal/entry/bodybudget/budget_test.go
+++ b/internal/entry/bodybudget/budget_test.go
@@ -35,7 +35,7 @@
 		if used := b.Used(); used > limit*3/4 || used < limit/2 {
 			t.Errorf("%s: long bodies take %d bytes of %d", name, used, limit)
 		}
-		short, err := b.Read(strings.NewReader(strings.Repeat("s", ShortBytes)), ShortBytes, long)
+		short, err := b.Read(strings.NewReader(strings.Repeat("s", shortBytes)), shortBytes, long)
 		if err != nil {
 			t.Errorf("%s: short body beside long ones: %v", name, err)
 		}
