Read the era of the store, count and log its restores

A store that was restored from a copy looked like one that had dropped its history: both answer a watch with 410, and nothing in the logs or metrics said which it was.

Answers of the store and the objects in them have a Position, the era and the revision; the era is logged beside the revision where a list is read again. A line names both eras of a restore, store_restores counts them. No decision uses the era yet.

--- a/fleet.go
+++ b/fleet.go
@@ -128,6 +128,8 @@
 		// Revision is the store's revision of the last change of the backend server's
 		// object; 0 if not known.
 		Revision Revision `json:"revision,omitzero"`
+		// Era is that of Revision.
+		Era Era `json:"era,omitzero"`
 	}
 
 	// LoadedModel is a model version that a backend server serves.
@@ -143,6 +145,8 @@
 		Version int64  `json:"version,omitzero"`
 		// Revision is the store's revision of the last change of the version's object.
 		Revision Revision `json:"revision,omitzero"`
+		// Era is that of Revision.
+		Era Era `json:"era,omitzero"`
 	}
 
 	// RequestHead is the information in the headers of a live request.
@@ -228,6 +232,9 @@
 	}
 )
 
+// Position returns the store's position of the last change of the backend server's object.
+func (s BackendServer) Position() Position { return Position{Era: s.Era, Revision: s.Revision} }
+
 // Serves returns the version of the model that the backend server has loaded, 0
 // for none.
 func (s BackendServer) Serves(model string) int64 {
--- a/internal/platform/fleet/delay_test.go
+++ b/internal/platform/fleet/delay_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/jonboulle/clockwork"
+
+	"github.com/mulberryspool/mulberryspool"
 )
 
 // Guards against the first report of a version that arrives late from a peer whose other
@@ -16,7 +18,7 @@
 		reader.MergeNamedVersions(peer.Summary(), "peer", 1)
 		clock.Advance(time.Second)
 	}
-	reader.recordAnswer(clock.Now().Add(-500*time.Millisecond), revisionOf(2)-1)
+	reader.recordAnswer(clock.Now().Add(-500*time.Millisecond), mulberryspool.Position{Revision: revisionOf(2) - 1})
 	watch(peer, 2)
 	named, report := clock.Now(), peer.Summary()
 	clock.Advance(300 * time.Millisecond)
--- a/internal/platform/fleet/fleet.go
+++ b/internal/platform/fleet/fleet.go
@@ -82,14 +82,20 @@
 		// AssumedAge is the assumed age, at its first sight, of a version that was
 		// already named then, until a peer reports the age.
 		AssumedAge time.Duration
+		// EraChanged is called when the store is known to have been restored, with the last
+		// era before it and its new one; nil for no call.
+		EraChanged func(before, era mulberryspool.Era)
 
 		once            sync.Once
 		configFollower  listwatch.Follower[mulberryspool.Ingress]
 		serverFollower  listwatch.Follower[mulberryspool.BackendServer]
 		versionFollower listwatch.Follower[mulberryspool.NamedVersion]
 
-		mu      sync.Mutex
-		ingress *mulberryspool.Ingress
+		mu sync.Mutex
+		// era is the latest era of the store that is known; eraKnown is set once there is one.
+		era      mulberryspool.Era
+		eraKnown bool
+		ingress  *mulberryspool.Ingress
 		// configAnsweredAt is when the store last answered a call for the configuration.
 		configAnsweredAt time.Time
 		servers          membership.View
@@ -178,7 +184,7 @@
 	return f.configFollower.Reachable() && (f.ConfigPaused == nil || !f.ConfigPaused())
 }
 
-func (f *Fleet) recordConfigAnswer(after time.Time, at mulberryspool.Revision) {
+func (f *Fleet) recordConfigAnswer(after time.Time, at mulberryspool.Position) {
 	f.recordAnswer(after, at)
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -261,7 +267,7 @@
 	for _, b := range items {
 		servers[b.Instance] = b
 	}
-	f.mergeServers(membership.Snapshot{Servers: servers, CompleteAt: d.Revision, Assumed: d.Uncertain}, fromStore, "")
+	f.mergeServers(membership.Snapshot{Servers: servers, CompleteAt: d.At.Revision, Assumed: d.Uncertain}, fromStore, "")
 }
 
 func (f *Fleet) mergeServers(s membership.Snapshot, source, reporter string) {
--- a/internal/platform/fleet/fleet_test.go
+++ b/internal/platform/fleet/fleet_test.go
@@ -15,9 +15,9 @@
 // unresponsiveStore never answers a call.
 type unresponsiveStore struct{}
 
-func (unresponsiveStore) List(ctx context.Context, _ string) ([]mulberryspool.Object, mulberryspool.Revision, error) {
+func (unresponsiveStore) List(ctx context.Context, _ string) ([]mulberryspool.Object, mulberryspool.Position, error) {
 	<-ctx.Done()
-	return nil, 0, ctx.Err()
+	return nil, mulberryspool.Position{}, ctx.Err()
 }
 
 func (unresponsiveStore) Changes(ctx context.Context, _ string, _ mulberryspool.Revision, _ time.Duration) (mulberryspool.ChangeList, error) {
@@ -57,7 +57,7 @@
 
 // watch delivers a named version to a process that the store answered just before.
 func watch(f *Fleet, version int64) {
-	f.recordAnswer(f.Clock.Now(), revisionOf(version)-1)
+	f.recordAnswer(f.Clock.Now(), mulberryspool.Position{Revision: revisionOf(version) - 1})
 	list(f, version)
 }
 
@@ -87,10 +87,10 @@
 func TestUncertainServersAreNotMerged(t *testing.T) {
 	exact, uncertain := newFleet(clockwork.NewFakeClock()), newFleet(clockwork.NewFakeClock())
 	for _, f := range []*Fleet{exact, uncertain} {
-		f.setServers(newServers(5, false, "a", "b"), listwatch.Delta{Revision: 10})
+		f.setServers(newServers(5, false, "a", "b"), listwatch.Delta{At: mulberryspool.Position{Revision: 10}})
 	}
-	exact.setServers(newServers(5, false, "a"), listwatch.Delta{Revision: 20})
-	uncertain.setServers(newServers(5, false, "a", "b"), listwatch.Delta{Revision: 30, Uncertain: true})
+	exact.setServers(newServers(5, false, "a"), listwatch.Delta{At: mulberryspool.Position{Revision: 20}})
+	uncertain.setServers(newServers(5, false, "a", "b"), listwatch.Delta{At: mulberryspool.Position{Revision: 30}, Uncertain: true})
 	if exact.IsBehind(uncertain.Summary()) {
 		t.Error("a list with servers in their grace period counts as newer")
 	}
@@ -110,12 +110,12 @@
 // Guards against fetching a peer's state that differs in its revision only.
 func TestEqualServersAtOtherRevisionAreNotNewer(t *testing.T) {
 	a, b := newFleet(clockwork.NewFakeClock()), newFleet(clockwork.NewFakeClock())
-	a.setServers(newServers(5, false, "x"), listwatch.Delta{Revision: 10})
-	b.setServers(newServers(5, false, "x"), listwatch.Delta{Revision: 12})
+	a.setServers(newServers(5, false, "x"), listwatch.Delta{At: mulberryspool.Position{Revision: 10}})
+	b.setServers(newServers(5, false, "x"), listwatch.Delta{At: mulberryspool.Position{Revision: 12}})
 	if a.IsBehind(b.Summary()) {
 		t.Error("a list with the same servers counts as newer")
 	}
-	b.setServers(newServers(14, true, "x"), listwatch.Delta{Revision: 14})
+	b.setServers(newServers(14, true, "x"), listwatch.Delta{At: mulberryspool.Position{Revision: 14}})
 	if !a.IsBehind(b.Summary()) {
 		t.Error("a list in which a server is leaving does not count as newer")
 	}
@@ -187,7 +187,7 @@
 		peer, late := newFleet(clock), newFleet(clock)
 		var reported time.Time
 		late.NamedVersionChanged = func(_ string, _ int64, at time.Time) { reported = at }
-		late.recordAnswer(clock.Now(), revisionOf(2)-1)
+		late.recordAnswer(clock.Now(), mulberryspool.Position{Revision: revisionOf(2) - 1})
 		watch(peer, 2)
 		stale := peer.Summary()
 		clock.Advance(lateness)
@@ -211,7 +211,7 @@
 	f := newFleetWithAssumedAge(clock)
 	items := namedVersions(2)
 	items["other"] = mulberryspool.NamedVersion{Model: "other", Version: 7, Revision: 70}
-	f.recordAnswer(clock.Now(), 69)
+	f.recordAnswer(clock.Now(), mulberryspool.Position{Revision: 69})
 	f.setVersions(items, listwatch.Delta{Updated: []string{"other"}})
 	if _, at := f.NamedVersion("m"); clock.Since(at) != f.AssumedAge {
 		t.Errorf("the version counts as %v old, want the assumed %v", clock.Since(at), f.AssumedAge)
@@ -293,7 +293,7 @@
 func TestAgeIsLearnedFromWatchJustAfterFirstSight(t *testing.T) {
 	clock := clockwork.NewFakeClock()
 	watching := newFleet(clock)
-	watching.recordAnswer(clock.Now(), revisionOf(2)-1)
+	watching.recordAnswer(clock.Now(), mulberryspool.Position{Revision: revisionOf(2) - 1})
 	listed := newFleetWithAssumedAge(clock)
 	clock.Advance(100 * time.Millisecond)
 	list(watching, 2)
@@ -335,14 +335,14 @@
 		return s
 	}
 	peer.Merge(State{Ingress: &mulberryspool.Ingress{Version: 3}}, "store")
-	peer.setServers(newServers(5, false, "a", "b", "c"), listwatch.Delta{Revision: 10})
+	peer.setServers(newServers(5, false, "a", "b", "c"), listwatch.Delta{At: mulberryspool.Position{Revision: 10}})
 	read(PartServers)
 	if s := read(PartConfig); len(s.Servers) > 0 || reader.State().Ingress == nil {
 		t.Errorf("the configuration was read as %+v", s)
 	}
 	items := newServers(5, false, "a")
 	items["d"] = newServers(15, false, "d")["d"]
-	peer.setServers(items, listwatch.Delta{Revision: 20})
+	peer.setServers(items, listwatch.Delta{At: mulberryspool.Position{Revision: 20}})
 	if s := read(PartServers); len(s.Servers) != 1 || s.Ingress != nil {
 		t.Errorf("%d servers and the configuration %v were sent, want only the added server", len(s.Servers), s.Ingress)
 	}
--- a/internal/platform/fleet/outage_test.go
+++ b/internal/platform/fleet/outage_test.go
@@ -60,14 +60,14 @@
 	}
 }
 
-func (s *scriptedStore) List(ctx context.Context, kind string) ([]mulberryspool.Object, mulberryspool.Revision, error) {
+func (s *scriptedStore) List(ctx context.Context, kind string) ([]mulberryspool.Object, mulberryspool.Position, error) {
 	if kind == "servers" && s.relisted != nil {
 		r := *s.relisted
 		s.relisted = nil
-		return objects(r.listed, 0), r.at, nil
+		return objects(r.listed, 0), mulberryspool.Position{Revision: r.at}, nil
 	}
 	r, err := s.next(ctx, kind)
-	return objects(r.listed, 0), r.at, err
+	return objects(r.listed, 0), mulberryspool.Position{Revision: r.at}, err
 }
 
 func (s *scriptedStore) Changes(ctx context.Context, kind string, _ mulberryspool.Revision, _ time.Duration) (mulberryspool.ChangeList, error) {
@@ -82,7 +82,7 @@
 	for _, name := range r.removed {
 		changes = append(changes, mulberryspool.ObjectChange{Object: mulberryspool.Object{Name: name}, Deleted: true})
 	}
-	return mulberryspool.ChangeList{Changes: changes, Revision: r.at}, err
+	return mulberryspool.ChangeList{Changes: changes, At: mulberryspool.Position{Revision: r.at}}, err
 }
 
 // objects returns objects that were last changed at a revision; 0 is when they got
--- a/internal/platform/fleet/versions.go
+++ b/internal/platform/fleet/versions.go
@@ -56,7 +56,7 @@
 		if !ok {
 			continue
 		}
-		if change, ok := f.named.RecordVersion(v.Model, v.Version, cmp.Or(v.Revision, d.Revision), f.Clock.Now()); ok {
+		if change, ok := f.named.RecordVersion(v.Model, v.Version, cmp.Or(v.Revision, d.At.Revision), f.Clock.Now()); ok {
 			f.publishVersion(change, fromStore, "")
 		}
 	}
@@ -76,10 +76,11 @@
 	f.NamedVersionChanged(c.Model, c.Version, c.Since)
 }
 
-// recordAnswer records that the store answered at a revision after the given time.
+// recordAnswer records that the store answered at a position after the given time.
 // Versions with a greater revision were named after that time as well.
-func (f *Fleet) recordAnswer(after time.Time, at mulberryspool.Revision) {
+func (f *Fleet) recordAnswer(after time.Time, at mulberryspool.Position) {
+	f.observeEra(at.Era)
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.named.RecordAnswer(after, at)
+	f.named.RecordAnswer(after, at.Revision)
 }
--- a/internal/platform/fleet/watch_test.go
+++ b/internal/platform/fleet/watch_test.go
@@ -23,11 +23,11 @@
 	return mulberryspool.Object{Name: "m", Value: []byte(version)}
 }
 
-func (s *lossyStore) List(ctx context.Context, kind string) ([]mulberryspool.Object, mulberryspool.Revision, error) {
+func (s *lossyStore) List(ctx context.Context, kind string) ([]mulberryspool.Object, mulberryspool.Position, error) {
 	if kind != "versions" {
 		return s.unresponsiveStore.List(ctx, kind)
 	}
-	return []mulberryspool.Object{s.object("1")}, 1, nil
+	return []mulberryspool.Object{s.object("1")}, mulberryspool.Position{Revision: 1}, nil
 }
 
 func (s *lossyStore) Changes(ctx context.Context, kind string, after mulberryspool.Revision, wait time.Duration) (mulberryspool.ChangeList, error) {
@@ -42,7 +42,7 @@
 		s.clock.Advance(2 * time.Second)
 		return mulberryspool.ChangeList{}, context.DeadlineExceeded
 	case 2:
-		return mulberryspool.ChangeList{Changes: []mulberryspool.ObjectChange{{Object: s.object("2")}}, Revision: 2, SentAt: s.clock.Now()}, nil
+		return mulberryspool.ChangeList{Changes: []mulberryspool.ObjectChange{{Object: s.object("2")}}, At: mulberryspool.Position{Revision: 2}, SentAt: s.clock.Now()}, nil
 	}
 	return s.unresponsiveStore.Changes(ctx, kind, after, wait)
 }
@@ -77,7 +77,7 @@
 	if kind != "versions" || s.watches == 2 {
 		return s.unresponsiveStore.Changes(ctx, kind, after, wait)
 	}
-	answer := mulberryspool.ChangeList{Revision: 1, SentAt: s.clock.Now()}
+	answer := mulberryspool.ChangeList{At: mulberryspool.Position{Revision: 1}, SentAt: s.clock.Now()}
 	if s.watches++; s.watches == 1 {
 		s.clock.Advance(wait / 2)
 		s.named = s.clock.Now()
@@ -86,7 +86,7 @@
 			return answer, nil
 		}
 	}
-	answer.Revision, answer.Changes = 2, []mulberryspool.ObjectChange{{Object: s.object("2")}}
+	answer.At.Revision, answer.Changes = 2, []mulberryspool.ObjectChange{{Object: s.object("2")}}
 	return answer, nil
 }
 
--- a/internal/platform/listwatch/follower.go
+++ b/internal/platform/listwatch/follower.go
@@ -44,8 +44,8 @@
 		// never concurrently with a function that is passed to Update.
 		Changed func(items map[string]T, d Delta)
 		// Answered is called before Changed with each answer of the store: a time
-		// before that of the answer, and the store's revision in it. It may be nil.
-		Answered func(after time.Time, at mulberryspool.Revision)
+		// before that of the answer, and the store's position in it. It may be nil.
+		Answered func(after time.Time, at mulberryspool.Position)
 		// WatchTimeout returns how long the next watch waits for changes; nil for
 		// DefaultWatchTimeout.
 		WatchTimeout func() time.Duration
@@ -57,7 +57,7 @@
 		Logger zerolog.Logger
 
 		mu        sync.Mutex
-		revision  mulberryspool.Revision
+		position  mulberryspool.Position
 		reachable bool
 		synced    bool
 		// loggedUnreadable holds hashes of the objects, with their errors, that were logged.
@@ -139,9 +139,9 @@
 
 // watch returns false if the kind has to be listed next.
 func (f *Follower[T]) watch(ctx context.Context) (bool, error) {
-	answer, err := f.Store.Changes(ctx, f.Kind, f.revision, f.WatchTimeout())
+	answer, err := f.Store.Changes(ctx, f.Kind, f.position.Revision, f.WatchTimeout())
 	if errors.Is(err, mulberryspool.ErrCompacted) {
-		f.Logger.Info().Str("kind", f.Kind).Uint64("revision", uint64(f.revision)).Msg("store no longer has the history for this watch; listing again")
+		f.Logger.Info().Str("kind", f.Kind).Uint64("revision", uint64(f.position.Revision)).Uint64("era", uint64(f.position.Era)).Msg("store no longer has the history for this watch; listing again")
 		return f.list(ctx)
 	}
 	if err != nil {
@@ -152,7 +152,7 @@
 		seen[c.Object.Name] = struct{}{}
 	}
 	f.polling = len(seen) < len(answer.Changes)
-	f.apply(func(now time.Time) Delta { return f.Set.Apply(now, answer.Changes) }, f.answeredAfter(answer), answer.Revision)
+	f.apply(func(now time.Time) Delta { return f.Set.Apply(now, answer.Changes) }, f.answeredAfter(answer), answer.At)
 	return true, nil
 }
 
@@ -166,14 +166,14 @@
 }
 
 // apply runs a successful call's change of the set and calls Answered and Changed.
-func (f *Follower[T]) apply(change func(time.Time) Delta, after time.Time, at mulberryspool.Revision) {
+func (f *Follower[T]) apply(change func(time.Time) Delta, after time.Time, at mulberryspool.Position) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := f.Clock.Now()
 	f.Set.RecordAnswer(now)
 	if !f.reachable {
 		f.reachable = true
-		f.Logger.Info().Str("kind", f.Kind).Uint64("revision", uint64(at)).Bool("first", !f.synced).Msg("store is reachable")
+		f.Logger.Info().Str("kind", f.Kind).Uint64("revision", uint64(at.Revision)).Bool("first", !f.synced).Msg("store is reachable")
 	}
 	first := !f.synced
 	f.synced = true
@@ -183,13 +183,14 @@
 	d := change(now)
 	expired := f.Set.Expire(now)
 	d.Removed = append(d.Removed, expired.Removed...)
-	f.revision = max(f.revision, at)
+	f.position.Era = max(f.position.Era, at.Era)
+	f.position.Revision = max(f.position.Revision, at.Revision)
 	f.logUnreadable(d.Unreadable)
 	for _, name := range d.Kept {
-		f.Logger.Info().Str("kind", f.Kind).Str("object", name).Uint64("revision", uint64(at)).
+		f.Logger.Info().Str("kind", f.Kind).Str("object", name).Uint64("revision", uint64(at.Revision)).
 			Dur("graceLeft", f.Set.expiring[name].Sub(now)).Msg("object was removed; keeping it for the grace period after the outage")
 	}
-	d.Revision, d.Uncertain = f.revision, len(f.Set.expiring) > 0
+	d.At, d.Uncertain = f.position, len(f.Set.expiring) > 0
 	if first || d.Changed() {
 		f.Changed(f.Set.Items(), d)
 	}
@@ -225,7 +226,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	d := f.Set.Expire(f.Clock.Now())
-	d.Revision, d.Uncertain = f.revision, len(f.Set.expiring) > 0
+	d.At, d.Uncertain = f.position, len(f.Set.expiring) > 0
 	if d.Changed() {
 		f.Changed(f.Set.Items(), d)
 	}
@@ -246,7 +247,7 @@
 	defer f.mu.Unlock()
 	f.Set.RecordFailure()
 	if f.reachable || !f.synced {
-		f.Logger.Warn().Err(err).Str("kind", f.Kind).Uint64("revision", uint64(f.revision)).Msg("store is not reachable; the last known objects stay in use")
+		f.Logger.Warn().Err(err).Str("kind", f.Kind).Uint64("revision", uint64(f.position.Revision)).Msg("store is not reachable; the last known objects stay in use")
 	}
 	f.reachable = false
 }
--- a/internal/platform/listwatch/follower_test.go
+++ b/internal/platform/listwatch/follower_test.go
@@ -28,12 +28,12 @@
 	return mulberryspool.Object{Name: "main", Value: []byte(strconv.Itoa(value))}
 }
 
-func (s *fakeStore) List(context.Context, string) ([]mulberryspool.Object, mulberryspool.Revision, error) {
+func (s *fakeStore) List(context.Context, string) ([]mulberryspool.Object, mulberryspool.Position, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.lists++
 	s.versionsSent++
-	return []mulberryspool.Object{s.object(s.value)}, mulberryspool.Revision(s.value), nil
+	return []mulberryspool.Object{s.object(s.value)}, mulberryspool.Position{Revision: mulberryspool.Revision(s.value)}, nil
 }
 
 // Changes returns each version after the revision, as the platform does.
@@ -46,7 +46,7 @@
 		s.versionsSent++
 		changes = append(changes, mulberryspool.ObjectChange{Object: s.object(v)})
 	}
-	return mulberryspool.ChangeList{Changes: changes, Revision: mulberryspool.Revision(s.value)}, nil
+	return mulberryspool.ChangeList{Changes: changes, At: mulberryspool.Position{Revision: mulberryspool.Revision(s.value)}}, nil
 }
 
 func newFollower(s *fakeStore, clock clockwork.Clock) *Follower[string] {
--- a/internal/platform/listwatch/set.go
+++ b/internal/platform/listwatch/set.go
@@ -45,8 +45,8 @@
 		Kept []string
 		// Unreadable holds the objects that Decode rejected, with its errors.
 		Unreadable map[string]error
-		// Revision is the store's revision after the change.
-		Revision mulberryspool.Revision
+		// At is the store's position after the change.
+		At mulberryspool.Position
 		// Uncertain is set while some objects in use are in their grace period,
 		// so that their owners may be gone.
 		Uncertain bool
--- a/internal/platform/objectapi/client.go
+++ b/internal/platform/objectapi/client.go
@@ -146,7 +146,7 @@
 		IsWrite bool
 		// Decode decodes a successful response; its error counts as a failed
 		// attempt.
-		Decode func(io.Reader) error
+		Decode func(http.Header, io.Reader) error
 		// OnAttempt is called before each attempt; may be nil.
 		OnAttempt func()
 	}
@@ -216,8 +216,7 @@
 func (c *Client) Do(ctx context.Context, r Request) error {
 	c.init()
 	w := call{
-		operation: r.Operation, method: r.Method, body: r.Body, isWrite: r.IsWrite, wait: r.Wait, urlFor: r.URL,
-		decode: func(_ http.Header, body io.Reader) error { return r.Decode(body) },
+		operation: r.Operation, method: r.Method, body: r.Body, isWrite: r.IsWrite, wait: r.Wait, urlFor: r.URL, decode: r.Decode,
 	}
 	if r.Body != nil {
 		w.contentType = "application/json"
--- a/internal/platform/objectapi/progress_test.go
+++ b/internal/platform/objectapi/progress_test.go
@@ -38,7 +38,7 @@
 		received := 0
 		err := c.Do(context.Background(), Request{
 			Operation: "list", Method: http.MethodGet, URL: func(time.Duration) string { return server.URL + path },
-			Decode: func(body io.Reader) error {
+			Decode: func(_ http.Header, body io.Reader) error {
 				data, err := io.ReadAll(body)
 				if err == nil {
 					received = len(data)
--- a/internal/role/hosted/hosted.go
+++ b/internal/role/hosted/hosted.go
@@ -159,6 +159,7 @@
 		IngressChanged:      func(mulberryspool.Ingress) {},
 		ServersChanged:      func(fleet.Servers) {},
 		NamedVersionChanged: func(string, int64, time.Time) {},
+		EraChanged:          func(mulberryspool.Era, mulberryspool.Era) { p.metrics.Counter("store_restores").Inc(1) },
 	}
 }
 
--- a/objectstore.go
+++ b/objectstore.go
@@ -34,6 +34,8 @@
 		Name string `json:"name"`
 		// Version increases with every write of any object.
 		Version Revision `json:"version"`
+		// Era is that of Version.
+		Era Era `json:"era,omitzero"`
 		// Value has a size of at most 1 MB.
 		Value []byte `json:"value"`
 	}
@@ -63,10 +65,11 @@
 
 	// ChangeList is the answer to a watch.
 	ChangeList struct {
-		// Changes is empty if the wait ended before any change.
+		// Changes is empty if the wait ended before any change. They are changes after the
+		// requested revision of the era of At, which may be another than that of the caller.
 		Changes []ObjectChange
-		// Revision is the revision to continue from.
-		Revision Revision
+		// At is the position to continue from.
+		At Position
 		// SentAt is when the answered attempt was sent. A call may include earlier
 		// attempts that were not answered.
 		SentAt time.Time
@@ -76,11 +79,11 @@
 
 	// KindStore is a store that lists and watches all objects of a kind.
 	KindStore interface {
-		// List returns the objects of a kind and a revision. Changes after that
-		// revision returns every change that the list does not include.
-		List(ctx context.Context, kind string) ([]Object, Revision, error)
-		// Changes waits for changes after the revision. It returns ErrCompacted if
-		// the store no longer has the changes.
+		// List returns the objects of a kind and a position. Changes after its
+		// revision returns every change that the list does not include, while the era lasts.
+		List(ctx context.Context, kind string) ([]Object, Position, error)
+		// Changes waits for changes after the revision, in whatever era the store is in
+		// when it answers. It returns ErrCompacted if the store no longer has the changes.
 		Changes(ctx context.Context, kind string, after Revision, wait time.Duration) (ChangeList, error)
 		// Put creates or replaces an object. No other process may write the object.
 		Put(ctx context.Context, kind, name string, value any) error
