List objects again when the store was restored from a copy

Cause: a follower kept the greatest revision that it had seen. Once the restored store had passed it, or was at it, the watch went on from there and never returned what had been changed at smaller revisions; until then each watch got 410. The class: a revision of one instance of a source is compared with one of another.

A follower now continues within an era only. An answer of another era, or ObserveEra, which the other followers of the process call, makes it list the objects; a watch that waits since before the restore is ended. The calls are spread over 0.5 s. Objects that the copy lacks stay for the grace period, since their owners could not write them again yet. An answer of an earlier era is dropped.

Evidence: with the follower of before (and a stub of ObserveEra), TestChangesAfterRestoreAreSeen fails (objects of a, b, c after a restore to an equal revision: the lost one and no b), as do TestObjectsThatCopyLacksStayForGracePeriod and TestObservedEraEndsWatch.

--- a/internal/platform/listwatch/follower.go
+++ b/internal/platform/listwatch/follower.go
@@ -30,6 +30,12 @@
 	// known that they were logged, maxLoggedBytes the length of what is logged of them.
 	maxLoggedUnreadable = 1024
 	maxLoggedBytes      = 200
+	// eraListSpread is the maximum pause before the objects are listed in a new era. It
+	// spreads the calls of all processes.
+	eraListSpread = 500 * time.Millisecond
+	// maxEraLists is how often the objects are listed in a row while the store's answers are
+	// of an earlier era than that of ObserveEra. Such answers were under way or came late.
+	maxEraLists = 8
 )
 
 type (
@@ -56,10 +62,13 @@
 		Paused func() bool
 		Logger zerolog.Logger
 
-		mu        sync.Mutex
+		mu sync.Mutex
+		// position is that of the last answer in use. It changes in Run's goroutine only.
 		position  mulberryspool.Position
 		reachable bool
 		synced    bool
+		// listed is set once the store has answered.
+		listed bool
 		// loggedUnreadable holds hashes of the objects, with their errors, that were logged.
 		loggedUnreadable map[uint64]struct{}
 
@@ -69,6 +78,14 @@
 		// polling and listHash, a hash of the last list, are used by Run only.
 		polling  bool
 		listHash uint64
+
+		eraMu sync.Mutex
+		// observedEra is the latest era of ObserveEra, eraLists the number of lists since it
+		// was observed while the objects were of an earlier one.
+		observedEra mulberryspool.Era
+		eraLists    int
+		// cancelWatch ends the watch that waits; nil if there is none.
+		cancelWatch context.CancelFunc
 	}
 )
 
@@ -88,12 +105,15 @@
 			continue
 		}
 		var err error
-		if listed && !f.polling {
+		if listed && !f.polling && !f.outdated() {
 			listed, err = f.watch(ctx)
 		} else {
 			listed, err = f.list(ctx)
 		}
 		pause := f.WatchPause
+		if err == nil && f.outdated() {
+			pause = rand.N(eraListSpread)
+		}
 		if err != nil {
 			f.recordFailure(ctx, err)
 			pause = time.Duration((0.5 + rand.Float64()) * float64(retryDelay))
@@ -124,12 +144,47 @@
 	change()
 }
 
+// ObserveEra records that the store is in an era, as other calls or peers have shown. If it is
+// a later one than that of the objects, they are listed again: a watch that waits since
+// before the restore, or from a revision of before, may not return what has changed.
+func (f *Follower[T]) ObserveEra(era mulberryspool.Era) {
+	f.eraMu.Lock()
+	defer f.eraMu.Unlock()
+	if era <= f.observedEra {
+		return
+	}
+	f.observedEra, f.eraLists = era, 0
+	if f.cancelWatch != nil {
+		f.cancelWatch()
+	}
+}
+
+// outdated reports whether the objects have to be listed because of a later era.
+func (f *Follower[T]) outdated() bool {
+	f.eraMu.Lock()
+	defer f.eraMu.Unlock()
+	return f.outdatedLocked()
+}
+
+// outdatedLocked requires eraMu. It is called in Run's goroutine.
+func (f *Follower[T]) outdatedLocked() bool {
+	return f.position.Era < f.observedEra && f.eraLists < maxEraLists
+}
+
 func (f *Follower[T]) list(ctx context.Context) (bool, error) {
 	sentAt := f.Clock.Now()
 	objects, at, err := f.Store.List(ctx, f.Kind)
 	if err != nil {
 		return false, err
 	}
+	f.eraMu.Lock()
+	if at.Era < f.observedEra {
+		f.eraLists++
+	}
+	f.eraMu.Unlock()
+	if at.Era < f.position.Era {
+		return false, mulberryspool.AtStep(errors.Newf("answer is of era %d, before era %d", at.Era, f.position.Era), "list "+f.Kind, "")
+	}
 	sum := hashObjects(objects)
 	f.polling = f.polling && sum != f.listHash
 	f.listHash = sum
@@ -139,14 +194,20 @@
 
 // watch returns false if the kind has to be listed next.
 func (f *Follower[T]) watch(ctx context.Context) (bool, error) {
-	answer, err := f.Store.Changes(ctx, f.Kind, f.position.Revision, f.WatchTimeout())
+	answer, err := f.changes(ctx)
 	if errors.Is(err, mulberryspool.ErrCompacted) {
 		f.Logger.Info().Str("kind", f.Kind).Uint64("revision", uint64(f.position.Revision)).Uint64("era", uint64(f.position.Era)).Msg("store no longer has the history for this watch; listing again")
 		return f.list(ctx)
 	}
+	if err != nil && ctx.Err() == nil && f.outdated() {
+		return false, nil
+	}
 	if err != nil {
 		return true, err
 	}
+	if answer.At.Era != f.position.Era {
+		return f.list(ctx)
+	}
 	seen := make(map[string]struct{}, len(answer.Changes))
 	for _, c := range answer.Changes {
 		seen[c.Object.Name] = struct{}{}
@@ -156,6 +217,19 @@
 	return true, nil
 }
 
+// changes watches until ObserveEra is called with a later era.
+func (f *Follower[T]) changes(ctx context.Context) (mulberryspool.ChangeList, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	f.eraMu.Lock()
+	f.cancelWatch = cancel
+	if f.outdatedLocked() {
+		cancel()
+	}
+	f.eraMu.Unlock()
+	return f.Store.Changes(ctx, f.Kind, f.position.Revision, f.WatchTimeout())
+}
+
 // answeredAfter returns a time after which the store answered a watch. It answers one
 // without changes at the end of the wait.
 func (f *Follower[T]) answeredAfter(answer mulberryspool.ChangeList) time.Time {
@@ -177,14 +251,22 @@
 	}
 	first := !f.synced
 	f.synced = true
+	if f.listed && at.Era > f.position.Era {
+		f.Set.BeginEra(now)
+		f.Logger.Warn().Str("kind", f.Kind).Uint64("eraBefore", uint64(f.position.Era)).Uint64("era", uint64(at.Era)).
+			Uint64("revisionBefore", uint64(f.position.Revision)).Uint64("revision", uint64(at.Revision)).
+			Msg("store was restored from a copy; objects were listed again, those that are missing stay for the grace period")
+	}
+	f.listed = true
 	if f.Answered != nil {
 		f.Answered(after, at)
 	}
 	d := change(now)
 	expired := f.Set.Expire(now)
 	d.Removed = append(d.Removed, expired.Removed...)
-	f.position.Era = max(f.position.Era, at.Era)
-	f.position.Revision = max(f.position.Revision, at.Revision)
+	if at.After(f.position) {
+		f.position = at
+	}
 	f.logUnreadable(d.Unreadable)
 	for _, name := range d.Kept {
 		f.Logger.Info().Str("kind", f.Kind).Str("object", name).Uint64("revision", uint64(at.Revision)).
--- a/internal/platform/listwatch/set.go
+++ b/internal/platform/listwatch/set.go
@@ -21,9 +21,9 @@
 	Set[T any] struct {
 		// Decode returns an error for objects that must not be used.
 		Decode func(mulberryspool.Object) (T, error)
-		// GracePeriod is how long after an outage removed objects are kept,
-		// because their owners could not renew them during the outage; 0 removes
-		// them at once.
+		// GracePeriod is how long after an outage, or after the restore of the store from
+		// a copy, removed objects are kept, because their owners could not renew them; 0
+		// removes them at once.
 		GracePeriod time.Duration
 
 		items map[string]T
@@ -83,6 +83,12 @@
 	s.peerAnsweredUntil = now
 }
 
+// BeginEra records that the store was restored from a copy. The owners of the objects had no
+// time yet to write again what the copy lacks.
+func (s *Set[T]) BeginEra(now time.Time) {
+	s.recoveredAt = now
+}
+
 // Replace sets the objects to those of a complete list.
 func (s *Set[T]) Replace(now time.Time, objects []mulberryspool.Object) Delta {
 	s.init()
@@ -162,7 +168,7 @@
 }
 
 // remove drops an object, or keeps it until the end of the grace period if an
-// outage ended less than a grace period ago.
+// outage ended or an era began less than a grace period ago.
 func (s *Set[T]) remove(d *Delta, now time.Time, name string) {
 	if _, ok := s.items[name]; !ok {
 		return
