Order the servers by the era of the store and its revision

Cause: rows, lists and removals were compared by revision alone, in the view of a process and between processes. A restored store gives revisions out again, so what it listed counted as older than what was known, and a process that the store refused kept the state of before.

Rows, lists, the state that processes read from each other and heartbeats have the era. Positions of a later era are after all of earlier ones. An era that a peer knows of makes a process list again, too. A peer of a build without eras counts as in the first era that was known: as before, until the store is restored. Agents, which peers supply, follow the same way.

--- a/internal/platform/fleet/era.go
+++ b/internal/platform/fleet/era.go
@@ -1,11 +1,21 @@
 package fleet
 
-import "github.com/mulberryspool/mulberryspool"
+import (
+	"github.com/mulberryspool/mulberryspool"
+)
+
+// ObserveEra records an era of the store that a peer knows of. A peer of an earlier build names
+// none, so that 0 says nothing.
+func (f *Fleet) ObserveEra(era mulberryspool.Era, peer string) {
+	if era > 0 {
+		f.observeEra(era, fromPeer, peer)
+	}
+}
 
 // observeEra begins an era of the store unless it is known.
-func (f *Fleet) observeEra(era mulberryspool.Era) {
+func (f *Fleet) observeEra(era mulberryspool.Era, source, peer string) {
 	f.init()
-	if !f.beginEra(era) {
+	if !f.beginEra(era, source, peer) {
 		return
 	}
 	f.configFollower.ObserveEra(era)
@@ -14,22 +24,41 @@
 }
 
 // beginEra reports whether the store was restored since the latest known era.
-func (f *Fleet) beginEra(era mulberryspool.Era) bool {
+func (f *Fleet) beginEra(era mulberryspool.Era, source, peer string) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	before := f.era
 	if !f.eraKnown {
-		f.eraKnown, f.era = true, era
+		f.eraKnown, f.era, f.firstEra = true, era, era
 		return false
 	}
 	if era <= before {
 		return false
 	}
 	f.era = era
-	f.Logger.Warn().Str("step", "begin era").Uint64("eraBefore", uint64(before)).Uint64("era", uint64(era)).
+	f.Logger.Warn().Str("step", "begin era").Str("source", source).Str("peer", peer).Uint64("eraBefore", uint64(before)).Uint64("era", uint64(era)).
 		Msg("store was restored from a copy; its objects are listed again")
 	if f.EraChanged != nil {
 		f.EraChanged(before, era)
 	}
 	return true
 }
+
+// assignEra returns a position of a peer. Peers of an earlier build name no era, and count as being
+// in the first one that this process knew. It requires the mutex.
+func (f *Fleet) assignEra(at mulberryspool.Position) mulberryspool.Position {
+	if at.Era == 0 && at.Revision > 0 {
+		at.Era = f.firstEra
+	}
+	return at
+}
+
+// assignEras is assignEra for the rows of a peer. It requires the mutex.
+func (f *Fleet) assignEras(servers Servers) Servers {
+	assigned := make(Servers, len(servers))
+	for id, b := range servers {
+		b.Era = f.assignEra(b.Position()).Era
+		assigned[id] = b
+	}
+	return assigned
+}
--- a/internal/platform/fleet/era_test.go
+++ b/internal/platform/fleet/era_test.go
@@ -6,8 +6,93 @@
 	"github.com/jonboulle/clockwork"
 
 	"github.com/mulberryspool/mulberryspool"
+	"github.com/mulberryspool/mulberryspool/internal/platform/listwatch"
 )
 
+// listAt delivers a list of servers that were last changed at its position.
+func listAt(f *Fleet, era mulberryspool.Era, revision mulberryspool.Revision, ids ...string) {
+	at := mulberryspool.Position{Era: era, Revision: revision}
+	f.recordAnswer(f.Clock.Now(), at)
+	items := newServers(revision, false, ids...)
+	for id, b := range items {
+		b.Era = era
+		items[id] = b
+	}
+	f.setServers(items, listwatch.Delta{At: at})
+}
+
+// expectServers checks which servers a process uses.
+func expectServers(t *testing.T, f *Fleet, want ...string) {
+	t.Helper()
+	servers := f.State().Servers
+	for _, id := range want {
+		if _, ok := servers[mulberryspool.InstanceID(id)]; !ok {
+			t.Errorf("servers are %v, want %v", servers, want)
+		}
+	}
+	if len(servers) != len(want) {
+		t.Errorf("servers are %v, want %v", servers, want)
+	}
+}
+
+// read merges the servers that a process lacks of a peer's state. It reports whether there are any.
+func read(reader, peer *Fleet) bool {
+	summary := peer.Summary()
+	reader.ObserveEra(summary.Era, "peer")
+	if !reader.Lacks(summary, PartServers) {
+		return false
+	}
+	reader.Merge(peer.State().Part(PartServers, reader.Summary()), "peer")
+	return true
+}
+
+// Guards against a process that the store refuses through a restore and that does not adopt the
+// servers of its peers because their revisions are smaller than its own, and against one that
+// adopts those of a peer that the store refuses.
+func TestPeersAgreeAfterRestore(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	served, refused := newFleet(clock), newFleet(clock)
+	for _, f := range []*Fleet{served, refused} {
+		listAt(f, 1, 500, "a", "b")
+	}
+	listAt(served, 2, 30, "a", "c")
+	if read(served, refused) {
+		t.Error("the state from before the restore counts as newer")
+	}
+	if !read(refused, served) {
+		t.Error("the state from after the restore doesn't count as newer")
+	}
+	expectServers(t, served, "a", "c")
+	expectServers(t, refused, "a", "c")
+	if got := refused.Summary().Era; got != 2 {
+		t.Errorf("the refused process is in era %d, want 2", got)
+	}
+	listAt(served, 2, 31, "a", "c", "d")
+	read(refused, served)
+	expectServers(t, refused, "a", "c", "d")
+}
+
+// Guards against a peer of a build that sends no eras, whose state is not adopted before the first
+// restore, or is adopted after it although it is older.
+func TestPeersWithoutErasAreOfTheFirstOne(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	f, peer := newFleet(clock), newFleet(clock)
+	listAt(f, 4, 10, "a")
+	listAt(peer, 0, 12, "a", "b")
+	if !f.Lacks(peer.Summary(), PartServers) {
+		t.Error("the newer state of a peer without eras doesn't count as newer")
+	}
+	f.Merge(peer.State(), "peer")
+	expectServers(t, f, "a", "b")
+	listAt(f, 5, 8, "a")
+	listAt(peer, 0, 20, "a", "b", "c")
+	if f.Lacks(peer.Summary(), PartServers) {
+		t.Error("the state of a peer without eras counts as newer after a restore")
+	}
+	f.Merge(peer.State(), "peer")
+	expectServers(t, f, "a")
+}
+
 // Guards against a restore that is not reported, or is reported for the first era that is known
 // or for an answer that comes late from an earlier one.
 func TestEachRestoreIsReportedOnce(t *testing.T) {
--- a/internal/platform/fleet/fleet.go
+++ b/internal/platform/fleet/fleet.go
@@ -7,6 +7,10 @@
 // The store is the primary source. Peers are a second one, so that a process
 // that the store throttles, or that starts during an outage, still learns of
 // changes. The versions of the configuration and of a model never decrease.
+//
+// A store that is restored from a copy begins a new era. Each process lists its objects
+// again as soon as the store or a peer shows that, and what was known stays in use until
+// the new era has something newer.
 package fleet
 
 import (
@@ -37,9 +41,9 @@
 	// serverList says where a list of servers comes from, for the log.
 	serverList struct {
 		source, reporter string
-		// revision is the store's revision as of which the list is complete.
-		revision mulberryspool.Revision
-		assumed  bool
+		// at is the store's position as of which the list is complete.
+		at      mulberryspool.Position
+		assumed bool
 	}
 
 	// Kinds holds the names of the store's kinds and the functions that decode
@@ -92,10 +96,11 @@
 		versionFollower listwatch.Follower[mulberryspool.NamedVersion]
 
 		mu sync.Mutex
-		// era is the latest era of the store that is known; eraKnown is set once there is one.
-		era      mulberryspool.Era
-		eraKnown bool
-		ingress  *mulberryspool.Ingress
+		// era is the latest era of the store that is known, firstEra the first one; known
+		// is set once there is one.
+		era, firstEra mulberryspool.Era
+		eraKnown      bool
+		ingress       *mulberryspool.Ingress
 		// configAnsweredAt is when the store last answered a call for the configuration.
 		configAnsweredAt time.Time
 		servers          membership.View
@@ -168,7 +173,10 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	snapshot := f.servers.Snapshot()
-	return State{Ingress: f.ingress, Servers: snapshot.Servers, ServersAt: snapshot.CompleteAt}
+	return State{
+		Ingress: f.ingress, Servers: snapshot.Servers,
+		ServersAt: snapshot.CompleteAt.Revision, ServersEra: snapshot.CompleteAt.Era,
+	}
 }
 
 // HasSynced reports whether the process has a configuration and a list of servers.
@@ -200,7 +208,11 @@
 	if f.clockStart.IsZero() {
 		f.clockStart = now.Add(-time.Millisecond)
 	}
-	s := Summary{SentMillis: now.Sub(f.clockStart).Milliseconds(), Config: f.configVersion(), ServersAt: f.servers.Snapshot().CompleteAt, Servers: f.serversHash, Named: f.named.Reports(now)}
+	at := f.servers.Snapshot().CompleteAt
+	s := Summary{
+		SentMillis: now.Sub(f.clockStart).Milliseconds(), Config: f.configVersion(),
+		ServersAt: at.Revision, ServersEra: at.Era, Servers: f.serversHash, Era: f.era, Named: f.named.Reports(now),
+	}
 	if watchesConfig {
 		s.ConfigAnsweredMillis = max(1, now.Sub(f.configAnsweredAt).Milliseconds())
 	}
@@ -220,7 +232,7 @@
 	if part == PartConfig {
 		return peer.Config > f.configVersion()
 	}
-	return peer.ServersAt > f.servers.Snapshot().CompleteAt && peer.Servers != f.serversHash
+	return f.assignEra(peer.serversPosition()).After(f.servers.Snapshot().CompleteAt) && peer.Servers != f.serversHash
 }
 
 // configVersion requires the mutex.
@@ -237,10 +249,15 @@
 		f.setIngress(*s.Ingress, fromPeer, peer)
 	}
 	f.init()
-	if s.ServersAt > f.State().ServersAt {
+	f.mu.Lock()
+	at := f.assignEra(s.serversPosition())
+	newer := at.After(f.servers.Snapshot().CompleteAt)
+	servers := f.assignEras(s.Servers)
+	f.mu.Unlock()
+	if newer {
 		f.serverFollower.RecordPeerAnswer()
 	}
-	f.mergeServers(membership.Snapshot{Servers: s.Servers, Unchanged: s.Unchanged, CompleteAt: s.ServersAt}, fromPeer, peer)
+	f.mergeServers(membership.Snapshot{Servers: servers, Unchanged: s.Unchanged, CompleteAt: at}, fromPeer, peer)
 }
 
 func (f *Fleet) setIngresses(items map[string]mulberryspool.Ingress, _ listwatch.Delta) {
@@ -267,7 +284,7 @@
 	for _, b := range items {
 		servers[b.Instance] = b
 	}
-	f.mergeServers(membership.Snapshot{Servers: servers, CompleteAt: d.At.Revision, Assumed: d.Uncertain}, fromStore, "")
+	f.mergeServers(membership.Snapshot{Servers: servers, CompleteAt: d.At, Assumed: d.Uncertain}, fromStore, "")
 }
 
 func (f *Fleet) mergeServers(s membership.Snapshot, source, reporter string) {
@@ -275,7 +292,7 @@
 	defer f.mu.Unlock()
 	before := f.servers.Servers()
 	if f.servers.Merge(s) {
-		f.publishServers(before, serverList{source: source, reporter: reporter, revision: s.CompleteAt, assumed: s.Assumed})
+		f.publishServers(before, serverList{source: source, reporter: reporter, at: s.CompleteAt, assumed: s.Assumed})
 	}
 }
 
@@ -292,7 +309,7 @@
 
 // MarshalZerologObject implements zerolog.LogObjectMarshaler.
 func (l serverList) MarshalZerologObject(e *zerolog.Event) {
-	e.Str("source", l.source).Str("reporter", l.reporter).Uint64("listRevision", uint64(l.revision)).Bool("uncertain", l.assumed)
+	e.Str("source", l.source).Str("reporter", l.reporter).Uint64("listEra", uint64(l.at.Era)).Uint64("listRevision", uint64(l.at.Revision)).Bool("uncertain", l.assumed)
 }
 
 // publishServers logs how the servers have changed and calls ServersChanged. It
@@ -307,12 +324,13 @@
 		}
 		f.Logger.Info().Str("step", "add server").EmbedObject(list).Str("peer", string(id)).Str("pool", b.Pool).
 			Str("address", b.Address).Bool("known", known).Int64("born", b.Born).Bool("leaving", b.Leaving).
-			Interface("models", b.Models).Uint64("changedAt", uint64(b.Revision)).Uint64("revision", uint64(at)).Msg("backend server listed")
+			Interface("models", b.Models).Uint64("changedIn", uint64(b.Era)).Uint64("changedAt", uint64(b.Revision)).
+			Uint64("era", uint64(at.Era)).Uint64("revision", uint64(at.Revision)).Msg("backend server listed")
 	}
 	for id, b := range before {
 		if _, ok := servers[id]; !ok {
 			f.Logger.Info().Str("step", "remove server").EmbedObject(list).Str("peer", string(id)).Str("pool", b.Pool).
-				Uint64("revision", uint64(at)).Msg("backend server no longer listed")
+				Uint64("era", uint64(at.Era)).Uint64("revision", uint64(at.Revision)).Msg("backend server no longer listed")
 		}
 	}
 	f.ServersChanged(servers)
--- a/internal/platform/fleet/fleet_test.go
+++ b/internal/platform/fleet/fleet_test.go
@@ -330,7 +330,7 @@
 	peer, reader := newFleet(clock), newFleet(clock)
 	read := func(part Part) State {
 		own := reader.Summary()
-		s := peer.State().Part(part, own.Config, own.ServersAt)
+		s := peer.State().Part(part, own)
 		reader.Merge(s, "peer")
 		return s
 	}
--- a/internal/platform/fleet/state.go
+++ b/internal/platform/fleet/state.go
@@ -26,8 +26,9 @@
 		Ingress *mulberryspool.Ingress `json:"ingress,omitempty"`
 		Servers Servers                `json:"servers,omitempty"`
 		// ServersAt is the store's revision at which Servers was last known to be
-		// exact; 0 while no list is known.
-		ServersAt mulberryspool.Revision `json:"serversAt,omitempty"`
+		// exact; 0 while no list is known. ServersEra is its era.
+		ServersAt  mulberryspool.Revision `json:"serversAt,omitempty"`
+		ServersEra mulberryspool.Era      `json:"serversEra,omitempty"`
 		// Unchanged holds the servers that are left out of Servers because the reader
 		// has them already.
 		Unchanged []mulberryspool.InstanceID `json:"unchanged,omitempty"`
@@ -43,6 +44,10 @@
 		// ServersAt is State.ServersAt; Servers is a hash of State.Servers.
 		ServersAt mulberryspool.Revision `json:"serversAt,omitempty"`
 		Servers   uint64                 `json:"servers,omitempty"`
+		// ServersEra is State.ServersEra. Era is the latest era of the store that the
+		// process knows of. Both are 0 from a build that does not send them.
+		ServersEra mulberryspool.Era `json:"serversEra,omitempty" msgpack:",omitempty"`
+		Era        mulberryspool.Era `json:"era,omitempty" msgpack:",omitempty"`
 		// Named holds the newest named versions of each model, oldest first.
 		Named map[string][]NamedVersionAge `json:"named,omitempty"`
 		// ConfigAnsweredMillis is the time since the store last answered the process's
@@ -57,6 +62,16 @@
 	NamedVersionAge = namedversion.Report
 )
 
+// serversPosition returns the position at which Servers was last known to be exact.
+func (s State) serversPosition() mulberryspool.Position {
+	return mulberryspool.Position{Era: s.ServersEra, Revision: s.ServersAt}
+}
+
+// serversPosition returns that of the state.
+func (s Summary) serversPosition() mulberryspool.Position {
+	return mulberryspool.Position{Era: s.ServersEra, Revision: s.ServersAt}
+}
+
 // ForAgents returns the state without the parts that only entries need, which
 // are most of the bytes.
 func (s State) ForAgents() State {
@@ -66,20 +81,20 @@
 	return s
 }
 
-// Part returns a part of the state, for a reader whose own state has the version of the
-// configuration and the exact list of servers. An empty part is the whole state.
-func (s State) Part(part Part, config int64, serversAt mulberryspool.Revision) State {
-	if part == PartServers || s.Ingress != nil && s.Ingress.Version <= config {
+// Part returns a part of the state, for a reader with a summary of its own state. An empty
+// part is the whole state.
+func (s State) Part(part Part, reader Summary) State {
+	if part == PartServers || s.Ingress != nil && s.Ingress.Version <= reader.Config {
 		s.Ingress = nil
 	}
 	if part == PartConfig {
-		s.Servers, s.ServersAt = nil, 0
+		s.Servers, s.ServersAt, s.ServersEra = nil, 0, 0
 		return s
 	}
 	changed := make(Servers)
 	for id, b := range s.Servers {
 		// Leaving may have been learned without a change of the object.
-		if b.Revision == 0 || b.Revision > serversAt || b.Leaving {
+		if b.Revision == 0 || b.Position().After(reader.serversPosition()) || b.Leaving {
 			changed[id] = b
 		} else {
 			s.Unchanged = append(s.Unchanged, id)
--- a/internal/platform/fleet/versions.go
+++ b/internal/platform/fleet/versions.go
@@ -79,7 +79,7 @@
 // recordAnswer records that the store answered at a position after the given time.
 // Versions with a greater revision were named after that time as well.
 func (f *Fleet) recordAnswer(after time.Time, at mulberryspool.Position) {
-	f.observeEra(at.Era)
+	f.observeEra(at.Era, fromStore, "")
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.named.RecordAnswer(after, at.Revision)
--- a/internal/platform/membership/membership.go
+++ b/internal/platform/membership/membership.go
@@ -4,10 +4,13 @@
 //	Merge (own list or watch, peers), MarkLeaving (answers) --> View --> Servers, Snapshot
 //
 // Reports arrive late, repeatedly and in any order, and the store may refuse a process
-// while it serves the others. The revisions of the store order them: each server has
-// the revision of its object's last change, and each snapshot has the revision as of
+// while it serves the others. The positions of the store order them: each server has
+// the position of its object's last change, and each snapshot has the position as of
 // which it is complete. The result of merging depends neither on the order of the
 // snapshots nor on their sender, and an older one brings back nothing that was removed.
+//
+// A store that is restored from a copy begins a new era, whose positions are after all
+// earlier ones.
 package membership
 
 import (
@@ -29,9 +32,9 @@
 		Servers Servers
 		// Unchanged holds further servers, of which the snapshot has nothing new.
 		Unchanged []mulberryspool.InstanceID
-		// CompleteAt is the revision as of which no server is missing: one that is in
+		// CompleteAt is the position as of which no server is missing: one that is in
 		// neither and was last changed at or before CompleteAt has been removed.
-		CompleteAt mulberryspool.Revision
+		CompleteAt mulberryspool.Position
 		// Assumed is set if Servers contains some whose objects have been removed, but
 		// that may only have been unable to renew them.
 		Assumed bool
@@ -41,10 +44,10 @@
 	// safe for concurrent use.
 	View struct {
 		servers Servers
-		// completeAt is the revision as of which no server is missing.
-		completeAt mulberryspool.Revision
-		// exactAt is the revision as of which, in addition, no server was removed.
-		exactAt mulberryspool.Revision
+		// completeAt is the position as of which no server is missing.
+		completeAt mulberryspool.Position
+		// exactAt is the position as of which, in addition, no server was removed.
+		exactAt mulberryspool.Position
 		// leaving holds the incarnations that are known to leave.
 		leaving map[incarnation]struct{}
 		// marked holds the keys of leaving, the first marked first.
@@ -61,13 +64,13 @@
 // Merge adopts the parts of a snapshot that are newer. It reports whether the servers
 // have changed.
 func (v *View) Merge(s Snapshot) bool {
-	if s.CompleteAt == 0 {
+	if s.CompleteAt.Revision == 0 {
 		return false
 	}
 	changed := v.servers == nil
 	merged := make(Servers, len(v.servers))
 	for id, known := range v.servers {
-		if _, listed := s.Servers[id]; listed || known.Revision > s.CompleteAt {
+		if _, listed := s.Servers[id]; listed || known.Position().After(s.CompleteAt) {
 			merged[id] = known
 		}
 	}
@@ -83,7 +86,7 @@
 	for id, b := range s.Servers {
 		if b.Validate() != nil || b.Instance != id {
 			// A peer of an earlier build accepts such rows. The server has none any more.
-			if known, ok := merged[id]; ok && b.Revision > known.Revision {
+			if known, ok := merged[id]; ok && b.Position().After(known.Position()) {
 				delete(merged, id)
 				changed = true
 			}
@@ -106,9 +109,11 @@
 		// missing here.
 		return changed
 	}
-	v.completeAt = max(v.completeAt, s.CompleteAt)
-	if !s.Assumed {
-		v.exactAt = max(v.exactAt, s.CompleteAt)
+	if s.CompleteAt.After(v.completeAt) {
+		v.completeAt = s.CompleteAt
+	}
+	if !s.Assumed && s.CompleteAt.After(v.exactAt) {
+		v.exactAt = s.CompleteAt
 	}
 	return changed
 }
@@ -120,9 +125,9 @@
 		return true
 	}
 	if known, ok := v.servers[b.Instance]; ok {
-		return b.Revision > known.Revision
+		return b.Position().After(known.Position())
 	}
-	return b.Revision > v.completeAt
+	return b.Position().After(v.completeAt)
 }
 
 // MarkLeaving records that an incarnation of a backend server accepts no new requests
--- a/internal/platform/membership/membership_test.go
+++ b/internal/platform/membership/membership_test.go
@@ -41,7 +41,7 @@
 		revisions := rapid.SliceOfN(rapid.IntRange(0, newest), 0, 8).Draw(t, "revisions")
 		var v View
 		for _, at := range rapid.Permutation(append(revisions, newest)).Draw(t, "order") {
-			s := Snapshot{Servers: maps.Clone(history[at]), CompleteAt: mulberryspool.Revision(at)}
+			s := Snapshot{Servers: maps.Clone(history[at]), CompleteAt: mulberryspool.Position{Revision: mulberryspool.Revision(at)}}
 			// The process that reports it has not yet dropped what was removed since then.
 			if old := rapid.IntRange(0, at).Draw(t, "assumedFrom"); at < newest && old < at {
 				for id, b := range history[old] {
@@ -55,7 +55,7 @@
 		if got, want := v.Servers(), history[newest]; len(got)+len(want) > 0 && !reflect.DeepEqual(got, want) {
 			t.Errorf("servers are %v, want those of the newest list, %v", got, want)
 		}
-		if got := v.Snapshot().CompleteAt; int(got) != newest {
+		if got := v.Snapshot().CompleteAt.Revision; int(got) != newest {
 			t.Errorf("servers are exact as of %d, want %d", got, newest)
 		}
 	})
@@ -66,7 +66,7 @@
 // not used.
 func TestLeavingIncarnationDoesNotReturn(t *testing.T) {
 	list := func(at mulberryspool.Revision, born int64) Snapshot {
-		return Snapshot{Servers: Servers{"a": {Instance: "a", Born: born, Revision: at}}, CompleteAt: at}
+		return Snapshot{Servers: Servers{"a": {Instance: "a", Born: born, Revision: at}}, CompleteAt: mulberryspool.Position{Revision: at}}
 	}
 	var v View
 	v.Merge(list(10, 5))
@@ -74,7 +74,7 @@
 		t.Error("the marked server is not leaving")
 	}
 	v.Merge(list(20, 5))
-	v.Merge(Snapshot{CompleteAt: 30})
+	v.Merge(Snapshot{CompleteAt: mulberryspool.Position{Revision: 30}})
 	v.Merge(list(40, 5))
 	if !v.Servers()["a"].Leaving {
 		t.Error("the marked incarnation returned with a newer revision of its object")
--- a/internal/platform/membership/unknown_test.go
+++ b/internal/platform/membership/unknown_test.go
@@ -14,10 +14,10 @@
 	}
 	own := Servers{"a": row("a", 10), "b": row("b", 95)}
 	var v, peer View
-	v.Merge(Snapshot{Servers: Servers{"a": row("a", 10)}, CompleteAt: 90})
-	peer.Merge(Snapshot{Servers: own, CompleteAt: 96})
-	v.Merge(Snapshot{Servers: Servers{"a": row("a", 0), "b": row("b", 0)}, CompleteAt: 100})
-	v.Merge(Snapshot{Servers: own, CompleteAt: 101})
+	v.Merge(Snapshot{Servers: Servers{"a": row("a", 10)}, CompleteAt: mulberryspool.Position{Revision: 90}})
+	peer.Merge(Snapshot{Servers: own, CompleteAt: mulberryspool.Position{Revision: 96}})
+	v.Merge(Snapshot{Servers: Servers{"a": row("a", 0), "b": row("b", 0)}, CompleteAt: mulberryspool.Position{Revision: 100}})
+	v.Merge(Snapshot{Servers: own, CompleteAt: mulberryspool.Position{Revision: 101}})
 	if _, ok := v.Servers()["b"]; !ok {
 		t.Error("the server is not used although the store lists it")
 	}
@@ -31,7 +31,7 @@
 // went back.
 func TestIncarnationWithEarlierStartIsUsed(t *testing.T) {
 	list := func(at mulberryspool.Revision, born int64, leaving bool) Snapshot {
-		return Snapshot{Servers: Servers{"a": {Instance: "a", Born: born, Revision: at, Leaving: leaving}}, CompleteAt: at}
+		return Snapshot{Servers: Servers{"a": {Instance: "a", Born: born, Revision: at, Leaving: leaving}}, CompleteAt: mulberryspool.Position{Revision: at}}
 	}
 	var v View
 	v.Merge(list(10, 5000, true))
--- a/internal/role/hosted/hosted.go
+++ b/internal/role/hosted/hosted.go
@@ -78,6 +78,8 @@
 	queryPart    = "part"
 	queryConfig  = "config"
 	queryServers = "servers"
+	// queryServersEra is the era of queryServers.
+	queryServersEra = "serversEra"
 )
 
 // SettingsFile is the file from which the settings were read.
@@ -175,9 +177,10 @@
 	var state fleet.State
 	peer := r.entry.String()
 	query := url.Values{
-		queryPart:    {string(r.part)},
-		queryConfig:  {strconv.FormatInt(own.Config, 10)},
-		queryServers: {strconv.FormatUint(uint64(own.ServersAt), 10)},
+		queryPart:       {string(r.part)},
+		queryConfig:     {strconv.FormatInt(own.Config, 10)},
+		queryServers:    {strconv.FormatUint(uint64(own.ServersAt), 10)},
+		queryServersEra: {strconv.FormatUint(uint64(own.ServersEra), 10)},
 	}
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+peer+path+"?"+query.Encode(), nil)
 	if err != nil {
@@ -215,8 +218,14 @@
 	}
 	// An invalid number is 0, for which nothing is left out.
 	config, _ := strconv.ParseInt(query.Get(queryConfig), 10, 64)
-	servers, _ := strconv.ParseUint(query.Get(queryServers), 10, 64)
-	return s.Part(fleet.Part(query.Get(queryPart)), config, mulberryspool.Revision(servers))
+	number := func(name string) uint64 {
+		n, _ := strconv.ParseUint(query.Get(name), 10, 64)
+		return n
+	}
+	return s.Part(fleet.Part(query.Get(queryPart)), fleet.Summary{
+		Config:    config,
+		ServersAt: mulberryspool.Revision(number(queryServers)), ServersEra: mulberryspool.Era(number(queryServersEra)),
+	})
 }
 
 // Read implements io.Reader.
--- a/internal/role/hosted/statesync.go
+++ b/internal/role/hosted/statesync.go
@@ -101,6 +101,7 @@
 	if m.Summary == nil {
 		return 0
 	}
+	s.fleet.ObserveEra(m.Summary.Era, m.Sender)
 	delay := s.fleet.MergeNamedVersions(m.Summary.Summary, m.Sender, m.Boot)
 	if m.Role != mulberryspool.RoleEntry {
 		return delay
