Keep servers that leave or were removed from returning with a restored store

Callers: a request may go to a server that had left.

Cause: the copy may be older than the leaving or the removal of a server, so that the store lists it as ready again, until the server or the store writes it again.

A row of a later era doesn't end the leaving of the same incarnation, also if it doesn't say when it started. A server that was removed is withheld, in this process only: from its object alone it can't be told from one that has written itself again. An incarnation isn't replaced by its predecessor from the copy.

Evidence: with the view of the previous commit (and a stub of Release), TestServerThatLeavesDoesNotReturnThroughCopy, TestRemovedServerIsWithheldAfterRestore, TestIncarnationIsNotReplacedByThatOfCopy and TestServerRemovedBeforeRestoreIsUsedAgainLater fail.

--- a/internal/platform/fleet/era.go
+++ b/internal/platform/fleet/era.go
@@ -21,6 +21,7 @@
 	f.configFollower.ObserveEra(era)
 	f.serverFollower.ObserveEra(era)
 	f.versionFollower.ObserveEra(era)
+	f.Clock.AfterFunc(withholdTime, f.releaseServers)
 }
 
 // beginEra reports whether the store was restored since the latest known era.
@@ -44,6 +45,16 @@
 	return true
 }
 
+// releaseServers ends the withholding of servers that were removed before a restore.
+func (f *Fleet) releaseServers() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	before := f.servers.Servers()
+	if f.servers.Release() {
+		f.publishServers(before, serverList{source: fromStore, at: f.servers.Snapshot().CompleteAt})
+	}
+}
+
 // assignEra returns a position of a peer. Peers of an earlier build name no era, and count as being
 // in the first one that this process knew. It requires the mutex.
 func (f *Fleet) assignEra(at mulberryspool.Position) mulberryspool.Position {
--- a/internal/platform/fleet/era_test.go
+++ b/internal/platform/fleet/era_test.go
@@ -107,3 +107,25 @@
 		t.Errorf("reported eras are %v, want 5 and 7", reported)
 	}
 }
+
+// Guards against a server that was removed before a restore and is never used again, although the
+// restored store goes on listing it, or that is used at once.
+func TestServerRemovedBeforeRestoreIsUsedAgainLater(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	f := newFleet(clock)
+	changed := make(chan Servers, 8)
+	f.ServersChanged = func(s Servers) { changed <- s }
+	listAt(f, 1, 10, "a", "b")
+	listAt(f, 1, 12, "a")
+	listAt(f, 2, 9, "a", "b")
+	for len(changed) > 1 {
+		<-changed
+	}
+	if servers := <-changed; !servers["b"].Leaving || servers["a"].Leaving {
+		t.Errorf("servers are %v after the restore, want b withheld", servers)
+	}
+	clock.Advance(withholdTime)
+	if servers := <-changed; servers["b"].Leaving {
+		t.Errorf("servers are %v after %v, want b in use", servers, withholdTime)
+	}
+}
--- a/internal/platform/membership/era_test.go
+++ b/internal/platform/membership/era_test.go
@@ -42,3 +42,72 @@
 		}
 	}
 }
+
+// Guards against a server that is used again because the copy of a restored store is older than
+// its leaving, also if it doesn't say when it started.
+func TestServerThatLeavesDoesNotReturnThroughCopy(t *testing.T) {
+	for _, born := range []int64{0, 7} {
+		var v View
+		v.Merge(listed(1, 50, row{"a", born, 45, true}))
+		v.Merge(listed(2, 30, row{"a", born, 10, false}))
+		if !v.Servers()["a"].Leaving {
+			t.Errorf("server that started at %d is used again", born)
+		}
+	}
+}
+
+// Guards against a server that is used again because the copy of a restored store is older than its
+// removal, and against one that is never used again although it has written itself anew.
+func TestRemovedServerIsWithheldAfterRestore(t *testing.T) {
+	restored := func() *View {
+		var v View
+		v.Merge(listed(1, 40, row{"a", 7, 10, false}))
+		v.Merge(listed(1, 50))
+		v.Merge(listed(2, 30, row{"a", 7, 10, false}))
+		return &v
+	}
+	v := restored()
+	if !v.Servers()["a"].Leaving {
+		t.Error("the removed server is used again")
+	}
+	if v.Snapshot().Servers["a"].Leaving {
+		t.Error("the removed server is reported to peers as leaving, although it may have written itself anew")
+	}
+	v.Merge(listed(2, 31, row{"a", 7, 10, false}))
+	if !v.Servers()["a"].Leaving {
+		t.Error("the removed server is used again after another list")
+	}
+	v.Merge(listed(2, 33, row{"a", 7, 32, false}))
+	if v.Servers()["a"].Leaving {
+		t.Error("the server isn't used although its object has changed")
+	}
+	v = restored()
+	if !v.Release() || v.Servers()["a"].Leaving || v.Release() {
+		t.Error("the server isn't used after its release, or is released twice")
+	}
+	v = restored()
+	v.Merge(listed(2, 60, row{"a", 7, 55, false}))
+	if v.Servers()["a"].Leaving {
+		t.Error("the server isn't used although its object is newer than its removal")
+	}
+	v = restored()
+	v.Merge(listed(2, 35, row{"a", 8, 35, false}))
+	if v.Servers()["a"].Leaving {
+		t.Error("the next incarnation is withheld")
+	}
+}
+
+// Guards against an incarnation that is replaced by the previous one, which the copy lists.
+func TestIncarnationIsNotReplacedByThatOfCopy(t *testing.T) {
+	var v View
+	v.Merge(listed(1, 20, row{"a", 7, 10, false}))
+	v.Merge(listed(1, 50, row{"a", 8, 45, false}))
+	v.Merge(listed(2, 30, row{"a", 7, 10, false}))
+	if b := v.Servers()["a"]; b.Born != 8 || b.Leaving {
+		t.Errorf("server is %+v, want the incarnation of 8", b)
+	}
+	v.Merge(listed(2, 34, row{"a", 8, 33, true}))
+	if b := v.Servers()["a"]; b.Born != 8 || !b.Leaving {
+		t.Errorf("server is %+v, want the incarnation of 8 as it has written itself again", b)
+	}
+}
--- a/internal/platform/membership/membership.go
+++ b/internal/platform/membership/membership.go
@@ -10,7 +10,9 @@
 // snapshots nor on their sender, and an older one brings back nothing that was removed.
 //
 // A store that is restored from a copy begins a new era, whose positions are after all
-// earlier ones.
+// earlier ones. The copy may lack that a server leaves or was removed: a server that leaves
+// still does so, and one that was removed is withheld until its object changes or Release
+// is called.
 package membership
 
 import (
@@ -44,6 +46,8 @@
 	// safe for concurrent use.
 	View struct {
 		servers Servers
+		// usable is servers with the withheld ones as leaving.
+		usable Servers
 		// completeAt is the position as of which no server is missing.
 		completeAt mulberryspool.Position
 		// exactAt is the position as of which, in addition, no server was removed.
@@ -52,6 +56,10 @@
 		leaving map[incarnation]struct{}
 		// marked holds the keys of leaving, the first marked first.
 		marked []incarnation
+		// removed holds as of when incarnations were removed.
+		removed map[incarnation]mulberryspool.Position
+		// withheld holds the position of the object of each server that is withheld.
+		withheld map[incarnation]mulberryspool.Position
 	}
 
 	incarnation struct {
@@ -96,14 +104,15 @@
 			v.mark(id, b.Born)
 		}
 		if v.isNewer(b) {
-			merged[id], changed = b, true
+			merged[id], changed = v.adopt(b), true
 		}
 		ordered = ordered && b.Revision > 0
 	}
 	if v.applyMarks(merged) {
 		changed = true
 	}
-	v.servers = merged
+	v.recordRemoved(merged, s.CompleteAt)
+	v.setServers(merged)
 	if !ordered {
 		// A peer of an earlier build sends no revisions, so that rows of its list may be
 		// missing here.
@@ -118,6 +127,73 @@
 	return changed
 }
 
+// adopt returns a row that is newer than what is known, with what the copy that the row may
+// come from lacks.
+func (v *View) adopt(b mulberryspool.BackendServer) mulberryspool.BackendServer {
+	key := incarnation{b.Instance, b.Born}
+	if known, ok := v.servers[b.Instance]; ok && known.Born == b.Born && known.Era < b.Era {
+		b.Leaving = b.Leaving || known.Leaving
+	}
+	if v.maybeRemoved(b) {
+		if v.withheld == nil {
+			v.withheld = make(map[incarnation]mulberryspool.Position)
+		}
+		v.withheld[key] = b.Position()
+	}
+	delete(v.removed, key)
+	return b
+}
+
+// maybeRemoved reports whether a row may come from the copy of a restored store although its
+// incarnation was removed afterwards. Objects of the copy have smaller revisions than the
+// removal. One that was written again may have, too, as revisions are given out again.
+func (v *View) maybeRemoved(b mulberryspool.BackendServer) bool {
+	at, ok := v.removed[incarnation{b.Instance, b.Born}]
+	return ok && at.Era < b.Era && b.Revision <= at.Revision
+}
+
+// recordRemoved records which servers are about to be removed, as of a position.
+func (v *View) recordRemoved(next Servers, at mulberryspool.Position) {
+	for id, b := range v.servers {
+		if n, ok := next[id]; ok && n.Born == b.Born {
+			continue
+		}
+		if v.removed == nil || len(v.removed) >= maxMarks {
+			v.removed = make(map[incarnation]mulberryspool.Position)
+		}
+		v.removed[incarnation{id, b.Born}] = at
+	}
+}
+
+// setServers replaces the servers. It withholds those whose objects have not changed since
+// they were withheld.
+func (v *View) setServers(servers Servers) {
+	v.servers, v.usable = servers, servers
+	maps.DeleteFunc(v.withheld, func(key incarnation, at mulberryspool.Position) bool {
+		b, ok := servers[key.instance]
+		return !ok || b.Born != key.born || b.Position() != at
+	})
+	if len(v.withheld) == 0 {
+		return
+	}
+	v.usable = maps.Clone(servers)
+	for key := range v.withheld {
+		b := servers[key.instance]
+		b.Leaving = true
+		v.usable[key.instance] = b
+	}
+}
+
+// Release ends the withholding of all servers. It reports whether the servers have changed.
+func (v *View) Release() bool {
+	if len(v.withheld) == 0 {
+		return false
+	}
+	v.withheld = nil
+	v.setServers(v.servers)
+	return true
+}
+
 // isNewer reports whether a row of a snapshot is newer than what is known of the
 // server, or than its removal.
 func (v *View) isNewer(b mulberryspool.BackendServer) bool {
@@ -125,7 +201,8 @@
 		return true
 	}
 	if known, ok := v.servers[b.Instance]; ok {
-		return b.Position().After(known.Position())
+		// A later incarnation is not replaced by an earlier one from a copy.
+		return b.Position().After(known.Position()) && (b.Born == known.Born || !v.maybeRemoved(b))
 	}
 	return b.Position().After(v.completeAt)
 }
@@ -141,14 +218,14 @@
 	b := marked[id]
 	b.Leaving = true
 	marked[id] = b
-	v.servers = marked
+	v.setServers(marked)
 	return true
 }
 
 // Servers returns the servers in use, including assumed ones; nil if no list is known.
-// The caller must not modify the map.
+// Servers that are withheld are leaving. The caller must not modify the map.
 func (v *View) Servers() Servers {
-	return v.servers
+	return v.usable
 }
 
 // Snapshot returns what other processes may merge. The caller must not modify the map.
