Adopt a configuration whose version was given out again after a restore

A configuration that a restore has undone stayed in force at processes that knew it, as would an invalid one that operators replace by another change of the same version (CONFIG).

Cause: the version alone decided whether a configuration is newer. Versions never go back, but the one that a restore has undone may be given to another change.

A configuration of the same version is adopted if it is of a later era and differs. Processes send the era and a hash of their configuration, so that one that is equal isn't read again; state responses are cached by version and era.

Evidence: with the comparison of before, TestConfigurationFollowsLaterEra fails: route "undone" after version 7 of era 2, want "other".

--- a/internal/platform/fleet/era.go
+++ b/internal/platform/fleet/era.go
@@ -1,6 +1,10 @@
 package fleet
 
 import (
+	"encoding/json"
+
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/mulberryspool/mulberryspool"
 )
 
@@ -73,3 +77,13 @@
 	}
 	return assigned
 }
+
+// hashIngress returns a hash of a configuration that is the same in all processes.
+func hashIngress(i mulberryspool.Ingress) uint64 {
+	encoded, err := json.Marshal(i)
+	if err != nil {
+		// Not expected: a configuration consists of plain values.
+		return 0
+	}
+	return xxhash.Sum64(encoded)
+}
--- a/internal/platform/fleet/era_test.go
+++ b/internal/platform/fleet/era_test.go
@@ -129,3 +129,50 @@
 		t.Errorf("servers are %v after %v, want b in use", servers, withholdTime)
 	}
 }
+
+// Guards against a configuration that stays in force although a restore has undone it and another
+// one has its version, at a process that the store answers and at one that reads from peers; and
+// against one that goes back to an older version or to that of an earlier era.
+func TestConfigurationFollowsLaterEra(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	watching, reading := newFleet(clock), newFleet(clock)
+	deliver := func(era mulberryspool.Era, version int64, route string) {
+		i := mulberryspool.Ingress{Version: version, Routes: []mulberryspool.IngressRoute{{Name: route}}}
+		watching.setIngresses(map[string]mulberryspool.Ingress{"main": i}, listwatch.Delta{At: mulberryspool.Position{Era: era, Revision: 1}})
+	}
+	reads := 0
+	follow := func() {
+		summary := watching.Summary()
+		if !reading.Lacks(summary, PartConfig) {
+			return
+		}
+		reads++
+		reading.Merge(watching.State().Part(PartConfig, reading.Summary()), "watching")
+	}
+	for _, c := range []struct {
+		era      mulberryspool.Era
+		version  int64
+		route    string
+		want     string
+		wantRead int
+	}{
+		{1, 6, "old", "old", 1},
+		{1, 7, "undone", "undone", 2},
+		{2, 6, "old", "undone", 2},
+		{2, 7, "other", "other", 3},
+		{1, 7, "undone", "other", 3},
+		{3, 7, "other", "other", 3},
+		{3, 8, "new", "new", 4},
+	} {
+		deliver(c.era, c.version, c.route)
+		follow()
+		for name, f := range map[string]*Fleet{"watching": watching, "reading": reading} {
+			if got := f.State().Ingress.Routes[0].Name; got != c.want {
+				t.Errorf("%s process has route %q after version %d of era %d, want %q", name, got, c.version, c.era, c.want)
+			}
+		}
+		if reads != c.wantRead {
+			t.Errorf("%d reads from the peer after version %d of era %d, want %d", reads, c.version, c.era, c.wantRead)
+		}
+	}
+}
--- a/internal/platform/fleet/fleet.go
+++ b/internal/platform/fleet/fleet.go
@@ -104,6 +104,9 @@
 		era, firstEra mulberryspool.Era
 		eraKnown      bool
 		ingress       *mulberryspool.Ingress
+		// configEra and configHash are those of Summary.
+		configEra  mulberryspool.Era
+		configHash uint64
 		// configAnsweredAt is when the store last answered a call for the configuration.
 		configAnsweredAt time.Time
 		servers          membership.View
@@ -177,7 +180,7 @@
 	defer f.mu.Unlock()
 	snapshot := f.servers.Snapshot()
 	return State{
-		Ingress: f.ingress, Servers: snapshot.Servers,
+		Ingress: f.ingress, ConfigEra: f.configEra, Servers: snapshot.Servers,
 		ServersAt: snapshot.CompleteAt.Revision, ServersEra: snapshot.CompleteAt.Era,
 	}
 }
@@ -213,7 +216,7 @@
 	}
 	at := f.servers.Snapshot().CompleteAt
 	s := Summary{
-		SentMillis: now.Sub(f.clockStart).Milliseconds(), Config: f.configVersion(),
+		SentMillis: now.Sub(f.clockStart).Milliseconds(), Config: f.configVersion(), ConfigEra: f.configEra, ConfigHash: f.configHash,
 		ServersAt: at.Revision, ServersEra: at.Era, Servers: f.serversHash, Era: f.era, Named: f.named.Reports(now),
 	}
 	if watchesConfig {
@@ -233,7 +236,8 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if part == PartConfig {
-		return peer.Config > f.configVersion()
+		own := f.configVersion()
+		return peer.Config > own || peer.Config == own && peer.ConfigEra > f.configEra && peer.ConfigHash != f.configHash
 	}
 	return f.assignEra(peer.serversPosition()).After(f.servers.Snapshot().CompleteAt) && peer.Servers != f.serversHash
 }
@@ -249,7 +253,7 @@
 // Merge adopts the parts of a peer's state that are newer.
 func (f *Fleet) Merge(s State, peer string) {
 	if s.Ingress != nil {
-		f.setIngress(*s.Ingress, fromPeer, peer)
+		f.setIngress(*s.Ingress, s.ConfigEra, fromPeer, peer)
 	}
 	f.init()
 	f.mu.Lock()
@@ -263,22 +267,29 @@
 	f.mergeServers(membership.Snapshot{Servers: servers, Unchanged: s.Unchanged, CompleteAt: at}, fromPeer, peer)
 }
 
-func (f *Fleet) setIngresses(items map[string]mulberryspool.Ingress, _ listwatch.Delta) {
+func (f *Fleet) setIngresses(items map[string]mulberryspool.Ingress, d listwatch.Delta) {
 	for _, i := range items {
-		f.setIngress(i, fromStore, "")
+		f.setIngress(i, d.At.Era, fromStore, "")
 	}
 }
 
-func (f *Fleet) setIngress(i mulberryspool.Ingress, source, peer string) {
+// setIngress adopts a configuration of a later version, or one of the same version that differs in
+// a later era: operators may give the version of a change that a restore has undone to another one.
+func (f *Fleet) setIngress(i mulberryspool.Ingress, era mulberryspool.Era, source, peer string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	before := f.configVersion()
-	if i.Version <= before {
+	if i.Version < before || i.Version == before && era <= f.configEra {
 		return
 	}
-	f.ingress = &i
+	f.configEra = era
+	hash := hashIngress(i)
+	if i.Version == before && hash == f.configHash {
+		return
+	}
+	f.ingress, f.configHash = &i, hash
 	f.Logger.Info().Str("step", "apply configuration").Str("source", source).Str("peer", peer).
-		Int64("before", before).Int64("version", i.Version).Int("routes", len(i.Routes)).Msg("configuration in force")
+		Int64("before", before).Int64("version", i.Version).Uint64("era", uint64(era)).Int("routes", len(i.Routes)).Msg("configuration in force")
 	f.IngressChanged(i)
 }
 
--- a/internal/platform/fleet/state.go
+++ b/internal/platform/fleet/state.go
@@ -25,6 +25,9 @@
 		// Ingress is the configuration; nil while none is known.
 		Ingress *mulberryspool.Ingress `json:"ingress,omitempty"`
 		Servers Servers                `json:"servers,omitempty"`
+		// ConfigEra is the latest era of the store in which Ingress is known to be the
+		// configuration of its version.
+		ConfigEra mulberryspool.Era `json:"configEra,omitempty"`
 		// ServersAt is the store's revision at which Servers was last known to be
 		// exact; 0 while no list is known. ServersEra is its era.
 		ServersAt  mulberryspool.Revision `json:"serversAt,omitempty"`
@@ -44,9 +47,12 @@
 		// ServersAt is State.ServersAt; Servers is a hash of State.Servers.
 		ServersAt mulberryspool.Revision `json:"serversAt,omitempty"`
 		Servers   uint64                 `json:"servers,omitempty"`
-		// ServersEra is State.ServersEra. Era is the latest era of the store that the
-		// process knows of. Both are 0 from a build that does not send them.
+		// ServersEra and ConfigEra are those of State, ConfigHash is a hash of its Ingress.
+		// Era is the latest era of the store that the process knows of. All of them are 0
+		// from a build that does not send them.
 		ServersEra mulberryspool.Era `json:"serversEra,omitempty" msgpack:",omitempty"`
+		ConfigEra  mulberryspool.Era `json:"configEra,omitempty" msgpack:",omitempty"`
+		ConfigHash uint64            `json:"configHash,omitempty" msgpack:",omitempty"`
 		Era        mulberryspool.Era `json:"era,omitempty" msgpack:",omitempty"`
 		// Named holds the newest named versions of each model, oldest first.
 		Named map[string][]NamedVersionAge `json:"named,omitempty"`
@@ -84,8 +90,9 @@
 // Part returns a part of the state, for a reader with a summary of its own state. An empty
 // part is the whole state.
 func (s State) Part(part Part, reader Summary) State {
-	if part == PartServers || s.Ingress != nil && s.Ingress.Version <= reader.Config {
-		s.Ingress = nil
+	known := s.Ingress != nil && (s.Ingress.Version < reader.Config || s.Ingress.Version == reader.Config && s.ConfigEra <= reader.ConfigEra)
+	if part == PartServers || known {
+		s.Ingress, s.ConfigEra = nil, 0
 	}
 	if part == PartConfig {
 		s.Servers, s.ServersAt, s.ServersEra = nil, 0, 0
--- a/internal/role/hosted/hosted.go
+++ b/internal/role/hosted/hosted.go
@@ -78,7 +78,8 @@
 	queryPart    = "part"
 	queryConfig  = "config"
 	queryServers = "servers"
-	// queryServersEra is the era of queryServers.
+	// queryConfigEra and queryServersEra are their eras.
+	queryConfigEra  = "configEra"
 	queryServersEra = "serversEra"
 )
 
@@ -180,6 +181,7 @@
 		queryPart:       {string(r.part)},
 		queryConfig:     {strconv.FormatInt(own.Config, 10)},
 		queryServers:    {strconv.FormatUint(uint64(own.ServersAt), 10)},
+		queryConfigEra:  {strconv.FormatUint(uint64(own.ConfigEra), 10)},
 		queryServersEra: {strconv.FormatUint(uint64(own.ServersEra), 10)},
 	}
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+peer+path+"?"+query.Encode(), nil)
@@ -223,7 +225,7 @@
 		return n
 	}
 	return s.Part(fleet.Part(query.Get(queryPart)), fleet.Summary{
-		Config:    config,
+		Config: config, ConfigEra: mulberryspool.Era(number(queryConfigEra)),
 		ServersAt: mulberryspool.Revision(number(queryServers)), ServersEra: mulberryspool.Era(number(queryServersEra)),
 	})
 }
--- a/internal/role/hosted/stateserver.go
+++ b/internal/role/hosted/stateserver.go
@@ -9,6 +9,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/mulberryspool/mulberryspool"
 	"github.com/mulberryspool/mulberryspool/internal/observe/logging"
 	"github.com/mulberryspool/mulberryspool/internal/platform/fleet"
 )
@@ -21,6 +22,7 @@
 // entries of a failure domain read the same one.
 type encodedConfig struct {
 	version int64
+	era     mulberryspool.Era
 	body    []byte
 }
 
@@ -57,11 +59,11 @@
 	}
 }
 
-// compressedConfig encodes a state with the configuration only, once for each version.
+// compressedConfig encodes a state with the configuration only, once for each version and era.
 func (e *entryRole) compressedConfig(s fleet.State) ([]byte, error) {
 	e.configMu.Lock()
 	defer e.configMu.Unlock()
-	if e.encodedConfig.version != s.Ingress.Version {
+	if e.encodedConfig.version != s.Ingress.Version || e.encodedConfig.era != s.ConfigEra {
 		var compressed bytes.Buffer
 		writer, err := gzip.NewWriterLevel(&compressed, gzip.BestSpeed)
 		if err != nil {
@@ -70,7 +72,7 @@
 		if err := errors.CombineErrors(json.NewEncoder(writer).Encode(s), writer.Close()); err != nil {
 			return nil, errors.Wrap(err, "compress configuration")
 		}
-		e.encodedConfig = encodedConfig{version: s.Ingress.Version, body: compressed.Bytes()}
+		e.encodedConfig = encodedConfig{version: s.Ingress.Version, era: s.ConfigEra, body: compressed.Bytes()}
 	}
 	return e.encodedConfig.body, nil
 }
