Don't date named versions by answers of a store that was just restored

Responses could begin on an older version after its bound (VERSION), which counts from when the newer version was named.

Cause: a version counts as named after the last answer of the store at a smaller revision. A restored store gives revisions out again and lacks the last versions until they are named again, so its answers made a version younger than it is, here and, by reports, at peers.

Revisions are compared within an era. In another era an answer counts if it showed the named versions themselves. Times within 5 s after a restore don't count, also if a peer that doesn't know of the restore reports them.

--- a/internal/platform/fleet/delay_test.go
+++ b/internal/platform/fleet/delay_test.go
@@ -18,7 +18,7 @@
 		reader.MergeNamedVersions(peer.Summary(), "peer", 1)
 		clock.Advance(time.Second)
 	}
-	reader.recordAnswer(clock.Now().Add(-500*time.Millisecond), mulberryspool.Position{Revision: revisionOf(2) - 1})
+	reader.recordAnswer(clock.Now().Add(-500*time.Millisecond), mulberryspool.Position{Revision: revisionOf(2) - 1}, false)
 	watch(peer, 2)
 	named, report := clock.Now(), peer.Summary()
 	clock.Advance(300 * time.Millisecond)
--- a/internal/platform/fleet/era.go
+++ b/internal/platform/fleet/era.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -12,14 +13,14 @@
 // none, so that 0 says nothing.
 func (f *Fleet) ObserveEra(era mulberryspool.Era, peer string) {
 	if era > 0 {
-		f.observeEra(era, fromPeer, peer)
+		f.observeEra(era, f.Clock.Now(), fromPeer, peer)
 	}
 }
 
-// observeEra begins an era of the store unless it is known.
-func (f *Fleet) observeEra(era mulberryspool.Era, source, peer string) {
+// observeEra begins an era of the store unless it is known. The store was in it at a time.
+func (f *Fleet) observeEra(era mulberryspool.Era, at time.Time, source, peer string) {
 	f.init()
-	if !f.beginEra(era, source, peer) {
+	if !f.beginEra(era, at, source, peer) {
 		return
 	}
 	f.configFollower.ObserveEra(era)
@@ -29,7 +30,7 @@
 }
 
 // beginEra reports whether the store was restored since the latest known era.
-func (f *Fleet) beginEra(era mulberryspool.Era, source, peer string) bool {
+func (f *Fleet) beginEra(era mulberryspool.Era, at time.Time, source, peer string) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	before := f.era
@@ -41,6 +42,7 @@
 		return false
 	}
 	f.era = era
+	f.named.BeginEra(at)
 	f.Logger.Warn().Str("step", "begin era").Str("source", source).Str("peer", peer).Uint64("eraBefore", uint64(before)).Uint64("era", uint64(era)).
 		Msg("store was restored from a copy; its objects are listed again")
 	if f.EraChanged != nil {
--- a/internal/platform/fleet/era_test.go
+++ b/internal/platform/fleet/era_test.go
@@ -12,7 +12,7 @@
 // listAt delivers a list of servers that were last changed at its position.
 func listAt(f *Fleet, era mulberryspool.Era, revision mulberryspool.Revision, ids ...string) {
 	at := mulberryspool.Position{Era: era, Revision: revision}
-	f.recordAnswer(f.Clock.Now(), at)
+	f.recordAnswer(f.Clock.Now(), at, false)
 	items := newServers(revision, false, ids...)
 	for id, b := range items {
 		b.Era = era
@@ -101,7 +101,7 @@
 	var reported []mulberryspool.Era
 	f.EraChanged = func(_, era mulberryspool.Era) { reported = append(reported, era) }
 	for _, era := range []mulberryspool.Era{4, 4, 5, 4, 5, 7} {
-		f.recordAnswer(clock.Now(), mulberryspool.Position{Era: era, Revision: 1})
+		f.recordAnswer(clock.Now(), mulberryspool.Position{Era: era, Revision: 1}, false)
 	}
 	if len(reported) != 2 || reported[0] != 5 || reported[1] != 7 {
 		t.Errorf("reported eras are %v, want 5 and 7", reported)
--- a/internal/platform/fleet/fleet.go
+++ b/internal/platform/fleet/fleet.go
@@ -156,12 +156,12 @@
 	f.serverFollower = listwatch.Follower[mulberryspool.BackendServer]{
 		Store: f.Store, Kind: f.Kinds.Servers, Clock: f.Clock, WatchTimeout: f.WatchTimeout, WatchPause: f.ServersWatchPause, Paused: f.Paused, Logger: f.Logger,
 		Set:     listwatch.Set[mulberryspool.BackendServer]{Decode: f.Kinds.DecodeServer, GracePeriod: reregisterTime},
-		Changed: f.setServers, Answered: f.recordAnswer,
+		Changed: f.setServers, Answered: func(after time.Time, at mulberryspool.Position) { f.recordAnswer(after, at, false) },
 	}
 	f.versionFollower = listwatch.Follower[mulberryspool.NamedVersion]{
 		Store: f.Store, Kind: f.Kinds.Versions, Clock: f.Clock, WatchTimeout: f.versionsWatchTimeout(), Paused: f.Paused, Logger: f.Logger,
 		Set:     listwatch.Set[mulberryspool.NamedVersion]{Decode: f.Kinds.DecodeVersion},
-		Changed: f.setVersions, Answered: f.recordAnswer,
+		Changed: f.setVersions, Answered: func(after time.Time, at mulberryspool.Position) { f.recordAnswer(after, at, true) },
 	}
 }
 
@@ -199,7 +199,7 @@
 }
 
 func (f *Fleet) recordConfigAnswer(after time.Time, at mulberryspool.Position) {
-	f.recordAnswer(after, at)
+	f.recordAnswer(after, at, false)
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.configAnsweredAt = f.Clock.Now()
--- a/internal/platform/fleet/fleet_test.go
+++ b/internal/platform/fleet/fleet_test.go
@@ -57,7 +57,7 @@
 
 // watch delivers a named version to a process that the store answered just before.
 func watch(f *Fleet, version int64) {
-	f.recordAnswer(f.Clock.Now(), mulberryspool.Position{Revision: revisionOf(version) - 1})
+	f.recordAnswer(f.Clock.Now(), mulberryspool.Position{Revision: revisionOf(version) - 1}, false)
 	list(f, version)
 }
 
@@ -187,7 +187,7 @@
 		peer, late := newFleet(clock), newFleet(clock)
 		var reported time.Time
 		late.NamedVersionChanged = func(_ string, _ int64, at time.Time) { reported = at }
-		late.recordAnswer(clock.Now(), mulberryspool.Position{Revision: revisionOf(2) - 1})
+		late.recordAnswer(clock.Now(), mulberryspool.Position{Revision: revisionOf(2) - 1}, false)
 		watch(peer, 2)
 		stale := peer.Summary()
 		clock.Advance(lateness)
@@ -211,7 +211,7 @@
 	f := newFleetWithAssumedAge(clock)
 	items := namedVersions(2)
 	items["other"] = mulberryspool.NamedVersion{Model: "other", Version: 7, Revision: 70}
-	f.recordAnswer(clock.Now(), mulberryspool.Position{Revision: 69})
+	f.recordAnswer(clock.Now(), mulberryspool.Position{Revision: 69}, false)
 	f.setVersions(items, listwatch.Delta{Updated: []string{"other"}})
 	if _, at := f.NamedVersion("m"); clock.Since(at) != f.AssumedAge {
 		t.Errorf("the version counts as %v old, want the assumed %v", clock.Since(at), f.AssumedAge)
@@ -293,7 +293,7 @@
 func TestAgeIsLearnedFromWatchJustAfterFirstSight(t *testing.T) {
 	clock := clockwork.NewFakeClock()
 	watching := newFleet(clock)
-	watching.recordAnswer(clock.Now(), mulberryspool.Position{Revision: revisionOf(2) - 1})
+	watching.recordAnswer(clock.Now(), mulberryspool.Position{Revision: revisionOf(2) - 1}, false)
 	listed := newFleetWithAssumedAge(clock)
 	clock.Advance(100 * time.Millisecond)
 	list(watching, 2)
--- a/internal/platform/fleet/versions.go
+++ b/internal/platform/fleet/versions.go
@@ -1,7 +1,6 @@
 package fleet
 
 import (
-	"cmp"
 	"time"
 
 	"github.com/mulberryspool/mulberryspool"
@@ -23,6 +22,7 @@
 	}
 	for model, versions := range s.Named {
 		for _, r := range versions {
+			r.Era = f.assignEra(mulberryspool.Position{Era: r.Era, Revision: r.Revision}).Era
 			if change, ok := f.named.Merge(peer, model, r, delay, now); ok {
 				f.publishVersion(change, fromPeer, peer)
 			}
@@ -56,12 +56,20 @@
 		if !ok {
 			continue
 		}
-		if change, ok := f.named.RecordVersion(v.Model, v.Version, cmp.Or(v.Revision, d.At.Revision), f.Clock.Now()); ok {
+		if change, ok := f.named.RecordVersion(v.Model, v.Version, position(v, d), f.Clock.Now()); ok {
 			f.publishVersion(change, fromStore, "")
 		}
 	}
 }
 
+// position returns the position of a named version's object, or else that of the list with it.
+func position(v mulberryspool.NamedVersion, d listwatch.Delta) mulberryspool.Position {
+	if v.Revision == 0 {
+		return d.At
+	}
+	return mulberryspool.Position{Era: v.Era, Revision: v.Revision}
+}
+
 // publishVersion logs a change of the named versions and calls NamedVersionChanged. It
 // requires the mutex.
 func (f *Fleet) publishVersion(c namedversion.Change, source, peer string) {
@@ -76,11 +84,12 @@
 	f.NamedVersionChanged(c.Model, c.Version, c.Since)
 }
 
-// recordAnswer records that the store answered at a position after the given time.
-// Versions with a greater revision were named after that time as well.
-func (f *Fleet) recordAnswer(after time.Time, at mulberryspool.Position) {
-	f.observeEra(at.Era, fromStore, "")
+// recordAnswer records that the store answered at a position after the given time, and whether the
+// answer showed the named versions. Versions with a later position were named after that time as
+// well.
+func (f *Fleet) recordAnswer(after time.Time, at mulberryspool.Position, listed bool) {
+	f.observeEra(at.Era, after, fromStore, "")
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.named.RecordAnswer(after, at.Revision)
+	f.named.RecordAnswer(after, at, listed)
 }
--- a/internal/platform/namedversion/delayed_test.go
+++ b/internal/platform/namedversion/delayed_test.go
@@ -3,6 +3,8 @@
 import (
 	"testing"
 	"time"
+
+	"github.com/mulberryspool/mulberryspool"
 )
 
 // Guards against a version that counts as named too late because a peer's report on when
@@ -19,8 +21,8 @@
 		{"delay known", Delay{Known: true, Beyond: 300 * time.Millisecond}, at(-20)},
 	} {
 		h := History{AssumedAge: 5 * time.Second}
-		h.RecordAnswer(at(-50), 9)
-		h.RecordVersion("m", 2, 10, at(350))
+		h.RecordAnswer(at(-50), mulberryspool.Position{Revision: 9}, false)
+		h.RecordVersion("m", 2, mulberryspool.Position{Revision: 10}, at(350))
 		// The store's last answer to the peer was at -20 ms. The report, sent at 0 ms, takes 300 ms.
 		h.Merge("peer", "m", Report{Version: 2, AgeMillis: 20, SeenMillis: 1, Revision: 10, UnnamedMillis: 20}, c.delay, at(300))
 		if _, since := h.Newest("m"); !since.Equal(c.want) {
--- a/internal/platform/namedversion/history.go
+++ b/internal/platform/namedversion/history.go
@@ -11,6 +11,10 @@
 // version was named is an interval. It begins with the last answer of the store at a
 // smaller revision, of any process, and ends with the first sight of any process.
 // Bounds count from its beginning.
+//
+// A store that is restored from a copy lacks the last versions until they are named again.
+// So its answers say nothing of a version until settleTime after the restore, and revisions
+// of different eras are not compared.
 package namedversion
 
 import (
@@ -30,6 +34,9 @@
 	// minCorrection is the smallest correction that is reported to the caller. Each one
 	// wakes the process and is sent to its peers.
 	minCorrection = 10 * time.Millisecond
+	// settleTime is how long after a restore of the store the operators may take to name
+	// again the versions that the copy lacks.
+	settleTime = 5 * time.Second
 )
 
 type (
@@ -42,6 +49,8 @@
 		SeenMillis int64 `json:"seenMillis,omitempty"`
 		// Revision is the store's revision at which the version was named; 0 if not known.
 		Revision mulberryspool.Revision `json:"revision,omitempty"`
+		// Era is that of Revision.
+		Era mulberryspool.Era `json:"era,omitempty" msgpack:",omitempty"`
 		// UnnamedMillis is the time since the store's last answer to the sender at a
 		// smaller revision; 0 if there was none.
 		UnnamedMillis int64 `json:"unnamedMillis,omitempty"`
@@ -73,21 +82,26 @@
 
 		// answers holds the recent answers of the store, the oldest first.
 		answers []answer
+		// settledAt is the end of settleTime after the last restore that was observed.
+		settledAt time.Time
 		// models holds the versions of each model, the oldest first.
 		models map[string][]version
 	}
 
-	// answer is an answer that the store gave after a time. It had the revision, or a
-	// smaller one, at that time.
+	// answer is an answer that the store gave after a time. It was at the position, or an
+	// earlier one, at that time.
 	answer struct {
-		after    time.Time
-		revision mulberryspool.Revision
+		after time.Time
+		at    mulberryspool.Position
+		// listed is set if the answer showed the named versions themselves.
+		listed bool
 	}
 
 	version struct {
-		number   int64
-		revision mulberryspool.Revision
-		seen     time.Time
+		number int64
+		// at is the earliest known position of the object with the version.
+		at   mulberryspool.Position
+		seen time.Time
 		// unnamed holds when the version was not yet named, by the processes that know
 		// such a time; the key of this process is empty. A report can only be late, so
 		// the earliest time of each process counts.
@@ -99,25 +113,40 @@
 	}
 )
 
-// RecordAnswer records that the store gave an answer at a revision after the given time.
-func (h *History) RecordAnswer(after time.Time, revision mulberryspool.Revision) {
+// RecordAnswer records that the store gave an answer at a position after the given time, and
+// whether it showed the named versions.
+func (h *History) RecordAnswer(after time.Time, at mulberryspool.Position, listed bool) {
+	if h.unsettled(after) {
+		return
+	}
 	if len(h.answers) == maxAnswers {
 		h.answers = slices.Delete(h.answers, 0, 1)
 	}
-	h.answers = append(h.answers, answer{after: after, revision: revision})
+	h.answers = append(h.answers, answer{after: after, at: at, listed: listed})
+}
+
+// BeginEra records that the store was restored, as is known from a time on.
+func (h *History) BeginEra(from time.Time) {
+	h.settledAt = from.Add(settleTime)
+}
+
+// unsettled reports whether versions may have been missing in the store at a time because it had
+// just been restored.
+func (h *History) unsettled(at time.Time) bool {
+	return at.Before(h.settledAt) && !at.Before(h.settledAt.Add(-settleTime))
 }
 
 // RecordVersion records that the store has a named version, whose object was last
-// changed at a revision.
-func (h *History) RecordVersion(model string, number int64, revision mulberryspool.Revision, now time.Time) (Change, bool) {
-	return h.update(model, version{number: number, revision: revision, seen: now})
+// changed at a position.
+func (h *History) RecordVersion(model string, number int64, at mulberryspool.Position, now time.Time) (Change, bool) {
+	return h.update(model, version{number: number, at: at, seen: now})
 }
 
 // Merge adopts a report of a peer that arrived after a delay, which may not be known.
 func (h *History) Merge(sender, model string, r Report, delay Delay, now time.Time) (Change, bool) {
 	sentAt := now.Add(-delay.Beyond)
 	before := func(millis int64) time.Time { return sentAt.Add(-time.Duration(millis) * time.Millisecond) }
-	learned := version{number: r.Version, revision: r.Revision, seen: before(cmp.Or(r.SeenMillis, r.AgeMillis))}
+	learned := version{number: r.Version, at: mulberryspool.Position{Era: r.Era, Revision: r.Revision}, seen: before(cmp.Or(r.SeenMillis, r.AgeMillis))}
 	unnamed := make(map[string]time.Time, 1)
 	switch {
 	case r.UnnamedMillis > 0:
@@ -175,8 +204,8 @@
 		v.seen = learned.seen
 	}
 	// A later change of the object may have kept the version.
-	if learned.revision > 0 && (v.revision == 0 || learned.revision < v.revision) {
-		v.revision = learned.revision
+	if learned.at.Revision > 0 && (v.at.Revision == 0 || v.at.After(learned.at)) {
+		v.at = learned.at
 		delete(v.unnamed, "")
 	}
 	keepEarliest(v.unnamed, learned.unnamed)
@@ -192,12 +221,14 @@
 	}
 }
 
-// addOwn adds the time of the last answer to this process at a smaller revision than that
-// of the version.
+// addOwn adds the time of the last answer to this process that shows that the version was not
+// yet named: one at a smaller revision of its era or, in an earlier era, one that did not
+// list it.
 func (h *History) addOwn(v *version) {
 	var last time.Time
 	for _, a := range h.answers {
-		if a.revision < v.revision && a.after.After(last) {
+		unnamed := a.at.Era == v.at.Era && a.at.Revision < v.at.Revision || a.at.Era < v.at.Era && a.listed
+		if unnamed && a.after.After(last) {
 			last = a.after
 		}
 	}
@@ -224,7 +255,7 @@
 	earliest := v.seen.Add(-h.AssumedAge)
 	var latest time.Time
 	for _, at := range times {
-		if at.After(v.seen) || h.AssumedAge > 0 && !at.After(earliest) {
+		if at.After(v.seen) || h.AssumedAge > 0 && !at.After(earliest) || h.unsettled(at) {
 			continue
 		}
 		if latest.IsZero() || at.After(latest) {
@@ -259,7 +290,7 @@
 	reports := make(map[string][]Report, len(h.models))
 	for model, versions := range h.models {
 		for _, v := range versions {
-			r := Report{Version: v.number, Revision: v.revision, AgeMillis: now.Sub(h.since(v)).Milliseconds(), SeenMillis: max(1, now.Sub(v.seen).Milliseconds())}
+			r := Report{Version: v.number, Revision: v.at.Revision, Era: v.at.Era, AgeMillis: now.Sub(h.since(v)).Milliseconds(), SeenMillis: max(1, now.Sub(v.seen).Milliseconds())}
 			if at, ok := v.unnamed[""]; ok {
 				r.UnnamedMillis = max(1, now.Sub(at).Milliseconds())
 			}
--- a/internal/platform/namedversion/history_test.go
+++ b/internal/platform/namedversion/history_test.go
@@ -34,11 +34,11 @@
 		for _, sender := range []string{"a", "b", "c"} {
 			h := History{AssumedAge: reader.AssumedAge}
 			answered := named.Add(-millis("answered before", 1, 3000))
-			h.RecordAnswer(answered.Add(-time.Second), namedAt-2)
-			h.RecordAnswer(answered, namedAt-1)
+			h.RecordAnswer(answered.Add(-time.Second), mulberryspool.Position{Revision: namedAt - 2}, false)
+			h.RecordAnswer(answered, mulberryspool.Position{Revision: namedAt - 1}, false)
 			seen := named.Add(millis("seen after", 0, 4000))
-			h.RecordAnswer(seen, namedAt+1)
-			h.RecordVersion("m", 2, namedAt, seen)
+			h.RecordAnswer(seen, mulberryspool.Position{Revision: namedAt + 1}, false)
+			h.RecordVersion("m", 2, mulberryspool.Position{Revision: namedAt}, seen)
 			if answered.After(proven) {
 				proven = answered
 			}
@@ -69,10 +69,10 @@
 func TestLaterChangeOfObjectKeepsTimeOfNaming(t *testing.T) {
 	for name, revisions := range map[string][2]mulberryspool.Revision{"in order": {namedAt, namedAt + 10}, "the later one first": {namedAt + 10, namedAt}} {
 		var h History
-		h.RecordAnswer(start, namedAt-1)
-		h.RecordAnswer(start.Add(time.Second), namedAt+5)
+		h.RecordAnswer(start, mulberryspool.Position{Revision: namedAt - 1}, false)
+		h.RecordAnswer(start.Add(time.Second), mulberryspool.Position{Revision: namedAt + 5}, false)
 		for _, revision := range revisions {
-			h.RecordVersion("m", 2, revision, start.Add(2*time.Second))
+			h.RecordVersion("m", 2, mulberryspool.Position{Revision: revision}, start.Add(2*time.Second))
 		}
 		if _, since := h.Newest("m"); !since.Equal(start) {
 			t.Errorf("%s: the version counts as named at %v, want at %v", name, since, start)
