Let tests of hosted systems refuse single entries and reuse addresses

Cause: entries call the store from the same IP address, so a test could not refuse one of them; two hosted systems could not run at the same time with agents, since both took the same addresses.

Change: a store address for each entry, RefuseEntries, AddEntry, RemoveServer and ReplaceServer (a server at the address of a stopped one); keys in calls; ListAgain for model servers; addresses of hosted systems from one allocator and an IP address of its own for each machine with an agent.

--- a/internal/standin/loopback/loopback.go
+++ b/internal/standin/loopback/loopback.go
@@ -11,6 +11,9 @@
 // takes the ports of outgoing connections.
 const firstPort = 7001
 
+// Shared allocates the addresses of systems that may run at the same time.
+var Shared Allocator
+
 // Allocator allocates ports on a loopback IP address that is derived from the
 // process ID. It doesn't look for a free port by opening and closing a
 // listener, because an outgoing connection of any process could take such a
--- a/internal/testkit/hostedagents/system.go
+++ b/internal/testkit/hostedagents/system.go
@@ -10,6 +10,7 @@
 	"os"
 	"path/filepath"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -35,7 +36,8 @@
 	listInterval = 100 * time.Millisecond
 )
 
-var addresses loopback.Allocator
+// lastMachine is the number of machines so far, each of which has its own IP address.
+var lastMachine atomic.Int64
 
 type (
 	// System is a set of agents with their model servers. Set the exported fields before
@@ -52,6 +54,8 @@
 		Machines []*Machine
 
 		storeAddress string
+		// listAgain makes listMachines write all states.
+		listAgain atomic.Bool
 	}
 
 	// Machine is an agent with its model server.
@@ -73,8 +77,8 @@
 	t.Helper()
 	s.Origin.Model, s.Origin.Pieces, s.Origin.PieceBytes = model, pieces, pieceBytes
 	s.Origin.SetNewest(1)
-	s.storeAddress = listen(t, &s.Store, addresses.Address())
-	s.putConfiguration(listen(t, &s.Origin, addresses.Address()))
+	s.storeAddress = listen(t, &s.Store, loopback.Shared.Address())
+	s.putConfiguration(listen(t, &s.Origin, loopback.Shared.Address()))
 	for i := range s.Agents {
 		m := s.newMachine(t, i)
 		s.Machines = append(s.Machines, m)
@@ -109,12 +113,19 @@
 			return
 		case <-time.After(listInterval):
 		}
+		again := s.listAgain.Swap(false)
 		for _, m := range s.Machines {
+			if again {
+				m.listed = nil
+			}
 			m.list(&s.Store)
 		}
 	}
 }
 
+// ListAgain makes the model servers write their states to the store, also unchanged ones.
+func (s *System) ListAgain() { s.listAgain.Store(true) }
+
 func (m *Machine) list(store *kindstore.Server) {
 	object := m.Server.Report()
 	delete(object, "busy")
@@ -200,7 +211,7 @@
 func (s *System) newMachine(t testing.TB, i int) *Machine {
 	t.Helper()
 	// The IP addresses of other tests end with the process ID, too, behind smaller numbers.
-	ip := fmt.Sprintf("127.%d.%d.%d", 192+i, os.Getpid()>>8&255, os.Getpid()&255)
+	ip := fmt.Sprintf("127.%d.%d.%d", 192+lastMachine.Add(1)%63, os.Getpid()>>8&255, os.Getpid()&255)
 	m := &Machine{
 		Server: modelserver.Server{Model: model, Pieces: pieces, Piece: s.Origin.Piece, WarmTime: 200 * time.Millisecond},
 		id:     fmt.Sprintf("i-%d", i), address: fmt.Sprintf("%s:%d", ip, serverPort), SettingsFile: filepath.Join(t.TempDir(), "agent.yaml"), builder: s.Builder,
--- a/internal/testkit/hostedsystem/caller.go
+++ b/internal/testkit/hostedsystem/caller.go
@@ -35,6 +35,8 @@
 	Call struct {
 		// URL is that of the entry, Prefix that of the route.
 		URL, Prefix string
+		// Key is that of a workspace; empty for none.
+		Key string
 		// Take is how long the answer takes, Events the number of its events; 0 for an
 		// answer that is no stream.
 		Take   time.Duration
@@ -141,6 +143,9 @@
 	// The client must not send a request again by itself.
 	request.GetBody = nil
 	request.Host = Host
+	if r.Call.Key != "" {
+		request.Header.Set("Authorization", "Bearer "+r.Call.Key)
+	}
 	request.Header.Set(backendserver.HeaderID, r.ID)
 	request.Header.Set(backendserver.HeaderDeadline, strconv.FormatInt(c.Timeout.Milliseconds(), 10))
 	response, err := c.Client.Do(request)
--- a/internal/testkit/hostedsystem/system.go
+++ b/internal/testkit/hostedsystem/system.go
@@ -30,6 +30,8 @@
 	LookupPrefix = "/lookup/"
 	// OrderPrefix is that of the route for requests that may run once.
 	OrderPrefix = "/order/"
+	// ExtraPrefix is that of one more route for requests that may be repeated.
+	ExtraPrefix = "/extra/"
 
 	program = "github.com/mulberryspool/mulberryspool/cmd/mulberryspool"
 	// pool is the name of the only pool, model that of its model, and failureDomain that of
@@ -39,11 +41,8 @@
 	callersPort, readinessPort, firstInternalPort, metricsPort = 7100, 7101, 7110, 7120
 )
 
-var (
-	addresses loopback.Allocator
-	// lastEntry is the number of entries so far, each of which has its own IP address.
-	lastEntry atomic.Int64
-)
+// lastEntry is the number of entries so far, each of which has its own IP address.
+var lastEntry atomic.Int64
 
 type (
 	// System is a set of entries with their backend servers. Set the exported fields
@@ -81,7 +80,6 @@
 		Servers []*backendserver.Server
 		Members []*Entry
 
-		storeAddress string
 		// addresses holds those of Servers, and listeners what serves them.
 		addresses []string
 		listeners []*serve.Server
@@ -92,6 +90,10 @@
 		// URL is that of its listener for callers.
 		URL          string
 		ReadinessURL string
+		// StoreAddress is where this entry, and no other one, calls the store.
+		StoreAddress string
+		// Registration is the name under which it registers itself in the store.
+		Registration string
 		Process      *process.Process
 		SettingsFile string
 	}
@@ -101,21 +103,34 @@
 // test.
 func (s *System) Start(t testing.TB) {
 	t.Helper()
-	s.storeAddress = listen(t, &s.Store, addresses.Address()).Address
 	s.PutConfiguration(1)
 	for range s.Backends {
 		s.AddServer(t)
 	}
-	for i := range s.Entries {
-		e := s.newEntry(t, i)
-		s.Members = append(s.Members, e)
-		e.Start(t, s.Builder)
+	for range s.Entries {
+		s.AddEntry(t)
 	}
 	for _, e := range s.Members {
 		e.Process.AwaitURL(t, e.ReadinessURL)
 	}
 }
 
+// AddEntry starts one more entry, which may not be ready yet.
+func (s *System) AddEntry(t testing.TB) *Entry {
+	t.Helper()
+	e := s.newEntry(t, len(s.Members))
+	s.Members = append(s.Members, e)
+	e.Start(t, s.Builder)
+	return e
+}
+
+// RefuseEntries makes the store refuse the calls of some entries, and of no others.
+func (s *System) RefuseEntries(refused ...*Entry) {
+	s.Store.SetRefuse(func(r *http.Request) bool {
+		return slices.ContainsFunc(refused, func(e *Entry) bool { return e.StoreAddress == r.Host })
+	})
+}
+
 func listen(t testing.TB, handler http.Handler, address string) *serve.Server {
 	t.Helper()
 	server, err := serve.Start(handler, address)
@@ -143,7 +158,7 @@
 	}
 	routes := []map[string]any{route("stream", StreamPrefix, "streaming"), route("lookup", LookupPrefix, "idempotent"), route("order", OrderPrefix, "non_idempotent")}
 	if s.ExtraRoute {
-		routes = append(routes, route("extra", "/extra/", "idempotent"))
+		routes = append(routes, route("extra", ExtraPrefix, "idempotent"))
 	}
 	routes = slices.DeleteFunc(routes, func(r map[string]any) bool { return slices.Contains(s.Without, r["path-prefix"].(string)) })
 	configuration := map[string]any{
@@ -159,11 +174,23 @@
 
 // AddServer starts a backend server and returns its index in Servers.
 func (s *System) AddServer(t testing.TB) int {
+	t.Helper()
+	return s.addServer(t, loopback.Shared.Address())
+}
+
+// ReplaceServer starts a backend server at the address of a stopped one and returns its index
+// in Servers. The stopped one stays listed.
+func (s *System) ReplaceServer(t testing.TB, i int) int {
+	t.Helper()
+	return s.addServer(t, s.addresses[i])
+}
+
+func (s *System) addServer(t testing.TB, address string) int {
 	t.Helper()
 	i := len(s.Servers)
 	server := &backendserver.Server{Instance: fmt.Sprintf("i-%d", i)}
 	server.SetVersion(s.Version, s.Version)
-	listener := listen(t, server, addresses.Address())
+	listener := listen(t, server, address)
 	s.Servers, s.listeners, s.addresses = append(s.Servers, server), append(s.listeners, listener), append(s.addresses, listener.Address)
 	s.putServer(i, "ready", s.Version)
 	return i
@@ -181,6 +208,9 @@
 // SetLeaving makes a backend server leave. It still serves.
 func (s *System) SetLeaving(i int) { s.putServer(i, "draining", s.Version) }
 
+// RemoveServer removes a backend server from the list. It still serves.
+func (s *System) RemoveServer(i int) { s.Store.Delete(platform.KindServers, s.Servers[i].Instance) }
+
 // ListVersion lists a backend server with a version of the weights, whatever it serves.
 func (s *System) ListVersion(i int, version int64) { s.putServer(i, "ready", version) }
 
@@ -206,10 +236,11 @@
 	// The IP addresses of other tests end with the process ID, too, behind smaller numbers.
 	ip := fmt.Sprintf("127.%d.%d.%d", 128+lastEntry.Add(1)%127, os.Getpid()>>8&255, os.Getpid()&255)
 	e := &Entry{
+		StoreAddress: listen(t, &s.Store, loopback.Shared.Address()).Address, Registration: fmt.Sprintf("entry-%d", i),
 		URL: fmt.Sprintf("http://%s:%d", ip, callersPort), ReadinessURL: fmt.Sprintf("http://%s:%d%s", ip, readinessPort, platform.ReadinessPath),
 		SettingsFile: filepath.Join(t.TempDir(), "entry.yaml"),
 	}
-	text := fmt.Sprintf(`instance: entry-%d
+	text := fmt.Sprintf(`instance: %s
 failureDomain: %s
 region: r
 address: %s
@@ -222,7 +253,7 @@
 limits: {memory: %d MB, link: 700 Mbit/s}
 logSample: 1
 metricsPort: %d
-`, i, failureDomain, ip, firstInternalPort, firstInternalPort+5, failureDomain, ip, callersPort, ip, readinessPort, s.storeAddress, s.GracefulStop, s.RepeatSlack, cmp.Or(s.MegabytesOfMemory, 206), metricsPort)
+`, e.Registration, failureDomain, ip, firstInternalPort, firstInternalPort+5, failureDomain, ip, callersPort, ip, readinessPort, e.StoreAddress, s.GracefulStop, s.RepeatSlack, cmp.Or(s.MegabytesOfMemory, 206), metricsPort)
 	if err := os.WriteFile(e.SettingsFile, []byte(text), 0o600); err != nil {
 		t.Fatal(err)
 	}
