Withhold removed servers through a second restore

Callers: in 'ahead, two restores' of TestEntriesDoNotGoBackToRestoredCopy all three entries sent 10 or 11 requests to a server that had been removed, from 1.5 s after the second restore on.

Cause: the removal was forgotten when the server was first withheld, and the second restore looked like a change of the server's object.

The removal is kept while a server is withheld, and only a change within an era ends it.

Evidence: TestRemovedServerIsWithheldAfterRestore has this case now and failed before ("the removed server is used again after a second restore").

--- a/internal/platform/membership/era_test.go
+++ b/internal/platform/membership/era_test.go
@@ -86,6 +86,15 @@
 		t.Error("the server isn't used after its release, or is released twice")
 	}
 	v = restored()
+	v.Merge(listed(3, 30, row{"a", 7, 10, false}))
+	if !v.Servers()["a"].Leaving {
+		t.Error("the removed server is used again after a second restore")
+	}
+	v.Merge(listed(3, 33, row{"a", 7, 32, false}))
+	if v.Servers()["a"].Leaving {
+		t.Error("the server isn't used although its object has changed after a second restore")
+	}
+	v = restored()
 	v.Merge(listed(2, 60, row{"a", 7, 55, false}))
 	if v.Servers()["a"].Leaving {
 		t.Error("the server isn't used although its object is newer than its removal")
--- a/internal/platform/membership/membership.go
+++ b/internal/platform/membership/membership.go
@@ -134,13 +134,16 @@
 	if known, ok := v.servers[b.Instance]; ok && known.Born == b.Born && known.Era < b.Era {
 		b.Leaving = b.Leaving || known.Leaving
 	}
-	if v.maybeRemoved(b) {
-		if v.withheld == nil {
-			v.withheld = make(map[incarnation]mulberryspool.Position)
-		}
-		v.withheld[key] = b.Position()
+	at, withheld := v.withheld[key]
+	if !v.maybeRemoved(b) || withheld && at.Era == b.Era {
+		delete(v.removed, key)
+		delete(v.withheld, key)
+		return b
+	}
+	if v.withheld == nil {
+		v.withheld = make(map[incarnation]mulberryspool.Position)
 	}
-	delete(v.removed, key)
+	v.withheld[key] = b.Position()
 	return b
 }
 
@@ -189,6 +192,9 @@
 	if len(v.withheld) == 0 {
 		return false
 	}
+	for key := range v.withheld {
+		delete(v.removed, key)
+	}
 	v.withheld = nil
 	v.setServers(v.servers)
 	return true
