Register entries again when the store was restored without them

Callers: an entry that starts after a restore of the store doesn't find the others, nor they it, so that none follows a change while the store refuses it.

Cause: an entry wrote its address once, at its start. A restored store has lost what was written since its copy, and nobody wrote it again. A write that got no answer, or was answered before the restore, had the same end.

An entry checks its registration, in a list, 0 to 2 s after it knows of a later era, and writes it if it is missing. A registration counts as written when the store lists it. Calls: one list an entry, and a write and another list where it is missing.

--- a/internal/platform/fleet/era.go
+++ b/internal/platform/fleet/era.go
@@ -17,6 +17,13 @@
 	}
 }
 
+// Era returns the latest era of the store that is known.
+func (f *Fleet) Era() mulberryspool.Era {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.era
+}
+
 // observeEra begins an era of the store unless it is known. The store was in it at a time.
 func (f *Fleet) observeEra(era mulberryspool.Era, at time.Time, source, peer string) {
 	f.init()
@@ -44,7 +51,7 @@
 	f.era = era
 	f.named.BeginEra(at)
 	f.Logger.Warn().Str("step", "begin era").Str("source", source).Str("peer", peer).Uint64("eraBefore", uint64(before)).Uint64("era", uint64(era)).
-		Msg("store was restored from a copy; its objects are listed again")
+		Msg("store was restored from a copy; configuration, servers and named versions are listed again")
 	if f.EraChanged != nil {
 		f.EraChanged(before, era)
 	}
--- a/internal/role/hosted/entry.go
+++ b/internal/role/hosted/entry.go
@@ -99,6 +99,9 @@
 	maxRegistered = 4096
 	// registerRetryInterval is the pause after a failed registration.
 	registerRetryInterval = time.Second
+	// registerSpread is the maximum pause before an entry checks its registration after a
+	// restore of the store. It spreads the calls of all entries.
+	registerSpread = 2 * time.Second
 )
 
 type (
@@ -119,6 +122,8 @@
 		findingsChanged chan struct{}
 		// stateChanged is signalled when the routes, servers or named versions change.
 		stateChanged chan struct{}
+		// eraChanged is signalled when the store was restored.
+		eraChanged chan struct{}
 
 		// silencesSent holds the silent backend servers that were reported. It is used by
 		// runHeartbeats only.
@@ -151,7 +156,7 @@
 		return err
 	}
 	defer p.close()
-	e := &entryRole{process: p, registered: make(map[netip.AddrPort]struct{}), loadChanged: make(chan struct{}, 1), findingsChanged: make(chan struct{}, 1), stateChanged: make(chan struct{}, 1)}
+	e := &entryRole{process: p, registered: make(map[netip.AddrPort]struct{}), loadChanged: make(chan struct{}, 1), findingsChanged: make(chan struct{}, 1), stateChanged: make(chan struct{}, 1), eraChanged: make(chan struct{}, 1)}
 	e.build()
 	callers, err := listen(s.Listen.Callers)
 	if err != nil {
@@ -236,6 +241,12 @@
 		e.scheduler.SetNamedVersion(model, version, at)
 		e.signalStateChange()
 	}
+	countEra := e.fleet.EraChanged
+	e.fleet.EraChanged = func(before, era mulberryspool.Era) {
+		countEra(before, era)
+		e.signalStateChange()
+		wake(e.eraChanged)
+	}
 	e.handler.ServerLeaving = e.fleet.MarkLeaving
 	e.stateSync = &stateSync{
 		fleet: e.fleet, clock: e.clock, fetch: e.stateFetcher(e.fleet, statePath), logger: e.logger, failureDomain: e.identity.FailureDomain,
--- a/internal/role/hosted/entryheartbeats.go
+++ b/internal/role/hosted/entryheartbeats.go
@@ -4,9 +4,12 @@
 	"context"
 	"encoding/json"
 	"maps"
+	"math/rand/v2"
 	"net/netip"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/mulberryspool/mulberryspool"
 	"github.com/mulberryspool/mulberryspool/internal/entry/placement"
 	"github.com/mulberryspool/mulberryspool/internal/entry/quarantine"
@@ -258,35 +261,72 @@
 	e.metrics.Gauge("log_lines_dropped").Update(float64(e.logWriter.Dropped()))
 }
 
-// register writes the entry's address to the store and reads the other entries'.
-// It retries until both succeed or the context ends.
+// register keeps the entry's address in the store and reads the other entries' until the context
+// ends. A store that was restored from a copy may lack the address.
 func (e *entryRole) register(ctx context.Context) {
-	for {
-		err := e.store.Put(ctx, platform.KindEntries, e.settings.Instance, registration{Address: e.settings.EntryHeartbeatAddress(e.settings.Address)})
-		if err == nil {
-			err = e.readEntries(ctx)
-		}
-		if err == nil {
-			return
-		}
+	for write := true; ; {
+		era, err := e.tryRegister(ctx, write)
 		if ctx.Err() != nil {
 			return
 		}
-		e.logger.Info().EmbedObject(logging.Fields{}.WithStep(err)).Err(err).Msg("entry could not be registered")
+		if err != nil {
+			e.logger.Info().EmbedObject(logging.Fields{}.WithStep(err)).Err(err).Msg("entry could not be registered")
+			e.pause(ctx, registerRetryInterval)
+			continue
+		}
+		write = false
+		e.awaitEra(ctx, era)
+		e.pause(ctx, rand.N(registerSpread))
+	}
+}
+
+// tryRegister reads the registrations and writes that of this entry, if it is missing or write is
+// set. It returns the era of the store that has it.
+func (e *entryRole) tryRegister(ctx context.Context, write bool) (mulberryspool.Era, error) {
+	if !write {
+		at, listed, err := e.readEntries(ctx)
+		if err != nil || listed {
+			return at.Era, err
+		}
+		e.logger.Info().Str(logging.FieldStep, "register").Uint64("era", uint64(at.Era)).Msg("restored store lacks the registration of this entry, writing it again")
+	}
+	err := e.store.Put(ctx, platform.KindEntries, e.settings.Instance, registration{Address: e.ownAddress()})
+	if err != nil {
+		return 0, err
+	}
+	at, listed, err := e.readEntries(ctx)
+	if err == nil && !listed {
+		err = mulberryspool.AtStep(errors.New("store does not list the registration that was written"), "register", e.settings.Store)
+	}
+	return at.Era, err
+}
+
+// awaitEra waits until the store is in a later era.
+func (e *entryRole) awaitEra(ctx context.Context, era mulberryspool.Era) {
+	for e.fleet.Era() <= era {
 		select {
-		case <-e.clock.After(registerRetryInterval):
+		case <-e.eraChanged:
 		case <-ctx.Done():
 			return
 		}
 	}
 }
 
-func (e *entryRole) readEntries(ctx context.Context) error {
-	objects, _, err := e.store.List(ctx, platform.KindEntries)
+func (e *entryRole) pause(ctx context.Context, d time.Duration) {
+	select {
+	case <-e.clock.After(d):
+	case <-ctx.Done():
+	}
+}
+
+// readEntries adds the registered entries. It reports whether this one is among them.
+func (e *entryRole) readEntries(ctx context.Context) (mulberryspool.Position, bool, error) {
+	objects, at, err := e.store.List(ctx, platform.KindEntries)
 	if err != nil {
-		return err
+		return at, false, err
 	}
 	var addresses []string
+	listed := false
 	for _, o := range objects {
 		var r registration
 		if err := json.Unmarshal(o.Value, &r); err != nil {
@@ -294,8 +334,12 @@
 			continue
 		}
 		addresses = append(addresses, r.Address)
+		listed = listed || o.Name == e.settings.Instance && r.Address == e.ownAddress()
 	}
 	e.addEntries(addresses)
 	e.announce(nil)
-	return nil
+	return at, listed, nil
 }
+
+// ownAddress is where this entry receives heartbeats.
+func (e *entryRole) ownAddress() string { return e.settings.EntryHeartbeatAddress(e.settings.Address) }
