Let peers read the servers in the grace period after a restore

Cause: for 2 s after a restore no process has an exact list, since servers that the copy lacks are kept, and peers read only newer exact lists. So what changed in that time reached processes that the store refuses, and agents, only afterwards.

The state says as of when no server is missing, beside as of when it is exact. If that is of a later era than the reader's exact list, the reader merges it as an assumed list: newer rows count, and nothing in it becomes certain. Within an era nothing changes.

Evidence: TestChangesInGracePeriodAfterRestoreReachPeers failed before ("servers are a, b, gone, want a leaving").

--- a/internal/platform/fleet/era.go
+++ b/internal/platform/fleet/era.go
@@ -64,7 +64,7 @@
 	defer f.mu.Unlock()
 	before := f.servers.Servers()
 	if f.servers.Release() {
-		f.publishServers(before, serverList{source: fromStore, at: f.servers.Snapshot().CompleteAt})
+		f.publishServers(before, serverList{source: fromStore, at: f.servers.Snapshot().ExactAt})
 	}
 }
 
--- a/internal/platform/fleet/era_test.go
+++ b/internal/platform/fleet/era_test.go
@@ -72,6 +72,45 @@
 	expectServers(t, refused, "a", "c", "d")
 }
 
+// Guards against a process that the store refuses and that learns of changes after a restore only
+// when the grace period of its peers is over, and against one that takes from them that servers in
+// that period are certain.
+func TestChangesInGracePeriodAfterRestoreReachPeers(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	served, refused := newFleet(clock), newFleet(clock)
+	for _, f := range []*Fleet{served, refused} {
+		listAt(f, 1, 500, "a", "b", "gone")
+	}
+	// assume delivers a list in the grace period, in which one server is kept.
+	assume := func(revision mulberryspool.Revision, leaving bool) {
+		at := mulberryspool.Position{Era: 2, Revision: revision}
+		served.recordAnswer(clock.Now(), at, false)
+		items := newServers(revision, leaving, "a")
+		a := items["a"]
+		a.Era = 2
+		items["a"] = a
+		items["gone"] = mulberryspool.BackendServer{Instance: "gone", Born: 1, Revision: 500, Era: 1}
+		served.setServers(items, listwatch.Delta{At: at, Uncertain: true})
+	}
+	assume(30, false)
+	read(refused, served)
+	assume(31, true)
+	if !read(refused, served) || !refused.servers.Servers()["a"].Leaving {
+		t.Errorf("servers are %v, want a leaving", refused.servers.Servers())
+	}
+	if at := refused.State().ServersAt; at != 500 {
+		t.Errorf("servers are exact as of %d, want 500", at)
+	}
+	if read(refused, served) {
+		t.Error("the same state counts as newer again")
+	}
+	listAt(served, 2, 32, "a")
+	if !read(refused, served) {
+		t.Error("the exact list after the grace period doesn't count as newer")
+	}
+	expectServers(t, refused, "a")
+}
+
 // Guards against a peer of a build that sends no eras, whose state is not adopted before the first
 // restore, or is adopted after it although it is older.
 func TestPeersWithoutErasAreOfTheFirstOne(t *testing.T) {
--- a/internal/platform/fleet/fleet.go
+++ b/internal/platform/fleet/fleet.go
@@ -181,7 +181,8 @@
 	snapshot := f.servers.Snapshot()
 	return State{
 		Ingress: f.ingress, ConfigEra: f.configEra, Servers: snapshot.Servers,
-		ServersAt: snapshot.CompleteAt.Revision, ServersEra: snapshot.CompleteAt.Era,
+		ServersAt: snapshot.ExactAt.Revision, ServersEra: snapshot.ExactAt.Era,
+		CompleteAt: snapshot.CompleteAt.Revision, CompleteEra: snapshot.CompleteAt.Era,
 	}
 }
 
@@ -214,10 +215,13 @@
 	if f.clockStart.IsZero() {
 		f.clockStart = now.Add(-time.Millisecond)
 	}
-	at := f.servers.Snapshot().CompleteAt
+	snapshot := f.servers.Snapshot()
 	s := Summary{
 		SentMillis: now.Sub(f.clockStart).Milliseconds(), Config: f.configVersion(), ConfigEra: f.configEra, ConfigHash: f.configHash,
-		ServersAt: at.Revision, ServersEra: at.Era, Servers: f.serversHash, Era: f.era, Named: f.named.Reports(now),
+		ServersAt: snapshot.ExactAt.Revision, ServersEra: snapshot.ExactAt.Era, Servers: f.serversHash, Era: f.era, Named: f.named.Reports(now),
+	}
+	if snapshot.Assumed {
+		s.CompleteAt, s.CompleteEra = snapshot.CompleteAt.Revision, snapshot.CompleteAt.Era
 	}
 	if watchesConfig {
 		s.ConfigAnsweredMillis = max(1, now.Sub(f.configAnsweredAt).Milliseconds())
@@ -239,7 +243,13 @@
 		own := f.configVersion()
 		return peer.Config > own || peer.Config == own && peer.ConfigEra > f.configEra && peer.ConfigHash != f.configHash
 	}
-	return f.assignEra(peer.serversPosition()).After(f.servers.Snapshot().CompleteAt) && peer.Servers != f.serversHash
+	own := f.servers.Snapshot()
+	newer := f.assignEra(peer.serversPosition()).After(own.ExactAt)
+	if complete := peer.completePosition(); complete.Era > own.ExactAt.Era && complete.After(own.CompleteAt) {
+		// After a restore, no process has an exact list until the grace period is over.
+		newer = true
+	}
+	return newer && peer.Servers != f.serversHash
 }
 
 // configVersion requires the mutex.
@@ -257,14 +267,14 @@
 	}
 	f.init()
 	f.mu.Lock()
-	at := f.assignEra(s.serversPosition())
+	at, exactAt := f.assignEra(s.completePosition()), f.assignEra(s.serversPosition())
 	newer := at.After(f.servers.Snapshot().CompleteAt)
 	servers := f.assignEras(s.Servers)
 	f.mu.Unlock()
 	if newer {
 		f.serverFollower.RecordPeerAnswer()
 	}
-	f.mergeServers(membership.Snapshot{Servers: servers, Unchanged: s.Unchanged, CompleteAt: at}, fromPeer, peer)
+	f.mergeServers(membership.Snapshot{Servers: servers, Unchanged: s.Unchanged, CompleteAt: at, Assumed: at != exactAt}, fromPeer, peer)
 }
 
 func (f *Fleet) setIngresses(items map[string]mulberryspool.Ingress, d listwatch.Delta) {
@@ -329,7 +339,7 @@
 // publishServers logs how the servers have changed and calls ServersChanged. It
 // requires the mutex.
 func (f *Fleet) publishServers(before Servers, list serverList) {
-	servers, at := f.servers.Servers(), f.servers.Snapshot().CompleteAt
+	servers, at := f.servers.Servers(), f.servers.Snapshot().ExactAt
 	f.serversHash = hashServers(servers)
 	for id, b := range servers {
 		old, known := before[id]
--- a/internal/platform/fleet/state.go
+++ b/internal/platform/fleet/state.go
@@ -32,6 +32,11 @@
 		// exact; 0 while no list is known. ServersEra is its era.
 		ServersAt  mulberryspool.Revision `json:"serversAt,omitempty"`
 		ServersEra mulberryspool.Era      `json:"serversEra,omitempty"`
+		// CompleteAt is the store's revision as of which no server is missing in Servers,
+		// and CompleteEra its era. It is past ServersAt while some of them are in their
+		// grace period. It is 0 from a build that does not send it.
+		CompleteAt  mulberryspool.Revision `json:"completeAt,omitempty"`
+		CompleteEra mulberryspool.Era      `json:"completeEra,omitempty"`
 		// Unchanged holds the servers that are left out of Servers because the reader
 		// has them already.
 		Unchanged []mulberryspool.InstanceID `json:"unchanged,omitempty"`
@@ -47,6 +52,9 @@
 		// ServersAt is State.ServersAt; Servers is a hash of State.Servers.
 		ServersAt mulberryspool.Revision `json:"serversAt,omitempty"`
 		Servers   uint64                 `json:"servers,omitempty"`
+		// CompleteAt and CompleteEra are those of State if they are past ServersAt.
+		CompleteAt  mulberryspool.Revision `json:"completeAt,omitempty" msgpack:",omitempty"`
+		CompleteEra mulberryspool.Era      `json:"completeEra,omitempty" msgpack:",omitempty"`
 		// ServersEra and ConfigEra are those of State, ConfigHash is a hash of its Ingress.
 		// Era is the latest era of the store that the process knows of. All of them are 0
 		// from a build that does not send them.
@@ -73,6 +81,23 @@
 	return mulberryspool.Position{Era: s.ServersEra, Revision: s.ServersAt}
 }
 
+// completePosition returns the position as of which no server is missing.
+func (s State) completePosition() mulberryspool.Position {
+	return laterOf(s.serversPosition(), mulberryspool.Position{Era: s.CompleteEra, Revision: s.CompleteAt})
+}
+
+// completePosition returns that of the state.
+func (s Summary) completePosition() mulberryspool.Position {
+	return laterOf(s.serversPosition(), mulberryspool.Position{Era: s.CompleteEra, Revision: s.CompleteAt})
+}
+
+func laterOf(a, b mulberryspool.Position) mulberryspool.Position {
+	if b.After(a) {
+		return b
+	}
+	return a
+}
+
 // serversPosition returns that of the state.
 func (s Summary) serversPosition() mulberryspool.Position {
 	return mulberryspool.Position{Era: s.ServersEra, Revision: s.ServersAt}
@@ -95,7 +120,7 @@
 		s.Ingress, s.ConfigEra = nil, 0
 	}
 	if part == PartConfig {
-		s.Servers, s.ServersAt, s.ServersEra = nil, 0, 0
+		s.Servers, s.ServersAt, s.ServersEra, s.CompleteAt, s.CompleteEra = nil, 0, 0, 0, 0
 		return s
 	}
 	changed := make(Servers)
--- a/internal/platform/membership/membership.go
+++ b/internal/platform/membership/membership.go
@@ -40,6 +40,9 @@
 		// Assumed is set if Servers contains some whose objects have been removed, but
 		// that may only have been unable to renew them.
 		Assumed bool
+		// ExactAt is the last position as of which, in addition, no server was assumed. It is
+		// set by View.Snapshot.
+		ExactAt mulberryspool.Position
 	}
 
 	// View is a process's knowledge of the backend servers. It does no I/O, and is not
@@ -236,7 +239,7 @@
 
 // Snapshot returns what other processes may merge. The caller must not modify the map.
 func (v *View) Snapshot() Snapshot {
-	return Snapshot{Servers: v.servers, CompleteAt: v.exactAt}
+	return Snapshot{Servers: v.servers, CompleteAt: v.completeAt, Assumed: v.completeAt != v.exactAt, ExactAt: v.exactAt}
 }
 
 // mark records that an incarnation leaves. Without its start, it looks like the next one.
