Count both pages of a list of registrations in TestRestoreCostsFewCalls

The bound of calls after a restore allowed three calls to register again: a list, a write, a list. With the test's page size of 2, the list of three registrations has two pages, so these are five calls.

--- a/internal/integration/hostedrestore_test.go
+++ b/internal/integration/hostedrestore_test.go
@@ -428,9 +428,9 @@
 	t.Parallel()
 	const (
 		window = 5 * time.Second
-		// callsPerEntry are three lists, three watches that end early, and three calls to
-		// register again.
-		callsPerEntry = 9
+		// callsPerEntry are three lists, three watches that end early, and five calls to
+		// register again: a write between two lists, of two pages each.
+		callsPerEntry = 11
 	)
 	callModes := map[string]restoreMode{"few lost": {lost: 20, revisions: behind}, "many lost": {lost: 3000, revisions: behind}, "no restore": {none: true}}
 	runConcurrently(t, callModes, func(t *testing.T, mode restoreMode) {
