Log panics, and with what a connection of a caller ended

A request that a panic ended left no trace, as the messages of net/http are discarded. The line of a connection that ended without an answer did not say whether the request's head had arrived, or which error of the network had ended it. So a fault of the entry, a time-out of the network and a half-sent request could not be told apart.

TestUnansweredConnectionIsReported also checks the new fields.

--- a/internal/entry/callerconns/tracker.go
+++ b/internal/entry/callerconns/tracker.go
@@ -43,9 +43,8 @@
 		net.Listener
 		Clock mulberryspool.Clock
 		// Unanswered is called when a connection has ended after a byte of a request was read
-		// and before one of its answer was written, with its age and whether the caller has
-		// closed it; nil for never.
-		Unanswered func(caller net.Addr, age time.Duration, callerClosed bool)
+		// and before one of its answer was written; nil for never.
+		Unanswered func(Unanswered)
 
 		mu    sync.Mutex
 		conns map[*trackedConn]struct{}
@@ -53,6 +52,20 @@
 		lastNew time.Time
 	}
 
+	// Unanswered is a connection that has ended without an answer to its last request.
+	Unanswered struct {
+		Caller net.Addr
+		// Age is the time since it was accepted.
+		Age time.Duration
+		// CallerClosed is set if the caller has closed it.
+		CallerClosed bool
+		// HeadRead is set if the head of the request was read to its end.
+		HeadRead bool
+		// Err is the error of its last read or write, such as a time-out of the network; nil
+		// for none, or if the connection was closed here first.
+		Err error
+	}
+
 	// trackedConn is a caller's connection.
 	trackedConn struct {
 		*net.TCPConn
@@ -68,6 +81,8 @@
 		answering bool
 		// callerClosed is set once the caller is known to have closed the connection.
 		callerClosed bool
+		// err is the first error that shows the end of the connection.
+		err error
 		// closing is set before the connection is closed as idle.
 		closing bool
 		// headRead is set from the end of a request's head to the end of its answer.
@@ -123,7 +138,7 @@
 		c.mu.Lock()
 		defer c.mu.Unlock()
 		if c.busy && !c.answering && t.Unanswered != nil {
-			t.Unanswered(c.RemoteAddr(), c.clock.Since(c.acceptedAt), c.callerClosed)
+			t.Unanswered(Unanswered{Caller: c.RemoteAddr(), Age: c.clock.Since(c.acceptedAt), CallerClosed: c.callerClosed, HeadRead: c.headRead, Err: c.err})
 		}
 	}
 }
@@ -147,6 +162,7 @@
 	}
 	c.busy = c.busy || n > 0
 	c.callerClosed = c.callerClosed || errors.Is(err, io.EOF) || errors.Is(err, syscall.ECONNRESET)
+	c.recordError(err)
 	return n, err
 }
 
@@ -157,9 +173,18 @@
 	defer c.mu.Unlock()
 	c.answering = c.answering || n > 0
 	c.callerClosed = c.callerClosed || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
+	c.recordError(err)
 	return n, err
 }
 
+// recordError records an error of a read or write. The HTTP server ends reads with a deadline,
+// or by closing the connection.
+func (c *trackedConn) recordError(err error) {
+	if c.err == nil && !errors.Is(err, os.ErrDeadlineExceeded) && !errors.Is(err, net.ErrClosed) {
+		c.err = err
+	}
+}
+
 // extendHead extends the time limit of a head, once, and reports whether it did.
 func (c *trackedConn) extendHead() bool {
 	c.mu.Lock()
--- a/internal/entry/callerconns/tracker_test.go
+++ b/internal/entry/callerconns/tracker_test.go
@@ -134,8 +134,8 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	reports := make(chan bool, 10)
-	tracker := &Tracker{Listener: listener, Clock: clockwork.NewRealClock(), Unanswered: func(_ net.Addr, _ time.Duration, callerClosed bool) { reports <- callerClosed }}
+	reports := make(chan Unanswered, 10)
+	tracker := &Tracker{Listener: listener, Clock: clockwork.NewRealClock(), Unanswered: func(u Unanswered) { reports <- u }}
 	server := &http.Server{ConnState: tracker.Record, ReadHeaderTimeout: 200 * time.Millisecond, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case "/abort":
@@ -156,10 +156,10 @@
 		{"GET / HTTP/1.1\r\nHost: h\r\n\r\n", true, ""},
 		{"GET / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n", false, ""},
 		{"", false, ""},
-		{"GET /abort HTTP/1.1\r\nHost: h\r\n\r\n", false, "closed here"},
+		{"GET /abort HTTP/1.1\r\nHost: h\r\n\r\n", false, "closed here, head read"},
 		// The time-out of the header is answered with 400.
 		{"GET / HTT", false, ""},
-		{"GET /leave HTTP/1.1\r\nHost: h\r\n\r\n", true, "caller left"},
+		{"GET /leave HTTP/1.1\r\nHost: h\r\n\r\n", true, "caller left, head read, EOF"},
 	} {
 		conn := dialTracked(t, tracker)
 		if _, err := io.WriteString(conn, c.request); err != nil {
@@ -174,8 +174,14 @@
 		time.Sleep(20 * time.Millisecond)
 		got := ""
 		select {
-		case callerClosed := <-reports:
-			got = map[bool]string{true: "caller left", false: "closed here"}[callerClosed]
+		case u := <-reports:
+			got = map[bool]string{true: "caller left", false: "closed here"}[u.CallerClosed]
+			if u.HeadRead {
+				got += ", head read"
+			}
+			if u.Err != nil {
+				got += ", " + u.Err.Error()
+			}
 		default:
 		}
 		if got != c.want {
--- a/internal/entry/forward/attempt.go
+++ b/internal/entry/forward/attempt.go
@@ -92,7 +92,8 @@
 		// serverError is a 5xx response.
 		serverError *bufferedResponse
 		err         error
-		panicked    any
+		// panicked is set if a panic has ended the attempt.
+		panicked bool
 
 		// Used by the request's goroutine: superseded is set once another attempt
 		// has replaced it. sentTo is the backend server of a second attempt, empty before sentToAt.
--- a/internal/entry/forward/handler.go
+++ b/internal/entry/forward/handler.go
@@ -110,6 +110,7 @@
 	head := h.HeaderCodec.DecodeRequest(r.Header)
 	q := &request{handler: h, writer: w, incoming: r, head: head, arrivedAt: arrived}
 	defer q.releaseBodies()
+	defer q.abortOnPanic()
 	table := h.Scheduler.Table()
 	if table == nil {
 		q.refuseUnread(http.StatusServiceUnavailable, typeNotRun, "notReady", notReadyRetryAfter)
--- a/internal/entry/forward/log.go
+++ b/internal/entry/forward/log.go
@@ -2,10 +2,13 @@
 
 import (
 	"cmp"
+	"fmt"
 	"net/http"
+	"runtime/debug"
 	"strconv"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/rs/zerolog"
 
 	"github.com/mulberryspool/mulberryspool/internal/backend/httpconn"
@@ -13,6 +16,8 @@
 )
 
 const (
+	// maxLoggedStack limits the bytes of a stack in a log line.
+	maxLoggedStack = 2 << 10
 	// maxLoggedParts limits the parts of a prompt in a log line.
 	maxLoggedParts = 8
 	// loggedStartWindow is the last part of a version's grace in which each start of
@@ -53,6 +58,25 @@
 	e.Msg("request ended")
 }
 
+// abortOnPanic aborts a request that a panic ends, and records it unless it is an abort.
+func (q *request) abortOnPanic() {
+	if cause := recover(); cause != nil {
+		q.recordPanic(cause)
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// recordPanic records the metric and writes the log line of a panic that is not an abort.
+func (q *request) recordPanic(cause any) {
+	if err, ok := cause.(error); ok && errors.Is(err, http.ErrAbortHandler) {
+		return
+	}
+	q.handler.Metrics.Counter("panics").Inc(1)
+	stack := debug.Stack()
+	q.handler.Logger.Error().Str("requestID", string(q.head.ID)).Str("cause", fmt.Sprintf("%.200v", cause)).
+		Bytes("stack", stack[:min(len(stack), maxLoggedStack)]).Msg("request was ended by a panic")
+}
+
 // logsNoMemory reports whether the next refusal for want of memory is logged.
 func (h *Handler) logsNoMemory() bool {
 	h.mu.Lock()
--- a/internal/entry/forward/race.go
+++ b/internal/entry/forward/race.go
@@ -63,7 +63,10 @@
 	q.running = append(q.running, a)
 	go func() {
 		defer func() {
-			a.panicked = recover()
+			if cause := recover(); cause != nil {
+				a.recordPanic(cause)
+				a.panicked = true
+			}
 			a.cancel(nil)
 			q.messages <- message{kind: messageEnded, attempt: a}
 		}()
--- a/internal/entry/forward/request.go
+++ b/internal/entry/forward/request.go
@@ -152,8 +152,8 @@
 
 // handleEnded handles the end of an attempt and reports whether that of the request follows.
 func (q *request) handleEnded(ctx context.Context, a *attempt) bool {
-	if a.panicked != nil {
-		panic(a.panicked)
+	if a.panicked {
+		panic(http.ErrAbortHandler)
 	}
 	q.bodies = append(q.bodies, a.bodies...)
 	if a.superseded {
--- a/internal/role/hosted/entry.go
+++ b/internal/role/hosted/entry.go
@@ -326,14 +326,15 @@
 
 // recordUnanswered records the metric of a connection that has ended between a byte of a
 // request and one of its answer, and writes its log line unless the caller has closed it.
-func (e *entryRole) recordUnanswered(caller net.Addr, age time.Duration, callerClosed bool) {
+func (e *entryRole) recordUnanswered(u callerconns.Unanswered) {
 	reason := "closedHere"
-	if callerClosed {
+	if u.CallerClosed {
 		reason = "callerLeft"
 	}
 	e.metrics.Tagged(map[string]string{"reason": reason}).Counter("unanswered_connections").Inc(1)
-	if !callerClosed {
-		e.logger.Warn().Str("peer", caller.String()).Dur("age", age).Msg("connection of a caller was closed after a part of a request and before its answer")
+	if !u.CallerClosed {
+		e.logger.Warn().Str("peer", u.Caller.String()).Dur("age", u.Age).Bool("headRead", u.HeadRead).AnErr("cause", u.Err).
+			Msg("connection of a caller was closed after a part of a request and before its answer")
 	}
 }
 
