Keep answers without length whose servers reset the check of their end

Seen by callers: a stream without length came with all its events and was broken off; a request that may run once got 502 though its server had answered it.

Cause: the end of an answer without length counts once its server answers on a new connection. A server resets connections beyond its limit, or beyond fewer while its queue is long, and the check took any reset for the end of the server. A reset shows neither that a server has ended nor that it runs.

Change: a connection that is reset, or closed without an answer, is replaced for 0.15 s, in which a process that ends refuses it. Then it is unknown whether the server runs, as after silence: the check is repeated within the request's own bounds, and a second attempt begins beside where one is allowed. A refused connection or another instance ends it, as before; an answer is never passed on as whole without an answer of its server.

--- a/internal/backend/liveness/checker.go
+++ b/internal/backend/liveness/checker.go
@@ -16,6 +16,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -30,6 +31,10 @@
 	timeout = time.Second
 	// gatherTime is how long a check waits for others that it may serve.
 	gatherTime = 2 * time.Millisecond
+	// closedTime is how long connections that the server closes are replaced, every
+	// closedInterval. A process that ends refuses them soon.
+	closedTime     = 150 * time.Millisecond
+	closedInterval = 50 * time.Millisecond
 	// noInstance is the name of no backend server.
 	noInstance = "none"
 )
@@ -38,8 +43,12 @@
 var (
 	// ErrEnded means that the incarnation has ended.
 	ErrEnded = errors.New("backend server has ended")
-	// ErrUnknown means that it did not answer in time.
+	// ErrUnknown means that it did not answer in time, or closed the connection, which is also
+	// what a server does with connections beyond its limit.
 	ErrUnknown = errors.New("backend server does not answer")
+
+	// errClosed means that the connection was opened, and closed without an answer.
+	errClosed = errors.New("connection was closed without an answer")
 )
 
 type (
@@ -98,10 +107,13 @@
 	ctx, cancel := clockwork.WithTimeout(context.Background(), c.Clock, timeout)
 	defer cancel()
 	k.err = c.ask(ctx, target)
+	for end := c.Clock.Now().Add(closedTime); errors.Is(k.err, errClosed) && c.Clock.Now().Before(end); k.err = c.ask(ctx, target) {
+		c.Clock.Sleep(closedInterval)
+	}
 	var network net.Error
 	switch {
 	case k.err == nil:
-	case ctx.Err() != nil || errors.As(k.err, &network) && network.Timeout():
+	case errors.Is(k.err, errClosed) || ctx.Err() != nil || errors.As(k.err, &network) && network.Timeout():
 		k.err = errors.Mark(k.err, ErrUnknown)
 	default:
 		k.err = errors.Mark(k.err, ErrEnded)
@@ -111,7 +123,10 @@
 // ask sends a request and waits for the head of any answer.
 func (c *Checker) ask(ctx context.Context, target httpconn.Target) error {
 	conn, err := c.Pool.Open(ctx, target)
-	if err != nil {
+	switch {
+	case errors.Is(err, syscall.ECONNRESET):
+		return errors.Mark(err, errClosed)
+	case err != nil:
 		return err
 	}
 	defer conn.Abort()
@@ -119,10 +134,13 @@
 	head := make(http.Header)
 	c.HeaderCodec.PrepareRequest(head, mulberryspool.OutgoingHead{Instance: noInstance, Remaining: timeout})
 	if err := conn.Send(httpconn.Head(http.MethodGet, "/", target.Address, head), nil, c.Clock.Now().Add(timeout)); err != nil {
-		return err
+		return errors.Mark(err, errClosed)
 	}
 	answer, err := conn.Receive(http.MethodGet, "")
-	if err != nil {
+	switch {
+	case errors.Is(err, httpconn.ErrAnswerLost):
+		return errors.Mark(err, errClosed)
+	case err != nil:
 		return err
 	}
 	defer answer.Body.Close()
--- a/internal/entry/forward/stream.go
+++ b/internal/entry/forward/stream.go
@@ -94,7 +94,7 @@
 		return errors.Mark(errors.New("stream ended with its connection before its first event"), httpconn.ErrAnswerLost)
 	}
 	err := a.handler.Liveness.Check(a.ctx, targetOf(a.decision))
-	// A sound server may be silent for a while.
+	// A sound server may be silent, or accept no further connections, for a while.
 	for errors.Is(err, liveness.ErrUnknown) && a.ctx.Err() == nil {
 		a.silent = true
 		if err = a.post(message{kind: messageSilent}); err == nil {
--- a/internal/standin/backendserver/server.go
+++ b/internal/standin/backendserver/server.go
@@ -57,6 +57,8 @@
 		silentAfter, silentFor time.Duration
 		// resumeStatus is the status of the answers to resumed streams; 0 for events.
 		resumeStatus int
+		// unframed is set if answers have neither a length nor chunks.
+		unframed bool
 		// version is that of the weights, 0 without a model, and named the one that
 		// answers name.
 		version, named int64
@@ -135,6 +137,14 @@
 	s.settings.resumeStatus = status
 }
 
+// SetUnframed sets whether the answers of runs that begin from now on have neither a length nor
+// chunks, and end with their connection.
+func (s *Server) SetUnframed(unframed bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.settings.unframed = unframed
+}
+
 // SetVersion sets the version of the weights, which requests have to expect, and the one that
 // answers name. Both are 0 without a model.
 func (s *Server) SetVersion(version, named int64) {
@@ -200,6 +210,9 @@
 	query := r.URL.Query()
 	take := state.scaled(query.Get("take"))
 	w.Header().Set(HeaderSignature, s.Instance)
+	if state.unframed {
+		w.Header().Set("Transfer-Encoding", "identity")
+	}
 	if state.named != 0 {
 		w.Header().Set(headerVersion, strconv.FormatInt(state.named, 10))
 	}
--- a/internal/standin/serve/serve.go
+++ b/internal/standin/serve/serve.go
@@ -51,6 +51,11 @@
 	if err != nil {
 		return nil, errors.Wrapf(err, "listen on %s", address)
 	}
+	return StartOn(handler, listener), nil
+}
+
+// StartOn serves the handler on a listener in the background until Close.
+func StartOn(handler http.Handler, listener net.Listener) *Server {
 	bound := listener.Addr().String()
 	s := &Server{
 		URL:     "http://" + bound,
@@ -62,7 +67,7 @@
 		defer close(s.done)
 		_ = s.server.Serve(listener)
 	}()
-	return s, nil
+	return s
 }
 
 // Close closes the listener and all connections, and waits for the server to
--- a/internal/testkit/hostedsystem/system.go
+++ b/internal/testkit/hostedsystem/system.go
@@ -5,6 +5,7 @@
 import (
 	"cmp"
 	"fmt"
+	"net"
 	"net/http"
 	"os"
 	"path/filepath"
@@ -14,6 +15,7 @@
 	"time"
 
 	"github.com/mulberryspool/mulberryspool/internal/standin/backendserver"
+	"github.com/mulberryspool/mulberryspool/internal/standin/connlimit"
 	"github.com/mulberryspool/mulberryspool/internal/standin/kindstore"
 	"github.com/mulberryspool/mulberryspool/internal/standin/loopback"
 	"github.com/mulberryspool/mulberryspool/internal/standin/serve"
@@ -79,12 +81,14 @@
 
 		Store   kindstore.Server
 		Servers []*backendserver.Server
-		Members []*Entry
+		// Listeners holds those of Servers, which limit the connections from all entries.
+		Listeners []*connlimit.Listener
+		Members   []*Entry
 
 		storeAddress string
-		// addresses holds those of Servers, and listeners what serves them.
+		// addresses holds those of Servers, and running what serves them.
 		addresses []string
-		listeners []*serve.Server
+		running   []*serve.Server
 	}
 
 	// Entry is a running entry.
@@ -126,6 +130,19 @@
 	return server
 }
 
+// listenLimited is listen with a listener that can limit the connections.
+func listenLimited(t testing.TB, handler http.Handler, address string) (*connlimit.Listener, *serve.Server) {
+	t.Helper()
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	limited := &connlimit.Listener{Listener: listener}
+	server := serve.StartOn(handler, limited)
+	t.Cleanup(server.Close)
+	return limited, server
+}
+
 // PutConfiguration writes a version of the configuration.
 func (s *System) PutConfiguration(version int) {
 	route := func(name, prefix, kind string) map[string]any {
@@ -163,19 +180,19 @@
 	i := len(s.Servers)
 	server := &backendserver.Server{Instance: fmt.Sprintf("i-%d", i)}
 	server.SetVersion(s.Version, s.Version)
-	listener := listen(t, server, addresses.Address())
-	s.Servers, s.listeners, s.addresses = append(s.Servers, server), append(s.listeners, listener), append(s.addresses, listener.Address)
+	listener, running := listenLimited(t, server, addresses.Address())
+	s.Servers, s.Listeners, s.running, s.addresses = append(s.Servers, server), append(s.Listeners, listener), append(s.running, running), append(s.addresses, running.Address)
 	s.putServer(i, "ready", s.Version)
 	return i
 }
 
 // StopServer closes a backend server's listener and connections. It stays listed.
-func (s *System) StopServer(i int) { s.listeners[i].Close() }
+func (s *System) StopServer(i int) { s.running[i].Close() }
 
 // StartServer starts a stopped backend server at the same address.
 func (s *System) StartServer(t testing.TB, i int) {
 	t.Helper()
-	s.listeners[i] = listen(t, s.Servers[i], s.addresses[i])
+	s.Listeners[i], s.running[i] = listenLimited(t, s.Servers[i], s.addresses[i])
 }
 
 // SetLeaving makes a backend server leave. It still serves.
