Keep servers that the copy of a restored store lacks in all processes

Cause: the grace period was that of a process's own list. A process that had just started, or that had known the servers from peers only, had nothing to keep: its list of the new era was exact, peers read it and dropped what they kept. So did the assumed list of a peer that never knew a server.

The grace period is one of the view: for 2 s after the era is known, each list of it, own or read from a peer, counts as assumed and removes no server of an earlier era. What isn't listed in the new era by then is removed.

TestPeersAgreeAfterRestore and two others wanted a server to be dropped at once in the new era; they want it kept during the grace period and dropped at its end now.

--- a/internal/platform/fleet/era.go
+++ b/internal/platform/fleet/era.go
@@ -33,6 +33,7 @@
 	f.configFollower.ObserveEra(era)
 	f.serverFollower.ObserveEra(era)
 	f.versionFollower.ObserveEra(era)
+	f.Clock.AfterFunc(reregisterTime, func() { f.endGrace(era) })
 	f.Clock.AfterFunc(withholdTime, f.releaseServers)
 }
 
@@ -50,6 +51,7 @@
 	}
 	f.era = era
 	f.named.BeginEra(at)
+	f.servers.BeginGrace(era)
 	f.Logger.Warn().Str("step", "begin era").Str("source", source).Str("peer", peer).Uint64("eraBefore", uint64(before)).Uint64("era", uint64(era)).
 		Msg("store was restored from a copy; configuration, servers and named versions are listed again")
 	if f.EraChanged != nil {
@@ -58,6 +60,16 @@
 	return true
 }
 
+// endGrace removes the servers that are not listed in an era after its grace period.
+func (f *Fleet) endGrace(era mulberryspool.Era) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	before := f.servers.Servers()
+	if f.servers.EndGrace(era) {
+		f.publishServers(before, serverList{source: fromStore, at: f.servers.Snapshot().ExactAt})
+	}
+}
+
 // releaseServers ends the withholding of servers that were removed before a restore.
 func (f *Fleet) releaseServers() {
 	f.mu.Lock()
--- a/internal/platform/fleet/era_test.go
+++ b/internal/platform/fleet/era_test.go
@@ -62,6 +62,11 @@
 	if !read(refused, served) {
 		t.Error("the state from after the restore doesn't count as newer")
 	}
+	for _, f := range []*Fleet{served, refused} {
+		expectServers(t, f, "a", "b", "c")
+		f.endGrace(2)
+	}
+	read(refused, served)
 	expectServers(t, served, "a", "c")
 	expectServers(t, refused, "a", "c")
 	if got := refused.Summary().Era; got != 2 {
@@ -105,9 +110,11 @@
 		t.Error("the same state counts as newer again")
 	}
 	listAt(served, 2, 32, "a")
+	served.endGrace(2)
 	if !read(refused, served) {
 		t.Error("the exact list after the grace period doesn't count as newer")
 	}
+	refused.endGrace(2)
 	expectServers(t, refused, "a")
 }
 
@@ -129,6 +136,7 @@
 		t.Error("the state of a peer without eras counts as newer after a restore")
 	}
 	f.Merge(peer.State(), "peer")
+	f.endGrace(5)
 	expectServers(t, f, "a")
 }
 
--- a/internal/platform/fleet/fleet.go
+++ b/internal/platform/fleet/fleet.go
@@ -244,7 +244,8 @@
 		return peer.Config > own || peer.Config == own && peer.ConfigEra > f.configEra && peer.ConfigHash != f.configHash
 	}
 	own := f.servers.Snapshot()
-	newer := f.assignEra(peer.serversPosition()).After(own.ExactAt)
+	exactAt := f.assignEra(peer.serversPosition())
+	newer := exactAt.After(own.ExactAt) && exactAt.Era >= own.CompleteAt.Era
 	if complete := peer.completePosition(); complete.Era > own.ExactAt.Era && complete.After(own.CompleteAt) {
 		// After a restore, no process has an exact list until the grace period is over.
 		newer = true
--- a/internal/platform/membership/membership.go
+++ b/internal/platform/membership/membership.go
@@ -12,7 +12,8 @@
 // A store that is restored from a copy begins a new era, whose positions are after all
 // earlier ones. The copy may lack that a server leaves or was removed: a server that leaves
 // still does so, and one that was removed is withheld until its object changes or Release
-// is called.
+// is called. It may also lack servers: until EndGrace is called, all lists of the new era
+// count as assumed, whoever reports them, and remove none of an earlier era.
 package membership
 
 import (
@@ -40,8 +41,8 @@
 		// Assumed is set if Servers contains some whose objects have been removed, but
 		// that may only have been unable to renew them.
 		Assumed bool
-		// ExactAt is the last position as of which, in addition, no server was assumed. It is
-		// set by View.Snapshot.
+		// ExactAt is the last position as of which, in addition, no server was assumed; zero
+		// if it is not known.
 		ExactAt mulberryspool.Position
 	}
 
@@ -55,6 +56,10 @@
 		completeAt mulberryspool.Position
 		// exactAt is the position as of which, in addition, no server was removed.
 		exactAt mulberryspool.Position
+		// graceEra is the era whose grace period lasts; 0 for none. pendingExactAt becomes
+		// exactAt when it ends.
+		graceEra       mulberryspool.Era
+		pendingExactAt mulberryspool.Position
 		// leaving holds the incarnations that are known to leave.
 		leaving map[incarnation]struct{}
 		// marked holds the keys of leaving, the first marked first.
@@ -81,7 +86,7 @@
 	changed := v.servers == nil
 	merged := make(Servers, len(v.servers))
 	for id, known := range v.servers {
-		if _, listed := s.Servers[id]; listed || known.Position().After(s.CompleteAt) {
+		if _, listed := s.Servers[id]; listed || known.Position().After(s.CompleteAt) || v.inGrace(s.CompleteAt.Era) && known.Era < v.graceEra {
 			merged[id] = known
 		}
 	}
@@ -124,12 +129,55 @@
 	if s.CompleteAt.After(v.completeAt) {
 		v.completeAt = s.CompleteAt
 	}
-	if !s.Assumed && s.CompleteAt.After(v.exactAt) {
-		v.exactAt = s.CompleteAt
+	exactAt := s.CompleteAt
+	if s.Assumed {
+		exactAt = s.ExactAt
+	}
+	switch {
+	case !v.inGrace(exactAt.Era):
+		v.exactAt = laterOf(v.exactAt, exactAt)
+	default:
+		v.pendingExactAt = laterOf(v.pendingExactAt, exactAt)
 	}
 	return changed
 }
 
+// BeginGrace begins the grace period of an era.
+func (v *View) BeginGrace(era mulberryspool.Era) {
+	v.graceEra, v.pendingExactAt = era, mulberryspool.Position{}
+}
+
+// EndGrace ends the grace period of an era unless a later one has begun, and removes the servers
+// that the store does not list in it. It reports whether the servers have changed.
+func (v *View) EndGrace(era mulberryspool.Era) bool {
+	if v.graceEra != era {
+		return false
+	}
+	v.graceEra = 0
+	if v.pendingExactAt.Revision == 0 {
+		return false
+	}
+	v.exactAt = laterOf(v.exactAt, v.pendingExactAt)
+	listed := maps.Clone(v.servers)
+	maps.DeleteFunc(listed, func(_ mulberryspool.InstanceID, b mulberryspool.BackendServer) bool { return b.Era < era })
+	if len(listed) == len(v.servers) {
+		return false
+	}
+	v.recordRemoved(listed, v.exactAt)
+	v.setServers(listed)
+	return true
+}
+
+// inGrace reports whether lists of an era lack servers that may write themselves again.
+func (v *View) inGrace(era mulberryspool.Era) bool { return v.graceEra > 0 && era >= v.graceEra }
+
+func laterOf(a, b mulberryspool.Position) mulberryspool.Position {
+	if b.After(a) {
+		return b
+	}
+	return a
+}
+
 // adopt returns a row that is newer than what is known, with what the copy that the row may
 // come from lacks.
 func (v *View) adopt(b mulberryspool.BackendServer) mulberryspool.BackendServer {
