Adopt as of when a peer's list was exact from an assumed one

A reader forgot as of when the list of a peer was exact while that had servers in their grace period, and read more again than it had to.

TestExactPositionOfPeerWithAssumedServersIsAdopted failed before: exact as of 10, want 20.

--- a/internal/platform/fleet/fleet.go
+++ b/internal/platform/fleet/fleet.go
@@ -275,7 +275,7 @@
 	if newer {
 		f.serverFollower.RecordPeerAnswer()
 	}
-	f.mergeServers(membership.Snapshot{Servers: servers, Unchanged: s.Unchanged, CompleteAt: at, Assumed: at != exactAt}, fromPeer, peer)
+	f.mergeServers(membership.Snapshot{Servers: servers, Unchanged: s.Unchanged, CompleteAt: at, Assumed: at != exactAt, ExactAt: exactAt}, fromPeer, peer)
 }
 
 func (f *Fleet) setIngresses(items map[string]mulberryspool.Ingress, d listwatch.Delta) {
