Outdate late lists by the first era that a process knows

Cause: the first era, from a peer or another follower, was not passed on, so a late list of the era before stayed in force and was watched from.

Each era is passed on. An answer of an earlier era than the first known one shows that the store was restored, and begins the grace period and the rest. A restore's end of withholding no longer ends that of a later restore.

--- a/internal/platform/fleet/era.go
+++ b/internal/platform/fleet/era.go
@@ -27,27 +27,31 @@
 // observeEra begins an era of the store unless it is known. The store was in it at a time.
 func (f *Fleet) observeEra(era mulberryspool.Era, at time.Time, source, peer string) {
 	f.init()
-	if !f.beginEra(era, at, source, peer) {
-		return
-	}
+	era, restored := f.beginEra(era, at, source, peer)
+	// Also the first era is passed on: a follower may list the objects of an earlier one.
 	f.configFollower.ObserveEra(era)
 	f.serverFollower.ObserveEra(era)
 	f.versionFollower.ObserveEra(era)
-	f.Clock.AfterFunc(reregisterTime, func() { f.endGrace(era) })
-	f.Clock.AfterFunc(withholdTime, f.releaseServers)
+	if restored {
+		f.Clock.AfterFunc(reregisterTime, func() { f.endGrace(era) })
+		f.Clock.AfterFunc(withholdTime, func() { f.releaseServers(era) })
+	}
 }
 
-// beginEra reports whether the store was restored since the latest known era.
-func (f *Fleet) beginEra(era mulberryspool.Era, at time.Time, source, peer string) bool {
+// beginEra returns the latest era, and whether it shows for the first time that the store was restored.
+func (f *Fleet) beginEra(era mulberryspool.Era, at time.Time, source, peer string) (mulberryspool.Era, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	before := f.era
-	if !f.eraKnown {
+	switch {
+	case !f.eraKnown:
 		f.eraKnown, f.era, f.firstEra = true, era, era
-		return false
-	}
-	if era <= before {
-		return false
+		return era, false
+	case era < f.firstEra:
+		// The answer is late: the store was restored while this process started.
+		before, era, f.firstEra = era, f.era, era
+	case era <= before:
+		return f.era, false
 	}
 	f.era = era
 	f.named.BeginEra(at)
@@ -57,7 +61,7 @@
 	if f.EraChanged != nil {
 		f.EraChanged(before, era)
 	}
-	return true
+	return era, true
 }
 
 // endGrace removes the servers that are not listed in an era after its grace period.
@@ -70,10 +74,14 @@
 	}
 }
 
-// releaseServers ends the withholding of servers that were removed before a restore.
-func (f *Fleet) releaseServers() {
+// releaseServers ends the withholding of servers that were removed before a restore, unless there was
+// a later one.
+func (f *Fleet) releaseServers(era mulberryspool.Era) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if era != f.era {
+		return
+	}
 	before := f.servers.Servers()
 	if f.servers.Release() {
 		f.publishServers(before, serverList{source: fromStore, at: f.servers.Snapshot().ExactAt})
--- a/internal/platform/fleet/reviewgrace_test.go
+++ b/internal/platform/fleet/reviewgrace_test.go
@@ -196,7 +196,6 @@
 		s.set(2, 10, serverRow("a", 5))
 		s.late = &mulberryspool.Position{Era: 1, Revision: 10}
 		f := newFleet(clockwork.NewRealClock())
-		f.ObserveEra(2, "peer")
 		f.Store = s
 		f.Kinds = Kinds{Config: "config", Servers: "servers", Versions: "versions", DecodeServer: func(o mulberryspool.Object) (mulberryspool.BackendServer, error) {
 			var b mulberryspool.BackendServer
@@ -204,6 +203,7 @@
 			b.Revision, b.Era = o.Version, o.Era
 			return b, err
 		}}
+		f.ObserveEra(2, "peer")
 		go f.Run(t.Context())
 		time.Sleep(5 * time.Second)
 		if got := names(f.State().Servers); !slices.Equal(got, []string{"a"}) {
