Check a registration of an earlier era than the first known one

Callers: an entry that starts just before a restore may not be found by later entries (found by the review).

Cause: the wait for a later era ends on a change of the era that the fleet knows. If that knew none when the entry was registered in era 1, and then era 2 as its first one, nothing had changed.

The fleet is told the era in which the registration was listed.

--- a/internal/platform/fleet/era.go
+++ b/internal/platform/fleet/era.go
@@ -9,11 +9,15 @@
 	"github.com/mulberryspool/mulberryspool"
 )
 
-// ObserveEra records an era of the store that a peer knows of. A peer of an earlier build names
-// none, so that 0 says nothing.
+// ObserveEra records an era of the store that a peer knows of, or another call of this process if
+// peer is empty. A peer of an earlier build names none, so that 0 says nothing.
 func (f *Fleet) ObserveEra(era mulberryspool.Era, peer string) {
+	source := fromPeer
+	if peer == "" {
+		source = fromStore
+	}
 	if era > 0 {
-		f.observeEra(era, f.Clock.Now(), fromPeer, peer)
+		f.observeEra(era, f.Clock.Now(), source, peer)
 	}
 }
 
--- a/internal/role/hosted/entryheartbeats.go
+++ b/internal/role/hosted/entryheartbeats.go
@@ -303,6 +303,8 @@
 
 // awaitEra waits until the store is in a later era.
 func (e *entryRole) awaitEra(ctx context.Context, era mulberryspool.Era) {
+	// Otherwise a later era may be the first one that the fleet knows.
+	e.fleet.ObserveEra(era, "")
 	for e.fleet.Era() <= era {
 		select {
 		case <-e.eraChanged:
