Compare the servers of processes without what they withhold

Processes with the same objects had different hashes for up to 10 s after a restore if one of them withheld a server, and read from each other at each new position (found by the review).

TestWithheldServersDoNotMakePeersReadAgain failed before: 10 reads of 10, want 0.

--- a/internal/platform/fleet/fleet.go
+++ b/internal/platform/fleet/fleet.go
@@ -341,7 +341,7 @@
 // requires the mutex.
 func (f *Fleet) publishServers(before Servers, list serverList) {
 	servers, at := f.servers.Servers(), f.servers.Snapshot().ExactAt
-	f.serversHash = hashServers(servers)
+	f.serversHash = hashServers(f.servers.Snapshot().Servers)
 	for id, b := range servers {
 		old, known := before[id]
 		if known && old.Leaving == b.Leaving && old.Born == b.Born && old.Address == b.Address && maps.Equal(loadedVersions(old), loadedVersions(b)) {
