Read only the servers that changed since the reader's last assumed list

After a restore, agents and entries that the store refuses read the servers of peers in the grace period, and each read had all rows, as the reader named its last exact list, of the earlier era. A reader of an earlier build, which names no era, got all rows with every read (both found by the review).

The reader names the position as of which it lacks no server. One without an era counts as in that of the list.

--- a/internal/platform/fleet/fleet.go
+++ b/internal/platform/fleet/fleet.go
@@ -246,7 +246,7 @@
 	own := f.servers.Snapshot()
 	exactAt := f.assignEra(peer.serversPosition())
 	newer := exactAt.After(own.ExactAt) && exactAt.Era >= own.CompleteAt.Era
-	if complete := peer.completePosition(); complete.Era > own.ExactAt.Era && complete.After(own.CompleteAt) {
+	if complete := peer.Complete(); complete.Era > own.ExactAt.Era && complete.After(own.CompleteAt) {
 		// After a restore, no process has an exact list until the grace period is over.
 		newer = true
 	}
@@ -268,7 +268,7 @@
 	}
 	f.init()
 	f.mu.Lock()
-	at, exactAt := f.assignEra(s.completePosition()), f.assignEra(s.serversPosition())
+	at, exactAt := f.assignEra(s.Complete()), f.assignEra(s.serversPosition())
 	newer := at.After(f.servers.Snapshot().CompleteAt)
 	servers := f.assignEras(s.Servers)
 	f.mu.Unlock()
--- a/internal/platform/fleet/state.go
+++ b/internal/platform/fleet/state.go
@@ -81,13 +81,13 @@
 	return mulberryspool.Position{Era: s.ServersEra, Revision: s.ServersAt}
 }
 
-// completePosition returns the position as of which no server is missing.
-func (s State) completePosition() mulberryspool.Position {
+// Complete returns the position as of which no server is missing.
+func (s State) Complete() mulberryspool.Position {
 	return laterOf(s.serversPosition(), mulberryspool.Position{Era: s.CompleteEra, Revision: s.CompleteAt})
 }
 
-// completePosition returns that of the state.
-func (s Summary) completePosition() mulberryspool.Position {
+// Complete returns the position as of which the process lacks no server.
+func (s Summary) Complete() mulberryspool.Position {
 	return laterOf(s.serversPosition(), mulberryspool.Position{Era: s.CompleteEra, Revision: s.CompleteAt})
 }
 
@@ -115,18 +115,23 @@
 // Part returns a part of the state, for a reader with a summary of its own state. An empty
 // part is the whole state.
 func (s State) Part(part Part, reader Summary) State {
-	known := s.Ingress != nil && (s.Ingress.Version < reader.Config || s.Ingress.Version == reader.Config && s.ConfigEra <= reader.ConfigEra)
-	if part == PartServers || known {
+	hasConfig := s.Ingress != nil && (s.Ingress.Version < reader.Config || s.Ingress.Version == reader.Config && s.ConfigEra <= reader.ConfigEra)
+	if part == PartServers || hasConfig {
 		s.Ingress, s.ConfigEra = nil, 0
 	}
 	if part == PartConfig {
 		s.Servers, s.ServersAt, s.ServersEra, s.CompleteAt, s.CompleteEra = nil, 0, 0, 0, 0
 		return s
 	}
+	known := reader.Complete()
+	if known.Era == 0 {
+		// An earlier build names no era.
+		known.Era = s.ServersEra
+	}
 	changed := make(Servers)
 	for id, b := range s.Servers {
 		// Leaving may have been learned without a change of the object.
-		if b.Revision == 0 || b.Position().After(reader.serversPosition()) || b.Leaving {
+		if b.Revision == 0 || b.Position().After(known) || b.Leaving {
 			changed[id] = b
 		} else {
 			s.Unchanged = append(s.Unchanged, id)
--- a/internal/role/hosted/hosted.go
+++ b/internal/role/hosted/hosted.go
@@ -74,7 +74,7 @@
 	agentStatePath = "/state/agent"
 	// queryPart is the part of the state that is read. queryConfig and queryServers are
 	// the version of the configuration and the revision of the list of servers that the
-	// reader has.
+	// reader has, as of which it lacks none.
 	queryPart    = "part"
 	queryConfig  = "config"
 	queryServers = "servers"
@@ -177,12 +177,13 @@
 func (p *process) fetchState(ctx context.Context, path string, r stateRead, own fleet.Summary) (fleet.State, error) {
 	var state fleet.State
 	peer := r.entry.String()
+	servers := own.Complete()
 	query := url.Values{
 		queryPart:       {string(r.part)},
 		queryConfig:     {strconv.FormatInt(own.Config, 10)},
-		queryServers:    {strconv.FormatUint(uint64(own.ServersAt), 10)},
+		queryServers:    {strconv.FormatUint(uint64(servers.Revision), 10)},
 		queryConfigEra:  {strconv.FormatUint(uint64(own.ConfigEra), 10)},
-		queryServersEra: {strconv.FormatUint(uint64(own.ServersEra), 10)},
+		queryServersEra: {strconv.FormatUint(uint64(servers.Era), 10)},
 	}
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+peer+path+"?"+query.Encode(), nil)
 	if err != nil {
