Begin the settle time of named versions at the last answer before a restore

A version that was named again 0.6 s after a restore counted as named 0.5 s after it (found by the review): the settle time began when the list that showed the restore was first sent, which may be 5 s earlier.

It lasts from the last answer before the restore to 5 s after it is known, and no answer of the new era that was asked for in that time counts.

--- a/internal/platform/fleet/era.go
+++ b/internal/platform/fleet/era.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/json"
-	"time"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -17,7 +16,7 @@
 		source = fromStore
 	}
 	if era > 0 {
-		f.observeEra(era, f.Clock.Now(), source, peer)
+		f.observeEra(era, source, peer)
 	}
 }
 
@@ -28,10 +27,10 @@
 	return f.era
 }
 
-// observeEra begins an era of the store unless it is known. The store was in it at a time.
-func (f *Fleet) observeEra(era mulberryspool.Era, at time.Time, source, peer string) {
+// observeEra begins an era of the store unless it is known.
+func (f *Fleet) observeEra(era mulberryspool.Era, source, peer string) {
 	f.init()
-	era, restored := f.beginEra(era, at, source, peer)
+	era, restored := f.beginEra(era, source, peer)
 	// Also the first era is passed on: a follower may list the objects of an earlier one.
 	f.configFollower.ObserveEra(era)
 	f.serverFollower.ObserveEra(era)
@@ -43,7 +42,7 @@
 }
 
 // beginEra returns the latest era, and whether it shows for the first time that the store was restored.
-func (f *Fleet) beginEra(era mulberryspool.Era, at time.Time, source, peer string) (mulberryspool.Era, bool) {
+func (f *Fleet) beginEra(era mulberryspool.Era, source, peer string) (mulberryspool.Era, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	before := f.era
@@ -58,7 +57,7 @@
 		return f.era, false
 	}
 	f.era = era
-	f.named.BeginEra(at)
+	f.named.BeginEra(era, f.Clock.Now())
 	f.servers.BeginGrace(era)
 	f.Logger.Warn().Str("step", "begin era").Str("source", source).Str("peer", peer).Uint64("eraBefore", uint64(before)).Uint64("era", uint64(era)).
 		Msg("store was restored from a copy; configuration, servers and named versions are listed again")
--- a/internal/platform/fleet/reviewbytes_test.go
+++ b/internal/platform/fleet/reviewbytes_test.go
@@ -21,7 +21,7 @@
 		ids[i] = fmt.Sprintf("i-%08x", i)
 	}
 	for _, f := range []*Fleet{served, refused} {
-		f.observeEra(1, clock.Now(), fromStore, "")
+		f.observeEra(1, fromStore, "")
 		items := newServers(9, false, ids...)
 		for id, b := range items {
 			b.Era, b.Pool, b.Address, b.FailureDomain, b.Slots = 1, "pool", "10.1.2.3:8080", "domain-1", 8
--- a/internal/platform/fleet/versions.go
+++ b/internal/platform/fleet/versions.go
@@ -88,7 +88,7 @@
 // answer showed the named versions. Versions with a later position were named after that time as
 // well.
 func (f *Fleet) recordAnswer(after time.Time, at mulberryspool.Position, listed bool) {
-	f.observeEra(at.Era, after, fromStore, "")
+	f.observeEra(at.Era, fromStore, "")
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.named.RecordAnswer(after, at, listed)
--- a/internal/platform/namedversion/era_test.go
+++ b/internal/platform/namedversion/era_test.go
@@ -23,7 +23,7 @@
 			h.RecordVersion("m", 2, position(1, 30), at(1050))
 		}
 		h.RecordAnswer(at(1900), position(1, 40), false)
-		h.BeginEra(at(2000))
+		h.BeginEra(2, at(2000))
 		h.RecordAnswer(at(2100), position(2, 18), true)
 		h.RecordAnswer(at(2400), position(2, 24), true)
 		h.RecordVersion("m", 2, position(2, 25), at(2600))
@@ -36,7 +36,7 @@
 // Guards against a report of a peer that started after the restore, and does not know of it.
 func TestReportsOfRestoredStoreDoNotDateVersion(t *testing.T) {
 	h := History{AssumedAge: 8 * time.Second}
-	h.BeginEra(start)
+	h.BeginEra(2, start)
 	now := start.Add(time.Second)
 	h.Merge("peer", "m", Report{Version: 2, Revision: 25, Era: 2, AgeMillis: 300, SeenMillis: 100, UnnamedMillis: 300}, Delay{Known: true}, now)
 	if _, since := h.Newest("m"); since.After(start) {
@@ -47,7 +47,7 @@
 // Guards against a version whose age is not known although it was named long after a restore.
 func TestVersionNamedLongAfterRestoreIsDated(t *testing.T) {
 	h := History{AssumedAge: 8 * time.Second}
-	h.BeginEra(start)
+	h.BeginEra(2, start)
 	named := start.Add(settleTime + time.Second)
 	h.RecordAnswer(named, mulberryspool.Position{Era: 2, Revision: 24}, false)
 	h.RecordVersion("m", 2, mulberryspool.Position{Era: 2, Revision: 25}, named.Add(200*time.Millisecond))
--- a/internal/platform/namedversion/history.go
+++ b/internal/platform/namedversion/history.go
@@ -82,8 +82,11 @@
 
 		// answers holds the recent answers of the store, the oldest first.
 		answers []answer
-		// settledAt is the end of settleTime after the last restore that was observed.
-		settledAt time.Time
+		// The store may have lacked versions between unsettledFrom, its last answer before a
+		// restore, and settledAt.
+		unsettledFrom, settledAt time.Time
+		// restoredEra is the era of the last restore; 0 if there was none.
+		restoredEra mulberryspool.Era
 		// models holds the versions of each model, the oldest first.
 		models map[string][]version
 	}
@@ -116,7 +119,7 @@
 // RecordAnswer records that the store gave an answer at a position after the given time, and
 // whether it showed the named versions.
 func (h *History) RecordAnswer(after time.Time, at mulberryspool.Position, listed bool) {
-	if h.unsettled(after) {
+	if h.restoredEra > 0 && at.Era >= h.restoredEra && after.Before(h.settledAt) {
 		return
 	}
 	if len(h.answers) == maxAnswers {
@@ -125,15 +128,22 @@
 	h.answers = append(h.answers, answer{after: after, at: at, listed: listed})
 }
 
-// BeginEra records that the store was restored, as is known from a time on.
-func (h *History) BeginEra(from time.Time) {
-	h.settledAt = from.Add(settleTime)
+// BeginEra records that the store was restored and is in an era, as is known since now.
+func (h *History) BeginEra(era mulberryspool.Era, now time.Time) {
+	h.restoredEra = era
+	if !now.Before(h.settledAt) {
+		h.unsettledFrom = now
+		if n := len(h.answers); n > 0 {
+			h.unsettledFrom = h.answers[n-1].after
+		}
+	}
+	h.settledAt = now.Add(settleTime)
 }
 
 // unsettled reports whether versions may have been missing in the store at a time because it had
 // just been restored.
 func (h *History) unsettled(at time.Time) bool {
-	return at.Before(h.settledAt) && !at.Before(h.settledAt.Add(-settleTime))
+	return at.After(h.unsettledFrom) && at.Before(h.settledAt)
 }
 
 // RecordVersion records that the store has a named version, whose object was last
