--- a/internal/platform/fleet/fleet.go
+++ b/internal/platform/fleet/fleet.go
@@ -36,8 +36,9 @@
 	// waits; they may take four times as long as configurations to arrive.
 	versionsWaitFactor = 3
 	// withholdTime is how long after a restore of the store servers are withheld that were
-	// removed before it. The store removes the objects of servers that are gone by then.
-	withholdTime = 10 * time.Second
+	// removed before it. The store removes the objects of servers that are gone by then,
+	// after three heartbeats of theirs.
+	withholdTime = 6 * time.Second
 )
 
 type (
--- a/internal/platform/listwatch/era_test.go
+++ b/internal/platform/listwatch/era_test.go
@@ -203,13 +203,17 @@
 		if items()["a"] != "2" {
 			t.Errorf("objects are %v 2s after the era was observed, want that of the new era", items())
 		}
+		// The grace period of what the first late list had.
+		time.Sleep(2 * time.Second)
 		s.mu.Lock()
 		s.late = &mulberryspool.Position{Era: 1, Revision: 99}
 		s.mu.Unlock()
 		f.ObserveEra(3)
-		time.Sleep(4 * time.Second)
-		if _, ok := items()["late"]; ok || items()["a"] != "2" {
-			t.Errorf("objects are %v, want those of the later era", items())
+		for range 40 {
+			time.Sleep(100 * time.Millisecond)
+			if _, ok := items()["late"]; ok || items()["a"] != "2" {
+				t.Fatalf("objects are %v, want those of the later era", items())
+			}
 		}
 	})
 }
--- a/internal/platform/listwatch/follower.go
+++ b/internal/platform/listwatch/follower.go
@@ -247,15 +247,15 @@
 	f.Set.RecordAnswer(now)
 	if !f.reachable {
 		f.reachable = true
-		f.Logger.Info().Str("kind", f.Kind).Uint64("revision", uint64(at.Revision)).Bool("first", !f.synced).Msg("store is reachable")
+		f.Logger.Info().Str("kind", f.Kind).Uint64("era", uint64(at.Era)).Uint64("revision", uint64(at.Revision)).Bool("first", !f.synced).Msg("store is reachable")
 	}
 	first := !f.synced
 	f.synced = true
 	if f.listed && at.Era > f.position.Era {
 		f.Set.BeginEra(now)
-		f.Logger.Warn().Str("kind", f.Kind).Uint64("eraBefore", uint64(f.position.Era)).Uint64("era", uint64(at.Era)).
+		f.Logger.Warn().Str("step", "list in new era").Str("kind", f.Kind).Uint64("eraBefore", uint64(f.position.Era)).Uint64("era", uint64(at.Era)).
 			Uint64("revisionBefore", uint64(f.position.Revision)).Uint64("revision", uint64(at.Revision)).
-			Msg("store was restored from a copy; objects were listed again, those that are missing stay for the grace period")
+			Msg("objects were listed again after a restore of the store; those that are missing stay for the grace period")
 	}
 	f.listed = true
 	if f.Answered != nil {
@@ -269,7 +269,7 @@
 	}
 	f.logUnreadable(d.Unreadable)
 	for _, name := range d.Kept {
-		f.Logger.Info().Str("kind", f.Kind).Str("object", name).Uint64("revision", uint64(at.Revision)).
+		f.Logger.Info().Str("kind", f.Kind).Str("object", name).Uint64("era", uint64(at.Era)).Uint64("revision", uint64(at.Revision)).
 			Dur("graceLeft", f.Set.expiring[name].Sub(now)).Msg("object was removed; keeping it for the grace period after the outage")
 	}
 	d.At, d.Uncertain = f.position, len(f.Set.expiring) > 0
@@ -329,7 +329,7 @@
 	defer f.mu.Unlock()
 	f.Set.RecordFailure()
 	if f.reachable || !f.synced {
-		f.Logger.Warn().Err(err).Str("kind", f.Kind).Uint64("revision", uint64(f.position.Revision)).Msg("store is not reachable; the last known objects stay in use")
+		f.Logger.Warn().Err(err).Str("kind", f.Kind).Uint64("era", uint64(f.position.Era)).Uint64("revision", uint64(f.position.Revision)).Msg("store is not reachable; the last known objects stay in use")
 	}
 	f.reachable = false
 }
