--- a/internal/platform/fleet/grace_test.go
+++ b/internal/platform/fleet/grace_test.go
@@ -97,8 +97,8 @@
 	return b
 }
 
-// runFleet starts a process that follows a store. Call it in a synctest bubble.
-func runFleet(t *testing.T, s mulberryspool.KindStore) *Fleet {
+// followingFleet returns a process that follows a store once it runs.
+func followingFleet(s mulberryspool.KindStore) *Fleet {
 	f := newFleet(clockwork.NewRealClock())
 	f.Store = s
 	f.Kinds = Kinds{Config: "config", Servers: "servers", Versions: "versions", DecodeServer: func(o mulberryspool.Object) (mulberryspool.BackendServer, error) {
@@ -107,6 +107,12 @@
 		b.Revision, b.Era = o.Version, o.Era
 		return b, err
 	}}
+	return f
+}
+
+// runFleet starts a process that follows a store. Call it in a synctest bubble.
+func runFleet(t *testing.T, s mulberryspool.KindStore) *Fleet {
+	f := followingFleet(s)
 	ctx, cancel := context.WithCancel(t.Context())
 	t.Cleanup(cancel)
 	go f.Run(ctx)
@@ -195,14 +201,7 @@
 		s := newEraStore()
 		s.set(2, 10, serverRow("a", 5))
 		s.late = &mulberryspool.Position{Era: 1, Revision: 10}
-		f := newFleet(clockwork.NewRealClock())
-		f.Store = s
-		f.Kinds = Kinds{Config: "config", Servers: "servers", Versions: "versions", DecodeServer: func(o mulberryspool.Object) (mulberryspool.BackendServer, error) {
-			var b mulberryspool.BackendServer
-			err := json.Unmarshal(o.Value, &b)
-			b.Revision, b.Era = o.Version, o.Era
-			return b, err
-		}}
+		f := followingFleet(s)
 		f.ObserveEra(2, "peer")
 		go f.Run(t.Context())
 		time.Sleep(5 * time.Second)
--- a/internal/platform/fleet/state.go
+++ b/internal/platform/fleet/state.go
@@ -83,19 +83,12 @@
 
 // Complete returns the position as of which no server is missing.
 func (s State) Complete() mulberryspool.Position {
-	return laterOf(s.serversPosition(), mulberryspool.Position{Era: s.CompleteEra, Revision: s.CompleteAt})
+	return s.serversPosition().Max(mulberryspool.Position{Era: s.CompleteEra, Revision: s.CompleteAt})
 }
 
 // Complete returns the position as of which the process lacks no server.
 func (s Summary) Complete() mulberryspool.Position {
-	return laterOf(s.serversPosition(), mulberryspool.Position{Era: s.CompleteEra, Revision: s.CompleteAt})
-}
-
-func laterOf(a, b mulberryspool.Position) mulberryspool.Position {
-	if b.After(a) {
-		return b
-	}
-	return a
+	return s.serversPosition().Max(mulberryspool.Position{Era: s.CompleteEra, Revision: s.CompleteAt})
 }
 
 // serversPosition returns that of the state.
--- a/internal/platform/listwatch/follower.go
+++ b/internal/platform/listwatch/follower.go
@@ -264,9 +264,7 @@
 	d := change(now)
 	expired := f.Set.Expire(now)
 	d.Removed = append(d.Removed, expired.Removed...)
-	if at.After(f.position) {
-		f.position = at
-	}
+	f.position = f.position.Max(at)
 	f.logUnreadable(d.Unreadable)
 	for _, name := range d.Kept {
 		f.Logger.Info().Str("kind", f.Kind).Str("object", name).Uint64("era", uint64(at.Era)).Uint64("revision", uint64(at.Revision)).
--- a/internal/platform/membership/membership.go
+++ b/internal/platform/membership/membership.go
@@ -126,18 +126,15 @@
 		// missing here.
 		return changed
 	}
-	if s.CompleteAt.After(v.completeAt) {
-		v.completeAt = s.CompleteAt
-	}
+	v.completeAt = v.completeAt.Max(s.CompleteAt)
 	exactAt := s.CompleteAt
 	if s.Assumed {
 		exactAt = s.ExactAt
 	}
-	switch {
-	case !v.inGrace(exactAt.Era):
-		v.exactAt = laterOf(v.exactAt, exactAt)
-	default:
-		v.pendingExactAt = laterOf(v.pendingExactAt, exactAt)
+	if v.inGrace(exactAt.Era) {
+		v.pendingExactAt = v.pendingExactAt.Max(exactAt)
+	} else {
+		v.exactAt = v.exactAt.Max(exactAt)
 	}
 	return changed
 }
@@ -157,7 +154,7 @@
 	if v.pendingExactAt.Revision == 0 {
 		return false
 	}
-	v.exactAt = laterOf(v.exactAt, v.pendingExactAt)
+	v.exactAt = v.exactAt.Max(v.pendingExactAt)
 	listed := maps.Clone(v.servers)
 	maps.DeleteFunc(listed, func(_ mulberryspool.InstanceID, b mulberryspool.BackendServer) bool { return b.Era < era })
 	if len(listed) == len(v.servers) {
@@ -171,13 +168,6 @@
 // inGrace reports whether lists of an era lack servers that may write themselves again.
 func (v *View) inGrace(era mulberryspool.Era) bool { return v.graceEra > 0 && era >= v.graceEra }
 
-func laterOf(a, b mulberryspool.Position) mulberryspool.Position {
-	if b.After(a) {
-		return b
-	}
-	return a
-}
-
 // adopt returns a row that is newer than what is known, with what the copy that the row may
 // come from lacks.
 func (v *View) adopt(b mulberryspool.BackendServer) mulberryspool.BackendServer {
--- a/position.go
+++ b/position.go
@@ -24,3 +24,11 @@
 
 // After reports whether p is after other.
 func (p Position) After(other Position) bool { return p.Compare(other) > 0 }
+
+// Max returns the later of p and other.
+func (p Position) Max(other Position) Position {
+	if other.After(p) {
+		return other
+	}
+	return p
+}
