Don't count resets that the server outlives against prompts

Callers saw 503 promptRejected for sound requests: six servers that reset connections beyond their limits made the entry reject a part that these requests share, and it stayed refused once the servers accepted again.

Cause: a reset of a new connection before any byte of a response counted as a crash of the server against all parts of the request's prompt.

Fix: after ECONNRESET or EPIPE on a connection that was opened for the attempt, without a head of a response, the liveness check of the server decides before the request is sent again. The trial of a part goes on meanwhile. A server that has ended refuses connections, and the reset counts as before, as it does if the check has no result within 0.4 s.

--- a/internal/backend/liveness/checker.go
+++ b/internal/backend/liveness/checker.go
@@ -46,9 +46,9 @@
 	// ErrUnknown means that it did not answer in time, or closed the connection, which is also
 	// what a server does with connections beyond its limit.
 	ErrUnknown = errors.New("backend server does not answer")
-
-	// errClosed means that the connection was opened, and closed without an answer.
-	errClosed = errors.New("connection was closed without an answer")
+	// ErrClosed comes with ErrUnknown. It means that the server went on accepting connections for
+	// closedTime, and closed each of them without an answer.
+	ErrClosed = errors.New("connection was closed without an answer")
 )
 
 type (
@@ -107,13 +107,13 @@
 	ctx, cancel := clockwork.WithTimeout(context.Background(), c.Clock, timeout)
 	defer cancel()
 	k.err = c.ask(ctx, target)
-	for end := c.Clock.Now().Add(closedTime); errors.Is(k.err, errClosed) && c.Clock.Now().Before(end); k.err = c.ask(ctx, target) {
+	for end := c.Clock.Now().Add(closedTime); errors.Is(k.err, ErrClosed) && c.Clock.Now().Before(end); k.err = c.ask(ctx, target) {
 		c.Clock.Sleep(closedInterval)
 	}
 	var network net.Error
 	switch {
 	case k.err == nil:
-	case errors.Is(k.err, errClosed) || ctx.Err() != nil || errors.As(k.err, &network) && network.Timeout():
+	case errors.Is(k.err, ErrClosed) || ctx.Err() != nil || errors.As(k.err, &network) && network.Timeout():
 		k.err = errors.Mark(k.err, ErrUnknown)
 	default:
 		k.err = errors.Mark(k.err, ErrEnded)
@@ -125,7 +125,7 @@
 	conn, err := c.Pool.Open(ctx, target)
 	switch {
 	case errors.Is(err, syscall.ECONNRESET):
-		return errors.Mark(err, errClosed)
+		return errors.Mark(err, ErrClosed)
 	case err != nil:
 		return err
 	}
@@ -134,12 +134,12 @@
 	head := make(http.Header)
 	c.HeaderCodec.PrepareRequest(head, mulberryspool.OutgoingHead{Instance: noInstance, Remaining: timeout})
 	if err := conn.Send(httpconn.Head(http.MethodGet, "/", target.Address, head), nil, c.Clock.Now().Add(timeout)); err != nil {
-		return errors.Mark(err, errClosed)
+		return errors.Mark(err, ErrClosed)
 	}
 	answer, err := conn.Receive(http.MethodGet, "")
 	switch {
 	case errors.Is(err, httpconn.ErrAnswerLost):
-		return errors.Mark(err, errClosed)
+		return errors.Mark(err, ErrClosed)
 	case err != nil:
 		return err
 	}
--- a/internal/entry/forward/attempt.go
+++ b/internal/entry/forward/attempt.go
@@ -8,12 +8,15 @@
 	"os"
 	"strconv"
 	"strings"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/jonboulle/clockwork"
 
 	"github.com/mulberryspool/mulberryspool"
 	"github.com/mulberryspool/mulberryspool/internal/backend/httpconn"
+	"github.com/mulberryspool/mulberryspool/internal/backend/liveness"
 	"github.com/mulberryspool/mulberryspool/internal/entry/bodybudget"
 	"github.com/mulberryspool/mulberryspool/internal/entry/placement"
 	"github.com/mulberryspool/mulberryspool/internal/entry/promptguard"
@@ -31,6 +34,9 @@
 	// rejection, for which the next attempt waits.
 	maxRejectedBytes    = 64 << 10
 	rejectedBodyTimeout = 50 * time.Millisecond
+	// maxResetCheck is how long an attempt waits for whether its backend server has outlived a
+	// reset.
+	maxResetCheck = 400 * time.Millisecond
 )
 
 type (
@@ -251,16 +257,43 @@
 }
 
 // recordBroken reports to the prompt guard an exchange whose connection the backend
-// server broke, or that was ended here. It ignores bytes that are no response.
+// server broke, or that was ended here. It ignores bytes that are no response. A reset that
+// the server has outlived counts only if other exchanges show that the server has crashed.
 func (a *attempt) recordBroken(err error) {
+	outlived := a.mayBeResetAtLimit(err) && a.serverOutlivedReset()
 	switch {
-	case a.ctx.Err() != nil || isTimeout(err):
+	case a.ctx.Err() != nil || isTimeout(err) || outlived:
 		a.exchange.Abandoned()
 	case errors.Is(err, httpconn.ErrAnswerLost) || errors.Is(err, io.ErrUnexpectedEOF):
 		a.exchange.Broken()
 	}
 }
 
+// mayBeResetAtLimit reports whether the exchange ended as those do whose connections are beyond
+// the limit of the backend server: new ones are reset before any response.
+func (a *attempt) mayBeResetAtLimit(err error) bool {
+	_, opened := a.conn.OpenTook()
+	return len(a.promptParts) > 0 && opened && a.response == nil && a.ctx.Err() == nil &&
+		(errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE))
+}
+
+// serverOutlivedReset reports whether the backend server is known to answer or to accept
+// connections since the connection was reset. A process that has crashed refuses them.
+func (a *attempt) serverOutlivedReset() bool {
+	until := a.handler.Clock.Now().Add(maxResetCheck)
+	if a.deadline.Before(until) {
+		until = a.deadline
+	}
+	ctx, cancel := clockwork.WithDeadline(a.ctx, a.handler.Clock, until)
+	defer cancel()
+	err := a.handler.Liveness.Check(ctx, targetOf(a.decision))
+	outlived := err == nil || errors.Is(err, liveness.ErrClosed)
+	if outlived {
+		a.handler.count("connection_resets_outlived", a.route.Name, a.pool.Name, "")
+	}
+	return outlived
+}
+
 // failureOutcome returns what a broken exchange means for the health of the
 // backend server. A timeout counts as silence only if the deadline of the
 // request has not passed, because a long request alone is no sign of a fault.
--- a/internal/entry/forward/crash_test.go
+++ b/internal/entry/forward/crash_test.go
@@ -39,6 +39,9 @@
 	id      string
 	address string
 	downFor time.Duration
+	// resets is set if the backend ends before the head of the response, and its connections
+	// are reset.
+	resets bool
 
 	mu       sync.Mutex
 	listener net.Listener
@@ -47,9 +50,9 @@
 	received int
 }
 
-func newCrashingBackend(t *testing.T, id string, downFor time.Duration) *crashingBackend {
+func newCrashingBackend(t *testing.T, id string, downFor time.Duration, resets bool) *crashingBackend {
 	t.Helper()
-	b := &crashingBackend{T: t, id: id, address: "127.0.0.1:0", downFor: downFor}
+	b := &crashingBackend{T: t, id: id, address: "127.0.0.1:0", downFor: downFor, resets: resets}
 	b.start()
 	t.Cleanup(func() {
 		b.mu.Lock()
@@ -89,6 +92,10 @@
 	b.crashes++
 	b.listener.Close()
 	for conn := range b.conns {
+		if b.resets {
+			// Fails only if the connection is closed already.
+			_ = conn.(*net.TCPConn).SetLinger(0)
+		}
 		conn.Close()
 	}
 	time.AfterFunc(b.downFor, b.start)
@@ -108,8 +115,10 @@
 			b.received++
 			b.mu.Unlock()
 		}
-		writeEvents(writer, r, 1, 0, false)
-		_ = writer.Flush()
+		if !deadly || !b.resets {
+			writeEvents(writer, r, 1, 0, false)
+			_ = writer.Flush()
+		}
 		time.Sleep(crashDelay)
 		if deadly {
 			b.crash()
@@ -159,18 +168,26 @@
 // because they share their caller and other parts with them.
 func TestPromptPartCrashesOneServerAfterAnother(t *testing.T) {
 	for _, count := range []int{1, 3} {
-		t.Run(fmt.Sprintf("%d entries", count), func(t *testing.T) { testPromptPartCrashes(t, count) })
+		t.Run(fmt.Sprintf("%d entries", count), func(t *testing.T) { testPromptPartCrashes(t, count, false) })
+	}
+}
+
+// Guards against servers that crash by one part of a prompt and are taken for sound ones at
+// their connection limits, because their connections are reset before the head of a response.
+func TestPromptPartResetsOneServerAfterAnother(t *testing.T) {
+	for _, count := range []int{1, 3} {
+		t.Run(fmt.Sprintf("%d entries", count), func(t *testing.T) { testPromptPartCrashes(t, count, true) })
 	}
 }
 
-func testPromptPartCrashes(t *testing.T, entryCount int) {
+func testPromptPartCrashes(t *testing.T, entryCount int, resets bool) {
 	t.Helper()
 	var (
 		backends []*crashingBackend
 		targets  []*backend
 	)
 	for i := range 6 {
-		b := newCrashingBackend(t, fmt.Sprintf("i-%d", i), 200*time.Millisecond)
+		b := newCrashingBackend(t, fmt.Sprintf("i-%d", i), 200*time.Millisecond, resets)
 		backends = append(backends, b)
 		targets = append(targets, &backend{T: t, id: b.id, address: b.address})
 	}
@@ -211,6 +228,7 @@
 		crashes += b.crashes
 		b.mu.Unlock()
 	}
+	t.Logf("%d crashes, %d of %d sound requests were served", crashes, served.Load(), soundCount)
 	if crashes > maxPartCrashes {
 		t.Errorf("%d backend servers crashed, want at most %d", crashes, maxPartCrashes)
 	}
