Add restores of the store to the schedules of the soak

A server is added and leaves around each. They are drawn from a random source of their own, so the other events of a seed stay.

New checks: configurationBack, configurationLate and leaving. timeoutsOf allows for the older timeout until what was lost is written again.

--- a/internal/testkit/hostedsystem/caller.go
+++ b/internal/testkit/hostedsystem/caller.go
@@ -35,6 +35,8 @@
 	Call struct {
 		// URL is that of the entry, Prefix that of the route.
 		URL, Prefix string
+		// Step is the number of the route if it is numbered, otherwise 0.
+		Step int
 		// Key is that of a workspace; empty for none.
 		Key string
 		// Take is how long the answer takes, Events the number of its events; 0 for an
--- a/internal/testkit/hostedsystem/system.go
+++ b/internal/testkit/hostedsystem/system.go
@@ -55,6 +55,9 @@
 		// from the next PutConfiguration on.
 		Timeout    time.Duration
 		ExtraRoute bool
+		// Steps is the number of further routes, whose prefixes are StepPrefix(1) and so on. It
+		// applies from the next PutConfiguration on.
+		Steps int
 		// MegabytesOfMemory is that of an entry's machine; 0 for 206.
 		MegabytesOfMemory int
 		// MaxBody is the largest body of a request in bytes; 0 for 1 MiB.
@@ -141,6 +144,9 @@
 	return server
 }
 
+// StepPrefix returns the prefix of a numbered route for requests that may be repeated.
+func StepPrefix(n int) string { return fmt.Sprintf("/step-%d/", n) }
+
 // PutConfiguration writes a version of the configuration.
 func (s *System) PutConfiguration(version int) {
 	route := func(name, prefix, kind string) map[string]any {
@@ -160,6 +166,9 @@
 	if s.ExtraRoute {
 		routes = append(routes, route("extra", ExtraPrefix, "idempotent"))
 	}
+	for n := 1; n <= s.Steps; n++ {
+		routes = append(routes, route(fmt.Sprintf("step-%d", n), StepPrefix(n), "idempotent"))
+	}
 	routes = slices.DeleteFunc(routes, func(r map[string]any) bool { return slices.Contains(s.Without, r["path-prefix"].(string)) })
 	configuration := map[string]any{
 		"version": version, "services": []any{service},
--- a/internal/testkit/silencesoak/plan.go
+++ b/internal/testkit/silencesoak/plan.go
@@ -42,6 +42,8 @@
 		// timeout and extraRoute are those of a configuration.
 		timeout    time.Duration
 		extraRoute bool
+		// keepWatches is that of a restore.
+		keepWatches bool
 	}
 
 	// plan is what a seed stands for.
@@ -53,6 +55,10 @@
 		grace                    time.Duration
 		events                   []event
 
+		// copies is the number of copies of the store, leavers that of the servers that are
+		// added and leave.
+		copies, leavers int
+
 		random *rand.Rand
 	}
 )
@@ -91,6 +97,7 @@
 	for _, target := range p.random.Perm(entries)[:1+p.random.IntN(2)] {
 		p.add(event{at: p.between(length/10, length/2), action: stop, target: target})
 	}
+	p.addRestores(seed)
 	p.events = slices.DeleteFunc(p.events, func(e event) bool { return e.at >= length && e.action != accept && e.action != restart })
 	slices.SortStableFunc(p.events, func(a, b event) int { return int(a.at - b.at) })
 	return p
@@ -163,7 +170,11 @@
 		switch e.action {
 		case configure:
 			fmt.Fprintf(&b, ", timeout %v, extra route %t\n", e.timeout.Round(time.Millisecond), e.extraRoute)
-		case accept, restart, reload, stop:
+		case away, rewrite:
+			b.WriteByte('\n')
+		case restore:
+			fmt.Fprintf(&b, " %d, watches cut off %t\n", e.target, !e.keepWatches)
+		case accept, restart, reload, stop, deny, admit, copyStore, arrive, leave, remove:
 			fmt.Fprintf(&b, " %d\n", e.target)
 		default:
 			fmt.Fprintf(&b, " %d for %.3f s\n", e.target, e.length.Seconds())
--- a/internal/testkit/silencesoak/record.go
+++ b/internal/testkit/silencesoak/record.go
@@ -48,6 +48,14 @@
 		attempts int
 		// timeouts holds those of the routes, in order.
 		timeouts []timeoutChange
+		// versions holds when each version of the configuration was written first, left when
+		// each instance was written as leaving.
+		versions map[int]time.Time
+		left     map[string]time.Time
+		// lost holds the times in which the store was away, until what it had lost was written
+		// again, and refused those in which it refused an entry, by the entry's URL.
+		lost    []span
+		refused map[string][]span
 	}
 
 	span struct{ from, until time.Time }
@@ -70,7 +78,9 @@
 	for _, result := range r.results {
 		runs := r.runs[result.ID]
 		found := append(result.Faults(len(runs)), r.endFaults(result)...)
-		for _, f := range append(found, r.runFaults(result)...) {
+		found = append(found, r.runFaults(result)...)
+		found = append(found, r.leavingFaults(result)...)
+		for _, f := range append(found, r.versionFaults(result)...) {
 			all = append(all, fault{f, result})
 		}
 	}
@@ -149,7 +159,7 @@
 		if c.at.After(result.SentAt.Add(slack)) {
 			break
 		}
-		if i+1 < len(r.timeouts) && r.timeouts[i+1].at.Before(result.SentAt.Add(-applyTime)) {
+		if i+1 < len(r.timeouts) && r.learnableAt(r.timeouts[i+1].at, result.Call.URL, applyTime).Before(result.SentAt.Add(-applyTime)) {
 			continue
 		}
 		if least == 0 || c.timeout < least {
--- a/internal/testkit/silencesoak/soak.go
+++ b/internal/testkit/silencesoak/soak.go
@@ -1,5 +1,6 @@
 // Package silencesoak runs hosted entries with random schedules of silent, refusing and dying
-// servers, configurations, reloads and planned stops, and checks what callers and servers see.
+// servers, configurations, restores of the store, reloads and planned stops, and checks what
+// callers and servers see.
 //
 //	seed --> plan --> Soak --> entries <--> servers
 //	                   |                      |
@@ -19,6 +20,7 @@
 	"time"
 
 	"github.com/mulberryspool/mulberryspool/internal/standin/backendserver"
+	"github.com/mulberryspool/mulberryspool/internal/standin/kindstore"
 	"github.com/mulberryspool/mulberryspool/internal/testkit/hostedsystem"
 	"github.com/mulberryspool/mulberryspool/internal/testkit/process"
 )
@@ -41,12 +43,14 @@
 
 	plan    *plan
 	system  *hostedsystem.System
-	version int
+	store   storeState
 	callers []*hostedsystem.Caller
 	running sync.WaitGroup
 
 	mu     sync.Mutex
 	record record
+	// written is the newest version of the configuration that was written.
+	written int
 }
 
 // Run starts the system, runs the load beside the schedule and reports the faults.
@@ -56,12 +60,15 @@
 		Builder: s.Builder, GracefulStop: s.plan.grace, Timeout: callerDeadline, RepeatSlack: s.plan.slack, Attempts: s.plan.attempts,
 		Entries: entries, Backends: s.plan.servers,
 	}
+	s.system.Steps = 1
 	s.system.Start(t)
-	s.version = 1
+	s.store = storeState{version: 1, copies: make([]kindstore.Copy, s.plan.copies), leavers: make([]leaver, s.plan.leavers), refused: make(map[int]time.Time)}
+	s.written = 1
 	s.record = record{
 		grace: s.plan.grace, attempts: s.plan.attempts, runs: make(map[string][]backendserver.Run),
 		outages: make(map[string][]span), stops: make(map[string]time.Time),
-		timeouts: []timeoutChange{{time.Now(), s.system.Timeout}},
+		timeouts: []timeoutChange{{time.Now(), s.system.Timeout}}, versions: map[int]time.Time{1: time.Now()},
+		refused: make(map[string][]span), left: make(map[string]time.Time),
 	}
 	began := time.Now()
 	for _, member := range s.system.Members {
@@ -72,8 +79,14 @@
 		s.callers = append(s.callers, c)
 		s.running.Go(func() { s.call(c, i, began.Add(s.Length)) })
 	}
+	for i := range s.system.Members {
+		c := hostedsystem.NewCaller(callerDeadline, true)
+		s.callers = append(s.callers, c)
+		s.running.Go(func() { s.callNewest(c, i, began.Add(s.Length)) })
+	}
 	s.play(t, began)
 	s.running.Wait()
+	s.endStore()
 	for _, c := range s.callers {
 		s.record.results = append(s.record.results, c.Wait()...)
 	}
@@ -172,12 +185,13 @@
 		case restart:
 			s.system.StartServer(t, e.target)
 		case configure:
-			s.version++
+			s.store.version++
 			s.system.Timeout, s.system.ExtraRoute = e.timeout, e.extraRoute
-			s.record.timeouts = append(s.record.timeouts, timeoutChange{time.Now(), e.timeout})
-			s.system.PutConfiguration(s.version)
+			s.writeConfiguration()
 		case reload, stop:
 			s.signal(t, s.system.Members[e.target], e.action)
+		default:
+			s.playStore(t, e)
 		}
 	}
 }
@@ -213,7 +227,13 @@
 			streams++
 		}
 	}
-	t.Logf("seed %d: %d requests, faults %v, statuses %v, stalled for up to %v", s.Seed, len(s.record.results), counts, statuses, s.record.longestStall().Round(time.Millisecond))
+	t.Logf("seed %d: %d requests, faults %v, statuses %v, %d restores, %d versions, %d servers left, stalled for up to %v", s.Seed, len(s.record.results), counts, statuses,
+		s.store.restores, len(s.record.versions), len(s.record.left), s.record.longestStall().Round(time.Millisecond))
+	for _, e := range s.system.Members {
+		if s.record.served(e.URL) == 0 {
+			t.Errorf("seed %d: %s served no request on the route of any version", s.Seed, e.URL)
+		}
+	}
 	if streams < callers {
 		t.Errorf("seed %d: %d streams were whole, want one for each of %d callers", s.Seed, streams, callers)
 	}
