Test the checks of restores, and hold writes back after some restores

After two of three restores, the operator now writes nothing until what was lost is written again, and half of the servers that leave are listed as ready in the copy.

--- a/internal/testkit/silencesoak/plan.go
+++ b/internal/testkit/silencesoak/plan.go
@@ -42,8 +42,9 @@
 		// timeout and extraRoute are those of a configuration.
 		timeout    time.Duration
 		extraRoute bool
-		// keepWatches is that of a restore.
-		keepWatches bool
+		// keepWatches is that of a restore; held is set if the operator writes nothing until
+		// what the store has lost is written again.
+		keepWatches, held bool
 	}
 
 	// plan is what a seed stands for.
@@ -173,7 +174,7 @@
 		case away, rewrite:
 			b.WriteByte('\n')
 		case restore:
-			fmt.Fprintf(&b, " %d, watches cut off %t\n", e.target, !e.keepWatches)
+			fmt.Fprintf(&b, " %d, watches cut off %t, writes held back %t\n", e.target, !e.keepWatches, e.held)
 		case accept, restart, reload, stop, deny, admit, copyStore, arrive, leave, remove:
 			fmt.Fprintf(&b, " %d\n", e.target)
 		default:
--- a/internal/testkit/silencesoak/restores.go
+++ b/internal/testkit/silencesoak/restores.go
@@ -13,6 +13,9 @@
 	minAge, maxAge         = 500 * time.Millisecond, 9 * time.Second
 	maxAway                = 2 * time.Second
 	minRewrite, maxRewrite = 300 * time.Millisecond, 1500 * time.Millisecond
+	// maxBetween is the time between two restores that follow each other. The second one may
+	// come before what the first one lost is written again.
+	maxBetween = 3 * time.Second
 	// minReady and maxReady bound the time in which a server that is added is listed as ready.
 	// It is short, as such a server never fails and so eases the other faults.
 	minReady, maxReady = 500 * time.Millisecond, 2500 * time.Millisecond
@@ -37,8 +40,8 @@
 	p.series(1500*time.Millisecond, 6*time.Second, func(at time.Duration) time.Duration {
 		length := p.restore(at)
 		if p.random.IntN(3) == 0 {
-			length += p.between(200*time.Millisecond, 2500*time.Millisecond)
-			length += p.restore(at + length)
+			next := p.between(minRewrite, maxBetween)
+			length = next + p.restore(at+next)
 		}
 		return length
 	})
@@ -51,14 +54,19 @@
 	awayAt, rewriteAfter := max(0, at-p.between(0, maxAway)), p.between(minRewrite, maxRewrite)
 	keepWatches, refused, target := p.random.IntN(2) == 0, p.random.IntN(3) == 0, p.random.IntN(entries)
 	deniedAt, admittedAt := awayAt-p.between(0, time.Second), at+p.between(0, 4*time.Second)
-	leavesAt := copiedAt + p.between(100*time.Millisecond, at-copiedAt+time.Second)
 	ready, removed, removedAfter := p.between(minReady, maxReady), p.random.IntN(2) == 0, p.between(500*time.Millisecond, 3*time.Second)
+	leavesAt := copiedAt + p.between(100*time.Millisecond, at-copiedAt+time.Second)
+	if p.random.IntN(2) == 0 {
+		// The copy lists the server as ready.
+		leavesAt = copiedAt + p.between(ready/5, ready*4/5)
+	}
+	held := p.random.IntN(3) > 0
 	if at+rewriteAfter >= p.length {
 		return rewriteAfter
 	}
 	p.add(event{at: copiedAt, action: copyStore, target: p.copies})
 	p.add(event{at: awayAt, action: away})
-	p.add(event{at: at, action: restore, target: p.copies, keepWatches: keepWatches})
+	p.add(event{at: at, action: restore, target: p.copies, keepWatches: keepWatches, held: held})
 	p.add(event{at: at + rewriteAfter, action: rewrite})
 	p.copies++
 	if refused {
--- a/internal/testkit/silencesoak/store.go
+++ b/internal/testkit/silencesoak/store.go
@@ -45,6 +45,8 @@
 		// nothing is lost.
 		lostSince time.Time
 		away      bool
+		// held is set while the operator writes nothing because the store was restored.
+		held bool
 		// refused holds since when the store refuses entries.
 		refused map[int]time.Time
 	}
@@ -63,7 +65,7 @@
 	case restore:
 		s.beginLoss()
 		s.system.Store.Restore(s.store.copies[e.target], kindstore.RestoreOptions{KeepWatches: e.keepWatches})
-		s.store.away = false
+		s.store.away, s.store.held = false, e.held
 		s.store.restores++
 		s.refuseEntries()
 	case rewrite:
@@ -97,6 +99,7 @@
 	if s.store.away {
 		return
 	}
+	s.store.held = false
 	s.writeConfiguration()
 	for i := range s.store.leavers {
 		s.writeLeaver(t, &s.store.leavers[i])
@@ -109,7 +112,7 @@
 
 // writeConfiguration writes the newest version, perhaps again.
 func (s *Soak) writeConfiguration() {
-	if s.store.away {
+	if s.store.away || s.store.held {
 		return
 	}
 	s.system.Steps = s.store.version
