Vary the revisions of a restored store in the soak

Other objects now change after a copy and after a restore, and a third of the servers leave around it.

--- a/internal/testkit/silencesoak/plan.go
+++ b/internal/testkit/silencesoak/plan.go
@@ -45,6 +45,8 @@
 		// keepWatches is that of a restore; held is set if the operator writes nothing until
 		// what the store has lost is written again.
 		keepWatches, held bool
+		// changes is the number of changes of other objects after a copy or a restore.
+		changes int
 	}
 
 	// plan is what a seed stands for.
@@ -174,8 +176,10 @@
 		case away, rewrite:
 			b.WriteByte('\n')
 		case restore:
-			fmt.Fprintf(&b, " %d, watches cut off %t, writes held back %t\n", e.target, !e.keepWatches, e.held)
-		case accept, restart, reload, stop, deny, admit, copyStore, arrive, leave, remove:
+			fmt.Fprintf(&b, " %d, watches cut off %t, writes held back %t, %d other changes\n", e.target, !e.keepWatches, e.held, e.changes)
+		case copyStore:
+			fmt.Fprintf(&b, " %d, %d other changes\n", e.target, e.changes)
+		case accept, restart, reload, stop, deny, admit, arrive, leave, remove:
 			fmt.Fprintf(&b, " %d\n", e.target)
 		default:
 			fmt.Fprintf(&b, " %d for %.3f s\n", e.target, e.length.Seconds())
--- a/internal/testkit/silencesoak/restores.go
+++ b/internal/testkit/silencesoak/restores.go
@@ -19,8 +19,15 @@
 	// minReady and maxReady bound the time in which a server that is added is listed as ready.
 	// It is short, as such a server never fails and so eases the other faults.
 	minReady, maxReady = 500 * time.Millisecond, 2500 * time.Millisecond
+	// aroundRestore is how long before a restore, and up to twice as long after it, many of
+	// these servers leave.
+	aroundRestore = 400 * time.Millisecond
 )
 
+// otherChanges are numbers of changes of objects that no entry reads, which are lost or made at
+// once after a restore. They set the revision behind or ahead of that of before.
+var otherChanges = []int{0, 20, 300}
+
 // Actions on the store, and of servers that are added and leave.
 const (
 	copyStore action = "store is copied: copy"
@@ -56,17 +63,21 @@
 	deniedAt, admittedAt := awayAt-p.between(0, time.Second), at+p.between(0, 4*time.Second)
 	ready, removed, removedAfter := p.between(minReady, maxReady), p.random.IntN(2) == 0, p.between(500*time.Millisecond, 3*time.Second)
 	leavesAt := copiedAt + p.between(100*time.Millisecond, at-copiedAt+time.Second)
-	if p.random.IntN(2) == 0 {
+	switch p.random.IntN(3) {
+	case 0:
 		// The copy lists the server as ready.
 		leavesAt = copiedAt + p.between(ready/5, ready*4/5)
+	case 1:
+		leavesAt = max(copiedAt, at-aroundRestore) + p.between(0, 3*aroundRestore)
 	}
+	lost, after := otherChanges[p.random.IntN(len(otherChanges))], otherChanges[p.random.IntN(len(otherChanges))]
 	held := p.random.IntN(3) > 0
 	if at+rewriteAfter >= p.length {
 		return rewriteAfter
 	}
-	p.add(event{at: copiedAt, action: copyStore, target: p.copies})
+	p.add(event{at: copiedAt, action: copyStore, target: p.copies, changes: lost})
 	p.add(event{at: awayAt, action: away})
-	p.add(event{at: at, action: restore, target: p.copies, keepWatches: keepWatches, held: held})
+	p.add(event{at: at, action: restore, target: p.copies, keepWatches: keepWatches, held: held, changes: after})
 	p.add(event{at: at + rewriteAfter, action: rewrite})
 	p.copies++
 	if refused {
--- a/internal/testkit/silencesoak/store.go
+++ b/internal/testkit/silencesoak/store.go
@@ -58,6 +58,7 @@
 	switch e.action {
 	case copyStore:
 		s.store.copies[e.target] = s.system.Store.Copy()
+		s.changeOther(e.changes)
 	case away:
 		s.store.away = true
 		s.beginLoss()
@@ -67,6 +68,7 @@
 		s.system.Store.Restore(s.store.copies[e.target], kindstore.RestoreOptions{KeepWatches: e.keepWatches})
 		s.store.away, s.store.held = false, e.held
 		s.store.restores++
+		s.changeOther(e.changes)
 		s.refuseEntries()
 	case rewrite:
 		s.rewrite(t)
@@ -88,6 +90,13 @@
 	}
 }
 
+// changeOther changes an object that no entry reads.
+func (s *Soak) changeOther(count int) {
+	for n := range count {
+		s.system.Store.Put("other", "object", n)
+	}
+}
+
 func (s *Soak) beginLoss() {
 	if s.store.lostSince.IsZero() {
 		s.store.lostSince = time.Now()
