--- a/internal/testkit/silencesoak/plan.go
+++ b/internal/testkit/silencesoak/plan.go
@@ -45,7 +45,7 @@
 		// keepWatches is that of a restore; held is set if the operator writes nothing until
 		// what the store has lost is written again.
 		keepWatches, held bool
-		// changes is the number of changes of other objects after a copy or a restore.
+		// changes is the number of changes of other objects after a copy or a rewrite.
 		changes int
 	}
 
@@ -173,10 +173,12 @@
 		switch e.action {
 		case configure:
 			fmt.Fprintf(&b, ", timeout %v, extra route %t\n", e.timeout.Round(time.Millisecond), e.extraRoute)
-		case away, rewrite:
+		case away:
 			b.WriteByte('\n')
+		case rewrite:
+			fmt.Fprintf(&b, ", then %d other changes\n", e.changes)
 		case restore:
-			fmt.Fprintf(&b, " %d, watches cut off %t, writes held back %t, %d other changes\n", e.target, !e.keepWatches, e.held, e.changes)
+			fmt.Fprintf(&b, " %d, watches cut off %t, writes held back %t\n", e.target, !e.keepWatches, e.held)
 		case copyStore:
 			fmt.Fprintf(&b, " %d, %d other changes\n", e.target, e.changes)
 		case accept, restart, reload, stop, deny, admit, arrive, leave, remove:
--- a/internal/testkit/silencesoak/restores.go
+++ b/internal/testkit/silencesoak/restores.go
@@ -24,8 +24,9 @@
 	aroundRestore = 400 * time.Millisecond
 )
 
-// otherChanges are numbers of changes of objects that no entry reads, which are lost or made at
-// once after a restore. They set the revision behind or ahead of that of before.
+// otherChanges are numbers of changes of objects that no entry reads. They are lost, or made at
+// once after what was lost is written again, whose revisions may be behind or ahead of those of
+// before.
 var otherChanges = []int{0, 20, 300}
 
 // Actions on the store, and of servers that are added and leave.
@@ -77,8 +78,8 @@
 	}
 	p.add(event{at: copiedAt, action: copyStore, target: p.copies, changes: lost})
 	p.add(event{at: awayAt, action: away})
-	p.add(event{at: at, action: restore, target: p.copies, keepWatches: keepWatches, held: held, changes: after})
-	p.add(event{at: at + rewriteAfter, action: rewrite})
+	p.add(event{at: at, action: restore, target: p.copies, keepWatches: keepWatches, held: held})
+	p.add(event{at: at + rewriteAfter, action: rewrite, changes: after})
 	p.copies++
 	if refused {
 		p.add(event{at: deniedAt, action: deny, target: target})
--- a/internal/testkit/silencesoak/store.go
+++ b/internal/testkit/silencesoak/store.go
@@ -68,10 +68,10 @@
 		s.system.Store.Restore(s.store.copies[e.target], kindstore.RestoreOptions{KeepWatches: e.keepWatches})
 		s.store.away, s.store.held = false, e.held
 		s.store.restores++
-		s.changeOther(e.changes)
 		s.refuseEntries()
 	case rewrite:
 		s.rewrite(t)
+		s.changeOther(e.changes)
 	case deny:
 		if _, ok := s.store.refused[e.target]; !ok {
 			s.store.refused[e.target] = time.Now()
