--- a/internal/testkit/silencesoak/soak.go
+++ b/internal/testkit/silencesoak/soak.go
@@ -49,8 +49,6 @@
 
 	mu     sync.Mutex
 	record record
-	// written is the newest version of the configuration that was written.
-	written int
 }
 
 // Run starts the system, runs the load beside the schedule and reports the faults.
@@ -63,7 +61,6 @@
 	s.system.Steps = 1
 	s.system.Start(t)
 	s.store = storeState{version: 1, copies: make([]kindstore.Copy, s.plan.copies), leavers: make([]leaver, s.plan.leavers), refused: make(map[int]time.Time)}
-	s.written = 1
 	s.record = record{
 		grace: s.plan.grace, attempts: s.plan.attempts, runs: make(map[string][]backendserver.Run),
 		outages: make(map[string][]span), stops: make(map[string]time.Time),
@@ -82,7 +79,7 @@
 	for i := range s.system.Members {
 		c := hostedsystem.NewCaller(callerDeadline, true)
 		s.callers = append(s.callers, c)
-		s.running.Go(func() { s.callNewest(c, i, began.Add(s.Length)) })
+		s.running.Go(func() { s.callVersions(c, i, began.Add(s.Length)) })
 	}
 	s.play(t, began)
 	s.running.Wait()
--- a/internal/testkit/silencesoak/store.go
+++ b/internal/testkit/silencesoak/store.go
@@ -9,9 +9,9 @@
 )
 
 const (
-	// newestInterval is that of the requests on the route of the newest version, and newestWait
-	// how long their callers wait.
-	newestInterval, newestWait = 150 * time.Millisecond, time.Second
+	// versionInterval is that of the requests on the routes of versions, and versionWait how long
+	// their callers wait.
+	versionInterval, versionWait = 150 * time.Millisecond, time.Second
 )
 
 // States of servers that are added.
@@ -125,14 +125,14 @@
 		return
 	}
 	s.system.Steps = s.store.version
-	if _, ok := s.record.versions[s.store.version]; !ok {
-		s.record.versions[s.store.version] = time.Now()
-		s.record.timeouts = append(s.record.timeouts, timeoutChange{time.Now(), s.system.Timeout})
-	}
+	now := time.Now()
 	s.system.PutConfiguration(s.store.version)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.written = s.store.version
+	if _, ok := s.record.versions[s.store.version]; !ok {
+		s.record.versions[s.store.version] = now
+		s.record.timeouts = append(s.record.timeouts, timeoutChange{now, s.system.Timeout})
+	}
 }
 
 // writeLeaver writes the object of an added server, perhaps again.
@@ -179,14 +179,26 @@
 	}
 }
 
-// callNewest sends requests to an entry on the route that the newest version adds, until the end
-// of the load or of the entry's process.
-func (s *Soak) callNewest(c *hostedsystem.Caller, entry int, end time.Time) {
-	for time.Now().Before(end) && !s.isOut(entry, true) {
-		s.mu.Lock()
-		newest := s.written
-		s.mu.Unlock()
-		c.Do(hostedsystem.Call{URL: s.system.Members[entry].URL, Prefix: hostedsystem.StepPrefix(newest), Step: newest, LeaveAfter: newestWait})
-		time.Sleep(newestInterval)
+// callVersions sends requests to an entry until the end of the load or of the entry's process: in
+// turn on the route of the newest version, and on that of the newest one that is old enough to be
+// in force.
+func (s *Soak) callVersions(c *hostedsystem.Caller, entry int, end time.Time) {
+	for age := time.Duration(0); time.Now().Before(end) && !s.isOut(entry, true); age = changeBound - age {
+		newest := s.newestVersion(age)
+		c.Do(hostedsystem.Call{URL: s.system.Members[entry].URL, Prefix: hostedsystem.StepPrefix(newest), Step: newest, LeaveAfter: versionWait})
+		time.Sleep(versionInterval)
+	}
+}
+
+// newestVersion returns the newest version of the configuration of an age, or else the first.
+func (s *Soak) newestVersion(age time.Duration) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	newest := 1
+	for version, writtenAt := range s.record.versions {
+		if version > newest && time.Since(writtenAt) >= age {
+			newest = version
+		}
 	}
+	return newest
 }
