Show that an earlier restore ends the withholding of a later one

Cause: Fleet.observeEra starts a timer of withholdTime (10 s) for each era, and each one releases all withheld servers, also those of a later restore.

The test fails on this code with the server in use 2 s after the restore.

--- a/internal/platform/fleet/era_test.go
+++ b/internal/platform/fleet/era_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/jonboulle/clockwork"
 
@@ -215,3 +216,33 @@
 		}
 	}
 }
+
+// Guards against a server that was removed before the second of two restores and gets requests
+// again, as the copy lists it, when the time for which the first one withheld servers is over.
+func TestEarlierRestoreDoesNotEndWithholding(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	f := newFleet(clock)
+	leaving := func() bool {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		return f.servers.Servers()["a"].Leaving
+	}
+	listAt(f, 1, 10, "a", "b")
+	listAt(f, 2, 20, "a", "b")
+	f.setServers(newServers(21, false, "b"), listwatch.Delta{At: mulberryspool.Position{Era: 2, Revision: 31}})
+	clock.Advance(withholdTime - time.Second)
+	listAt(f, 3, 20, "a", "b")
+	if !leaving() {
+		t.Fatal("the removed server is not withheld after the restore")
+	}
+	if err := clock.BlockUntilContext(t.Context(), 1); err != nil {
+		t.Fatal(err)
+	}
+	clock.Advance(2 * time.Second)
+	for range 100 {
+		if !leaving() {
+			t.Fatalf("the removed server is used 2 s after the restore, want it withheld for %v", withholdTime)
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
