--- a/internal/backend/liveness/checker.go
+++ b/internal/backend/liveness/checker.go
@@ -46,7 +46,7 @@
 	// ErrUnknown means that it did not answer in time, or closed the connection, which is also
 	// what a server does with connections beyond its limit.
 	ErrUnknown = errors.New("backend server does not answer")
-	// ErrClosed comes with ErrUnknown. It means that the server went on accepting connections for
+	// ErrClosed comes with ErrUnknown. It means that the server kept accepting connections for
 	// closedTime, and closed each of them without an answer.
 	ErrClosed = errors.New("connection was closed without an answer")
 )
--- a/internal/entry/forward/connlimit_test.go
+++ b/internal/entry/forward/connlimit_test.go
@@ -13,7 +13,7 @@
 	"github.com/mulberryspool/mulberryspool/internal/entry/quarantine"
 )
 
-// limitedBackend is a backend server that resets new connections while it is full, and goes on
+// limitedBackend is a backend server that resets new connections while it is full, and keeps
 // running.
 type limitedBackend struct {
 	*backend
@@ -45,7 +45,7 @@
 	return b
 }
 
-// reset resets a connection once the request arrives, so that the entry can't tell that
+// reset resets a connection once the request arrives, so that the entry does not know that
 // nothing was sent.
 func (b *limitedBackend) reset(conn net.Conn) {
 	go func() {
--- a/internal/integration/restoredsystem_test.go
+++ b/internal/integration/restoredsystem_test.go
@@ -238,7 +238,7 @@
 }
 
 // checkConfiguration checks that the second configuration is in force at an entry from a time
-// on, and that the first one does not come back.
+// on, and that the first one is not in force again.
 func (s *restoredSystem) checkConfiguration(entry int, inForceAt time.Time) {
 	url := s.Members[entry].URL
 	// seenAt is when a caller first saw the second configuration.
--- a/internal/platform/fleet/era.go
+++ b/internal/platform/fleet/era.go
@@ -9,7 +9,7 @@
 )
 
 // ObserveEra records an era of the store that a peer knows of, or another call of this process if
-// peer is empty. A peer of an earlier build names none, so that 0 says nothing.
+// peer is empty. A peer of an earlier build names none, so that 0 is ignored.
 func (f *Fleet) ObserveEra(era mulberryspool.Era, peer string) {
 	source := fromPeer
 	if peer == "" {
--- a/internal/platform/fleet/era_test.go
+++ b/internal/platform/fleet/era_test.go
@@ -157,7 +157,7 @@
 }
 
 // Guards against a server that was removed before a restore and is never used again, although the
-// restored store goes on listing it, or that is used at once.
+// restored store still lists it, or that is used at once.
 func TestServerRemovedBeforeRestoreIsUsedAgainLater(t *testing.T) {
 	clock := clockwork.NewFakeClock()
 	f := newFleet(clock)
--- a/internal/platform/fleet/fleet.go
+++ b/internal/platform/fleet/fleet.go
@@ -100,7 +100,7 @@
 		versionFollower listwatch.Follower[mulberryspool.NamedVersion]
 
 		mu sync.Mutex
-		// era is the latest era of the store that is known, firstEra the first one; known
+		// era is the latest era of the store that is known, firstEra the first one; eraKnown
 		// is set once there is one.
 		era, firstEra mulberryspool.Era
 		eraKnown      bool
--- a/internal/platform/fleet/grace_test.go
+++ b/internal/platform/fleet/grace_test.go
@@ -194,7 +194,7 @@
 	})
 }
 
-// Guards against a process that starts during a restore, hears of the new era from a peer first, and
+// Guards against a process that starts during a restore, learns the new era from a peer first, and
 // then takes a late answer of the earlier era for the current one.
 func TestFirstEraKnownFromPeerOutdatesLateList(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/platform/membership/era_test.go
+++ b/internal/platform/membership/era_test.go
@@ -57,7 +57,7 @@
 }
 
 // Guards against a server that is used again because the copy of a restored store is older than its
-// removal, and against one that is never used again although it has written itself anew.
+// removal, and against one that is never used again although it has registered again.
 func TestRemovedServerIsWithheldAfterRestore(t *testing.T) {
 	restored := func() *View {
 		var v View
@@ -71,7 +71,7 @@
 		t.Error("the removed server is used again")
 	}
 	if v.Snapshot().Servers["a"].Leaving {
-		t.Error("the removed server is reported to peers as leaving, although it may have written itself anew")
+		t.Error("the removed server is reported to peers as leaving, although it may have registered again")
 	}
 	v.Merge(listed(2, 31, row{"a", 7, 10, false}))
 	if !v.Servers()["a"].Leaving {
--- a/internal/platform/namedversion/history.go
+++ b/internal/platform/namedversion/history.go
@@ -13,7 +13,7 @@
 // Bounds count from its beginning.
 //
 // A store that is restored from a copy lacks the last versions until they are named again.
-// So its answers say nothing of a version until settleTime after the restore, and revisions
+// So its answers don't date a version until settleTime after the restore, and revisions
 // of different eras are not compared.
 package namedversion
 
