--- a/internal/testkit/silencesoak/store.go
+++ b/internal/testkit/silencesoak/store.go
@@ -172,7 +172,7 @@
 	s.record.refused[url] = append(s.record.refused[url], span{from, time.Now()})
 }
 
-// endStore records what goes on when the plan ends.
+// endStore records the refusals that last beyond the end of the plan.
 func (s *Soak) endStore() {
 	for entry, from := range s.store.refused {
 		s.recordRefused(entry, from)
