Decode regions, cold servers, limits of callers and the fourth load figure

The configuration and the servers of further deployments name them. They are decoded and not used yet; docs/design/hard-load.md says what follows.

--- a/backendserver.go
+++ b/backendserver.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"time"
 
 	"github.com/cockroachdb/errors"
 )
@@ -13,6 +14,8 @@
 	MaxNameBytes = 256
 	// MaxSlots is the maximum number of requests that a backend server runs concurrently.
 	MaxSlots = 1 << 16
+	// MaxColdTime is the maximum time for which a backend server is cold.
+	MaxColdTime = time.Hour
 	// MaxLoadedModels is the maximum number of models of a backend server.
 	MaxLoadedModels = 64
 )
@@ -39,6 +42,8 @@
 		return errors.Newf("%d slots, want 0 to %d", s.Slots, MaxSlots)
 	case s.Born < 0:
 		return errors.Newf("start at %d ms is negative", s.Born)
+	case s.ColdFor < 0 || s.ColdFor > MaxColdTime:
+		return errors.Newf("cold for %v, want 0 to %v", s.ColdFor, MaxColdTime)
 	case len(s.Models) > MaxLoadedModels:
 		return errors.Newf("%d models, more than %d", len(s.Models), MaxLoadedModels)
 	case s.Address == "":
--- a/engine.go
+++ b/engine.go
@@ -21,6 +21,9 @@
 		TokensPerSecond float64 `json:"tokensPerSecond"`
 		// Age is the time since the backend server created the report.
 		Age time.Duration `json:"age"`
+		// WorkPercent is how long work takes on the machine at present, in percent of the
+		// usual time; 0 if not reported.
+		WorkPercent int `json:"workPercent,omitempty"`
 	}
 
 	// BackendRequest is one call to a backend server.
--- a/fleet.go
+++ b/fleet.go
@@ -30,6 +30,18 @@
 		Workspaces []Workspace `json:"workspaces,omitzero"`
 		// MaxBodyBytes is the maximum size of a request body.
 		MaxBodyBytes int64 `json:"maxBodyBytes,omitzero"`
+		// Limits holds the other limits of callers.
+		Limits CallerLimits `json:"limits,omitzero"`
+	}
+
+	// CallerLimits bounds what a caller may send. A field is 0 if the operators set no limit.
+	CallerLimits struct {
+		// MaxHeadBytes is the maximum size of a request's line and headers.
+		MaxHeadBytes int64 `json:"maxHeadBytes,omitzero"`
+		// HeadTimeout is how long a caller may take to send them.
+		HeadTimeout time.Duration `json:"headTimeout,omitzero"`
+		// IdleTimeout is how long a connection may be idle between two requests.
+		IdleTimeout time.Duration `json:"idleTimeout,omitzero"`
 	}
 
 	// IngressRoute maps the requests to a host and a path prefix to pools.
@@ -55,6 +67,8 @@
 		Public bool `json:"public,omitzero"`
 		// Resumable streams may be continued at another backend server.
 		Resumable bool `json:"resumable,omitzero"`
+		// Regions are the regions whose backend servers may get the requests; empty for all.
+		Regions []string `json:"regions,omitzero"`
 		// Pools holds at least one pool. Requests are split by the weights.
 		Pools []WeightedPool `json:"pools,omitzero"`
 	}
@@ -79,6 +93,11 @@
 		Origin string `json:"origin,omitzero"`
 		// OriginBytesPerSecond is the bandwidth of the origin's link; 0 if not known.
 		OriginBytesPerSecond int64 `json:"originBytesPerSecond,omitzero"`
+		// ColdTime is how long a backend server is cold after a start during traffic, and
+		// ColdRate the requests per second that it bears then, from all entries together.
+		// They are 0 for pools whose servers are never cold.
+		ColdTime time.Duration `json:"coldTime,omitzero"`
+		ColdRate float64       `json:"coldRate,omitzero"`
 	}
 
 	// EngineProfile holds the published performance of a pool's model engines.
@@ -110,6 +129,9 @@
 		Keys []string `json:"keys,omitzero"`
 		// Priority overrides that of the route; nil for none.
 		Priority *int `json:"priority,omitzero"`
+		// Regions are the regions whose backend servers may get the requests, besides those
+		// of the route, which bind too; empty for all.
+		Regions []string `json:"regions,omitzero"`
 	}
 
 	// BackendServer is a backend server as it describes itself in the store.
@@ -121,6 +143,8 @@
 		Address       string `json:"address,omitzero"`
 		FailureDomain string `json:"failureDomain,omitzero"`
 		Slots         int    `json:"slots,omitzero"`
+		// ColdFor is how long the backend server was still cold when it wrote this.
+		ColdFor time.Duration `json:"coldFor,omitzero"`
 		// Leaving backend servers accept no new requests.
 		Leaving bool `json:"leaving,omitzero"`
 		// Models holds the completely loaded models; empty for plain services.
@@ -199,6 +223,8 @@
 		Version int64
 		// Load is nil if not specified.
 		Load *LoadReport
+		// ColdFor is how long the backend server is still cold; nil if not specified.
+		ColdFor *time.Duration
 		// RateLimit is the number of requests per second that the backend server
 		// accepts from all entries together; nil if it names none.
 		RateLimit *float64
--- a/internal/entry/placement/placement.go
+++ b/internal/entry/placement/placement.go
@@ -100,6 +100,8 @@
 		// VersionGrace is how long responses of a version may still start after a
 		// newer one became the named version.
 		VersionGrace time.Duration
+		// RegionOf returns the region of a failure domain, empty if it is not known.
+		RegionOf func(failureDomain string) string
 		// PathDelays holds how long messages to the backend servers of each failure
 		// domain take; nil if that is not known.
 		PathDelays *pathdelay.Delays
@@ -121,6 +123,9 @@
 		ArrivedAt, Deadline time.Time
 		// Exclude lists the backend servers that were tried already.
 		Exclude []mulberryspool.InstanceID
+		// Regions are the only regions whose backend servers may get the request; nil for
+		// all, none if it is empty.
+		Regions []string
 		// Version is the only version that may serve the request; 0 allows any
 		// whose grace has not ended.
 		Version int64
--- a/internal/settings/hosted/hosted.go
+++ b/internal/settings/hosted/hosted.go
@@ -92,12 +92,22 @@
 		RepeatRatio  float64       `yaml:"repeatRatio" validate:"gte=0"`
 		RepeatWindow time.Duration `yaml:"repeatWindow" validate:"gt=0"`
 		RepeatSlack  float64       `yaml:"repeatSlack" validate:"gte=0"`
+		// Evacuation is the time within which no request may reach a failure domain that
+		// is evacuated; 0 if failure domains are never evacuated.
+		Evacuation time.Duration `yaml:"evacuation" validate:"gte=0"`
+		// ColdOvershoot and ColdSlack bound the requests that a cold backend server gets in
+		// a second from all entries together: its rate times ColdOvershoot, plus ColdSlack.
+		// Both are 0 if backend servers are never cold.
+		ColdOvershoot float64 `yaml:"coldOvershoot" validate:"gte=0"`
+		ColdSlack     float64 `yaml:"coldSlack" validate:"gte=0"`
 	}
 
 	// Limits are the resources of the machine.
 	Limits struct {
 		Memory decode.Size `yaml:"memory" validate:"gt=0"`
 		Link   decode.Rate `yaml:"link" validate:"gt=0"`
+		// Descriptors is the number of open files and sockets of a process; 0 if not known.
+		Descriptors int `yaml:"descriptors" validate:"gte=0"`
 	}
 )
 
