Send requests only to servers in their regions

Cause: the regions of a route or a workspace were decoded and not used. Change: ingress.Table.Regions derives them from the configuration in force at each placement, the placer leaves servers outside them out of choices, capacity and waits, and a request is checked again before it is written. A new configuration applies to waiting requests. Requests whose regions are full no longer hold up those for others; the order among requests without regions is unchanged. Rejections have the outcome noServerInRegions.

--- a/internal/entry/forward/announcement.go
+++ b/internal/entry/forward/announcement.go
@@ -36,7 +36,7 @@
 	if !response.Head.Leaving || a.handler.ServerLeaving == nil || response.Head.Instance != "" && response.Head.Instance != server.Instance {
 		return
 	}
-	known := a.handler.Scheduler.Withheld(a.pool.Name, server)
+	known := a.handler.Scheduler.Withheld(a.pool.Name, server, a.scope)
 	a.handler.ServerLeaving(server.Instance, server.Born)
 	if known != placement.ReasonServerLeaving && known != placement.ReasonServerGone {
 		a.handler.count("leaving_answers", a.route.Name, a.pool.Name, "")
--- a/internal/entry/forward/handler.go
+++ b/internal/entry/forward/handler.go
@@ -131,6 +131,7 @@
 			return
 		}
 	}
+	q.scope = scheduler.Scope{Host: r.Host, Path: path, Key: head.Key, Route: q.route, Workspace: q.workspace}
 	limit := table.Ingress.MaxBodyBytes
 	if limit <= 0 {
 		limit = defaultBodyBytes
--- a/internal/entry/forward/request.go
+++ b/internal/entry/forward/request.go
@@ -11,6 +11,7 @@
 	"github.com/mulberryspool/mulberryspool/internal/entry/bodybudget"
 	"github.com/mulberryspool/mulberryspool/internal/entry/placement"
 	"github.com/mulberryspool/mulberryspool/internal/entry/quarantine"
+	"github.com/mulberryspool/mulberryspool/internal/entry/scheduler"
 )
 
 const (
@@ -46,6 +47,7 @@
 		route         *mulberryspool.IngressRoute
 		pool          mulberryspool.IngressPool
 		workspace     *mulberryspool.Workspace
+		scope         scheduler.Scope
 		target        string
 		body          []byte
 		callerRetry   bool
@@ -341,7 +343,7 @@
 	case q.serverError != nil:
 		q.writeResponse(q.serverError, "failure:"+reason)
 	case !q.mayHaveRun:
-		retryAfter := max(rejectedRetryAfter, q.handler.Scheduler.PauseLeft(q.pool.Name))
+		retryAfter := max(rejectedRetryAfter, q.handler.Scheduler.PauseLeft(q.pool.Name, q.scope))
 		q.writeError(http.StatusServiceUnavailable, typeNotRun, reason, q.capRetryAfter(retryAfter))
 	case q.handler.Clock.Until(q.deadline) <= 0:
 		q.writeError(http.StatusGatewayTimeout, typeUnknown, reason, 0)
--- a/internal/entry/forward/send.go
+++ b/internal/entry/forward/send.go
@@ -94,7 +94,7 @@
 	return placement.Request{
 		PromptTokens: a.head.PromptTokens, AnswerTokens: a.head.ExpectedTokens, Priority: a.priority(), CallerRetry: a.callerRetry,
 		LatencyObjective: a.route.Objective, ArrivedAt: a.arrivedAt, Deadline: a.deadline, Exclude: a.exclude,
-		Version: a.version, Reattempt: len(a.exclude) > 0, Trial: a.admission.Trial,
+		Version: a.version, Reattempt: len(a.exclude) > 0, Trial: a.admission.Trial, Scope: a.scope,
 	}
 }
 
@@ -138,14 +138,14 @@
 	if took, opened := a.conn.OpenTook(); opened {
 		a.handler.Scheduler.RecordPathDelay(a.decision.Server.FailureDomain, took)
 	}
-	result, code := resultWithheld, string(a.handler.Scheduler.Withheld(a.pool.Name, a.decision.Server))
+	result, code := resultWithheld, a.withheld()
 	by := a.startBy()
 	switch {
 	case !by.IsZero() && !a.handler.Clock.Now().Before(by):
 		a.err = errors.Newf("version %d is out of date since the connection was opened", a.decision.Version)
 		result, code = resultNotSent, outcomeOutdated
 	case code != "":
-		a.err = errors.Newf("backend server is %s since the request was placed", code)
+		a.err = withheldError(code)
 	case a.beside != nil && !a.handler.Scheduler.AllowRetry(a.pool.Name):
 		a.err = errors.New("retry budget is used up")
 		code = codeNoRetryBudget
@@ -153,7 +153,11 @@
 		a.err = context.Cause(a.ctx)
 		code = outcomeSuperseded
 	default:
-		return resultFinished
+		// The request's goroutine may have taken long to accept the message.
+		if code = a.withheld(); code == "" {
+			return resultFinished
+		}
+		a.err = withheldError(code)
 	}
 	a.conn.Release(true)
 	a.reportEnded(placement.Cancelled, 0)
@@ -161,6 +165,16 @@
 	return result
 }
 
+// withheld returns why the request must not be sent now to the backend server that it was placed
+// at, empty if it may be.
+func (a *attempt) withheld() string {
+	return string(a.handler.Scheduler.Withheld(a.pool.Name, a.decision.Server, a.scope))
+}
+
+func withheldError(code string) error {
+	return errors.Newf("backend server has been withheld since the request was placed: %s", code)
+}
+
 // connect returns a connection that the request may use.
 func (a *attempt) connect(target httpconn.Target) (*httpconn.Conn, error) {
 	switch {
--- a/internal/entry/placement/choose.go
+++ b/internal/entry/placement/choose.go
@@ -81,6 +81,11 @@
 // usable reports whether the backend server may get the request at all; free
 // capacity is not checked here.
 func (p *Placer) usable(s *server, r Request, now time.Time) bool {
+	return p.Config.permits(s.FailureDomain, r.Regions) && p.able(s, r, now)
+}
+
+// able reports whether the backend server could serve the request.
+func (p *Placer) able(s *server, r Request, now time.Time) bool {
 	if s.Leaving || slices.Contains(r.Exclude, s.Instance) {
 		return false
 	}
--- a/internal/entry/placement/pause.go
+++ b/internal/entry/placement/pause.go
@@ -15,9 +15,9 @@
 // Paused returns the number of backend servers that want no requests now.
 func (p *Placer) Paused(now time.Time) int { return p.pauses.Active(now) }
 
-// Withheld returns why a request that was placed at the backend server must not be sent
-// any more, empty if it may be.
-func (p *Placer) Withheld(b mulberryspool.BackendServer, now time.Time) Reason {
+// Withheld returns why a request that was placed at the backend server and that the regions,
+// nil for all, may get must not be sent any more, empty if it may be.
+func (p *Placer) Withheld(b mulberryspool.BackendServer, regions []string, now time.Time) Reason {
 	s := p.servers[b.Instance]
 	switch {
 	case s == nil || s.Born != b.Born:
@@ -26,14 +26,16 @@
 		return ReasonServerLeaving
 	case !p.pausedUntil(s, now).IsZero():
 		return ReasonServerPaused
+	case !p.Config.permits(s.FailureDomain, regions):
+		return ReasonServerRegion
 	}
 	return ""
 }
 
 // PauseLeft returns the time until the first usable server of a pool wants requests; 0
-// if one wants them now, or none is usable.
-func (p *Placer) PauseLeft(now time.Time) time.Duration {
-	if c := p.usableCapacity(Request{}, now, now); c.servers == 0 && !c.pausedUntil.IsZero() {
+// if one wants them now, or none is usable. Only those in the regions count, nil for all.
+func (p *Placer) PauseLeft(regions []string, now time.Time) time.Duration {
+	if c := p.usableCapacity(Request{Regions: regions}, now, now); c.servers == 0 && !c.pausedUntil.IsZero() {
 		return c.pausedUntil.Sub(now)
 	}
 	return 0
--- a/internal/entry/placement/pause_replay_test.go
+++ b/internal/entry/placement/pause_replay_test.go
@@ -55,7 +55,7 @@
 		dial = 2 * time.Second
 	}
 	r.after(0, dial, func() {
-		if r.Withheld(d.Server, r.now) != "" {
+		if r.Withheld(d.Server, nil, r.now) != "" {
 			r.RecordEnd(d.Server.Instance, 0, false, Cancelled, 0, r.now)
 			r.offer(q)
 			return
--- a/internal/entry/placement/pause_test.go
+++ b/internal/entry/placement/pause_test.go
@@ -75,22 +75,22 @@
 		t.Errorf("decided %+v, want a refusal with the pause", decided)
 	}
 	p.SetServers(nil)
-	if reason := p.Withheld(servers[0], now); reason != ReasonServerGone {
+	if reason := p.Withheld(servers[0], nil, now); reason != ReasonServerGone {
 		t.Errorf("request to a removed server: %q", reason)
 	}
 	p.SetServers(servers)
-	if reason := p.Withheld(servers[0], now); reason != ReasonServerPaused {
+	if reason := p.Withheld(servers[0], nil, now); reason != ReasonServerPaused {
 		t.Errorf("request to a paused server that is listed again: %q", reason)
 	}
 	servers[0].Leaving = true
 	p.SetServers(servers)
-	if reason := p.Withheld(servers[0], now); reason != ReasonServerLeaving {
+	if reason := p.Withheld(servers[0], nil, now); reason != ReasonServerLeaving {
 		t.Errorf("request to a leaving server: %q", reason)
 	}
 	servers[0].Leaving, servers[0].Born = false, 2
 	p.SetServers(servers)
 	p.SetPeer("other", PeerReport{}, now)
-	if d := p.Offer(request(now), now); d.Verdict != Placed || p.Withheld(d.Server, now) != "" {
+	if d := p.Offer(request(now), now); d.Verdict != Placed || p.Withheld(d.Server, nil, now) != "" {
 		t.Errorf("decision at the next incarnation is %+v", d)
 	}
 }
--- a/internal/entry/placement/placement.go
+++ b/internal/entry/placement/placement.go
@@ -23,6 +23,7 @@
 	"time"
 
 	"github.com/mulberryspool/mulberryspool"
+	"github.com/mulberryspool/mulberryspool/internal/entry/ingress"
 	"github.com/mulberryspool/mulberryspool/internal/entry/pathdelay"
 )
 
@@ -126,6 +127,8 @@
 		// Regions are the only regions whose backend servers may get the request; nil for
 		// all, none if it is empty.
 		Regions []string
+		// Scope is what Regions follows from; zero if the request has no restriction.
+		Scope ingress.Scope
 		// Version is the only version that may serve the request; 0 allows any
 		// whose grace has not ended.
 		Version int64
--- a/internal/entry/placement/placer.go
+++ b/internal/entry/placement/placer.go
@@ -172,8 +172,8 @@
 func (p *Placer) Offer(r Request, now time.Time) Decision {
 	p.lastTicket++
 	q := &queuedRequest{ticket: p.lastTicket, request: r}
-	if len(p.waiting) == 0 || r.Reattempt {
-		if d, ok := p.place(q, now); ok {
+	if open, ok := p.uncontended(r); ok {
+		if d, ok := p.place(&queuedRequest{ticket: q.ticket, request: open}, now); ok {
 			return d
 		}
 	}
@@ -234,12 +234,19 @@
 // DecideWaiting places waiting requests while there is capacity, and ends the
 // waits that have timed out. Call it after any change, and at NextWake.
 func (p *Placer) DecideWaiting(now time.Time) []Decision {
-	var decisions []Decision
+	var (
+		decisions []Decision
+		blocked   blockedRegions
+	)
 	for len(p.waiting) > 0 {
-		i := p.firstInQueue()
+		i := p.firstPlaceable(blocked)
+		if i < 0 {
+			break
+		}
 		d, ok := p.place(p.waiting[i], now)
 		if !ok {
-			break
+			blocked = append(blocked, p.waiting[i].request.Regions)
+			continue
 		}
 		decisions = append(decisions, d)
 		p.waiting = slices.Delete(p.waiting, i, i+1)
@@ -250,6 +257,8 @@
 			decisions = append(decisions, p.expire(q, now))
 		case p.allPaused(q.request, q.waitUntil, now):
 			decisions = append(decisions, p.refuse(q, ReasonPaused, now))
+		case p.onlyElsewhere(q.request, now):
+			decisions = append(decisions, p.refuse(q, ReasonNoServerInRegions, now))
 		default:
 			return false
 		}
@@ -333,6 +342,8 @@
 		switch {
 		case !capacity.pausedUntil.IsZero():
 			reason = ReasonPaused
+		case p.onlyElsewhere(q.request, now):
+			reason = ReasonNoServerInRegions
 		case len(q.request.Exclude) > 0:
 			reason = ReasonNoOtherServer
 		}
--- a/internal/entry/placement/queue.go
+++ b/internal/entry/placement/queue.go
@@ -12,12 +12,12 @@
 	return first
 }
 
-// waitingAheadOf returns the number of waiting requests that the request does not
-// precede.
+// waitingAheadOf returns the number of waiting requests for the same backend servers that the
+// request does not precede.
 func (p *Placer) waitingAheadOf(r Request) int {
 	ahead := 0
 	for _, q := range p.waiting {
-		if !p.precedes(r, q.request) {
+		if competes(r, q.request) && !p.precedes(r, q.request) {
 			ahead++
 		}
 	}
--- a/internal/entry/scheduler/pause.go
+++ b/internal/entry/scheduler/pause.go
@@ -21,25 +21,25 @@
 	return began
 }
 
-// Withheld returns why a request that was placed at the backend server must not be sent
-// any more, empty if it may be. Check it when the request is about to be written.
-func (s *Scheduler) Withheld(name string, server mulberryspool.BackendServer) placement.Reason {
+// Withheld returns why a request of the scope that was placed at the backend server must not be
+// sent any more, empty if it may be. Check it when the request is about to be written.
+func (s *Scheduler) Withheld(name string, server mulberryspool.BackendServer, scope Scope) placement.Reason {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	p := s.pools[name]
 	if p == nil {
 		return placement.ReasonServerGone
 	}
-	return p.placer.Withheld(server, s.Clock.Now())
+	return p.placer.Withheld(server, s.regions(scope), s.Clock.Now())
 }
 
 // PauseLeft returns the time until the first backend server of a pool wants requests
-// again; 0 if one wants them now, or there is none.
-func (s *Scheduler) PauseLeft(name string) time.Duration {
+// again that may get requests of the scope; 0 if one wants them now, or there is none.
+func (s *Scheduler) PauseLeft(name string, scope Scope) time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if p := s.pools[name]; p != nil {
-		return p.placer.PauseLeft(s.Clock.Now())
+		return p.placer.PauseLeft(s.regions(scope), s.Clock.Now())
 	}
 	return 0
 }
--- a/internal/entry/scheduler/scheduler.go
+++ b/internal/entry/scheduler/scheduler.go
@@ -109,6 +109,7 @@
 		p.placer.SetPool(settings)
 		s.syncServers(name, p)
 	}
+	s.updateRegions()
 	return true
 }
 
@@ -155,6 +156,7 @@
 		s.mu.Unlock()
 		return placement.Decision{Verdict: placement.Refused, Reason: placement.ReasonNoServer, RetryAfter: time.Second}
 	}
+	r.Regions = s.regions(r.Scope)
 	decision := p.placer.Offer(r, s.Clock.Now())
 	if decision.Verdict != placement.Waiting {
 		s.mu.Unlock()
--- a/internal/role/hosted/entry.go
+++ b/internal/role/hosted/entry.go
@@ -204,6 +204,7 @@
 		LoadChanged: func() { wake(e.loadChanged) },
 		Placement: placement.Config{
 			EntryName: e.settings.Instance, FailureDomain: e.identity.FailureDomain, CrossDomainDelay: crossDomainDelay, VersionGrace: b.NamedVersion - versionEndMargin,
+			RegionOf: e.settings.RegionOf,
 		},
 		RetryBudget: retrybudget.Budget{Window: b.RepeatWindow, Ratio: b.RepeatRatio, Slack: b.RepeatSlack / 2},
 	}
