Send no requests to evacuated failure domains

Cause: the operators can evacuate a failure domain, which was not known to the entries. Change: package evacuation keeps the evacuated failure domains as a set as of a position of the store, from the store and from heartbeats of other entries, the later position in force. Few entries watch the kind. The placer leaves such servers out of choices, capacity and waits, and a request is checked again before it is written. An entry that has just started or was suspended sends nothing until it has a fresh set, or for two fifths of the bound. Nothing is watched without evacuation-ms. Verified: go test ./internal/entry/placement ./internal/entry/scheduler ./internal/platform/evacuation ./internal/platform/listwatch ./internal/peer/heartbeat ./internal/role/... ./platform

--- a/internal/entry/placement/choose.go
+++ b/internal/entry/placement/choose.go
@@ -81,7 +81,7 @@
 // usable reports whether the backend server may get the request at all; free
 // capacity is not checked here.
 func (p *Placer) usable(s *server, r Request, now time.Time) bool {
-	return p.Config.permits(s.FailureDomain, r.Regions) && p.able(s, r, now)
+	return p.admits(s.BackendServer, r) && p.able(s, r, now)
 }
 
 // able reports whether the backend server could serve the request.
--- a/internal/entry/placement/pause.go
+++ b/internal/entry/placement/pause.go
@@ -26,6 +26,8 @@
 		return ReasonServerLeaving
 	case !p.pausedUntil(s, now).IsZero():
 		return ReasonServerPaused
+	case p.Evacuated(s.FailureDomain):
+		return ReasonServerEvacuated
 	case !p.Config.permits(s.FailureDomain, regions):
 		return ReasonServerRegion
 	}
--- a/internal/entry/placement/placer.go
+++ b/internal/entry/placement/placer.go
@@ -49,7 +49,8 @@
 		ordered []*server
 		peers   map[string]peerState
 		// pauses outlasts the listing of a server, which may be interrupted.
-		pauses serverpause.Pauses
+		pauses      serverpause.Pauses
+		evacuations evacuations
 		// namedVersions holds when each version became the named version.
 		namedVersions map[int64]time.Time
 		// meanServiceTime is the moving average of the time that requests take;
@@ -252,13 +253,14 @@
 		p.waiting = slices.Delete(p.waiting, i, i+1)
 	}
 	p.waiting = slices.DeleteFunc(p.waiting, func(q *queuedRequest) bool {
+		excluded := p.excludedReason(q.request, now)
 		switch {
 		case !now.Before(q.waitUntil):
 			decisions = append(decisions, p.expire(q, now))
 		case p.allPaused(q.request, q.waitUntil, now):
 			decisions = append(decisions, p.refuse(q, ReasonPaused, now))
-		case p.onlyElsewhere(q.request, now):
-			decisions = append(decisions, p.refuse(q, ReasonNoServerInRegions, now))
+		case excluded != "":
+			decisions = append(decisions, p.refuse(q, excluded, now))
 		default:
 			return false
 		}
@@ -338,12 +340,12 @@
 	limit := p.maxWait(q.request, now)
 	capacity := p.usableCapacity(q.request, now, now.Add(limit))
 	if capacity.servers == 0 {
-		reason := ReasonNoServer
+		reason, excluded := ReasonNoServer, p.excludedReason(q.request, now)
 		switch {
 		case !capacity.pausedUntil.IsZero():
 			reason = ReasonPaused
-		case p.onlyElsewhere(q.request, now):
-			reason = ReasonNoServerInRegions
+		case excluded != "":
+			reason = excluded
 		case len(q.request.Exclude) > 0:
 			reason = ReasonNoOtherServer
 		}
--- a/internal/entry/placement/regions.go
+++ b/internal/entry/placement/regions.go
@@ -1,9 +1,6 @@
 package placement
 
-import (
-	"slices"
-	"time"
-)
+import "slices"
 
 // The load pattern: requests that only some regions may serve come together with others. Those
 // whose regions are full must not hold up the others, nor count as waiting ahead of them.
@@ -42,25 +39,6 @@
 	}
 }
 
-// onlyElsewhere reports whether backend servers could serve the request, but none of them in
-// its regions.
-func (p *Placer) onlyElsewhere(r Request, now time.Time) bool {
-	if r.Regions == nil {
-		return false
-	}
-	elsewhere := false
-	for _, s := range p.ordered {
-		switch {
-		case !p.able(s, r, now):
-		case p.Config.permits(s.FailureDomain, r.Regions):
-			return false
-		default:
-			elsewhere = true
-		}
-	}
-	return elsewhere
-}
-
 // competes reports whether a backend server may exist that may get either request.
 func competes(a, b Request) bool {
 	return a.Regions == nil || b.Regions == nil || slices.ContainsFunc(a.Regions, func(region string) bool { return slices.Contains(b.Regions, region) })
--- a/internal/entry/placement/silence.go
+++ b/internal/entry/placement/silence.go
@@ -137,7 +137,7 @@
 	}
 	var due []mulberryspool.BackendServer
 	for _, s := range p.ordered {
-		if s.Leaving || now.Sub(s.probedAt) < silenceProbeInterval || !s.silent || !p.probes(s) {
+		if s.Leaving || p.Evacuated(s.FailureDomain) || now.Sub(s.probedAt) < silenceProbeInterval || !s.silent || !p.probes(s) {
 			continue
 		}
 		s.probedAt = now
@@ -170,14 +170,18 @@
 	p.updateSilent(now)
 }
 
-// mayAvoid reports whether at most half of the servers would be avoided now. If more would
-// be, the fault may be the entry's own, and none is avoided.
+// mayAvoid reports whether at most half of the servers would be avoided now, without those that
+// are evacuated. If more would be, the fault may be the entry's own, and none is avoided.
 func (p *Placer) mayAvoid(now time.Time) bool {
-	avoided := 0
+	avoided, evacuated := 0, 0
 	for _, s := range p.ordered {
+		if p.Evacuated(s.FailureDomain) {
+			evacuated++
+			continue
+		}
 		if s.silent || s.health.avoided(now) {
 			avoided++
 		}
 	}
-	return 2*avoided <= len(p.ordered)
+	return 2*avoided <= len(p.ordered)-evacuated
 }
--- a/internal/entry/scheduler/pause.go
+++ b/internal/entry/scheduler/pause.go
@@ -30,6 +30,9 @@
 	if p == nil {
 		return placement.ReasonServerGone
 	}
+	if !s.knowsEvacuations() {
+		return placement.ReasonEvacuationsUnknown
+	}
 	return p.placer.Withheld(server, s.regions(scope), s.Clock.Now())
 }
 
--- a/internal/entry/scheduler/scheduler.go
+++ b/internal/entry/scheduler/scheduler.go
@@ -38,6 +38,9 @@
 		// or waiting should be reported to the other entries soon; it must not
 		// block.
 		LoadChanged func()
+		// KnowsEvacuations reports whether this process knows well enough which failure domains
+		// are evacuated to send requests; nil for always. It must not call the Scheduler.
+		KnowsEvacuations func() bool
 
 		table atomic.Pointer[ingress.Table]
 
@@ -53,7 +56,9 @@
 		peers      map[string]time.Time
 		pathDelays pathdelay.Delays
 		// graceChanged holds the callbacks of OnGraceChange.
-		graceChanged      map[uint64]func()
+		graceChanged map[uint64]func()
+		// evacuated holds the failure domains that are evacuated.
+		evacuated         []string
 		lastGraceCallback uint64
 	}
 
@@ -156,6 +161,10 @@
 		s.mu.Unlock()
 		return placement.Decision{Verdict: placement.Refused, Reason: placement.ReasonNoServer, RetryAfter: time.Second}
 	}
+	if !s.knowsEvacuations() {
+		s.mu.Unlock()
+		return placement.Decision{Verdict: placement.Refused, Reason: placement.ReasonEvacuationsUnknown, RetryAfter: evacuationsUnknownRetryAfter}
+	}
 	r.Regions = s.regions(r.Scope)
 	decision := p.placer.Offer(r, s.Clock.Now())
 	if decision.Verdict != placement.Waiting {
@@ -304,6 +313,7 @@
 			retryBudget: s.RetryBudget,
 			waiting:     make(map[placement.Ticket]chan placement.Decision),
 		}
+		p.placer.SetEvacuated(s.evacuated, s.Clock.Now())
 		s.pools[name] = p
 	}
 	return p
--- a/internal/peer/heartbeat/heartbeat.go
+++ b/internal/peer/heartbeat/heartbeat.go
@@ -1,7 +1,8 @@
 // Package heartbeat exchanges heartbeats between entries and agents as UDP datagrams.
 //
 //	entry  --> entries: requests in flight, summary of its state, addresses of other entries,
-//	                    parts of prompts that crash backend servers, rate limits and silence of these
+//	                    parts of prompts that crash backend servers, rate limits and silence of these,
+//	                    evacuated failure domains
 //	entry  --> agents:  its address, named versions, parts of prompts
 //	agent  --> entries: the version that its backend server serves, parts of prompts
 //
@@ -28,6 +29,7 @@
 	"github.com/mulberryspool/mulberryspool/internal/entry/quarantine"
 	"github.com/mulberryspool/mulberryspool/internal/entry/serverlimit"
 	"github.com/mulberryspool/mulberryspool/internal/entry/silence"
+	"github.com/mulberryspool/mulberryspool/internal/platform/evacuation"
 	"github.com/mulberryspool/mulberryspool/internal/platform/fleet"
 )
 
@@ -84,6 +86,8 @@
 		Limits []serverlimit.Report `msgpack:",omitempty"`
 		// Silences holds the backend servers that have fallen silent.
 		Silences []silence.Report `msgpack:",omitempty"`
+		// Evacuations holds the evacuated failure domains, nil if they are not known.
+		Evacuations *evacuation.Report `msgpack:",omitempty"`
 	}
 
 	// AgentReport is an agent's report on its backend server. It is encoded as
--- a/internal/platform/listwatch/follower.go
+++ b/internal/platform/listwatch/follower.go
@@ -52,6 +52,9 @@
 		// Answered is called before Changed with each answer of the store: a time
 		// before that of the answer, and the store's position in it. It may be nil.
 		Answered func(after time.Time, at mulberryspool.Position)
+		// Confirmed is called after Changed with each answer of the store: the objects in use,
+		// their position, and a time before that of the answer. It may be nil.
+		Confirmed func(items map[string]T, at mulberryspool.Position, after time.Time)
 		// WatchTimeout returns how long the next watch waits for changes; nil for
 		// DefaultWatchTimeout.
 		WatchTimeout func() time.Duration
@@ -274,6 +277,9 @@
 	if first || d.Changed() {
 		f.Changed(f.Set.Items(), d)
 	}
+	if f.Confirmed != nil {
+		f.Confirmed(f.Set.Items(), at, after)
+	}
 	if end, ok := f.Set.NextExpiry(); ok {
 		f.Clock.AfterFunc(end.Sub(now), f.expire)
 	}
--- a/internal/role/hosted/entry.go
+++ b/internal/role/hosted/entry.go
@@ -115,6 +115,7 @@
 		connPool    *httpconn.Pool
 		handler     *forward.Handler
 		heartbeats  *heartbeat.Transport
+		evacuations *evacuations
 
 		// loadChanged is signalled when a request is placed, queued or ended.
 		loadChanged chan struct{}
@@ -183,6 +184,7 @@
 	defer stop()
 	group, groupCtx := errgroup.WithContext(background)
 	group.Go(func() error { e.fleet.Run(groupCtx); return nil })
+	group.Go(func() error { e.evacuations.run(groupCtx); return nil })
 	group.Go(func() error { return e.heartbeats.Run(groupCtx) })
 	group.Go(func() error { e.runHeartbeats(groupCtx); return nil })
 	group.Go(func() error { e.register(groupCtx); return nil })
@@ -245,9 +247,11 @@
 	countEra := e.fleet.EraChanged
 	e.fleet.EraChanged = func(before, era mulberryspool.Era) {
 		countEra(before, era)
+		e.evacuations.observeEra(era)
 		e.signalStateChange()
 		wake(e.eraChanged)
 	}
+	e.buildEvacuations()
 	e.handler.ServerLeaving = e.fleet.MarkLeaving
 	e.stateSync = &stateSync{
 		fleet: e.fleet, clock: e.clock, fetch: e.stateFetcher(e.fleet, statePath), logger: e.logger, failureDomain: e.identity.FailureDomain,
@@ -292,7 +296,7 @@
 func (e *entryRole) readinessServer() *http.Server {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+platform.ReadinessPath, func(w http.ResponseWriter, _ *http.Request) {
-		if e.handler.Stopping() || !e.fleet.HasSynced() {
+		if e.handler.Stopping() || !e.fleet.HasSynced() || !e.evacuations.synced() {
 			w.WriteHeader(http.StatusServiceUnavailable)
 			return
 		}
--- a/internal/role/hosted/entryheartbeats.go
+++ b/internal/role/hosted/entryheartbeats.go
@@ -56,6 +56,7 @@
 		e.promptGuard.Merge(m.Sender, m.Summary.Findings)
 		e.scheduler.MergeLimits(m.Sender, m.Summary.Limits)
 		e.scheduler.MergeSilences(m.Summary.Silences, delay)
+		e.evacuations.handleHeartbeat(m, delay)
 	}
 	if m.Role == mulberryspool.RoleEntry {
 		// Heartbeats sent by announce carry no loads; those known are kept.
@@ -145,9 +146,10 @@
 		e.scheduler.ExpirePeers()
 		e.promptGuard.Expire()
 		e.observeSilence()
+		e.evacuations.tick()
 		if round++; round%fullLoadRounds == 0 {
 			loads, waiting, limits := e.scheduler.Loads(), e.scheduler.Waiting(), e.scheduler.Limits()
-			summary := &heartbeat.Summary{Summary: e.fleet.Summary(), Limits: limits, Silences: e.scheduler.Silences()}
+			summary := &heartbeat.Summary{Summary: e.fleet.Summary(), Limits: limits, Silences: e.scheduler.Silences(), Evacuations: e.evacuations.report()}
 			e.heartbeats.Send(heartbeat.Message{Summary: summary, Loads: loads, Waiting: waiting}, e.heartbeats.ActivePeers(mulberryspool.RoleEntry))
 			now := e.clock.Now()
 			*local, *remote = sentLoads{loads, waiting, limits, now}, sentLoads{loads, waiting, limits, now}
@@ -227,7 +229,7 @@
 // with the addresses of all active entries, to registered entries that are not
 // active.
 func (e *entryRole) announce(findings []quarantine.Finding) {
-	summary := &heartbeat.Summary{Summary: e.fleet.Summary(), Findings: findings}
+	summary := &heartbeat.Summary{Summary: e.fleet.Summary(), Findings: findings, Evacuations: e.evacuations.report()}
 	active := e.heartbeats.ActivePeers(mulberryspool.RoleEntry)
 	isActive := make(map[netip.AddrPort]bool, len(active))
 	var activeAddresses []string
@@ -258,6 +260,7 @@
 	e.scheduler.Paused(func(pool string, servers int) {
 		e.metrics.Tagged(map[string]string{"pool": pool}).Gauge("paused_servers").Update(float64(servers))
 	})
+	e.evacuations.reportMetrics()
 	e.metrics.Gauge("log_lines_dropped").Update(float64(e.logWriter.Dropped()))
 }
 
