--- a/internal/entry/placement/placer.go
+++ b/internal/entry/placement/placer.go
@@ -49,7 +49,8 @@
 		ordered []*server
 		peers   map[string]peerState
 		// pauses outlasts the listing of a server, which may be interrupted.
-		pauses serverpause.Pauses
+		pauses      serverpause.Pauses
+		evacuations evacuations
 		// namedVersions holds when each version became the named version.
 		namedVersions map[int64]time.Time
 		// meanServiceTime is the moving average of the time that requests take;
@@ -172,8 +173,8 @@
 func (p *Placer) Offer(r Request, now time.Time) Decision {
 	p.lastTicket++
 	q := &queuedRequest{ticket: p.lastTicket, request: r}
-	if len(p.waiting) == 0 || r.Reattempt {
-		if d, ok := p.place(q, now); ok {
+	if open, ok := p.uncontended(r); ok {
+		if d, ok := p.place(&queuedRequest{ticket: q.ticket, request: open}, now); ok {
 			return d
 		}
 	}
@@ -234,22 +235,32 @@
 // DecideWaiting places waiting requests while there is capacity, and ends the
 // waits that have timed out. Call it after any change, and at NextWake.
 func (p *Placer) DecideWaiting(now time.Time) []Decision {
-	var decisions []Decision
+	var (
+		decisions []Decision
+		blocked   blockedRegions
+	)
 	for len(p.waiting) > 0 {
-		i := p.firstInQueue()
+		i := p.firstPlaceable(blocked)
+		if i < 0 {
+			break
+		}
 		d, ok := p.place(p.waiting[i], now)
 		if !ok {
-			break
+			blocked = append(blocked, p.waiting[i].request.Regions)
+			continue
 		}
 		decisions = append(decisions, d)
 		p.waiting = slices.Delete(p.waiting, i, i+1)
 	}
 	p.waiting = slices.DeleteFunc(p.waiting, func(q *queuedRequest) bool {
+		excluded := p.excludedReason(q.request, now)
 		switch {
 		case !now.Before(q.waitUntil):
 			decisions = append(decisions, p.expire(q, now))
 		case p.allPaused(q.request, q.waitUntil, now):
 			decisions = append(decisions, p.refuse(q, ReasonPaused, now))
+		case excluded != "":
+			decisions = append(decisions, p.refuse(q, excluded, now))
 		default:
 			return false
 		}
@@ -329,10 +340,12 @@
 	limit := p.maxWait(q.request, now)
 	capacity := p.usableCapacity(q.request, now, now.Add(limit))
 	if capacity.servers == 0 {
-		reason := ReasonNoServer
+		reason, excluded := ReasonNoServer, p.excludedReason(q.request, now)
 		switch {
 		case !capacity.pausedUntil.IsZero():
 			reason = ReasonPaused
+		case excluded != "":
+			reason = excluded
 		case len(q.request.Exclude) > 0:
 			reason = ReasonNoOtherServer
 		}
