--- a/internal/integration/restoredsystem_test.go
+++ b/internal/integration/restoredsystem_test.go
@@ -91,23 +91,27 @@
 // probe sends a request to each entry again and again until endProbes.
 func (s *restoredSystem) probe(call hostedsystem.Call, interval time.Duration) {
 	for _, e := range s.Members {
-		caller := hostedsystem.NewCaller(restoreTimeout, true)
-		s.callers = append(s.callers, caller)
-		own := call
-		own.URL = e.URL
-		s.probing.Go(func() {
-			for {
-				caller.Do(own)
-				select {
-				case <-time.After(interval):
-				case <-s.stop:
-					return
-				}
-			}
-		})
+		s.probeEntry(e, call, interval)
 	}
 }
 
+// probeEntry is probe for one entry.
+func (s *restoredSystem) probeEntry(e *hostedsystem.Entry, call hostedsystem.Call, interval time.Duration) {
+	caller := hostedsystem.NewCaller(restoreTimeout, true)
+	s.callers = append(s.callers, caller)
+	call.URL = e.URL
+	s.probing.Go(func() {
+		for {
+			caller.Do(call)
+			select {
+			case <-time.After(interval):
+			case <-s.stop:
+				return
+			}
+		}
+	})
+}
+
 func (s *restoredSystem) endProbes() {
 	s.stoppedAt = time.Now()
 	close(s.stop)
--- a/internal/testkit/hostedsystem/system.go
+++ b/internal/testkit/hostedsystem/system.go
@@ -78,6 +78,15 @@
 		Attempts int
 		// Slots is the number of slots of a backend server; 0 for 16.
 		Slots int
+		// Domains are the failure domains of the backend servers, in turn; if there are none, all are
+		// in that of the entries. The region of each is Region of it.
+		Domains []string
+		// Evacuation is the time within which an evacuation must be in force; 0 if failure domains
+		// are never evacuated.
+		Evacuation time.Duration
+		// Regions are those that the route for lookups allows; empty for all. It applies from the
+		// next PutConfiguration on.
+		Regions []string
 		// Version is that of the weights of the backend servers; 0 for a pool without a model.
 		Version int64
 
@@ -180,6 +189,9 @@
 		}
 	}
 	routes := []map[string]any{route("stream", StreamPrefix, "streaming"), route("lookup", LookupPrefix, "idempotent"), route("order", OrderPrefix, "non_idempotent")}
+	if len(s.Regions) > 0 {
+		routes[1]["allowed-regions"] = s.Regions
+	}
 	if s.ExtraRoute {
 		routes = append(routes, route("extra", ExtraPrefix, "idempotent"))
 	}
@@ -247,7 +259,7 @@
 
 func (s *System) putServer(i int, state string, version int64) {
 	specification := map[string]any{
-		"service": pool, "address": s.addresses[i], "zone": failureDomain, "version": "v1", "slots": s.slots(), "state": state, "sequence": 1, "born": 1,
+		"service": pool, "address": s.addresses[i], "zone": s.domain(i), "version": "v1", "slots": s.slots(), "state": state, "sequence": 1, "born": 1,
 	}
 	if version != 0 {
 		specification["models"] = []any{map[string]any{"name": model, "version": version}}
@@ -255,6 +267,23 @@
 	s.Store.Put(platform.KindServers, s.Servers[i].Instance, specification)
 }
 
+// Region returns the region of a failure domain.
+func Region(domain string) string { return "r-" + domain }
+
+// Evacuate evacuates a failure domain.
+func (s *System) Evacuate(domain string) { s.Store.Put(platform.KindEvacuations, domain, struct{}{}) }
+
+// Revoke ends the evacuation of a failure domain.
+func (s *System) Revoke(domain string) { s.Store.Delete(platform.KindEvacuations, domain) }
+
+// domain returns the failure domain of a backend server.
+func (s *System) domain(i int) string {
+	if len(s.Domains) == 0 {
+		return failureDomain
+	}
+	return s.Domains[i%len(s.Domains)]
+}
+
 func (s *System) slots() int { return cmp.Or(s.Slots, 16) }
 
 func (s *System) newEntry(t testing.TB, i int) *Entry {
@@ -266,20 +295,28 @@
 		URL: fmt.Sprintf("http://%s:%d", ip, callersPort), ReadinessURL: fmt.Sprintf("http://%s:%d%s", ip, readinessPort, platform.ReadinessPath),
 		SettingsFile: filepath.Join(t.TempDir(), "entry.yaml"),
 	}
+	regions := ""
+	for _, domain := range append([]string{failureDomain}, s.Domains...) {
+		regions += fmt.Sprintf("  - {failureDomain: %s, region: %s}\n", domain, Region(domain))
+	}
+	evacuation := ""
+	if s.Evacuation > 0 {
+		evacuation = ", evacuation: " + s.Evacuation.String()
+	}
 	text := fmt.Sprintf(`instance: %s
 failureDomain: %s
-region: r
+region: %s
 address: %s
 ports: {first: %d, last: %d}
-regions: [{failureDomain: %s, region: r}]
-listen: {callers: "%s:%d", readiness: "%s:%d"}
+regions:
+%slisten: {callers: "%s:%d", readiness: "%s:%d"}
 firstStart: true
 store: %s
-bounds: {gracefulStop: %s, namedVersion: 8s, repeatRatio: 0.2, repeatWindow: 10s, repeatSlack: %d}
+bounds: {gracefulStop: %s, namedVersion: 8s, repeatRatio: 0.2, repeatWindow: 10s, repeatSlack: %d%s}
 limits: {memory: %d MB, link: 700 Mbit/s}
 logSample: 1
 metricsPort: %d
-`, e.Registration, failureDomain, ip, firstInternalPort, firstInternalPort+5, failureDomain, ip, callersPort, ip, readinessPort, e.StoreAddress, s.GracefulStop, s.RepeatSlack, cmp.Or(s.MegabytesOfMemory, 206), metricsPort)
+`, e.Registration, failureDomain, Region(failureDomain), ip, firstInternalPort, firstInternalPort+5, regions, ip, callersPort, ip, readinessPort, e.StoreAddress, s.GracefulStop, s.RepeatSlack, evacuation, cmp.Or(s.MegabytesOfMemory, 206), metricsPort)
 	if err := os.WriteFile(e.SettingsFile, []byte(text), 0o600); err != nil {
 		t.Fatal(err)
 	}
