--- a/internal/integration/hostedevacuation_test.go
+++ b/internal/integration/hostedevacuation_test.go
@@ -19,6 +19,11 @@
 	evacuationBound = 5 * time.Second
 	// evacuationHeld is how long an evacuation is observed after its bound.
 	evacuationHeld = 1500 * time.Millisecond
+	// waitingAtPaused is the number of requests that wait for a paused entry.
+	waitingAtPaused = 60
+	// pausedBefore is how long before an evacuation an entry is paused. Its watch has ended, and
+	// its queue of datagrams is full of older ones.
+	pausedBefore = 4 * time.Second
 	// keptDomain and evacuatedDomain are the failure domains of the servers with even and with odd
 	// indexes. The entries are in another one, so that they use both alike.
 	keptDomain, evacuatedDomain = "b", "c"
@@ -67,9 +72,12 @@
 	prepare(last)
 	if c.paused {
 		last.Process.Freeze(t)
+		time.Sleep(pausedBefore)
 	}
 	s.Evacuate(evacuatedDomain)
 	begunAt := time.Now()
+	// Faults are reported with the time since the evacuation.
+	s.restoredAt = begunAt
 	if c.started {
 		started := s.AddEntry(t)
 		s.Store.SetRefuse(func(r *http.Request) bool {
@@ -79,6 +87,7 @@
 	}
 	time.Sleep(time.Until(begunAt.Add(evacuationBound + 200*time.Millisecond)))
 	if c.paused {
+		s.sendToPaused(last, call)
 		_ = last.Process.Signal(syscall.SIGCONT)
 	}
 	time.Sleep(evacuationHeld)
@@ -105,6 +114,17 @@
 	return s
 }
 
+// sendToPaused sends requests to a paused entry, which it finds as soon as it runs again.
+func (s *restoredSystem) sendToPaused(e *hostedsystem.Entry, call hostedsystem.Call) {
+	caller := hostedsystem.NewCaller(restoreTimeout, true)
+	s.callers = append(s.callers, caller)
+	call.URL = e.URL
+	for range waitingAtPaused {
+		caller.Go(call)
+	}
+	time.Sleep(lostBefore)
+}
+
 // checkEvacuated checks that no request of an entry reaches the evacuated failure domain in a span
 // of time.
 func (s *restoredSystem) checkEvacuated(e *hostedsystem.Entry, from, until time.Time) {
