Let few entries watch the servers, and send fewer heartbeats between failure domains

Cause: each entry watched the list of servers at the store, and announced each change to all agents and entries, although most had read it from another entry; during a transfer agents repeated an unchanged report every 180 ms instead of 750 ms. Change: the entries that watch the configuration watch the servers too, the others read them from these; an entry that doesn't watch announces changes within its failure domain; agents of other failure domains get an announcement every two seconds; agents repeat a report by time.

--- a/internal/platform/fleet/fleet.go
+++ b/internal/platform/fleet/fleet.go
@@ -73,14 +73,16 @@
 		// Paused reports whether peers supply the state, so that the store need not
 		// be called; see listwatch.Follower.Paused.
 		Paused func() bool
-		// ConfigPaused is Paused for the configuration; nil for Paused.
-		ConfigPaused func() bool
+		// ConfigPaused and ServersPaused are Paused for the configuration and the servers;
+		// nil for Paused.
+		ConfigPaused, ServersPaused func() bool
 		// WatchTimeout returns how long a watch waits for changes; nil for
 		// listwatch.DefaultWatchTimeout. A watch that is already waiting may not
 		// notice that the store dropped its history.
 		WatchTimeout func() time.Duration
-		// ConfigWatchTimeout is WatchTimeout for the configuration; nil for WatchTimeout.
-		ConfigWatchTimeout func() time.Duration
+		// ConfigWatchTimeout and ServersWatchTimeout are WatchTimeout for the configuration
+		// and the servers; nil for WatchTimeout.
+		ConfigWatchTimeout, ServersWatchTimeout func() time.Duration
 
 		IngressChanged func(mulberryspool.Ingress)
 		ServersChanged func(Servers)
@@ -146,16 +148,22 @@
 	if f.ConfigPaused == nil {
 		f.ConfigPaused = f.Paused
 	}
+	if f.ServersPaused == nil {
+		f.ServersPaused = f.Paused
+	}
 	if f.ConfigWatchTimeout == nil {
 		f.ConfigWatchTimeout = f.WatchTimeout
 	}
+	if f.ServersWatchTimeout == nil {
+		f.ServersWatchTimeout = f.WatchTimeout
+	}
 	f.configFollower = listwatch.Follower[mulberryspool.Ingress]{
 		Store: f.Store, Kind: f.Kinds.Config, Clock: f.Clock, WatchTimeout: f.ConfigWatchTimeout, WatchPause: f.ConfigWatchPause, Paused: f.ConfigPaused, Logger: f.Logger,
 		Set:     listwatch.Set[mulberryspool.Ingress]{Decode: f.Kinds.DecodeIngress},
 		Changed: f.setIngresses, Answered: f.recordConfigAnswer,
 	}
 	f.serverFollower = listwatch.Follower[mulberryspool.BackendServer]{
-		Store: f.Store, Kind: f.Kinds.Servers, Clock: f.Clock, WatchTimeout: f.WatchTimeout, WatchPause: f.ServersWatchPause, Paused: f.Paused, Logger: f.Logger,
+		Store: f.Store, Kind: f.Kinds.Servers, Clock: f.Clock, WatchTimeout: f.ServersWatchTimeout, WatchPause: f.ServersWatchPause, Paused: f.ServersPaused, Logger: f.Logger,
 		Set:     listwatch.Set[mulberryspool.BackendServer]{Decode: f.Kinds.DecodeServer, GracePeriod: reregisterTime},
 		Changed: f.setServers, Answered: func(after time.Time, at mulberryspool.Position) { f.recordAnswer(after, at, false) },
 	}
--- a/internal/role/hosted/agent.go
+++ b/internal/role/hosted/agent.go
@@ -80,9 +80,9 @@
 	// watches. Agents need servers and configuration less urgently than entries.
 	agentServersWatchPause = 1500 * time.Millisecond
 	agentConfigWatchPause  = 2 * time.Second
-	// agentHeartbeatRounds is the number of rounds of the loop between two heartbeats
-	// while the report does not change.
-	agentHeartbeatRounds = 3
+	// agentHeartbeatInterval is the interval between two heartbeats while the report does
+	// not change. Rounds of the loop are four times as frequent during a transfer.
+	agentHeartbeatInterval = 700 * time.Millisecond
 	// findingsReportInterval is the interval between two heartbeats with rejected
 	// parts of prompts.
 	findingsReportInterval = 2 * time.Second
@@ -124,9 +124,9 @@
 		engineState mulberryspool.EngineState
 		// engineReachable is false while the model server does not answer.
 		engineReachable bool
-		// lastReport is the report sent last, roundsSinceReport rounds ago.
-		lastReport        heartbeat.AgentReport
-		roundsSinceReport int
+		// lastReport is the report sent last, at reportedAt.
+		lastReport heartbeat.AgentReport
+		reportedAt time.Time
 		// deadlineReported is set if the last report said when the model server
 		// stops accepting requests.
 		deadlineReported bool
--- a/internal/role/hosted/agentloop.go
+++ b/internal/role/hosted/agentloop.go
@@ -296,26 +296,26 @@
 
 // reportServed sends the entries the version that the model server accepts
 // requests for, and until when. It sends nothing while the report is the same,
-// except every agentHeartbeatRounds rounds.
+// except every agentHeartbeatInterval.
 func (a *agentRole) reportServed(served int64, until time.Time) {
 	report := heartbeat.AgentReport{Instance: a.serverID(), Born: a.engineState.Born, Version: served}
 	hasDeadline := !until.IsZero()
 	if a.decider.Draining() || a.engineState.Loading {
 		report.Version = 0
 	}
-	a.roundsSinceReport++
-	if report.Instance == "" || report == a.lastReport && hasDeadline == a.deadlineReported && a.roundsSinceReport < agentHeartbeatRounds {
+	now := a.clock.Now()
+	if report.Instance == "" || report == a.lastReport && hasDeadline == a.deadlineReported && now.Sub(a.reportedAt) < agentHeartbeatInterval {
 		return
 	}
 	if report != a.lastReport {
 		a.logger.Info().Str(logging.FieldStep, "report served version").Int64("before", a.lastReport.Version).Int64("takes", report.Version).Msg("version for which the backend server accepts requests has changed")
 	}
-	a.lastReport, a.roundsSinceReport, a.deadlineReported = report, 0, hasDeadline
+	a.lastReport, a.reportedAt, a.deadlineReported = report, now, hasDeadline
 	if hasDeadline {
 		report.LeftMillis = max(1, a.clock.Until(until).Milliseconds())
 	}
 	summary := &heartbeat.Summary{Summary: a.fleet.Summary()}
-	if now := a.clock.Now(); now.Sub(a.findingsSentAt) >= findingsReportInterval {
+	if now.Sub(a.findingsSentAt) >= findingsReportInterval {
 		summary.Findings, a.findingsSentAt = a.rejectedFindings(now), now
 	}
 	a.heartbeats.Send(heartbeat.Message{Summary: summary, Report: &report}, a.heartbeats.ActivePeers(mulberryspool.RoleEntry))
--- a/internal/role/hosted/entry.go
+++ b/internal/role/hosted/entry.go
@@ -57,6 +57,9 @@
 	fullLoadRounds = 5
 	// announceRounds is the number of rounds between two heartbeats to agents.
 	announceRounds = 10
+	// remoteAnnounceRounds is the number of rounds between two heartbeats to the agents of
+	// other failure domains, which need one of them within heartbeat.PeerTimeout.
+	remoteAnnounceRounds = 20
 	// findingsRounds is the number of rounds between two heartbeats to all processes
 	// with findings on prompts, which repeat those about changes.
 	findingsRounds = 20
@@ -230,7 +233,9 @@
 	e.fleet.ConfigWatchTimeout = func() time.Duration {
 		return configwatch.MinWait + rand.N(configwatch.MaxWait-configwatch.MinWait)
 	}
+	e.fleet.ServersWatchTimeout = e.fleet.ConfigWatchTimeout
 	e.fleet.ConfigPaused = func() bool { return !e.watchesConfig() }
+	e.fleet.ServersPaused = e.fleet.ConfigPaused
 	e.fleet.AssumedAge = b.NamedVersion - versionEndMargin - unknownAgeGrace
 	e.fleet.IngressChanged = func(i mulberryspool.Ingress) {
 		e.scheduler.SetIngress(i)
--- a/internal/role/hosted/entryheartbeats.go
+++ b/internal/role/hosted/entryheartbeats.go
@@ -6,6 +6,7 @@
 	"maps"
 	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -21,15 +22,16 @@
 )
 
 // agentAddresses returns the heartbeat addresses of the agents, derived from the
-// addresses of the model servers.
-func (e *entryRole) agentAddresses() []netip.AddrPort {
+// addresses of the model servers. Unless all is set, they are those of this entry's failure
+// domain.
+func (e *entryRole) agentAddresses(all bool) []netip.AddrPort {
 	table := e.scheduler.Table()
 	if table == nil {
 		return nil
 	}
 	var agents []netip.AddrPort
 	for _, b := range e.fleet.State().Servers {
-		if table.Ingress.Pools[b.Pool].Model == "" {
+		if table.Ingress.Pools[b.Pool].Model == "" || !all && b.FailureDomain != e.identity.FailureDomain {
 			continue
 		}
 		address, err := e.settings.AgentHeartbeatAddressOf(b.Address)
@@ -128,7 +130,9 @@
 			continue
 		case <-stateSendDue:
 			stateSendDue, stateSentAt = nil, e.clock.Now()
-			e.announce(nil)
+			// The other entries have read the change from those that watch the store, which
+			// tell all processes.
+			e.announce(nil, e.watchesConfig())
 			continue
 		case <-e.findingsChanged:
 			if findingsDue == nil {
@@ -165,7 +169,7 @@
 			if round%findingsRounds == 0 {
 				findings = e.promptGuard.Findings()
 			}
-			e.announce(findings)
+			e.announce(findings, round%remoteAnnounceRounds == 0)
 			e.reportMetrics()
 		}
 	}
@@ -227,10 +231,12 @@
 
 // announce sends the summary of the state and findings on prompts to agents, to the other entries and,
 // with the addresses of all active entries, to registered entries that are not
-// active.
-func (e *entryRole) announce(findings []quarantine.Finding) {
+// active. Unless all is set, agents and entries in other failure domains are left out: the
+// links between regions carry few of these messages beside live requests.
+func (e *entryRole) announce(findings []quarantine.Finding, all bool) {
 	summary := &heartbeat.Summary{Summary: e.fleet.Summary(), Findings: findings, Evacuations: e.evacuations.report()}
-	active := e.heartbeats.ActivePeers(mulberryspool.RoleEntry)
+	local, remote := e.heartbeats.ActivePeersByDomain(mulberryspool.RoleEntry)
+	active := slices.Concat(local, remote)
 	isActive := make(map[netip.AddrPort]bool, len(active))
 	var activeAddresses []string
 	for _, a := range active {
@@ -246,7 +252,11 @@
 	}
 	e.mu.Unlock()
 	e.heartbeats.Send(heartbeat.Message{Summary: summary, EntryAddresses: activeAddresses}, inactive)
-	e.heartbeats.Send(heartbeat.Message{Summary: summary}, append(e.agentAddresses(), active...))
+	to := local
+	if all {
+		to = active
+	}
+	e.heartbeats.Send(heartbeat.Message{Summary: summary}, append(e.agentAddresses(all), to...))
 }
 
 func (e *entryRole) reportMetrics() {
@@ -342,7 +352,7 @@
 		listed = listed || o.Name == e.settings.Instance && r.Address == e.ownAddress()
 	}
 	e.addEntries(addresses)
-	e.announce(nil)
+	e.announce(nil, true)
 	return at, listed, nil
 }
 
