Take turns among all entries of an overloaded pool

Cause: entries took turns at a freed slot only with those that had reported waiting requests.

Change: during an overload, all entries that report demand for the pool take turns. The expected wait of an entry follows the slots that it has got recently if that is more than an equal share. 15 instead of 8 of 100 more requests are admitted than get a slot, so that each entry has one for the slots that it frees.

--- a/internal/entry/placement/choose.go
+++ b/internal/entry/placement/choose.go
@@ -191,7 +191,8 @@
 // so those with waiting requests take turns: first those in the server's failure
 // domain, then in an order that differs from server to server. With a rate limit the
 // order differs from request to request and prefers no failure domain, since the
-// server may be the only one.
+// server may be the only one. While the pool is overloaded, all entries with requests for it
+// take turns: each of them has a request for the slot within a few milliseconds.
 func (p *Placer) turnAt(s *server, now time.Time) time.Time {
 	available := s.limit.AvailableAt(now)
 	limited := !available.IsZero()
@@ -205,7 +206,7 @@
 	rank := 0
 	local, key := limited || p.Config.FailureDomain == s.FailureDomain, turnKey(p.Config.EntryName, s)
 	for name, peer := range p.peers {
-		if peer.waiting == 0 {
+		if peer.waiting == 0 && !p.shedding.Competes(name) {
 			continue
 		}
 		peerLocal := limited || peer.failureDomain == s.FailureDomain
--- a/internal/entry/placement/placer.go
+++ b/internal/entry/placement/placer.go
@@ -338,7 +338,7 @@
 		return p.refuse(q, reason, now)
 	}
 	ahead := p.waitingAheadOf(q) - capacity.freeAfterPause
-	if ahead >= 0 && max(0, capacity.availableAt.Sub(now))+p.expectedWait(capacity, ahead) > limit {
+	if ahead >= 0 && max(0, capacity.availableAt.Sub(now))+p.expectedWait(capacity, ahead, now) > limit {
 		return p.refuse(q, ReasonFull, now)
 	}
 	q.waitUntil = now.Add(limit)
@@ -348,7 +348,7 @@
 
 func (p *Placer) refuse(q *queuedRequest, reason Reason, now time.Time) Decision {
 	capacity := p.usableCapacity(q.request, now, now)
-	retryAfter := min(max(2*p.expectedWait(capacity, len(p.waiting)), minRetryAfter), maxRetryAfter)
+	retryAfter := min(max(2*p.expectedWait(capacity, len(p.waiting), now), minRetryAfter), maxRetryAfter)
 	if reason == ReasonNoServer || capacity.requests > 0 && capacity.inFlight >= capacity.requests {
 		retryAfter = maxRetryAfter
 	}
--- a/internal/entry/placement/placer_test.go
+++ b/internal/entry/placement/placer_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/mulberryspool/mulberryspool"
+	"github.com/mulberryspool/mulberryspool/internal/entry/shedding"
 )
 
 var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
@@ -444,3 +445,29 @@
 		t.Errorf("decision is %+v, want i-1", d)
 	}
 }
+
+// Guards against slots that several entries fill at once during an overload: early rejections
+// leave few requests waiting, so that an entry has one for a freed slot although it reported
+// none.
+func TestEntriesTakeTurnsDuringOverloadWithoutWaitingRequests(t *testing.T) {
+	at := start.Add(20 * time.Millisecond)
+	placed := 0
+	for _, name := range []string{"a", "b", "c"} {
+		p := newPlacer(1)
+		p.Config.EntryName = name
+		p.SetPeer("leaving", PeerReport{FailureDomain: "a", Loads: map[mulberryspool.InstanceID]Load{"i-0": {Requests: 4}}}, start)
+		for _, other := range []string{"a", "b", "c"} {
+			if other != name {
+				p.SetPeer(other, PeerReport{FailureDomain: "a"}, start)
+				p.SetPeerDemand(other, shedding.Report{Counts: []shedding.Count{{Offered: 100, Placed: 40}}}, start)
+			}
+		}
+		p.SetPeer("leaving", PeerReport{FailureDomain: "a", Loads: map[mulberryspool.InstanceID]Load{"i-0": {Requests: 3}}}, at)
+		if d := p.Offer(request(at), at); d.Verdict == Placed {
+			placed++
+		}
+	}
+	if placed != 1 {
+		t.Errorf("%d of 3 entries placed a request in the slot at once, want 1", placed)
+	}
+}
--- a/internal/entry/placement/wait.go
+++ b/internal/entry/placement/wait.go
@@ -52,11 +52,12 @@
 
 // expectedWait is the time until there is capacity for one more waiting request behind
 // the given number of others. It assumes that all entries get an equal share of the
-// capacity.
-func (p *Placer) expectedWait(capacity poolCapacity, ahead int) time.Duration {
+// capacity, or that this one gets what it has got recently if that is more.
+func (p *Placer) expectedWait(capacity poolCapacity, ahead int, now time.Time) time.Duration {
 	if capacity.effective == 0 {
 		return maxRetryAfter
 	}
 	share := capacity.effective / float64(1+len(p.peers))
-	return time.Duration(float64(ahead+1) / share * float64(p.serviceTime()))
+	rate := max(share/p.serviceTime().Seconds(), p.shedding.Rate(now))
+	return time.Duration(float64(ahead+1) / rate * float64(time.Second))
 }
--- a/internal/entry/shedding/shedding.go
+++ b/internal/entry/shedding/shedding.go
@@ -46,7 +46,7 @@
 	floorShare = 0.42
 	// surplus is the part of the capacity by which more requests are admitted than it can
 	// serve, so that no slot is left empty between two arrivals.
-	surplus = 0.08
+	surplus = 0.15
 	// minDeficit is the number of requests without a slot in the window below which none is
 	// rejected. A few of them may just be waiting.
 	minDeficit = 8
@@ -152,6 +152,23 @@
 	p.other++
 }
 
+// Rate returns the number of slots per second that requests of this entry have got within
+// the window.
+func (p *Pool) Rate(now time.Time) float64 {
+	p.decay(now)
+	placed := p.other
+	for _, l := range p.levels {
+		placed += l.placed
+	}
+	return placed / window.Seconds()
+}
+
+// Competes reports whether another entry has requests for the overloaded pool.
+func (p *Pool) Competes(name string) bool {
+	peer, ok := p.peers[name]
+	return ok && p.overloaded && len(peer.report.Counts) > 0
+}
+
 // Overloaded reports whether more new requests are offered than the pool can serve.
 func (p *Pool) Overloaded(now time.Time) bool {
 	p.decay(now)
