Keep a floor for each workspace of an overloaded pool

Cause: the floor was that of a priority. A workspace that sends much more than the others, or whose requests arrive at bad moments, could take the part of the others.

Change: the requests that a floor admits are spread over the workspaces of the priority, 512 at most with a count of their own. They wait with the most urgent priority that the pool has, which need not be 0. Requests are not rejected early where all have one priority, as they make way for nobody.

--- a/internal/entry/forward/attempt.go
+++ b/internal/entry/forward/attempt.go
@@ -182,9 +182,7 @@
 		// Priority 0 is reserved for requests that are sent again.
 		Priority: 1 + a.priority(),
 	}
-	if a.workspace != nil {
-		out.Workspace = a.workspace.Name
-	}
+	out.Workspace = a.workspaceName()
 	if len(a.exclude) > 0 {
 		out.Priority = 0
 	}
--- a/internal/entry/forward/request.go
+++ b/internal/entry/forward/request.go
@@ -271,6 +271,14 @@
 	return q.route.Priority
 }
 
+// workspaceName returns the name of the caller's workspace, empty if there is none.
+func (q *request) workspaceName() string {
+	if q.workspace == nil {
+		return ""
+	}
+	return q.workspace.Name
+}
+
 // retryable reports whether the request may run more than once.
 func (q *request) retryable() bool {
 	switch q.route.Kind {
--- a/internal/entry/forward/send.go
+++ b/internal/entry/forward/send.go
@@ -94,7 +94,7 @@
 	return placement.Request{
 		PromptTokens: a.head.PromptTokens, AnswerTokens: a.head.ExpectedTokens, Priority: a.priority(), CallerRetry: a.callerRetry,
 		LatencyObjective: a.route.Objective, ArrivedAt: a.arrivedAt, Deadline: a.deadline, Exclude: a.exclude,
-		Version: a.version, Reattempt: len(a.exclude) > 0, Trial: a.admission.Trial,
+		Version: a.version, Reattempt: len(a.exclude) > 0, Trial: a.admission.Trial, Workspace: a.workspaceName(),
 	}
 }
 
--- a/internal/entry/placement/placement.go
+++ b/internal/entry/placement/placement.go
@@ -119,7 +119,9 @@
 		Priority int
 		// CallerRetry is set for requests that were refused before and that the
 		// caller has retried.
-		CallerRetry      bool
+		CallerRetry bool
+		// Workspace is the name of the caller's workspace; empty if there is none.
+		Workspace        string
 		LatencyObjective time.Duration
 		// ArrivedAt is when the request arrived. After Deadline, a response is useless.
 		ArrivedAt, Deadline time.Time
--- a/internal/entry/placement/placer.go
+++ b/internal/entry/placement/placer.go
@@ -120,8 +120,8 @@
 		// late is set once the request may be placed although it misses its
 		// latency objective.
 		late bool
-		// first is set if the request waits with the most urgent ones.
-		first bool
+		// promoted is by how much the request waits with more urgent ones than its priority.
+		promoted int
 	}
 )
 
--- a/internal/entry/placement/queue.go
+++ b/internal/entry/placement/queue.go
@@ -70,10 +70,7 @@
 
 // rank is the priority of the request in the queue.
 func (q *queuedRequest) rank() int {
-	if q.first {
-		return 0
-	}
-	return q.request.Priority
+	return q.request.Priority - q.promoted
 }
 
 // dueAt is when the first event is due.
--- a/internal/entry/placement/shedding.go
+++ b/internal/entry/placement/shedding.go
@@ -24,8 +24,10 @@
 	case r.CallerRetry:
 		return p.shedding.Overloaded(now) && !p.hasSpareSlots(now)
 	}
-	verdict := p.shedding.Offer(r.Priority, now)
-	q.first = verdict == shedding.AdmitFirst
+	verdict := p.shedding.Offer(r.Priority, r.Workspace, now)
+	if verdict == shedding.AdmitFirst {
+		q.promoted = r.Priority - p.shedding.MostUrgent()
+	}
 	return verdict == shedding.Reject && !p.hasSpareSlots(now)
 }
 
--- a/internal/entry/shedding/shedding.go
+++ b/internal/entry/shedding/shedding.go
@@ -12,7 +12,8 @@
 // and accounts for servers that are slow, limited or cold. The most urgent priorities are
 // admitted completely as long as the capacity lasts. The less urgent ones share the rest,
 // but each is admitted at least with a floor, a part of the share that all requests get
-// on average.
+// on average. The floor holds for each workspace, so that one that sends much more than the
+// others, or whose requests come at bad moments, doesn't take theirs.
 //
 // One entry sees a part of the load. During an overload the entries report their counts to
 // each other, so that all of them calculate the same shares from the sums.
@@ -31,7 +32,7 @@
 	// Admit lets a request wait for a slot in the order of its priority.
 	Admit Verdict = iota
 	// AdmitFirst lets a request wait with the most urgent ones. It belongs to the floor of
-	// its priority, which would be lost if it waited behind all more urgent requests.
+	// its workspace, which would be lost if it waited behind all more urgent requests.
 	AdmitFirst
 	// Reject is the verdict for a request that would take the slot of a more urgent one.
 	Reject
@@ -41,7 +42,7 @@
 	// window is the time constant of the counts. Bursts last for seconds, and in a shorter
 	// window an entry sees too few requests.
 	window = 500 * time.Millisecond
-	// floorShare is the floor of each priority as a part of the mean share that is admitted.
+	// floorShare is the floor of each workspace and priority as a part of the mean share that is admitted.
 	// Callers require a quarter, and 0.4 is the aim; a few of those admitted are not served.
 	floorShare = 0.42
 	// surplus is the part of the capacity by which more requests are admitted than it can
@@ -54,6 +55,11 @@
 	updateInterval = 10 * time.Millisecond
 	// peerTimeout is how long the counts of another entry are valid.
 	peerTimeout = time.Second
+	// maxWorkspaces is the number of workspaces of a priority with a floor of their own. The
+	// others share one.
+	maxWorkspaces = 512
+	// goldenRatio spreads the first requests of workspaces that floors admit.
+	goldenRatio = 0.6180339887498949
 	// maxReported is the maximum number of priorities in a report.
 	maxReported = 16
 )
@@ -83,8 +89,12 @@
 		// share is the part of its requests that is admitted, floor the part of them that
 		// is admitted first.
 		share, floor float64
-		// credit and floorCredit spread the admitted requests evenly.
-		credit, floorCredit float64
+		// credit spreads the admitted requests evenly, floorCredits those that each workspace
+		// is admitted first.
+		credit       float64
+		floorCredits map[string]float64
+		// lastCredit is with what the last workspace began.
+		lastCredit float64
 	}
 
 	// Report holds an entry's counts of a pool for other entries.
@@ -115,20 +125,17 @@
 	}
 )
 
-// Offer counts a new request and returns what is to be done with it if there are no free slots.
-func (p *Pool) Offer(priority int, now time.Time) Verdict {
+// Offer counts a new request of a workspace, and returns what is to be done with it if there
+// are no free slots.
+func (p *Pool) Offer(priority int, workspace string, now time.Time) Verdict {
 	p.decay(now)
-	l := p.level(priority)
-	l.offered++
+	p.level(priority).offered++
 	p.update(now)
-	// The level may have moved.
-	l = p.level(priority)
+	l := p.level(priority)
 	if l.share >= 1 {
 		return Admit
 	}
-	l.floorCredit += l.floor
-	if l.floorCredit >= 1 {
-		l.floorCredit--
+	if l.takeFloor(workspace) {
 		return AdmitFirst
 	}
 	l.credit += (l.share - l.floor) / (1 - l.floor)
@@ -139,6 +146,39 @@
 	return Reject
 }
 
+// takeFloor reports whether a request is admitted first.
+func (l *level) takeFloor(workspace string) bool {
+	credit, ok := l.floorCredits[workspace]
+	if !ok {
+		if len(l.floorCredits) >= maxWorkspaces {
+			workspace = ""
+			credit = l.floorCredits[""]
+		} else {
+			// Otherwise the first request of each of many small workspaces is rejected.
+			l.lastCredit = math.Mod(l.lastCredit+goldenRatio, 1)
+			credit = l.lastCredit
+		}
+	}
+	credit += l.floor
+	first := credit >= 1
+	if first {
+		credit--
+	}
+	if l.floorCredits == nil {
+		l.floorCredits = make(map[string]float64)
+	}
+	l.floorCredits[workspace] = credit
+	return first
+}
+
+// MostUrgent returns the most urgent priority of the pool.
+func (p *Pool) MostUrgent() int {
+	if len(p.levels) == 0 {
+		return 0
+	}
+	return p.levels[0].priority
+}
+
 // Placed counts a slot that a new request got.
 func (p *Pool) Placed(priority int, now time.Time) {
 	p.decay(now)
@@ -270,9 +310,10 @@
 		}
 	}
 	p.overloaded = sum-capacity >= minDeficit && sum > (1+surplus)*capacity
-	if !p.overloaded {
+	// Requests of one priority make way for nobody. Whether they wait depends on the queue alone.
+	if !p.overloaded || slices.Max(offered) > sum-1 {
 		for i := range p.levels {
-			p.levels[i].share, p.levels[i].floor = 1, 1
+			p.levels[i].share, p.levels[i].floor, p.levels[i].floorCredits = 1, 1, nil
 		}
 		return
 	}
