Tell refused callers when a server or a slot is expected

Cause: Retry-After was 1.9 s at most unless all servers were paused. While no server served for seven seconds, or an overload went on, callers were told to return early and were refused again.

Change: if no server serves, Retry-After is the first time at which one is expected: the end of a server's change of versions, which takes as long as earlier ones in the pool did, or the end of a doubt about its version. If none is known, an outage or an overload is expected to go on for as long as it has lasted, 1.9 to 6 s. As before, callers are told no more than the third of their remaining time that they follow.

Result: TestRetryAfterIsWhenServerIsExpected.

--- a/internal/entry/placement/placer.go
+++ b/internal/entry/placement/placer.go
@@ -27,9 +27,6 @@
 	// minWait is how long any request may wait for capacity. It is about as long
 	// as the entry's view of its peers' requests lags behind.
 	minWait = 40 * time.Millisecond
-	// minRetryAfter and maxRetryAfter bound the hint for a refused caller.
-	minRetryAfter = 400 * time.Millisecond
-	maxRetryAfter = 1900 * time.Millisecond
 	// fullBackoff is how long a backend server that answered Full is skipped.
 	fullBackoff = 80 * time.Millisecond
 	// initialServiceTime is assumed for a plain service before its first response.
@@ -61,6 +58,7 @@
 		silenceObservedAt time.Time
 		waiting           []*queuedRequest
 		shedding          shedding.Pool
+		outages           outages
 	}
 
 	server struct {
@@ -71,6 +69,9 @@
 		misdirectedUntil time.Time
 		fullUntil        time.Time
 		limit            serverlimit.Limit
+		// unservedSince is when the server stopped accepting requests to change its version;
+		// zero if it serves one, or that isn't known.
+		unservedSince time.Time
 		// acceptsUntil is when the server stops accepting requests; zero if unknown.
 		acceptsUntil time.Time
 		ownLoad      Load
@@ -348,18 +349,8 @@
 
 func (p *Placer) refuse(q *queuedRequest, reason Reason, now time.Time) Decision {
 	capacity := p.usableCapacity(q.request, now, now)
-	retryAfter := min(max(2*p.expectedWait(capacity, len(p.waiting), now), minRetryAfter), maxRetryAfter)
-	if reason == ReasonNoServer || capacity.requests > 0 && capacity.inFlight >= capacity.requests {
-		retryAfter = maxRetryAfter
-	}
-	// The jitter spreads the retries of callers that were refused together.
-	retryAfter = time.Duration((0.7 + 0.3*p.Random.Float64()) * float64(retryAfter))
-	if capacity.servers == 0 && !capacity.pausedUntil.IsZero() {
-		// A caller that returns earlier is refused again.
-		retryAfter = capacity.pausedUntil.Sub(now) + time.Duration(p.Random.Float64()*float64(minRetryAfter))
-	}
 	return Decision{
 		Ticket: q.ticket, Verdict: Refused, Reason: reason, InFlight: capacity.inFlight, Capacity: capacity.requests,
-		RetryAfter: retryAfter,
+		RetryAfter: p.retryAfter(q.request, reason, capacity, now),
 	}
 }
--- a/internal/entry/placement/shedding.go
+++ b/internal/entry/placement/shedding.go
@@ -25,6 +25,7 @@
 		return p.shedding.Overloaded(now) && !p.hasSpareSlots(now)
 	}
 	verdict := p.shedding.Offer(r.Priority, r.Workspace, now)
+	p.noteOutages(false, now)
 	if verdict == shedding.AdmitFirst {
 		q.promoted = r.Priority - p.shedding.MostUrgent()
 	}
@@ -33,6 +34,7 @@
 
 // recordPlaced counts a slot that the request got.
 func (p *Placer) recordPlaced(r Request, now time.Time) {
+	p.noteOutages(true, now)
 	switch {
 	case r.isNew():
 		p.shedding.Placed(r.Priority, now)
--- a/internal/entry/placement/wait.go
+++ b/internal/entry/placement/wait.go
@@ -55,7 +55,7 @@
 // capacity, or that this one gets what it has got recently if that is more.
 func (p *Placer) expectedWait(capacity poolCapacity, ahead int, now time.Time) time.Duration {
 	if capacity.effective == 0 {
-		return maxRetryAfter
+		return maxSlotRetryAfter
 	}
 	share := capacity.effective / float64(1+len(p.peers))
 	rate := max(share/p.serviceTime().Seconds(), p.shedding.Rate(now))
--- a/internal/entry/scheduler/scheduler.go
+++ b/internal/entry/scheduler/scheduler.go
@@ -141,6 +141,7 @@
 		return
 	}
 	if p := s.pools[b.Pool]; p != nil {
+		p.placer.RecordSwap(id, report.Version, s.Clock.Now())
 		p.placer.SetServedVersion(id, report.Born, report.Version, report.AcceptsUntil)
 		s.decideWaiting(p)
 	}
