Recognize callers that retry at once after a refusal

Cause: a retry was recognized by a deadline below 0.84 of the longest one of its route. A caller that sends a refused request again at once has nearly all of its time left, and its request was treated as a new one: it waited, counted as demand and took slots of requests that could be in time.

Change: an entry remembers the content and the deadline of refused requests with a body. One with the same content and the same point in time as its deadline (25 ms either way) is a retry. If it comes earlier than its caller was told, it gets only slots that are spare; during an overload that holds for all retries.

--- a/internal/entry/forward/handler.go
+++ b/internal/entry/forward/handler.go
@@ -31,6 +31,7 @@
 	"github.com/mulberryspool/mulberryspool/internal/backend/liveness"
 	"github.com/mulberryspool/mulberryspool/internal/entry/bodybudget"
 	"github.com/mulberryspool/mulberryspool/internal/entry/promptguard"
+	"github.com/mulberryspool/mulberryspool/internal/entry/refusals"
 	"github.com/mulberryspool/mulberryspool/internal/entry/scheduler"
 )
 
@@ -85,6 +86,7 @@
 		mu sync.Mutex
 		// longestDeadline holds the longest deadline seen on each route.
 		longestDeadline map[string]time.Duration
+		refusals        refusals.Log
 		// noMemoryLoggedAt is when a refusal for want of memory was logged.
 		noMemoryLoggedAt time.Time
 	}
@@ -142,7 +144,7 @@
 		return
 	}
 	q.promptParts = promptguard.Parts(cmp.Or(head.Model, q.pool.Model), head.PromptParts)
-	q.callerRetry = h.isCallerRetry(q.route.Name, head.Deadline)
+	q.recognizeRetry()
 	q.serve(ctx)
 }
 
--- a/internal/entry/forward/log.go
+++ b/internal/entry/forward/log.go
@@ -97,6 +97,9 @@
 	if q.callerRetry {
 		e.Bool("returning", true)
 	}
+	if q.earlyRetry {
+		e.Bool("returnsEarly", true)
+	}
 	if q.lastDecision.Capacity > 0 {
 		e.Int("inFlight", q.lastDecision.InFlight).Int("places", q.lastDecision.Capacity).Int("unread", q.lastDecision.PendingPromptTokens).Dur("waited", q.queueTime)
 	}
--- a/internal/entry/forward/request.go
+++ b/internal/entry/forward/request.go
@@ -49,6 +49,11 @@
 		target        string
 		body          []byte
 		callerRetry   bool
+		// earlyRetry is set if the caller retries earlier than it was told.
+		earlyRetry bool
+		// callerDeadline is the deadline that the caller gave, at the first of its attempts
+		// that are known.
+		callerDeadline time.Time
 		// bodyRead is set once the body was read to its end.
 		bodyRead bool
 		// promptParts holds the parts of the prompt that other requests may share.
@@ -327,7 +332,9 @@
 		q.giveUp(string(decision.Reason))
 		return
 	}
-	q.writeError(http.StatusServiceUnavailable, typeNotRun, string(decision.Reason), q.capRetryAfter(decision.RetryAfter))
+	retryAfter := q.capRetryAfter(decision.RetryAfter)
+	q.recordRefusal(retryAfter)
+	q.writeError(http.StatusServiceUnavailable, typeNotRun, string(decision.Reason), retryAfter)
 }
 
 // capRetryAfter limits a Retry-After hint to the longest one that callers
--- a/internal/entry/placement/placement.go
+++ b/internal/entry/placement/placement.go
@@ -120,6 +120,8 @@
 		// CallerRetry is set for requests that were refused before and that the
 		// caller has retried.
 		CallerRetry bool
+		// EarlyRetry is set for a retry that comes earlier than its caller was told.
+		EarlyRetry bool
 		// Workspace is the name of the caller's workspace; empty if there is none.
 		Workspace        string
 		LatencyObjective time.Duration
--- a/internal/entry/placement/retryafter_test.go
+++ b/internal/entry/placement/retryafter_test.go
@@ -80,3 +80,19 @@
 		t.Errorf("with a quarter of the slots free, the retry got %+v, want placed", d)
 	}
 }
+
+// Guards against callers that return earlier than they were told and wait beside new requests.
+func TestEarlyRetryDoesNotWait(t *testing.T) {
+	p := newPlacer(10)
+	for _, s := range p.ordered {
+		s.ownLoad.Requests = 4
+	}
+	early := request(start)
+	early.CallerRetry, early.EarlyRetry = true, true
+	if d := p.Offer(early, start); d.Verdict != Refused || d.RetryAfter < minRetryAfter {
+		t.Errorf("decision is %+v, want refused with RetryAfter of at least %s", d, minRetryAfter)
+	}
+	if d := p.Offer(request(start), start); d.Verdict != Waiting {
+		t.Errorf("new request got %+v, want waiting", d)
+	}
+}
--- a/internal/entry/placement/shedding.go
+++ b/internal/entry/placement/shedding.go
@@ -22,7 +22,7 @@
 	case r.Reattempt:
 		return false
 	case r.CallerRetry:
-		return p.shedding.Overloaded(now) && !p.hasSpareSlots(now)
+		return (r.EarlyRetry || p.shedding.Overloaded(now)) && !p.hasSpareSlots(now)
 	}
 	verdict := p.shedding.Offer(r.Priority, r.Workspace, now)
 	p.noteOutages(false, now)
