--- a/internal/entry/forward/request.go
+++ b/internal/entry/forward/request.go
@@ -51,6 +51,11 @@
 		target        string
 		body          []byte
 		callerRetry   bool
+		// earlyRetry is set if the caller retries earlier than it was told.
+		earlyRetry bool
+		// callerDeadline is the deadline that the caller gave, at the first of its attempts
+		// that are known.
+		callerDeadline time.Time
 		// bodyRead is set once the body was read to its end.
 		bodyRead bool
 		// promptParts holds the parts of the prompt that other requests may share.
@@ -273,6 +278,14 @@
 	return q.route.Priority
 }
 
+// workspaceName returns the name of the caller's workspace, empty if there is none.
+func (q *request) workspaceName() string {
+	if q.workspace == nil {
+		return ""
+	}
+	return q.workspace.Name
+}
+
 // retryable reports whether the request may run more than once.
 func (q *request) retryable() bool {
 	switch q.route.Kind {
@@ -321,7 +334,9 @@
 		q.giveUp(string(decision.Reason))
 		return
 	}
-	q.writeError(http.StatusServiceUnavailable, typeNotRun, string(decision.Reason), q.capRetryAfter(decision.RetryAfter))
+	retryAfter := q.capRetryAfter(decision.RetryAfter)
+	q.recordRefusal(retryAfter)
+	q.writeError(http.StatusServiceUnavailable, typeNotRun, string(decision.Reason), retryAfter)
 }
 
 // capRetryAfter limits a Retry-After hint to the longest one that callers
--- a/internal/entry/placement/placement.go
+++ b/internal/entry/placement/placement.go
@@ -43,6 +43,8 @@
 	ReasonNoServer      Reason = "noServerServes"
 	ReasonWaitTimeout   Reason = "waitedTooLong"
 	ReasonNoOtherServer Reason = "noOtherServer"
+	// ReasonOverload means that the slots are kept for more urgent requests, or for new ones.
+	ReasonOverload Reason = "overload"
 	// ReasonPaused means that all servers that could serve the request want none.
 	ReasonPaused Reason = "serversPaused"
 )
@@ -118,7 +120,11 @@
 		Priority int
 		// CallerRetry is set for requests that were refused before and that the
 		// caller has retried.
-		CallerRetry      bool
+		CallerRetry bool
+		// EarlyRetry is set for a retry that comes earlier than its caller was told.
+		EarlyRetry bool
+		// Workspace is the name of the caller's workspace; empty if there is none.
+		Workspace        string
 		LatencyObjective time.Duration
 		// ArrivedAt is when the request arrived. After Deadline, a response is useless.
 		ArrivedAt, Deadline time.Time
--- a/internal/entry/placement/placer.go
+++ b/internal/entry/placement/placer.go
@@ -9,6 +9,7 @@
 	"github.com/mulberryspool/mulberryspool"
 	"github.com/mulberryspool/mulberryspool/internal/entry/serverlimit"
 	"github.com/mulberryspool/mulberryspool/internal/entry/serverpause"
+	"github.com/mulberryspool/mulberryspool/internal/entry/shedding"
 	"github.com/mulberryspool/mulberryspool/internal/entry/silence"
 )
 
@@ -26,9 +27,6 @@
 	// minWait is how long any request may wait for capacity. It is about as long
 	// as the entry's view of its peers' requests lags behind.
 	minWait = 40 * time.Millisecond
-	// minRetryAfter and maxRetryAfter bound the hint for a refused caller.
-	minRetryAfter = 400 * time.Millisecond
-	maxRetryAfter = 1900 * time.Millisecond
 	// fullBackoff is how long a backend server that answered Full is skipped.
 	fullBackoff = 80 * time.Millisecond
 	// initialServiceTime is assumed for a plain service before its first response.
@@ -60,6 +58,8 @@
 		// silenceObservedAt is when ObserveSilence was last called.
 		silenceObservedAt time.Time
 		waiting           []*queuedRequest
+		shedding          shedding.Pool
+		outages           outages
 	}
 
 	server struct {
@@ -70,6 +70,9 @@
 		misdirectedUntil time.Time
 		fullUntil        time.Time
 		limit            serverlimit.Limit
+		// unservedSince is when the server stopped accepting requests to change its version;
+		// zero if it serves one, or that isn't known.
+		unservedSince time.Time
 		// acceptsUntil is when the server stops accepting requests; zero if unknown.
 		acceptsUntil time.Time
 		ownLoad      Load
@@ -119,6 +122,8 @@
 		// late is set once the request may be placed although it misses its
 		// latency objective.
 		late bool
+		// promoted is by how much the request waits with more urgent ones than its priority.
+		promoted int
 	}
 )
 
@@ -173,8 +178,11 @@
 func (p *Placer) Offer(r Request, now time.Time) Decision {
 	p.lastTicket++
 	q := &queuedRequest{ticket: p.lastTicket, request: r}
-	if open, ok := p.uncontended(r); ok {
-		if d, ok := p.place(&queuedRequest{ticket: q.ticket, request: open}, now); ok {
+	if p.shed(q, now) {
+		return p.refuse(q, ReasonOverload, now)
+	}
+	if open, ok := p.uncontended(q); ok {
+		if d, ok := p.place(&queuedRequest{ticket: q.ticket, request: open, promoted: q.promoted}, now); ok {
 			return d
 		}
 	}
@@ -235,23 +243,7 @@
 // DecideWaiting places waiting requests while there is capacity, and ends the
 // waits that have timed out. Call it after any change, and at NextWake.
 func (p *Placer) DecideWaiting(now time.Time) []Decision {
-	var (
-		decisions []Decision
-		blocked   blockedRegions
-	)
-	for len(p.waiting) > 0 {
-		i := p.firstPlaceable(blocked)
-		if i < 0 {
-			break
-		}
-		d, ok := p.place(p.waiting[i], now)
-		if !ok {
-			blocked = append(blocked, p.waiting[i].request.Regions)
-			continue
-		}
-		decisions = append(decisions, d)
-		p.waiting = slices.Delete(p.waiting, i, i+1)
-	}
+	decisions := p.placeWaiting(now)
 	p.waiting = slices.DeleteFunc(p.waiting, func(q *queuedRequest) bool {
 		excluded := p.excludedReason(q.request, now)
 		switch {
@@ -332,6 +324,7 @@
 	s.ownLoad.Requests++
 	s.ownLoad.PendingPromptTokens += q.request.PromptTokens
 	s.health.recordSent(now)
+	p.recordPlaced(q.request, now)
 	return d, true
 }
 
@@ -351,8 +344,8 @@
 		}
 		return p.refuse(q, reason, now)
 	}
-	ahead := p.waitingAheadOf(q.request) - capacity.freeAfterPause
-	if ahead >= 0 && max(0, capacity.availableAt.Sub(now))+p.expectedWait(capacity, ahead) > limit {
+	ahead := p.waitingAheadOf(q) - capacity.freeAfterPause
+	if ahead >= 0 && max(0, capacity.availableAt.Sub(now))+p.expectedWait(capacity, ahead, now) > limit {
 		return p.refuse(q, ReasonFull, now)
 	}
 	q.waitUntil = now.Add(limit)
@@ -362,18 +355,8 @@
 
 func (p *Placer) refuse(q *queuedRequest, reason Reason, now time.Time) Decision {
 	capacity := p.usableCapacity(q.request, now, now)
-	retryAfter := min(max(2*p.expectedWait(capacity, len(p.waiting)), minRetryAfter), maxRetryAfter)
-	if reason == ReasonNoServer || capacity.requests > 0 && capacity.inFlight >= capacity.requests {
-		retryAfter = maxRetryAfter
-	}
-	// The jitter spreads the retries of callers that were refused together.
-	retryAfter = time.Duration((0.7 + 0.3*p.Random.Float64()) * float64(retryAfter))
-	if capacity.servers == 0 && !capacity.pausedUntil.IsZero() {
-		// A caller that returns earlier is refused again.
-		retryAfter = capacity.pausedUntil.Sub(now) + time.Duration(p.Random.Float64()*float64(minRetryAfter))
-	}
 	return Decision{
 		Ticket: q.ticket, Verdict: Refused, Reason: reason, InFlight: capacity.inFlight, Capacity: capacity.requests,
-		RetryAfter: retryAfter,
+		RetryAfter: p.retryAfter(q.request, reason, capacity, now),
 	}
 }
--- a/internal/entry/placement/regions.go
+++ b/internal/entry/placement/regions.go
@@ -44,13 +44,20 @@
 	return a.Regions == nil || b.Regions == nil || slices.ContainsFunc(a.Regions, func(region string) bool { return slices.Contains(b.Regions, region) })
 }
 
-// uncontended returns a new request, restricted to regions that no waiting request may use,
-// and false if there are none. A request at its second server precedes those that wait.
-func (p *Placer) uncontended(r Request) (Request, bool) {
-	if len(p.waiting) == 0 || r.Reattempt {
+// uncontended returns a new request, restricted to regions that no waiting request ahead of it
+// may use, and false if there are none. A request at its second server precedes those that wait.
+func (p *Placer) uncontended(q *queuedRequest) (Request, bool) {
+	r := q.request
+	var ahead []Request
+	for _, w := range p.waiting {
+		if !p.precedes(q, w) {
+			ahead = append(ahead, w.request)
+		}
+	}
+	if len(ahead) == 0 || r.Reattempt {
 		return r, true
 	}
-	if slices.ContainsFunc(p.waiting, func(q *queuedRequest) bool { return q.request.Regions == nil }) {
+	if slices.ContainsFunc(ahead, func(w Request) bool { return w.Regions == nil }) {
 		return r, false
 	}
 	allowed := []string{}
@@ -61,32 +68,38 @@
 		}
 	}
 	r.Regions = slices.DeleteFunc(allowed, func(region string) bool {
-		return slices.ContainsFunc(p.waiting, func(q *queuedRequest) bool { return slices.Contains(q.request.Regions, region) })
+		return slices.ContainsFunc(ahead, func(w Request) bool { return slices.Contains(w.Regions, region) })
 	})
 	return r, len(r.Regions) > 0
 }
 
-// blockedRegions holds the regions of waiting requests that can't be placed now.
-type blockedRegions [][]string
+// skippedRequests counts the waiting requests that can't be placed now, by their regions.
+type skippedRequests []skippedRegions
 
-// blocks reports whether a request that waits behind them can't be placed either.
-func (b blockedRegions) blocks(r Request) bool {
-	return slices.ContainsFunc(b, func(regions []string) bool {
-		return regions == nil || r.Regions != nil && slices.Equal(regions, r.Regions)
-	})
+type skippedRegions struct {
+	regions  []string
+	requests int
 }
 
-// firstPlaceable returns the index of the waiting request that precedes all others that are not
-// blocked, -1 if all are.
-func (p *Placer) firstPlaceable(blocked blockedRegions) int {
-	if len(blocked) == 0 {
-		return p.firstInQueue()
-	}
-	first := -1
-	for i, q := range p.waiting {
-		if !blocked.blocks(q.request) && (first < 0 || p.precedes(q.request, p.waiting[first].request)) {
-			first = i
+// add counts a request.
+func (s skippedRequests) add(r Request) skippedRequests {
+	for i := range s {
+		if sameRegions(s[i].regions, r.Regions) {
+			s[i].requests++
+			return s
 		}
 	}
-	return first
+	return append(s, skippedRegions{regions: r.Regions, requests: 1})
+}
+
+// exhausted reports whether so many requests for the same servers, or for all servers, can't be
+// placed that the request isn't tried.
+func (s skippedRequests) exhausted(r Request) bool {
+	return slices.ContainsFunc(s, func(skipped skippedRegions) bool {
+		return skipped.requests > maxSkipped && (skipped.regions == nil || sameRegions(skipped.regions, r.Regions))
+	})
+}
+
+func sameRegions(a, b []string) bool {
+	return (a == nil) == (b == nil) && slices.Equal(a, b)
 }
--- a/internal/peer/heartbeat/heartbeat.go
+++ b/internal/peer/heartbeat/heartbeat.go
@@ -28,6 +28,7 @@
 	"github.com/mulberryspool/mulberryspool/internal/entry/placement"
 	"github.com/mulberryspool/mulberryspool/internal/entry/quarantine"
 	"github.com/mulberryspool/mulberryspool/internal/entry/serverlimit"
+	"github.com/mulberryspool/mulberryspool/internal/entry/shedding"
 	"github.com/mulberryspool/mulberryspool/internal/entry/silence"
 	"github.com/mulberryspool/mulberryspool/internal/platform/evacuation"
 	"github.com/mulberryspool/mulberryspool/internal/platform/fleet"
@@ -88,6 +89,8 @@
 		Silences []silence.Report `msgpack:",omitempty"`
 		// Evacuations holds the evacuated failure domains, nil if they are not known.
 		Evacuations *evacuation.Report `msgpack:",omitempty"`
+		// Demand holds what the requests of an entry ask of the overloaded pools.
+		Demand map[string]shedding.Report `msgpack:",omitempty"`
 	}
 
 	// AgentReport is an agent's report on its backend server. It is encoded as
