Upload chunks that a region lacks first

A request for a chunk that no agent of the client's region holds waited behind requests of the uploader's own region, or was refused, although a whole region waits for it. Such requests have a queue of their own now, which is served first.

--- a/internal/peer/chunks/chunks_test.go
+++ b/internal/peer/chunks/chunks_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"net"
 	"net/http"
+	"sync"
 	"testing"
 	"time"
 
@@ -108,6 +109,55 @@
 	}
 }
 
+// Guards against a chunk that a whole region waits for while the uploader serves requests
+// of its own region that came earlier, and against a waiting request that keeps its place
+// after its client has gone.
+func TestUrgentRequestIsServedFirst(t *testing.T) {
+	q := newSlotQueue(1)
+	if !q.acquire(context.Background(), ordinary) {
+		t.Fatal("the free slot is refused")
+	}
+	gone, leave := context.WithCancel(context.Background())
+	served := make(chan string, 2)
+	var waiting sync.WaitGroup
+	wait := func(ctx context.Context, c class, name string) {
+		before := q.waitingCount()
+		waiting.Go(func() {
+			if q.acquire(ctx, c) {
+				served <- name
+				q.release()
+			}
+		})
+		for q.waitingCount() == before {
+			time.Sleep(time.Millisecond)
+		}
+	}
+	wait(context.Background(), ordinary, "ordinary")
+	if q.acquire(context.Background(), ordinary) {
+		t.Fatal("a second ordinary request may wait, want one per slot")
+	}
+	wait(gone, urgent, "gone")
+	leave()
+	for q.waitingCount() > 1 {
+		time.Sleep(time.Millisecond)
+	}
+	wait(context.Background(), urgent, "urgent")
+	q.release()
+	waiting.Wait()
+	if first, second := <-served, <-served; first != "urgent" || second != "ordinary" {
+		t.Errorf("%s is served before %s", first, second)
+	}
+	if q.free != 1 {
+		t.Errorf("%d slots are free in the end, want 1", q.free)
+	}
+}
+
+func (q *slotQueue) waitingCount() int {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return len(q.waiting[ordinary]) + len(q.waiting[urgent])
+}
+
 // Guards against transfers that use the share reserved for live traffic, that are
 // not slowed down when live latency rises, or whose rate does not recover.
 func TestLinkAdaptsToLiveLatency(t *testing.T) {
--- a/internal/peer/chunks/client.go
+++ b/internal/peer/chunks/client.go
@@ -38,6 +38,9 @@
 		Offset int64
 		// Have is sent to the peer unless its Manifest is empty.
 		Have mulberryspool.ChunksHaveParams
+		// Urgent requests are served before others. It is meant for a chunk that no agent
+		// of the local region holds.
+		Urgent bool
 		// Limiter limits this transfer in addition to the downlink; nil means no limit.
 		Limiter Limiter
 		// OnReceived is called with the number of bytes of each block; it may be nil.
@@ -76,6 +79,9 @@
 		r.Header.Set(headerManifest, string(request.Have.Manifest))
 		r.Header.Set(headerHave, base64.StdEncoding.EncodeToString(request.Have.Have))
 	}
+	if request.Urgent {
+		r.Header.Set(headerUrgent, "1")
+	}
 	response, err := c.HTTP.Do(r)
 	if err != nil {
 		return Answer{}, err
--- a/internal/peer/chunks/server.go
+++ b/internal/peer/chunks/server.go
@@ -17,7 +17,6 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/gorilla/mux"
-	"golang.org/x/sync/semaphore"
 
 	"github.com/mulberryspool/mulberryspool"
 )
@@ -36,6 +35,8 @@
 	headerInstance = "Chunks-Instance"
 	headerManifest = "Chunks-Manifest"
 	headerHave     = "Chunks-Have"
+	// headerUrgent marks a request of class urgent.
+	headerUrgent = "Chunks-Urgent"
 )
 
 type (
@@ -52,13 +53,12 @@
 		// Slots is the maximum number of concurrent uploads; 0 means DefaultSlots.
 		Slots int
 		// QueueWait is the maximum wait for a slot; 0 means DefaultQueueWait. As
-		// many requests may wait as there are slots.
+		// many requests of each class may wait as there are slots.
 		QueueWait time.Duration
 		// Clock measures QueueWait.
 		Clock mulberryspool.Clock
 
-		// slots limits the uploads, admitted the uploads and waiting requests.
-		slots, admitted *semaphore.Weighted
+		slots *slotQueue
 	}
 
 	// limitedWriter waits for the limiter before each block.
@@ -75,8 +75,7 @@
 	if slots == 0 {
 		slots = DefaultSlots
 	}
-	s.slots = semaphore.NewWeighted(int64(slots))
-	s.admitted = semaphore.NewWeighted(2 * int64(slots))
+	s.slots = newSlotQueue(slots)
 	router := mux.NewRouter()
 	router.HandleFunc("/chunks/{digest:[0-9a-f]{64}}", s.serveChunk).Methods(http.MethodGet)
 	server := &http.Server{Handler: router, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
@@ -96,12 +95,12 @@
 		http.Error(w, "chunk is not held", http.StatusNotFound)
 		return
 	}
-	if !s.acquire(r.Context()) {
+	if !s.acquire(r) {
 		w.Header().Set("Retry-After", retryAfterSeconds)
 		http.Error(w, "all upload slots are taken", http.StatusServiceUnavailable)
 		return
 	}
-	defer s.release()
+	defer s.slots.release()
 	w.Header().Set("Content-Type", "application/octet-stream")
 	w.Header().Set("Etag", `"`+string(digest)+`"`)
 	if s.Uplink != nil {
@@ -111,31 +110,20 @@
 }
 
 // acquire takes an upload slot, waiting up to QueueWait for a free one.
-func (s *Server) acquire(ctx context.Context) bool {
-	if !s.admitted.TryAcquire(1) {
-		return false
-	}
-	if s.slots.TryAcquire(1) {
-		return true
+func (s *Server) acquire(r *http.Request) bool {
+	c := ordinary
+	if r.Header.Get(headerUrgent) != "" {
+		c = urgent
 	}
 	wait := s.QueueWait
 	if wait == 0 {
 		wait = DefaultQueueWait
 	}
-	ctx, cancel := context.WithCancel(ctx)
+	ctx, cancel := context.WithCancel(r.Context())
 	defer cancel()
 	timer := s.Clock.AfterFunc(wait, cancel)
 	defer timer.Stop()
-	if s.slots.Acquire(ctx, 1) != nil {
-		s.admitted.Release(1)
-		return false
-	}
-	return true
-}
-
-func (s *Server) release() {
-	s.slots.Release(1)
-	s.admitted.Release(1)
+	return s.slots.acquire(ctx, c)
 }
 
 // exchangeHave passes the client's bit set on to ExchangeHave and adds this
