Spread requests for a chunk over the agents that hold it

Of several agents with the same number of running fetches, all agents asked the first one of the instance list, which refused most of them. The choice now differs between agents and chunks.

--- a/internal/agent/swarm/peers.go
+++ b/internal/agent/swarm/peers.go
@@ -6,6 +6,8 @@
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/mulberryspool/mulberryspool"
 	"github.com/mulberryspool/mulberryspool/internal/agent/bitset"
 )
@@ -13,6 +15,8 @@
 // peer is the state that the planner keeps about another agent.
 type peer struct {
 	Member
+	// hash is the hash of the instance ID.
+	hash uint64
 	// neighbour is set if this agent chose the peer as a neighbour, reverseNeighbour
 	// if the peer chose this agent.
 	neighbour, reverseNeighbour bool
@@ -49,7 +53,7 @@
 	if len(p.peerList) >= maxKnownPerNeighbour*p.limits.Neighbours {
 		p.evictPeer()
 	}
-	added := &peer{Member: m}
+	added := &peer{Member: m, hash: xxhash.Sum64String(string(m.Instance))}
 	p.peers[m.Instance] = added
 	p.peerList = append(p.peerList, added)
 	return added
--- a/internal/agent/swarm/plan.go
+++ b/internal/agent/swarm/plan.go
@@ -84,10 +84,16 @@
 	return c.holders < other.holders || c.holders == other.holders && c.tieBreak < other.tieBreak
 }
 
+// leastLoaded returns the peer that holds the chunk and from which the fewest fetches run.
+// Which one of several it is differs between agents and chunks, so that agents with the
+// same peers don't all ask the same one.
 func leastLoaded(peers []*peer, c *chunk) *peer {
 	var best *peer
 	for _, k := range peers {
-		if k.held.Has(c.indexes[0]) && (best == nil || k.inFlight < best.inFlight) {
+		if !k.held.Has(c.indexes[0]) {
+			continue
+		}
+		if best == nil || k.inFlight < best.inFlight || k.inFlight == best.inFlight && k.hash^c.tieBreak < best.hash^c.tieBreak {
 			best = k
 		}
 	}
