Begin the turns of a new version while it is transferred

A server of a full pool serves a new version 2.7 to 4.3 s after its turn begins, since its running requests have to end. The turns began with the complete copy and ended at 0.85 of the bound, so the first server served the version 6.3 s after it was named and the last one 12.7 s.

An agent now estimates when its copy will be complete, from the share that has arrived. The turns begin 3 s before that and end at 0.6 of the bound. One server in 30 drains as soon as its transfer makes progress. A server that is drained serves the old version again when no chunk has arrived for 1 s, or after 3.5 s. Entries are told of the turn from when the transfer makes progress on, so they keep long requests away earlier.

A complete version waits for a newer one only if that can be expected: its manifest has been read within 0.1 of the bound, and a chunk has arrived within 0.3.

--- a/internal/agent/swap/swap.go
+++ b/internal/agent/swap/swap.go
@@ -10,6 +10,10 @@
 // version therefore swap at once, and the others take turns within a fraction of
 // the bound, in an order that every agent computes on its own.
 //
+// The running requests of a server take seconds to end, as long as a transfer. The
+// first turns therefore begin before the copy is complete, while the transfer makes
+// progress.
+//
 // A Decider does no I/O, reads no clock and is not safe for concurrent use.
 package swap
 
@@ -28,6 +32,43 @@
 	// latestSwapFraction is the fraction of the bound by which the last swap
 	// must begin. Requests in flight at that time began before the bound.
 	latestSwapFraction = 0.85
+	// lastTurnFraction is the fraction of the bound at which the last turn begins if
+	// the copies were complete in the usual time. A full server serves again 2.7 to 4.3 s
+	// after its turn begins. The earlier the last turn, the more servers drain at the
+	// same time.
+	lastTurnFraction = 0.6
+	// minSpreadFraction is the fraction of the bound over which the turns are spread
+	// at least, so that a late copy does not stop all servers at once.
+	minSpreadFraction = 0.35
+	// leadTime is how long before the copy is complete a turn may begin. The running
+	// requests of a full server end after 2.4 to 4.0 s.
+	leadTime = 3000 * time.Millisecond
+	// restCopies is the remaining time of a whole transfer, in copies on the link,
+	// once it makes progress; elapsedFactor relates the time that the rest takes to that
+	// of the part before it, which is slower at first.
+	restCopies    = 1.4
+	elapsedFactor = 0.55
+	// maxEarlyDrain is how long a server stays drained without the copy. Then it serves
+	// the old version again.
+	maxEarlyDrain = 3500 * time.Millisecond
+	// slowAfter is the time without a new chunk after which no server drains before its
+	// copy is complete, and stalledAfter that after which one that did serves again.
+	// Usually 10 to 25 chunks arrive in a second.
+	slowAfter    = 500 * time.Millisecond
+	stalledAfter = time.Second
+	// minEarlyMembers is the number of servers from which on turns begin before the
+	// copy is complete. In a smaller pool, one that waits for its copy is missed.
+	minEarlyMembers = 4
+	// Of pioneerShare servers, one drains as soon as its transfer makes progress, so
+	// that the version serves early on a few servers.
+	pioneerShare = 30
+	// Of firstShare servers, the first one in the order needs its copy early.
+	firstShare = 10
+	// awaitFraction is the fraction of the bound after which a named version whose
+	// manifest can't be read is not expected soon, and beginFraction the same for one of
+	// which no chunk has arrived.
+	awaitFraction = 0.1
+	beginFraction = 0.3
 	// transferFraction is the fraction of the bound that a transfer usually takes.
 	transferFraction = 0.45
 	// keepTransferShare is the completed share from which a transfer is
@@ -63,6 +104,9 @@
 		// Bound is the time within which a named version must replace the
 		// previous one.
 		Bound time.Duration
+		// CopyTime is the time that a copy takes on the slowest link on its way to one
+		// agent; 0 if unknown, then no turn begins before the copy is complete.
+		CopyTime time.Duration
 
 		members []mulberryspool.InstanceID
 		// named holds the named versions with the time at which each was
@@ -72,6 +116,25 @@
 		// send no new requests; 0 while the server is not draining.
 		drainingVersion int64
 		drainingSince   time.Time
+		// lateVersion is a version for which the server was drained in vain, because its
+		// transfer took too long.
+		lateVersion int64
+		// progress is what was last seen of the running transfer.
+		progress transferProgress
+		// planned is the turn that was planned last, before the copy was complete.
+		planned plannedTurn
+	}
+
+	// transferProgress is the share of a transfer, and when it last rose.
+	transferProgress struct {
+		version int64
+		share   float64
+		at      time.Time
+	}
+
+	plannedTurn struct {
+		version int64
+		at      time.Time
 	}
 
 	// View is the state of a model server and its staged versions.
@@ -91,6 +154,10 @@
 		// completed share of the transfer, 0 to 1.
 		Fetching     int64
 		FetchedShare float64
+		// FetchBegan is when the transfer began, and AwaitsManifest is set while its
+		// manifest could not be read yet.
+		FetchBegan     time.Time
+		AwaitsManifest bool
 	}
 
 	// Decision is the result of Decider.Next.
@@ -106,6 +173,9 @@
 		// WakeAt is the latest time at which a waiting agent must decide again;
 		// zero if there is none.
 		WakeAt time.Time
+		// TurnAt is when the server is expected to accept no more requests; zero if
+		// unknown.
+		TurnAt time.Time
 	}
 
 	namedVersion struct {
@@ -157,6 +227,9 @@
 // Next decides on the next action and on the transfer to start.
 func (d *Decider) Next(v View, now time.Time) Decision {
 	wanted := d.Wanted()
+	if v.Fetching != d.progress.version || v.FetchedShare != d.progress.share {
+		d.progress = transferProgress{version: v.Fetching, share: v.FetchedShare, at: now}
+	}
 	decision := d.nextSwapAction(v, now)
 	decision.Prepare = d.prepared(v, now)
 	if wanted > v.Staged && wanted > v.Served && v.Fetching != wanted && !d.keepsCurrentTransfer(v) {
@@ -179,38 +252,107 @@
 	return v.Fetching > max(v.Served, v.Staged) && v.FetchedShare >= keepTransferShare
 }
 
-// nextSwapAction decides on the next action towards the newest staged version.
+// nextSwapAction decides on the next action towards the version that is loaded next.
 func (d *Decider) nextSwapAction(v View, now time.Time) Decision {
-	if v.Staged <= v.Served {
+	if v.Staged <= v.Served && v.Fetching <= v.Served {
 		d.drainingVersion = 0
 		return Decision{Action: Wait}
 	}
 	if v.Loading {
 		return Decision{Action: Wait}
 	}
-	if d.drainingVersion != v.Staged {
+	if d.drainingVersion != v.Staged && d.drainingVersion != v.Fetching {
 		d.drainingVersion = 0
 	}
-	if v.Served == 0 {
-		return Decision{Action: Load, Version: v.Staged}
+	next := d.prepared(v, now)
+	if d.drainingVersion != next {
+		d.drainingVersion = 0
 	}
-	if d.skipsToNewer(v, now) {
+	if next <= v.Served {
 		return Decision{Action: Wait}
 	}
-	if v.Uploaded != v.Staged {
-		return Decision{Action: Upload, Version: v.Staged}
+	if next != v.Staged {
+		return d.beforeCopy(v, next, now)
 	}
-	if at := d.swapTime(v); now.Before(at) {
-		return Decision{Action: Wait, WakeAt: at}
+	if v.Served == 0 {
+		return Decision{Action: Load, Version: next}
 	}
-	if d.drainingVersion != v.Staged {
-		d.drainingVersion, d.drainingSince = v.Staged, now
-		return Decision{Action: Drain, Version: v.Staged}
+	if v.Uploaded != next {
+		return Decision{Action: Upload, Version: next}
+	}
+	if d.drainingVersion != next {
+		if at := d.turnOfCopy(v); now.Before(at) {
+			return Decision{Action: Wait, WakeAt: at, TurnAt: at}
+		}
+		return d.drain(next, now)
 	}
 	if at := d.drainingSince.Add(drainNoticeTime); now.Before(at) {
 		return Decision{Action: Wait, WakeAt: at}
 	}
-	return Decision{Action: Load, Version: v.Staged}
+	return Decision{Action: Load, Version: next}
+}
+
+func (d *Decider) drain(version int64, now time.Time) Decision {
+	d.drainingVersion, d.drainingSince = version, now
+	return Decision{Action: Drain, Version: version}
+}
+
+// beforeCopy decides whether the server drains although the copy is not complete yet.
+func (d *Decider) beforeCopy(v View, next int64, now time.Time) Decision {
+	rank, count := d.rank(next)
+	rest, known := d.restOfTransfer(v, now)
+	if v.Served == 0 || !known || count < minEarlyMembers || d.lateVersion == next {
+		d.drainingVersion = 0
+		return Decision{Action: Wait}
+	}
+	silent := now.Sub(d.progress.at)
+	if d.drainingVersion == next {
+		if at := d.drainingSince.Add(maxEarlyDrain); now.Before(at) && silent < stalledAfter {
+			return Decision{Action: Wait, WakeAt: at}
+		}
+		d.drainingVersion, d.lateVersion = 0, next
+		return Decision{Action: Wait}
+	}
+	if silent >= slowAfter {
+		return Decision{Action: Wait}
+	}
+	turn := d.turn(v, next, now.Add(rest-leadTime))
+	d.planned = plannedTurn{version: next, at: turn}
+	if rank*pioneerShare < count {
+		turn = now
+	}
+	if now.Before(turn) {
+		return Decision{Action: Wait, WakeAt: turn, TurnAt: turn}
+	}
+	return d.drain(next, now)
+}
+
+// turnOfCopy returns when the turn to the staged version begins: as planned while it was
+// transferred, and no later than if the turns began with the complete copy.
+func (d *Decider) turnOfCopy(v View) time.Time {
+	turn := d.turn(v, v.Staged, v.StagedAt)
+	if d.planned.version == v.Staged && d.planned.at.Before(turn) {
+		return d.planned.at
+	}
+	return turn
+}
+
+// restOfTransfer estimates the time until the running transfer is complete. It is not known
+// before the transfer makes progress.
+func (d *Decider) restOfTransfer(v View, now time.Time) (rest time.Duration, known bool) {
+	if d.CopyTime <= 0 || v.FetchedShare <= 0 || v.FetchBegan.IsZero() {
+		return 0, false
+	}
+	missing := 1 - v.FetchedShare
+	byLink := restCopies * missing * float64(d.CopyTime)
+	byProgress := elapsedFactor * missing / v.FetchedShare * float64(now.Sub(v.FetchBegan))
+	return time.Duration(max(byLink, byProgress)), true
+}
+
+// NeedsCopyEarly reports whether the server is among the first to swap to a version.
+func (d *Decider) NeedsCopyEarly(version int64) bool {
+	rank, count := d.rank(version)
+	return rank*firstShare < count
 }
 
 // Draining reports whether entries have been told to send no new requests.
@@ -226,8 +368,12 @@
 	if wanted <= v.Staged || d.drainingVersion == v.Staged {
 		return false
 	}
-	transfer := time.Duration(transferFraction * float64(d.Bound))
-	arrival := d.named[len(d.named)-1].at.Add(transfer)
+	named := d.named[len(d.named)-1].at
+	if v.AwaitsManifest && !now.Before(named.Add(d.fraction(awaitFraction))) || v.FetchedShare == 0 && !now.Before(named.Add(d.fraction(beginFraction))) {
+		return false
+	}
+	transfer := d.fraction(transferFraction)
+	arrival := named.Add(transfer)
 	if v.Fetching != wanted || arrival.Before(now) {
 		// The transfer is not running yet or is late by an unknown time, so a
 		// whole transfer from now on is assumed.
@@ -236,31 +382,56 @@
 	return arrival.Before(d.latestSwapTime(v.Served))
 }
 
+// fraction returns a part of the bound.
+func (d *Decider) fraction(part float64) time.Duration {
+	return time.Duration(part * float64(d.Bound))
+}
+
 // latestSwapTime returns the latest time at which the swap from the served
-// version may begin. The bound counts from when the first newer version was named.
+// version may begin; zero if no newer version is named.
 func (d *Decider) latestSwapTime(served int64) time.Time {
+	first := d.firstNamed(served)
+	if first.IsZero() {
+		return first
+	}
+	return first.Add(d.fraction(latestSwapFraction))
+}
+
+// firstNamed returns when the first version newer than the served one was named, from which
+// the bound counts; zero if none was.
+func (d *Decider) firstNamed(served int64) time.Time {
 	var first time.Time
 	for _, n := range d.named {
 		if n.version > served && (first.IsZero() || n.at.Before(first)) {
 			first = n.at
 		}
 	}
-	if first.IsZero() {
-		return first
+	return first
+}
+
+// turn returns the time from which this server may swap to a version, if the turns begin at
+// the given time. They are spread evenly.
+func (d *Decider) turn(v View, version int64, begin time.Time) time.Time {
+	rank, count := d.rank(version)
+	named := d.firstNamed(v.Served)
+	if count == 1 || named.IsZero() {
+		return begin
+	}
+	last := later(named.Add(d.fraction(lastTurnFraction)), begin.Add(d.fraction(minSpreadFraction)))
+	if latest := d.latestSwapTime(v.Served); last.After(latest) {
+		last = latest
+	}
+	if !last.After(begin) {
+		return begin
 	}
-	return first.Add(time.Duration(latestSwapFraction * float64(d.Bound)))
+	return begin.Add(last.Sub(begin) * time.Duration(rank) / time.Duration(count))
 }
 
-// swapTime returns the time from which this server may swap. The swaps of the
-// members are spread evenly over the time between the end of the transfer and
-// the latest swap time.
-func (d *Decider) swapTime(v View) time.Time {
-	rank, count := d.rank(v.Staged)
-	remaining := d.latestSwapTime(v.Served).Sub(v.StagedAt)
-	if count == 1 || remaining <= 0 {
-		return v.StagedAt
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
 	}
-	return v.StagedAt.Add(remaining * time.Duration(rank) / time.Duration(count))
+	return b
 }
 
 // rank returns this agent's position among the members and their number. The
--- a/internal/role/hosted/agent.go
+++ b/internal/role/hosted/agent.go
@@ -158,9 +158,10 @@
 		// staged is the newest version that the agent holds completely, since stagedAt.
 		staged   int64
 		stagedAt time.Time
-		// fetching is the version being fetched, 0 for none. cancelFetch ends the
-		// transfer.
+		// fetching is the version being fetched since fetchBegan, 0 for none. cancelFetch
+		// ends the transfer.
 		fetching    int64
+		fetchBegan  time.Time
 		cancelFetch context.CancelFunc
 	}
 )
--- a/internal/role/hosted/agentloop.go
+++ b/internal/role/hosted/agentloop.go
@@ -38,6 +38,7 @@
 		return enginePollInterval
 	}
 	a.updateMembers()
+	a.decider.CopyTime = a.copyTime()
 	a.updateNamedVersions(ctx, model)
 	if !a.readEngineState(ctx, model) {
 		a.setUplinkRate(false)
@@ -65,7 +66,7 @@
 	if served > 0 && a.decider.Wanted() <= served {
 		a.retainServed(ctx, model, served)
 	}
-	a.reportServed(served, step.WakeAt)
+	a.reportServed(served, step.TurnAt)
 	pause := enginePollInterval
 	if a.engineState.Loading || step.Action != swap.Wait || a.isFetching() || a.lateWrites.Pending() {
 		pause = engineLoadPollInterval
@@ -169,8 +170,10 @@
 	p := a.fetcher.Progress()
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	_, known := a.manifests[a.fetching]
 	v := swap.View{
 		Served: served, Loading: a.engineState.Loading, Staged: a.staged, StagedAt: a.stagedAt, Uploaded: a.uploaded, Fetching: a.fetching,
+		FetchBegan: a.fetchBegan, AwaitsManifest: a.fetching > 0 && !known,
 	}
 	if p.Manifest == a.manifests[a.fetching].Digest && p.Total > 0 {
 		v.FetchedShare = float64(p.Chunks) / float64(p.Total)
@@ -178,6 +181,16 @@
 	return v
 }
 
+// copyTime returns the time that a copy takes on the agent's link or that of the origin,
+// whichever is slower; 0 if the size of a copy is not known.
+func (a *agentRole) copyTime() time.Duration {
+	link := int64(a.settings.Limits.Link)
+	if origin := a.originBytesPerSecond(); origin > 0 {
+		link = min(link, origin)
+	}
+	return time.Duration(float64(a.pieceBytes()*int64(a.pieces())) / float64(link) * float64(time.Second))
+}
+
 // isFetching reports whether a version is being fetched.
 func (a *agentRole) isFetching() bool {
 	a.mu.Lock()
@@ -210,7 +223,7 @@
 		a.cancelFetch()
 	}
 	ctx, cancel := context.WithCancel(ctx)
-	a.fetching, a.cancelFetch = version, cancel
+	a.fetching, a.fetchBegan, a.cancelFetch = version, a.clock.Now(), cancel
 	go a.fetchVersion(ctx, model, version)
 }
 
