Upload chunks first to the agents whose servers swap first

Agents complete their copies nearly at the same time, although the turns of their servers are spread over seconds. The requests of one agent in 20 are now served as urgent ones, the first in the order of the turns.

--- a/internal/agent/fetch/effects.go
+++ b/internal/agent/fetch/effects.go
@@ -82,7 +82,7 @@
 		Address:    listed.Chunks,
 		Chunk:      e.Chunk,
 		Have:       mulberryspool.ChunksHaveParams{Instance: f.Identity.Instance, Manifest: e.Manifest, Have: held},
-		Urgent:     e.Source.Kind == swarm.FromRegion,
+		Urgent:     e.Source.Kind == swarm.FromRegion || f.Urgent != nil && f.Urgent(),
 		OnReceived: f.progressReporter(e.Attempt),
 	}
 	if e.Source.Kind == swarm.FromRegion && f.RegionLink != nil {
--- a/internal/agent/fetch/fetcher.go
+++ b/internal/agent/fetch/fetcher.go
@@ -94,6 +94,8 @@
 		// Uplink and Downlink limit the rate of transfers on the machine's link; nil
 		// means no limit.
 		Uplink, Downlink chunks.Limiter
+		// Urgent reports whether other agents should serve this one first; nil for never.
+		Urgent func() bool
 		// RegionLink returns the rate limit of fetches from another region to the local
 		// one, such as RegionLimiters.Limiter of package chunks; nil means no limit.
 		RegionLink func(from string) chunks.Limiter
--- a/internal/agent/swap/swap.go
+++ b/internal/agent/swap/swap.go
@@ -63,7 +63,7 @@
 	// that the version serves early on a few servers.
 	pioneerShare = 30
 	// Of firstShare servers, the first one in the order needs its copy early.
-	firstShare = 10
+	firstShare = 20
 	// awaitFraction is the fraction of the bound after which a named version whose
 	// manifest can't be read is not expected soon, and beginFraction the same for one of
 	// which no chunk has arrived.
--- a/internal/peer/chunks/client.go
+++ b/internal/peer/chunks/client.go
@@ -39,7 +39,7 @@
 		// Have is sent to the peer unless its Manifest is empty.
 		Have mulberryspool.ChunksHaveParams
 		// Urgent requests are served before others. It is meant for a chunk that no agent
-		// of the local region holds.
+		// of the local region holds, and for the few agents that need a copy first.
 		Urgent bool
 		// Limiter limits this transfer in addition to the downlink; nil means no limit.
 		Limiter Limiter
--- a/internal/peer/chunks/slots.go
+++ b/internal/peer/chunks/slots.go
@@ -8,11 +8,9 @@
 
 // Classes of requests that wait for an upload slot.
 const (
-	// ordinary requests are for a chunk that the client's region holds, or can get from
-	// another agent there.
 	ordinary class = iota
-	// urgent requests bring a chunk into a region that lacks it. A whole region waits for
-	// them, so they are served first.
+	// urgent requests bring a chunk into a region that lacks it, for which the whole region
+	// waits, or to one of the few agents that need a copy first.
 	urgent
 	classCount
 )
--- a/internal/role/hosted/agent.go
+++ b/internal/role/hosted/agent.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -144,6 +145,10 @@
 		// newest version.
 		nextNewestQuery time.Time
 
+		// needsCopyEarly is set if the model server is among the first to swap to the
+		// wanted version.
+		needsCopyEarly atomic.Bool
+
 		// findingsSentAt is when entries were last sent the rejected parts of prompts.
 		findingsSentAt time.Time
 
@@ -225,7 +230,7 @@
 		Recorder: &timeline.Ring{Identity: p.identity, HLC: hybridClock, Capacity: agentTimelineEvents},
 		Logger:   p.logger, Metrics: p.metrics, Seed: newRandom().Uint64(), Limits: limits,
 		ListInterval: membersInterval, CallTimeout: peerCallTimeout, UploadSlots: uploadSlots,
-		Uplink: a.uplink, OriginBytesPerSecond: a.originBytesPerSecond,
+		Uplink: a.uplink, OriginBytesPerSecond: a.originBytesPerSecond, Urgent: a.needsCopyEarly.Load,
 	}
 	p.logger.Info().Str(logging.FieldStep, "start").Int64("boot", p.boot).Str("backend", s.Backend).Msg("process started")
 	group, ctx := errgroup.WithContext(ctx)
--- a/internal/role/hosted/agentloop.go
+++ b/internal/role/hosted/agentloop.go
@@ -40,6 +40,7 @@
 	a.updateMembers()
 	a.decider.CopyTime = a.copyTime()
 	a.updateNamedVersions(ctx, model)
+	a.needsCopyEarly.Store(a.decider.NeedsCopyEarly(a.decider.Wanted()))
 	if !a.readEngineState(ctx, model) {
 		a.setUplinkRate(false)
 		// At the first start of the whole system, the model server may start with
--- a/internal/role/hosted/agenttransfer_test.go
+++ b/internal/role/hosted/agenttransfer_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/mulberryspool/mulberryspool"
 	"github.com/mulberryspool/mulberryspool/internal/agent/bitset"
+	"github.com/mulberryspool/mulberryspool/internal/agent/swap"
 	"github.com/mulberryspool/mulberryspool/internal/agent/swarm"
 )
 
@@ -56,6 +57,8 @@
 
 	timedAgent struct {
 		*swarm.Planner
+		// early is set if the agent needs its copy early.
+		early    bool
 		up, down timedLink
 		// upLimit is the rate limit of uploads.
 		upLimit       timedLink
@@ -134,7 +137,7 @@
 		a := &timedAgent{
 			Planner: &swarm.Planner{Self: m, Seed: shape.seed<<16 + uint64(i), Limits: agentLimits},
 			up:      timedLink{rate: free}, down: timedLink{rate: free}, upLimit: timedLink{rate: shape.link * (1 - uplinkLiveShare)},
-			held: bitset.New(shape.chunks), cancelled: map[swarm.Attempt]bool{}, timerAt: -1,
+			early: s.needsCopyEarly(m, members), held: bitset.New(shape.chunks), cancelled: map[swarm.Attempt]bool{}, timerAt: -1,
 		}
 		s.agents[m.Instance] = a
 		s.order = append(s.order, m.Instance)
@@ -146,6 +149,16 @@
 	return s
 }
 
+func (s *timedTransfer) needsCopyEarly(self swarm.Member, members []swarm.Member) bool {
+	d := &swap.Decider{Self: self.Instance}
+	var ids []mulberryspool.InstanceID
+	for _, m := range members {
+		ids = append(ids, m.Instance)
+	}
+	d.SetMembers(ids)
+	return d.NeedsCopyEarly(int64(s.shape.seed) + 1)
+}
+
 // at calls a function at the given time.
 func (s *timedTransfer) at(t time.Duration, call func()) {
 	s.queue.count++
@@ -261,7 +274,7 @@
 				s.upload(a, e, e.Chunk.Size, source.Self.Region, send, func() { s.endUpload(source) }, func() { s.step(a, have); received() })
 			}
 			urgent := 0
-			if e.Source.Kind == swarm.FromRegion {
+			if e.Source.Kind == swarm.FromRegion || a.early {
 				urgent = 1
 			}
 			switch {
