Suspend a transfer while the manifest of a newer version is read

An agent cancelled a transfer that was less than half done as soon as a newer version was named. If that one couldn't be read, its model server got neither.

The transfer is now suspended for 0.15 of the bound at most: it asks for no further piece until the manifest has been read, and then goes on.

--- a/internal/agent/fetch/fetcher.go
+++ b/internal/agent/fetch/fetcher.go
@@ -136,7 +136,9 @@
 		manifest mulberryspool.Manifest
 		done     chan struct{}
 		err      error
-		progress progress
+		// suspended is set while no fetch is started.
+		suspended bool
+		progress  progress
 		// mismatches holds the digest of what the origin has sent last in place of a chunk.
 		mismatches map[mulberryspool.Digest]mulberryspool.Digest
 	}
--- a/internal/agent/fetch/stage.go
+++ b/internal/agent/fetch/stage.go
@@ -36,6 +36,29 @@
 	}
 }
 
+// Suspend stops starting fetches for a manifest, or starts them again. It has no effect
+// unless its transfer is running.
+func (f *Fetcher) Suspend(digest mulberryspool.Digest, suspended bool) {
+	f.prepare()
+	f.stageMu.Lock()
+	defer f.stageMu.Unlock()
+	if f.setSuspended(digest, suspended) {
+		f.send(swarm.Suspend{Suspended: suspended})
+	}
+}
+
+// setSuspended reports whether this changes the transfer.
+func (f *Fetcher) setSuspended(digest mulberryspool.Digest, suspended bool) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	t := f.transfer
+	if t == nil || t.manifest.Digest != digest || t.ended() || t.suspended == suspended {
+		return false
+	}
+	t.suspended = suspended
+	return true
+}
+
 // Adopt retains a manifest and fills it with the chunks that read returns, such as
 // those of an engine that kept running while its agent restarted. It returns the
 // number of chunks held. Stage later fetches the chunks that could not be read or
--- a/internal/agent/swarm/plan.go
+++ b/internal/agent/swarm/plan.go
@@ -13,7 +13,7 @@
 		p.assignRoles(p.now)
 		p.chooseNeighbours(p.now)
 	}
-	if p.missingCount > 0 {
+	if p.missingCount > 0 && !p.suspended {
 		p.fetchFromPeers()
 		p.fetchIntoRegion()
 		p.duplicateSlowFetches()
--- a/internal/agent/swarm/planner.go
+++ b/internal/agent/swarm/planner.go
@@ -46,6 +46,7 @@
 
 		manifest  mulberryspool.Manifest
 		active    bool
+		suspended bool
 		startedAt time.Time
 		held      bitset.Set
 		// rare contains the held chunks that few agents of the local region held when
@@ -145,6 +146,8 @@
 	switch e := event.(type) {
 	case Start:
 		p.start(e)
+	case Suspend:
+		p.suspend(e.Suspended)
 	case Stop:
 		p.stop()
 	case Members:
@@ -180,7 +183,7 @@
 }
 
 func (p *Planner) start(e Start) {
-	p.manifest, p.active, p.startedAt = e.Manifest, true, p.now
+	p.manifest, p.active, p.suspended, p.startedAt = e.Manifest, true, false, p.now
 	if e.OriginBytesPerSecond > 0 {
 		p.limits.OriginBytesPerSecond = e.OriginBytesPerSecond
 	}
@@ -252,6 +255,15 @@
 	}
 }
 
+// suspend stops starting fetches, or starts them again. Successors then wait for the owners
+// of their chunks as long as at the start, since those were suspended too.
+func (p *Planner) suspend(suspended bool) {
+	if p.suspended && !suspended {
+		p.restartAllTakeoverDelays()
+	}
+	p.suspended = suspended
+}
+
 func (p *Planner) stop() {
 	for _, id := range p.attemptIDs() {
 		p.cancel(p.attempts[id])
--- a/internal/agent/swarm/planner_test.go
+++ b/internal/agent/swarm/planner_test.go
@@ -498,3 +498,43 @@
 		h.step(events...)
 	}
 }
+
+// Guards against a suspended transfer that keeps asking for chunks, that gives up what it has
+// asked for, or that reads the chunks of all other agents from the origin when it goes on.
+func TestSuspendedTransferStartsNoFetch(t *testing.T) {
+	const count = 16
+	self, other := newMember("a", "east"), newMember("b", "east")
+	h := newHarness(self, other)
+	h.Planner = &Planner{Self: self, Limits: Limits{OriginPipeline: 2, OriginBias: 1, MaxTakeoverDelay: 4 * time.Second, ProgressTimeout: time.Minute}}
+	h.step(Members{Live: []Member{self, other}})
+	h.step(Start{Manifest: testManifest("v1", numberedNames("c", count)...), Held: bitset.New(count)})
+	h.answerAnnouncements(bitset.New(count))
+	running := h.fetches(FromOrigin)
+	if len(running) != 2 {
+		t.Fatalf("%d fetches run at the start, want 2", len(running))
+	}
+	h.step(Suspend{Suspended: true})
+	h.step(Fetched{Attempt: running[0].Attempt, Chunk: running[0].Chunk.Digest})
+	h.advance(10 * time.Second)
+	if started, cancelled := effectsOf[Fetch](h), effectsOf[Cancel](h); len(started) > 0 || len(cancelled) > 0 {
+		t.Fatalf("%d fetches are started and %d cancelled while suspended, want none", len(started), len(cancelled))
+	}
+	owned := 0
+	for _, c := range h.missingChunks {
+		if c.role.rank == 0 && c.runningAttempts == 0 {
+			owned++
+		}
+	}
+	idle := newHarness(other)
+	idle.step(Start{Manifest: h.manifest, Held: bitset.New(count)})
+	h.step(Suspend{})
+	fetched := 0
+	for range 30 {
+		fetched += h.completeEffects(map[mulberryspool.InstanceID]*harness{"b": idle}, true)
+		h.now = h.now.Add(100 * time.Millisecond)
+		h.step(Tick{})
+	}
+	if fetched != owned {
+		t.Errorf("%d chunks are read from the origin within 3 s of going on, want the %d that this agent owns", fetched, owned)
+	}
+}
--- a/internal/agent/swarm/swarm.go
+++ b/internal/agent/swarm/swarm.go
@@ -83,6 +83,8 @@
 		// OriginBytesPerSecond replaces Limits.OriginBytesPerSecond unless it is 0.
 		OriginBytesPerSecond int64
 	}
+	// Suspend stops starting fetches, or starts them again. Those that run go on.
+	Suspend struct{ Suspended bool }
 	// Stop ends the transfer.
 	Stop struct{}
 	// Members carries the newest instance list.
@@ -146,6 +148,7 @@
 )
 
 func (Start) event()          {}
+func (Suspend) event()        {}
 func (Stop) event()           {}
 func (Members) event()        {}
 func (Have) event()           {}
--- a/internal/role/hosted/agent.go
+++ b/internal/role/hosted/agent.go
@@ -88,6 +88,10 @@
 	// findingsReportInterval is the interval between two heartbeats with rejected
 	// parts of prompts.
 	findingsReportInterval = 2 * time.Second
+	// suspendFraction is the fraction of the bound of a named version for which a transfer
+	// is suspended while the manifest of a newer version is read. A manifest is usually read
+	// within 0.3 s, unless the origin is unavailable.
+	suspendFraction = 0.15
 	// agentTimelineEvents is the capacity of an agent's time line.
 	agentTimelineEvents = 256
 	// membersInterval is the interval at which a transfer reads the list of
@@ -168,6 +172,11 @@
 		fetching    int64
 		fetchBegan  time.Time
 		cancelFetch context.CancelFunc
+		// awaited is the version whose manifest is read, since awaitedAt, while another one
+		// is being fetched; 0 for none. cancelAwait ends the read.
+		awaited     int64
+		awaitedAt   time.Time
+		cancelAwait context.CancelFunc
 	}
 )
 
--- a/internal/role/hosted/agentloop.go
+++ b/internal/role/hosted/agentloop.go
@@ -49,17 +49,13 @@
 			return engineStartPollInterval
 		}
 		// The weights are fetched while the model server starts.
-		if step := a.decider.Next(a.swapView(0), now); step.Fetch > 0 {
-			a.startFetch(ctx, model, step.Fetch)
-		}
+		a.fetch(ctx, model, a.decider.Next(a.swapView(0), now).Fetch)
 		return engineStartPollInterval
 	}
 	served := a.servedVersion(model)
 	a.setUplinkRate(served > 0)
 	step := a.decider.Next(a.swapView(served), now)
-	if step.Fetch > 0 {
-		a.startFetch(ctx, model, step.Fetch)
-	}
+	a.fetch(ctx, model, step.Fetch)
 	if !a.engineState.Loading {
 		a.uploadAvailable(ctx, model, step.Prepare)
 	}
@@ -212,6 +208,52 @@
 	a.decider.SetMembers(members)
 }
 
+// fetch starts the transfer of a version; 0 leaves a running one alone. That a version is
+// named does not mean that it can be read. The transfer of another version therefore goes on
+// until the manifest of this one has been read. It is suspended for a time, so that it does
+// not keep the manifest and the chunks of the newer version from the origin's link.
+func (a *agentRole) fetch(ctx context.Context, model string, version int64) {
+	a.mu.Lock()
+	running, transferring := a.manifests[a.fetching]
+	_, readable := a.manifests[version]
+	awaits := version > 0 && a.fetching > 0 && a.fetching != version && transferring && !readable
+	if awaits && a.awaited != version {
+		a.stopAwaiting()
+		a.awaitManifest(ctx, model, version)
+	} else if !awaits {
+		a.stopAwaiting()
+	}
+	suspended := awaits && a.clock.Since(a.awaitedAt) < time.Duration(suspendFraction*float64(a.settings.Bounds.NamedVersion))
+	a.mu.Unlock()
+	if transferring {
+		a.fetcher.Suspend(running.Digest, suspended)
+	}
+	if version > 0 && !awaits {
+		a.startFetch(ctx, model, version)
+	}
+}
+
+// awaitManifest reads the manifest of a version in the background. It requires the mutex.
+func (a *agentRole) awaitManifest(ctx context.Context, model string, version int64) {
+	ctx, cancel := context.WithCancel(ctx)
+	a.awaited, a.awaitedAt, a.cancelAwait = version, a.clock.Now(), cancel
+	a.logger.Info().Str(logging.FieldStep, "await manifest").Int64("version", version).Int64("fetching", a.fetching).
+		Msg("newer version is named; transfer is suspended until its manifest is read or takes too long")
+	go func() {
+		if _, err := a.fetchManifest(ctx, model, version); err == nil {
+			a.wakeLoop()
+		}
+	}()
+}
+
+// stopAwaiting ends the read that awaitManifest began. It requires the mutex.
+func (a *agentRole) stopAwaiting() {
+	if a.cancelAwait != nil {
+		a.cancelAwait()
+	}
+	a.awaited, a.cancelAwait = 0, nil
+}
+
 // startFetch fetches a version in the background. It cancels the transfer of
 // another version.
 func (a *agentRole) startFetch(ctx context.Context, model string, version int64) {
