End a drain whose agent no longer reports it

Entries sent no requests to a drained server until its agent reported otherwise or the list of servers changed. An agent that failed between the drain and the load left its server idle.

3 s after the last report of a drain, entries use the server as its object in the store says, which is what happened so far at the next change of the list. TestDrainExpiresWithItsAgent fails without the change (nothing placed within 5 s).

--- a/internal/entry/scheduler/scheduler.go
+++ b/internal/entry/scheduler/scheduler.go
@@ -136,6 +136,9 @@
 	s.initMaps()
 	report.reportedAt = s.Clock.Now()
 	s.agentReports[id] = report
+	if report.Version == 0 {
+		s.Clock.AfterFunc(agentReportTimeout, func() { s.expireDrain(id, report.reportedAt) })
+	}
 	b, ok := s.servers[id]
 	if !ok {
 		return
@@ -146,6 +149,20 @@
 	}
 }
 
+// expireDrain uses a backend server again whose agent reported at the given time that it
+// accepts no requests, and nothing since. The server's own object says what it serves.
+func (s *Scheduler) expireDrain(id mulberryspool.InstanceID, reportedAt time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	b, listed := s.servers[id]
+	p := s.pools[b.Pool]
+	if !listed || p == nil || !s.agentReports[id].reportedAt.Equal(reportedAt) {
+		return
+	}
+	s.syncServers(b.Pool, p)
+	s.decideWaiting(p)
+}
+
 // Place waits until a request is placed or refused. It refuses the request if
 // the context is done first.
 func (s *Scheduler) Place(ctx context.Context, name string, r placement.Request) placement.Decision {
--- a/internal/entry/scheduler/scheduler_test.go
+++ b/internal/entry/scheduler/scheduler_test.go
@@ -97,6 +97,29 @@
 	}
 }
 
+// Guards against a backend server that gets no requests although nothing in the list of
+// servers has changed, because its agent failed after it had drained the server.
+func TestDrainExpiresWithItsAgent(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	s := newScheduler(clock)
+	s.SetAgentReport("i-1", AgentReport{Born: 1, Version: 0})
+	clock.Advance(agentReportTimeout / 2)
+	s.SetAgentReport("i-1", AgentReport{Born: 1, Version: 0})
+	clock.Advance(agentReportTimeout / 2)
+	if got := s.Place(context.Background(), "p", request(clock.Now())); got.Verdict == placement.Placed {
+		t.Error("placed at a server whose agent still reports that it is drained")
+	}
+	for deadline := time.Now().Add(5 * time.Second); ; time.Sleep(time.Millisecond) {
+		clock.Advance(agentReportTimeout / 2)
+		if got := s.Place(context.Background(), "p", request(clock.Now())); got.Verdict == placement.Placed {
+			return
+		}
+		if time.Now().After(deadline) {
+			t.Fatal("nothing is placed at the server after its agent has failed")
+		}
+	}
+}
+
 // Guards against a report of an outdated version that measures from another version
 // than the placement does.
 func TestFirstNewerVersionIsTheOneNamedFirst(t *testing.T) {
