--- a/internal/role/hosted/agent.go
+++ b/internal/role/hosted/agent.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -51,8 +52,9 @@
 	uploadSlots       = 2
 	uploadBufferBytes = 16 << 10
 	// uplinkLiveShare is the share of the link that uploads leave to the model
-	// server's events.
-	uplinkLiveShare = 0.35
+	// server's events, which need about 0.05 of it, and to messages. A new version
+	// reaches all agents sooner the less it is.
+	uplinkLiveShare = 0.15
 	// idleUplinkShare is the share of the link that uploads may use while the
 	// model server does not serve.
 	idleUplinkShare = 0.95
@@ -86,6 +88,10 @@
 	// findingsReportInterval is the interval between two heartbeats with rejected
 	// parts of prompts.
 	findingsReportInterval = 2 * time.Second
+	// suspendFraction is the fraction of the bound of a named version for which a transfer
+	// is suspended while the manifest of a newer version is read. A manifest is usually read
+	// within 0.3 s, unless the origin is unavailable.
+	suspendFraction = 0.15
 	// agentTimelineEvents is the capacity of an agent's time line.
 	agentTimelineEvents = 256
 	// membersInterval is the interval at which a transfer reads the list of
@@ -96,7 +102,7 @@
 // agentLimits is tuned for contents of a few megabytes that all agents need
 // within seconds.
 var agentLimits = swarm.Limits{
-	Pipeline: 4, RegionPipeline: 3, OriginPipeline: 3, MaxFetches: 5, SlowFetchThreshold: 250 * time.Millisecond,
+	Pipeline: 4, RegionPipeline: 3, OriginPipeline: 3, MaxFetches: 5, SlowFetchThreshold: 500 * time.Millisecond,
 	AnnounceInterval: 200 * time.Millisecond, InitialSyncTimeout: 300 * time.Millisecond, QueryInterval: 300 * time.Millisecond,
 	MinTakeoverDelay: 700 * time.Millisecond, MaxTakeoverDelay: 4 * time.Second,
 	ProgressTimeout: 1500 * time.Millisecond, BusyBackoff: 60 * time.Millisecond,
@@ -143,6 +149,10 @@
 		// newest version.
 		nextNewestQuery time.Time
 
+		// needsCopyEarly is set if the model server is among the first to swap to the
+		// wanted version.
+		needsCopyEarly atomic.Bool
+
 		// findingsSentAt is when entries were last sent the rejected parts of prompts.
 		findingsSentAt time.Time
 
@@ -157,10 +167,16 @@
 		// staged is the newest version that the agent holds completely, since stagedAt.
 		staged   int64
 		stagedAt time.Time
-		// fetching is the version being fetched, 0 for none. cancelFetch ends the
-		// transfer.
+		// fetching is the version being fetched since fetchBegan, 0 for none. cancelFetch
+		// ends the transfer.
 		fetching    int64
+		fetchBegan  time.Time
 		cancelFetch context.CancelFunc
+		// awaited is the version whose manifest is read, since awaitedAt, while another one
+		// is being fetched; 0 for none. cancelAwait ends the read.
+		awaited     int64
+		awaitedAt   time.Time
+		cancelAwait context.CancelFunc
 	}
 )
 
@@ -223,7 +239,7 @@
 		Recorder: &timeline.Ring{Identity: p.identity, HLC: hybridClock, Capacity: agentTimelineEvents},
 		Logger:   p.logger, Metrics: p.metrics, Seed: newRandom().Uint64(), Limits: limits,
 		ListInterval: membersInterval, CallTimeout: peerCallTimeout, UploadSlots: uploadSlots,
-		Uplink: a.uplink, OriginBytesPerSecond: a.originBytesPerSecond,
+		Uplink: a.uplink, OriginBytesPerSecond: a.originBytesPerSecond, Urgent: a.needsCopyEarly.Load,
 	}
 	p.logger.Info().Str(logging.FieldStep, "start").Int64("boot", p.boot).Str("backend", s.Backend).Msg("process started")
 	group, ctx := errgroup.WithContext(ctx)
--- a/internal/role/hosted/agentloop.go
+++ b/internal/role/hosted/agentloop.go
@@ -38,7 +38,9 @@
 		return enginePollInterval
 	}
 	a.updateMembers()
+	a.decider.CopyTime = a.copyTime()
 	a.updateNamedVersions(ctx, model)
+	a.needsCopyEarly.Store(a.decider.NeedsCopyEarly(a.decider.Wanted()))
 	if !a.readEngineState(ctx, model) {
 		a.setUplinkRate(false)
 		// At the first start of the whole system, the model server may start with
@@ -47,17 +49,13 @@
 			return engineStartPollInterval
 		}
 		// The weights are fetched while the model server starts.
-		if step := a.decider.Next(a.swapView(0), now); step.Fetch > 0 {
-			a.startFetch(ctx, model, step.Fetch)
-		}
+		a.fetch(ctx, model, a.decider.Next(a.swapView(0), now).Fetch)
 		return engineStartPollInterval
 	}
 	served := a.servedVersion(model)
 	a.setUplinkRate(served > 0)
 	step := a.decider.Next(a.swapView(served), now)
-	if step.Fetch > 0 {
-		a.startFetch(ctx, model, step.Fetch)
-	}
+	a.fetch(ctx, model, step.Fetch)
 	if !a.engineState.Loading {
 		a.uploadAvailable(ctx, model, step.Prepare)
 	}
@@ -65,7 +63,7 @@
 	if served > 0 && a.decider.Wanted() <= served {
 		a.retainServed(ctx, model, served)
 	}
-	a.reportServed(served, step.WakeAt)
+	a.reportServed(served, step.TurnAt)
 	pause := enginePollInterval
 	if a.engineState.Loading || step.Action != swap.Wait || a.isFetching() || a.lateWrites.Pending() {
 		pause = engineLoadPollInterval
@@ -169,8 +167,10 @@
 	p := a.fetcher.Progress()
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	_, known := a.manifests[a.fetching]
 	v := swap.View{
 		Served: served, Loading: a.engineState.Loading, Staged: a.staged, StagedAt: a.stagedAt, Uploaded: a.uploaded, Fetching: a.fetching,
+		FetchBegan: a.fetchBegan, AwaitsManifest: a.fetching > 0 && !known,
 	}
 	if p.Manifest == a.manifests[a.fetching].Digest && p.Total > 0 {
 		v.FetchedShare = float64(p.Chunks) / float64(p.Total)
@@ -178,6 +178,16 @@
 	return v
 }
 
+// copyTime returns the time that a copy takes on the agent's link or that of the origin,
+// whichever is slower; 0 if the size of a copy is not known.
+func (a *agentRole) copyTime() time.Duration {
+	link := int64(a.settings.Limits.Link)
+	if origin := a.originBytesPerSecond(); origin > 0 {
+		link = min(link, origin)
+	}
+	return time.Duration(float64(a.pieceBytes()*int64(a.pieces())) / float64(link) * float64(time.Second))
+}
+
 // isFetching reports whether a version is being fetched.
 func (a *agentRole) isFetching() bool {
 	a.mu.Lock()
@@ -198,6 +208,52 @@
 	a.decider.SetMembers(members)
 }
 
+// fetch starts the transfer of a version; 0 leaves a running one alone. That a version is
+// named does not mean that it can be read. The transfer of another version therefore goes on
+// until the manifest of this one has been read. It is suspended for a time, so that it does
+// not keep the manifest and the chunks of the newer version from the origin's link.
+func (a *agentRole) fetch(ctx context.Context, model string, version int64) {
+	a.mu.Lock()
+	running, transferring := a.manifests[a.fetching]
+	_, readable := a.manifests[version]
+	awaits := version > 0 && a.fetching > 0 && a.fetching != version && transferring && !readable
+	if awaits && a.awaited != version {
+		a.stopAwaiting()
+		a.awaitManifest(ctx, model, version)
+	} else if !awaits {
+		a.stopAwaiting()
+	}
+	suspended := awaits && a.clock.Since(a.awaitedAt) < time.Duration(suspendFraction*float64(a.settings.Bounds.NamedVersion))
+	a.mu.Unlock()
+	if transferring {
+		a.fetcher.Suspend(running.Digest, suspended)
+	}
+	if version > 0 && !awaits {
+		a.startFetch(ctx, model, version)
+	}
+}
+
+// awaitManifest reads the manifest of a version in the background. It requires the mutex.
+func (a *agentRole) awaitManifest(ctx context.Context, model string, version int64) {
+	ctx, cancel := context.WithCancel(ctx)
+	a.awaited, a.awaitedAt, a.cancelAwait = version, a.clock.Now(), cancel
+	a.logger.Info().Str(logging.FieldStep, "await manifest").Int64("version", version).Int64("fetching", a.fetching).
+		Msg("newer version is named; transfer is suspended until its manifest is read or takes too long")
+	go func() {
+		if _, err := a.fetchManifest(ctx, model, version); err == nil {
+			a.wakeLoop()
+		}
+	}()
+}
+
+// stopAwaiting ends the read that awaitManifest began. It requires the mutex.
+func (a *agentRole) stopAwaiting() {
+	if a.cancelAwait != nil {
+		a.cancelAwait()
+	}
+	a.awaited, a.cancelAwait = 0, nil
+}
+
 // startFetch fetches a version in the background. It cancels the transfer of
 // another version.
 func (a *agentRole) startFetch(ctx context.Context, model string, version int64) {
@@ -210,7 +266,7 @@
 		a.cancelFetch()
 	}
 	ctx, cancel := context.WithCancel(ctx)
-	a.fetching, a.cancelFetch = version, cancel
+	a.fetching, a.fetchBegan, a.cancelFetch = version, a.clock.Now(), cancel
 	go a.fetchVersion(ctx, model, version)
 }
 
