Let agents that start read the store sooner

Cause: an added agent waited 0.8 s for a heartbeat of an entry, which knows it only once its model server is listed, and read the store then.

--- a/internal/role/hosted/agent.go
+++ b/internal/role/hosted/agent.go
@@ -75,9 +75,10 @@
 	originNewestInterval = time.Second
 	// agentStateInterval is the minimum interval between two reads of an entry's state.
 	agentStateInterval = 700 * time.Millisecond
-	// startupEntryWait is how long a starting agent waits for an entry's state
-	// before it reads the store itself.
-	startupEntryWait = 800 * time.Millisecond
+	// startupEntryWait is how long a starting agent waits for an entry's state before it reads
+	// the store itself. Entries know restarted agents and send heartbeats every second; those of
+	// added model servers are not listed before, and 0.8 s delayed the versions there.
+	startupEntryWait = 200 * time.Millisecond
 	// agentServersWatchPause and agentConfigWatchPause are the pauses between two
 	// watches. Agents need servers and configuration less urgently than entries.
 	agentServersWatchPause = 1500 * time.Millisecond
