--- a/internal/entry/scheduler/scheduler.go
+++ b/internal/entry/scheduler/scheduler.go
@@ -155,16 +155,15 @@
 // Place waits until a request is placed or refused. It refuses the request if
 // the context is done first.
 func (s *Scheduler) Place(ctx context.Context, name string, r placement.Request) placement.Decision {
+	if !s.awaitEvacuations(ctx) {
+		return placement.Decision{Verdict: placement.Refused, Reason: placement.ReasonEvacuationsUnknown, RetryAfter: evacuationsUnknownRetryAfter}
+	}
 	s.mu.Lock()
 	p := s.pools[name]
 	if p == nil {
 		s.mu.Unlock()
 		return placement.Decision{Verdict: placement.Refused, Reason: placement.ReasonNoServer, RetryAfter: time.Second}
 	}
-	if !s.knowsEvacuations() {
-		s.mu.Unlock()
-		return placement.Decision{Verdict: placement.Refused, Reason: placement.ReasonEvacuationsUnknown, RetryAfter: evacuationsUnknownRetryAfter}
-	}
 	r.Regions = s.regions(r.Scope)
 	decision := p.placer.Offer(r, s.Clock.Now())
 	if decision.Verdict != placement.Waiting {
--- a/internal/integration/hostedregions_test.go
+++ b/internal/integration/hostedregions_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/mulberryspool/mulberryspool/internal/testkit/hostedsystem"
+	"github.com/mulberryspool/mulberryspool/platform"
 )
 
 // Guards against requests that leave the regions of their route, also while all servers there are
@@ -71,6 +72,11 @@
 	if rejected == 0 || 10*late > rejected {
 		t.Errorf("%d requests were rejected, %d of them late", rejected, late)
 	}
+	for c, n := range s.Store.Calls() {
+		if c.Kind == platform.KindEvacuations {
+			t.Errorf("%d calls to %s evacuations, although the settings have no bound for them", n, c.Operation)
+		}
+	}
 	orders := 0
 	for _, run := range s.Servers[1].Runs() {
 		if s.results[run.ID].Call.Prefix == hostedsystem.OrderPrefix {
