Confirm no objects as of a later position than that of their list

Cause: after a list that is older than an answer before it, the next watch would confirm its objects as of a later revision. No such store was seen. Change: a follower with Confirmed rejects such a list. Heartbeats of first builds are also tested with evacuations. Verified: go test -race ./internal/platform/listwatch ./internal/peer/heartbeat

--- a/internal/peer/heartbeat/heartbeat_test.go
+++ b/internal/peer/heartbeat/heartbeat_test.go
@@ -10,6 +10,7 @@
 	"github.com/mulberryspool/mulberryspool/internal/entry/placement"
 	"github.com/mulberryspool/mulberryspool/internal/entry/quarantine"
 	"github.com/mulberryspool/mulberryspool/internal/entry/serverlimit"
+	"github.com/mulberryspool/mulberryspool/internal/platform/evacuation"
 	"github.com/mulberryspool/mulberryspool/internal/platform/fleet"
 )
 
@@ -46,6 +47,7 @@
 	summary := fleet.Summary{Config: 7, ServersAt: 9, Servers: 11, Named: map[string][]fleet.NamedVersionAge{"m": {{Version: 2, AgeMillis: 30}}}}
 	findings := []quarantine.Finding{{Part: "m/p", Proven: true, Crashes: []quarantine.CrashFinding{{Server: 3, AgeMillis: 4, Refuted: true}}, TrialRequest: "r", TrialAgeMillis: 5}}
 	limits := []serverlimit.Report{{Instance: "i-1", Born: 6, Rate: 3.8, AgeMillis: 20, Sent: 12}}
+	evacuations := &evacuation.Report{Era: 2, Revision: 8, Domains: []string{"a"}, AgeMillis: 9, AnsweredMillis: 10}
 	first := firstMessage{
 		Role: mulberryspool.RoleEntry, Sender: "e-1", Boot: 3, Sequence: 4, Summary: &summary,
 		Loads:   map[mulberryspool.InstanceID]placement.Load{"i-1": {Requests: 2, PendingPromptTokens: 5}},
@@ -54,7 +56,7 @@
 	}
 	message := Message{
 		Role: first.Role, Sender: first.Sender, Boot: first.Boot, Sequence: first.Sequence,
-		Summary: &Summary{Summary: summary, Findings: findings, Limits: limits}, Loads: first.Loads, Partial: first.Partial,
+		Summary: &Summary{Summary: summary, Findings: findings, Limits: limits, Evacuations: evacuations}, Loads: first.Loads, Partial: first.Partial,
 		EntryAddresses: first.EntryAddresses, Report: first.Report, FailureDomain: first.FailureDomain, Waiting: first.Waiting,
 	}
 	var asFirst firstMessage
@@ -64,11 +66,11 @@
 	}
 	var asMessage Message
 	recode(t, &first, &asMessage)
-	message.Summary.Findings, message.Summary.Limits = nil, nil
+	message.Summary.Findings, message.Summary.Limits, message.Summary.Evacuations = nil, nil, nil
 	if !reflect.DeepEqual(asMessage, message) {
 		t.Errorf("read %+v of first builds, want %+v", asMessage, message)
 	}
-	message.Summary.Findings, message.Summary.Limits = findings, limits
+	message.Summary.Findings, message.Summary.Limits, message.Summary.Evacuations = findings, limits, evacuations
 	asMessage = Message{}
 	recode(t, &message, &asMessage)
 	if !reflect.DeepEqual(asMessage, message) {
--- a/internal/platform/listwatch/follower.go
+++ b/internal/platform/listwatch/follower.go
@@ -188,6 +188,10 @@
 	if at.Era < f.position.Era {
 		return false, mulberryspool.AtStep(errors.Newf("answer is of era %d, before era %d", at.Era, f.position.Era), "list "+f.Kind, "")
 	}
+	if f.Confirmed != nil && f.position.After(at) {
+		// The next watch would confirm these objects as of a later revision.
+		return false, mulberryspool.AtStep(errors.Newf("answer is of revision %d, before revision %d", at.Revision, f.position.Revision), "list "+f.Kind, "")
+	}
 	sum := hashObjects(objects)
 	f.polling = f.polling && sum != f.listHash
 	f.listHash = sum
