Limit the requests that cold servers get from all entries

Cause: a server that has just started handles few requests per second (cold-per-s) and crashes well above that, while all entries see it as the emptiest one and send to it at once. Change: internal/entry/coldstart gives each entry a fixed share of the rate, computed from the entries that it knows, in any second. placement skips a cold server whose share is used, forward checks and counts again when the request is written, the hosted entry supplies the set of entries. Off without cold-per-s in the configuration and bounds.coldOvershoot in the settings. Verified: go test ./internal/entry/coldstart ./internal/entry/placement ./internal/entry/scheduler ./internal/role/hosted, and -run Cold in ./internal/entry/forward

--- a/internal/entry/forward/announcement.go
+++ b/internal/entry/forward/announcement.go
@@ -11,9 +11,10 @@
 )
 
 // recordAnnouncements records what the head of a response says about its backend
-// server: a rate limit, a pause, or that the server leaves. Call it before the response
-// is passed on.
+// server: a rate limit, a pause, that the server is cold or leaves. Call it before the
+// response is passed on.
 func (a *attempt) recordAnnouncements(response *httpconn.Answer) {
+	a.recordCold(response)
 	a.recordLimit(response)
 	a.recordPause(response)
 	a.recordLeaving(response)
@@ -29,6 +30,15 @@
 	a.serverEvent().Dur("pause", pause).Msg("backend server wants no requests for a time")
 }
 
+// recordCold records for how long the server is cold, unless the response is that of another
+// server at its address.
+func (a *attempt) recordCold(response *httpconn.Answer) {
+	server, head := a.decision.Server, response.Head
+	if head.ColdFor != nil && (head.Instance == "" || head.Instance == server.Instance) {
+		a.handler.Scheduler.RecordCold(a.pool.Name, server, *head.ColdFor, a.sentAt)
+	}
+}
+
 // recordLeaving reports that the server leaves, unless the response is that of another
 // server at its address.
 func (a *attempt) recordLeaving(response *httpconn.Answer) {
--- a/internal/entry/forward/send.go
+++ b/internal/entry/forward/send.go
@@ -146,6 +146,9 @@
 		result, code = resultNotSent, outcomeOutdated
 	case code != "":
 		a.err = errors.Newf("backend server is %s since the request was placed", code)
+	case !a.handler.Scheduler.RecordWrite(a.pool.Name, a.decision.Server):
+		a.err = errors.New("backend server is cold and has got its share of requests")
+		code = string(placement.ReasonServerCold)
 	case a.beside != nil && !a.handler.Scheduler.AllowRetry(a.pool.Name):
 		a.err = errors.New("retry budget is used up")
 		code = codeNoRetryBudget
--- a/internal/entry/placement/choose.go
+++ b/internal/entry/placement/choose.go
@@ -40,6 +40,7 @@
 		bestScore  time.Duration
 		fallback   *server
 		lastResort *server
+		heldBack   bool
 	)
 	avoid := p.mayAvoid(now)
 	for _, s := range p.ordered {
@@ -49,6 +50,10 @@
 		if !p.pausedUntil(s, now).IsZero() || now.Before(s.limit.AvailableAt(now)) || !r.Reattempt && now.Before(p.turnAt(s, now)) {
 			continue
 		}
+		if now.Before(s.cold.AvailableAt(now)) {
+			heldBack = true
+			continue
+		}
 		if s.silent {
 			if !avoid {
 				lastResort = s
@@ -61,7 +66,7 @@
 			}
 			continue
 		}
-		score := p.score(s, now) + p.tailCost(s, r, now)
+		score := p.score(s, now) + p.tailCost(s, r, now) + p.coldCost(s, r, now)
 		if r.Trial {
 			score += time.Duration(s.inFlight()) * trialCost
 		}
@@ -72,6 +77,9 @@
 	if best == nil && r.Reattempt && fallback != nil {
 		return fallback
 	}
+	if best == nil && lastResort == nil && heldBack {
+		p.recordHeldBack(q)
+	}
 	if best == nil {
 		return lastResort
 	}
@@ -177,11 +185,11 @@
 		if !end.IsZero() {
 			c.freeAfterPause += max(0, capacity-s.inFlight())
 		}
+		effective := p.coldCapacity(s, now)
 		if s.limit.Active(now) {
-			c.effective += min(float64(capacity), s.limit.Rate()*p.serviceTime().Seconds())
-		} else {
-			c.effective += float64(capacity)
+			effective = min(effective, s.limit.Rate()*p.serviceTime().Seconds())
 		}
+		c.effective += effective
 	}
 	return c
 }
--- a/internal/entry/placement/placement.go
+++ b/internal/entry/placement/placement.go
@@ -23,6 +23,7 @@
 	"time"
 
 	"github.com/mulberryspool/mulberryspool"
+	"github.com/mulberryspool/mulberryspool/internal/entry/coldstart"
 	"github.com/mulberryspool/mulberryspool/internal/entry/pathdelay"
 )
 
@@ -53,6 +54,9 @@
 	// ReasonServerGone means that the server is not listed, or has been replaced by
 	// another incarnation.
 	ReasonServerGone Reason = "gone"
+	// ReasonServerCold means that this entry has sent the server its share of the requests
+	// that a cold one may get.
+	ReasonServerCold Reason = "cold"
 )
 
 // Outcomes of an exchange with a backend server.
@@ -105,6 +109,11 @@
 		// PathDelays holds how long messages to the backend servers of each failure
 		// domain take; nil if that is not known.
 		PathDelays *pathdelay.Delays
+		// Entries are those that share the limits of cold backend servers; nil if there are
+		// no cold ones. A cold server may get at most its rate times ColdOvershoot, plus
+		// ColdSlack, requests in a second.
+		Entries                  *coldstart.Entries
+		ColdOvershoot, ColdSlack float64
 	}
 
 	// Request is the input of a decision.
--- a/internal/entry/placement/placer.go
+++ b/internal/entry/placement/placer.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/mulberryspool/mulberryspool"
+	"github.com/mulberryspool/mulberryspool/internal/entry/coldstart"
 	"github.com/mulberryspool/mulberryspool/internal/entry/serverlimit"
 	"github.com/mulberryspool/mulberryspool/internal/entry/serverpause"
 	"github.com/mulberryspool/mulberryspool/internal/entry/silence"
@@ -50,6 +51,10 @@
 		peers   map[string]peerState
 		// pauses outlasts the listing of a server, which may be interrupted.
 		pauses serverpause.Pauses
+		// cold outlasts it as well.
+		cold coldstart.Servers
+		// heldBack is the number of requests that found no place while a cold server had one.
+		heldBack int64
 		// namedVersions holds when each version became the named version.
 		namedVersions map[int64]time.Time
 		// meanServiceTime is the moving average of the time that requests take;
@@ -69,6 +74,8 @@
 		misdirectedUntil time.Time
 		fullUntil        time.Time
 		limit            serverlimit.Limit
+		// cold is nil if the pool has no cold servers.
+		cold *coldstart.Server
 		// acceptsUntil is when the server stops accepting requests; zero if unknown.
 		acceptsUntil time.Time
 		ownLoad      Load
@@ -118,12 +125,15 @@
 		// late is set once the request may be placed although it misses its
 		// latency objective.
 		late bool
+		// heldBack is set once it was counted in Placer.heldBack.
+		heldBack bool
 	}
 )
 
 // SetPool replaces the published properties of the pool.
 func (p *Placer) SetPool(pool mulberryspool.IngressPool) {
 	p.pool = pool
+	p.cold.SetPool(pool, p.Config.ColdOvershoot, p.Config.ColdSlack)
 }
 
 // SetServers replaces the backend servers of the pool. Leaving servers are kept
@@ -292,6 +302,8 @@
 				earliest(end)
 			} else if available := s.limit.AvailableAt(now); available.After(now) {
 				earliest(available)
+			} else if available := s.cold.AvailableAt(now); available.After(now) {
+				earliest(available)
 			} else if at := p.turnAt(s, now); at.After(now) {
 				earliest(at)
 			}
@@ -318,6 +330,7 @@
 	d.Activity = s.activity
 	s.silence.Sent(now)
 	s.limit.Take(now)
+	s.cold.Reserve(now)
 	s.ownLoad.Requests++
 	s.ownLoad.PendingPromptTokens += q.request.PromptTokens
 	s.health.recordSent(now)
--- a/internal/entry/scheduler/scheduler.go
+++ b/internal/entry/scheduler/scheduler.go
@@ -73,6 +73,8 @@
 		// waiting holds the channel on which each waiting request gets its decision.
 		waiting map[placement.Ticket]chan placement.Decision
 		timer   clockwork.Timer
+		// heldBackReported is what Cold has reported so far.
+		heldBackReported int64
 	}
 )
 
@@ -316,6 +318,9 @@
 		}
 	}
 	p.placer.SetServers(list)
+	if s.servers != nil {
+		p.placer.ObserveCold(list, s.Clock.Now())
+	}
 	for _, b := range list {
 		if report, ok := s.agentReports[b.Instance]; ok && s.Clock.Since(report.reportedAt) < agentReportTimeout {
 			p.placer.SetServedVersion(b.Instance, report.Born, report.Version, report.AcceptsUntil)
--- a/internal/role/hosted/entry.go
+++ b/internal/role/hosted/entry.go
@@ -18,6 +18,7 @@
 	"github.com/mulberryspool/mulberryspool/internal/backend/liveness"
 	"github.com/mulberryspool/mulberryspool/internal/entry/bodybudget"
 	"github.com/mulberryspool/mulberryspool/internal/entry/callerconns"
+	"github.com/mulberryspool/mulberryspool/internal/entry/coldstart"
 	"github.com/mulberryspool/mulberryspool/internal/entry/forward"
 	"github.com/mulberryspool/mulberryspool/internal/entry/placement"
 	"github.com/mulberryspool/mulberryspool/internal/entry/promptguard"
@@ -204,6 +205,7 @@
 		LoadChanged: func() { wake(e.loadChanged) },
 		Placement: placement.Config{
 			EntryName: e.settings.Instance, FailureDomain: e.identity.FailureDomain, CrossDomainDelay: crossDomainDelay, VersionGrace: b.NamedVersion - versionEndMargin,
+			Entries: e.coldEntries(), ColdOvershoot: b.ColdOvershoot, ColdSlack: b.ColdSlack,
 		},
 		RetryBudget: retrybudget.Budget{Window: b.RepeatWindow, Ratio: b.RepeatRatio, Slack: b.RepeatSlack / 2},
 	}
@@ -254,6 +256,19 @@
 	}
 }
 
+// coldEntries returns the entries that share the limits of cold backend servers, nil if the
+// deployment has none.
+func (e *entryRole) coldEntries() *coldstart.Entries {
+	if e.settings.Bounds.ColdOvershoot <= 0 {
+		return nil
+	}
+	self, err := netip.ParseAddrPort(e.ownAddress())
+	if err != nil {
+		e.logger.Error().Err(err).Str(logging.FieldStep, "start").Msg("heartbeat address of this entry is invalid")
+	}
+	return &coldstart.Entries{Self: self, FailureDomain: e.identity.FailureDomain, StartedAt: e.clock.Now()}
+}
+
 // watchWait returns a random wait for the next watch of the store, so that the
 // watches of the entries that watch are spread over time.
 func watchWait(entries int) time.Duration {
--- /dev/null
+++ b/internal/role/hosted/entrycold.go
@@ -0,0 +1,22 @@
+package hosted
+
+import (
+	"github.com/mulberryspool/mulberryspool/internal/entry/coldstart"
+	"github.com/mulberryspool/mulberryspool/internal/observe/logging"
+)
+
+// logColdChanges logs which backend servers have become cold, or are not any more.
+func (e *entryRole) logColdChanges() {
+	e.scheduler.ColdChanges(func(pool string, c coldstart.Change) {
+		e.logger.Info().Str(logging.FieldStep, "observe cold servers").Str(logging.FieldPeer, string(c.Instance)).Str("pool", pool).
+			Int64("born", c.Born).Bool("cold", c.Cold).Dur("left", c.Left).Int("share", c.Share).Msg("coldness of a backend server has changed")
+	})
+}
+
+func (e *entryRole) reportColdMetrics() {
+	e.scheduler.Cold(func(pool string, servers int, heldBack int64) {
+		scope := e.metrics.Tagged(map[string]string{"pool": pool})
+		scope.Gauge("cold_servers").Update(float64(servers))
+		scope.Counter("cold_requests_held_back").Inc(heldBack)
+	})
+}
--- a/internal/role/hosted/entryheartbeats.go
+++ b/internal/role/hosted/entryheartbeats.go
@@ -58,11 +58,12 @@
 		e.scheduler.MergeSilences(m.Summary.Silences, delay)
 	}
 	if m.Role == mulberryspool.RoleEntry {
+		e.scheduler.RecordEntry(from, m.FailureDomain)
 		// Heartbeats sent by announce carry no loads; those known are kept.
 		if m.Loads != nil {
 			e.scheduler.SetPeer(m.Sender, placement.PeerReport{FailureDomain: m.FailureDomain, Loads: m.Loads, Partial: m.Partial}, m.Waiting)
 		}
-		e.addEntries(m.EntryAddresses)
+		e.addEntries(m.EntryAddresses, false)
 		if m.Summary != nil {
 			e.recordConfigWatch(m)
 		}
@@ -80,12 +81,21 @@
 	e.configWatch.Record(m.Sender, m.FailureDomain, answered, e.clock.Now())
 }
 
-func (e *entryRole) addEntries(addresses []string) {
+// addEntries records entries that the store or another entry lists. The argument complete is
+// set for the whole list of the store.
+func (e *entryRole) addEntries(addresses []string, complete bool) {
+	var valid []netip.AddrPort
+	for _, a := range addresses {
+		if parsed, err := netip.ParseAddrPort(a); err == nil && parsed.Port() != 0 && a != e.ownAddress() {
+			valid = append(valid, parsed)
+		}
+	}
+	e.scheduler.AddEntries(valid, complete)
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	for _, a := range addresses {
-		if parsed, err := netip.ParseAddrPort(a); err == nil && parsed.Port() != 0 && len(e.registered) < maxRegistered && a != e.settings.EntryHeartbeatAddress(e.settings.Address) {
-			e.registered[parsed] = struct{}{}
+	for _, a := range valid {
+		if len(e.registered) < maxRegistered {
+			e.registered[a] = struct{}{}
 		}
 	}
 }
@@ -145,6 +155,7 @@
 		e.scheduler.ExpirePeers()
 		e.promptGuard.Expire()
 		e.observeSilence()
+		e.logColdChanges()
 		if round++; round%fullLoadRounds == 0 {
 			loads, waiting, limits := e.scheduler.Loads(), e.scheduler.Waiting(), e.scheduler.Limits()
 			summary := &heartbeat.Summary{Summary: e.fleet.Summary(), Limits: limits, Silences: e.scheduler.Silences()}
@@ -224,8 +235,8 @@
 }
 
 // announce sends the summary of the state and findings on prompts to agents, to the other entries and,
-// with the addresses of all active entries, to registered entries that are not
-// active.
+// with the addresses of all active entries and of those that share limits with this one, to
+// registered entries that are not active.
 func (e *entryRole) announce(findings []quarantine.Finding) {
 	summary := &heartbeat.Summary{Summary: e.fleet.Summary(), Findings: findings}
 	active := e.heartbeats.ActivePeers(mulberryspool.RoleEntry)
@@ -235,6 +246,13 @@
 		isActive[a] = true
 		activeAddresses = append(activeAddresses, a.String())
 	}
+	// Those that share limits with this entry but are not heard; none in calm operation.
+	var unheard []string
+	for _, a := range e.scheduler.Entries() {
+		if !isActive[a] {
+			unheard = append(unheard, a.String())
+		}
+	}
 	e.mu.Lock()
 	var inactive []netip.AddrPort
 	for a := range e.registered {
@@ -243,7 +261,11 @@
 		}
 	}
 	e.mu.Unlock()
-	e.heartbeats.Send(heartbeat.Message{Summary: summary, EntryAddresses: activeAddresses}, inactive)
+	e.heartbeats.Send(heartbeat.Message{Summary: summary, EntryAddresses: append(activeAddresses, unheard...)}, inactive)
+	if len(unheard) > 0 {
+		// One of the active ones may have restarted.
+		e.heartbeats.Send(heartbeat.Message{EntryAddresses: unheard}, active)
+	}
 	e.heartbeats.Send(heartbeat.Message{Summary: summary}, append(e.agentAddresses(), active...))
 }
 
@@ -258,6 +280,7 @@
 	e.scheduler.Paused(func(pool string, servers int) {
 		e.metrics.Tagged(map[string]string{"pool": pool}).Gauge("paused_servers").Update(float64(servers))
 	})
+	e.reportColdMetrics()
 	e.metrics.Gauge("log_lines_dropped").Update(float64(e.logWriter.Dropped()))
 }
 
@@ -338,7 +361,7 @@
 		addresses = append(addresses, r.Address)
 		listed = listed || o.Name == e.settings.Instance && r.Address == e.ownAddress()
 	}
-	e.addEntries(addresses)
+	e.addEntries(addresses, true)
 	e.announce(nil)
 	return at, listed, nil
 }
