--- a/internal/entry/forward/cold_test.go
+++ b/internal/entry/forward/cold_test.go
@@ -120,7 +120,9 @@
 	e.call(t, http.MethodPost, "/write/0", "x")
 	var calls sync.WaitGroup
 	for i := range 3 * coldRate {
-		calls.Go(func() { e.call(t, http.MethodPost, fmt.Sprintf("/write/%d", i), "x", "X-Attempt-Id", fmt.Sprintf("r%d", i)) })
+		calls.Go(func() {
+			e.call(t, http.MethodPost, fmt.Sprintf("/write/%d", i), "x", "X-Attempt-Id", fmt.Sprintf("r%d", i))
+		})
 	}
 	calls.Wait()
 	if most := seen.most(); most > coldBound {
