Use the load and the speed that servers report

Cause: entries know only the requests that entries report to them, and the speed of a server only by the few responses of their own. X-Server-Load says both. Change: internal/entry/serverload is the one estimate of a server's speed, with the moving average of event intervals that was in health. A report counts where it exceeds what entries know, and fades within a second: its requests beyond those known take slots, how long work takes lengthens the expected start and lowers the capacity by which waits are estimated. Never does a report alone leave a server without a request. Gauges slow_servers and foreign_requests. Verified: go test ./internal/entry/serverload ./internal/entry/placement ./internal/entry/scheduler ./internal/role/hosted, -run 'LoadReport|Cold' in ./internal/entry/forward

--- a/internal/entry/forward/announcement.go
+++ b/internal/entry/forward/announcement.go
@@ -11,10 +11,10 @@
 )
 
 // recordAnnouncements records what the head of a response says about its backend
-// server: a rate limit, a pause, that the server is cold or leaves. Call it before the
-// response is passed on.
+// server: its load, a rate limit, a pause, that the server is cold or leaves. Call it before
+// the response is passed on.
 func (a *attempt) recordAnnouncements(response *httpconn.Answer) {
-	a.recordCold(response)
+	a.recordState(response)
 	a.recordLimit(response)
 	a.recordPause(response)
 	a.recordLeaving(response)
@@ -30,11 +30,17 @@
 	a.serverEvent().Dur("pause", pause).Msg("backend server wants no requests for a time")
 }
 
-// recordCold records for how long the server is cold, unless the response is that of another
-// server at its address.
-func (a *attempt) recordCold(response *httpconn.Answer) {
+// recordState records the server's load and for how long it is cold, unless the response is
+// that of another server at its address.
+func (a *attempt) recordState(response *httpconn.Answer) {
 	server, head := a.decision.Server, response.Head
-	if head.ColdFor != nil && (head.Instance == "" || head.Instance == server.Instance) {
+	if head.Instance != "" && head.Instance != server.Instance {
+		return
+	}
+	if head.Load != nil {
+		a.handler.Scheduler.RecordLoad(a.pool.Name, server, *head.Load)
+	}
+	if head.ColdFor != nil {
 		a.handler.Scheduler.RecordCold(a.pool.Name, server, *head.ColdFor, a.sentAt)
 	}
 }
--- a/internal/entry/placement/choose.go
+++ b/internal/entry/placement/choose.go
@@ -44,7 +44,7 @@
 	)
 	avoid := p.mayAvoid(now)
 	for _, s := range p.ordered {
-		if !p.usable(s, r, now) || now.Before(s.fullUntil) || s.inFlight() >= p.capacity(s) || !q.late && !p.meetsObjective(s, r, now) {
+		if !p.usable(s, r, now) || now.Before(s.fullUntil) || p.occupied(s, now) >= p.capacity(s) || !q.late && !p.meetsObjective(s, r, now) {
 			continue
 		}
 		if !p.pausedUntil(s, now).IsZero() || now.Before(s.limit.AvailableAt(now)) || !r.Reattempt && now.Before(p.turnAt(s, now)) {
@@ -103,7 +103,7 @@
 
 // score is the expected time to the first event.
 func (p *Placer) score(s *server, now time.Time) time.Duration {
-	n := s.inFlight()
+	n := p.occupied(s, now)
 	capacity := p.capacity(s)
 	var expected time.Duration
 	if p.pool.Engine != nil {
@@ -113,7 +113,7 @@
 	} else {
 		expected = time.Duration(float64(p.serviceTime()) * float64(n+1) / float64(max(1, s.slots())))
 	}
-	expected = time.Duration(float64(expected) * s.health.slowdown())
+	expected = time.Duration(float64(expected) * s.load.Slowdown(now))
 	if s.FailureDomain != p.Config.FailureDomain {
 		expected += p.Config.CrossDomainDelay
 	}
@@ -132,6 +132,7 @@
 		return true
 	}
 	expected := 2*p.passTime() + p.prefillTime(pending+r.PromptTokens)
+	expected = time.Duration(float64(expected) * s.load.Work(now))
 	return now.Add(expected).Before(r.ArrivedAt.Add(r.LatencyObjective - responseMargin))
 }
 
@@ -181,11 +182,12 @@
 		c.servers++
 		capacity := p.capacity(s)
 		c.requests += capacity
-		c.inFlight += s.inFlight()
+		occupied := p.occupied(s, now)
+		c.inFlight += occupied
 		if !end.IsZero() {
-			c.freeAfterPause += max(0, capacity-s.inFlight())
+			c.freeAfterPause += max(0, capacity-occupied)
 		}
-		effective := p.coldCapacity(s, now)
+		effective := p.effectiveCapacity(s, now)
 		if s.limit.Active(now) {
 			effective = min(effective, s.limit.Rate()*p.serviceTime().Seconds())
 		}
--- a/internal/entry/placement/cold.go
+++ b/internal/entry/placement/cold.go
@@ -64,11 +64,11 @@
 	}
 }
 
-// coldCapacity is how many requests may be in flight at a backend server, by the requests
-// per second that this entry may send to it while it is cold. It assumes that the shares of
-// all entries are equal, as expectedWait does.
-func (p *Placer) coldCapacity(s *server, now time.Time) float64 {
-	capacity := float64(p.capacity(s))
+// effectiveCapacity is how many requests may be in flight at a backend server, by its present
+// speed and by the requests per second that this entry may send to it while it is cold. It
+// assumes that the shares of all entries are equal, as expectedWait does.
+func (p *Placer) effectiveCapacity(s *server, now time.Time) float64 {
+	capacity := float64(p.capacity(s)) / s.load.Work(now)
 	if s.cold.Until(now).IsZero() {
 		return capacity
 	}
--- a/internal/entry/placement/health.go
+++ b/internal/entry/placement/health.go
@@ -21,8 +21,6 @@
 	successFactor = 0.6
 	// probeInterval is the time between two probes of an avoided server.
 	probeInterval = 500 * time.Millisecond
-	// maxSlowdown bounds the effect of a single observation on the slowdown.
-	maxSlowdown = 8.0
 )
 
 // health is the state of a backend server as derived from the outcomes of its
@@ -31,10 +29,6 @@
 	suspicion  float64
 	updatedAt  time.Time
 	lastSentAt time.Time
-	// meanSlowdown is the moving average of the intervals between events, as a
-	// ratio to the interval in the pool's engine profile; 0 before the first
-	// observation.
-	meanSlowdown float64
 }
 
 // suspicionWeight is what an outcome adds to the suspicion. Failed counts
@@ -72,19 +66,6 @@
 	h.lastSentAt = now
 }
 
-func (h *health) recordSlowdown(ratio float64) {
-	if h.meanSlowdown == 0 {
-		h.meanSlowdown = 1
-	}
-	h.meanSlowdown += averageGain * (min(ratio, maxSlowdown) - h.meanSlowdown)
-}
-
-// slowdown is above 1 for a server that is slower than the engine profile says,
-// and 1 for all others.
-func (h *health) slowdown() float64 {
-	return max(1, h.meanSlowdown)
-}
-
 // avoided reports whether the server gets no requests at present. Above the
 // suspicion threshold, a server gets one probe per probeInterval.
 func (h *health) avoided(now time.Time) bool {
--- a/internal/entry/placement/loads.go
+++ b/internal/entry/placement/loads.go
@@ -51,7 +51,9 @@
 		return false
 	}
 	wasFull := s.inFlight() >= p.capacity(s)
+	s.load.RecordKnown(s.inFlight(), now)
 	s.peerLoad.Requests += load.Requests - before.Requests
+	s.load.RecordKnown(s.inFlight(), now)
 	s.peerLoad.PendingPromptTokens += load.PendingPromptTokens - before.PendingPromptTokens
 	if wasFull && s.inFlight() < p.capacity(s) {
 		s.freedAt = now
--- a/internal/entry/placement/placer.go
+++ b/internal/entry/placement/placer.go
@@ -9,6 +9,7 @@
 	"github.com/mulberryspool/mulberryspool"
 	"github.com/mulberryspool/mulberryspool/internal/entry/coldstart"
 	"github.com/mulberryspool/mulberryspool/internal/entry/serverlimit"
+	"github.com/mulberryspool/mulberryspool/internal/entry/serverload"
 	"github.com/mulberryspool/mulberryspool/internal/entry/serverpause"
 	"github.com/mulberryspool/mulberryspool/internal/entry/silence"
 )
@@ -84,6 +85,7 @@
 		// freedAt is when a peer last freed capacity while the server was full.
 		freedAt  time.Time
 		health   health
+		load     serverload.Estimate
 		silence  silence.Silence
 		activity *Activity
 		// silent is set while the server has stopped sending.
@@ -211,6 +213,7 @@
 	if s == nil {
 		return false
 	}
+	s.load.RecordKnown(s.inFlight(), now)
 	wasFull := s.inFlight() >= p.capacity(s)
 	s.ownLoad.Requests = max(0, s.ownLoad.Requests-1)
 	if !firstEvent {
@@ -237,7 +240,7 @@
 // a ratio to the interval in the pool's engine profile.
 func (p *Placer) RecordSlowdown(id mulberryspool.InstanceID, ratio float64) {
 	if s := p.servers[id]; s != nil {
-		s.health.recordSlowdown(ratio)
+		s.load.RecordInterval(ratio)
 	}
 }
 
@@ -332,6 +335,7 @@
 	s.limit.Take(now)
 	s.cold.Reserve(now)
 	s.ownLoad.Requests++
+	s.load.RecordKnown(s.inFlight(), now)
 	s.ownLoad.PendingPromptTokens += q.request.PromptTokens
 	s.health.recordSent(now)
 	return d, true
--- a/internal/role/hosted/entrycold.go
+++ b/internal/role/hosted/entrycold.go
@@ -13,7 +13,13 @@
 	})
 }
 
-func (e *entryRole) reportColdMetrics() {
+// reportServerMetrics reports what is known of the state of backend servers.
+func (e *entryRole) reportServerMetrics() {
+	e.scheduler.Reported(func(pool string, foreign, slow int) {
+		scope := e.metrics.Tagged(map[string]string{"pool": pool})
+		scope.Gauge("foreign_requests").Update(float64(foreign))
+		scope.Gauge("slow_servers").Update(float64(slow))
+	})
 	e.scheduler.Cold(func(pool string, servers int, heldBack int64) {
 		scope := e.metrics.Tagged(map[string]string{"pool": pool})
 		scope.Gauge("cold_servers").Update(float64(servers))
--- a/internal/role/hosted/entryheartbeats.go
+++ b/internal/role/hosted/entryheartbeats.go
@@ -280,7 +280,7 @@
 	e.scheduler.Paused(func(pool string, servers int) {
 		e.metrics.Tagged(map[string]string{"pool": pool}).Gauge("paused_servers").Update(float64(servers))
 	})
-	e.reportColdMetrics()
+	e.reportServerMetrics()
 	e.metrics.Gauge("log_lines_dropped").Update(float64(e.logWriter.Dropped()))
 }
 
