Test that entries in processes fill a cold server slowly

Four entries under load, one of which the store refuses, and one that starts in the meantime, while a server joins. Verified: go test -run TestServerThatStartsUnderLoad ./internal/integration/

--- /dev/null
+++ b/internal/integration/hostedcold_test.go
@@ -0,0 +1,77 @@
+package integration
+
+import (
+	"testing"
+	"time"
+
+	"github.com/mulberryspool/mulberryspool/internal/standin/backendserver"
+	"github.com/mulberryspool/mulberryspool/internal/testkit/hostedsystem"
+)
+
+// Guards against a server that starts under load and gets more requests per second than it can
+// handle while it is cold, from entries of which one can't read the store and one has just
+// started, and against one that is left idle meanwhile or afterwards.
+func TestServerThatStartsUnderLoadIsFilledSlowly(t *testing.T) {
+	const (
+		rate, overshoot, slack = 8, 1.5, 2
+		bound                  = rate*overshoot + slack
+		coldTime               = 3 * time.Second
+		entries                = 4
+		interval               = 20 * time.Millisecond
+		length                 = 6 * time.Second
+		// newsTime is how old the information that a server is listed may be.
+		newsTime = 2 * time.Second
+	)
+	s := &hostedsystem.System{
+		Builder: &builder, RepeatSlack: 200, GracefulStop: 8 * time.Second, Timeout: 2 * time.Second, Entries: entries, Backends: 2,
+		ColdTime: coldTime, ColdRate: rate, ColdOvershoot: overshoot, ColdSlack: slack,
+	}
+	s.Start(t)
+	caller := hostedsystem.NewCaller(s.Timeout, true)
+	call := func(length time.Duration) {
+		for began := time.Now(); time.Since(began) < length; time.Sleep(interval) {
+			for _, e := range s.Members[:entries] {
+				caller.Go(hostedsystem.Call{URL: e.URL, Prefix: hostedsystem.LookupPrefix, Take: 100 * time.Millisecond})
+			}
+		}
+	}
+	call(2 * time.Second)
+	s.RefuseEntries(s.Members[0])
+	began := time.Now()
+	joined := s.Servers[s.AddServer(t)]
+	s.AddEntry(t)
+	call(newsTime + length)
+	caller.Wait()
+	runs := joined.Runs()
+	if len(runs) == 0 {
+		t.Fatal("the server that has started got no request")
+	}
+	inSecond := func(from, until time.Time) (total, most int) {
+		var in []backendserver.Run
+		for _, r := range runs {
+			if !r.StartedAt.Before(from) && r.StartedAt.Before(until) {
+				in = append(in, r)
+			}
+		}
+		start := 0
+		for i, r := range in {
+			for r.StartedAt.Sub(in[start].StartedAt) >= time.Second {
+				start++
+			}
+			most = max(most, i-start+1)
+		}
+		return len(in), most
+	}
+	cold, most := inSecond(began, began.Add(coldTime))
+	t.Logf("%d requests while the server was cold, at most %d in a second", cold, most)
+	if most > bound {
+		t.Errorf("cold server got %d requests in a second, want at most %.0f", most, float64(bound))
+	}
+	// The entries may learn of the server as late as newsTime.
+	if least := rate / 2; cold < least {
+		t.Errorf("cold server got %d requests in %v, want at least %d", cold, coldTime, least)
+	}
+	if warm, _ := inSecond(began.Add(coldTime+newsTime), began.Add(coldTime+newsTime+time.Second)); warm <= bound {
+		t.Errorf("server got %d requests in a second after it was cold, want more than %.0f", warm, float64(bound))
+	}
+}
--- a/internal/testkit/hostedsystem/system.go
+++ b/internal/testkit/hostedsystem/system.go
@@ -78,6 +78,11 @@
 		Attempts int
 		// Slots is the number of slots of a backend server; 0 for 16.
 		Slots int
+		// ColdTime is how long a backend server is cold after its start, ColdRate the requests
+		// per second that it can handle then, with an overshoot of ColdOvershoot and a slack of
+		// ColdSlack; 0 for servers that are never cold.
+		ColdTime                           time.Duration
+		ColdRate, ColdOvershoot, ColdSlack float64
 		// Version is that of the weights of the backend servers; 0 for a pool without a model.
 		Version int64
 
@@ -173,6 +178,9 @@
 		}
 	}
 	service := map[string]any{"name": pool, "connection-limit": 500}
+	if s.ColdRate > 0 {
+		service["cold-start-s"], service["cold-per-s"] = s.ColdTime.Seconds(), s.ColdRate
+	}
 	if s.Version != 0 {
 		service["engine"] = map[string]any{
 			"slots": s.slots(), "models": []any{map[string]any{"name": model, "warm-s": 1}}, "step_ms": 100, "read_per_s": 1e6,
@@ -275,11 +283,11 @@
 listen: {callers: "%s:%d", readiness: "%s:%d"}
 firstStart: true
 store: %s
-bounds: {gracefulStop: %s, namedVersion: 8s, repeatRatio: 0.2, repeatWindow: 10s, repeatSlack: %d}
+bounds: {gracefulStop: %s, namedVersion: 8s, repeatRatio: 0.2, repeatWindow: 10s, repeatSlack: %d, coldOvershoot: %g, coldSlack: %g}
 limits: {memory: %d MB, link: 700 Mbit/s}
 logSample: 1
 metricsPort: %d
-`, e.Registration, failureDomain, ip, firstInternalPort, firstInternalPort+5, failureDomain, ip, callersPort, ip, readinessPort, e.StoreAddress, s.GracefulStop, s.RepeatSlack, cmp.Or(s.MegabytesOfMemory, 206), metricsPort)
+`, e.Registration, failureDomain, ip, firstInternalPort, firstInternalPort+5, failureDomain, ip, callersPort, ip, readinessPort, e.StoreAddress, s.GracefulStop, s.RepeatSlack, s.ColdOvershoot, s.ColdSlack, cmp.Or(s.MegabytesOfMemory, 206), metricsPort)
 	if err := os.WriteFile(e.SettingsFile, []byte(text), 0o600); err != nil {
 		t.Fatal(err)
 	}
