--- a/internal/entry/placement/choose.go
+++ b/internal/entry/placement/choose.go
@@ -40,15 +40,20 @@
 		bestScore  time.Duration
 		fallback   *server
 		lastResort *server
+		heldBack   bool
 	)
 	avoid := p.mayAvoid(now)
 	for _, s := range p.ordered {
-		if !p.usable(s, r, now) || now.Before(s.fullUntil) || s.inFlight() >= p.capacity(s) || !q.late && !p.meetsObjective(s, r, now) {
+		if !p.usable(s, r, now) || now.Before(s.fullUntil) || p.occupied(s, now) >= p.capacity(s) || !q.late && !p.meetsObjective(s, r, now) {
 			continue
 		}
 		if !p.pausedUntil(s, now).IsZero() || now.Before(s.limit.AvailableAt(now)) || !r.Reattempt && now.Before(p.turnAt(s, now)) {
 			continue
 		}
+		if now.Before(s.cold.AvailableAt(now)) {
+			heldBack = true
+			continue
+		}
 		if s.silent {
 			if !avoid {
 				lastResort = s
@@ -61,7 +66,7 @@
 			}
 			continue
 		}
-		score := p.score(s, now) + p.tailCost(s, r, now)
+		score := p.score(s, now) + p.tailCost(s, r, now) + p.coldCost(s, r, now)
 		if r.Trial {
 			score += time.Duration(s.inFlight()) * trialCost
 		}
@@ -72,6 +77,9 @@
 	if best == nil && r.Reattempt && fallback != nil {
 		return fallback
 	}
+	if best == nil && lastResort == nil && heldBack {
+		p.recordHeldBack(q)
+	}
 	if best == nil {
 		return lastResort
 	}
@@ -100,7 +108,7 @@
 
 // score is the expected time to the first event.
 func (p *Placer) score(s *server, now time.Time) time.Duration {
-	n := s.inFlight()
+	n := p.occupied(s, now)
 	capacity := p.capacity(s)
 	var expected time.Duration
 	if p.pool.Engine != nil {
@@ -110,7 +118,7 @@
 	} else {
 		expected = time.Duration(float64(p.serviceTime()) * float64(n+1) / float64(max(1, s.slots())))
 	}
-	expected = time.Duration(float64(expected) * s.health.slowdown())
+	expected = time.Duration(float64(expected) * s.load.Slowdown(now))
 	if s.FailureDomain != p.Config.FailureDomain {
 		expected += p.Config.CrossDomainDelay
 	}
@@ -129,6 +137,7 @@
 		return true
 	}
 	expected := 2*p.passTime() + p.prefillTime(pending+r.PromptTokens)
+	expected = time.Duration(float64(expected) * s.load.Work(now))
 	return now.Add(expected).Before(r.ArrivedAt.Add(r.LatencyObjective - responseMargin))
 }
 
@@ -178,15 +187,16 @@
 		c.servers++
 		capacity := p.capacity(s)
 		c.requests += capacity
-		c.inFlight += s.inFlight()
+		occupied := p.occupied(s, now)
+		c.inFlight += occupied
 		if !end.IsZero() {
-			c.freeAfterPause += max(0, capacity-s.inFlight())
+			c.freeAfterPause += max(0, capacity-occupied)
 		}
+		effective := p.effectiveCapacity(s, now)
 		if s.limit.Active(now) {
-			c.effective += min(float64(capacity), s.limit.Rate()*p.serviceTime().Seconds())
-		} else {
-			c.effective += float64(capacity)
+			effective = min(effective, s.limit.Rate()*p.serviceTime().Seconds())
 		}
+		c.effective += effective
 	}
 	return c
 }
--- a/internal/entry/placement/placer.go
+++ b/internal/entry/placement/placer.go
@@ -7,7 +7,9 @@
 	"time"
 
 	"github.com/mulberryspool/mulberryspool"
+	"github.com/mulberryspool/mulberryspool/internal/entry/coldstart"
 	"github.com/mulberryspool/mulberryspool/internal/entry/serverlimit"
+	"github.com/mulberryspool/mulberryspool/internal/entry/serverload"
 	"github.com/mulberryspool/mulberryspool/internal/entry/serverpause"
 	"github.com/mulberryspool/mulberryspool/internal/entry/shedding"
 	"github.com/mulberryspool/mulberryspool/internal/entry/silence"
@@ -49,6 +51,10 @@
 		// pauses outlasts the listing of a server, which may be interrupted.
 		pauses      serverpause.Pauses
 		evacuations evacuations
+		// cold outlasts it as well.
+		cold coldstart.Servers
+		// heldBack is the number of requests that found no place while a cold server had one.
+		heldBack int64
 		// namedVersions holds when each version became the named version.
 		namedVersions map[int64]time.Time
 		// meanServiceTime is the moving average of the time that requests take;
@@ -73,6 +79,8 @@
 		// unservedSince is when the server stopped accepting requests to change its version;
 		// zero if it serves one, or that isn't known.
 		unservedSince time.Time
+		// cold is nil if the pool has no cold servers.
+		cold *coldstart.Server
 		// acceptsUntil is when the server stops accepting requests; zero if unknown.
 		acceptsUntil time.Time
 		ownLoad      Load
@@ -81,6 +89,7 @@
 		// freedAt is when a peer last freed capacity while the server was full.
 		freedAt  time.Time
 		health   health
+		load     serverload.Estimate
 		silence  silence.Silence
 		activity *Activity
 		// silent is set while the server has stopped sending.
@@ -124,12 +133,15 @@
 		late bool
 		// promoted is by how much the request waits with more urgent ones than its priority.
 		promoted int
+		// heldBack is set once it was counted in Placer.heldBack.
+		heldBack bool
 	}
 )
 
 // SetPool replaces the published properties of the pool.
 func (p *Placer) SetPool(pool mulberryspool.IngressPool) {
 	p.pool = pool
+	p.cold.SetPool(pool, p.Config.ColdOvershoot, p.Config.ColdSlack)
 }
 
 // SetServers replaces the backend servers of the pool. Leaving servers are kept
@@ -210,6 +222,7 @@
 	if s == nil {
 		return false
 	}
+	s.load.RecordKnown(s.inFlight(), now)
 	wasFull := s.inFlight() >= p.capacity(s)
 	s.ownLoad.Requests = max(0, s.ownLoad.Requests-1)
 	if !firstEvent {
@@ -236,7 +249,7 @@
 // a ratio to the interval in the pool's engine profile.
 func (p *Placer) RecordSlowdown(id mulberryspool.InstanceID, ratio float64) {
 	if s := p.servers[id]; s != nil {
-		s.health.recordSlowdown(ratio)
+		s.load.RecordInterval(ratio)
 	}
 }
 
@@ -295,6 +308,8 @@
 				earliest(end)
 			} else if available := s.limit.AvailableAt(now); available.After(now) {
 				earliest(available)
+			} else if available := s.cold.AvailableAt(now); available.After(now) {
+				earliest(available)
 			} else if at := p.turnAt(s, now); at.After(now) {
 				earliest(at)
 			}
@@ -321,7 +336,9 @@
 	d.Activity = s.activity
 	s.silence.Sent(now)
 	s.limit.Take(now)
+	s.cold.Reserve(now)
 	s.ownLoad.Requests++
+	s.load.RecordKnown(s.inFlight(), now)
 	s.ownLoad.PendingPromptTokens += q.request.PromptTokens
 	s.health.recordSent(now)
 	p.recordPlaced(q.request, now)
--- a/internal/role/hosted/entryevacuations.go
+++ b/internal/role/hosted/entryevacuations.go
@@ -32,6 +32,9 @@
 	Metrics tally.Scope
 	// KnownDomain reports whether a failure domain is in the settings.
 	KnownDomain func(string) bool
+	// Ended is called, before Changed, when the evacuation of a failure domain has ended as of a
+	// position of the store.
+	Ended func(domain string, at mulberryspool.Position)
 	// Changed is called with the evacuated failure domains, in order.
 	Changed func(domains []string)
 
@@ -57,6 +60,7 @@
 	v := &evacuations{
 		Clock: e.clock, Logger: e.logger, Metrics: e.metrics,
 		KnownDomain: func(domain string) bool { return e.settings.RegionOf(domain) != "" },
+		Ended:       e.scheduler.EvacuationEnded,
 		Changed: func(domains []string) {
 			e.scheduler.SetEvacuated(domains)
 			e.signalStateChange()
@@ -142,6 +146,11 @@
 	if peer != "" {
 		source = "peer"
 	}
+	for _, c := range changes {
+		if !c.Evacuated {
+			v.Ended(c.Domain, at)
+		}
+	}
 	v.Changed(slices.Clone(domains))
 	for _, c := range changes {
 		message := "evacuation of a failure domain has ended"
--- a/internal/role/hosted/entryheartbeats.go
+++ b/internal/role/hosted/entryheartbeats.go
@@ -62,11 +62,12 @@
 		e.scheduler.MergeDemand(m.Sender, m.Summary.Demand)
 	}
 	if m.Role == mulberryspool.RoleEntry {
+		e.scheduler.RecordEntry(from, m.FailureDomain)
 		// Heartbeats sent by announce carry no loads; those known are kept.
 		if m.Loads != nil {
 			e.scheduler.SetPeer(m.Sender, placement.PeerReport{FailureDomain: m.FailureDomain, Loads: m.Loads, Partial: m.Partial}, m.Waiting)
 		}
-		e.addEntries(m.EntryAddresses)
+		e.addEntries(m.EntryAddresses, false)
 		if m.Summary != nil {
 			e.recordConfigWatch(m)
 		}
@@ -84,12 +85,21 @@
 	e.configWatch.Record(m.Sender, m.FailureDomain, answered, e.clock.Now())
 }
 
-func (e *entryRole) addEntries(addresses []string) {
+// addEntries records entries that the store or another entry lists. The argument complete is
+// set for the whole list of the store.
+func (e *entryRole) addEntries(addresses []string, complete bool) {
+	var valid []netip.AddrPort
+	for _, a := range addresses {
+		if parsed, err := netip.ParseAddrPort(a); err == nil && parsed.Port() != 0 && a != e.ownAddress() {
+			valid = append(valid, parsed)
+		}
+	}
+	e.scheduler.AddEntries(valid, complete)
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	for _, a := range addresses {
-		if parsed, err := netip.ParseAddrPort(a); err == nil && parsed.Port() != 0 && len(e.registered) < maxRegistered && a != e.settings.EntryHeartbeatAddress(e.settings.Address) {
-			e.registered[parsed] = struct{}{}
+	for _, a := range valid {
+		if len(e.registered) < maxRegistered {
+			e.registered[a] = struct{}{}
 		}
 	}
 }
@@ -153,6 +163,7 @@
 		e.promptGuard.Expire()
 		e.observeSilence()
 		e.evacuations.tick()
+		e.logColdChanges()
 		if round++; round%fullLoadRounds == 0 {
 			loads, waiting, limits := e.scheduler.Loads(), e.scheduler.Waiting(), e.scheduler.Limits()
 			summary := &heartbeat.Summary{Summary: e.fleet.Summary(), Limits: limits, Silences: e.scheduler.Silences(), Evacuations: e.evacuations.report(), Demand: e.scheduler.Demand()}
@@ -235,10 +246,11 @@
 	return changed
 }
 
-// announce sends the summary of the state and findings on prompts to agents, to the other entries and,
-// with the addresses of all active entries, to registered entries that are not
-// active. Unless all is set, agents and entries in other failure domains are left out: the
-// links between regions carry few of these messages beside live requests.
+// announce sends the summary of the state and findings on prompts to agents, to the other
+// entries and, with the addresses of all active entries and of those that share limits with this
+// one, to registered entries that are not active. Unless all is set, agents and entries in other
+// failure domains are left out: the links between regions carry few of these messages beside
+// live requests.
 func (e *entryRole) announce(findings []quarantine.Finding, all bool) {
 	summary := &heartbeat.Summary{Summary: e.fleet.Summary(), Findings: findings, Evacuations: e.evacuations.report()}
 	local, remote := e.heartbeats.ActivePeersByDomain(mulberryspool.RoleEntry)
@@ -249,6 +261,13 @@
 		isActive[a] = true
 		activeAddresses = append(activeAddresses, a.String())
 	}
+	// Those that share limits with this entry but are not heard; none in calm operation.
+	var unheard []string
+	for _, a := range e.scheduler.Entries() {
+		if !isActive[a] {
+			unheard = append(unheard, a.String())
+		}
+	}
 	e.mu.Lock()
 	var inactive []netip.AddrPort
 	for a := range e.registered {
@@ -257,7 +276,11 @@
 		}
 	}
 	e.mu.Unlock()
-	e.heartbeats.Send(heartbeat.Message{Summary: summary, EntryAddresses: activeAddresses}, inactive)
+	e.heartbeats.Send(heartbeat.Message{Summary: summary, EntryAddresses: append(activeAddresses, unheard...)}, inactive)
+	if len(unheard) > 0 {
+		// One of the active ones may have restarted.
+		e.heartbeats.Send(heartbeat.Message{EntryAddresses: unheard}, active)
+	}
 	to := local
 	if all {
 		to = active
@@ -278,6 +301,7 @@
 	})
 	e.evacuations.reportMetrics()
 	e.reportShares()
+	e.reportServerMetrics()
 	e.metrics.Gauge("log_lines_dropped").Update(float64(e.logWriter.Dropped()))
 }
 
@@ -358,7 +382,7 @@
 		addresses = append(addresses, r.Address)
 		listed = listed || o.Name == e.settings.Instance && r.Address == e.ownAddress()
 	}
-	e.addEntries(addresses)
+	e.addEntries(addresses, true)
 	e.announce(nil, true)
 	return at, listed, nil
 }
