Fetch from six agents at once, each region from the first one

An agent's six fetches now come from six agents, where they were five from at least three, so that fewer agents are refused. Each region fetches a chunk from the region that has read it from the origin, instead of the one after the other: a chunk reaches the last region one hop earlier, and as the chunks begin in different regions the links between them carry the same.

--- a/internal/role/hosted/agent.go
+++ b/internal/role/hosted/agent.go
@@ -102,7 +102,7 @@
 // agentLimits is tuned for contents of a few megabytes that all agents need
 // within seconds.
 var agentLimits = swarm.Limits{
-	Pipeline: 4, RegionPipeline: 3, OriginPipeline: 3, MaxFetches: 5, SlowFetchThreshold: 500 * time.Millisecond,
+	Pipeline: 5, RegionPipeline: 3, OriginPipeline: 3, MaxFetches: 6, MaxPerPeer: 1, DirectRegions: true, SlowFetchThreshold: 500 * time.Millisecond,
 	AnnounceInterval: 200 * time.Millisecond, InitialSyncTimeout: 300 * time.Millisecond, QueryInterval: 300 * time.Millisecond,
 	MinTakeoverDelay: 900 * time.Millisecond, MaxTakeoverDelay: 4 * time.Second,
 	ProgressTimeout: 1500 * time.Millisecond, BusyBackoff: 60 * time.Millisecond,
