--- a/internal/role/hosted/agentloop.go
+++ b/internal/role/hosted/agentloop.go
@@ -54,7 +54,9 @@
 	}
 	served := a.servedVersion(model)
 	a.setUplinkRate(served > 0)
-	step := a.decider.Next(a.swapView(served), now)
+	view, drained := a.swapView(served), a.decider.Draining()
+	step := a.decider.Next(view, now)
+	a.logTurn(view, step, drained)
 	a.fetch(ctx, model, step.Fetch)
 	if !a.engineState.Loading {
 		a.uploadAvailable(ctx, model, step.Prepare)
@@ -74,6 +76,22 @@
 	return pause
 }
 
+// logTurn logs that the model server begins its turn, or that the turn was given up because
+// the transfer takes too long.
+func (a *agentRole) logTurn(v swap.View, step swap.Decision, drained bool) {
+	outcome, message := "begun", "turn of the model server begins"
+	switch {
+	case step.Action == swap.Drain:
+	case drained && !a.decider.Draining() && v.Served < max(v.Staged, v.Fetching) && !v.Loading:
+		outcome, message = "givenUp", "turn of the model server was given up, it serves its version again"
+	default:
+		return
+	}
+	a.metrics.Tagged(map[string]string{"outcome": outcome}).Counter("version_turns").Inc(1)
+	a.logger.Info().Str(logging.FieldStep, "swap").Int64("serves", v.Served).Int64("staged", v.Staged).Int64("fetching", v.Fetching).
+		Float64("fetchedShare", v.FetchedShare).Int("running", a.engineState.Running).Msg(message)
+}
+
 // writeVersion uploads or loads what the decider decides, unless an earlier write may still
 // take effect.
 func (a *agentRole) writeVersion(ctx context.Context, model string, step swap.Decision) {
