Suspend a transfer without waiting for an adoption

Adopt holds the lock of Stage while it reads chunks from the model server, up to 2 s for each. The agent's loop calls Suspend in each round and would have waited for it.

--- a/internal/agent/fetch/stage.go
+++ b/internal/agent/fetch/stage.go
@@ -40,23 +40,32 @@
 // unless its transfer is running.
 func (f *Fetcher) Suspend(digest mulberryspool.Digest, suspended bool) {
 	f.prepare()
+	// Adopt holds stageMu while it reads chunks, which may take long.
+	if f.transferToSuspend(digest, suspended) == nil {
+		return
+	}
 	f.stageMu.Lock()
 	defer f.stageMu.Unlock()
-	if f.setSuspended(digest, suspended) {
-		f.send(swarm.Suspend{Suspended: suspended})
+	t := f.transferToSuspend(digest, suspended)
+	if t == nil {
+		return
 	}
+	f.mu.Lock()
+	t.suspended = suspended
+	f.mu.Unlock()
+	f.send(swarm.Suspend{Suspended: suspended})
 }
 
-// setSuspended reports whether this changes the transfer.
-func (f *Fetcher) setSuspended(digest mulberryspool.Digest, suspended bool) bool {
+// transferToSuspend returns the running transfer of the manifest, or nil if there is none or
+// it is in the given state already.
+func (f *Fetcher) transferToSuspend(digest mulberryspool.Digest, suspended bool) *transfer {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	t := f.transfer
 	if t == nil || t.manifest.Digest != digest || t.ended() || t.suspended == suspended {
-		return false
+		return nil
 	}
-	t.suspended = suspended
-	return true
+	return t
 }
 
 // Adopt retains a manifest and fills it with the chunks that read returns, such as
