--- a/internal/agent/swap/fullpool_test.go
+++ b/internal/agent/swap/fullpool_test.go
@@ -18,6 +18,8 @@
 		copyTime time.Duration
 		// No chunk arrives between stallFrom and stallTo; zero for no stall.
 		stallFrom, stallTo time.Duration
+		// newerAt is when version 3 is named, which can't be read; zero for never.
+		newerAt time.Duration
 	}
 
 	fullServer struct {
@@ -139,7 +141,14 @@
 			s.stagedAt = now
 		}
 	}
-	switch decision := s.Next(s.view, namedTime.Add(now)); decision.Action {
+	if p.newerAt > 0 && now >= p.newerAt {
+		s.SetNamedVersion(3, namedTime.Add(p.newerAt))
+	}
+	decision := s.Next(s.view, namedTime.Add(now))
+	if decision.Fetch == 3 {
+		s.view.Fetching, s.view.FetchBegan, s.view.AwaitsManifest = 3, namedTime.Add(now), true
+	}
+	switch decision.Action {
 	case Upload:
 		s.view.Uploaded = decision.Version
 	case Load:
@@ -181,6 +190,22 @@
 	}
 }
 
+// Guards against a version that is nearly complete and is not used, or that many servers swap
+// to at once and late, because a newer one was named that can't be read.
+func TestFullPoolUsesVersionBeforeUnreadableOne(t *testing.T) {
+	for _, p := range []fullPool{pool45, pool58} {
+		p.newerAt = 2600 * time.Millisecond
+		for seed := range uint64(4) {
+			r := p.swap(seed)
+			limit := time.Duration(lastTurnFraction*float64(p.bound)) + 4*time.Second + loadLasts + drainNoticeTime + step
+			if r.first == 0 || r.last > limit || r.lowest < 0.5 {
+				t.Errorf("%d servers: version 2 is served from %v to %v on, with at least %.2f of the slots in use, want all by %v and half of the slots",
+					p.servers, r.first, r.last, r.lowest, limit)
+			}
+		}
+	}
+}
+
 // Guards against servers that stay drained while the transfer makes no progress, because the
 // origin has become unavailable.
 func TestServersServeWhileTransferStalls(t *testing.T) {
