Admit first only what a workspace lacks to its floor

Cause: the requests of a floor were admitted first although the workspace got as many slots in the order of priorities, so that a less urgent priority got both.

Change: a workspace has a credit that its slots use up and its waiting requests reserve. The replays offer the same requests whatever is decided.

--- a/internal/entry/placement/placer.go
+++ b/internal/entry/placement/placer.go
@@ -121,8 +121,10 @@
 		// late is set once the request may be placed although it misses its
 		// latency objective.
 		late bool
-		// promoted is by how much the request waits with more urgent ones than its priority.
+		// promoted is by how much the request is more urgent in the queue than its priority.
 		promoted int
+		// admitted is set for a new request that was not rejected early.
+		admitted bool
 	}
 )
 
@@ -190,7 +192,12 @@
 
 // Withdraw removes a waiting request.
 func (p *Placer) Withdraw(t Ticket) {
-	p.waiting = slices.DeleteFunc(p.waiting, func(q *queuedRequest) bool { return q.ticket == t })
+	p.waiting = slices.DeleteFunc(p.waiting, func(q *queuedRequest) bool {
+		if q.ticket == t {
+			p.recordRefused(q)
+		}
+		return q.ticket == t
+	})
 }
 
 // RecordFirstEvent records that the first event of a request, or its whole
@@ -320,7 +327,7 @@
 	s.ownLoad.Requests++
 	s.ownLoad.PendingPromptTokens += q.request.PromptTokens
 	s.health.recordSent(now)
-	p.recordPlaced(q.request, now)
+	p.recordPlaced(q, now)
 	return d, true
 }
 
@@ -348,6 +355,7 @@
 }
 
 func (p *Placer) refuse(q *queuedRequest, reason Reason, now time.Time) Decision {
+	p.recordRefused(q)
 	capacity := p.usableCapacity(q.request, now, now)
 	return Decision{
 		Ticket: q.ticket, Verdict: Refused, Reason: reason, InFlight: capacity.inFlight, Capacity: capacity.requests,
--- a/internal/entry/placement/queue.go
+++ b/internal/entry/placement/queue.go
@@ -13,6 +13,9 @@
 // that can't use any of them, as its prompt is too long to be in time or it is bound to other
 // servers, doesn't keep the next ones from them.
 func (p *Placer) placeWaiting(now time.Time) []Decision {
+	if !p.hasFreeSlot(now) {
+		return nil
+	}
 	var decisions []Decision
 	skipped := 0
 	slices.SortStableFunc(p.waiting, func(a, b *queuedRequest) int {
@@ -39,6 +42,13 @@
 	return decisions
 }
 
+// hasFreeSlot reports whether a server has a free slot, whatever request may use it.
+func (p *Placer) hasFreeSlot(now time.Time) bool {
+	return slices.ContainsFunc(p.ordered, func(s *server) bool {
+		return s.inFlight() < p.capacity(s) && !now.Before(s.fullUntil) && !s.Leaving
+	})
+}
+
 // waitingAheadOf returns the number of waiting requests that the request does not
 // precede.
 func (p *Placer) waitingAheadOf(q *queuedRequest) int {
--- a/internal/entry/placement/shedding.go
+++ b/internal/entry/placement/shedding.go
@@ -29,17 +29,29 @@
 	if verdict == shedding.AdmitFirst {
 		q.promoted = r.Priority - p.shedding.MostUrgent()
 	}
-	return verdict == shedding.Reject && !p.hasSpareSlots(now)
+	if verdict == shedding.Reject && !p.hasSpareSlots(now) {
+		return true
+	}
+	q.admitted = true
+	return false
 }
 
 // recordPlaced counts a slot that the request got.
-func (p *Placer) recordPlaced(r Request, now time.Time) {
+func (p *Placer) recordPlaced(q *queuedRequest, now time.Time) {
+	r := q.request
 	p.noteOutages(true, now)
 	switch {
 	case r.isNew():
-		p.shedding.Placed(r.Priority, now)
+		p.shedding.Placed(r.Priority, r.Workspace, now)
 	case r.CallerRetry:
-		p.shedding.PlacedOther(now)
+		p.shedding.PlacedOther(r.Priority, r.Workspace, now)
+	}
+}
+
+// recordRefused records that the request got no slot.
+func (p *Placer) recordRefused(q *queuedRequest) {
+	if q.admitted {
+		p.shedding.Refused(q.request.Priority, q.request.Workspace)
 	}
 }
 
--- a/internal/entry/placement/shedding_replay_test.go
+++ b/internal/entry/placement/shedding_replay_test.go
@@ -26,12 +26,14 @@
 type (
 	// overloadReplay is a pool that several entries use, with callers that retry.
 	overloadReplay struct {
-		events  *schedule.Schedule
-		random  *rand.Rand
-		kinds   []replayKind
-		entries []*replayEntry
-		servers map[mulberryspool.InstanceID]*replayServer
-		listed  []mulberryspool.BackendServer
+		events *schedule.Schedule
+		random *rand.Rand
+		// arrivals is the source of the requests, which are the same whatever is decided.
+		arrivals *rand.Rand
+		kinds    []replayKind
+		entries  []*replayEntry
+		servers  map[mulberryspool.InstanceID]*replayServer
+		listed   []mulberryspool.BackendServer
 		// usual is the load in ordinary times as a part of the capacity, burst the factor on
 		// it between burstFrom and burstTo, in which missing servers are not listed.
 		usual, burst       float64
@@ -80,7 +82,7 @@
 
 func newOverloadReplay(seed uint64, entries int, passTime time.Duration, kinds []replayKind) *overloadReplay {
 	r := &overloadReplay{
-		events: schedule.New(), random: rand.New(rand.NewPCG(seed, 5)), kinds: kinds,
+		events: schedule.New(), random: rand.New(rand.NewPCG(seed, 5)), arrivals: rand.New(rand.NewPCG(seed, 6)), kinds: kinds,
 		servers: make(map[mulberryspool.InstanceID]*replayServer),
 		usual:   0.6, burst: 2, burstFrom: 4 * time.Second, burstTo: 11 * time.Second, missing: 60,
 		engine: *enginePool().Engine,
@@ -129,7 +131,7 @@
 			current *= r.burst
 		}
 		r.arrive(inBurst())
-		r.events.After(time.Duration(r.random.ExpFloat64()/current*float64(time.Second)), arrive)
+		r.events.After(time.Duration(r.arrivals.ExpFloat64()/current*float64(time.Second)), arrive)
 	}
 	r.events.After(0, arrive)
 	for i, e := range r.entries {
@@ -202,7 +204,7 @@
 }
 
 func (r *overloadReplay) arrive(counted bool) {
-	x := r.random.Float64()
+	x := r.arrivals.Float64()
 	kind := &r.kinds[0]
 	for i := range r.kinds {
 		kind = &r.kinds[i]
@@ -211,8 +213,8 @@
 		}
 	}
 	now := r.events.Now()
-	q := &replayRequest{kind: kind, arrivedAt: now, counted: counted, deadline: now.Add(4 * time.Second), immediate: r.random.Float64() < r.repeats}
-	q.tokens = 600 + r.random.IntN(600)
+	q := &replayRequest{kind: kind, arrivedAt: now, counted: counted, deadline: now.Add(4 * time.Second), immediate: r.arrivals.Float64() < r.repeats}
+	q.tokens = 600 + r.arrivals.IntN(600)
 	if counted {
 		kind.counted++
 	}
--- a/internal/entry/shedding/shedding.go
+++ b/internal/entry/shedding/shedding.go
@@ -1,8 +1,8 @@
 // Package shedding decides which new requests of a pool are rejected early because the pool
 // can't serve all of them.
 //
-//	Offer, Placed, PlacedOther --> Pool --> Admit, AdmitFirst or Reject
-//	SetPeer ------------------------/ \----> Report
+//	Offer, Placed, Refused, PlacedOther --> Pool --> Admit, AdmitFirst or Reject
+//	SetPeer ---------------------------------/ \----> Report
 //
 // It is built for this load: for some seconds, requests of several priorities together need
 // up to twice the slots that the pool has, because a part of its servers is missing or rejoins
@@ -13,7 +13,8 @@
 // admitted completely as long as the capacity lasts. The less urgent ones share the rest,
 // but each is admitted at least with a floor, a part of the share that all requests get
 // on average. The floor holds for each workspace, so that one that sends much more than the
-// others, or whose requests come at bad moments, doesn't take theirs.
+// others, or whose requests come at bad moments, doesn't take theirs. Only what a workspace
+// lacks to its floor is admitted first.
 //
 // One entry sees a part of the load. During an overload the entries report their counts to
 // each other, so that all of them calculate the same shares from the sums.
@@ -58,6 +59,9 @@
 	// maxWorkspaces is the number of workspaces of a priority with a floor of their own. The
 	// others share one.
 	maxWorkspaces = 512
+	// minCredit bounds for how many requests a workspace that got more than its floor goes
+	// without one that is admitted first.
+	minCredit = -1
 	// goldenRatio spreads the first requests of workspaces that floors admit.
 	goldenRatio = 0.6180339887498949
 	// maxReported is the maximum number of priorities in a report.
@@ -89,10 +93,9 @@
 		// share is the part of its requests that is admitted, floor the part of them that
 		// is admitted first.
 		share, floor float64
-		// credit spreads the admitted requests evenly, floorCredits those that each workspace
-		// is admitted first.
-		credit       float64
-		floorCredits map[string]float64
+		// credit spreads the admitted requests evenly.
+		credit float64
+		floors map[string]*workspaceFloor
 		// lastCredit is with what the last workspace began.
 		lastCredit float64
 	}
@@ -106,6 +109,13 @@
 		Counts []Count
 	}
 
+	// workspaceFloor is what a workspace has got of its floor.
+	workspaceFloor struct {
+		// credit is how many slots it lacks, pending how many of its requests wait.
+		credit  float64
+		pending int
+	}
+
 	// Count is what the new requests of a priority have offered and got within the window.
 	Count struct {
 		_msgpack struct{} `msgpack:",as_array"` //nolint:unused // Read by the codec.
@@ -135,40 +145,40 @@
 	if l.share >= 1 {
 		return Admit
 	}
-	if l.takeFloor(workspace) {
+	f := l.floorOf(workspace)
+	f.credit += l.floor
+	if f.credit-float64(f.pending) >= 1 {
+		f.pending++
 		return AdmitFirst
 	}
-	l.credit += (l.share - l.floor) / (1 - l.floor)
+	l.credit += l.share
 	if l.credit >= 1 {
 		l.credit--
+		f.pending++
 		return Admit
 	}
 	return Reject
 }
 
-// takeFloor reports whether a request is admitted first.
-func (l *level) takeFloor(workspace string) bool {
-	credit, ok := l.floorCredits[workspace]
-	if !ok {
-		if len(l.floorCredits) >= maxWorkspaces {
-			workspace = ""
-			credit = l.floorCredits[""]
-		} else {
-			// Otherwise the first request of each of many small workspaces is rejected.
-			l.lastCredit = math.Mod(l.lastCredit+goldenRatio, 1)
-			credit = l.lastCredit
-		}
+// floorOf returns the floor of a workspace, or that which further workspaces share.
+func (l *level) floorOf(workspace string) *workspaceFloor {
+	if f := l.floors[workspace]; f != nil {
+		return f
 	}
-	credit += l.floor
-	first := credit >= 1
-	if first {
-		credit--
+	if len(l.floors) >= maxWorkspaces {
+		if f := l.floors[""]; f != nil {
+			return f
+		}
+		workspace = ""
 	}
-	if l.floorCredits == nil {
-		l.floorCredits = make(map[string]float64)
+	if l.floors == nil {
+		l.floors = make(map[string]*workspaceFloor)
 	}
-	l.floorCredits[workspace] = credit
-	return first
+	// Otherwise the first request of each of many small workspaces is rejected.
+	l.lastCredit = math.Mod(l.lastCredit+goldenRatio, 1)
+	f := &workspaceFloor{credit: l.lastCredit}
+	l.floors[workspace] = f
+	return f
 }
 
 // MostUrgent returns the most urgent priority of the pool.
@@ -179,17 +189,38 @@
 	return p.levels[0].priority
 }
 
-// Placed counts a slot that a new request got.
-func (p *Pool) Placed(priority int, now time.Time) {
+// Placed counts a slot that a new request of a workspace got.
+func (p *Pool) Placed(priority int, workspace string, now time.Time) {
 	p.decay(now)
-	p.level(priority).placed++
+	l := p.level(priority)
+	l.placed++
+	l.settle(workspace, 1)
+}
+
+// Refused records that a new request that was not rejected early got no slot.
+func (p *Pool) Refused(priority int, workspace string) {
+	p.level(priority).settle(workspace, 0)
+}
+
+// settle ends the wait of a request, which took a number of slots.
+func (l *level) settle(workspace string, slots float64) {
+	if len(l.floors) == 0 {
+		return
+	}
+	f := l.floorOf(workspace)
+	f.pending = max(0, f.pending-1)
+	f.credit = max(f.credit-slots, minCredit)
 }
 
-// PlacedOther counts a slot that another request than a new one got although a new one could
-// have had it.
-func (p *Pool) PlacedOther(now time.Time) {
+// PlacedOther counts a slot that another request of a workspace than a new one got although a
+// new one could have had it.
+func (p *Pool) PlacedOther(priority int, workspace string, now time.Time) {
 	p.decay(now)
 	p.other++
+	if l := p.level(priority); len(l.floors) > 0 {
+		f := l.floorOf(workspace)
+		f.credit = max(f.credit-1, minCredit)
+	}
 }
 
 // Rate returns the number of slots per second that requests of this entry have got within
@@ -313,12 +344,12 @@
 	// Requests of one priority make way for nobody. Whether they wait depends on the queue alone.
 	if !p.overloaded || slices.Max(offered) > sum-1 {
 		for i := range p.levels {
-			p.levels[i].share, p.levels[i].floor, p.levels[i].floorCredits = 1, 1, nil
+			p.levels[i].share, p.levels[i].floor, p.levels[i].floors = 1, 1, nil
 		}
 		return
 	}
-	capacity *= 1 + surplus
 	floor := floorShare * capacity / sum
+	capacity *= 1 + surplus
 	left := capacity - floor*sum
 	for i := range p.levels {
 		l := &p.levels[i]
--- a/internal/entry/shedding/shedding_test.go
+++ b/internal/entry/shedding/shedding_test.go
@@ -50,9 +50,13 @@
 			if verdict == AdmitFirst || s.priority == 0 {
 				need = -10
 			}
-			if verdict != Reject && supply.free >= need {
+			switch {
+			case verdict == Reject:
+			case supply.free < need:
+				p.Refused(s.priority, s.workspace)
+			default:
 				supply.free--
-				p.Placed(s.priority, now)
+				p.Placed(s.priority, s.workspace, now)
 				if counted {
 					s.placed++
 					s.refused = 0
@@ -113,7 +117,7 @@
 	now := start.Add(3 * time.Second)
 	for ; p.Overloaded(now) && now.Before(start.Add(6*time.Second)); now = now.Add(2 * time.Millisecond) {
 		p.Offer(1, "", now)
-		p.Placed(1, now)
+		p.Placed(1, "", now)
 	}
 	if after := now.Sub(start) - 3*time.Second; after > 2*time.Second {
 		t.Errorf("still overloaded %s after the end", after)
