Don't take slots that can't be used for spare ones

Cause: early rejections were suspended while a twenty-fifth of the slots was free, also if these were of servers that can't be given a request, such as ones that are held back after a start. That is the case for which early rejections are made.

Change: for 0.1 s after a request found no slot here, free ones don't count.

Result: TestSlotsThatCannotBeUsedAreNotSpare.

--- a/internal/entry/placement/placer.go
+++ b/internal/entry/placement/placer.go
@@ -59,6 +59,8 @@
 		waiting           []*queuedRequest
 		shedding          shedding.Pool
 		outages           outages
+		// noSlotAt is when a request that any server may serve last found no slot.
+		noSlotAt time.Time
 	}
 
 	server struct {
@@ -333,6 +335,9 @@
 
 // enqueueOrRefuse queues a request if capacity is expected to be free in time.
 func (p *Placer) enqueueOrRefuse(q *queuedRequest, now time.Time) Decision {
+	if len(q.request.Exclude) == 0 && q.request.Version == 0 && q.request.Regions == nil {
+		p.noSlotAt = now
+	}
 	limit := p.maxWait(q.request, now)
 	capacity := p.usableCapacity(q.request, now, now.Add(limit))
 	if capacity.servers == 0 {
--- a/internal/entry/placement/retryafter_test.go
+++ b/internal/entry/placement/retryafter_test.go
@@ -96,3 +96,25 @@
 		t.Errorf("new request got %+v, want waiting", d)
 	}
 }
+
+// Guards against early rejections that are suspended by the free slots of servers that can't be
+// given any requests, such as those that are held back after a start.
+func TestSlotsThatCannotBeUsedAreNotSpare(t *testing.T) {
+	p := newPlacer(10)
+	p.SetPeerDemand("other", shedding.Report{Counts: []shedding.Count{{Offered: 60, Placed: 40}, {Priority: 1, Offered: 140}}}, start)
+	retry := request(start)
+	retry.CallerRetry = true
+	if d := p.Offer(retry, start); d.Verdict != Placed {
+		t.Fatalf("retry got %+v with free slots, want placed", d)
+	}
+	for _, s := range p.ordered {
+		s.ownLoad = Load{Requests: 1, PendingPromptTokens: 1_000_000}
+	}
+	if d := p.Offer(request(start), start); d.Verdict == Placed {
+		t.Fatalf("request was placed at %s", d.Server.Instance)
+	}
+	p.waiting = nil
+	if d := p.Offer(retry, start); d.Verdict != Refused || d.Reason != ReasonOverload {
+		t.Errorf("retry got %+v, want refused", d)
+	}
+}
--- a/internal/entry/placement/shedding.go
+++ b/internal/entry/placement/shedding.go
@@ -11,6 +11,10 @@
 // late, in which a pool whose requests take 0.6 s fills a twenty-fifth of its slots.
 const minFreeShare = 0.04
 
+// noSlotMemory is how long after a request found no slot here free ones don't count: they may be
+// those of servers that are held back, or the turn of other entries.
+const noSlotMemory = 100 * time.Millisecond
+
 // isNew reports whether the request is one that can be in time.
 func (r Request) isNew() bool { return !r.Reattempt && !r.CallerRetry }
 
@@ -55,10 +59,10 @@
 	}
 }
 
-// hasSpareSlots reports whether there are free slots that no request waits for, more than
-// those that other entries may have filled since their last report.
+// hasSpareSlots reports whether there are free slots that no request waits for or has lacked
+// recently, more than those that other entries may have filled since their last report.
 func (p *Placer) hasSpareSlots(now time.Time) bool {
-	if len(p.waiting) > 0 {
+	if len(p.waiting) > 0 || now.Sub(p.noSlotAt) < noSlotMemory {
 		return false
 	}
 	free, total := 0, 0
