Let entries with urgent waiting requests take freed slots first

Cause: entries took turns at a freed slot whatever their waiting requests were, so that a less urgent request of one entry got the slot of a more urgent one of another.

Change: during an overload, entries that have reported that requests of the most urgent priority wait come first. Such a request counts after 30 ms, in which the others have learned of it; earlier, two entries would use the same slot. The report is a further name in the numbers of waiting requests, which older builds don't look up.

--- a/internal/entry/placement/choose.go
+++ b/internal/entry/placement/choose.go
@@ -41,12 +41,12 @@
 		fallback   *server
 		lastResort *server
 	)
-	avoid := p.mayAvoid(now)
+	avoid, urgent := p.mayAvoid(now), p.isKnownUrgent(q, now)
 	for _, s := range p.ordered {
 		if !p.usable(s, r, now) || now.Before(s.fullUntil) || s.inFlight() >= p.capacity(s) || !q.late && !p.meetsObjective(s, r, now) {
 			continue
 		}
-		if !p.pausedUntil(s, now).IsZero() || now.Before(s.limit.AvailableAt(now)) || !r.Reattempt && now.Before(p.turnAt(s, now)) {
+		if !p.pausedUntil(s, now).IsZero() || now.Before(s.limit.AvailableAt(now)) || !r.Reattempt && now.Before(p.turnAt(s, urgent, now)) {
 			continue
 		}
 		if s.silent {
@@ -192,8 +192,9 @@
 // domain, then in an order that differs from server to server. With a rate limit the
 // order differs from request to request and prefers no failure domain, since the
 // server may be the only one. While the pool is overloaded, all entries with requests for it
-// take turns: each of them has a request for the slot within a few milliseconds.
-func (p *Placer) turnAt(s *server, now time.Time) time.Time {
+// take turns: each of them has a request for the slot within a few milliseconds. Those that are
+// known to have urgent ones waiting come first.
+func (p *Placer) turnAt(s *server, urgent bool, now time.Time) time.Time {
 	available := s.limit.AvailableAt(now)
 	limited := !available.IsZero()
 	from := s.freedAt
@@ -209,6 +210,12 @@
 		if peer.waiting == 0 && !p.shedding.Competes(name) {
 			continue
 		}
+		if peer.urgent != urgent {
+			if peer.urgent {
+				rank++
+			}
+			continue
+		}
 		peerLocal := limited || peer.failureDomain == s.FailureDomain
 		if peerLocal && !local || peerLocal == local && turnKey(name, s) < key {
 			rank++
--- a/internal/entry/placement/loads.go
+++ b/internal/entry/placement/loads.go
@@ -19,7 +19,7 @@
 		peer.loads = make(map[mulberryspool.InstanceID]Load, len(report.Loads))
 	}
 	freed = peer.waiting > 0 && report.Waiting == 0
-	peer.reportedAt, peer.waiting, peer.failureDomain = now, report.Waiting, cmp.Or(report.FailureDomain, peer.failureDomain)
+	peer.reportedAt, peer.waiting, peer.urgent, peer.failureDomain = now, report.Waiting, report.Urgent, cmp.Or(report.FailureDomain, peer.failureDomain)
 	p.peers[name] = peer
 	if !report.Partial {
 		for id := range peer.loads {
--- a/internal/entry/placement/placement.go
+++ b/internal/entry/placement/placement.go
@@ -175,8 +175,9 @@
 		Loads   map[mulberryspool.InstanceID]Load
 		Partial bool
 		// Waiting is the number of the peer's requests that wait for capacity in
-		// the pool.
+		// the pool, Urgent whether the most urgent ones of an overloaded pool are among them.
 		Waiting int
+		Urgent  bool
 	}
 
 	// Load is what an entry has in flight at a backend server.
--- a/internal/entry/placement/placer.go
+++ b/internal/entry/placement/placer.go
@@ -96,6 +96,7 @@
 		reportedAt    time.Time
 		failureDomain string
 		waiting       int
+		urgent        bool
 		loads         map[mulberryspool.InstanceID]Load
 	}
 
@@ -291,6 +292,7 @@
 		earliest(q.waitUntil)
 	}
 	if len(p.waiting) > 0 {
+		urgent := slices.ContainsFunc(p.waiting, func(q *queuedRequest) bool { return p.isKnownUrgent(q, now) })
 		for _, s := range p.ordered {
 			if s.inFlight() >= p.capacity(s) {
 				continue
@@ -300,7 +302,7 @@
 				earliest(end)
 			} else if available := s.limit.AvailableAt(now); available.After(now) {
 				earliest(available)
-			} else if at := p.turnAt(s, now); at.After(now) {
+			} else if at := p.turnAt(s, urgent, now); at.After(now) {
 				earliest(at)
 			}
 		}
--- a/internal/entry/placement/shedding.go
+++ b/internal/entry/placement/shedding.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"slices"
 	"time"
 
 	"github.com/mulberryspool/mulberryspool/internal/entry/shedding"
@@ -15,6 +16,9 @@
 // those of servers that are held back, or the turn of other entries.
 const noSlotMemory = 100 * time.Millisecond
 
+// reportDelay is how long the other entries may take to learn of a waiting request.
+const reportDelay = 30 * time.Millisecond
+
 // isNew reports whether the request is one that can be in time.
 func (r Request) isNew() bool { return !r.Reattempt && !r.CallerRetry }
 
@@ -79,6 +83,21 @@
 	return free > 0 && float64(free) >= minFreeShare*float64(total)
 }
 
+// HasUrgent reports whether requests of the most urgent priority wait in an overloaded pool.
+func (p *Placer) HasUrgent(now time.Time) bool {
+	return slices.ContainsFunc(p.waiting, func(q *queuedRequest) bool { return p.isUrgent(q, now) })
+}
+
+func (p *Placer) isUrgent(q *queuedRequest, now time.Time) bool {
+	return q.request.isNew() && q.rank() <= p.shedding.MostUrgent() && p.shedding.Overloaded(now)
+}
+
+// isKnownUrgent reports whether the other entries know that an urgent request waits here.
+// Otherwise several entries would come first at the same slot.
+func (p *Placer) isKnownUrgent(q *queuedRequest, now time.Time) bool {
+	return now.Sub(q.request.ArrivedAt) >= reportDelay && p.isUrgent(q, now)
+}
+
 // SetPeerDemand records what another entry reports of its load.
 func (p *Placer) SetPeerDemand(peer string, report shedding.Report, now time.Time) {
 	p.shedding.SetPeer(peer, report, now)
--- a/internal/entry/placement/shedding_replay_test.go
+++ b/internal/entry/placement/shedding_replay_test.go
@@ -73,6 +73,12 @@
 		tokens    int
 	}
 
+	// replayWaiting is what an entry reports of its waiting requests.
+	replayWaiting struct {
+		count  int
+		urgent bool
+	}
+
 	replayServer struct {
 		inFlight int
 		queue    []func()
@@ -136,8 +142,8 @@
 	r.events.After(0, arrive)
 	for i, e := range r.entries {
 		phase := time.Duration(i) * replayRemoteInterval / time.Duration(len(r.entries))
-		r.events.After(phase, func() { r.report(e, true, nil, 0, end.Add(6*time.Second)) })
-		r.events.After(phase, func() { r.report(e, false, nil, 0, end.Add(6*time.Second)) })
+		r.events.After(phase, func() { r.report(e, true, nil, replayWaiting{}, end.Add(6*time.Second)) })
+		r.events.After(phase, func() { r.report(e, false, nil, replayWaiting{}, end.Add(6*time.Second)) })
 		r.events.After(phase, func() { r.reportDemand(e, end) })
 	}
 	if r.missing > 0 {
@@ -155,7 +161,7 @@
 }
 
 // report sends the changes to the other entries of the failure domain, or to those of others.
-func (r *overloadReplay) report(e *replayEntry, local bool, sent map[mulberryspool.InstanceID]Load, sentWaiting int, until time.Time) {
+func (r *overloadReplay) report(e *replayEntry, local bool, sent map[mulberryspool.InstanceID]Load, sentWaiting replayWaiting, until time.Time) {
 	loads, changed := make(map[mulberryspool.InstanceID]Load), make(map[mulberryspool.InstanceID]Load)
 	e.placer.AddOwnLoads(loads)
 	for id, l := range loads {
@@ -168,8 +174,10 @@
 			changed[id] = Load{}
 		}
 	}
-	waiting := e.placer.Waiting()
-	report := PeerReport{FailureDomain: e.placer.Config.FailureDomain, Loads: changed, Partial: true, Waiting: waiting}
+	report := PeerReport{
+		FailureDomain: e.placer.Config.FailureDomain, Loads: changed, Partial: true, Waiting: e.placer.Waiting(), Urgent: e.placer.HasUrgent(r.events.Now()),
+	}
+	waiting := replayWaiting{report.Waiting, report.Urgent}
 	interval := replayRemoteInterval
 	if local {
 		interval = replayLocalInterval
--- a/internal/entry/scheduler/peers.go
+++ b/internal/entry/scheduler/peers.go
@@ -5,8 +5,12 @@
 	"github.com/mulberryspool/mulberryspool/internal/entry/placement"
 )
 
+// urgentSuffix follows the name of a pool in the numbers of waiting requests, for the most urgent
+// ones of an overloaded pool. Builds that don't know it look up the names of pools only.
+const urgentSuffix = "/urgent"
+
 // SetPeer records the report of another entry, with the number of its requests
-// that wait in each pool.
+// that wait in each pool, as Waiting returns them.
 func (s *Scheduler) SetPeer(peer string, report placement.PeerReport, waiting map[string]int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -14,7 +18,7 @@
 	now := s.Clock.Now()
 	s.peers[peer] = now
 	for name, p := range s.pools {
-		report.Waiting = waiting[name]
+		report.Waiting, report.Urgent = waiting[name], waiting[name+urgentSuffix] > 0
 		if p.placer.SetPeer(peer, report, now) {
 			s.decideWaiting(p)
 		}
@@ -49,7 +53,7 @@
 }
 
 // Waiting returns the number of this entry's waiting requests in each pool that
-// has any.
+// has any, and under names with urgentSuffix 1 for those with urgent ones.
 func (s *Scheduler) Waiting() map[string]int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -58,6 +62,10 @@
 		if n := p.placer.Waiting(); n > 0 {
 			waiting[name] = n
 		}
+		if p.placer.HasUrgent(s.Clock.Now()) {
+			// A number would change more often, and each change is sent.
+			waiting[name+urgentSuffix] = 1
+		}
 	}
 	return waiting
 }
--- a/internal/peer/heartbeat/heartbeat.go
+++ b/internal/peer/heartbeat/heartbeat.go
@@ -66,8 +66,8 @@
 		Report *AgentReport
 		// FailureDomain is that of the sender.
 		FailureDomain string
-		// Waiting is the number of an entry's queued requests by pool. It is sent
-		// together with Loads.
+		// Waiting is the number of an entry's queued requests by pool, as scheduler.Waiting
+		// returns it. It is sent together with Loads.
 		Waiting map[string]int
 	}
 
