--- a/internal/entry/placement/placer.go
+++ b/internal/entry/placement/placer.go
@@ -66,6 +66,8 @@
 		waiting           []*queuedRequest
 		shedding          shedding.Pool
 		outages           outages
+		// noSlotAt is when a request that any server may serve last found no slot.
+		noSlotAt time.Time
 	}
 
 	server struct {
@@ -104,6 +106,7 @@
 		reportedAt    time.Time
 		failureDomain string
 		waiting       int
+		urgent        bool
 		loads         map[mulberryspool.InstanceID]Load
 	}
 
@@ -131,10 +134,12 @@
 		// late is set once the request may be placed although it misses its
 		// latency objective.
 		late bool
-		// promoted is by how much the request waits with more urgent ones than its priority.
+		// promoted is by how much the request is more urgent in the queue than its priority.
 		promoted int
 		// heldBack is set once it was counted in Placer.heldBack.
 		heldBack bool
+		// admitted is set for a new request that was not rejected early.
+		admitted bool
 	}
 )
 
@@ -194,16 +199,24 @@
 		return p.refuse(q, ReasonOverload, now)
 	}
 	if open, ok := p.uncontended(q); ok {
-		if d, ok := p.place(&queuedRequest{ticket: q.ticket, request: open, promoted: q.promoted}, now); ok {
+		restricted := *q
+		restricted.request = open
+		if d, ok := p.place(&restricted, now); ok {
 			return d
 		}
+		q.heldBack = restricted.heldBack
 	}
 	return p.enqueueOrRefuse(q, now)
 }
 
 // Withdraw removes a waiting request.
 func (p *Placer) Withdraw(t Ticket) {
-	p.waiting = slices.DeleteFunc(p.waiting, func(q *queuedRequest) bool { return q.ticket == t })
+	p.waiting = slices.DeleteFunc(p.waiting, func(q *queuedRequest) bool {
+		if q.ticket == t {
+			p.recordRefused(q)
+		}
+		return q.ticket == t
+	})
 }
 
 // RecordFirstEvent records that the first event of a request, or its whole
@@ -299,6 +312,7 @@
 		earliest(q.waitUntil)
 	}
 	if len(p.waiting) > 0 {
+		urgent := slices.ContainsFunc(p.waiting, func(q *queuedRequest) bool { return p.isKnownUrgent(q, now) })
 		for _, s := range p.ordered {
 			if s.inFlight() >= p.capacity(s) {
 				continue
@@ -310,7 +324,7 @@
 				earliest(available)
 			} else if available := s.cold.AvailableAt(now); available.After(now) {
 				earliest(available)
-			} else if at := p.turnAt(s, now); at.After(now) {
+			} else if at := p.turnAt(s, urgent, now); at.After(now) {
 				earliest(at)
 			}
 		}
@@ -341,12 +355,15 @@
 	s.load.RecordKnown(s.inFlight(), now)
 	s.ownLoad.PendingPromptTokens += q.request.PromptTokens
 	s.health.recordSent(now)
-	p.recordPlaced(q.request, now)
+	p.recordPlaced(q, now)
 	return d, true
 }
 
 // enqueueOrRefuse queues a request if capacity is expected to be free in time.
 func (p *Placer) enqueueOrRefuse(q *queuedRequest, now time.Time) Decision {
+	if len(q.request.Exclude) == 0 && q.request.Version == 0 && q.request.Regions == nil {
+		p.noSlotAt = now
+	}
 	limit := p.maxWait(q.request, now)
 	capacity := p.usableCapacity(q.request, now, now.Add(limit))
 	if capacity.servers == 0 {
@@ -371,6 +388,7 @@
 }
 
 func (p *Placer) refuse(q *queuedRequest, reason Reason, now time.Time) Decision {
+	p.recordRefused(q)
 	capacity := p.usableCapacity(q.request, now, now)
 	return Decision{
 		Ticket: q.ticket, Verdict: Refused, Reason: reason, InFlight: capacity.inFlight, Capacity: capacity.requests,
--- a/internal/entry/placement/shedding.go
+++ b/internal/entry/placement/shedding.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"slices"
 	"time"
 
 	"github.com/mulberryspool/mulberryspool/internal/entry/shedding"
@@ -11,6 +12,13 @@
 // late, in which a pool whose requests take 0.6 s fills a twenty-fifth of its slots.
 const minFreeShare = 0.04
 
+// noSlotMemory is how long after a request found no slot here free ones don't count: they may be
+// those of servers that are held back, or the turn of other entries.
+const noSlotMemory = 100 * time.Millisecond
+
+// reportDelay is how long the other entries may take to learn of a waiting request.
+const reportDelay = 30 * time.Millisecond
+
 // isNew reports whether the request is one that can be in time.
 func (r Request) isNew() bool { return !r.Reattempt && !r.CallerRetry }
 
@@ -29,24 +37,36 @@
 	if verdict == shedding.AdmitFirst {
 		q.promoted = r.Priority - p.shedding.MostUrgent()
 	}
-	return verdict == shedding.Reject && !p.hasSpareSlots(now)
+	if verdict == shedding.Reject && !p.hasSpareSlots(now) {
+		return true
+	}
+	q.admitted = true
+	return false
 }
 
 // recordPlaced counts a slot that the request got.
-func (p *Placer) recordPlaced(r Request, now time.Time) {
+func (p *Placer) recordPlaced(q *queuedRequest, now time.Time) {
+	r := q.request
 	p.noteOutages(true, now)
 	switch {
 	case r.isNew():
-		p.shedding.Placed(r.Priority, now)
+		p.shedding.Placed(r.Priority, r.Workspace, now)
 	case r.CallerRetry:
-		p.shedding.PlacedOther(now)
+		p.shedding.PlacedOther(r.Priority, r.Workspace, now)
+	}
+}
+
+// recordRefused records that the request got no slot.
+func (p *Placer) recordRefused(q *queuedRequest) {
+	if q.admitted {
+		p.shedding.Refused(q.request.Priority, q.request.Workspace)
 	}
 }
 
-// hasSpareSlots reports whether there are free slots that no request waits for, more than
-// those that other entries may have filled since their last report.
+// hasSpareSlots reports whether there are free slots that no request waits for or has lacked
+// recently, more than those that other entries may have filled since their last report.
 func (p *Placer) hasSpareSlots(now time.Time) bool {
-	if len(p.waiting) > 0 {
+	if len(p.waiting) > 0 || now.Sub(p.noSlotAt) < noSlotMemory {
 		return false
 	}
 	free, total := 0, 0
@@ -63,6 +83,21 @@
 	return free > 0 && float64(free) >= minFreeShare*float64(total)
 }
 
+// HasUrgent reports whether requests of the most urgent priority wait in an overloaded pool.
+func (p *Placer) HasUrgent(now time.Time) bool {
+	return slices.ContainsFunc(p.waiting, func(q *queuedRequest) bool { return p.isUrgent(q, now) })
+}
+
+func (p *Placer) isUrgent(q *queuedRequest, now time.Time) bool {
+	return q.request.isNew() && q.rank() <= p.shedding.MostUrgent() && p.shedding.Overloaded(now)
+}
+
+// isKnownUrgent reports whether the other entries know that an urgent request waits here.
+// Otherwise several entries would come first at the same slot.
+func (p *Placer) isKnownUrgent(q *queuedRequest, now time.Time) bool {
+	return now.Sub(q.request.ArrivedAt) >= reportDelay && p.isUrgent(q, now)
+}
+
 // SetPeerDemand records what another entry reports of its load.
 func (p *Placer) SetPeerDemand(peer string, report shedding.Report, now time.Time) {
 	p.shedding.SetPeer(peer, report, now)
--- a/internal/entry/placement/shedding_replay_test.go
+++ b/internal/entry/placement/shedding_replay_test.go
@@ -26,12 +26,14 @@
 type (
 	// overloadReplay is a pool that several entries use, with callers that retry.
 	overloadReplay struct {
-		events  *schedule.Schedule
-		random  *rand.Rand
-		kinds   []replayKind
-		entries []*replayEntry
-		servers map[mulberryspool.InstanceID]*replayServer
-		listed  []mulberryspool.BackendServer
+		events *schedule.Schedule
+		random *rand.Rand
+		// arrivals is the source of the requests, which are the same whatever is decided.
+		arrivals *rand.Rand
+		kinds    []replayKind
+		entries  []*replayEntry
+		servers  map[mulberryspool.InstanceID]*replayServer
+		listed   []mulberryspool.BackendServer
 		// usual is the load in ordinary times as a part of the capacity, burst the factor on
 		// it between burstFrom and burstTo, in which missing servers are not listed.
 		usual, burst       float64
@@ -71,6 +73,12 @@
 		tokens    int
 	}
 
+	// replayWaiting is what an entry reports of its waiting requests.
+	replayWaiting struct {
+		count  int
+		urgent bool
+	}
+
 	replayServer struct {
 		inFlight int
 		queue    []func()
@@ -80,7 +88,7 @@
 
 func newOverloadReplay(seed uint64, entries int, passTime time.Duration, kinds []replayKind) *overloadReplay {
 	r := &overloadReplay{
-		events: schedule.New(), random: rand.New(rand.NewPCG(seed, 5)), kinds: kinds,
+		events: schedule.New(), random: rand.New(rand.NewPCG(seed, 5)), arrivals: rand.New(rand.NewPCG(seed, 6)), kinds: kinds,
 		servers: make(map[mulberryspool.InstanceID]*replayServer),
 		usual:   0.6, burst: 2, burstFrom: 4 * time.Second, burstTo: 11 * time.Second, missing: 60,
 		engine: *enginePool().Engine,
@@ -129,13 +137,13 @@
 			current *= r.burst
 		}
 		r.arrive(inBurst())
-		r.events.After(time.Duration(r.random.ExpFloat64()/current*float64(time.Second)), arrive)
+		r.events.After(time.Duration(r.arrivals.ExpFloat64()/current*float64(time.Second)), arrive)
 	}
 	r.events.After(0, arrive)
 	for i, e := range r.entries {
 		phase := time.Duration(i) * replayRemoteInterval / time.Duration(len(r.entries))
-		r.events.After(phase, func() { r.report(e, true, nil, 0, end.Add(6*time.Second)) })
-		r.events.After(phase, func() { r.report(e, false, nil, 0, end.Add(6*time.Second)) })
+		r.events.After(phase, func() { r.report(e, true, nil, replayWaiting{}, end.Add(6*time.Second)) })
+		r.events.After(phase, func() { r.report(e, false, nil, replayWaiting{}, end.Add(6*time.Second)) })
 		r.events.After(phase, func() { r.reportDemand(e, end) })
 	}
 	if r.missing > 0 {
@@ -153,7 +161,7 @@
 }
 
 // report sends the changes to the other entries of the failure domain, or to those of others.
-func (r *overloadReplay) report(e *replayEntry, local bool, sent map[mulberryspool.InstanceID]Load, sentWaiting int, until time.Time) {
+func (r *overloadReplay) report(e *replayEntry, local bool, sent map[mulberryspool.InstanceID]Load, sentWaiting replayWaiting, until time.Time) {
 	loads, changed := make(map[mulberryspool.InstanceID]Load), make(map[mulberryspool.InstanceID]Load)
 	e.placer.AddOwnLoads(loads)
 	for id, l := range loads {
@@ -166,8 +174,10 @@
 			changed[id] = Load{}
 		}
 	}
-	waiting := e.placer.Waiting()
-	report := PeerReport{FailureDomain: e.placer.Config.FailureDomain, Loads: changed, Partial: true, Waiting: waiting}
+	report := PeerReport{
+		FailureDomain: e.placer.Config.FailureDomain, Loads: changed, Partial: true, Waiting: e.placer.Waiting(), Urgent: e.placer.HasUrgent(r.events.Now()),
+	}
+	waiting := replayWaiting{report.Waiting, report.Urgent}
 	interval := replayRemoteInterval
 	if local {
 		interval = replayLocalInterval
@@ -202,7 +212,7 @@
 }
 
 func (r *overloadReplay) arrive(counted bool) {
-	x := r.random.Float64()
+	x := r.arrivals.Float64()
 	kind := &r.kinds[0]
 	for i := range r.kinds {
 		kind = &r.kinds[i]
@@ -211,8 +221,8 @@
 		}
 	}
 	now := r.events.Now()
-	q := &replayRequest{kind: kind, arrivedAt: now, counted: counted, deadline: now.Add(4 * time.Second), immediate: r.random.Float64() < r.repeats}
-	q.tokens = 600 + r.random.IntN(600)
+	q := &replayRequest{kind: kind, arrivedAt: now, counted: counted, deadline: now.Add(4 * time.Second), immediate: r.arrivals.Float64() < r.repeats}
+	q.tokens = 600 + r.arrivals.IntN(600)
 	if counted {
 		kind.counted++
 	}
