--- a/internal/agent/swarm/limits.go
+++ b/internal/agent/swarm/limits.go
@@ -86,7 +86,8 @@
 	OriginRegions []string
 	// DirectRegions makes every region fetch directly from the region that read a
 	// chunk from the origin, instead of passing the chunk along the chain of regions.
-	// It loads the links of a single region and exists for comparison in benchmarks.
+	// Chunks arrive earlier. If OriginRegions names a single region, all of them cross its
+	// links.
 	DirectRegions bool
 	// Neighbours is the number of agents of the local region that this agent chooses
 	// to exchange chunks with.
--- a/internal/agent/swarm/swarm.go
+++ b/internal/agent/swarm/swarm.go
@@ -6,7 +6,8 @@
 // For each chunk, rendezvous hashing over the participating live agents selects
 // one owner in each region. The owner with the highest score of all regions
 // fetches the chunk from the origin, the owner in the next region fetches it from
-// there, and so on, so each chunk crosses into each region once. Within a region,
+// there, and so on, or all of them do with Limits.DirectRegions, so each chunk crosses
+// into each region once. Within a region,
 // the chunks spread rarest first among small sets of neighbours. If an owner makes
 // no progress, its successors in the hash order query it and then take over from
 // it.
