Wait longer for answers about evacuations while the store is slow

Cause: an attempt of a call ends after 0.7 s, a watch 0.4 s past its wait. A store that is slower than that for all is never heard, and an evacuation began after its bound at all entries. Evidence: TestEvacuationIsInForceAtAllEntries/store_is_slow, with answers 1.25 s late, failed: 45 to 59 requests of each entry after the bound. Change: the evacuations have a client of their own, whose attempts may take two fifths of the bound. The test also refuses two of three entries.

--- a/internal/integration/hostedevacuation_test.go
+++ b/internal/integration/hostedevacuation_test.go
@@ -21,6 +21,8 @@
 	evacuationHeld = 1500 * time.Millisecond
 	// waitingAtPaused is the number of requests that wait for a paused entry.
 	waitingAtPaused = 60
+	// evacuationStoreDelay is the delay of a slow store, a quarter of the bound.
+	evacuationStoreDelay = evacuationBound / 4
 	// pausedBefore is how long before an evacuation an entry is paused. Its watch has ended, and
 	// its queue of datagrams is full of older ones.
 	pausedBefore = 4 * time.Second
@@ -31,8 +33,11 @@
 
 // evacuationCase is what happens beside an evacuation and its end.
 type evacuationCase struct {
-	// refused is set if the store refuses the last entry at the begin and the first one at the end.
+	// refused is set if the store refuses all but the first entry at the begin, and all but the last
+	// one at the end.
 	refused bool
+	// slow is set if all answers of the store are late from before the begin on.
+	slow bool
 	// compacted is set if the store drops its history before each change.
 	compacted bool
 	// paused is set if the last entry is paused before the begin until after the bound.
@@ -49,6 +54,7 @@
 	runConcurrently(t, map[string]evacuationCase{
 		"store refuses entries": {refused: true},
 		"history is lost":       {compacted: true},
+		"store is slow":         {slow: true},
 		"entry is suspended":    {paused: true},
 		"entry starts":          {started: true},
 	}, checkEvacuation)
@@ -59,17 +65,21 @@
 	s := startEvacuated(t, 3)
 	s.probe(call, 40*time.Millisecond)
 	time.Sleep(time.Second)
-	first, last := s.Members[0], s.Members[len(s.Members)-1]
-	prepare := func(refused *hostedsystem.Entry) {
+	last := s.Members[len(s.Members)-1]
+	prepare := func(refused []*hostedsystem.Entry) {
 		if c.refused {
-			s.RefuseEntries(refused)
+			s.RefuseEntries(refused...)
 			time.Sleep(lostBefore)
 		}
+		if c.slow {
+			s.SlowStore(evacuationStoreDelay)
+			time.Sleep(2 * evacuationStoreDelay)
+		}
 		if c.compacted {
 			s.Store.Compact()
 		}
 	}
-	prepare(last)
+	prepare(s.Members[1:])
 	if c.paused {
 		last.Process.Freeze(t)
 		time.Sleep(pausedBefore)
@@ -91,7 +101,7 @@
 		_ = last.Process.Signal(syscall.SIGCONT)
 	}
 	time.Sleep(evacuationHeld)
-	prepare(first)
+	prepare(s.Members[:2])
 	endedAt := time.Now()
 	s.Revoke(evacuatedDomain)
 	time.Sleep(time.Until(endedAt.Add(evacuationBound + maxUnused + evacuationHeld)))
--- a/internal/role/hosted/entryevacuations.go
+++ b/internal/role/hosted/entryevacuations.go
@@ -16,12 +16,15 @@
 	"github.com/mulberryspool/mulberryspool/internal/platform/configwatch"
 	"github.com/mulberryspool/mulberryspool/internal/platform/evacuation"
 	"github.com/mulberryspool/mulberryspool/internal/platform/listwatch"
+	"github.com/mulberryspool/mulberryspool/internal/platform/objectapi"
 	"github.com/mulberryspool/mulberryspool/platform"
 )
 
 // freshShare is the share of Bounds.Evacuation for which the known evacuations count as fresh. The
 // rest is left for them to reach all entries: a watch takes configwatch.MaxWait at most, and the
-// entries that replace watchers which the store refuses begin within some 2.5 s.
+// entries that replace watchers which the store refuses begin within some 2.5 s. It is also the share
+// that an answer of the store may take: storeAttemptTimeout is chosen for shorter bounds, and a
+// store that is slower than that for all would never be heard.
 const freshShare = 0.4
 
 // evacuations keeps track of the evacuated failure domains. A nil one is that of a deployment that
@@ -35,6 +38,7 @@
 	// Changed is called with the evacuated failure domains, in order.
 	Changed func(domains []string)
 
+	client   *objectapi.Client
 	follower listwatch.Follower[string]
 	// publish orders the calls of Changed. It is locked before mu.
 	publish sync.Mutex
@@ -54,19 +58,23 @@
 	if bound <= 0 {
 		return
 	}
+	fresh := time.Duration(freshShare * float64(bound))
+	client := newStoreClient(e.settings, e.clock, e.metrics)
+	client.AttemptTimeout, client.WaitSlack = fresh, fresh
 	v := &evacuations{
-		Clock: e.clock, Logger: e.logger, Metrics: e.metrics,
+		client: client,
+		Clock:  e.clock, Logger: e.logger, Metrics: e.metrics,
 		KnownDomain: func(domain string) bool { return e.settings.RegionOf(domain) != "" },
 		Changed: func(domains []string) {
 			e.scheduler.SetEvacuated(domains)
 			e.signalStateChange()
 		},
-		view:     evacuation.View{MaxAge: time.Duration(freshShare * float64(bound))},
+		view:     evacuation.View{MaxAge: fresh},
 		election: configwatch.Election{Self: e.settings.Instance, FailureDomain: e.identity.FailureDomain},
 	}
 	v.tick()
 	v.follower = listwatch.Follower[string]{
-		Store: e.store, Kind: platform.KindEvacuations, Clock: e.clock, Logger: e.logger,
+		Store: &platform.Store{Client: client, Logger: e.logger, Metrics: e.metrics}, Kind: platform.KindEvacuations, Clock: e.clock, Logger: e.logger,
 		Set:          listwatch.Set[string]{Decode: platform.DecodeEvacuation},
 		Changed:      func(map[string]string, listwatch.Delta) {},
 		Answered:     func(_ time.Time, at mulberryspool.Position) { e.fleet.ObserveEra(at.Era, "") },
@@ -80,9 +88,11 @@
 
 // run reads the store until the context ends.
 func (v *evacuations) run(ctx context.Context) {
-	if v != nil {
-		v.follower.Run(ctx)
+	if v == nil {
+		return
 	}
+	defer v.client.Close()
+	v.follower.Run(ctx)
 }
 
 // watches reports whether this entry reads the evacuations from the store: it is one of the few
--- a/internal/role/hosted/hosted.go
+++ b/internal/role/hosted/hosted.go
@@ -128,11 +128,7 @@
 	}
 	clock := clockwork.NewRealClock()
 	metrics, metricsHandler, metricsCloser := admin.NewMetrics(identity)
-	storeClient := &objectapi.Client{
-		BaseURL: "http://" + s.Store, Clock: clock, Random: newRandom(), Metrics: metrics,
-		DialContext: sockets.Dialer{SingleProbe: true}.DialContext, CallsPerSecond: storeCallsPerSecond,
-		AttemptTimeout: storeAttemptTimeout, CallTimeout: storeCallTimeout, MaxBackoff: storeMaxBackoff, WaitSlack: watchSlack,
-	}
+	storeClient := newStoreClient(s, clock, metrics)
 	return &process{
 		settings: s, identity: identity, clock: clock, logger: logger, logWriter: logWriter,
 		metrics: metrics, metricsHandler: metricsHandler, metricsCloser: metricsCloser, storeClient: storeClient,
@@ -142,6 +138,14 @@
 	}, nil
 }
 
+func newStoreClient(s settings.Settings, clock mulberryspool.Clock, metrics tally.Scope) *objectapi.Client {
+	return &objectapi.Client{
+		BaseURL: "http://" + s.Store, Clock: clock, Random: newRandom(), Metrics: metrics,
+		DialContext: sockets.Dialer{SingleProbe: true}.DialContext, CallsPerSecond: storeCallsPerSecond,
+		AttemptTimeout: storeAttemptTimeout, CallTimeout: storeCallTimeout, MaxBackoff: storeMaxBackoff, WaitSlack: watchSlack,
+	}
+}
+
 func (p *process) close() {
 	p.storeClient.Close()
 	p.peerClient.CloseIdleConnections()
--- a/internal/testkit/hostedsystem/system.go
+++ b/internal/testkit/hostedsystem/system.go
@@ -5,8 +5,10 @@
 import (
 	"cmp"
 	"fmt"
+	"maps"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"os"
 	"path/filepath"
 	"slices"
@@ -96,6 +98,8 @@
 		Listeners []*connlimit.Listener
 		Members   []*Entry
 
+		// storeDelay is that of SlowStore in nanoseconds.
+		storeDelay atomic.Int64
 		// addresses holds those of Servers, and running what serves them.
 		addresses []string
 		running   []*serve.Server
@@ -267,6 +271,18 @@
 	s.Store.Put(platform.KindServers, s.Servers[i].Instance, specification)
 }
 
+// SlowStore delays each answer of the store, also those of calls in progress.
+func (s *System) SlowStore(d time.Duration) { s.storeDelay.Store(int64(d)) }
+
+func (s *System) serveStore(w http.ResponseWriter, r *http.Request) {
+	answer := httptest.NewRecorder()
+	s.Store.ServeHTTP(answer, r)
+	time.Sleep(time.Duration(s.storeDelay.Load()))
+	maps.Copy(w.Header(), answer.Header())
+	w.WriteHeader(answer.Code)
+	_, _ = w.Write(answer.Body.Bytes())
+}
+
 // Region returns the region of a failure domain.
 func Region(domain string) string { return "r-" + domain }
 
@@ -291,7 +307,7 @@
 	// The IP addresses of other tests end with the process ID, too, behind smaller numbers.
 	ip := fmt.Sprintf("127.%d.%d.%d", 128+lastEntry.Add(1)%127, os.Getpid()>>8&255, os.Getpid()&255)
 	e := &Entry{
-		StoreAddress: listen(t, &s.Store, loopback.Shared.Address()).Address, Registration: fmt.Sprintf("entry-%d", i),
+		StoreAddress: listen(t, http.HandlerFunc(s.serveStore), loopback.Shared.Address()).Address, Registration: fmt.Sprintf("entry-%d", i),
 		URL: fmt.Sprintf("http://%s:%d", ip, callersPort), ReadinessURL: fmt.Sprintf("http://%s:%d%s", ip, readinessPort, platform.ReadinessPath),
 		SettingsFile: filepath.Join(t.TempDir(), "entry.yaml"),
 	}
