--- a/internal/role/hosted/entrycold_test.go
+++ b/internal/role/hosted/entrycold_test.go
@@ -64,7 +64,7 @@
 	e.addEntries([]string{unheard.String()}, false)
 	for end := time.Now().Add(5 * time.Second); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
 		peer.Send(heartbeat.Message{Loads: map[mulberryspool.InstanceID]placement.Load{}}, []netip.AddrPort{own})
-		e.announce(nil)
+		e.announce(nil, true)
 		mu.Lock()
 		found := slices.Contains(named, unheard.String())
 		mu.Unlock()
