Let entries with more than their part of the slots admit less

Cause: an entry uses the slots that it has freed itself again.

Change: an entry admits less as far as the part of its requests that got slots is above that of all entries by more than chance. The replays include a pool that loses servers in a swap of versions, with bounds from the code before early rejections, run with the same arrivals.

--- a/internal/entry/placement/shedding_replay_test.go
+++ b/internal/entry/placement/shedding_replay_test.go
@@ -328,14 +328,18 @@
 // that early rejections leave empty.
 func TestOverloadRejectsLessUrgentFirst(t *testing.T) {
 	for name, c := range map[string]struct {
-		entries  int
-		passTime time.Duration
+		entries      int
+		passTime     time.Duration
+		usual, burst float64
+		missing      int
 		// inTime is the part of all requests that were in time before there were early
 		// rejections.
 		inTime float64
 	}{
-		"requests may wait for 0.2 and 0.6 s":  {6, 42 * time.Millisecond, 0.54},
-		"requests may wait for 0.06 and 0.5 s": {22, 125 * time.Millisecond, 0.37},
+		"twice the load, waits of 0.2 and 0.6 s":             {6, 42 * time.Millisecond, 0.6, 2, 60, 0.55},
+		"twice the load, waits of 0.06 and 0.5 s":            {22, 125 * time.Millisecond, 0.6, 2, 60, 0.385},
+		"servers missing in a swap, waits of 0.2 and 0.6 s":  {6, 42 * time.Millisecond, 0.85, 1, 60, 0.76},
+		"servers missing in a swap, waits of 0.06 and 0.5 s": {6, 125 * time.Millisecond, 0.85, 1, 60, 0.605},
 	} {
 		t.Run(name, func(t *testing.T) {
 			r := newOverloadReplay(1, c.entries, c.passTime, []replayKind{
@@ -343,6 +347,7 @@
 				{share: 0.40, objective: 400 * time.Millisecond, priority: 1},
 				{share: 0.26, objective: 800 * time.Millisecond, priority: 2},
 			})
+			r.usual, r.burst, r.missing = c.usual, c.burst, c.missing
 			r.run()
 			r.check(t, c.inTime)
 		})
--- a/internal/entry/shedding/shedding.go
+++ b/internal/entry/shedding/shedding.go
@@ -49,6 +49,8 @@
 	// surplus is the part of the capacity by which more requests are admitted than it can
 	// serve, so that no slot is left empty between two arrivals.
 	surplus = 0.15
+	// minSurplus is that of an entry that has got much more than its part of the slots.
+	minSurplus = -0.1
 	// minDeficit is the number of requests without a slot in the window below which none is
 	// rejected. A few of them may just be waiting.
 	minDeficit = 8
@@ -324,6 +326,7 @@
 		sum += l.offered
 		capacity += l.placed
 	}
+	ownOffered, ownPlaced := sum, capacity
 	for name, peer := range p.peers {
 		age := now.Sub(peer.at)
 		if age > peerTimeout {
@@ -349,7 +352,7 @@
 		return
 	}
 	floor := floorShare * capacity / sum
-	capacity *= 1 + surplus
+	capacity *= 1 + ownSurplus(ownOffered, ownPlaced, sum, capacity)
 	left := capacity - floor*sum
 	for i := range p.levels {
 		l := &p.levels[i]
@@ -361,6 +364,19 @@
 	}
 }
 
+// ownSurplus is the surplus of this entry. Entries use the slots that they have freed themselves
+// again, so one that has got more than its part keeps it as long as it has waiting requests,
+// and urgent ones of other entries wait in vain. It therefore admits less, as far as its part
+// is above that of all entries by more than chance.
+func ownSurplus(ownOffered, ownPlaced, offered, placed float64) float64 {
+	if ownOffered == 0 || placed == 0 {
+		return surplus
+	}
+	excess := ownPlaced/ownOffered*offered/placed - 1
+	chance := 1 / math.Sqrt(max(1, ownPlaced))
+	return max(surplus-max(0, excess-chance), minSurplus)
+}
+
 func decayFactor(passed time.Duration) float64 {
 	return math.Exp(-float64(passed) / float64(window))
 }
