Let starting agents read the state from a registered entry

Cause: with 0.2 s instead of 0.8 s until a starting agent reads the store, all agents read it when they restarted together: the configuration of 1,412 routes filled the links between regions, and an entry had no newer list of servers for 4.7 s. Change: after 0.15 s without a heartbeat of an entry, an agent lists the registered entries, which are small, and reads the state from one of them, in its failure domain if there is one. It reads the store after 0.8 s as before.

--- a/internal/role/hosted/agent.go
+++ b/internal/role/hosted/agent.go
@@ -75,10 +75,6 @@
 	originNewestInterval = time.Second
 	// agentStateInterval is the minimum interval between two reads of an entry's state.
 	agentStateInterval = 700 * time.Millisecond
-	// startupEntryWait is how long a starting agent waits for an entry's state before it reads
-	// the store itself. Entries know restarted agents and send heartbeats every second; those of
-	// added model servers are not listed before, and 0.8 s delayed the versions there.
-	startupEntryWait = 200 * time.Millisecond
 	// agentServersWatchPause and agentConfigWatchPause are the pauses between two
 	// watches. Agents need servers and configuration less urgently than entries.
 	agentServersWatchPause = 1500 * time.Millisecond
@@ -251,6 +247,9 @@
 	group.Go(func() error { p.watchSettings(ctx, file); return nil })
 	group.Go(func() error { return p.serveMetrics(ctx) })
 	group.Go(func() error { a.loop(ctx); return nil })
+	if !s.FirstStart {
+		group.Go(func() error { a.readFromRegistered(ctx); return nil })
+	}
 	return group.Wait()
 }
 
@@ -263,10 +262,11 @@
 	// over the links between regions.
 	started := a.clock.Now()
 	a.fleet.Paused = func() bool {
-		if a.clock.Since(started) < startupEntryWait {
+		running := a.clock.Since(started)
+		if running < startupEntryWait {
 			return true
 		}
-		return a.fleet.HasSynced() && len(a.heartbeats.ActivePeers(mulberryspool.RoleEntry)) > 0
+		return a.fleet.HasSynced() && (running < startupStateTime || len(a.heartbeats.ActivePeers(mulberryspool.RoleEntry)) > 0)
 	}
 	a.stateSync = &stateSync{
 		fleet: a.fleet, clock: a.clock, fetch: a.stateFetcher(a.fleet, agentStatePath), logger: a.logger,
--- a/internal/role/hosted/entry.go
+++ b/internal/role/hosted/entry.go
@@ -151,6 +151,8 @@
 	// platform.KindEntries.
 	registration struct {
 		Address string `json:"address"`
+		// FailureDomain is empty in registrations of earlier builds.
+		FailureDomain string `json:"failureDomain,omitempty"`
 	}
 )
 
--- a/internal/role/hosted/entryheartbeats.go
+++ b/internal/role/hosted/entryheartbeats.go
@@ -334,7 +334,7 @@
 		}
 		e.logger.Info().Str(logging.FieldStep, "register").Uint64("era", uint64(at.Era)).Msg("restored store lacks the registration of this entry, writing it again")
 	}
-	err := e.store.Put(ctx, platform.KindEntries, e.settings.Instance, registration{Address: e.ownAddress()})
+	err := e.store.Put(ctx, platform.KindEntries, e.settings.Instance, registration{Address: e.ownAddress(), FailureDomain: e.identity.FailureDomain})
 	if err != nil {
 		return 0, err
 	}
