Keep the queue from being blocked by requests of other regions

Cause: after five waiting requests that could use no free slot, the others were not tried, so that requests bound to one region would keep those of another one waiting beside free slots. A request whose server withdrew before it was sent was counted as a new one again, and could be rejected early.

Change: the limit holds for each set of regions, and only requests that may use the same servers count as ahead in the queue. The placement knows requests that were placed before.

--- a/internal/entry/forward/request.go
+++ b/internal/entry/forward/request.go
@@ -74,6 +74,9 @@
 		bodies []*bodybudget.Body
 		// tried holds the backend servers whose attempts have failed.
 		tried []mulberryspool.InstanceID
+		// withheld is set once the request was placed and not sent, as its server must not
+		// get it any more.
+		withheld bool
 		// sentCount is the number of failed attempts that were sent.
 		sentCount int
 		// mayHaveRun is set once a failed attempt may have run.
@@ -224,6 +227,7 @@
 		return q.retry(ctx, a)
 	case a.result == resultWithheld:
 		// The server isn't excluded: the placement knows until when it takes none.
+		q.withheld = true
 		q.start(ctx, nil)
 		return false
 	case a.result == resultPromptRefused:
--- a/internal/entry/forward/send.go
+++ b/internal/entry/forward/send.go
@@ -95,6 +95,7 @@
 		PromptTokens: a.head.PromptTokens, AnswerTokens: a.head.ExpectedTokens, Priority: a.priority(), CallerRetry: a.callerRetry, EarlyRetry: a.earlyRetry,
 		LatencyObjective: a.route.Objective, ArrivedAt: a.arrivedAt, Deadline: a.deadline, Exclude: a.exclude,
 		Version: a.version, Reattempt: len(a.exclude) > 0, Trial: a.admission.Trial, Workspace: a.workspaceName(),
+		PlacedBefore: a.withheld,
 	}
 }
 
--- a/internal/entry/placement/placement.go
+++ b/internal/entry/placement/placement.go
@@ -141,6 +141,9 @@
 		// Reattempt is set if this entry tried another backend server before. Such
 		// requests precede all others.
 		Reattempt bool
+		// PlacedBefore is set if the request was placed before, but not sent, as its server
+		// must not get it any more.
+		PlacedBefore bool
 	}
 
 	// Decision is the result for an offered request.
--- a/internal/entry/placement/placer_test.go
+++ b/internal/entry/placement/placer_test.go
@@ -471,3 +471,45 @@
 		t.Errorf("%d of 3 entries placed a request in the slot at once, want 1", placed)
 	}
 }
+
+// Guards against urgent requests that wait for the servers of one region and keep those of
+// another region from their free slots.
+func TestRequestsBoundToOtherRegionsDoNotBlockQueue(t *testing.T) {
+	p := newPlacer(1)
+	for i := range 8 {
+		q := &queuedRequest{ticket: Ticket(100 + i), request: request(start), waitUntil: start.Add(time.Second)}
+		q.request.Regions, q.request.Exclude = []string{"a"}, []mulberryspool.InstanceID{"i-0"}
+		p.waiting = append(p.waiting, q)
+	}
+	other := request(start)
+	other.Priority, other.Regions = 2, []string{"b"}
+	p.waiting = append(p.waiting, &queuedRequest{ticket: 200, request: other, waitUntil: start.Add(time.Second)})
+	if d := p.DecideWaiting(start); len(d) != 1 || d[0].Ticket != 200 || d[0].Verdict != Placed {
+		t.Errorf("decisions are %+v, want the request for region b placed", d)
+	}
+	other.Priority = 3
+	if d := p.Offer(other, start); d.Verdict != Placed {
+		t.Errorf("a further one got %+v, want placed", d)
+	}
+}
+
+// Guards against a request that is counted, or rejected early, again after its server withdrew
+// between its placement and its sending.
+func TestRequestPlacedBeforeIsNotRejectedEarly(t *testing.T) {
+	p := newPlacer(10)
+	p.SetPeerDemand("other", shedding.Report{Counts: []shedding.Count{{Offered: 100, Placed: 100}, {Priority: 1, Offered: 500}}}, start)
+	for i, s := range p.ordered {
+		if s.ownLoad.Requests = 4; i == 0 {
+			s.ownLoad.Requests = 3
+		}
+	}
+	r := request(start)
+	r.Priority = 1
+	if d := p.Offer(r, start); d.Verdict != Refused || d.Reason != ReasonOverload {
+		t.Fatalf("new request got %+v, want rejected early", d)
+	}
+	r.PlacedBefore = true
+	if d := p.Offer(r, start); d.Verdict != Placed {
+		t.Errorf("request that was placed before got %+v, want placed", d)
+	}
+}
--- a/internal/entry/placement/queue.go
+++ b/internal/entry/placement/queue.go
@@ -2,12 +2,13 @@
 
 import (
 	"slices"
+	"strings"
 	"time"
 )
 
-// maxSkipped is the number of waiting requests that can't use any of the free slots after
-// which the others are not tried. Trying one takes time in proportion to the servers.
-const maxSkipped = 4
+// maxTries is the number of waiting requests bound to the same regions that are tried although
+// they can't use any of the free slots. Trying one takes time in proportion to the servers.
+const maxTries = 5
 
 // placeWaiting places waiting requests in their order while there are free slots. A request
 // that can't use any of them, as its prompt is too long to be in time or it is bound to other
@@ -16,8 +17,6 @@
 	if !p.hasFreeSlot(now) {
 		return nil
 	}
-	var decisions []Decision
-	skipped := 0
 	slices.SortStableFunc(p.waiting, func(a, b *queuedRequest) int {
 		switch {
 		case p.precedes(a, b):
@@ -27,13 +26,16 @@
 		}
 		return 0
 	})
+	var decisions []Decision
+	failed := make(map[string]int)
 	p.waiting = slices.DeleteFunc(p.waiting, func(q *queuedRequest) bool {
-		if skipped > maxSkipped {
+		regions := q.request.regionsKey()
+		if failed[regions] >= maxTries {
 			return false
 		}
 		d, ok := p.place(q, now)
 		if !ok {
-			skipped++
+			failed[regions]++
 			return false
 		}
 		decisions = append(decisions, d)
@@ -42,6 +44,20 @@
 	return decisions
 }
 
+// regionsKey returns the regions of the request as one string.
+func (r Request) regionsKey() string {
+	if r.Regions == nil {
+		return "*"
+	}
+	return strings.Join(r.Regions, ",")
+}
+
+// mayShare reports whether requests may wait for the same servers.
+func (r Request) mayShare(other Request) bool {
+	return r.Regions == nil || other.Regions == nil ||
+		slices.ContainsFunc(r.Regions, func(region string) bool { return slices.Contains(other.Regions, region) })
+}
+
 // hasFreeSlot reports whether a server has a free slot, whatever request may use it.
 func (p *Placer) hasFreeSlot(now time.Time) bool {
 	return slices.ContainsFunc(p.ordered, func(s *server) bool {
@@ -50,11 +66,11 @@
 }
 
 // waitingAheadOf returns the number of waiting requests that the request does not
-// precede.
+// precede and that may wait for the same servers.
 func (p *Placer) waitingAheadOf(q *queuedRequest) int {
 	ahead := 0
 	for _, w := range p.waiting {
-		if w != q && !p.precedes(q, w) {
+		if w != q && !p.precedes(q, w) && w.request.mayShare(q.request) {
 			ahead++
 		}
 	}
--- a/internal/entry/placement/shedding.go
+++ b/internal/entry/placement/shedding.go
@@ -19,15 +19,15 @@
 // reportDelay is how long the other entries may take to learn of a waiting request.
 const reportDelay = 30 * time.Millisecond
 
-// isNew reports whether the request is one that can be in time.
-func (r Request) isNew() bool { return !r.Reattempt && !r.CallerRetry }
+// isNew reports whether the request is one that can be in time and wasn't counted yet.
+func (r Request) isNew() bool { return !r.Reattempt && !r.CallerRetry && !r.PlacedBefore }
 
 // shed counts the request, and reports whether it is rejected early. It sets whether the
 // request waits with the most urgent ones.
 func (p *Placer) shed(q *queuedRequest, now time.Time) bool {
 	r := q.request
 	switch {
-	case r.Reattempt:
+	case r.Reattempt || r.PlacedBefore:
 		return false
 	case r.CallerRetry:
 		return (r.EarlyRetry || p.shedding.Overloaded(now)) && !p.hasSpareSlots(now)
@@ -37,11 +37,8 @@
 	if verdict == shedding.AdmitFirst {
 		q.promoted = r.Priority - p.shedding.MostUrgent()
 	}
-	if verdict == shedding.Reject && !p.hasSpareSlots(now) {
-		return true
-	}
-	q.admitted = true
-	return false
+	q.admitted = verdict != shedding.Reject
+	return !q.admitted && !p.hasSpareSlots(now)
 }
 
 // recordPlaced counts a slot that the request got.
@@ -51,7 +48,7 @@
 	switch {
 	case r.isNew():
 		p.shedding.Placed(r.Priority, r.Workspace, now)
-	case r.CallerRetry:
+	case r.CallerRetry && !r.Reattempt && !r.PlacedBefore:
 		p.shedding.PlacedOther(r.Priority, r.Workspace, now)
 	}
 }
--- a/internal/entry/shedding/shedding.go
+++ b/internal/entry/shedding/shedding.go
@@ -43,8 +43,9 @@
 	// window is the time constant of the counts. Bursts last for seconds, and in a shorter
 	// window an entry sees too few requests.
 	window = 500 * time.Millisecond
-	// floorShare is the floor of each workspace and priority as a part of the mean share that is admitted.
-	// Callers require a quarter, and 0.4 is the aim; a few of those admitted are not served.
+	// floorShare is the floor of each workspace and priority as a part of the mean share that
+	// is admitted. Callers require a quarter, and 0.4 is the aim; a few of those admitted are
+	// not served.
 	floorShare = 0.42
 	// surplus is the part of the capacity by which more requests are admitted than it can
 	// serve, so that no slot is left empty between two arrivals.
