Let floors wait behind urgent requests if other entries give them

Cause: what a workspace lacked to its floor waited with the most urgent requests at each entry.

Change: if all entries together give a priority its floor, its requests wait just behind the most urgent ones. Whether an entry has more than its part of the slots is judged by the requests that it admits, since its mix may be more urgent than that of others, over a second.

--- a/internal/entry/placement/placer.go
+++ b/internal/entry/placement/placer.go
@@ -124,7 +124,7 @@
 		// late is set once the request may be placed although it misses its
 		// latency objective.
 		late bool
-		// promoted is by how much the request is more urgent in the queue than its priority.
+		// promoted is by how much the rank of the request is more urgent than its priority's.
 		promoted int
 		// admitted is set for a new request that was not rejected early.
 		admitted bool
--- a/internal/entry/placement/queue.go
+++ b/internal/entry/placement/queue.go
@@ -94,9 +94,10 @@
 	return a.request.dueAt().Before(b.request.dueAt())
 }
 
-// rank is the priority of the request in the queue.
+// rank is the place of the request's priority in the queue. There is one between each two
+// priorities.
 func (q *queuedRequest) rank() int {
-	return q.request.Priority - q.promoted
+	return 2*q.request.Priority - q.promoted
 }
 
 // dueAt is when the first event is due.
--- a/internal/entry/placement/shedding.go
+++ b/internal/entry/placement/shedding.go
@@ -34,8 +34,11 @@
 	}
 	verdict := p.shedding.Offer(r.Priority, r.Workspace, now)
 	p.noteOutages(false, now)
-	if verdict == shedding.AdmitFirst {
-		q.promoted = r.Priority - p.shedding.MostUrgent()
+	switch verdict {
+	case shedding.AdmitFirst:
+		q.promoted = 2 * (r.Priority - p.shedding.MostUrgent())
+	case shedding.AdmitSecond:
+		q.promoted = max(0, 2*(r.Priority-p.shedding.MostUrgent())-1)
 	}
 	q.admitted = verdict != shedding.Reject
 	return !q.admitted && !p.hasSpareSlots(now)
@@ -86,7 +89,7 @@
 }
 
 func (p *Placer) isUrgent(q *queuedRequest, now time.Time) bool {
-	return q.request.isNew() && q.rank() <= p.shedding.MostUrgent() && p.shedding.Overloaded(now)
+	return q.request.isNew() && q.rank() <= 2*p.shedding.MostUrgent() && p.shedding.Overloaded(now)
 }
 
 // isKnownUrgent reports whether the other entries know that an urgent request waits here.
--- a/internal/entry/shedding/shedding.go
+++ b/internal/entry/shedding/shedding.go
@@ -35,6 +35,9 @@
 	// AdmitFirst lets a request wait with the most urgent ones. It belongs to the floor of
 	// its workspace, which would be lost if it waited behind all more urgent requests.
 	AdmitFirst
+	// AdmitSecond lets a request of a floor wait just behind the most urgent ones, since its
+	// priority gets the floor at all entries together.
+	AdmitSecond
 	// Reject is the verdict for a request that would take the slot of a more urgent one.
 	Reject
 )
@@ -52,6 +55,10 @@
 	surplus = 0.15
 	// minSurplus is that of an entry that has got much more than its part of the slots.
 	minSurplus = -0.1
+	// excessWindow is the time constant of the average of an entry's part of the slots, and
+	// excessTolerance by how much it may be too large, since it varies by chance.
+	excessWindow    = time.Second
+	excessTolerance = 0.05
 	// minDeficit is the number of requests without a slot in the window below which none is
 	// rejected. A few of them may just be waiting.
 	minDeficit = 8
@@ -85,6 +92,8 @@
 		decayedAt time.Time
 		updatedAt time.Time
 		peers     map[string]peer
+		// excess is by how much this entry's part of the slots is too large.
+		excess float64
 		// overloaded is set while more is offered than can be served.
 		overloaded bool
 	}
@@ -96,6 +105,8 @@
 		// share is the part of its requests that is admitted, floor the part of them that
 		// is admitted first.
 		share, floor float64
+		// hasFloor is set while all entries together give the priority its floor.
+		hasFloor bool
 		// credit spreads the admitted requests evenly.
 		credit float64
 		floors map[string]*workspaceFloor
@@ -152,6 +163,9 @@
 	f.credit += l.floor
 	if f.credit-float64(f.pending) >= 1 {
 		f.pending++
+		if l.hasFloor {
+			return AdmitSecond
+		}
 		return AdmitFirst
 	}
 	l.credit += l.share
@@ -318,16 +332,18 @@
 	if now.Sub(p.updatedAt) < updateInterval {
 		return
 	}
+	passed := now.Sub(p.updatedAt)
 	p.updatedAt = now
-	offered := make([]float64, len(p.levels))
-	var sum float64
+	offered, placed := make([]float64, len(p.levels)), make([]float64, len(p.levels))
+	var sum, admitted float64
 	capacity := p.other
 	for i, l := range p.levels {
-		offered[i] = l.offered
+		offered[i], placed[i] = l.offered, l.placed
 		sum += l.offered
+		admitted += l.share * l.offered
 		capacity += l.placed
 	}
-	ownOffered, ownPlaced := sum, capacity
+	ownAdmitted, ownPlaced := admitted, capacity
 	for name, peer := range p.peers {
 		age := now.Sub(peer.at)
 		if age > peerTimeout {
@@ -339,6 +355,8 @@
 		for _, c := range peer.report.Counts {
 			if i, ok := p.find(c.Priority); ok {
 				offered[i] += factor * float64(c.Offered)
+				placed[i] += factor * float64(c.Placed)
+				admitted += p.levels[i].share * factor * float64(c.Offered)
 			}
 			sum += factor * float64(c.Offered)
 			capacity += factor * float64(c.Placed)
@@ -347,17 +365,19 @@
 	p.overloaded = sum-capacity >= minDeficit && sum > (1+surplus)*capacity
 	// Requests of one priority make way for nobody. Whether they wait depends on the queue alone.
 	if !p.overloaded || slices.Max(offered) > sum-1 {
+		p.excess = 0
 		for i := range p.levels {
 			p.levels[i].share, p.levels[i].floor, p.levels[i].floors = 1, 1, nil
 		}
 		return
 	}
 	floor := floorShare * capacity / sum
-	capacity *= 1 + ownSurplus(ownOffered, ownPlaced, sum, capacity)
+	p.updateExcess(ownAdmitted, ownPlaced, admitted, capacity, passed)
+	capacity *= 1 + max(surplus-max(0, p.excess-excessTolerance), minSurplus)
 	left := capacity - floor*sum
 	for i := range p.levels {
 		l := &p.levels[i]
-		l.floor, l.share = floor, floor
+		l.floor, l.share, l.hasFloor = floor, floor, placed[i] >= floor*offered[i]
 		if more := min(left, (1-floor)*offered[i]); more > 0 {
 			l.share = min(1, floor+more/offered[i])
 			left -= more
@@ -365,17 +385,16 @@
 	}
 }
 
-// ownSurplus is the surplus of this entry. Entries use the slots that they have freed themselves
-// again, so one that has got more than its part keeps it as long as it has waiting requests,
-// and urgent ones of other entries wait in vain. It therefore admits less, as far as its part
-// is above that of all entries by more than chance.
-func ownSurplus(ownOffered, ownPlaced, offered, placed float64) float64 {
-	if ownOffered == 0 || placed == 0 {
-		return surplus
+// updateExcess updates by how much more of the requests that this entry admits get slots than of
+// those that all entries admit. Entries use the slots that they have freed themselves again,
+// so one that has got more than its part keeps it as long as it has waiting requests, and
+// urgent ones of other entries wait in vain.
+func (p *Pool) updateExcess(ownAdmitted, ownPlaced, admitted, placed float64, passed time.Duration) {
+	if ownAdmitted == 0 || placed == 0 {
+		return
 	}
-	excess := ownPlaced/ownOffered*offered/placed - 1
-	chance := 1 / math.Sqrt(max(1, ownPlaced))
-	return max(surplus-max(0, excess-chance), minSurplus)
+	excess := ownPlaced/ownAdmitted*admitted/placed - 1
+	p.excess += (excess - p.excess) * min(1, float64(passed)/float64(excessWindow))
 }
 
 func decayFactor(passed time.Duration) float64 {
--- a/internal/testkit/hostedsystem/system.go
+++ b/internal/testkit/hostedsystem/system.go
@@ -68,6 +68,8 @@
 		RepeatSlack int
 		// Keys are those of the only workspace; if there are none, callers need no key.
 		Keys []string
+		// Priorities holds those of routes by their prefix; 0 for others.
+		Priorities map[string]int
 		// Without holds the prefixes of routes that the next configuration lacks.
 		Without []string
 		// Entries and Backends are how many of each are started.
@@ -169,6 +171,7 @@
 	route := func(name, prefix, kind string) map[string]any {
 		return map[string]any{
 			"name": name, "host": Host, "path-prefix": prefix, "kind": kind, "service": pool, "attempts": cmp.Or(s.Attempts, 2), "resumable": true,
+			"priority":   s.Priorities[prefix],
 			"timeout-ms": s.Timeout.Milliseconds(), "target-latency-ms": 500, "target-gap-ms": cmp.Or(s.GapObjective, 400*time.Millisecond).Milliseconds(),
 		}
 	}
