--- a/internal/entry/refusals/refusals.go
+++ b/internal/entry/refusals/refusals.go
@@ -15,7 +15,7 @@
 
 const (
 	// maxEntries is the number of refused requests that are remembered. 16,384 of them take
-	// about 1 MB, and are those of some seconds of an overload.
+	// about 2 MB, and are those of some seconds of an overload.
 	maxEntries = 16_384
 	// tolerance is by how much the deadlines of two requests may differ to be the same: the
 	// time on the way varies. With more, equal requests of other callers are taken for it.
