--- a/internal/entry/placement/queue.go
+++ b/internal/entry/placement/queue.go
@@ -5,9 +5,9 @@
 	"time"
 )
 
-// maxSkipped is the number of waiting requests that can't use any of the free slots after
-// which the others are not tried. Trying one takes time in proportion to the servers.
-const maxSkipped = 4
+// maxTries is the number of waiting requests bound to the same regions that are tried although
+// they can't use any of the free slots. Trying one takes time in proportion to the servers.
+const maxTries = 5
 
 // placeWaiting places waiting requests in their order while there are free slots. A request
 // that can't use any of them, as its prompt is too long to be in time or it is bound to other
@@ -80,9 +80,10 @@
 	return a.request.dueAt().Before(b.request.dueAt())
 }
 
-// rank is the priority of the request in the queue.
+// rank is the place of the request's priority in the queue. There is one between each two
+// priorities.
 func (q *queuedRequest) rank() int {
-	return q.request.Priority - q.promoted
+	return 2*q.request.Priority - q.promoted
 }
 
 // dueAt is when the first event is due.
--- a/internal/entry/placement/regions.go
+++ b/internal/entry/placement/regions.go
@@ -96,7 +96,7 @@
 // placed that the request isn't tried.
 func (s skippedRequests) exhausted(r Request) bool {
 	return slices.ContainsFunc(s, func(skipped skippedRegions) bool {
-		return skipped.requests > maxSkipped && (skipped.regions == nil || sameRegions(skipped.regions, r.Regions))
+		return skipped.requests >= maxTries && (skipped.regions == nil || sameRegions(skipped.regions, r.Regions))
 	})
 }
 
--- a/internal/entry/placement/shedding.go
+++ b/internal/entry/placement/shedding.go
@@ -19,29 +19,29 @@
 // reportDelay is how long the other entries may take to learn of a waiting request.
 const reportDelay = 30 * time.Millisecond
 
-// isNew reports whether the request is one that can be in time.
-func (r Request) isNew() bool { return !r.Reattempt && !r.CallerRetry }
+// isNew reports whether the request is one that can be in time and wasn't counted yet.
+func (r Request) isNew() bool { return !r.Reattempt && !r.CallerRetry && !r.PlacedBefore }
 
 // shed counts the request, and reports whether it is rejected early. It sets whether the
 // request waits with the most urgent ones.
 func (p *Placer) shed(q *queuedRequest, now time.Time) bool {
 	r := q.request
 	switch {
-	case r.Reattempt:
+	case r.Reattempt || r.PlacedBefore:
 		return false
 	case r.CallerRetry:
 		return (r.EarlyRetry || p.shedding.Overloaded(now)) && !p.hasSpareSlots(now)
 	}
 	verdict := p.shedding.Offer(r.Priority, r.Workspace, now)
 	p.noteOutages(false, now)
-	if verdict == shedding.AdmitFirst {
-		q.promoted = r.Priority - p.shedding.MostUrgent()
+	switch verdict {
+	case shedding.AdmitFirst:
+		q.promoted = 2 * (r.Priority - p.shedding.MostUrgent())
+	case shedding.AdmitSecond:
+		q.promoted = max(0, 2*(r.Priority-p.shedding.MostUrgent())-1)
 	}
-	if verdict == shedding.Reject && !p.hasSpareSlots(now) {
-		return true
-	}
-	q.admitted = true
-	return false
+	q.admitted = verdict != shedding.Reject
+	return !q.admitted && !p.hasSpareSlots(now)
 }
 
 // recordPlaced counts a slot that the request got.
@@ -51,7 +51,7 @@
 	switch {
 	case r.isNew():
 		p.shedding.Placed(r.Priority, r.Workspace, now)
-	case r.CallerRetry:
+	case r.CallerRetry && !r.Reattempt && !r.PlacedBefore:
 		p.shedding.PlacedOther(r.Priority, r.Workspace, now)
 	}
 }
@@ -89,7 +89,7 @@
 }
 
 func (p *Placer) isUrgent(q *queuedRequest, now time.Time) bool {
-	return q.request.isNew() && q.rank() <= p.shedding.MostUrgent() && p.shedding.Overloaded(now)
+	return q.request.isNew() && q.rank() <= 2*p.shedding.MostUrgent() && p.shedding.Overloaded(now)
 }
 
 // isKnownUrgent reports whether the other entries know that an urgent request waits here.
