Use a version while the newer one can't be read

Load pattern: a full pool serves version 1, version 2 is named, version 3 2 s later, and the origin is unavailable from 0.5 s after that for 6 s.

Cause: an agent that learns of version 3 gives up the transfer of version 2 if it has less than half of it, and drops the chunks, though the origin has given out nearly all of them. The pool then has a complete copy of neither until the origin is back.

Change: agents whose origin time for a copy ends within 0.5 s go on until 0.2 s after it, those that still read their chunks from the origin 0.8 s. The fetcher of hosted agents keeps the chunks of the transfer that was replaced, for other agents and for a later resumption. If the newer transfer gets no chunk for 0.7 s (1 s before its first one), the older one is resumed, once. A complete version is not skipped for one whose transfer has stalled. Turns begin before the copy is complete only if the transfer has moved since it began or was resumed and a tenth of the copy has arrived, and not before that time. A transfer is suspended for 0.1 of the bound instead of 0.15 while the manifest of a newer version can't be read.

The existing replay with an unreadable version 3 replaced the transfer of version 2 although the agent doesn't before it has the manifest; corrected.

--- a/internal/agent/fetch/fetcher.go
+++ b/internal/agent/fetch/fetcher.go
@@ -15,6 +15,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -99,6 +100,9 @@
 		// RegionLink returns the rate limit of fetches from another region to the local
 		// one, such as RegionLimiters.Limiter of package chunks; nil means no limit.
 		RegionLink func(from string) chunks.Limiter
+		// KeepSuperseded keeps the chunks of a transfer that was replaced by the running one,
+		// for other agents and for a later Stage of its manifest. Release drops them.
+		KeepSuperseded bool
 		// ListInterval is the polling interval of the instance list during a transfer; 0
 		// means DefaultListInterval.
 		ListInterval time.Duration
@@ -119,6 +123,8 @@
 		stopped         chan struct{}
 		tasks           sync.WaitGroup
 
+		readsOrigin atomic.Bool
+
 		// cancels is used only by the goroutine of loop.
 		cancels map[swarm.Attempt]context.CancelFunc
 
@@ -221,9 +227,16 @@
 			}
 			f.apply(ctx, effect)
 		}
+		f.readsOrigin.Store(f.planner.ReadsOrigin())
 	}
 }
 
+// ReadsOrigin reports whether the running transfer reads chunks from the origin, or is the
+// first one to do so, and the origin answers.
+func (f *Fetcher) ReadsOrigin() bool {
+	return f.readsOrigin.Load()
+}
+
 // drainEvents adds the queued events to the batch, so that one step processes them
 // together.
 func (f *Fetcher) drainEvents(batch []swarm.Event) []swarm.Event {
--- a/internal/agent/fetch/stage.go
+++ b/internal/agent/fetch/stage.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"slices"
 
 	"github.com/cockroachdb/errors"
 
@@ -163,7 +164,11 @@
 		err = f.store.Retain(manifest)
 	}
 	f.transfer.end(ErrSuperseded)
-	f.dropIncomplete(manifest.Digest)
+	keep := []mulberryspool.Digest{manifest.Digest}
+	if f.KeepSuperseded && f.transfer != nil && !errors.Is(f.transfer.err, ErrDoubted) {
+		keep = append(keep, f.transfer.manifest.Digest)
+	}
+	f.dropIncomplete(keep...)
 	if err != nil {
 		f.transfer = nil
 		return nil, nil, err
@@ -174,9 +179,9 @@
 	return f.transfer, held, nil
 }
 
-func (f *Fetcher) dropIncomplete(except mulberryspool.Digest) {
+func (f *Fetcher) dropIncomplete(except ...mulberryspool.Digest) {
 	for _, digest := range f.store.Incomplete() {
-		if digest != except {
+		if !slices.Contains(except, digest) {
 			f.store.Release(digest)
 		}
 	}
--- a/internal/agent/swap/fullpool_test.go
+++ b/internal/agent/swap/fullpool_test.go
@@ -16,6 +16,8 @@
 		servers  int
 		bound    time.Duration
 		copyTime time.Duration
+		// originTime is how long a copy takes on the origin's link.
+		originTime time.Duration
 		// No chunk arrives between stallFrom and stallTo; zero for no stall.
 		stallFrom, stallTo time.Duration
 		// newerAt is when version 3 is named, which can't be read; zero for never.
@@ -83,7 +85,7 @@
 	}
 	var servers []*fullServer
 	for _, id := range ids {
-		d := &Decider{Self: id, Bound: p.bound, CopyTime: p.copyTime}
+		d := &Decider{Self: id, Bound: p.bound, CopyTime: p.copyTime, OriginTime: p.originTime}
 		d.SetMembers(ids)
 		d.SetNamedVersion(2, namedTime)
 		s := &fullServer{Decider: d, view: View{Served: 1, Fetching: 2, FetchBegan: namedTime.Add(200 * time.Millisecond)}, late: time.Duration(random.Int64N(int64(maxLate)))}
@@ -145,7 +147,8 @@
 		s.SetNamedVersion(3, namedTime.Add(p.newerAt))
 	}
 	decision := s.Next(s.view, namedTime.Add(now))
-	if decision.Fetch == 3 {
+	// The transfer of version 2 goes on until the manifest of version 3 has been read.
+	if decision.Fetch == 3 && s.view.Fetching == 0 {
 		s.view.Fetching, s.view.FetchBegan, s.view.AwaitsManifest = 3, namedTime.Add(now), true
 	}
 	switch decision.Action {
@@ -163,8 +166,8 @@
 
 // Load patterns: versions that are named while all servers of a pool are busy.
 var (
-	pool45 = fullPool{servers: 45, bound: 9700 * time.Millisecond, copyTime: 2100 * time.Millisecond}
-	pool58 = fullPool{servers: 58, bound: 8 * time.Second, copyTime: 2200 * time.Millisecond}
+	pool45 = fullPool{servers: 45, bound: 9700 * time.Millisecond, copyTime: 2100 * time.Millisecond, originTime: 2100 * time.Millisecond}
+	pool58 = fullPool{servers: 58, bound: 8 * time.Second, copyTime: 2200 * time.Millisecond, originTime: 1700 * time.Millisecond}
 )
 
 // Guards against turns that begin only with the complete copy: the first server served the
--- a/internal/agent/swap/swap.go
+++ b/internal/agent/swap/swap.go
@@ -56,6 +56,9 @@
 	// Usually 10 to 25 chunks arrive in a second.
 	slowAfter    = 500 * time.Millisecond
 	stalledAfter = time.Second
+	// resumeAfter is the time without a new chunk after which the transfer of an older version
+	// is resumed. Before the first chunk it is stalledAfter: that takes up to 0.7 s.
+	resumeAfter = 700 * time.Millisecond
 	// minEarlyMembers is the number of servers from which on turns begin before the
 	// copy is complete. In a smaller pool, one that waits for its copy is missed.
 	minEarlyMembers = 4
@@ -72,8 +75,24 @@
 	// transferFraction is the fraction of the bound that a transfer usually takes.
 	transferFraction = 0.45
 	// keepTransferShare is the completed share from which a transfer is
-	// finished even though a newer version has been named.
+	// finished even though a newer version has been named, if it isn't known how long the
+	// origin takes for a copy, and keepCompleteShare that if it is.
 	keepTransferShare = 0.5
+	keepCompleteShare = 0.85
+	// finishReadTime is the rest of the origin's time for a copy in which agents go on reading
+	// it before they turn to a newer version, and finishReadDelay how long after that time they
+	// do. An agent that has not read its chunks by then waits for maxReadDelay: in the replay
+	// of internal/role/hosted, the last chunk arrives 0.2 to 0.7 s after that time. The agents
+	// can then exchange a complete copy if the newer one can't be read.
+	finishReadTime  = 500 * time.Millisecond
+	finishReadDelay = 200 * time.Millisecond
+	maxReadDelay    = 800 * time.Millisecond
+	// minResumedShare is the completed share from which a transfer that was replaced by that
+	// of a newer version is resumed when the newer one stalls.
+	minResumedShare = 0.3
+	// minTurnShare is the completed share of a transfer from which turns begin. The first
+	// chunks don't show that the others can be had.
+	minTurnShare = 0.1
 	// drainNoticeTime is how long entries may take to learn that a server
 	// accepts no new requests.
 	drainNoticeTime = 80 * time.Millisecond
@@ -107,6 +126,8 @@
 		// CopyTime is the time that a copy takes on the slowest link on its way to one
 		// agent; 0 if unknown, then no turn begins before the copy is complete.
 		CopyTime time.Duration
+		// OriginTime is the time that a copy takes on the origin's link; 0 if unknown.
+		OriginTime time.Duration
 
 		members []mulberryspool.InstanceID
 		// named holds the named versions with the time at which each was
@@ -121,15 +142,22 @@
 		lateVersion int64
 		// progress is what was last seen of the running transfer.
 		progress transferProgress
+		// stalled is the newest transfer that has stalled, until it makes progress again.
+		stalled transferProgress
+		// resumed is the version whose transfer was resumed because that of a newer one had
+		// stalled.
+		resumed int64
 		// planned is the turn that was planned last, before the copy was complete.
 		planned plannedTurn
 	}
 
-	// transferProgress is the share of a transfer, and when it last rose.
+	// transferProgress is the share of a transfer, and when it last rose. It has moved once
+	// it has risen above the share that it began with.
 	transferProgress struct {
 		version int64
 		share   float64
 		at      time.Time
+		moved   bool
 	}
 
 	plannedTurn struct {
@@ -158,6 +186,13 @@
 		// manifest could not be read yet.
 		FetchBegan     time.Time
 		AwaitsManifest bool
+		// ReadsOrigin is set while the agent reads chunks of the running transfer from the
+		// origin, or has yet to.
+		ReadsOrigin bool
+		// Kept is an older version whose transfer was replaced by the running one and can be
+		// resumed, and KeptShare its completed share; 0 for none.
+		Kept      int64
+		KeptShare float64
 	}
 
 	// Decision is the result of Decider.Next.
@@ -227,17 +262,52 @@
 // Next decides on the next action and on the transfer to start.
 func (d *Decider) Next(v View, now time.Time) Decision {
 	wanted := d.Wanted()
-	if v.Fetching != d.progress.version || v.FetchedShare != d.progress.share {
-		d.progress = transferProgress{version: v.Fetching, share: v.FetchedShare, at: now}
-	}
+	d.noteProgress(v, now)
 	decision := d.nextSwapAction(v, now)
 	decision.Prepare = d.prepared(v, now)
-	if wanted > v.Staged && wanted > v.Served && v.Fetching != wanted && !d.keepsCurrentTransfer(v) {
+	switch {
+	case wanted <= v.Staged || wanted <= v.Served:
+	case v.Fetching != wanted && !d.keepsCurrentTransfer(v, now):
 		decision.Fetch = wanted
+	case v.Fetching == wanted && d.resumesKept(v, now):
+		d.resumed, decision.Fetch = v.Kept, v.Kept
 	}
 	return decision
 }
 
+// noteProgress records whether the running transfer makes progress.
+func (d *Decider) noteProgress(v View, now time.Time) {
+	before := d.progress
+	if v.Fetching != before.version || v.FetchedShare != before.share {
+		d.progress = transferProgress{version: v.Fetching, share: v.FetchedShare, at: now}
+		d.progress.moved = v.Fetching == before.version && (before.moved || before.share > 0 && v.FetchedShare > before.share)
+	}
+	switch {
+	case v.Fetching == 0 || v.Fetching < d.stalled.version:
+	case d.hasStalled(now):
+		d.stalled = d.progress
+	case v.Fetching > d.stalled.version || v.FetchedShare > d.stalled.share:
+		d.stalled = transferProgress{}
+	}
+}
+
+// hasStalled reports whether the running transfer makes no progress, so that an older version
+// is used instead.
+func (d *Decider) hasStalled(now time.Time) bool {
+	silent := now.Sub(d.progress.at)
+	return silent >= stalledAfter || d.progress.share > 0 && silent >= resumeAfter
+}
+
+// resumesKept reports whether the transfer of an older version is resumed: that of the newer
+// one has stalled, and the older one can be served for a time. It is resumed once.
+func (d *Decider) resumesKept(v View, now time.Time) bool {
+	if v.Kept <= max(v.Served, v.Staged, d.resumed) || v.KeptShare < minResumedShare || !d.hasStalled(now) {
+		return false
+	}
+	rest := time.Duration(restCopies * (1 - v.KeptShare) * float64(d.CopyTime))
+	return now.Add(rest + leadTime).Before(d.firstNamed(v.Kept).Add(d.Bound))
+}
+
 // prepared returns the version that is loaded next.
 func (d *Decider) prepared(v View, now time.Time) int64 {
 	if v.Staged > v.Served && (v.Served == 0 || !d.skipsToNewer(v, now)) {
@@ -246,10 +316,22 @@
 	return v.Fetching
 }
 
-// keepsCurrentTransfer reports whether the running transfer is finished even
-// though a newer version has been named.
-func (d *Decider) keepsCurrentTransfer(v View) bool {
-	return v.Fetching > max(v.Served, v.Staged) && v.FetchedShare >= keepTransferShare
+// keepsCurrentTransfer reports whether the running transfer is finished, or its chunks read
+// from the origin, even though a newer version has been named.
+func (d *Decider) keepsCurrentTransfer(v View, now time.Time) bool {
+	switch {
+	case v.Fetching <= max(v.Served, v.Staged):
+		return false
+	case v.Fetching == d.resumed:
+		return now.Sub(d.progress.at) < stalledAfter
+	case d.OriginTime <= 0 || v.FetchBegan.IsZero():
+		return v.FetchedShare >= keepTransferShare
+	}
+	readEnd, delay := v.FetchBegan.Add(d.OriginTime), finishReadDelay
+	if v.ReadsOrigin {
+		delay = maxReadDelay
+	}
+	return v.FetchedShare >= keepCompleteShare || !now.Before(readEnd.Add(-finishReadTime)) && now.Before(readEnd.Add(delay))
 }
 
 // nextSwapAction decides on the next action towards the version that is loaded next.
@@ -313,10 +395,10 @@
 		d.drainingVersion, d.lateVersion = 0, next
 		return Decision{Action: Wait}
 	}
-	if silent >= slowAfter {
+	if silent >= slowAfter || !d.progress.moved || v.FetchedShare < minTurnShare {
 		return Decision{Action: Wait}
 	}
-	turn := d.turn(v, next, now.Add(rest-leadTime))
+	turn := d.turn(v, next, later(now.Add(rest-leadTime), v.FetchBegan))
 	d.planned = plannedTurn{version: next, at: turn}
 	if rank*pioneerShare < count {
 		turn = now
@@ -365,7 +447,7 @@
 // does not wait for one: meanwhile it would get no requests.
 func (d *Decider) skipsToNewer(v View, now time.Time) bool {
 	wanted := d.Wanted()
-	if wanted <= v.Staged || d.drainingVersion == v.Staged {
+	if wanted <= v.Staged || d.drainingVersion == v.Staged || d.stalled.version == wanted {
 		return false
 	}
 	named := d.named[len(d.named)-1].at
--- a/internal/agent/swarm/planner.go
+++ b/internal/agent/swarm/planner.go
@@ -172,6 +172,20 @@
 	return p.missingCount
 }
 
+// ReadsOrigin reports whether this agent reads chunks from the origin, or is the first one to
+// do so, and the origin answers.
+func (p *Planner) ReadsOrigin() bool {
+	if !p.active || p.stores[FromOrigin].failures > 0 {
+		return false
+	}
+	for _, a := range p.attempts {
+		if a.source.Kind == FromOrigin {
+			return true
+		}
+	}
+	return slices.ContainsFunc(p.missingChunks, func(c *chunk) bool { return c.role.regionIndex == 0 && c.role.rank == 0 && c.holders == 0 })
+}
+
 func (p *Planner) initialize() {
 	if p.random != nil {
 		return
--- a/internal/role/hosted/agent.go
+++ b/internal/role/hosted/agent.go
@@ -92,7 +92,7 @@
 	// suspendFraction is the fraction of the bound of a named version for which a transfer
 	// is suspended while the manifest of a newer version is read. A manifest is usually read
 	// within 0.3 s, unless the origin is unavailable.
-	suspendFraction = 0.15
+	suspendFraction = 0.1
 	// agentTimelineEvents is the capacity of an agent's time line.
 	agentTimelineEvents = 256
 	// membersInterval is the interval at which a transfer reads the list of
@@ -173,6 +173,10 @@
 		fetching    int64
 		fetchBegan  time.Time
 		cancelFetch context.CancelFunc
+		// kept is an older version whose transfer was replaced by the running one and can be
+		// resumed, and keptShare its completed share; 0 for none.
+		kept      int64
+		keptShare float64
 		// awaited is the version whose manifest is read, since awaitedAt, while another one
 		// is being fetched; 0 for none. cancelAwait ends the read.
 		awaited     int64
@@ -240,7 +244,7 @@
 		Recorder: &timeline.Ring{Identity: p.identity, HLC: hybridClock, Capacity: agentTimelineEvents},
 		Logger:   p.logger, Metrics: p.metrics, Seed: newRandom().Uint64(), Limits: limits,
 		ListInterval: membersInterval, CallTimeout: peerCallTimeout, UploadSlots: uploadSlots,
-		Uplink: a.uplink, OriginBytesPerSecond: a.originBytesPerSecond, Urgent: a.needsCopyEarly.Load,
+		Uplink: a.uplink, OriginBytesPerSecond: a.originBytesPerSecond, Urgent: a.needsCopyEarly.Load, KeepSuperseded: true,
 	}
 	p.logger.Info().Str(logging.FieldStep, "start").Int64("boot", p.boot).Str("backend", s.Backend).Msg("process started")
 	group, ctx := errgroup.WithContext(ctx)
--- a/internal/role/hosted/agentloop.go
+++ b/internal/role/hosted/agentloop.go
@@ -1,6 +1,7 @@
 package hosted
 
 import (
+	"cmp"
 	"context"
 	"maps"
 	"time"
@@ -38,7 +39,7 @@
 		return enginePollInterval
 	}
 	a.updateMembers()
-	a.decider.CopyTime = a.copyTime()
+	a.decider.CopyTime, a.decider.OriginTime = a.copyTimes()
 	a.updateNamedVersions(ctx, model)
 	a.needsCopyEarly.Store(a.decider.NeedsCopyEarly(a.decider.Wanted()))
 	if !a.readEngineState(ctx, model) {
@@ -188,7 +189,8 @@
 	_, known := a.manifests[a.fetching]
 	v := swap.View{
 		Served: served, Loading: a.engineState.Loading, Staged: a.staged, StagedAt: a.stagedAt, Uploaded: a.uploaded, Fetching: a.fetching,
-		FetchBegan: a.fetchBegan, AwaitsManifest: a.fetching > 0 && !known,
+		FetchBegan: a.fetchBegan, AwaitsManifest: a.fetching > 0 && !known, Kept: a.kept, KeptShare: a.keptShare,
+		ReadsOrigin: a.fetcher.ReadsOrigin(),
 	}
 	if p.Manifest == a.manifests[a.fetching].Digest && p.Total > 0 {
 		v.FetchedShare = float64(p.Chunks) / float64(p.Total)
@@ -196,14 +198,16 @@
 	return v
 }
 
-// copyTime returns the time that a copy takes on the agent's link or that of the origin,
-// whichever is slower; 0 if the size of a copy is not known.
-func (a *agentRole) copyTime() time.Duration {
+// copyTimes returns the time that a copy takes on the agent's link or that of the origin,
+// whichever is slower, and that on the link of the origin; 0 if the size of a copy is not
+// known.
+func (a *agentRole) copyTimes() (slowest, origin time.Duration) {
 	link := int64(a.settings.Limits.Link)
-	if origin := a.originBytesPerSecond(); origin > 0 {
-		link = min(link, origin)
+	originLink := cmp.Or(a.originBytesPerSecond(), link)
+	onLink := func(rate int64) time.Duration {
+		return time.Duration(float64(a.pieceBytes()*int64(a.pieces())) / float64(rate) * float64(time.Second))
 	}
-	return time.Duration(float64(a.pieceBytes()*int64(a.pieces())) / float64(link) * float64(time.Second))
+	return onLink(min(link, originLink)), onLink(originLink)
 }
 
 // isFetching reports whether a version is being fetched.
@@ -273,7 +277,7 @@
 }
 
 // startFetch fetches a version in the background. It cancels the transfer of
-// another version.
+// another version, whose chunks are kept if it is an older one.
 func (a *agentRole) startFetch(ctx context.Context, model string, version int64) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -283,11 +287,30 @@
 	if a.cancelFetch != nil {
 		a.cancelFetch()
 	}
+	if a.fetching > 0 {
+		a.logger.Info().Str(logging.FieldStep, "replace transfer").Int64("version", version).Int64("fetching", a.fetching).Bool("resumed", version == a.kept).
+			Msg("transfer is replaced by that of another version")
+	}
+	a.kept, a.keptShare = a.keptAfter(version)
 	ctx, cancel := context.WithCancel(ctx)
 	a.fetching, a.fetchBegan, a.cancelFetch = version, a.clock.Now(), cancel
 	go a.fetchVersion(ctx, model, version)
 }
 
+// keptAfter returns the version whose transfer can be resumed, and its completed share, once
+// that of another version has replaced the running one. It requires the mutex.
+func (a *agentRole) keptAfter(version int64) (kept int64, share float64) {
+	m, known := a.manifests[a.fetching]
+	if !known || a.fetching > version {
+		return 0, 0
+	}
+	p := a.fetcher.Progress()
+	if p.Manifest != m.Digest || p.Total == 0 {
+		return 0, 0
+	}
+	return a.fetching, float64(p.Chunks) / float64(p.Total)
+}
+
 func (a *agentRole) fetchVersion(ctx context.Context, model string, version int64) {
 	began := a.clock.Now()
 	manifest, err := a.fetchManifest(ctx, model, version)
--- a/internal/role/hosted/agenttransfer_test.go
+++ b/internal/role/hosted/agenttransfer_test.go
@@ -43,6 +43,10 @@
 		// is unavailable between originDown and originUp.
 		killed, slowLinks, corruptOneIn int
 		killedAt, originDown, originUp  time.Duration
+		// The agents replace the transfer by that of a newer version, whose chunks don't come,
+		// replacedAfter after they began, or once they have read their chunks from the origin.
+		// They resume it resumedAfter after that; zero for never.
+		replacedAfter, resumedAfter time.Duration
 	}
 
 	// timedTransfer runs the planners of a fleet on links of limited bandwidth, on a
@@ -156,12 +160,29 @@
 		}
 		s.at(time.Duration(s.random.Int64N(int64(shape.startSpread))), func() {
 			a.started = true
-			s.step(a, swarm.Members{Live: members}, swarm.Start{Manifest: s.manifest, Held: a.held, OriginBytesPerSecond: int64(shape.originLink)})
+			s.start(a, swarm.Members{Live: members})
+			if shape.resumedAfter > 0 {
+				s.at(s.now+shape.replacedAfter, func() { s.replace(a) })
+			}
 		})
 	}
 	return s
 }
 
+func (s *timedTransfer) start(a *timedAgent, events ...swarm.Event) {
+	s.step(a, append(events, swarm.Start{Manifest: s.manifest, Held: a.held.Clone(), OriginBytesPerSecond: int64(s.shape.originLink)})...)
+}
+
+// replace ends the transfer of an agent that reads nothing from the origin, for a time.
+func (s *timedTransfer) replace(a *timedAgent) {
+	if a.ReadsOrigin() {
+		s.at(s.now+enginePollInterval, func() { s.replace(a) })
+		return
+	}
+	s.step(a, swarm.Stop{})
+	s.at(s.now+s.shape.resumedAfter, func() { s.start(a) })
+}
+
 func (s *timedTransfer) needsCopyEarly(self swarm.Member, members []swarm.Member) bool {
 	d := &swap.Decider{Self: self.Instance}
 	var ids []mulberryspool.InstanceID
@@ -469,3 +490,24 @@
 		}
 	}
 }
+
+// Load pattern: a newer version is named 2 s after this one, and the origin becomes unavailable
+// 0.5 s later. Guards against chunks that no agent has read when the agents turn to the newer
+// version, and against a transfer that can't be resumed afterwards, although the agents
+// together have all chunks, or only with more reads from the origin.
+func TestReplacedTransferIsResumedWithoutOrigin(t *testing.T) {
+	for _, shape := range transferShapes() {
+		originTime := time.Duration(float64(int64(shape.chunks)*shape.chunkBytes) / shape.originLink * float64(time.Second))
+		shape.replacedAfter, shape.resumedAfter = originTime+200*time.Millisecond, time.Second
+		shape.originDown, shape.originUp = 2500*time.Millisecond, maxTransferTime
+		for shape.seed = range 6 {
+			times, copies := newTimedTransfer(shape).run()
+			last, limit := times[len(times)-1], shape.originDown+shape.resumedAfter+shape.onLink()
+			t.Logf("%d agents, seed %d: first %v, half %v, last %v, %.2f copies from the origin",
+				shape.agents, shape.seed, times[0], times[len(times)/2], last, copies)
+			if last > limit || copies > 1.3 {
+				t.Errorf("%d agents, seed %d: last agent after %v with %.2f copies from the origin, want at most %v and 1.3", shape.agents, shape.seed, last, copies, limit)
+			}
+		}
+	}
+}
