--- a/internal/integration/hostedweights_test.go
+++ b/internal/integration/hostedweights_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"encoding/binary"
 	"flag"
 	"fmt"
 	"math/rand/v2"
@@ -241,6 +242,43 @@
 	checkLoads(t, s)
 }
 
+// Guards against a version whose transfer is given up for a newer one that then makes no
+// progress, and against pieces that are read again when the transfer is resumed.
+func TestTransferIsResumedWhileNewerVersionStalls(t *testing.T) {
+	s := &hostedagents.System{Builder: &builder, Agents: 1, Bound: 12 * time.Second}
+	s.Start(t)
+	var requests atomic.Int64
+	available := make(chan struct{})
+	s.Origin.SetSpoil(func(call string, body []byte) []byte {
+		switch {
+		case call != "piece":
+		case binary.BigEndian.Uint64(body) == 2:
+			requests.Add(1)
+			time.Sleep(300 * time.Millisecond)
+		default:
+			<-available
+		}
+		return body
+	})
+	release := sync.OnceFunc(func() { close(available) })
+	defer release()
+	s.Name(2)
+	for deadline := time.Now().Add(20 * time.Second); requests.Load() < 12; time.Sleep(10 * time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatal("the transfer of version 2 has not begun")
+		}
+	}
+	s.Name(3)
+	awaitVersion(t, s.Machines[0], 2)
+	// Those that run when the transfer is replaced are made again.
+	if count := requests.Load(); count > 27 {
+		t.Errorf("the origin was asked for pieces of version 2 %d times, want at most 27 for 24", count)
+	}
+	release()
+	awaitVersion(t, s.Machines[0], 3)
+	checkLoads(t, s)
+}
+
 // Guards against a model server that is kept from requests while the pieces of the version to
 // load are uploaded again, because those of a newer one, which is still being fetched, have
 // replaced them.
