Exchange a version while the manifest of a newer one is read

Cause: a transfer was suspended until the manifest of the newer version had been read, also when it needed nothing more from the origin's link. With the origin unavailable, the agents lost 1 s.

Change: it is suspended only while it reads chunks from the origin. A newer transfer counts as stalled after 1 s without a chunk, 1.5 s before its first one (0.7 and 1 s before), so that a slow start in calm causes no second swap.

--- a/internal/agent/swap/succession_test.go
+++ b/internal/agent/swap/succession_test.go
@@ -179,7 +179,8 @@
 	}
 	fetching := s.view.Fetching
 	s.view.AwaitsManifest = fetching == 3 && !manifestRead
-	suspended := s.awaitsSince > 0 && now < s.awaitsSince+s.fraction(awaitFraction)
+	fromOrigin := namedTime.Add(now).Before(s.view.FetchBegan.Add(p.originTime)) || s.view.ReadsOrigin
+	suspended := s.awaitsSince > 0 && fromOrigin && now < s.awaitsSince+s.fraction(awaitFraction)
 	if fetching > 0 && !suspended && !s.view.AwaitsManifest {
 		if active := s.active[fetching] + step; p.transferred(active) <= given[fetching] {
 			s.active[fetching] = active
--- a/internal/agent/swap/swap.go
+++ b/internal/agent/swap/swap.go
@@ -56,9 +56,9 @@
 	// Usually 10 to 25 chunks arrive in a second.
 	slowAfter    = 500 * time.Millisecond
 	stalledAfter = time.Second
-	// resumeAfter is the time without a new chunk after which the transfer of an older version
-	// is resumed. Before the first chunk it is stalledAfter: that takes up to 0.7 s.
-	resumeAfter = 700 * time.Millisecond
+	// firstChunkAfter is the time without a first chunk after which a transfer counts as
+	// stalled. It usually takes up to 0.7 s.
+	firstChunkAfter = 1500 * time.Millisecond
 	// minEarlyMembers is the number of servers from which on turns begin before the
 	// copy is complete. In a smaller pool, one that waits for its copy is missed.
 	minEarlyMembers = 4
@@ -298,7 +298,7 @@
 // is used instead.
 func (d *Decider) hasStalled(now time.Time) bool {
 	silent := now.Sub(d.progress.at)
-	return silent >= stalledAfter || d.progress.share > 0 && silent >= resumeAfter
+	return silent >= firstChunkAfter || d.progress.share > 0 && silent >= stalledAfter
 }
 
 // resumesKept reports whether the transfer of an older version is resumed: that of the newer
--- a/internal/role/hosted/agentloop.go
+++ b/internal/role/hosted/agentloop.go
@@ -232,8 +232,9 @@
 
 // fetch starts the transfer of a version; 0 leaves a running one alone. That a version is
 // named does not mean that it can be read. The transfer of another version therefore goes on
-// until the manifest of this one has been read. It is suspended for a time, so that it does
-// not keep the manifest and the chunks of the newer version from the origin's link.
+// until the manifest of this one has been read. While it reads chunks from the origin, it is
+// suspended for a time, so that it does not keep the manifest and the chunks of the newer
+// version from the origin's link.
 func (a *agentRole) fetch(ctx context.Context, model string, version int64) {
 	a.mu.Lock()
 	running, transferring := a.manifests[a.fetching]
@@ -245,7 +246,8 @@
 	} else if !awaits {
 		a.stopAwaiting()
 	}
-	suspended := awaits && a.clock.Since(a.awaitedAt) < time.Duration(suspendFraction*float64(a.settings.Bounds.NamedVersion))
+	fromOrigin := a.clock.Since(a.fetchBegan) < a.decider.OriginTime || a.fetcher.ReadsOrigin()
+	suspended := awaits && fromOrigin && a.clock.Since(a.awaitedAt) < time.Duration(suspendFraction*float64(a.settings.Bounds.NamedVersion))
 	a.mu.Unlock()
 	if transferring {
 		a.fetcher.Suspend(running.Digest, suspended)
@@ -260,7 +262,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	a.awaited, a.awaitedAt, a.cancelAwait = version, a.clock.Now(), cancel
 	a.logger.Info().Str(logging.FieldStep, "await manifest").Int64("version", version).Int64("fetching", a.fetching).
-		Msg("newer version is named; transfer is suspended until its manifest is read or takes too long")
+		Msg("newer version is named; its manifest is read before the transfer is replaced")
 	go func() {
 		if _, err := a.fetchManifest(ctx, model, version); err == nil {
 			a.wakeLoop()
