Use an older version only if it can be served in time

Cause: a replaced transfer was resumed also when its version could be served only after the bound of the served one, so that servers swapped twice for nothing; and a version that was complete was used although the newer one was arriving, since its arrival was expected 0.45 of the bound from then on whatever had arrived.

Change: a transfer is resumed only if half of the servers can serve its version before the bound of the served one. A version is skipped if the newer one arrives before that bound at the speed of its transfer. A transfer counts as stalled after 0.7 s while missing chunks are unavailable, so that resumptions come in time.

--- a/internal/agent/swap/swap.go
+++ b/internal/agent/swap/swap.go
@@ -59,6 +59,9 @@
 	// firstChunkAfter is the time without a first chunk after which a transfer counts as
 	// stalled. It usually takes up to 0.7 s.
 	firstChunkAfter = 1500 * time.Millisecond
+	// unavailableAfter is the time without a new chunk after which a transfer counts as stalled
+	// if missing chunks are unavailable.
+	unavailableAfter = 700 * time.Millisecond
 	// minEarlyMembers is the number of servers from which on turns begin before the
 	// copy is complete. In a smaller pool, one that waits for its copy is missed.
 	minEarlyMembers = 4
@@ -287,7 +290,7 @@
 	}
 	switch {
 	case v.Fetching == 0 || v.Fetching < d.stalled.version:
-	case d.hasStalled(now):
+	case d.hasStalled(v, now):
 		d.stalled = d.progress
 	case v.Fetching > d.stalled.version || v.FetchedShare > d.stalled.share:
 		d.stalled = transferProgress{}
@@ -296,19 +299,24 @@
 
 // hasStalled reports whether the running transfer makes no progress, so that an older version
 // is used instead.
-func (d *Decider) hasStalled(now time.Time) bool {
+func (d *Decider) hasStalled(v View, now time.Time) bool {
 	silent := now.Sub(d.progress.at)
-	return silent >= firstChunkAfter || d.progress.share > 0 && silent >= stalledAfter
+	return silent >= firstChunkAfter || d.progress.share > 0 && silent >= stalledAfter || v.ChunksUnavailable && silent >= unavailableAfter
 }
 
 // resumesKept reports whether the transfer of an older version is resumed: that of the newer
-// one has stalled, and the older one can be served for a time. It is resumed once.
+// one has stalled, and half of the servers can serve the older one before the bound of the
+// served one. A later swap costs more than it gives. It is resumed once.
 func (d *Decider) resumesKept(v View, now time.Time) bool {
-	if v.Kept <= max(v.Served, v.Staged, d.resumed) || v.KeptShare < minResumedShare || !d.hasStalled(now) {
+	if v.Kept <= max(v.Served, v.Staged, d.resumed) || v.KeptShare < minResumedShare || !d.hasStalled(v, now) {
 		return false
 	}
 	rest := time.Duration(restCopies * (1 - v.KeptShare) * float64(d.CopyTime))
-	return now.Add(rest + leadTime).Before(d.firstNamed(v.Kept).Add(d.Bound))
+	if v.Served == 0 {
+		return now.Add(rest).Before(d.firstNamed(v.Kept).Add(d.Bound))
+	}
+	half := d.fraction(minSpreadFraction) / 2
+	return now.Add(max(rest, leadTime) + half).Before(d.firstNamed(v.Served).Add(d.Bound))
 }
 
 // prepared returns the version that is loaded next.
@@ -464,6 +472,9 @@
 	if v.AwaitsManifest && !now.Before(named.Add(d.fraction(awaitFraction))) || v.FetchedShare == 0 && !now.Before(named.Add(d.fraction(beginFraction))) {
 		return false
 	}
+	if rest, known := d.restOfTransfer(v, now); known && v.Fetching == wanted {
+		return now.Add(rest).Before(d.firstNamed(v.Served).Add(d.Bound))
+	}
 	transfer := d.fraction(transferFraction)
 	arrival := named.Add(transfer)
 	if v.Fetching != wanted || arrival.Before(now) {
