--- a/internal/agent/fetch/fetcher.go
+++ b/internal/agent/fetch/fetcher.go
@@ -15,6 +15,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -99,6 +100,9 @@
 		// RegionLink returns the rate limit of fetches from another region to the local
 		// one, such as RegionLimiters.Limiter of package chunks; nil means no limit.
 		RegionLink func(from string) chunks.Limiter
+		// KeepSuperseded keeps the chunks of a transfer that was replaced by the running one,
+		// for other agents and for a later Stage of its manifest. Release drops them.
+		KeepSuperseded bool
 		// ListInterval is the polling interval of the instance list during a transfer; 0
 		// means DefaultListInterval.
 		ListInterval time.Duration
@@ -119,6 +123,9 @@
 		stopped         chan struct{}
 		tasks           sync.WaitGroup
 
+		// readsOrigin and unavailable are what the planner reported last.
+		readsOrigin, unavailable atomic.Bool
+
 		// cancels is used only by the goroutine of loop.
 		cancels map[swarm.Attempt]context.CancelFunc
 
@@ -221,9 +228,23 @@
 			}
 			f.apply(ctx, effect)
 		}
+		f.readsOrigin.Store(f.planner.ReadsOrigin())
+		f.unavailable.Store(f.planner.Unavailable(now))
 	}
 }
 
+// ReadsOrigin reports whether the running transfer reads chunks from the origin, or is the
+// first one to do so, and the origin answers.
+func (f *Fetcher) ReadsOrigin() bool {
+	return f.readsOrigin.Load()
+}
+
+// ChunksUnavailable reports whether no agent of the region is known to hold some of the missing
+// chunks, and the origin does not answer or should have given them out.
+func (f *Fetcher) ChunksUnavailable() bool {
+	return f.unavailable.Load()
+}
+
 // drainEvents adds the queued events to the batch, so that one step processes them
 // together.
 func (f *Fetcher) drainEvents(batch []swarm.Event) []swarm.Event {
--- a/internal/role/hosted/agentloop.go
+++ b/internal/role/hosted/agentloop.go
@@ -1,6 +1,7 @@
 package hosted
 
 import (
+	"cmp"
 	"context"
 	"maps"
 	"time"
@@ -38,7 +39,7 @@
 		return enginePollInterval
 	}
 	a.updateMembers()
-	a.decider.CopyTime = a.copyTime()
+	a.decider.CopyTime, a.decider.OriginTime = a.copyTimes()
 	a.updateNamedVersions(ctx, model)
 	a.needsCopyEarly.Store(a.decider.NeedsCopyEarly(a.decider.Wanted()))
 	if !a.readEngineState(ctx, model) {
@@ -188,7 +189,8 @@
 	_, known := a.manifests[a.fetching]
 	v := swap.View{
 		Served: served, Loading: a.engineState.Loading, Staged: a.staged, StagedAt: a.stagedAt, Uploaded: a.uploaded, Fetching: a.fetching,
-		FetchBegan: a.fetchBegan, AwaitsManifest: a.fetching > 0 && !known,
+		FetchBegan: a.fetchBegan, AwaitsManifest: a.fetching > 0 && !known, Kept: a.kept, KeptShare: a.keptShare,
+		ReadsOrigin: a.fetcher.ReadsOrigin(), ChunksUnavailable: a.fetcher.ChunksUnavailable(),
 	}
 	if p.Manifest == a.manifests[a.fetching].Digest && p.Total > 0 {
 		v.FetchedShare = float64(p.Chunks) / float64(p.Total)
@@ -196,14 +198,16 @@
 	return v
 }
 
-// copyTime returns the time that a copy takes on the agent's link or that of the origin,
-// whichever is slower; 0 if the size of a copy is not known.
-func (a *agentRole) copyTime() time.Duration {
+// copyTimes returns the time that a copy takes on the agent's link or that of the origin,
+// whichever is slower, and that on the link of the origin; 0 if the size of a copy is not
+// known.
+func (a *agentRole) copyTimes() (slowest, origin time.Duration) {
 	link := int64(a.settings.Limits.Link)
-	if origin := a.originBytesPerSecond(); origin > 0 {
-		link = min(link, origin)
+	originLink := cmp.Or(a.originBytesPerSecond(), link)
+	onLink := func(rate int64) time.Duration {
+		return time.Duration(float64(a.pieceBytes()*int64(a.pieces())) / float64(rate) * float64(time.Second))
 	}
-	return time.Duration(float64(a.pieceBytes()*int64(a.pieces())) / float64(link) * float64(time.Second))
+	return onLink(min(link, originLink)), onLink(originLink)
 }
 
 // isFetching reports whether a version is being fetched.
@@ -228,8 +232,9 @@
 
 // fetch starts the transfer of a version; 0 leaves a running one alone. That a version is
 // named does not mean that it can be read. The transfer of another version therefore goes on
-// until the manifest of this one has been read. It is suspended for a time, so that it does
-// not keep the manifest and the chunks of the newer version from the origin's link.
+// until the manifest of this one has been read. While it reads chunks from the origin, it is
+// suspended for a time, so that it does not keep the manifest and the chunks of the newer
+// version from the origin's link.
 func (a *agentRole) fetch(ctx context.Context, model string, version int64) {
 	a.mu.Lock()
 	running, transferring := a.manifests[a.fetching]
@@ -241,7 +246,8 @@
 	} else if !awaits {
 		a.stopAwaiting()
 	}
-	suspended := awaits && a.clock.Since(a.awaitedAt) < time.Duration(suspendFraction*float64(a.settings.Bounds.NamedVersion))
+	fromOrigin := a.clock.Since(a.fetchBegan) < a.decider.OriginTime || a.fetcher.ReadsOrigin()
+	suspended := awaits && fromOrigin && a.clock.Since(a.awaitedAt) < time.Duration(suspendFraction*float64(a.settings.Bounds.NamedVersion))
 	a.mu.Unlock()
 	if transferring {
 		a.fetcher.Suspend(running.Digest, suspended)
@@ -256,7 +262,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	a.awaited, a.awaitedAt, a.cancelAwait = version, a.clock.Now(), cancel
 	a.logger.Info().Str(logging.FieldStep, "await manifest").Int64("version", version).Int64("fetching", a.fetching).
-		Msg("newer version is named; transfer is suspended until its manifest is read or takes too long")
+		Msg("newer version is named; its manifest is read before the transfer is replaced")
 	go func() {
 		if _, err := a.fetchManifest(ctx, model, version); err == nil {
 			a.wakeLoop()
@@ -273,7 +279,7 @@
 }
 
 // startFetch fetches a version in the background. It cancels the transfer of
-// another version.
+// another version, whose chunks are kept if it is an older one.
 func (a *agentRole) startFetch(ctx context.Context, model string, version int64) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -283,11 +289,30 @@
 	if a.cancelFetch != nil {
 		a.cancelFetch()
 	}
+	if a.fetching > 0 {
+		a.logger.Info().Str(logging.FieldStep, "replace transfer").Int64("version", version).Int64("fetching", a.fetching).Bool("resumed", version == a.kept).
+			Msg("transfer is replaced by that of another version")
+	}
+	a.kept, a.keptShare = a.keptAfter(version)
 	ctx, cancel := context.WithCancel(ctx)
 	a.fetching, a.fetchBegan, a.cancelFetch = version, a.clock.Now(), cancel
 	go a.fetchVersion(ctx, model, version)
 }
 
+// keptAfter returns the version whose transfer can be resumed, and its completed share, once
+// that of another version has replaced the running one. It requires the mutex.
+func (a *agentRole) keptAfter(version int64) (kept int64, share float64) {
+	m, known := a.manifests[a.fetching]
+	if !known || a.fetching > version {
+		return 0, 0
+	}
+	p := a.fetcher.Progress()
+	if p.Manifest != m.Digest || p.Total == 0 {
+		return 0, 0
+	}
+	return a.fetching, float64(p.Chunks) / float64(p.Total)
+}
+
 func (a *agentRole) fetchVersion(ctx context.Context, model string, version int64) {
 	began := a.clock.Now()
 	manifest, err := a.fetchManifest(ctx, model, version)
