Let a test of the queue use servers in regions

Its servers were in no region, so that since regions are enforced none of its requests could be placed. The servers of one region are now full, and those of the other free.

--- a/internal/entry/placement/placer_test.go
+++ b/internal/entry/placement/placer_test.go
@@ -475,14 +475,15 @@
 // Guards against urgent requests that wait for the servers of one region and keep those of
 // another region from their free slots.
 func TestRequestsBoundToOtherRegionsDoNotBlockQueue(t *testing.T) {
-	p := newPlacer(1)
+	p := newRegionalPlacer()
+	p.fill(t, "r-a", 4, start)
 	for i := range 8 {
 		q := &queuedRequest{ticket: Ticket(100 + i), request: request(start), waitUntil: start.Add(time.Second)}
-		q.request.Regions, q.request.Exclude = []string{"a"}, []mulberryspool.InstanceID{"i-0"}
+		q.request.Regions = []string{"r-a"}
 		p.waiting = append(p.waiting, q)
 	}
 	other := request(start)
-	other.Priority, other.Regions = 2, []string{"b"}
+	other.Priority, other.Regions = 2, []string{"r-b"}
 	p.waiting = append(p.waiting, &queuedRequest{ticket: 200, request: other, waitUntil: start.Add(time.Second)})
 	if d := p.DecideWaiting(start); len(d) != 1 || d[0].Ticket != 200 || d[0].Verdict != Placed {
 		t.Errorf("decisions are %+v, want the request for region b placed", d)
