Test what misbehaving clients take of a process

Clients that we don't control can open as many connections as they like on all listeners of a process, and send heads of up to 1 MiB. The tests send each kind of load of docs/design/hard-load.md, part H, to a real process with low limits: on the callers' listener with and without a route, on readiness, and on the servers for other processes and metrics. They check memory, descriptors and one ordinary request.

Bodies far over the limit pass.

--- a/internal/testkit/hostedagents/system.go
+++ b/internal/testkit/hostedagents/system.go
@@ -48,6 +48,9 @@
 		Agents int
 		// Bound is that of a named version.
 		Bound time.Duration
+		// Descriptors is the limit of an agent's open files and sockets; 0 for none in its
+		// settings.
+		Descriptors int
 
 		Store    kindstore.Server
 		Origin   pieceorigin.Server
@@ -62,6 +65,9 @@
 	Machine struct {
 		Server modelserver.Server
 		Agent  *process.Process
+		// ControlAddress, ContentAddress and MetricsAddress are those at which the agent serves
+		// other agents and its metrics.
+		ControlAddress, ContentAddress, MetricsAddress string
 		// SettingsFile is that of the agent.
 		SettingsFile string
 
@@ -215,6 +221,7 @@
 	m := &Machine{
 		Server: modelserver.Server{Model: model, Pieces: pieces, Piece: s.Origin.Piece, WarmTime: 200 * time.Millisecond},
 		id:     fmt.Sprintf("i-%d", i), address: fmt.Sprintf("%s:%d", ip, serverPort), SettingsFile: filepath.Join(t.TempDir(), "agent.yaml"), builder: s.Builder,
+		ControlAddress: fmt.Sprintf("%s:%d", ip, firstInternalPort+2), ContentAddress: fmt.Sprintf("%s:%d", ip, firstInternalPort+3), MetricsAddress: fmt.Sprintf("%s:%d", ip, metricsPort),
 	}
 	m.Server.Start(1)
 	text := fmt.Sprintf(`instance: side-%d
@@ -227,10 +234,10 @@
 pool: %s
 store: %s
 bounds: {gracefulStop: 8s, namedVersion: %s, repeatRatio: 0.2, repeatWindow: 10s, repeatSlack: 200}
-limits: {memory: 152 MB, link: 50 Mbit/s}
+limits: {memory: 152 MB, link: 50 Mbit/s, descriptors: %d}
 logSample: 1
 metricsPort: %d
-`, i, failureDomain, ip, firstInternalPort, firstInternalPort+5, failureDomain, m.address, pool, s.storeAddress, s.Bound, metricsPort)
+`, i, failureDomain, ip, firstInternalPort, firstInternalPort+5, failureDomain, m.address, pool, s.storeAddress, s.Bound, s.Descriptors, metricsPort)
 	if err := os.WriteFile(m.SettingsFile, []byte(text), 0o600); err != nil {
 		t.Fatal(err)
 	}
--- a/internal/testkit/hostedsystem/system.go
+++ b/internal/testkit/hostedsystem/system.go
@@ -14,6 +14,7 @@
 	"testing"
 	"time"
 
+	"github.com/mulberryspool/mulberryspool"
 	"github.com/mulberryspool/mulberryspool/internal/standin/backendserver"
 	"github.com/mulberryspool/mulberryspool/internal/standin/connlimit"
 	"github.com/mulberryspool/mulberryspool/internal/standin/kindstore"
@@ -64,6 +65,11 @@
 		MegabytesOfMemory int
 		// MaxBody is the largest body of a request in bytes; 0 for 1 MiB.
 		MaxBody int
+		// Limits holds the other limits of callers. It applies from the next PutConfiguration on.
+		Limits mulberryspool.CallerLimits
+		// Descriptors is the limit of an entry's open files and sockets; 0 for none in its
+		// settings.
+		Descriptors int
 		// RepeatSlack is the number of repeats beyond the ratio of the budget.
 		RepeatSlack int
 		// Keys are those of the only workspace; if there are none, callers need no key.
@@ -97,6 +103,9 @@
 		// URL is that of its listener for callers.
 		URL          string
 		ReadinessURL string
+		// StateAddress is that of the server for other entries and for agents, MetricsAddress
+		// that of the metrics.
+		StateAddress, MetricsAddress string
 		// StoreAddress is where this entry, and no other one, calls the store.
 		StoreAddress string
 		// Registration is the name under which it registers itself in the store.
@@ -189,7 +198,7 @@
 	routes = slices.DeleteFunc(routes, func(r map[string]any) bool { return slices.Contains(s.Without, r["path-prefix"].(string)) })
 	configuration := map[string]any{
 		"version": version, "services": []any{service},
-		"limits": map[string]any{"max-body-bytes": cmp.Or(s.MaxBody, 1<<20)},
+		"limits": s.limits(),
 		"routes": routes,
 	}
 	if len(s.Keys) > 0 {
@@ -198,6 +207,19 @@
 	s.Store.Put(platform.KindConfig, platform.ConfigName, configuration)
 }
 
+// limits returns the configuration's limits of callers.
+func (s *System) limits() map[string]any {
+	limits := map[string]any{"max-body-bytes": cmp.Or(s.MaxBody, 1<<20)}
+	for name, value := range map[string]int64{
+		"max-header-bytes": s.Limits.MaxHeadBytes, "header-timeout-ms": s.Limits.HeadTimeout.Milliseconds(), "idle-timeout-ms": s.Limits.IdleTimeout.Milliseconds(),
+	} {
+		if value > 0 {
+			limits[name] = value
+		}
+	}
+	return limits
+}
+
 // AddServer starts a backend server and returns its index in Servers.
 func (s *System) AddServer(t testing.TB) int {
 	t.Helper()
@@ -264,6 +286,7 @@
 	e := &Entry{
 		StoreAddress: listen(t, &s.Store, loopback.Shared.Address()).Address, Registration: fmt.Sprintf("entry-%d", i),
 		URL: fmt.Sprintf("http://%s:%d", ip, callersPort), ReadinessURL: fmt.Sprintf("http://%s:%d%s", ip, readinessPort, platform.ReadinessPath),
+		StateAddress: fmt.Sprintf("%s:%d", ip, firstInternalPort), MetricsAddress: fmt.Sprintf("%s:%d", ip, metricsPort),
 		SettingsFile: filepath.Join(t.TempDir(), "entry.yaml"),
 	}
 	text := fmt.Sprintf(`instance: %s
@@ -276,10 +299,10 @@
 firstStart: true
 store: %s
 bounds: {gracefulStop: %s, namedVersion: 8s, repeatRatio: 0.2, repeatWindow: 10s, repeatSlack: %d}
-limits: {memory: %d MB, link: 700 Mbit/s}
+limits: {memory: %d MB, link: 700 Mbit/s, descriptors: %d}
 logSample: 1
 metricsPort: %d
-`, e.Registration, failureDomain, ip, firstInternalPort, firstInternalPort+5, failureDomain, ip, callersPort, ip, readinessPort, e.StoreAddress, s.GracefulStop, s.RepeatSlack, cmp.Or(s.MegabytesOfMemory, 206), metricsPort)
+`, e.Registration, failureDomain, ip, firstInternalPort, firstInternalPort+5, failureDomain, ip, callersPort, ip, readinessPort, e.StoreAddress, s.GracefulStop, s.RepeatSlack, cmp.Or(s.MegabytesOfMemory, 206), s.Descriptors, metricsPort)
 	if err := os.WriteFile(e.SettingsFile, []byte(text), 0o600); err != nil {
 		t.Fatal(err)
 	}
--- a/internal/testkit/process/usage.go
+++ b/internal/testkit/process/usage.go
@@ -14,15 +14,17 @@
 // on Linux.
 const clockTicksPerSecond = 100
 
-// Usage is the CPU time and memory used by a process.
+// Usage is what a process uses.
 type Usage struct {
 	// CPUTime is the sum of user and system time.
 	CPUTime time.Duration
 	// ResidentBytes is the resident set size in bytes.
 	ResidentBytes int64
+	// Descriptors is the number of open files and sockets.
+	Descriptors int
 }
 
-// Usage reads the CPU time and memory of the process from /proc.
+// Usage reads the CPU time, memory and descriptors of the process from /proc.
 func (p *Process) Usage(t testing.TB) Usage {
 	t.Helper()
 	stat, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", p.ID()))
@@ -39,7 +41,12 @@
 			t.Fatal(err)
 		}
 	}
+	open, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", p.ID()))
+	if err != nil {
+		t.Fatal(err)
+	}
 	return Usage{
+		Descriptors:   len(open),
 		CPUTime:       time.Duration(numbers[0]+numbers[1]) * time.Second / clockTicksPerSecond,
 		ResidentBytes: numbers[2] * int64(os.Getpagesize()),
 	}
