Take no response with an invalid status for one

A server in trouble may send a response with status 000. Receive of httpconn skipped every status under 200 like 100, so that the body of such a response was parsed as the next one, and could be delivered to the caller. Statuses from 600 to 999 were passed on unchanged, as were all of these by httpcall, and so by engine and plain.

A response with a status outside 100 to 599, or 101, is now invalid, and its request may have run.

--- a/internal/backend/engine/engine_test.go
+++ b/internal/backend/engine/engine_test.go
@@ -260,3 +260,26 @@
 		t.Errorf("execution is %+v, want cancelled", got[0])
 	}
 }
+
+// Guards against a response whose status is none, and which is passed on to a caller.
+func TestResponseWithInvalidStatusIsNoResponse(t *testing.T) {
+	for _, status := range []string{"000", "101", "600"} {
+		url := httpserver.Start(t, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			conn, buffered, err := http.NewResponseController(w).Hijack()
+			if err != nil {
+				t.Error(err)
+				return
+			}
+			defer conn.Close()
+			_, _ = buffered.WriteString("HTTP/1.1 " + status + " x\r\nContent-Length: 2\r\n\r\nok")
+			_ = buffered.Flush()
+		}))
+		answer, err := (&Client{Clock: clockwork.NewRealClock(), BaseURL: url}).Submit(context.Background(), mulberryspool.BackendRequest{RequestID: "r", Method: http.MethodPost, Path: "/"})
+		if err == nil {
+			answer.Body.Close()
+		}
+		if !errors.Is(err, mulberryspool.ErrUncertain) {
+			t.Errorf("status %s gave %v, want ErrUncertain", status, err)
+		}
+	}
+}
--- a/internal/backend/httpcall/httpcall.go
+++ b/internal/backend/httpcall/httpcall.go
@@ -90,7 +90,8 @@
 	}, nil
 }
 
-// Send sends a request once. Errors are the same as those of Submit. The caller
+// Send sends a request once. Errors are the same as those of Submit. An answer with a status
+// outside 100 to 599, or 101, is none, and the request may have run. The caller
 // must close the response's body.
 func Send(ctx context.Context, request *http.Request) (*http.Response, error) {
 	var connected atomic.Bool
@@ -98,6 +99,10 @@
 		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
 	})
 	response, err := transport.RoundTrip(request.WithContext(ctx))
+	if err == nil && !mulberryspool.IsResponseStatus(response.StatusCode) {
+		response.Body.Close()
+		return nil, fmt.Errorf("%w: answer has status %03d", mulberryspool.ErrUncertain, response.StatusCode)
+	}
 	if err == nil {
 		return response, nil
 	}
--- a/internal/backend/httpcall/httpcall_test.go
+++ b/internal/backend/httpcall/httpcall_test.go
@@ -59,6 +59,22 @@
 	}
 }
 
+// Guards against a response whose status is none, and which is passed on to a caller.
+func TestResponseWithInvalidStatusIsNoResponse(t *testing.T) {
+	for _, status := range []string{"000", "099", "101", "600", "999"} {
+		s := endless.New(endless.Response{Head: "HTTP/1.1 " + status + " x\r\nContent-Length: 2\r\n\r\nok", Unit: "m", Interval: 10 * time.Millisecond}, "")
+		c := &Client{BaseURL: "http://" + s.Listen(t)}
+		answer, err := c.Submit(t.Context(), mulberryspool.BackendRequest{RequestID: "r1", Method: http.MethodPost, Path: "/"})
+		if err == nil {
+			t.Errorf("received status %d for %s", answer.Status, status)
+			answer.Body.Close()
+		} else if !errors.Is(err, mulberryspool.ErrUncertain) {
+			t.Errorf("status %s: error is %v, want ErrUncertain", status, err)
+		}
+		checkCutOff(t, s)
+	}
+}
+
 // Guards against a body that is taken for complete although its framing never ends.
 func TestEndlessFramingIsNoEnd(t *testing.T) {
 	for name, response := range map[string]endless.Response{
--- a/internal/backend/httpconn/conn.go
+++ b/internal/backend/httpconn/conn.go
@@ -178,7 +178,8 @@
 }
 
 // Receive reads the head of the answer to the request with the ID. It skips
-// up to maxSkippedAnswers informational answers (1xx) and answers to other requests.
+// up to maxSkippedAnswers informational answers (1xx) and answers to other requests. An
+// answer with a status outside 100 to 599, or 101, is invalid: it is none to any request.
 // An answer without an ID is accepted on a new connection only, because on a reused one
 // it may belong to an earlier request.
 func (c *Conn) Receive(method string, id mulberryspool.RequestID) (*Answer, error) {
@@ -187,6 +188,10 @@
 		if err != nil {
 			return nil, c.readError(err)
 		}
+		if !mulberryspool.IsResponseStatus(response.StatusCode) {
+			c.unusable = true
+			return nil, errors.Mark(errors.Newf("answer has status %03d", response.StatusCode), ErrInvalidAnswer)
+		}
 		if response.StatusCode < http.StatusOK {
 			continue
 		}
--- a/internal/backend/httpconn/conn_test.go
+++ b/internal/backend/httpconn/conn_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"strings"
@@ -90,6 +91,45 @@
 	}
 }
 
+// Guards against a response whose status is none, and which is skipped, so that its body is
+// taken for the response, or passed on to a caller.
+func TestResponseWithInvalidStatusIsNoResponse(t *testing.T) {
+	const inner = "HTTP/1.1 200 OK\r\nX-Attempt-Id: r1\r\nContent-Length: 5\r\n\r\ninner"
+	for _, status := range []string{"000", "001", "099", "101", "600", "999"} {
+		for name, rest := range map[string]string{
+			"with a body":       fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(inner), inner),
+			"before a response": "\r\n" + inner,
+		} {
+			s := endless.New(endless.Response{Head: "HTTP/1.1 " + status + " x\r\nX-Attempt-Id: r1\r\n" + rest, Unit: "m", Interval: 10 * time.Millisecond}, "")
+			c := send(t, newPool(t, clockwork.NewRealClock()), Target{Address: s.Listen(t)})
+			answer, err := c.Receive("GET", "r1")
+			if err == nil {
+				t.Errorf("status %s %s: received status %d", status, name, answer.StatusCode)
+				answer.Body.Close()
+			} else if !errors.Is(err, ErrInvalidAnswer) || errors.Is(err, ErrAnswerLost) {
+				t.Errorf("status %s %s: error is %v, want ErrInvalidAnswer only", status, name, err)
+			}
+			c.Release(true)
+			s.AwaitClosed(t)
+		}
+	}
+}
+
+// Guards against informational responses that are taken for the one that follows them.
+func TestInformationalResponsesAreSkipped(t *testing.T) {
+	s := endless.New(endless.Response{Head: "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: l\r\n\r\n" + answerHead + "Content-Length: 2\r\n\r\nok", Unit: "m", Interval: 10 * time.Millisecond}, "")
+	c := send(t, newPool(t, clockwork.NewRealClock()), Target{Address: s.Listen(t)})
+	answer, err := c.Receive("GET", "r1")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer answer.Body.Close()
+	if body, err := io.ReadAll(answer.Body); string(body) != "ok" || answer.StatusCode != 200 {
+		t.Errorf("status %d, body %q, %v", answer.StatusCode, body, err)
+	}
+	c.Release(false)
+}
+
 // Guards against a body that is read to its end, which may never come, when it is closed.
 func TestClosingBodyDoesNotReadItsRest(t *testing.T) {
 	for name, response := range map[string]endless.Response{
--- a/internal/entry/forward/endless_test.go
+++ b/internal/entry/forward/endless_test.go
@@ -56,6 +56,17 @@
 	"server error with length":    {Head: errorHead + sizedHead, Unit: "m"},
 	"client error chunks":         {Head: clientErrorHead + chunkedHead, Unit: endlessChunk},
 	"server error without length": {Head: errorHead + "\r\n", Unit: "m"},
+	// Each is followed by what would be a response if the first one were skipped.
+	"status 000":            {Head: statusHead("000") + "\r\n" + completeResponse("mm"), Unit: "m"},
+	"status 000 with body":  {Head: statusHead("000") + "Content-Length: 1000\r\n\r\n" + completeResponse("mm"), Unit: "m"},
+	"status 101":            {Head: statusHead("101") + "\r\n" + completeResponse("mm"), Unit: "m"},
+	"status 600":            {Head: statusHead("600") + sizedHead, Unit: "m"},
+	"status 999 and a body": {Head: statusHead("999") + "Content-Length: 2\r\n\r\nmm", Unit: "m"},
+}
+
+// statusHead is the head of a signed response with a status, without its empty line.
+func statusHead(status string) string {
+	return "HTTP/1.1 " + status + " x\r\nX-Attempt-Id: r1\r\n" + signatureHeader
 }
 
 // newEndlessEntry returns an entry with several backend servers, which are all the
