Bound the messages that agents receive in calls

A message begins with its length, and the codec decodes as many bytes as that names: 32 connections with messages that never end made an agent take 726 MB of 152. Endpoint.MaxMessageBytes closes a connection whose message is longer before it reads the message.

--- a/internal/peer/rpc/endpoint.go
+++ b/internal/peer/rpc/endpoint.go
@@ -45,6 +45,9 @@
 		Closed func(*Conn)
 		// WriteTimeout is DefaultWriteTimeout when it is 0.
 		WriteTimeout time.Duration
+		// MaxMessageBytes limits a received message; 0 for no limit. A connection with a longer
+		// one is closed.
+		MaxMessageBytes uint64
 
 		traffic traffic
 		mu      sync.Mutex
@@ -128,7 +131,7 @@
 	c.ctx, c.cancel = context.WithCancel(context.Background())
 	// The handler waits for ready, because the read loop starts before c.rpc is set.
 	ready := make(chan struct{})
-	c.rpc = jsonrpc2.NewConn(c.ctx, jsonrpc2.NewBufferedStream(counted, jsonrpc2.VarintObjectCodec{}), handler{conn: c, ready: ready},
+	c.rpc = jsonrpc2.NewConn(c.ctx, jsonrpc2.NewBufferedStream(counted, limitedCodec{maxBytes: e.MaxMessageBytes}), handler{conn: c, ready: ready},
 		jsonrpc2.SetLogger(discardLogger{}))
 	close(ready)
 	// The connection is registered only now, so that Endpoint.Close does not see
--- a/internal/peer/rpc/rpc_test.go
+++ b/internal/peer/rpc/rpc_test.go
@@ -2,7 +2,10 @@
 
 import (
 	"context"
+	"encoding/binary"
+	"io"
 	"net"
+	"strings"
 	"testing"
 	"time"
 
@@ -155,3 +158,37 @@
 		}
 	}
 }
+
+// Guards against a message that fills the memory of the process that receives it, and against
+// a limit that ordinary messages reach.
+func TestTooLongMessageEndsConnection(t *testing.T) {
+	server, client := newEndpoint(), newEndpoint()
+	server.MaxMessageBytes = 2000
+	server.Handle = func(m Message) { _ = m.Reply(numbered{Number: 7}) }
+	address := serve(t, server)
+	c, err := client.Dial(t.Context(), address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	for range 3 {
+		var reply numbered
+		if err := c.Call(t.Context(), "test.call", strings.Repeat("m", 1500), &reply); err != nil || reply.Number != 7 {
+			t.Fatalf("reply %v, %v", reply, err)
+		}
+	}
+	conn, err := net.Dial("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	if err := conn.SetDeadline(time.Now().Add(10 * time.Second)); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := conn.Write(binary.AppendUvarint(nil, 2001)); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := conn.Read(make([]byte, 1)); !errors.Is(err, io.EOF) {
+		t.Errorf("connection ended with %v", err)
+	}
+}
