Bound what callers take of a process

Of the configuration's limits of callers only that of bodies was read. net/http accepts heads of 1 MiB and takes about 200 bytes for a field of six, and nothing bounded the sum over heads, connections and unread responses, nor the number of connections.

httpguard is the listener in front of all HTTP servers of the hosted roles. It holds a head until it is complete and reserves what it will take before net/http sees it, enforces the limits of the configuration on open connections, requires progress of senders and readers, and bounds the connections of each listener by the descriptors. Heads, bodies, buffered responses and connections share one budget, 0.3 of the memory; if something doesn't fit, the connection that holds the most for the longest time without progress is closed first.

callerconns no longer extends the time of heads where httpguard does, which delayed closed connections by 0.5 s, and a next request whose first bytes httpguard holds counts as one in flight.

--- a/internal/backend/httpconn/conn_test.go
+++ b/internal/backend/httpconn/conn_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net"
+	"net/http"
 	"strings"
 	"syscall"
 	"testing"
@@ -124,7 +125,7 @@
 		t.Fatal(err)
 	}
 	defer answer.Body.Close()
-	if body, err := io.ReadAll(answer.Body); string(body) != "ok" || answer.StatusCode != 200 {
+	if body, err := io.ReadAll(answer.Body); string(body) != "ok" || answer.StatusCode != http.StatusOK {
 		t.Errorf("status %d, body %q, %v", answer.StatusCode, body, err)
 	}
 	c.Release(false)
--- a/internal/entry/bodybudget/budget.go
+++ b/internal/entry/bodybudget/budget.go
@@ -1,16 +1,20 @@
-// Package bodybudget bounds the memory that the bodies of all requests in flight take.
+// Package bodybudget bounds the memory that callers can make the process take: the bodies of
+// all requests in flight, and the heads and connections that package httpguard accounts for.
 //
 //	length, reader --> Budget.Read --> Body or ErrFull --> Body.Release
+//	bytes --> Budget.Reserve --> fits or not --> Budget.Release
 //
 // The load pattern: bodies are kept until their request ends, so that it can be sent again or
 // answered as a whole. Many long ones at a time, or a faulty peer that sends bytes without end,
 // would take more than the process has, and all requests would end with it. Long bodies leave
-// a part of the budget to short ones, which would starve otherwise.
+// a part of the budget to short ones, which would starve otherwise. Callers that stop midway
+// keep what they hold, so the holder of the most that makes no progress is ended first.
 package bodybudget
 
 import (
 	"io"
 	"sync"
+	"time"
 
 	"github.com/cockroachdb/errors"
 )
@@ -22,17 +26,27 @@
 	longShare = 0.75
 	// firstBytes is the first size of a buffer for a body of unknown length.
 	firstBytes = 2 << 10
+	// roomAttempts is how often memory is freed by MakeRoom for a reservation, which then looks
+	// roomPolls times, in intervals of roomPollInterval, whether it fits. The holder is
+	// interrupted and releases it within milliseconds.
+	roomAttempts     = 5
+	roomPolls        = 5
+	roomPollInterval = 4 * time.Millisecond
 )
 
 // ErrFull is returned if a body does not fit into the budget.
 var ErrFull = errors.New("no memory for the body")
 
 type (
-	// Budget is the memory for bodies. It is safe for concurrent use. Set Limit before the
+	// Budget is the memory for what callers send and are sent. It is safe for concurrent use. Set Limit before the
 	// first use. A nil Budget bounds nothing.
 	Budget struct {
 		// Limit is the sum in bytes; 0 for none.
 		Limit int64
+		// MakeRoom ends the connection that holds the most for the longest time without
+		// progress, and reports whether there is one; nil if none can be ended. It is called
+		// when something doesn't fit.
+		MakeRoom func() bool
 
 		mu sync.Mutex
 		// used is the sum of the reserved bytes.
@@ -55,11 +69,30 @@
 	return b.used
 }
 
-// reserve adds bytes to a body that has held bytes, and reports whether they fit.
-func (b *Budget) reserve(held, more int64) bool {
-	if b == nil {
+// Reserve reserves more bytes for a holder that has held bytes, and reports whether they fit. It
+// may wait for room.
+func (b *Budget) Reserve(held, more int64) bool {
+	if b == nil || b.reserve(held, more) {
 		return true
 	}
+	if b.MakeRoom == nil {
+		return false
+	}
+	for range roomAttempts {
+		if !b.MakeRoom() {
+			return b.reserve(held, more)
+		}
+		for range roomPolls {
+			if b.reserve(held, more) {
+				return true
+			}
+			time.Sleep(roomPollInterval)
+		}
+	}
+	return false
+}
+
+func (b *Budget) reserve(held, more int64) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	limit := b.Limit
@@ -73,7 +106,8 @@
 	return true
 }
 
-func (b *Budget) release(bytes int64) {
+// Release returns reserved bytes.
+func (b *Budget) Release(bytes int64) {
 	if b == nil {
 		return
 	}
@@ -115,7 +149,7 @@
 
 // grow makes room for so many bytes in all, and reports whether they fit.
 func (b *Body) grow(size int64) bool {
-	if !b.budget.reserve(b.reserved, size-b.reserved) {
+	if !b.budget.Reserve(b.reserved, size-b.reserved) {
 		return false
 	}
 	b.reserved = size
@@ -127,6 +161,6 @@
 
 // Release returns the memory of the body to the budget. Further calls have no effect.
 func (b *Body) Release() {
-	b.budget.release(b.reserved)
+	b.budget.Release(b.reserved)
 	b.reserved = 0
 }
--- a/internal/entry/callerconns/tracker.go
+++ b/internal/entry/callerconns/tracker.go
@@ -45,6 +45,9 @@
 		// Unanswered is called when a connection has ended after a byte of a request was read
 		// and before one of its answer was written; nil for never.
 		Unanswered func(Unanswered)
+		// NoOvertime is set if the listener around this one decides when a head has taken too
+		// long. Otherwise reads go on for a moment after the deadline of a head.
+		NoOvertime bool
 
 		mu    sync.Mutex
 		conns map[*trackedConn]struct{}
@@ -88,8 +91,8 @@
 		// headRead is set from the end of a request's head to the end of its answer.
 		headRead bool
 		// overtime is set once the time to wait for the head of the next request, or to read
-		// it, was extended.
-		overtime bool
+		// it, was extended; noOvertime is set if it never is.
+		overtime, noOvertime bool
 	}
 )
 
@@ -107,7 +110,7 @@
 		// Not expected: the listener is one for TCP.
 		return conn, nil
 	}
-	c := &trackedConn{TCPConn: stream, clock: t.Clock, acceptedAt: t.Clock.Now()}
+	c := &trackedConn{TCPConn: stream, clock: t.Clock, acceptedAt: t.Clock.Now(), noOvertime: t.NoOvertime}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.conns == nil {
@@ -143,6 +146,14 @@
 	}
 }
 
+// NextBegun marks the connection as one with a request in flight, whose first bytes were read
+// before the end of the last answer.
+func (c *trackedConn) NextBegun() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.busy = true
+}
+
 func (t *Tracker) remove(c *trackedConn) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -189,7 +200,7 @@
 func (c *trackedConn) extendHead() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.headRead || c.overtime || c.closing {
+	if c.headRead || c.overtime || c.noOvertime || c.closing {
 		return false
 	}
 	c.overtime = true
--- a/internal/entry/forward/handler.go
+++ b/internal/entry/forward/handler.go
@@ -85,8 +85,9 @@
 		mu sync.Mutex
 		// longestDeadline holds the longest deadline seen on each route.
 		longestDeadline map[string]time.Duration
-		// noMemoryLoggedAt is when a refusal for want of memory was logged.
-		noMemoryLoggedAt time.Time
+		// refusedBodyLoggedAt is when a refusal for want of memory, or of a body that has
+		// stalled, was logged.
+		refusedBodyLoggedAt time.Time
 	}
 
 	errorBody struct {
--- a/internal/entry/forward/log.go
+++ b/internal/entry/forward/log.go
@@ -23,14 +23,14 @@
 	// loggedStartWindow is the last part of a version's grace in which each start of
 	// a response on the older version is logged.
 	loggedStartWindow = 250 * time.Millisecond
-	// noMemoryLogInterval is the minimum interval between two lines of requests that are
-	// refused for want of memory.
-	noMemoryLogInterval = 100 * time.Millisecond
+	// refusedBodyLogInterval is the minimum interval between two lines of requests that are
+	// refused for want of memory, or because their bodies have stalled.
+	refusedBodyLogInterval = 100 * time.Millisecond
 )
 
 // logEnd records the metrics and writes the log line of a request that has
 // ended. The lines of requests that succeeded without a failed attempt are
-// sampled, and those of requests refused for want of memory limited.
+// sampled, and those of requests refused for their bodies limited.
 func (q *request) logEnd(status int, code string, retryAfter time.Duration) {
 	route := ""
 	if q.route != nil {
@@ -43,7 +43,7 @@
 	}
 	q.handler.Metrics.Timer("answer").Record(took)
 	succeeded := status > 0 && status < http.StatusMultipleChoices && q.lastError == nil
-	if succeeded && !q.handler.Sampled(q.head.ID) || code == codeNoMemory && !q.handler.logsNoMemory() {
+	if succeeded && !q.handler.Sampled(q.head.ID) || (code == codeNoMemory || code == codeBodyStalled) && !q.handler.logsRefusedBody() {
 		return
 	}
 	e := q.handler.Logger.Info().EmbedObject(logging.Fields{Route: route, Pool: q.pool.Name, RequestID: q.head.ID, Peer: string(q.lastDecision.Server.Instance)}).
@@ -77,15 +77,16 @@
 		Bytes("stack", stack[:min(len(stack), maxLoggedStack)]).Msg("request was ended by a panic")
 }
 
-// logsNoMemory reports whether the next refusal for want of memory is logged.
-func (h *Handler) logsNoMemory() bool {
+// logsRefusedBody reports whether the next refusal for want of memory, or of a body that has
+// stalled, is logged.
+func (h *Handler) logsRefusedBody() bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	now := h.Clock.Now()
-	if now.Sub(h.noMemoryLoggedAt) < noMemoryLogInterval {
+	if now.Sub(h.refusedBodyLoggedAt) < refusedBodyLogInterval {
 		return false
 	}
-	h.noMemoryLoggedAt = now
+	h.refusedBodyLoggedAt = now
 	return true
 }
 
--- a/internal/entry/forward/requestbody.go
+++ b/internal/entry/forward/requestbody.go
@@ -8,12 +8,16 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/mulberryspool/mulberryspool/internal/entry/bodybudget"
+	"github.com/mulberryspool/mulberryspool/internal/peer/httpguard"
 )
 
 const (
 	// codeNoMemory is the code of requests that are refused because there is no memory for
 	// their bodies.
 	codeNoMemory = "noMemory"
+	// codeBodyStalled is the code of requests that are refused because hardly any of their
+	// bodies arrives.
+	codeBodyStalled = "bodyStalled"
 	// noMemoryRetryAfter is the Retry-After hint of such a refusal. Bodies are kept until
 	// their requests end.
 	noMemoryRetryAfter = time.Second
@@ -37,13 +41,15 @@
 	q.body = body.Bytes
 	arrivedInTime := inTime()
 	switch {
-	case errors.Is(err, bodybudget.ErrFull):
+	case errors.Is(err, bodybudget.ErrFull), errors.Is(err, httpguard.ErrNoMemory):
 		q.handler.count("bodies_without_memory", q.route.Name, q.pool.Name, "request")
 		q.refuseBody(http.StatusServiceUnavailable, typeNotRun, codeNoMemory, q.capRetryAfter(noMemoryRetryAfter))
 	case !arrivedInTime && q.handler.mustAnswer():
 		q.refuseBody(http.StatusServiceUnavailable, typeNotRun, codeStopping, stoppingRetryAfter)
 	case !arrivedInTime:
 		q.refuseBody(http.StatusRequestTimeout, typeNotRun, "bodyTooSlow", 0)
+	case errors.Is(err, httpguard.ErrNoProgress):
+		q.refuseBody(http.StatusRequestTimeout, typeNotRun, codeBodyStalled, 0)
 	case err != nil:
 		q.handler.Logger.Info().Err(err).Str("requestID", string(q.head.ID)).Msg("caller disconnected before its request was read")
 		panic(http.ErrAbortHandler)
--- a/internal/integration/hostedclients_test.go
+++ b/internal/integration/hostedclients_test.go
@@ -1,6 +1,7 @@
 package integration
 
 import (
+	"bufio"
 	"context"
 	"encoding/binary"
 	"fmt"
@@ -12,6 +13,8 @@
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/mulberryspool/mulberryspool"
 	"github.com/mulberryspool/mulberryspool/internal/standin/backendserver"
 	"github.com/mulberryspool/mulberryspool/internal/testkit/hostedagents"
@@ -80,14 +83,12 @@
 	{"body far over the limit", bigHeads, func(ctx context.Context, conn net.Conn, d door) {
 		sendAll(conn, d.head("POST", "Transfer-Encoding: chunked\r\n")+"\r\n")
 		chunk := "10000\r\n" + strings.Repeat("b", 0x10000) + "\r\n"
-		for sent := 0; ctx.Err() == nil && sent < 64*crowdMaxBody && sendAll(conn, chunk); sent += len(chunk) {
-		}
+		sendRepeated(ctx, conn, chunk, 64*crowdMaxBody/0x10000)
 		drain(ctx, conn)
 	}},
 	{"pipelined requests, responses unread", manyConns, func(ctx context.Context, conn net.Conn, d door) {
 		request := d.head("GET", "") + "\r\n"
-		for sent := 0; ctx.Err() == nil && sent < 5000 && sendAll(conn, strings.Repeat(request, 50)); sent += 50 {
-		}
+		sendRepeated(ctx, conn, strings.Repeat(request, 50), 100)
 		<-ctx.Done()
 	}},
 	{"slow head", manyConns, func(ctx context.Context, conn net.Conn, d door) {
@@ -184,9 +185,7 @@
 		{"message without end", bigHeads, func(ctx context.Context, conn net.Conn, _ door) {
 			// A message begins with its length.
 			sendAll(conn, string(binary.AppendUvarint(nil, 1<<30))+`{"jsonrpc":"2.0","id":1,"method":"`)
-			part := strings.Repeat("m", 64<<10)
-			for sent := 0; ctx.Err() == nil && sent < 16<<20 && sendAll(conn, part); sent += len(part) {
-			}
+			sendRepeated(ctx, conn, strings.Repeat("m", 64<<10), 256)
 			drain(ctx, conn)
 		}},
 		{"connections without a message", manyConns, func(ctx context.Context, conn net.Conn, _ door) { drain(ctx, conn) }},
@@ -202,6 +201,71 @@
 	}
 }
 
+// Guards against a request within the limits that is refused although nothing else is going
+// on: with very many short fields, or a body of the largest size.
+func TestLargestRequestsAreServed(t *testing.T) {
+	s, e := startSmallEntry(t)
+	d := door{"route", strings.TrimPrefix(e.URL, "http://"), hostedsystem.LookupPrefix + "x?take=10ms"}
+	head := d.head("POST", fmt.Sprintf("Content-Length: %d\r\n", crowdMaxBody))
+	head += manyFields(int(s.Limits.MaxHeadBytes)-len(head)-20) + "\r\n"
+	conn, err := net.Dial("tcp", d.address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	if err := conn.SetDeadline(time.Now().Add(20 * time.Second)); err != nil {
+		t.Fatal(err)
+	}
+	answers := bufio.NewReader(conn)
+	for range 3 {
+		if !sendAll(conn, head+strings.Repeat("b", crowdMaxBody)) {
+			t.Fatal("request could not be sent")
+		}
+		if status, _, err := readAnswer(answers); status != http.StatusOK || err != nil {
+			t.Fatalf("request with a head of %d bytes got status %d, %v", len(head), status, err)
+		}
+	}
+}
+
+// Guards against limits of a configuration that apply to new connections only, or to none.
+func TestLimitsOfConfigurationApplyToOpenConnections(t *testing.T) {
+	s, e := startSmallEntry(t)
+	d := door{"route", strings.TrimPrefix(e.URL, "http://"), hostedsystem.LookupPrefix + "x?take=10ms"}
+	open := func() (net.Conn, *bufio.Reader) {
+		conn, err := net.Dial("tcp", d.address)
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { conn.Close() })
+		if err := conn.SetDeadline(time.Now().Add(10 * time.Second)); err != nil {
+			t.Fatal(err)
+		}
+		answers := bufio.NewReader(conn)
+		sendAll(conn, d.head("GET", "")+"\r\n")
+		if status, _, err := readAnswer(answers); status != http.StatusOK {
+			t.Fatalf("status %d, %v", status, err)
+		}
+		return conn, answers
+	}
+	long, longAnswers := open()
+	slow, slowAnswers := open()
+	_, idleAnswers := open()
+	s.Limits = mulberryspool.CallerLimits{MaxHeadBytes: 2 << 10, HeadTimeout: 500 * time.Millisecond, IdleTimeout: 4 * time.Second}
+	s.PutConfiguration(2)
+	time.Sleep(time.Second)
+	sendAll(long, d.head("GET", "")+manyFields(8<<10)+"\r\n")
+	if status, _, err := readAnswer(longAnswers); status != http.StatusRequestHeaderFieldsTooLarge {
+		t.Errorf("head beyond the new limit got status %d, %v", status, err)
+	}
+	sendAll(slow, d.head("GET", ""))
+	if status, _, err := readAnswer(slowAnswers); status != http.StatusRequestTimeout {
+		t.Errorf("head beyond the new time limit got status %d, %v", status, err)
+	}
+	if _, err := idleAnswers.ReadByte(); !errors.Is(err, io.EOF) {
+		t.Errorf("idle connection ended with %v", err)
+	}
+}
+
 func startSmallEntry(t *testing.T) (*hostedsystem.System, *hostedsystem.Entry) {
 	t.Helper()
 	s := &hostedsystem.System{
@@ -301,6 +365,15 @@
 	return err == nil
 }
 
+// sendRepeated sends a text so many times, or until the connection or the context ends.
+func sendRepeated(ctx context.Context, conn net.Conn, text string, times int) {
+	for range times {
+		if ctx.Err() != nil || !sendAll(conn, text) {
+			return
+		}
+	}
+}
+
 // drain reads until the connection or the context ends.
 func drain(ctx context.Context, conn net.Conn) {
 	_, _ = io.Copy(io.Discard, conn)
--- a/internal/observe/admin/admin.go
+++ b/internal/observe/admin/admin.go
@@ -20,6 +20,7 @@
 
 	"github.com/mulberryspool/mulberryspool"
 	"github.com/mulberryspool/mulberryspool/internal/observe/timeline"
+	"github.com/mulberryspool/mulberryspool/internal/peer/httpguard"
 )
 
 const (
@@ -65,6 +66,7 @@
 // Serve serves requests until the context ends, and closes the listener.
 func (s *Server) Serve(ctx context.Context, listener net.Listener) error {
 	server := &http.Server{Handler: s.Handler(), ReadHeaderTimeout: headerTimeout}
+	httpguard.Attach(server, listener)
 	stopped := make(chan struct{})
 	stop := context.AfterFunc(ctx, func() {
 		defer close(stopped)
--- a/internal/peer/chunks/server.go
+++ b/internal/peer/chunks/server.go
@@ -20,6 +20,7 @@
 	"golang.org/x/sync/semaphore"
 
 	"github.com/mulberryspool/mulberryspool"
+	"github.com/mulberryspool/mulberryspool/internal/peer/httpguard"
 )
 
 const (
@@ -80,6 +81,7 @@
 	router := mux.NewRouter()
 	router.HandleFunc("/chunks/{digest:[0-9a-f]{64}}", s.serveChunk).Methods(http.MethodGet)
 	server := &http.Server{Handler: router, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
+	httpguard.Attach(server, listener)
 	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
 	defer stop()
 	if err := server.Serve(listener); err != nil && !errors.Is(err, http.ErrServerClosed) {
--- a/internal/role/hosted/agent.go
+++ b/internal/role/hosted/agent.go
@@ -50,6 +50,8 @@
 	// link: 32 KB take 35 ms there, and an event is late after 120 ms.
 	uploadSlots       = 2
 	uploadBufferBytes = 16 << 10
+	// maxCallBytes limits a message of another agent. A manifest of 64 pieces has about 7 KB.
+	maxCallBytes = 128 << 10
 	// uplinkLiveShare is the share of the link that uploads leave to the model
 	// server's events.
 	uplinkLiveShare = 0.35
@@ -206,7 +208,8 @@
 	if err != nil {
 		return err
 	}
-	content = sockets.LimitedBufferListener{Listener: content, BufferBytes: uploadBufferBytes}
+	control = p.guard.ListenRaw(control, "calls", callsDescriptors)
+	content = p.guard.Listen(sockets.LimitedBufferListener{Listener: content, BufferBytes: uploadBufferBytes}, "pieces", piecesDescriptors)
 	conn, err := heartbeat.Listen(s.AgentHeartbeatAddress(s.Address))
 	if err != nil {
 		return err
@@ -216,7 +219,7 @@
 		Self: heartbeat.Message{Role: mulberryspool.RoleAgent, Sender: s.Instance, FailureDomain: s.FailureDomain, Boot: p.boot},
 	}
 	hybridClock := &hlc.Clock{Wall: p.clock}
-	endpoint := &rpc.Endpoint{Clock: p.clock, HLC: hybridClock, Handle: a.handle}
+	endpoint := &rpc.Endpoint{Clock: p.clock, HLC: hybridClock, Handle: a.handle, MaxMessageBytes: maxCallBytes}
 	a.endpoint = endpoint
 	a.fetcher = &fetch.Fetcher{
 		Identity: p.identity, Clock: p.clock, Origin: a.origin, Instances: a, Endpoint: endpoint, Listener: content,
@@ -227,6 +230,7 @@
 	}
 	p.logger.Info().Str(logging.FieldStep, "start").Int64("boot", p.boot).Str("backend", s.Backend).Msg("process started")
 	group, ctx := errgroup.WithContext(ctx)
+	group.Go(func() error { p.guard.Run(ctx); return nil })
 	group.Go(func() error { a.fleet.Run(ctx); return nil })
 	group.Go(func() error { return a.heartbeats.Run(ctx) })
 	group.Go(func() error { return endpoint.Serve(ctx, control) })
--- a/internal/role/hosted/entry.go
+++ b/internal/role/hosted/entry.go
@@ -16,7 +16,6 @@
 	"github.com/mulberryspool/mulberryspool"
 	"github.com/mulberryspool/mulberryspool/internal/backend/httpconn"
 	"github.com/mulberryspool/mulberryspool/internal/backend/liveness"
-	"github.com/mulberryspool/mulberryspool/internal/entry/bodybudget"
 	"github.com/mulberryspool/mulberryspool/internal/entry/callerconns"
 	"github.com/mulberryspool/mulberryspool/internal/entry/forward"
 	"github.com/mulberryspool/mulberryspool/internal/entry/placement"
@@ -27,6 +26,7 @@
 	"github.com/mulberryspool/mulberryspool/internal/entry/silence"
 	"github.com/mulberryspool/mulberryspool/internal/observe/logging"
 	"github.com/mulberryspool/mulberryspool/internal/peer/heartbeat"
+	"github.com/mulberryspool/mulberryspool/internal/peer/httpguard"
 	"github.com/mulberryspool/mulberryspool/internal/peer/sockets"
 	"github.com/mulberryspool/mulberryspool/internal/platform/configwatch"
 	"github.com/mulberryspool/mulberryspool/internal/platform/fleet"
@@ -82,8 +82,6 @@
 	stopPollInterval = 50 * time.Millisecond
 	// headerTimeout limits the reading of a request's headers.
 	headerTimeout = 10 * time.Second
-	// idleTimeout is longer than callers keep a connection idle.
-	idleTimeout = 2 * time.Minute
 	// silenceSendInterval is the minimum interval between two heartbeats about backend
 	// servers that have just fallen silent.
 	silenceSendInterval = 200 * time.Millisecond
@@ -93,8 +91,6 @@
 	// changed state to all processes; of many configurations in a row only the last
 	// one matters.
 	stateSendInterval = 60 * time.Millisecond
-	// bodyMemoryShare is the share of the machine's memory that bodies in flight may take.
-	bodyMemoryShare = 0.2
 	// maxRegistered limits the addresses of other entries that are kept.
 	maxRegistered = 4096
 	// registerRetryInterval is the pause after a failed registration.
@@ -114,6 +110,9 @@
 		promptGuard *promptguard.Guard
 		connPool    *httpconn.Pool
 		handler     *forward.Handler
+		// connections are those of callers, which callers guards.
+		connections *callerconns.Tracker
+		callers     *httpguard.Listener
 		heartbeats  *heartbeat.Transport
 
 		// loadChanged is signalled when a request is placed, queued or ended.
@@ -162,6 +161,8 @@
 	if err != nil {
 		return err
 	}
+	e.connections = &callerconns.Tracker{Listener: callers, Clock: p.clock, Unanswered: e.recordUnanswered, NoOvertime: true}
+	e.callers = p.guard.Listen(e.connections, "callers", callersDescriptors)
 	readiness, err := listen(s.Listen.Readiness)
 	if err != nil {
 		return err
@@ -182,17 +183,22 @@
 	background, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	group, groupCtx := errgroup.WithContext(background)
+	group.Go(func() error { p.guard.Run(groupCtx); return nil })
 	group.Go(func() error { e.fleet.Run(groupCtx); return nil })
 	group.Go(func() error { return e.heartbeats.Run(groupCtx) })
 	group.Go(func() error { e.runHeartbeats(groupCtx); return nil })
 	group.Go(func() error { e.register(groupCtx); return nil })
 	group.Go(func() error { p.watchSettings(groupCtx, file); return nil })
 	group.Go(func() error { return p.serveMetrics(groupCtx) })
-	group.Go(func() error { return serve(groupCtx, e.stateServer(), state) })
-	group.Go(func() error { return serve(groupCtx, e.readinessServer(), readiness) })
+	group.Go(func() error {
+		return serve(groupCtx, e.stateServer(), p.guard.Listen(state, "state", stateDescriptors))
+	})
+	group.Go(func() error {
+		return serve(groupCtx, e.readinessServer(), p.guard.Listen(readiness, "readiness", readinessDescriptors))
+	})
 	group.Go(func() error {
 		defer stop()
-		return e.serveCallers(ctx, groupCtx, callers)
+		return e.serveCallers(ctx, groupCtx)
 	})
 	return group.Wait()
 }
@@ -219,7 +225,7 @@
 		Clock: e.clock, HeaderCodec: platform.Headers{}, Scheduler: e.scheduler, PromptGuard: e.promptGuard, ConnPool: e.connPool, Logger: e.logger,
 		Liveness: &liveness.Checker{Clock: e.clock, Pool: e.connPool, HeaderCodec: platform.Headers{}}, Metrics: e.metrics,
 		Sampled: logging.Sampler(e.settings.LogSample), GracefulStop: b.GracefulStop,
-		Bodies: &bodybudget.Budget{Limit: int64(bodyMemoryShare * float64(e.settings.Limits.Memory))},
+		Bodies: e.memory,
 	}
 	e.fleet = e.process.newFleet()
 	e.configWatch = configwatch.Election{Self: e.settings.Instance, FailureDomain: e.identity.FailureDomain}
@@ -231,6 +237,7 @@
 	e.fleet.AssumedAge = b.NamedVersion - versionEndMargin - unknownAgeGrace
 	e.fleet.IngressChanged = func(i mulberryspool.Ingress) {
 		e.scheduler.SetIngress(i)
+		e.callers.SetLimits(i.Limits)
 		e.signalStateChange()
 	}
 	e.fleet.ServersChanged = func(s fleet.Servers) {
@@ -303,16 +310,16 @@
 // serveCallers serves until ctx ends on SIGTERM and the requests in flight have ended.
 // Connections stay open for a while, because a request that arrives while its connection is
 // closed would be lost, and new ones are accepted until no more come.
-func (e *entryRole) serveCallers(ctx, background context.Context, listener net.Listener) error {
-	connections := &callerconns.Tracker{Listener: listener, Clock: e.clock, Unanswered: e.recordUnanswered}
-	server := &http.Server{
-		Handler: e.handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, ErrorLog: discardLog(), ConnState: connections.Record,
-	}
+func (e *entryRole) serveCallers(ctx, background context.Context) error {
+	connections := e.connections
+	// The guard enforces the time limits of heads and idle connections, which may change.
+	server := &http.Server{Handler: e.handler, ErrorLog: discardLog(), ConnState: connections.Record}
+	httpguard.Attach(server, e.callers)
 	served := make(chan error, 1)
-	go func() { served <- server.Serve(connections) }()
+	go func() { served <- server.Serve(e.callers) }()
 	select {
 	case err := <-served:
-		return mulberryspool.AtStep(err, "serve callers", listener.Addr().String())
+		return mulberryspool.AtStep(err, "serve callers", connections.Addr().String())
 	case <-background.Done():
 		return errors.Wrap(server.Close(), "close connections")
 	case <-ctx.Done():
@@ -350,6 +357,7 @@
 }
 
 func serve(ctx context.Context, server *http.Server, listener net.Listener) error {
+	httpguard.Attach(server, listener)
 	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
 	defer stop()
 	if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
--- a/internal/role/hosted/hosted.go
+++ b/internal/role/hosted/hosted.go
@@ -29,8 +29,10 @@
 	"github.com/uber-go/tally/v4"
 
 	"github.com/mulberryspool/mulberryspool"
+	"github.com/mulberryspool/mulberryspool/internal/entry/bodybudget"
 	"github.com/mulberryspool/mulberryspool/internal/observe/admin"
 	"github.com/mulberryspool/mulberryspool/internal/observe/logging"
+	"github.com/mulberryspool/mulberryspool/internal/peer/httpguard"
 	"github.com/mulberryspool/mulberryspool/internal/peer/sockets"
 	"github.com/mulberryspool/mulberryspool/internal/platform/fleet"
 	"github.com/mulberryspool/mulberryspool/internal/platform/objectapi"
@@ -42,6 +44,13 @@
 	// memoryLimitShare is the share of the machine's memory that is set as the
 	// runtime's soft memory limit.
 	memoryLimitShare = 0.5
+	// callerMemoryShare is the share of the machine's memory that callers may take with heads,
+	// bodies, responses and connections.
+	callerMemoryShare = 0.3
+	// Shares of the descriptors that the connections to each listener may use, so that none
+	// shuts out another one. The rest is for connections to backend servers.
+	callersDescriptors, readinessDescriptors, stateDescriptors, metricsDescriptors = 0.5, 0.1, 0.12, 0.05
+	piecesDescriptors, callsDescriptors                                            = 0.5, 0.25
 	// gcPercent is lower than the default to keep the heap small, at the cost of
 	// some processor time.
 	gcPercent = 30
@@ -111,6 +120,9 @@
 	storeClient    *objectapi.Client
 	store          *platform.Store
 	peerClient     *http.Client
+	// memory bounds what callers take, guard the connections that they open.
+	memory *bodybudget.Budget
+	guard  *httpguard.Guard
 	// boot orders the incarnations of the process. It is taken from the wall clock:
 	// if that goes back, peers ignore the heartbeats of the new incarnation until
 	// they remove the old one.
@@ -133,7 +145,14 @@
 		DialContext: sockets.Dialer{SingleProbe: true}.DialContext, CallsPerSecond: storeCallsPerSecond,
 		AttemptTimeout: storeAttemptTimeout, CallTimeout: storeCallTimeout, MaxBackoff: storeMaxBackoff, WaitSlack: watchSlack,
 	}
+	memory := &bodybudget.Budget{Limit: int64(callerMemoryShare * float64(s.Limits.Memory))}
+	guard := &httpguard.Guard{
+		Clock: clock, Budget: memory, Logger: logger, Metrics: metrics, Descriptors: s.Limits.Descriptors,
+		SetRefusal: func(h http.Header, retryAfter time.Duration) { platform.Headers{}.SetRefusal(h, "", retryAfter) },
+	}
+	memory.MakeRoom = guard.MakeRoom
 	return &process{
+		memory: memory, guard: guard,
 		settings: s, identity: identity, clock: clock, logger: logger, logWriter: logWriter,
 		metrics: metrics, metricsHandler: metricsHandler, metricsCloser: metricsCloser, storeClient: storeClient,
 		store:      &platform.Store{Client: storeClient, Logger: logger, Metrics: metrics},
@@ -245,7 +264,7 @@
 	if err != nil {
 		return mulberryspool.AtStep(err, "listen", p.settings.MetricsAddress())
 	}
-	return (&admin.Server{Metrics: p.metricsHandler}).Serve(ctx, listener)
+	return (&admin.Server{Metrics: p.metricsHandler}).Serve(ctx, p.guard.Listen(listener, "metrics", metricsDescriptors))
 }
 
 // watchSettings reads the file again on each signal and every settingsPollInterval, and logs
--- a/internal/role/hosted/stateserver.go
+++ b/internal/role/hosted/stateserver.go
@@ -53,6 +53,13 @@
 		w.WriteHeader(http.StatusInternalServerError)
 		return
 	}
+	// The reader may be slow.
+	if !e.memory.Reserve(0, int64(len(body))) {
+		e.metrics.Tagged(map[string]string{"reason": "state"}).Counter("responses_without_memory").Inc(1)
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	defer e.memory.Release(int64(len(body)))
 	w.Header().Set("Content-Type", "application/json")
 	if _, err := w.Write(body); err != nil {
 		e.logger.Info().Err(err).Str(logging.FieldStep, "send state").Msg("state could not be sent")
