--- a/internal/peer/httpguard/guard_test.go
+++ b/internal/peer/httpguard/guard_test.go
@@ -317,6 +317,7 @@
 		g := start(t, 0, 0)
 		conn, responses := g.dial(t)
 		send(t, conn, text)
+		g.await(t, int64(len(text)))
 		for n := len(text); len(g.guard.list()) > 0; n++ {
 			if n > len(text)+200 {
 				t.Fatalf("%s: the connection is open after %d bytes", name, n)
