Close connections that were never used earlier when a listener is full

Beside 520 clients that open connections and send nothing, ordinary requests waited for up to 3.1 s to be accepted (a trial, 96 MB and 500 descriptors), because such connections were closed after 1 s only. Callers send a request as soon as a connection is open, so 0.3 s is enough for one that was never used; one that a caller may use again still has 1 s. Tests of the guard check the counters' reasons.

--- a/internal/peer/httpguard/conn.go
+++ b/internal/peer/httpguard/conn.go
@@ -556,14 +556,14 @@
 	if stalled >= minStall {
 		return float64(c.reserved+c.heldBody+c.pending) * stalled.Seconds()
 	}
-	if errors.Is(cause, errDescriptors) && idle >= minIdle {
-		// Less than that of any connection that has stalled. A caller may still use one again
-		// that it has used before.
-		weight := min(idle.Seconds(), maxIdleWeight)
-		if !c.used {
-			weight += maxIdleWeight
-		}
-		return weight
+	// Both are less than the weight of any connection that has stalled. A caller that opens a
+	// connection sends its request at once, but may still use one again that it has used.
+	switch {
+	case !errors.Is(cause, errDescriptors):
+	case !c.used && idle >= minStall:
+		return maxIdleWeight + min(idle.Seconds(), maxIdleWeight)
+	case idle >= minIdle:
+		return min(idle.Seconds(), maxIdleWeight)
 	}
 	return 0
 }
--- a/internal/peer/httpguard/guard.go
+++ b/internal/peer/httpguard/guard.go
@@ -61,8 +61,8 @@
 	// minStall is the time without progress after which a connection may be closed in favor of
 	// another one.
 	minStall = 300 * time.Millisecond
-	// minIdle is the idle time after which a connection may be closed in favor of another one
-	// if none has stalled.
+	// minIdle is the idle time after which a connection that was used may be closed in favor of
+	// another one if none has stalled.
 	minIdle = time.Second
 	// overtime is how long a connection that is past a time limit is kept, because the limit
 	// may have passed while the process had no processor, and the bytes arrived.
--- a/internal/peer/httpguard/guard_test.go
+++ b/internal/peer/httpguard/guard_test.go
@@ -32,6 +32,7 @@
 	guard    *Guard
 	listener *Listener
 	handler  http.HandlerFunc
+	metrics  tally.TestScope
 
 	mu sync.Mutex
 	// requests holds the requests that were served, with their bodies.
@@ -44,9 +45,9 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	g := &guarded{clock: clockwork.NewFakeClock()}
+	g := &guarded{clock: clockwork.NewFakeClock(), metrics: tally.NewTestScope("", nil)}
 	memory := &bodybudget.Budget{Limit: budget}
-	g.guard = &Guard{Clock: g.clock, Budget: memory, Logger: zerolog.Nop(), Metrics: tally.NoopScope, Descriptors: descriptors}
+	g.guard = &Guard{Clock: g.clock, Budget: memory, Logger: zerolog.Nop(), Metrics: g.metrics, Descriptors: descriptors}
 	memory.MakeRoom = g.guard.MakeRoom
 	g.listener = g.guard.Listen(inner, "test", 1)
 	server := &http.Server{Handler: http.HandlerFunc(g.serve)}
@@ -93,6 +94,17 @@
 	return conn, bufio.NewReader(conn)
 }
 
+// closed returns how many connections were closed for a reason.
+func (g *guarded) closed(reason string) int64 {
+	n := int64(0)
+	for _, c := range g.metrics.Snapshot().Counters() {
+		if c.Name() == "guarded_connections_closed" && c.Tags()["reason"] == reason && c.Tags()["listener"] == "test" {
+			n += c.Value()
+		}
+	}
+	return n
+}
+
 // pass lets the time pass, with a sweep before and after the overtime. What the server does on
 // the last bytes ends first.
 func (g *guarded) pass(d time.Duration) {
@@ -267,16 +279,17 @@
 // that stay open.
 func TestCallersWithoutProgress(t *testing.T) {
 	for name, c := range map[string]struct {
-		sent string
-		want int
+		sent   string
+		want   int
+		reason string
 	}{
-		"head":         {"GET / HTTP/1.1\r\nHost", http.StatusRequestTimeout},
-		"body":         {"POST / HTTP/1.1\r\nHost:h\r\nContent-Length: 100\r\n\r\nb", http.StatusRequestTimeout},
-		"chunk":        {"POST / HTTP/1.1\r\nHost:h\r\nTransfer-Encoding: chunked\r\n\r\n10\r\nb", http.StatusRequestTimeout},
-		"no request":   {"", 0},
-		"second head":  {"GET / HTTP/1.1\r\nHost:h\r\n\r\nGET / HT", http.StatusRequestTimeout},
-		"slow drip":    {"POST / HTTP/1.1\r\nHost:h\r\nContent-Length: 100\r\n\r\n", http.StatusRequestTimeout},
-		"after a rest": {"POST / HTTP/1.1\r\nHost:h\r\nContent-Length: 3\r\n\r\nabcGET /", http.StatusRequestTimeout},
+		"head":         {"GET / HTTP/1.1\r\nHost", http.StatusRequestTimeout, "headTooSlow"},
+		"body":         {"POST / HTTP/1.1\r\nHost:h\r\nContent-Length: 100\r\n\r\nb", http.StatusRequestTimeout, "bodyStalled"},
+		"chunk":        {"POST / HTTP/1.1\r\nHost:h\r\nTransfer-Encoding: chunked\r\n\r\n10\r\nb", http.StatusRequestTimeout, "bodyStalled"},
+		"no request":   {"", 0, "idle"},
+		"second head":  {"GET / HTTP/1.1\r\nHost:h\r\n\r\nGET / HT", http.StatusRequestTimeout, "headTooSlow"},
+		"slow drip":    {"POST / HTTP/1.1\r\nHost:h\r\nContent-Length: 100\r\n\r\n", http.StatusRequestTimeout, "bodyStalled"},
+		"after a rest": {"POST / HTTP/1.1\r\nHost:h\r\nContent-Length: 3\r\n\r\nabcGET /", http.StatusRequestTimeout, "headTooSlow"},
 	} {
 		g := start(t, 0, 1<<20)
 		conn, responses := g.dial(t)
@@ -300,6 +313,9 @@
 		if got := status(t, responses); got != c.want {
 			t.Errorf("%s: status %d, want %d", name, got, c.want)
 		}
+		if n := g.closed(c.reason); n != 1 {
+			t.Errorf("%s: %d connections were closed for the reason %s, want 1", name, n, c.reason)
+		}
 		until(t, func() bool { return len(g.guard.list()) == 0 })
 		if used := g.guard.Budget.Used(); used != 0 {
 			t.Errorf("%s: %d bytes are reserved without connections", name, used)
