--- a/internal/entry/forward/handler.go
+++ b/internal/entry/forward/handler.go
@@ -87,8 +87,9 @@
 		// longestDeadline holds the longest deadline seen on each route.
 		longestDeadline map[string]time.Duration
 		refusals        refusals.Log
-		// noMemoryLoggedAt is when a refusal for want of memory was logged.
-		noMemoryLoggedAt time.Time
+		// refusedBodyLoggedAt is when a refusal for want of memory, or of a body that has
+		// stalled, was logged.
+		refusedBodyLoggedAt time.Time
 	}
 
 	errorBody struct {
