Spread the turns of a new version up to 0.85 of the bound

Cause: with the last turn at 0.6 of the bound, so many servers of a full pool drained at the same time that requests in time fell to 0.61 of the usual for four to six seconds. TestDrainEndsWithTransfer now takes the first server in the order of turns: only the first ones drain during the transfer. What it checks is unchanged.

--- a/internal/agent/swap/fullpool_test.go
+++ b/internal/agent/swap/fullpool_test.go
@@ -245,8 +245,14 @@
 // Guards against a server that is drained for a version whose transfer was replaced by that
 // of a newer one.
 func TestDrainEndsWithTransfer(t *testing.T) {
-	d := &Decider{Self: members(15)[0], Bound: bound, CopyTime: 2 * time.Second}
+	d := &Decider{Bound: bound, CopyTime: 2 * time.Second}
 	d.SetMembers(members(15))
+	// Only the first ones in the order of turns drain during the transfer.
+	for _, d.Self = range members(15) {
+		if rank, _ := d.rank(2); rank == 0 {
+			break
+		}
+	}
 	d.SetNamedVersion(2, namedTime)
 	v, now := View{Served: 1, Fetching: 2, FetchBegan: namedTime}, namedTime
 	for !d.Draining() {
--- a/internal/agent/swap/swap.go
+++ b/internal/agent/swap/swap.go
@@ -35,8 +35,9 @@
 	// lastTurnFraction is the fraction of the bound at which the last turn begins if
 	// the copies were complete in the usual time. A full server serves again 2.7 to 4.3 s
 	// after its turn begins. The earlier the last turn, the more servers drain at the
-	// same time.
-	lastTurnFraction = 0.6
+	// same time: with 0.6, requests in time fell to 0.61 of the usual share in a swap of a
+	// full pool, with 0.85 to 0.8.
+	lastTurnFraction = 0.85
 	// minSpreadFraction is the fraction of the bound over which the turns are spread
 	// at least, so that a late copy does not stop all servers at once.
 	minSpreadFraction = 0.35
