Neither fetch nor load a version that may not be served any more

Cause: an older version whose transfer was resumed, or nearly complete, was kept until it was complete, however late. Change: a version that may be served for less than 2 s is not fetched or loaded any more. TestOutdatedVersionIsNeitherFetchedNorLoaded fails without the change (the transfer of version 3 isn't begun, and version 2 is loaded next).

--- a/internal/agent/swap/fullpool_test.go
+++ b/internal/agent/swap/fullpool_test.go
@@ -269,3 +269,25 @@
 		t.Error("the server is still drained after the transfer of version 2 was replaced")
 	}
 }
+
+// Guards against agents that finish, or load, an older version which may not be served any more
+// while the newest one could be read.
+func TestOutdatedVersionIsNeitherFetchedNorLoaded(t *testing.T) {
+	d := decider(0)
+	d.SetNamedVersion(2, namedTime)
+	d.SetNamedVersion(3, namedTime.Add(2*time.Second))
+	fetching := View{Served: 1, Fetching: 2, FetchedShare: 0.97, FetchBegan: namedTime}
+	staged := View{Served: 1, Staged: 2, StagedAt: namedTime.Add(4 * time.Second), Uploaded: 2, Fetching: 3, AwaitsManifest: true}
+	for _, c := range []struct {
+		after    time.Duration
+		outdated bool
+	}{{after: 5 * time.Second}, {after: bound + 500*time.Millisecond, outdated: true}} {
+		now := namedTime.Add(c.after)
+		if fetch := d.Next(fetching, now).Fetch; (fetch == 3) != c.outdated {
+			t.Errorf("after %v, the transfer of version %d is begun", c.after, fetch)
+		}
+		if p := d.Next(staged, now).Prepare; (p == 3) != c.outdated {
+			t.Errorf("after %v, version %d is loaded next", c.after, p)
+		}
+	}
+}
--- a/internal/agent/swap/swap.go
+++ b/internal/agent/swap/swap.go
@@ -94,6 +94,9 @@
 	// minResumedShare is the completed share from which a transfer that was replaced by that
 	// of a newer version is resumed when the newer one stalls.
 	minResumedShare = 0.3
+	// minUseTime is how long a version must at least be usable for a swap to it to begin. A full
+	// server loses about 2 s of its slots by a swap.
+	minUseTime = 2 * time.Second
 	// minTurnShare is the completed share of a transfer from which turns begin. The first
 	// chunks don't show that the others can be had.
 	minTurnShare = 0.1
@@ -322,17 +325,24 @@
 
 // prepared returns the version that is loaded next.
 func (d *Decider) prepared(v View, now time.Time) int64 {
-	if v.Staged > v.Served && (v.Served == 0 || !d.skipsToNewer(v, now)) {
+	if v.Staged > v.Served && !d.isOutdated(v.Staged, now) && (v.Served == 0 || !d.skipsToNewer(v, now)) {
 		return v.Staged
 	}
 	return v.Fetching
 }
 
+// isOutdated reports whether a newer version was named so long ago that this one may be served
+// for less than minUseTime.
+func (d *Decider) isOutdated(version int64, now time.Time) bool {
+	newer := d.firstNamed(version)
+	return !newer.IsZero() && !now.Add(minUseTime).Before(newer.Add(d.Bound))
+}
+
 // keepsCurrentTransfer reports whether the running transfer is finished, or its chunks read
 // from the origin, even though a newer version has been named.
 func (d *Decider) keepsCurrentTransfer(v View, now time.Time) bool {
 	switch {
-	case v.Fetching <= max(v.Served, v.Staged):
+	case v.Fetching <= max(v.Served, v.Staged) || d.isOutdated(v.Fetching, now):
 		return false
 	case v.Fetching == d.resumed:
 		return now.Sub(d.progress.at) < stalledAfter
