Order requests of workspaces of the same priority by that of their route

Cause: the priority of a workspace replaced that of the route, so that where all workspaces have one, requests of all routes were in the same order, and the less urgent ones, which may wait for longer, were served more often. Change: within a priority of workspaces, requests are ordered by the priority of their route. What backend servers are told is unchanged.

--- a/internal/entry/forward/request.go
+++ b/internal/entry/forward/request.go
@@ -23,6 +23,9 @@
 	// rejectedRetryAfter is the Retry-After hint when the backend servers
 	// rejected a request.
 	rejectedRetryAfter = 300 * time.Millisecond
+	// routeRanks is the number of priorities of routes that are told apart within one of
+	// workspaces.
+	routeRanks = 10
 	// stoppingRetryAfter is the Retry-After hint of an entry that stops.
 	stoppingRetryAfter = 10 * time.Millisecond
 )
@@ -275,6 +278,13 @@
 	q.writeError(http.StatusServiceUnavailable, typeNotRun, code, q.capRetryAfter(q.handler.Clock.Until(admission.Until)))
 }
 
+// rank is the priority of the request at this entry: that of its workspace, if it has one, and
+// within it that of its route. Workspaces of the same priority send requests of all routes, and
+// the less urgent ones, which may wait for longer, would be served more often.
+func (q *request) rank() int {
+	return routeRanks*max(0, q.priority()) + min(max(0, q.route.Priority), routeRanks-1)
+}
+
 func (q *request) priority() int {
 	if q.workspace != nil && q.workspace.Priority != nil {
 		return *q.workspace.Priority
--- a/internal/entry/forward/send.go
+++ b/internal/entry/forward/send.go
@@ -92,7 +92,7 @@
 
 func (a *attempt) placementRequest() placement.Request {
 	return placement.Request{
-		PromptTokens: a.head.PromptTokens, AnswerTokens: a.head.ExpectedTokens, Priority: a.priority(), CallerRetry: a.callerRetry, EarlyRetry: a.earlyRetry,
+		PromptTokens: a.head.PromptTokens, AnswerTokens: a.head.ExpectedTokens, Priority: a.rank(), CallerRetry: a.callerRetry, EarlyRetry: a.earlyRetry,
 		LatencyObjective: a.route.Objective, ArrivedAt: a.arrivedAt, Deadline: a.deadline, Exclude: a.exclude,
 		Version: a.version, Reattempt: len(a.exclude) > 0, Trial: a.admission.Trial, Scope: a.scope,
 		Workspace: a.workspaceName(), PlacedBefore: a.withheldBefore,
