--- a/internal/agent/fetch/fetcher_test.go
+++ b/internal/agent/fetch/fetcher_test.go
@@ -72,7 +72,7 @@
 	}
 }
 
-// Guards against a transfer that goes on although it is suspended, or that stays suspended.
+// Guards against a transfer that continues although it is suspended, or that stays suspended.
 func TestSuspendedTransferGoesOnLater(t *testing.T) {
 	f := newFleet(t)
 	content := newContent(2, 400)
--- a/internal/agent/swap/fullpool_test.go
+++ b/internal/agent/swap/fullpool_test.go
@@ -147,7 +147,7 @@
 		s.SetNamedVersion(3, namedTime.Add(p.newerAt))
 	}
 	decision := s.Next(s.view, namedTime.Add(now))
-	// The transfer of version 2 goes on until the manifest of version 3 has been read.
+	// The transfer of version 2 continues until the manifest of version 3 has been read.
 	if decision.Fetch == 3 && s.view.Fetching == 0 {
 		s.view.Fetching, s.view.FetchBegan, s.view.AwaitsManifest = 3, namedTime.Add(now), true
 	}
--- a/internal/agent/swap/swap.go
+++ b/internal/agent/swap/swap.go
@@ -66,9 +66,9 @@
 	// minEarlyMembers is the number of servers from which on turns begin before the
 	// copy is complete. In a smaller pool, one that waits for its copy is missed.
 	minEarlyMembers = 4
-	// Of pioneerShare servers, one drains as soon as its transfer makes progress, so
+	// Of firstDrainShare servers, one drains as soon as its transfer makes progress, so
 	// that the version serves early on a few servers.
-	pioneerShare = 30
+	firstDrainShare = 30
 	// Of firstShare servers, the first one in the order needs its copy early.
 	firstShare = 20
 	// awaitFraction is the fraction of the bound after which a named version whose
@@ -83,7 +83,7 @@
 	// origin takes for a copy, and keepCompleteShare that if it is.
 	keepTransferShare = 0.5
 	keepCompleteShare = 0.85
-	// finishReadTime is the rest of the origin's time for a copy in which agents go on reading
+	// finishReadTime is the rest of the origin's time for a copy in which agents continue to read
 	// it before they turn to a newer version, and finishReadDelay how long after that time they
 	// do. An agent that has not read its chunks by then waits for maxReadDelay: in the replay
 	// of internal/role/hosted, the last chunk arrives 0.2 to 0.7 s after that time. The agents
@@ -144,7 +144,7 @@
 		// send no new requests; 0 while the server is not draining.
 		drainingVersion int64
 		drainingSince   time.Time
-		// lateVersion is a version for which the server was drained in vain, because its
+		// lateVersion is a version for which the server was drained without a load, because its
 		// transfer took too long.
 		lateVersion int64
 		// progress is what was last seen of the running transfer.
@@ -422,7 +422,7 @@
 	}
 	turn := d.turn(v, next, later(now.Add(rest-leadTime), v.FetchBegan))
 	d.planned = plannedTurn{version: next, at: turn}
-	if rank*pioneerShare < count {
+	if rank*firstDrainShare < count {
 		turn = now
 	}
 	if now.Before(turn) {
--- a/internal/agent/swarm/planner_test.go
+++ b/internal/agent/swarm/planner_test.go
@@ -499,8 +499,8 @@
 	}
 }
 
-// Guards against a suspended transfer that keeps asking for chunks, that gives up what it has
-// asked for, or that reads the chunks of all other agents from the origin when it goes on.
+// Guards against a suspended transfer that keeps asking for chunks, that cancels what it has
+// asked for, or that reads the chunks of all other agents from the origin when it is resumed.
 func TestSuspendedTransferStartsNoFetch(t *testing.T) {
 	const count = 16
 	self, other := newMember("a", "east"), newMember("b", "east")
--- a/internal/entry/callerconns/tracker.go
+++ b/internal/entry/callerconns/tracker.go
@@ -46,7 +46,7 @@
 		// and before one of its answer was written; nil for never.
 		Unanswered func(Unanswered)
 		// NoOvertime is set if the listener around this one decides when a head has taken too
-		// long. Otherwise reads go on for a moment after the deadline of a head.
+		// long. Otherwise reads continue for a moment after the deadline of a head.
 		NoOvertime bool
 
 		mu    sync.Mutex
--- a/internal/entry/coldstart/server.go
+++ b/internal/entry/coldstart/server.go
@@ -8,7 +8,7 @@
 )
 
 // window is the time in which an entry sends at most its share. It is longer than the second
-// of the bound: an entry that has used up its share of the processor stands still for up to a
+// of the bound: an entry that has used up its share of the processor is not scheduled for up to a
 // tenth of a second, and its requests would reach the server together with the next ones.
 const window = 1100 * time.Millisecond
 
--- a/internal/entry/placement/evacuation_test.go
+++ b/internal/entry/placement/evacuation_test.go
@@ -54,7 +54,7 @@
 	}
 }
 
-// Guards against a request that goes on waiting when the last failure domain that could serve it is
+// Guards against a request that keeps waiting when the last failure domain that could serve it is
 // evacuated.
 func TestWaitEndsWithEvacuationOfAllServers(t *testing.T) {
 	p := newDomainPlacer()
--- a/internal/entry/placement/retryafter.go
+++ b/internal/entry/placement/retryafter.go
@@ -56,7 +56,7 @@
 }
 
 // lasting is the expected remaining time of a condition whose end isn't known. One that has
-// lasted for long is expected to go on for as long.
+// lasted for long is expected to last as long again.
 func lasting(since, now time.Time) time.Duration {
 	if since.IsZero() {
 		return maxSlotRetryAfter
--- a/internal/entry/shedding/shedding.go
+++ b/internal/entry/shedding/shedding.go
@@ -388,7 +388,7 @@
 // updateExcess updates by how much more of the requests that this entry admits get slots than of
 // those that all entries admit. Entries use the slots that they have freed themselves again,
 // so one that has got more than its part keeps it as long as it has waiting requests, and
-// urgent ones of other entries wait in vain.
+// urgent ones of other entries get no slot.
 func (p *Pool) updateExcess(ownAdmitted, ownPlaced, admitted, placed float64, passed time.Duration) {
 	if ownAdmitted == 0 || placed == 0 {
 		return
--- a/internal/entry/shedding/shedding_test.go
+++ b/internal/entry/shedding/shedding_test.go
@@ -104,7 +104,7 @@
 	})
 }
 
-// Guards against rejections that go on after the overload.
+// Guards against rejections that continue after the overload.
 func TestAllAreAdmittedAfterOverload(t *testing.T) {
 	var p Pool
 	random := rand.New(rand.NewPCG(1, 3))
--- a/internal/integration/clientload/clientload_test.go
+++ b/internal/integration/clientload/clientload_test.go
@@ -45,53 +45,53 @@
 	clientLoad struct {
 		name    string
 		clients int
-		run     func(ctx context.Context, conn net.Conn, d door)
+		run     func(ctx context.Context, conn net.Conn, d endpoint)
 	}
 
-	// door is where a crowd sends its requests.
-	door struct {
+	// endpoint is where a crowd sends its requests.
+	endpoint struct {
 		name, address, path string
 	}
 )
 
 // clientLoads are the kinds of load of docs/design/hard-load.md, part H.
 var clientLoads = []clientLoad{
-	{"many fields", bigHeads, func(ctx context.Context, conn net.Conn, d door) {
+	{"many fields", bigHeads, func(ctx context.Context, conn net.Conn, d endpoint) {
 		sendAll(conn, d.head("POST", "Content-Length: 0\r\n")+manyFields(manyFieldsBytes)+"\r\n")
 		drain(ctx, conn)
 	}},
-	{"many fields without end", bigHeads, func(ctx context.Context, conn net.Conn, d door) {
+	{"many fields without end", bigHeads, func(ctx context.Context, conn net.Conn, d endpoint) {
 		sendAll(conn, d.head("POST", "Content-Length: 0\r\n")+manyFields(manyFieldsBytes))
 		drain(ctx, conn)
 	}},
-	{"body in one piece that stops", manyConns, func(ctx context.Context, conn net.Conn, d door) {
+	{"body in one piece that stops", manyConns, func(ctx context.Context, conn net.Conn, d endpoint) {
 		sendAll(conn, d.head("POST", fmt.Sprintf("Content-Length: %d\r\n", crowdMaxBody))+"\r\n"+strings.Repeat("b", crowdMaxBody-1))
 		drain(ctx, conn)
 	}},
-	{"body in small pieces that stops", manyConns, func(ctx context.Context, conn net.Conn, d door) {
+	{"body in small pieces that stops", manyConns, func(ctx context.Context, conn net.Conn, d endpoint) {
 		sendAll(conn, d.head("POST", fmt.Sprintf("Content-Length: %d\r\n", crowdMaxBody))+"\r\n")
 		for ctx.Err() == nil && sendAll(conn, strings.Repeat("b", 100)) {
 			sleep(ctx, 50*time.Millisecond)
 		}
 		drain(ctx, conn)
 	}},
-	{"chunks of one byte", manyConns, func(ctx context.Context, conn net.Conn, d door) {
+	{"chunks of one byte", manyConns, func(ctx context.Context, conn net.Conn, d endpoint) {
 		sendAll(conn, d.head("POST", "Transfer-Encoding: chunked\r\n")+"\r\n")
 		sendAll(conn, strings.Repeat("1\r\nb\r\n", 10_000))
 		drain(ctx, conn)
 	}},
-	{"body far over the limit", bigHeads, func(ctx context.Context, conn net.Conn, d door) {
+	{"body far over the limit", bigHeads, func(ctx context.Context, conn net.Conn, d endpoint) {
 		sendAll(conn, d.head("POST", "Transfer-Encoding: chunked\r\n")+"\r\n")
 		chunk := "10000\r\n" + strings.Repeat("b", 0x10000) + "\r\n"
 		sendRepeated(ctx, conn, chunk, 64*crowdMaxBody/0x10000)
 		drain(ctx, conn)
 	}},
-	{"pipelined requests, responses unread", manyConns, func(ctx context.Context, conn net.Conn, d door) {
+	{"pipelined requests, responses unread", manyConns, func(ctx context.Context, conn net.Conn, d endpoint) {
 		request := d.head("GET", "") + "\r\n"
 		sendRepeated(ctx, conn, strings.Repeat(request, 50), 100)
 		<-ctx.Done()
 	}},
-	{"slow head", manyConns, func(ctx context.Context, conn net.Conn, d door) {
+	{"slow head", manyConns, func(ctx context.Context, conn net.Conn, d endpoint) {
 		for _, b := range d.head("GET", "") + manyFields(1000) {
 			if ctx.Err() != nil || !sendAll(conn, string(b)) {
 				break
@@ -99,7 +99,7 @@
 			sleep(ctx, 300*time.Millisecond)
 		}
 	}},
-	{"slow reader", manyConns, func(ctx context.Context, conn net.Conn, d door) {
+	{"slow reader", manyConns, func(ctx context.Context, conn net.Conn, d endpoint) {
 		sendAll(conn, strings.Repeat(d.head("GET", "")+"\r\n", 50))
 		for buffer := make([]byte, 1); ctx.Err() == nil; sleep(ctx, 300*time.Millisecond) {
 			if _, err := conn.Read(buffer); err != nil {
@@ -107,11 +107,11 @@
 			}
 		}
 	}},
-	{"head that stops", manyConns, func(ctx context.Context, conn net.Conn, d door) {
+	{"head that stops", manyConns, func(ctx context.Context, conn net.Conn, d endpoint) {
 		sendAll(conn, d.head("GET", ""))
 		drain(ctx, conn)
 	}},
-	{"connections without a request", manyConns, func(ctx context.Context, conn net.Conn, _ door) { drain(ctx, conn) }},
+	{"connections without a request", manyConns, func(ctx context.Context, conn net.Conn, _ endpoint) { drain(ctx, conn) }},
 }
 
 // Guards against an entry that runs out of memory or descriptors because of what clients send
@@ -122,7 +122,7 @@
 			for _, name := range []string{"route", "no route", "readiness"} {
 				t.Run(name, func(t *testing.T) {
 					s, e := startSmallEntry(t)
-					d := door{name, strings.TrimPrefix(e.URL, "http://"), hostedsystem.LookupPrefix + "x?take=10ms"}
+					d := endpoint{name, strings.TrimPrefix(e.URL, "http://"), hostedsystem.LookupPrefix + "x?take=10ms"}
 					switch name {
 					case "no route":
 						d.path = "/none/x"
@@ -151,7 +151,7 @@
 			for _, name := range []string{"state", "metrics"} {
 				t.Run(name, func(t *testing.T) {
 					s, e := startSmallEntry(t)
-					d := door{name, e.StateAddress, "/state"}
+					d := endpoint{name, e.StateAddress, "/state"}
 					if name == "metrics" {
 						d.address, d.path = e.MetricsAddress, "/metrics"
 					}
@@ -165,7 +165,7 @@
 					s.Start(t)
 					m := s.Machines[0]
 					m.Agent.AwaitURL(t, "http://"+m.MetricsAddress+"/metrics")
-					d := door{name, m.ContentAddress, "/chunks/" + strings.Repeat("0", 64)}
+					d := endpoint{name, m.ContentAddress, "/chunks/" + strings.Repeat("0", 64)}
 					if name == "agent's metrics" {
 						d.address, d.path = m.MetricsAddress, "/metrics"
 					}
@@ -182,20 +182,20 @@
 // to the address for calls of other agents.
 func TestMisbehavingClientsOfAgentCalls(t *testing.T) {
 	for _, load := range []clientLoad{
-		{"message without end", bigHeads, func(ctx context.Context, conn net.Conn, _ door) {
+		{"message without end", bigHeads, func(ctx context.Context, conn net.Conn, _ endpoint) {
 			// A message begins with its length.
 			sendAll(conn, string(binary.AppendUvarint(nil, 1<<30))+`{"jsonrpc":"2.0","id":1,"method":"`)
 			sendRepeated(ctx, conn, strings.Repeat("m", 64<<10), 256)
 			drain(ctx, conn)
 		}},
-		{"connections without a message", manyConns, func(ctx context.Context, conn net.Conn, _ door) { drain(ctx, conn) }},
+		{"connections without a message", manyConns, func(ctx context.Context, conn net.Conn, _ endpoint) { drain(ctx, conn) }},
 	} {
 		t.Run(load.name, func(t *testing.T) {
 			s := &hostedagents.System{Builder: &builder, Agents: 1, Bound: 8 * time.Second, Descriptors: crowdDescriptors}
 			s.Start(t)
 			m := s.Machines[0]
 			m.Agent.AwaitURL(t, "http://"+m.MetricsAddress+"/metrics")
-			checkCrowd(t, m.Agent, load, door{"calls", m.ControlAddress, ""}, 152, crowdDescriptors)
+			checkCrowd(t, m.Agent, load, endpoint{"calls", m.ControlAddress, ""}, 152, crowdDescriptors)
 			checkStatus(t, m.MetricsAddress, "/metrics", http.StatusOK)
 		})
 	}
@@ -205,7 +205,7 @@
 // on: with very many short fields, or a body of the largest size.
 func TestLargestRequestsAreServed(t *testing.T) {
 	s, e := startSmallEntry(t)
-	d := door{"route", strings.TrimPrefix(e.URL, "http://"), hostedsystem.LookupPrefix + "x?take=10ms"}
+	d := endpoint{"route", strings.TrimPrefix(e.URL, "http://"), hostedsystem.LookupPrefix + "x?take=10ms"}
 	head := d.head("POST", fmt.Sprintf("Content-Length: %d\r\n", crowdMaxBody))
 	head += manyFields(int(s.Limits.MaxHeadBytes)-len(head)-20) + "\r\n"
 	conn, err := net.Dial("tcp", d.address)
@@ -230,7 +230,7 @@
 // Guards against limits of a configuration that apply to new connections only, or to none.
 func TestLimitsOfConfigurationApplyToOpenConnections(t *testing.T) {
 	s, e := startSmallEntry(t)
-	d := door{"route", strings.TrimPrefix(e.URL, "http://"), hostedsystem.LookupPrefix + "x?take=10ms"}
+	d := endpoint{"route", strings.TrimPrefix(e.URL, "http://"), hostedsystem.LookupPrefix + "x?take=10ms"}
 	open := func() (net.Conn, *bufio.Reader) {
 		conn, err := net.Dial("tcp", d.address)
 		if err != nil {
@@ -279,7 +279,7 @@
 
 // checkCrowd runs the clients and checks that the process stays within its memory, in
 // megabytes, and its descriptors.
-func checkCrowd(t *testing.T, p *process.Process, load clientLoad, d door, memory, descriptors int) {
+func checkCrowd(t *testing.T, p *process.Process, load clientLoad, d endpoint, memory, descriptors int) {
 	t.Helper()
 	ctx, cancel := context.WithTimeout(t.Context(), crowdDuration)
 	defer cancel()
@@ -346,7 +346,7 @@
 }
 
 // head returns the request line and the fields without the empty line.
-func (d door) head(method, fields string) string {
+func (d endpoint) head(method, fields string) string {
 	return method + " " + d.path + " HTTP/1.1\r\nHost: " + hostedsystem.Host + "\r\n" + backendserver.HeaderID + ": c\r\n" + fields
 }
 
--- a/internal/peer/httpguard/guard_test.go
+++ b/internal/peer/httpguard/guard_test.go
@@ -275,7 +275,7 @@
 	}
 }
 
-// Guards against connections of callers that stop midway, or go on by a byte now and then, and
+// Guards against connections of callers that stop midway, or send a byte now and then, and
 // that stay open.
 func TestCallersWithoutProgress(t *testing.T) {
 	for name, c := range map[string]struct {
--- a/internal/platform/evacuation/view.go
+++ b/internal/platform/evacuation/view.go
@@ -25,7 +25,7 @@
 	maxDomains = 64
 	// maxTickInterval is the time between two calls of Tick from which on this process counts as
 	// having been suspended. Tick is called ten times a second, and a process that has used up
-	// its share of the processor stands still for tenths of a second.
+	// its share of the processor is not scheduled for tenths of a second.
 	maxTickInterval = time.Second
 )
 
--- a/internal/role/hosted/agentloop.go
+++ b/internal/role/hosted/agentloop.go
@@ -231,7 +231,7 @@
 }
 
 // fetch starts the transfer of a version; 0 leaves a running one alone. That a version is
-// named does not mean that it can be read. The transfer of another version therefore goes on
+// named does not mean that it can be read. The transfer of another version therefore continues
 // until the manifest of this one has been read. While it reads chunks from the origin, it is
 // suspended for a time, so that it does not keep the manifest and the chunks of the newer
 // version from the origin's link.
