--- a/review/harness-2/main.go
+++ b/review/harness-2/main.go
@@ -23,8 +23,10 @@
 )
 
 var cases = map[string]func(*system) (broken int, err error){
-	"reborn":   runReborn,
-	"watchers": runWatchers,
+	"coldagain": runColdAgain,
+	"failback":  runFailback,
+	"reborn":    runReborn,
+	"watchers":  runWatchers,
 }
 
 func main() {
--- a/review/harness-2/server.go
+++ b/review/harness-2/server.go
@@ -9,9 +9,13 @@
 	"net"
 	"net/http"
 	"os"
+	"os/signal"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
+	"syscall"
 	"time"
 )
 
@@ -20,14 +24,19 @@
 	eventRun     = "runs"
 	eventRefused = "refuses"
 	eventAnswer  = "has answered"
+	eventCrash   = "crashes"
+	eventCold    = "becomes cold"
 )
 
 // Paths of requests say how they are answered: /.../unframed/... without a length, the second
 // half of the body after halfTime.
 const (
-	unframed = "/unframed/"
-	halfTime = 1500 * time.Millisecond
-	bodySize = 800
+	unframed   = "/unframed/"
+	healthPath = "/health"
+	halfTime   = 1500 * time.Millisecond
+	bodySize   = 800
+	// workTime is how long other requests take.
+	workTime = 15 * time.Millisecond
 	// checkInTime is the interval between two writes to the store.
 	checkInTime = 1200 * time.Millisecond
 )
@@ -36,14 +45,22 @@
 	Event   string `json:"event"`
 	Request string `json:"request"`
 	Detail  string `json:"detail"`
+	// AtMicros is when it happened, Born the start of the server's incarnation in
+	// milliseconds; both since 1970.
+	AtMicros int64 `json:"atMicros"`
+	Born     int64 `json:"born"`
 }
 
-var writeMu sync.Mutex
+var (
+	writeMu sync.Mutex
+	// born is the start of this process in Unix milliseconds.
+	born = time.Now().UnixMilli()
+)
 
 func writeEvent(event, request, detail string) {
 	writeMu.Lock()
 	defer writeMu.Unlock()
-	_ = json.NewEncoder(os.Stdout).Encode(serverEvent{event, request, detail})
+	_ = json.NewEncoder(os.Stdout).Encode(serverEvent{event, request, detail, time.Now().UnixMicro(), born})
 }
 
 // bodyOf is the body of the answer to a request.
@@ -54,13 +71,17 @@
 // serveBackend runs a plain service until the process is killed.
 func serveBackend(args []string) {
 	id, service, zone, address, hidden, store := args[0], args[1], args[2], args[3], args[4], args[5]
-	born := time.Now().UnixMilli()
 	listener, err := net.Listen("tcp", hidden)
 	if err != nil {
 		fmt.Println(err)
 		os.Exit(1)
 	}
-	go register(store, id, service, zone, address, born)
+	if os.Getenv(coldVariable) != "" {
+		coldUntil.Store(born + coldTime.Milliseconds())
+	}
+	changed := make(chan struct{})
+	go awaitCold(changed)
+	go register(store, id, service, zone, address, changed)
 	for {
 		conn, err := listener.Accept()
 		if err != nil {
@@ -71,13 +92,13 @@
 }
 
 // register writes the server's entry to the store, at its start and in intervals.
-func register(store, id, service, zone, address string, born int64) {
+func register(store, id, service, zone, address string, changed <-chan struct{}) {
 	client := http.Client{Timeout: 3 * time.Second}
 	for sequence := int64(1); ; sequence++ {
 		body, _ := json.Marshal(map[string]any{
 			"metadata": map[string]any{"name": id},
 			"specification": map[string]any{
-				"service": service, "address": address, "zone": zone, "version": "v1", "slots": 6, "state": "ready", "cold-remaining-ms": 0, "sequence": sequence, "born": born,
+				"service": service, "address": address, "zone": zone, "version": "v1", "slots": 8, "state": "ready", "cold-remaining-ms": coldLeft(), "sequence": sequence, "born": born,
 			},
 		})
 		base := "http://" + store + "/v1/objects/servers"
@@ -91,7 +112,60 @@
 				}
 			}
 		}
-		time.Sleep(checkInTime)
+		select {
+		case <-changed:
+		case <-time.After(checkInTime):
+		}
+	}
+}
+
+// coldTime is how long a server is cold after its start during traffic; the environment says
+// whether this one was started then. A server also becomes cold with SIGUSR1.
+const (
+	coldTime     = 3 * time.Second
+	coldVariable = "REVIEW_COLD"
+)
+
+// coldUntil is until when the server is cold, in Unix milliseconds.
+var coldUntil atomic.Int64
+
+// coldLeft returns for how many milliseconds the server stays cold.
+func coldLeft() int64 { return max(0, coldUntil.Load()-time.Now().UnixMilli()) }
+
+// awaitCold makes the server cold when it is told to, and has its entry written.
+func awaitCold(changed chan<- struct{}) {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGUSR1)
+	for range signals {
+		coldUntil.Store(time.Now().Add(coldTime).UnixMilli())
+		writeEvent(eventCold, "", fmt.Sprintf("for %v", coldTime))
+		changed <- struct{}{}
+	}
+}
+
+// crashRate is the number of requests in a second at which a cold server crashes: twice what
+// it tolerates.
+const crashRate = 2 * coldPerSecond
+
+var (
+	coldMu sync.Mutex
+	// coldArrivals holds the requests of the last second.
+	coldArrivals []time.Time
+)
+
+// countCold counts a request, and ends the process if it gets too many while it is cold after
+// a start.
+func countCold() {
+	if coldLeft() == 0 || os.Getenv(coldVariable) == "" {
+		return
+	}
+	coldMu.Lock()
+	defer coldMu.Unlock()
+	now := time.Now()
+	coldArrivals = append(slices.DeleteFunc(coldArrivals, func(at time.Time) bool { return now.Sub(at) > time.Second }), now)
+	if len(coldArrivals) > crashRate {
+		writeEvent(eventCrash, "", fmt.Sprintf("%d requests in a second", len(coldArrivals)))
+		os.Exit(1)
 	}
 }
 
@@ -107,12 +181,17 @@
 			return
 		}
 		request := r.Header.Get("X-Attempt-Id")
+		if r.URL.Path == healthPath && request == "" {
+			fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nX-Instance-Id: %s\r\nX-Cold-Ms: %d\r\nContent-Length: 0\r\n\r\n", id, coldLeft())
+			continue
+		}
 		if refusal := refuses(r, id); refusal != 0 {
 			writeEvent(eventRefused, request, strconv.Itoa(refusal))
 			fmt.Fprintf(conn, "HTTP/1.1 %d x\r\nX-Attempt-Id: %s\r\nX-Not-Executed: 1\r\nX-Instance-Id: %s\r\nContent-Length: 0\r\n\r\n", refusal, request, id)
 			continue
 		}
 		writeEvent(eventRun, request, r.Method+" "+r.URL.Path+" tenant "+r.Header.Get("X-Tenant"))
+		countCold()
 		body := bodyOf(request)
 		head := fmt.Sprintf("HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\nX-Response-Signature: sig-%s\r\nX-Instance-Id: %s\r\n", request, request, id)
 		if strings.Contains(r.URL.Path, unframed) {
@@ -122,6 +201,7 @@
 			writeEvent(eventAnswer, request, "whole body")
 			return
 		}
+		time.Sleep(workTime)
 		fmt.Fprintf(conn, "%sContent-Length: %d\r\n\r\n%s", head, len(body), body)
 	}
 }
--- a/review/harness-2/system.go
+++ b/review/harness-2/system.go
@@ -49,8 +49,15 @@
 		processes []*process
 		entries   []*entry
 		backends  []*backend
-		// runs holds the server that ran each request.
-		runs map[string][]string
+		// runs holds the server that ran each request, arrivals all requests that were run.
+		runs     map[string][]string
+		arrivals []arrival
+		// crashes counts the crashes of servers under their load.
+		crashes int
+		// coldFrom holds when servers have become cold.
+		coldFrom []coldSpan
+		// extraBounds is added to the bounds of the settings.
+		extraBounds string
 	}
 
 	// entry is a process of the entry role.
@@ -70,6 +77,18 @@
 		link, toStore     *proxy
 	}
 
+	// arrival is a request that a server has run.
+	arrival struct {
+		serverEvent
+		server string
+	}
+
+	// coldSpan is the beginning of the time in which a server is cold.
+	coldSpan struct {
+		server   string
+		atMicros int64
+	}
+
 	process struct {
 		name string
 		cmd  *exec.Cmd
@@ -222,7 +241,7 @@
 	}
 	fmt.Fprintf(&b, "listen:\n  callers: \"%s:%d\"\n  readiness: \"%s:%d\"\n", address, callersPort, address, readinessPort)
 	fmt.Fprintf(&b, "firstStart: true\nstore: %q\n", store)
-	b.WriteString("bounds:\n  gracefulStop: 8s\n  namedVersion: 8000ms\n  repeatRatio: 0.2\n  repeatWindow: 10s\n  repeatSlack: 200\n")
+	b.WriteString("bounds:\n  gracefulStop: 8s\n  namedVersion: 8000ms\n  repeatRatio: 0.2\n  repeatWindow: 10s\n  repeatSlack: 200\n" + s.extraBounds)
 	b.WriteString("limits:\n  memory: 206 MB\n  link: 700 Mbit/s\n  descriptors: 2940\n")
 	return b.Bytes()
 }
@@ -270,7 +289,7 @@
 }
 
 // boot starts the process of the backend server, also once more after a crash.
-func (b *backend) boot() error {
+func (b *backend) boot(env ...string) error {
 	self, err := os.Executable()
 	if err != nil {
 		return err
@@ -281,14 +300,25 @@
 			b.system.record("%s wrote %s", b.id, line)
 			return
 		}
+		if e.Event == eventCold {
+			b.system.mu.Lock()
+			b.system.coldFrom = append(b.system.coldFrom, coldSpan{b.id, e.AtMicros})
+			b.system.mu.Unlock()
+		}
+		if e.Event == eventCrash {
+			b.system.mu.Lock()
+			b.system.crashes++
+			b.system.mu.Unlock()
+		}
 		if e.Event == eventRun {
 			b.system.mu.Lock()
 			b.system.runs[e.Request] = append(b.system.runs[e.Request], b.id)
+			b.system.arrivals = append(b.system.arrivals, arrival{e, b.id})
 			b.system.mu.Unlock()
 		}
 		b.system.record("server %s (%s): %s %s %s", b.id, b.service, e.Event, e.Request, e.Detail)
 	}
-	b.process, err = b.system.start(b.id, nil, onLine, self, "server", b.id, b.service, b.zone, b.address, b.hidden, b.toStore.address)
+	b.process, err = b.system.start(b.id, env, onLine, self, "server", b.id, b.service, b.zone, b.address, b.hidden, b.toStore.address)
 	return err
 }
 
