--- a/review/harness-2/caller.go
+++ b/review/harness-2/caller.go
@@ -18,6 +18,8 @@
 		method, host, path string
 		key                string
 		id                 string
+		// bodyBytes is the length of a long body; 0 for a short one.
+		bodyBytes int
 	}
 
 	answer struct {
@@ -41,7 +43,11 @@
 	}
 	var body io.Reader
 	if c.method == http.MethodPost {
-		body = bytes.NewReader([]byte("tally " + c.id))
+		data := []byte("tally " + c.id + " ")
+		if c.bodyBytes > 0 {
+			data = bytes.Repeat(data, c.bodyBytes/len(data))
+		}
+		body = bytes.NewReader(data)
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), 4500*time.Millisecond)
 	defer cancel()
--- a/review/harness-2/main.go
+++ b/review/harness-2/main.go
@@ -26,6 +26,7 @@
 	"coldagain": runColdAgain,
 	"failback":  runFailback,
 	"reborn":    runReborn,
+	"reset":     runReset,
 	"watchers":  runWatchers,
 }
 
--- a/review/harness-2/proxy.go
+++ b/review/harness-2/proxy.go
@@ -1,10 +1,15 @@
 package main
 
 import (
+	"context"
 	"net"
 	"sync"
+	"syscall"
 )
 
+// windowBytes is the size of the windows of a link.
+const windowBytes = 64 << 10
+
 // proxy stands for a link. It passes bytes on in both directions. While the link is cut, it
 // holds them back, and the ends of connections too, as a partition does.
 type proxy struct {
@@ -12,14 +17,22 @@
 
 	mu   sync.Mutex
 	open chan struct{}
+	// conns holds the callers' ends of the connections.
+	conns map[*net.TCPConn]struct{}
 }
 
 func newProxy(address, target string) (*proxy, error) {
-	listener, err := net.Listen("tcp", address)
+	// Small windows, so that a peer that doesn't read blocks the writer.
+	config := net.ListenConfig{Control: func(_, _ string, raw syscall.RawConn) error {
+		return raw.Control(func(descriptor uintptr) {
+			_ = syscall.SetsockoptInt(int(descriptor), syscall.SOL_SOCKET, syscall.SO_RCVBUF, windowBytes)
+		})
+	}}
+	listener, err := config.Listen(context.Background(), "tcp", address)
 	if err != nil {
 		return nil, err
 	}
-	p := &proxy{address: address, target: target, open: make(chan struct{})}
+	p := &proxy{address: address, target: target, open: make(chan struct{}), conns: make(map[*net.TCPConn]struct{})}
 	close(p.open)
 	go func() {
 		for {
@@ -46,6 +59,16 @@
 	close(p.open)
 }
 
+// reset resets all connections on the link.
+func (p *proxy) reset() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for conn := range p.conns {
+		_ = conn.SetLinger(0)
+		conn.Close()
+	}
+}
+
 // wait returns when the link is not cut.
 func (p *proxy) wait() {
 	for {
@@ -64,6 +87,14 @@
 
 func (p *proxy) relay(from *net.TCPConn) {
 	defer from.Close()
+	p.mu.Lock()
+	p.conns[from] = struct{}{}
+	p.mu.Unlock()
+	defer func() {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		delete(p.conns, from)
+	}()
 	p.wait()
 	// The target sees the address of the machine.
 	machine, _, _ := net.SplitHostPort(p.address)
@@ -75,6 +106,7 @@
 		return
 	}
 	to := conn.(*net.TCPConn)
+	_ = to.SetWriteBuffer(windowBytes)
 	defer to.Close()
 	var both sync.WaitGroup
 	both.Go(func() { p.copy(to, from) })
--- a/review/harness-2/server.go
+++ b/review/harness-2/server.go
@@ -32,6 +32,7 @@
 // half of the body after halfTime.
 const (
 	unframed   = "/unframed/"
+	early      = "/early/"
 	healthPath = "/health"
 	halfTime   = 1500 * time.Millisecond
 	bodySize   = 800
@@ -87,6 +88,7 @@
 		if err != nil {
 			return
 		}
+		_ = conn.(*net.TCPConn).SetReadBuffer(windowBytes)
 		go serveConn(conn, id)
 	}
 }
@@ -177,10 +179,15 @@
 		if err != nil {
 			return
 		}
+		request := r.Header.Get("X-Attempt-Id")
+		if strings.Contains(r.URL.Path, early) && refuses(r, id) == 0 {
+			writeEvent(eventRun, request, r.Method+" "+r.URL.Path)
+			answerEarly(conn, r, request, id)
+			return
+		}
 		if _, err := io.Copy(io.Discard, r.Body); err != nil {
 			return
 		}
-		request := r.Header.Get("X-Attempt-Id")
 		if r.URL.Path == healthPath && request == "" {
 			fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nX-Instance-Id: %s\r\nX-Cold-Ms: %d\r\nContent-Length: 0\r\n\r\n", id, coldLeft())
 			continue
@@ -206,6 +213,28 @@
 	}
 }
 
+// answerEarly sends the head and half of the body, without a length, before it has read the
+// request's body, which it reads slowly meanwhile. The rest follows after halfTime.
+func answerEarly(conn net.Conn, r *http.Request, request, id string) {
+	body := bodyOf(request)
+	fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\nX-Response-Signature: sig-%s\r\nX-Instance-Id: %s\r\nConnection: close\r\n\r\n%s", request, request, id, body[:bodySize/2])
+	half := time.Now().Add(halfTime)
+	part := make([]byte, 16<<10)
+	for time.Now().Before(half) {
+		if _, err := r.Body.Read(part); err != nil {
+			break
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	// A channel with unread bytes would be reset when it is closed.
+	if _, err := io.Copy(io.Discard, r.Body); err != nil {
+		return
+	}
+	time.Sleep(time.Until(half))
+	_, _ = io.WriteString(conn, body[bodySize/2:])
+	writeEvent(eventAnswer, request, "whole body")
+}
+
 // refuses returns the status of a refusal, 0 for none.
 func refuses(r *http.Request, id string) int {
 	expected := r.Header.Get("X-Expected-Instance")
