--- a/review/harness-2/caller.go
+++ b/review/harness-2/caller.go
@@ -63,7 +63,9 @@
 	}
 	client := http.Client{Transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true}}
 	a := answer{sentAt: time.Now()}
-	s.record("caller sends %s %s %s to %s", c.id, c.method, c.path, c.entry.name)
+	if !s.compact {
+		s.record("caller sends %s %s %s to %s", c.id, c.method, c.path, c.entry.name)
+	}
 	response, err := client.Do(r)
 	if err != nil {
 		a.err, a.endedAt = err, time.Now()
@@ -73,6 +75,10 @@
 	defer response.Body.Close()
 	data, err := io.ReadAll(response.Body)
 	a.endedAt, a.status, a.signature, a.body, a.err = time.Now(), response.StatusCode, response.Header.Get("X-Response-Signature"), string(data), err
+	if s.compact {
+		s.record("%s %s %s to %s: %d, %d bytes, %d ms", c.id, c.method, c.path, c.entry.name, a.status, len(data), a.endedAt.Sub(a.sentAt).Milliseconds())
+		return a
+	}
 	s.record("caller got %d to %s, signature %q, %d bytes (length %d), end: %v", a.status, c.id, a.signature, len(data), response.ContentLength, err)
 	return a
 }
--- a/review/harness-2/system.go
+++ b/review/harness-2/system.go
@@ -58,6 +58,9 @@
 		coldFrom []coldSpan
 		// extraBounds is added to the bounds of the settings.
 		extraBounds string
+		// compact shortens the record of a case with many requests to one line for what a
+		// caller sent and got, and one for what a server ran.
+		compact bool
 	}
 
 	// entry is a process of the entry role.
@@ -316,6 +319,10 @@
 			b.system.arrivals = append(b.system.arrivals, arrival{e, b.id})
 			b.system.mu.Unlock()
 		}
+		if b.system.compact && e.Event == eventRun {
+			b.system.record("%s runs %s", b.id, e.Request)
+			return
+		}
 		b.system.record("server %s (%s): %s %s %s", b.id, b.service, e.Event, e.Request, e.Detail)
 	}
 	b.process, err = b.system.start(b.id, env, onLine, self, "server", b.id, b.service, b.zone, b.address, b.hidden, b.toStore.address)
