Log when an entry begins or stops to watch the configuration

The logs say when a configuration is in force, not which entry watched the store and why. Without that, three explanations can't be told apart: the others begin to watch too late, their first list takes long, or they are read late by their peers. New: a line when the decision changes, with the entry's rank in its failure domain and the number of other watchers, and the gauge watches_configuration.

--- a/internal/platform/configwatch/election.go
+++ b/internal/platform/configwatch/election.go
@@ -122,6 +122,12 @@
 	return delay
 }
 
+// Standing returns this entry's rank among those of its failure domain, and the number of peers
+// that the store has answered recently.
+func (e *Election) Standing(now time.Time) (rank, watching int) {
+	return e.rank(now), e.watching(now)
+}
+
 // watching returns the number of peers that the store has answered recently.
 func (e *Election) watching(now time.Time) int {
 	n := 0
--- a/internal/role/hosted/entry.go
+++ b/internal/role/hosted/entry.go
@@ -141,6 +141,8 @@
 		mu sync.Mutex
 		// configWatch decides whether this entry watches the configuration.
 		configWatch configwatch.Election
+		// watching is the last decision of configWatch that was logged.
+		watching bool
 		// registered holds the heartbeat addresses of the other entries, from the
 		// store and from heartbeats.
 		registered map[netip.AddrPort]struct{}
@@ -299,7 +301,15 @@
 func (e *entryRole) watchesConfig() bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.configWatch.Watches(e.clock.Now())
+	now := e.clock.Now()
+	watches := e.configWatch.Watches(now)
+	if watches != e.watching {
+		e.watching = watches
+		rank, watchers := e.configWatch.Standing(now)
+		e.logger.Info().Str(logging.FieldStep, "watch configuration").Bool("watches", watches).Int("rank", rank).Int("otherWatchers", watchers).
+			Msg("entry began or stopped to watch the configuration and the servers")
+	}
+	return watches
 }
 
 // remoteConfigDelay returns how long to wait before the configuration is read from
--- a/internal/role/hosted/entryheartbeats.go
+++ b/internal/role/hosted/entryheartbeats.go
@@ -299,12 +299,22 @@
 	e.scheduler.Paused(func(pool string, servers int) {
 		e.metrics.Tagged(map[string]string{"pool": pool}).Gauge("paused_servers").Update(float64(servers))
 	})
+	e.reportWatch()
 	e.evacuations.reportMetrics()
 	e.reportShares()
 	e.reportServerMetrics()
 	e.metrics.Gauge("log_lines_dropped").Update(float64(e.logWriter.Dropped()))
 }
 
+// reportWatch reports whether this entry watches the configuration and the servers.
+func (e *entryRole) reportWatch() {
+	watches := 0.0
+	if e.watchesConfig() {
+		watches = 1
+	}
+	e.metrics.Gauge("watches_configuration").Update(watches)
+}
+
 // register keeps the entry's address in the store and reads the other entries' until the context
 // ends. A store that was restored from a copy may lack the address.
 func (e *entryRole) register(ctx context.Context) {
