Replace entries that watch the configuration when they lose the store

Cause: the other entries went by the age of the watchers' last answers, and counted them as watching for 2.2 s after it, which is longer than the bound. Nothing reported the loss: a call repeats its attempts for 4 s before it fails. Logs of the new test on the code before: paths lost at 30.955, "watches: true, otherWatchers: 0" at three entries at 33.102 (2.15 s later), their lists took 1 to 18 ms, their peers had the configuration at 33.27. So neither the lists nor the reads of peers were late; the decision was.

Change: the client of the store says when an attempt fails. A watcher reports at once that the store doesn't answer it, and a heartbeat wakes those that have to replace it. A watch waits no longer than the bounds of configurations and leaving servers allow (new settings, 2 s each by default): 0.35 to 0.7 s for 2 s, as before (0.5 to 1.3 s) from 2.6 s on.

Same cause elsewhere: entries that the store refuses also counted for 2.2 s (now reported at once); entries that are paused or cut off counted for 1.5 s after their last report (now 1.2 s after any heartbeat); the servers are watched by the same entries, so requests reached servers that had left. The evacuations have an election of their own, but an entry that doesn't know them well enough reads them itself and sends nothing until then.

--- a/internal/platform/configwatch/election.go
+++ b/internal/platform/configwatch/election.go
@@ -10,6 +10,7 @@
 package configwatch
 
 import (
+	"math/rand/v2"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -23,20 +24,28 @@
 )
 
 const (
+	// replaceTime is the part of a bound that passes apart from the wait of a watch, if all
+	// watchers lose the store right after it has answered them: the pause before the next
+	// watch, the time after which that counts as unanswered, the heartbeat that reports it,
+	// the list of another entry, and the reads of that entry's peers.
+	replaceTime = 1300 * time.Millisecond
+	// shortestMaxWait is the maximum wait for bounds that leave less.
+	shortestMaxWait = 300 * time.Millisecond
 	// watchersPerDomain is the number of entries of a failure domain that watch.
 	watchersPerDomain = 1
 	// minWatchers is the number of watchers without which further entries watch: one
 	// more of each failure domain, and another one after each expandInterval.
 	minWatchers    = 2
 	expandInterval = 500 * time.Millisecond
-	// answerTimeout is how long after its last answer an entry counts as watching. It is
-	// longer than MaxWait and the time that the answer may take.
+	// answerTimeout is how long after its last answer an entry counts as watching that does
+	// not report the loss of the store. It is longer than MaxWait and the time that the answer
+	// may take.
 	answerTimeout = 2200 * time.Millisecond
 	// extraTime is how long an entry watches at least that replaces others.
 	extraTime = 5 * time.Second
-	// peerTimeout is how long after its last report a peer counts. Reports come at least
-	// twice a second, and a change must be in force within seconds.
-	peerTimeout = 1500 * time.Millisecond
+	// peerTimeout is how long after its last heartbeat a peer counts. They come at least twice
+	// a second, and a change must be in force within seconds.
+	peerTimeout = 1200 * time.Millisecond
 	// remoteDelay is how long a process waits for a peer in its failure domain to have a
 	// configuration before it reads it from another failure domain.
 	remoteDelay = 400 * time.Millisecond
@@ -69,7 +78,8 @@
 
 	peer struct {
 		failureDomain string
-		reportedAt    time.Time
+		// reportedAt is when its last heartbeat arrived.
+		reportedAt time.Time
 		// answeredAt is when the store last answered the peer's call for the
 		// configuration; zero if it does not watch.
 		answeredAt time.Time
@@ -89,6 +99,22 @@
 	e.peers[name] = p
 }
 
+// RecordAlive records a heartbeat of another entry that doesn't say whether it watches.
+func (e *Election) RecordAlive(name string, now time.Time) {
+	if p, ok := e.peers[name]; ok {
+		p.reportedAt = now
+		e.peers[name] = p
+	}
+}
+
+// Wait returns how long the next watch waits for a change that must be in force everywhere
+// within bound. It is short enough that other entries can replace all watchers within the bound.
+func Wait(bound time.Duration) time.Duration {
+	longest := min(MaxWait, max(shortestMaxWait, bound-replaceTime))
+	shortest := min(MinWait, longest/2)
+	return shortest + rand.N(longest-shortest)
+}
+
 // Watches reports whether this entry watches the configuration.
 func (e *Election) Watches(now time.Time) bool {
 	limit := watchersPerDomain
--- a/internal/platform/configwatch/election_test.go
+++ b/internal/platform/configwatch/election_test.go
@@ -190,3 +190,39 @@
 		t.Errorf("entries began or stopped to watch %d times in 10 s, want at most once each", changes)
 	}
 }
+
+// Guards against watches that wait so long that nobody can replace a watcher within the bound after
+// it has lost the store, and against ones that don't wait.
+func TestWatchLeavesTimeToReplaceWatchers(t *testing.T) {
+	for bound, longest := range map[time.Duration]time.Duration{
+		time.Second: shortestMaxWait, 2 * time.Second: 700 * time.Millisecond, 3 * time.Second: MaxWait, time.Minute: MaxWait,
+	} {
+		for range 1000 {
+			if wait := Wait(bound); wait < longest/4 || wait > longest {
+				t.Fatalf("a watch waits %v for a change that must be in force within %v, want %v at most", wait, bound, longest)
+			}
+		}
+	}
+}
+
+// Guards against an entry that counts as gone because the heartbeats that say what it watches
+// are lost, while others of it arrive.
+func TestEntryCountsWhileItsHeartbeatsArrive(t *testing.T) {
+	elections := newElections(func(string) time.Duration { return 0 })
+	now := start.Add(peerTimeout + time.Millisecond)
+	for _, e := range elections {
+		for name := range elections {
+			e.RecordAlive(name, now)
+		}
+	}
+	for domain, n := range countWatching(elections, now) {
+		if n != watchersPerDomain {
+			t.Errorf("%d entries of failure domain %s watch, want %d", n, domain, watchersPerDomain)
+		}
+	}
+	for _, e := range elections {
+		if _, watching := e.Standing(now); watching != len(elections)-1 {
+			t.Fatalf("%d entries count as watching, want %d", watching, len(elections)-1)
+		}
+	}
+}
--- a/internal/platform/fleet/fleet.go
+++ b/internal/platform/fleet/fleet.go
@@ -76,6 +76,9 @@
 		// ConfigPaused and ServersPaused are Paused for the configuration and the servers;
 		// nil for Paused.
 		ConfigPaused, ServersPaused func() bool
+		// StoreAnswers reports whether the store answered the last attempt of any call; nil for
+		// always. A watch without a response may be retried for seconds before it fails.
+		StoreAnswers func() bool
 		// WatchTimeout returns how long a watch waits for changes; nil for
 		// listwatch.DefaultWatchTimeout. A watch that is already waiting may not
 		// notice that the store dropped its history.
@@ -201,11 +204,19 @@
 	return s.Ingress != nil && s.Servers != nil
 }
 
+// WakeWatches makes the followers of the configuration and the servers call ConfigPaused and
+// ServersPaused at once.
+func (f *Fleet) WakeWatches() {
+	f.init()
+	f.configFollower.Wake()
+	f.serverFollower.Wake()
+}
+
 // WatchesConfig reports whether the process calls the store for the configuration, and
 // it answered the last call.
 func (f *Fleet) WatchesConfig() bool {
 	f.init()
-	return f.configFollower.Reachable() && (f.ConfigPaused == nil || !f.ConfigPaused())
+	return f.configFollower.Reachable() && (f.StoreAnswers == nil || f.StoreAnswers()) && (f.ConfigPaused == nil || !f.ConfigPaused())
 }
 
 func (f *Fleet) recordConfigAnswer(after time.Time, at mulberryspool.Position) {
--- a/internal/platform/listwatch/follower.go
+++ b/internal/platform/listwatch/follower.go
@@ -24,7 +24,7 @@
 	DefaultWatchPause = 250 * time.Millisecond
 	// retryDelay is the mean pause after a call that failed with all its retries.
 	retryDelay = 250 * time.Millisecond
-	// pausedCheckInterval is how often a paused follower calls Paused again.
+	// pausedCheckInterval is how often a paused follower calls Paused again without Wake.
 	pausedCheckInterval = 200 * time.Millisecond
 	// maxLoggedUnreadable is the number of objects that can't be decoded of which it is
 	// known that they were logged, maxLoggedBytes the length of what is logged of them.
@@ -82,6 +82,10 @@
 		polling  bool
 		listHash uint64
 
+		// woken is signalled by Wake. It is created by init.
+		woken chan struct{}
+		once  sync.Once
+
 		eraMu sync.Mutex
 		// observedEra is the latest era of ObserveEra, eraLists the number of lists since it
 		// was observed while the objects were of an earlier one.
@@ -104,7 +108,7 @@
 	for ctx.Err() == nil {
 		if f.Paused != nil && f.Paused() {
 			listed = false
-			f.sleep(ctx, pausedCheckInterval)
+			f.awaitWake(ctx)
 			continue
 		}
 		var err error
@@ -125,6 +129,31 @@
 	}
 }
 
+// Wake makes a paused follower call Paused at once.
+func (f *Follower[T]) Wake() {
+	f.init()
+	select {
+	case f.woken <- struct{}{}:
+	default:
+	}
+}
+
+func (f *Follower[T]) init() {
+	f.once.Do(func() { f.woken = make(chan struct{}, 1) })
+}
+
+// awaitWake waits for pausedCheckInterval or Wake.
+func (f *Follower[T]) awaitWake(ctx context.Context) {
+	f.init()
+	timer := f.Clock.NewTimer(pausedCheckInterval)
+	defer timer.Stop()
+	select {
+	case <-timer.Chan():
+	case <-f.woken:
+	case <-ctx.Done():
+	}
+}
+
 // HasSynced reports whether the objects were listed, or Update was called.
 func (f *Follower[T]) HasSynced() bool {
 	f.mu.Lock()
--- a/internal/platform/listwatch/follower_test.go
+++ b/internal/platform/listwatch/follower_test.go
@@ -4,7 +4,9 @@
 	"context"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -151,3 +153,26 @@
 		t.Errorf("%d lists and %d watches after the pause, want one list and at least one watch", s.lists, s.watches)
 	}
 }
+
+// Guards against a follower that begins to call the store only when it next checks whether it is
+// paused.
+func TestPausedFollowerBeginsWhenWoken(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		s := &fakeStore{}
+		f := newFollower(s, clockwork.NewRealClock())
+		var resumed atomic.Bool
+		f.Paused = func() bool { return !resumed.Load() }
+		done := make(chan struct{})
+		go func() { defer close(done); f.Run(ctx) }()
+		time.Sleep(pausedCheckInterval / 2)
+		resumed.Store(true)
+		f.Wake()
+		synctest.Wait()
+		if s.lists != 1 {
+			t.Errorf("%d lists after Wake, want one", s.lists)
+		}
+		cancel()
+		<-done
+	})
+}
--- a/internal/platform/objectapi/client.go
+++ b/internal/platform/objectapi/client.go
@@ -76,6 +76,10 @@
 		// DialContext opens connections; nil for TCP.
 		DialContext func(ctx context.Context, network, address string) (net.Conn, error)
 
+		// HealthChanged is called when the value of Answers has changed. It must not block,
+		// and may be nil.
+		HealthChanged func()
+
 		// StartJitter is the maximum random delay of the first call, which
 		// spreads processes that start together. They then begin with an empty
 		// budget. 0 sends the first call at once.
@@ -394,17 +398,27 @@
 	}
 }
 
+// Answers reports whether the object API answered the last attempt of any call.
+func (c *Client) Answers() bool {
+	c.init()
+	return c.pacer.answers()
+}
+
 // recordResult counts the result of an attempt and reports it to the pacer.
 func (c *Client) recordResult(granted permit, operation string, result result) {
 	c.count(operation, result.cause)
+	changed := false
 	switch result.health {
 	case healthUp:
-		c.pacer.recordSuccess(granted)
+		changed = c.pacer.recordSuccess(granted)
 	case healthDown:
-		c.pacer.recordFailure(granted, result.retryAfter)
+		changed = c.pacer.recordFailure(granted, result.retryAfter)
 	default:
 		c.pacer.release(granted)
 	}
+	if changed && c.HealthChanged != nil {
+		c.HealthChanged()
+	}
 }
 
 func (c *Client) count(operation, cause string) {
--- a/internal/platform/objectapi/client_test.go
+++ b/internal/platform/objectapi/client_test.go
@@ -430,3 +430,24 @@
 		t.Error("no get was counted as coalesced")
 	}
 }
+
+// Guards against a client that reports an unanswered watch only when all its attempts have failed,
+// or doesn't report that the object API answers again.
+func TestHealthIsThatOfLastAttempt(t *testing.T) {
+	s := &standin.Server{}
+	c := newClient(t, startServer(t, s), "one", 11)
+	c.AttemptTimeout, c.CallTimeout = 50*time.Millisecond, time.Minute
+	changes := make(chan bool, 2)
+	c.HealthChanged = func() { changes <- c.Answers() }
+	s.Put("kind", "a", []byte("x"))
+	if _, err := c.Get(context.Background(), "kind", "a"); err != nil || !c.Answers() || len(changes) > 0 {
+		t.Fatalf("after an answered call (error %v), Answers is %t and has changed %d times", err, c.Answers(), len(changes))
+	}
+	addFault(t, s, fault.Rule{Kind: fault.Hang, Calls: 2})
+	if _, err := c.Get(context.Background(), "kind", "a"); err != nil {
+		t.Fatal(err)
+	}
+	if first, second := <-changes, <-changes; first || !second {
+		t.Errorf("Answers became %t and then %t, want false and then true", first, second)
+	}
+}
--- a/internal/platform/objectapi/pacer.go
+++ b/internal/platform/objectapi/pacer.go
@@ -180,12 +180,12 @@
 }
 
 // recordFailure starts or extends the pause. It ignores calls that were sent
-// before the latest failure or success.
-func (p *pacer) recordFailure(granted permit, retryAfter time.Duration) {
+// before the latest failure or success. It reports whether it started a pause.
+func (p *pacer) recordFailure(granted permit, retryAfter time.Duration) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if granted.epoch != p.epoch {
-		return
+		return false
 	}
 	ceiling := p.maxBackoff
 	if p.failures < 32 && p.minBackoff<<p.failures < ceiling {
@@ -196,15 +196,17 @@
 	// same Retry-After are spread over another period of that length.
 	p.notBefore = p.clock.Now().Add(retryAfter + p.jitter(max(ceiling, retryAfter)))
 	p.startEpoch()
+	return p.failures == 1
 }
 
 // recordSuccess ends the pause. The budget starts empty, so that processes that
-// return from an outage together send at their rates and not their bursts.
-func (p *pacer) recordSuccess(granted permit) {
+// return from an outage together send at their rates and not their bursts. It reports
+// whether there was a pause.
+func (p *pacer) recordSuccess(granted permit) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if granted.epoch != p.epoch || p.failures == 0 {
-		return
+		return false
 	}
 	p.failures = 0
 	p.emptyBudget()
@@ -212,6 +214,14 @@
 		p.limiter.ReserveN(p.clock.Now(), granted.deferredCost)
 	}
 	p.startEpoch()
+	return true
+}
+
+// answers reports whether the last attempt did not fail.
+func (p *pacer) answers() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.failures == 0
 }
 
 // release returns a permit whose attempt had no result.
--- a/internal/role/hosted/entry.go
+++ b/internal/role/hosted/entry.go
@@ -242,9 +242,9 @@
 	e.fleet = e.process.newFleet()
 	e.configWatch = configwatch.Election{Self: e.settings.Instance, FailureDomain: e.identity.FailureDomain}
 	e.fleet.WatchTimeout = func() time.Duration { return watchWait(1 + len(e.heartbeats.ActivePeers(mulberryspool.RoleEntry))) }
-	e.fleet.ConfigWatchTimeout = func() time.Duration {
-		return configwatch.MinWait + rand.N(configwatch.MaxWait-configwatch.MinWait)
-	}
+	e.fleet.ConfigWatchTimeout = func() time.Duration { return configwatch.Wait(min(b.Configuration, b.LeavingServer)) }
+	e.fleet.StoreAnswers = e.storeClient.Answers
+	e.storeClient.HealthChanged = e.reportStoreHealth
 	e.fleet.ServersWatchTimeout = e.fleet.ConfigWatchTimeout
 	e.fleet.ConfigPaused = func() bool { return !e.watchesConfig() }
 	e.fleet.ServersPaused = e.fleet.ConfigPaused
@@ -312,6 +312,20 @@
 	return watches
 }
 
+// reportStoreHealth is called when the store stops or begins to answer. If it is this entry that
+// watches it for others, they have to know at once.
+func (e *entryRole) reportStoreHealth() {
+	message := "store does not answer, calls pause"
+	if e.storeClient.Answers() {
+		message = "store answers again"
+	}
+	watches := e.watchesConfig()
+	e.logger.Info().Str(logging.FieldStep, "call store").Str(logging.FieldPeer, e.settings.Store).Bool("watches", watches).Msg(message)
+	if watches {
+		e.signalStateChange()
+	}
+}
+
 // remoteConfigDelay returns how long to wait before the configuration is read from
 // another failure domain.
 func (e *entryRole) remoteConfigDelay() time.Duration {
--- a/internal/role/hosted/entryevacuations.go
+++ b/internal/role/hosted/entryevacuations.go
@@ -141,6 +141,16 @@
 	})
 }
 
+// recordAlive records a heartbeat of another entry that has no report.
+func (v *evacuations) recordAlive(sender string) {
+	if v == nil {
+		return
+	}
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.election.RecordAlive(sender, v.Clock.Now())
+}
+
 // update changes what is known, by a peer or the store if peer is empty, and passes it on.
 func (v *evacuations) update(peer string, change func(now time.Time) []evacuation.Change) {
 	v.publish.Lock()
--- a/internal/role/hosted/entryheartbeats.go
+++ b/internal/role/hosted/entryheartbeats.go
@@ -68,21 +68,30 @@
 			e.scheduler.SetPeer(m.Sender, placement.PeerReport{FailureDomain: m.FailureDomain, Loads: m.Loads, Partial: m.Partial}, m.Waiting)
 		}
 		e.addEntries(m.EntryAddresses, false)
-		if m.Summary != nil {
-			e.recordConfigWatch(m)
-		}
+		e.recordConfigWatch(m)
 	}
 }
 
-// recordConfigWatch records whether another entry watches the configuration.
+// recordConfigWatch records whether another entry watches the configuration, as far as the
+// heartbeat says so. If this one has to watch in its place, it begins at once.
 func (e *entryRole) recordConfigWatch(m heartbeat.Message) {
+	if m.Summary == nil {
+		e.evacuations.recordAlive(m.Sender)
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		e.configWatch.RecordAlive(m.Sender, e.clock.Now())
+		return
+	}
 	answered := time.Duration(-1)
 	if m.Summary.ConfigAnsweredMillis > 0 {
 		answered = time.Duration(m.Summary.ConfigAnsweredMillis) * time.Millisecond
 	}
 	e.mu.Lock()
-	defer e.mu.Unlock()
 	e.configWatch.Record(m.Sender, m.FailureDomain, answered, e.clock.Now())
+	e.mu.Unlock()
+	if e.watchesConfig() {
+		e.fleet.WakeWatches()
+	}
 }
 
 // addEntries records entries that the store or another entry lists. The argument complete is
--- a/internal/settings/hosted/hosted.go
+++ b/internal/settings/hosted/hosted.go
@@ -88,6 +88,11 @@
 		// NamedVersion is the time within which a newly named version has to
 		// replace the previous one.
 		NamedVersion time.Duration `yaml:"namedVersion" validate:"gt=0"`
+		// Configuration is the time within which a new configuration has to be in force at all
+		// entries, LeavingServer that within which a backend server that leaves must get no
+		// more requests.
+		Configuration time.Duration `yaml:"configuration" validate:"gt=0"`
+		LeavingServer time.Duration `yaml:"leavingServer" validate:"gt=0"`
 		// RepeatRatio, RepeatWindow and RepeatSlack are the retry budget of a pool.
 		RepeatRatio  float64       `yaml:"repeatRatio" validate:"gte=0"`
 		RepeatWindow time.Duration `yaml:"repeatWindow" validate:"gt=0"`
@@ -126,6 +131,7 @@
 		LogLevel: shared.DefaultLogLevel, LogSample: DefaultLogSample, MetricsPort: DefaultMetricsPort,
 		Bounds: Bounds{
 			GracefulStop: 8 * time.Second, NamedVersion: 8 * time.Second,
+			Configuration: 2 * time.Second, LeavingServer: 2 * time.Second,
 			RepeatRatio: shared.DefaultRetryBudget, RepeatWindow: 10 * time.Second,
 		},
 		Limits: Limits{Memory: 128 << 20, Link: 1 << 20},
--- a/internal/testkit/hostedsystem/system.go
+++ b/internal/testkit/hostedsystem/system.go
@@ -88,6 +88,9 @@
 		Attempts int
 		// Slots is the number of slots of a backend server; 0 for 16.
 		Slots int
+		// EntryDomains are the failure domains of the entries, in turn; if there are none, all are
+		// in the same one.
+		EntryDomains []string
 		// Domains are the failure domains of the backend servers, in turn; if there are none, all are
 		// in that of the entries. The region of each is Region of it.
 		Domains []string
@@ -113,6 +116,8 @@
 
 		// storeDelay is that of SlowStore in nanoseconds.
 		storeDelay atomic.Int64
+		// partition is that of Partition; nil for none.
+		partition atomic.Pointer[partition]
 		// addresses holds those of Servers, and running what serves them.
 		addresses []string
 		running   []*serve.Server
@@ -130,8 +135,16 @@
 		StoreAddress string
 		// Registration is the name under which it registers itself in the store.
 		Registration string
-		Process      *process.Process
-		SettingsFile string
+		// FailureDomain is that of the entry.
+		FailureDomain string
+		Process       *process.Process
+		SettingsFile  string
+	}
+
+	// partition holds back all answers of the store to some entries until it ends.
+	partition struct {
+		entries []*Entry
+		ended   chan struct{}
 	}
 )
 
@@ -167,6 +180,29 @@
 	})
 }
 
+// Partition cuts some entries off from the store, without a reset of their connections, until the
+// function that it returns is called.
+func (s *System) Partition(entries ...*Entry) (end func()) {
+	p := &partition{entries: entries, ended: make(chan struct{})}
+	s.partition.Store(p)
+	return func() {
+		s.partition.Store(nil)
+		close(p.ended)
+	}
+}
+
+// awaitPath waits until the store's answer to a call may pass.
+func (s *System) awaitPath(r *http.Request) {
+	p := s.partition.Load()
+	if p == nil || !slices.ContainsFunc(p.entries, func(e *Entry) bool { return e.StoreAddress == r.Host }) {
+		return
+	}
+	select {
+	case <-p.ended:
+	case <-r.Context().Done():
+	}
+}
+
 func listen(t testing.TB, handler http.Handler, address string) *serve.Server {
 	t.Helper()
 	server, err := serve.Start(handler, address)
@@ -311,6 +347,7 @@
 	answer := httptest.NewRecorder()
 	s.Store.ServeHTTP(answer, r)
 	time.Sleep(time.Duration(s.storeDelay.Load()))
+	s.awaitPath(r)
 	maps.Copy(w.Header(), answer.Header())
 	w.WriteHeader(answer.Code)
 	_, _ = w.Write(answer.Body.Bytes())
@@ -340,13 +377,17 @@
 	// The IP addresses of other tests end with the process ID, too, behind smaller numbers.
 	ip := fmt.Sprintf("127.%d.%d.%d", 128+lastEntry.Add(1)%127, os.Getpid()>>8&255, os.Getpid()&255)
 	e := &Entry{
-		StoreAddress: listen(t, http.HandlerFunc(s.serveStore), loopback.Shared.Address()).Address, Registration: fmt.Sprintf("entry-%d", i),
+		FailureDomain: failureDomain,
+		StoreAddress:  listen(t, http.HandlerFunc(s.serveStore), loopback.Shared.Address()).Address, Registration: fmt.Sprintf("entry-%d", i),
 		URL: fmt.Sprintf("http://%s:%d", ip, callersPort), ReadinessURL: fmt.Sprintf("http://%s:%d%s", ip, readinessPort, platform.ReadinessPath),
 		StateAddress: fmt.Sprintf("%s:%d", ip, firstInternalPort), MetricsAddress: fmt.Sprintf("%s:%d", ip, metricsPort),
 		SettingsFile: filepath.Join(t.TempDir(), "entry.yaml"),
 	}
+	if len(s.EntryDomains) > 0 {
+		e.FailureDomain = s.EntryDomains[i%len(s.EntryDomains)]
+	}
 	regions := ""
-	for _, domain := range append([]string{failureDomain}, s.Domains...) {
+	for _, domain := range slices.Concat([]string{failureDomain}, s.EntryDomains, s.Domains) {
 		regions += fmt.Sprintf("  - {failureDomain: %s, region: %s}\n", domain, Region(domain))
 	}
 	evacuation := ""
@@ -366,7 +407,7 @@
 limits: {memory: %d MB, link: 700 Mbit/s, descriptors: %d}
 logSample: 1
 metricsPort: %d
-`, e.Registration, failureDomain, Region(failureDomain), ip, firstInternalPort, firstInternalPort+5, regions, ip, callersPort, ip, readinessPort, e.StoreAddress, s.GracefulStop, s.RepeatSlack, s.ColdOvershoot, s.ColdSlack, evacuation, cmp.Or(s.MegabytesOfMemory, 206), s.Descriptors, metricsPort)
+`, e.Registration, e.FailureDomain, Region(e.FailureDomain), ip, firstInternalPort, firstInternalPort+5, regions, ip, callersPort, ip, readinessPort, e.StoreAddress, s.GracefulStop, s.RepeatSlack, s.ColdOvershoot, s.ColdSlack, evacuation, cmp.Or(s.MegabytesOfMemory, 206), s.Descriptors, metricsPort)
 	if err := os.WriteFile(e.SettingsFile, []byte(text), 0o600); err != nil {
 		t.Fatal(err)
 	}
