--- a/internal/integration/clientload/clientload_test.go
+++ b/internal/integration/clientload/clientload_test.go
@@ -114,6 +114,17 @@
 	{"connections without a request", manyConns, func(ctx context.Context, conn net.Conn, _ endpoint) { drain(ctx, conn) }},
 }
 
+// callLoads are crowds at the address for calls of other processes.
+var callLoads = []clientLoad{
+	{"message without end", bigHeads, func(ctx context.Context, conn net.Conn, _ endpoint) {
+		// A message begins with its length.
+		sendAll(conn, string(binary.AppendUvarint(nil, 1<<30))+`{"jsonrpc":"2.0","id":1,"method":"`)
+		sendRepeated(ctx, conn, strings.Repeat("m", 64<<10), 256)
+		drain(ctx, conn)
+	}},
+	{"connections without a message", manyConns, func(ctx context.Context, conn net.Conn, _ endpoint) { drain(ctx, conn) }},
+}
+
 // Guards against an entry that runs out of memory or descriptors because of what clients send
 // on its listener, with a route or without one, and on the one for readiness.
 func TestMisbehavingClientsOfEntry(t *testing.T) {
@@ -181,15 +192,7 @@
 // Guards against an agent that runs out of memory or descriptors because of what clients send
 // to the address for calls of other agents.
 func TestMisbehavingClientsOfAgentCalls(t *testing.T) {
-	for _, load := range []clientLoad{
-		{"message without end", bigHeads, func(ctx context.Context, conn net.Conn, _ endpoint) {
-			// A message begins with its length.
-			sendAll(conn, string(binary.AppendUvarint(nil, 1<<30))+`{"jsonrpc":"2.0","id":1,"method":"`)
-			sendRepeated(ctx, conn, strings.Repeat("m", 64<<10), 256)
-			drain(ctx, conn)
-		}},
-		{"connections without a message", manyConns, func(ctx context.Context, conn net.Conn, _ endpoint) { drain(ctx, conn) }},
-	} {
+	for _, load := range callLoads {
 		t.Run(load.name, func(t *testing.T) {
 			s := &hostedagents.System{Builder: &builder, Agents: 1, Bound: 8 * time.Second, Descriptors: crowdDescriptors}
 			s.Start(t)
--- a/internal/testkit/system/system.go
+++ b/internal/testkit/system/system.go
@@ -49,6 +49,8 @@
 		// the settings, such as "leaseDuration: 2s".
 		AgentTimeouts []string
 		EntryTimeouts []string
+		// EntryLimits are those of the limits section of entries.
+		EntryLimits []string
 		// DefaultIntervals keeps the default poll intervals and call budgets of the
 		// settings. Without it they are set for faster tests.
 		DefaultIntervals bool
@@ -75,14 +77,14 @@
 		// BackendURL is the base URL of an agent's backend server.
 		BackendURL     string
 		BackendProcess *process.Process
-		// Proxy injects faults between entries and an agent's control listener.
+		// ControlAddress is an agent's listener for calls, to which Proxy forwards.
+		ControlAddress string
+		// Proxy injects faults between entries and ControlAddress.
 		Proxy *faultproxy.Proxy
 
 		// settingsFile is the path of the settings file.
 		settingsFile string
 		subcommand   string
-		// controlAddress is the agent's control listener, to which Proxy forwards.
-		controlAddress string
 		// objectAPIURL is the value in the settings file.
 		objectAPIURL string
 	}
@@ -154,7 +156,7 @@
 	m.Identity = s.newIdentity(mulberryspool.RoleAgent, pool, len(s.Agents))
 	control := addresses.Address()
 	m.Identity.Chunks, m.Identity.Admin = addresses.Address(), addresses.Address()
-	m.controlAddress, m.objectAPIURL = control, s.ObjectAPIURL
+	m.ControlAddress, m.objectAPIURL = control, s.ObjectAPIURL
 	weights := ""
 	if kind == mulberryspool.PoolEngine {
 		weights = fmt.Sprintf("weights:\n  origin: %s\n  stagingLimit: 256 MiB\n", s.OriginURL)
@@ -179,7 +181,7 @@
 	t.Helper()
 	m.Process = process.Start(t, s.program, "agent", "--config", m.settingsFile)
 	m.Process.AwaitURL(t, "http://"+m.Identity.Admin+"/healthz")
-	proxy, err := faultproxy.Start(m.controlAddress)
+	proxy, err := faultproxy.Start(m.ControlAddress)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -198,9 +200,9 @@
 		t.Fatal(err)
 	}
 	m := *old
-	m.controlAddress, m.Identity.Chunks, m.Identity.Admin = addresses.Address(), addresses.Address(), addresses.Address()
+	m.ControlAddress, m.Identity.Chunks, m.Identity.Admin = addresses.Address(), addresses.Address(), addresses.Address()
 	m.settingsFile = filepath.Join(s.directory, uuid.NewString()+".yaml")
-	replacer := strings.NewReplacer(old.controlAddress, m.controlAddress, old.Identity.Chunks, m.Identity.Chunks, old.Identity.Admin, m.Identity.Admin,
+	replacer := strings.NewReplacer(old.ControlAddress, m.ControlAddress, old.Identity.Chunks, m.Identity.Chunks, old.Identity.Admin, m.Identity.Admin,
 		old.objectAPIURL, s.ObjectAPIURL)
 	m.objectAPIURL = s.ObjectAPIURL
 	if err := os.WriteFile(m.settingsFile, []byte(replacer.Replace(string(text))), 0o600); err != nil {
@@ -218,8 +220,8 @@
 	callers := addresses.Address()
 	m.CallersURL = "http://" + callers
 	m.Identity.Admin = addresses.Address()
-	s.writeSettings(t, m, fmt.Sprintf("listen:\n  callers: %s\n  admin: %s\n",
-		callers, m.Identity.Admin), s.EntryTimeouts)
+	body := fmt.Sprintf("listen:\n  callers: %s\n  admin: %s\n", callers, m.Identity.Admin)
+	s.writeSettings(t, m, body+section("limits", s.EntryLimits), s.EntryTimeouts)
 	m.Process = process.Start(t, s.program, "entry", "--config", m.settingsFile)
 	m.Process.AwaitURL(t, "http://"+m.Identity.Admin+"/healthz")
 	s.Entries = append(s.Entries, m)
@@ -252,19 +254,21 @@
 	fmt.Fprintf(&text, "instance: %s\nfailureDomain: %s\nregion: %s\n", m.Identity.Instance, m.Identity.FailureDomain, m.Identity.Region)
 	fmt.Fprintf(&text, "objectAPI:\n  url: %s\n%s", s.ObjectAPIURL, s.unlessDefault("  callsPerSecond: 500\n"))
 	fmt.Fprintf(&text, "instanceList:\n  url: %s\n%s", s.InstanceListURL, s.unlessDefault("  pollInterval: 200ms\n"))
-	text.WriteString(body)
-	if len(timeouts) > 0 {
-		text.WriteString("timeouts:\n")
-	}
-	for _, line := range timeouts {
-		fmt.Fprintf(&text, "  %s\n", line)
-	}
+	text.WriteString(body + section("timeouts", timeouts))
 	m.settingsFile = filepath.Join(s.directory, string(m.Identity.Instance)+".yaml")
 	if err := os.WriteFile(m.settingsFile, text.Bytes(), 0o600); err != nil {
 		t.Fatal(err)
 	}
 }
 
+// section returns a section of the settings; nothing if it has no lines.
+func section(name string, lines []string) string {
+	if len(lines) == 0 {
+		return ""
+	}
+	return name + ":\n  " + strings.Join(lines, "\n  ") + "\n"
+}
+
 // unlessDefault returns a line of the settings, or nothing if the default is
 // to be used.
 func (s *System) unlessDefault(line string) string {
