Test agents against messages that lack their last byte

One more crowd at the address for calls: 520 clients with messages of 120,000 bytes, within the limit of hosted agents.

--- a/internal/integration/clientload/clientload_test.go
+++ b/internal/integration/clientload/clientload_test.go
@@ -122,6 +122,12 @@
 		sendRepeated(ctx, conn, strings.Repeat("m", 64<<10), 256)
 		drain(ctx, conn)
 	}},
+	{"messages without their last byte", manyConns, func(ctx context.Context, conn net.Conn, _ endpoint) {
+		const length = 120_000
+		message := `{"jsonrpc":"2.0","id":1,"method":"`
+		sendAll(conn, string(binary.AppendUvarint(nil, length))+message+strings.Repeat("m", length-len(message)-1))
+		drain(ctx, conn)
+	}},
 	{"connections without a message", manyConns, func(ctx context.Context, conn net.Conn, _ endpoint) { drain(ctx, conn) }},
 }
 
