Bound what callers make the product's own entry take

Cause: each body was read whole with no bound on all of them together, and with up to twice its size while it grew; nothing bounded heads, unread responses and connections; a body was copied up to eight times to be sent to an agent, for as many requests as were complete at a time. The guard of the hosted roles stood before those only.

Change: the listeners of an entry, and the admin server of both roles, are guarded by httpguard, whose budget is 0.3 of the memory (new settings limits.memory and limits.descriptors; by default those of the control group or the machine, read with the automemlimit library, a new dependency). Bodies share the budget until the state machine of the request doesn't use them any more, which it says with an effect, as a request may outlast its caller. Bodies are encoded for agents as far as a part of the memory lasts. A body whose announced length is over the limit is refused unread. The messages of a chat request are not copied any more to hash their beginning.

Of the unit tests, TestBodiesShareBudget can't be built without the change; the simulation of TestRequestsUnderFaults now checks that each body is released once.

--- a/cmd/mulberryspool/runners.go
+++ b/cmd/mulberryspool/runners.go
@@ -7,6 +7,7 @@
 	"io"
 	"math/rand/v2"
 	"os"
+	"runtime/debug"
 	"time"
 
 	"github.com/dustin/go-humanize"
@@ -23,19 +24,32 @@
 	"github.com/mulberryspool/mulberryspool/internal/role/agent"
 	"github.com/mulberryspool/mulberryspool/internal/role/entry"
 	"github.com/mulberryspool/mulberryspool/internal/role/hosted"
+	agentsettings "github.com/mulberryspool/mulberryspool/internal/settings/agent"
+	"github.com/mulberryspool/mulberryspool/internal/settings/decode"
+	entrysettings "github.com/mulberryspool/mulberryspool/internal/settings/entry"
 	hostedsettings "github.com/mulberryspool/mulberryspool/internal/settings/hosted"
 )
 
-// operatorCaller is the caller name that the platform uses to count calls from
-// operators' commands.
-const operatorCaller = "operator"
+const (
+	// operatorCaller is the caller name that the platform uses to count calls from
+	// operators' commands.
+	operatorCaller = "operator"
+	// heapShare is the share of the memory that is the soft limit of the heap.
+	heapShare = 0.5
+)
 
 // runners connects the subcommands with the packages that implement them. The hosted roles
 // read their settings again on each signal from reload.
 func runners(reload <-chan os.Signal) command.Runners {
 	return command.Runners{
-		Entry: entry.Run,
-		Agent: agent.Run,
+		Entry: func(ctx context.Context, s entrysettings.Settings, logs io.Writer) error {
+			limitHeap(s.Limits.Memory)
+			return entry.Run(ctx, s, logs)
+		},
+		Agent: func(ctx context.Context, s agentsettings.Settings, logs io.Writer) error {
+			limitHeap(s.Limits.Memory)
+			return agent.Run(ctx, s, logs)
+		},
 
 		HostedEntry: func(ctx context.Context, file string, s hostedsettings.Settings, logs io.Writer) error {
 			return hosted.Entry(ctx, hosted.SettingsFile{Name: file, Reload: reload}, s, logs)
@@ -61,6 +75,14 @@
 	}
 }
 
+// limitHeap makes the garbage collector keep the heap within a share of the memory that the settings
+// name; 0 leaves the limit to the environment.
+func limitHeap(memory decode.Size) {
+	if memory > 0 {
+		debug.SetMemoryLimit(int64(heapShare * float64(memory)))
+	}
+}
+
 // publishWeights publishes a version and prints its manifest in one line.
 func publishWeights(ctx context.Context, store mulberryspool.ObjectStore, options command.PublishOptions, out io.Writer) error {
 	clock := clockwork.NewRealClock()
--- a/internal/entry/bodybudget/budget.go
+++ b/internal/entry/bodybudget/budget.go
@@ -53,12 +53,17 @@
 		used int64
 	}
 
-	// Body is a body in memory. Release must be called when it is not used any more.
+	// Body is a body in memory. Release must be called when it is not used any more, and once
+	// more for each Retain.
 	Body struct {
 		Bytes []byte
 
-		budget   *Budget
+		budget *Budget
+		mu     sync.Mutex
+		// reserved is the part of the budget that the body takes.
 		reserved int64
+		// retained is the number of calls of Retain that no Release has followed.
+		retained int
 	}
 )
 
@@ -159,8 +164,30 @@
 	return true
 }
 
+// Extend reserves further bytes for as long as the body, and reports whether they fit.
+func (b *Body) Extend(bytes int64) bool {
+	if !b.budget.Reserve(b.reserved, bytes) {
+		return false
+	}
+	b.reserved += bytes
+	return true
+}
+
+// Retain makes the next Release have no effect.
+func (b *Body) Retain() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.retained++
+}
+
 // Release returns the memory of the body to the budget. Further calls have no effect.
 func (b *Body) Release() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.retained > 0 {
+		b.retained--
+		return
+	}
 	b.budget.Release(b.reserved)
 	b.reserved = 0
 }
--- a/internal/entry/callers/errors.go
+++ b/internal/entry/callers/errors.go
@@ -15,6 +15,8 @@
 const (
 	CodeBadRequest       dispatch.Code = "badRequest"
 	CodeBodyTooLarge     dispatch.Code = "bodyTooLarge"
+	CodeBodyStalled      dispatch.Code = "bodyStalled"
+	CodeNoMemory         dispatch.Code = "noMemory"
 	CodeMethodNotAllowed dispatch.Code = "methodNotAllowed"
 	CodeRouteNotDeferred dispatch.Code = "routeNotDeferred"
 	CodeNoReceipt        dispatch.Code = "noReceipt"
@@ -49,6 +51,7 @@
 	dispatch.CodeEarlierOutcomeUnknown: http.StatusConflict,
 	CodeBadRequest:                     http.StatusBadRequest,
 	CodeBodyTooLarge:                   http.StatusRequestEntityTooLarge,
+	CodeBodyStalled:                    http.StatusRequestTimeout,
 	CodeMethodNotAllowed:               http.StatusMethodNotAllowed,
 	CodeRouteNotDeferred:               http.StatusBadRequest,
 	CodeNoReceipt:                      http.StatusNotFound,
@@ -79,14 +82,20 @@
 	header.Del("Trailer")
 	header.Set("Content-Type", "application/json")
 	header.Set(HeaderRequestID, string(id))
-	if err.RetryAfter > 0 {
-		header.Set("Retry-After", strconv.Itoa(int(math.Ceil(err.RetryAfter.Seconds()))))
-	}
+	SetRefusal(header, err.RetryAfter)
 	header.Set("Content-Length", strconv.Itoa(len(body)))
 	w.WriteHeader(httpStatus(err))
 	_, _ = w.Write(body)
 }
 
+// SetRefusal sets the headers of a response to a request that did not run, and that may be sent
+// again after some time; 0 for no such hint.
+func SetRefusal(header http.Header, retryAfter time.Duration) {
+	if retryAfter > 0 {
+		header.Set("Retry-After", strconv.Itoa(int(math.Ceil(retryAfter.Seconds()))))
+	}
+}
+
 func notRunError(code dispatch.Code, message string) dispatch.Error {
 	return dispatch.Error{Outcome: mulberryspool.OutcomeNotRun, Code: code, Message: message}
 }
--- a/internal/entry/callers/serve.go
+++ b/internal/entry/callers/serve.go
@@ -9,10 +9,16 @@
 	"github.com/gorilla/mux"
 
 	"github.com/mulberryspool/mulberryspool"
+	"github.com/mulberryspool/mulberryspool/internal/entry/bodybudget"
 	"github.com/mulberryspool/mulberryspool/internal/entry/dispatch"
 )
 
-const eventStream = "text/event-stream"
+const (
+	eventStream = "text/event-stream"
+	// storedCopies is how many times the size of a body it takes to store it: encoded in base64,
+	// with the buffers of the encoder.
+	storedCopies = 4
+)
 
 func (s *Server) handleChat(w http.ResponseWriter, request *http.Request) {
 	s.handleRequest(w, request, mulberryspool.RouteChat, func(body []byte) (dispatch.Submission, error) {
@@ -39,15 +45,17 @@
 	}
 	body, refusal := s.readBody(w, request)
 	if refusal != nil {
+		s.Metrics.Tagged(map[string]string{"code": string(refusal.Code)}).Counter("callers_bodies_refused").Inc(1)
 		writeError(w, id, *refusal)
 		return
 	}
-	submission, err := parse(body)
+	defer body.Release()
+	submission, err := parse(body.Bytes)
 	if err != nil {
 		writeError(w, id, notRunError(CodeBadRequest, err.Error()))
 		return
 	}
-	submission.ID = id
+	submission.ID, submission.Held = id, body
 	view, ok := s.Tables()
 	if !ok {
 		writeError(w, id, retryableError(dispatch.CodeNotReady, "no tables revision is confirmed yet"))
@@ -63,6 +71,10 @@
 		return
 	}
 	if prefersAsync(request.Header) {
+		if !body.Extend(storedCopies * int64(len(body.Bytes))) {
+			writeError(w, id, s.bodyError(bodybudget.ErrFull))
+			return
+		}
 		s.acceptDeferred(w, request, route, submission)
 		return
 	}
@@ -72,7 +84,10 @@
 // serveSubmission runs a request while the caller waits for the response.
 func (s *Server) serveSubmission(w http.ResponseWriter, request *http.Request, submission dispatch.Submission) {
 	buffer := NewResponseBuffer(s.MaxBufferedResponse, func() { s.OnBufferFull(submission.ID) })
+	// The request may outlast its caller.
+	submission.Held.Retain()
 	if !s.Submit(submission, buffer) {
+		submission.Held.Release()
 		writeError(w, submission.ID, dispatch.Error{Outcome: mulberryspool.OutcomeNotRun, Code: dispatch.CodeDuplicateID,
 			Message: "a request with this ID is in progress"})
 		return
--- a/internal/entry/callers/server.go
+++ b/internal/entry/callers/server.go
@@ -16,6 +16,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"github.com/mulberryspool/mulberryspool"
+	"github.com/mulberryspool/mulberryspool/internal/entry/bodybudget"
 	"github.com/mulberryspool/mulberryspool/internal/entry/deferred"
 	"github.com/mulberryspool/mulberryspool/internal/entry/dispatch"
 )
@@ -56,6 +57,8 @@
 		Deferred Deferred
 		Clock    mulberryspool.Clock
 		Metrics  tally.Scope
+		// Bodies is the memory for bodies; nil for no bound.
+		Bodies *bodybudget.Budget
 		// MaxBody limits the size of request bodies, MaxBufferedResponse the bytes of a
 		// response that are buffered for the caller.
 		MaxBody             int64
--- a/internal/entry/callers/server_test.go
+++ b/internal/entry/callers/server_test.go
@@ -13,6 +13,7 @@
 	"github.com/jonboulle/clockwork"
 
 	"github.com/mulberryspool/mulberryspool"
+	"github.com/mulberryspool/mulberryspool/internal/entry/bodybudget"
 	"github.com/mulberryspool/mulberryspool/internal/entry/dispatch"
 )
 
@@ -285,3 +286,42 @@
 		t.Fatalf("models are %+v", list)
 	}
 }
+
+// Guards against bodies that take more memory together than there is, and against memory that is
+// returned before the request has ended, or never.
+func TestBodiesShareBudget(t *testing.T) {
+	proceed := make(chan struct{})
+	f := newFixture(t, func(submission dispatch.Submission, b *ResponseBuffer) {
+		<-proceed
+		submission.Held.Release()
+		respondWith("text/plain", "x")(submission, b)
+	})
+	f.server.Bodies = &bodybudget.Budget{Limit: 1500}
+	body := strings.Repeat("x", 900)
+	first := make(chan callerResponse)
+	go func() { first <- f.do(t, "POST", "/ledger/x", body) }()
+	<-f.submissions
+	got := f.do(t, "POST", "/ledger/x", body)
+	if got.status != http.StatusServiceUnavailable || got.errorCode(t) != "notRun noMemory" || got.header.Get("Retry-After") == "" {
+		t.Errorf("response without memory is %d %s, %v", got.status, got.errorCode(t), got.header)
+	}
+	close(proceed)
+	if got := <-first; got.status != http.StatusOK {
+		t.Errorf("response is %d", got.status)
+	}
+	<-f.disconnected
+	for range 5 {
+		if got := f.do(t, "POST", "/ledger/x", body); got.status != http.StatusOK {
+			t.Fatalf("response afterwards is %d", got.status)
+		}
+		<-f.submissions
+		<-f.disconnected
+	}
+	f.do(t, "POST", "/ledger/x", strings.Repeat("x", 1001))
+	f.do(t, "POST", chatPath, body)
+	for deadline := time.Now().Add(10 * time.Second); f.server.Bodies.Used() != 0; time.Sleep(time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatalf("%d bytes are reserved after all requests have ended", f.server.Bodies.Used())
+		}
+	}
+}
--- a/internal/entry/callers/submission.go
+++ b/internal/entry/callers/submission.go
@@ -1,8 +1,8 @@
 package callers
 
 import (
+	"bytes"
 	"encoding/json"
-	"io"
 	"net/http"
 	"regexp"
 	"strconv"
@@ -15,7 +15,9 @@
 	"github.com/gorilla/mux"
 
 	"github.com/mulberryspool/mulberryspool"
+	"github.com/mulberryspool/mulberryspool/internal/entry/bodybudget"
 	"github.com/mulberryspool/mulberryspool/internal/entry/dispatch"
+	"github.com/mulberryspool/mulberryspool/internal/peer/httpguard"
 )
 
 const (
@@ -37,11 +39,20 @@
 // chatRequest holds the fields of a chat request that the entry reads. The body
 // is forwarded unchanged.
 type chatRequest struct {
-	Model               string          `json:"model"`
-	Stream              bool            `json:"stream"`
-	MaxTokens           int             `json:"max_tokens"`
-	MaxCompletionTokens int             `json:"max_completion_tokens"`
-	Messages            json.RawMessage `json:"messages"`
+	Model               string         `json:"model"`
+	Stream              bool           `json:"stream"`
+	MaxTokens           int            `json:"max_tokens"`
+	MaxCompletionTokens int            `json:"max_completion_tokens"`
+	Messages            messagesPrefix `json:"messages"`
+}
+
+// messagesPrefix is the first part of the messages, in JSON.
+type messagesPrefix []byte
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (p *messagesPrefix) UnmarshalJSON(data []byte) error {
+	*p = bytes.Clone(data[:min(len(data), prefixBytes)])
+	return nil
 }
 
 // requestID returns the caller's request ID, or generates one.
@@ -56,19 +67,37 @@
 	return mulberryspool.RequestID(given), nil
 }
 
-// readBody reads at most MaxBody bytes.
-func (s *Server) readBody(w http.ResponseWriter, request *http.Request) ([]byte, *dispatch.Error) {
-	body, err := io.ReadAll(http.MaxBytesReader(w, request.Body, s.MaxBody))
+// readBody reads at most MaxBody bytes. The body must be released unless the request is refused.
+func (s *Server) readBody(w http.ResponseWriter, request *http.Request) (*bodybudget.Body, *dispatch.Error) {
+	if request.ContentLength > s.MaxBody {
+		refusal := s.bodyTooLarge()
+		return nil, &refusal
+	}
+	body, err := s.Bodies.Read(http.MaxBytesReader(w, request.Body, s.MaxBody), request.ContentLength, s.MaxBody+1)
 	if err == nil {
 		return body, nil
 	}
+	body.Release()
+	refusal := s.bodyError(err)
+	return nil, &refusal
+}
+
+// bodyError returns the refusal of a request whose body could not be read.
+func (s *Server) bodyError(err error) dispatch.Error {
 	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
-		refusal := notRunError(CodeBodyTooLarge, "the body is larger than "+strconv.FormatInt(s.MaxBody, 10)+" bytes")
-		return nil, &refusal
+	switch {
+	case errors.As(err, &tooLarge):
+		return s.bodyTooLarge()
+	case errors.Is(err, bodybudget.ErrFull), errors.Is(err, httpguard.ErrNoMemory):
+		return retryableError(CodeNoMemory, "this entry has no memory for the body")
+	case errors.Is(err, httpguard.ErrNoProgress):
+		return notRunError(CodeBodyStalled, "the body did not arrive")
 	}
-	refusal := notRunError(CodeBadRequest, "the body could not be read: "+err.Error())
-	return nil, &refusal
+	return notRunError(CodeBadRequest, "the body could not be read: "+err.Error())
+}
+
+func (s *Server) bodyTooLarge() dispatch.Error {
+	return notRunError(CodeBodyTooLarge, "the body is larger than "+strconv.FormatInt(s.MaxBody, 10)+" bytes")
 }
 
 // chatSubmission converts the body of a chat request, and reports whether a
@@ -85,14 +114,13 @@
 	if output <= 0 {
 		output = defaultOutputTokens
 	}
-	prefix := chat.Messages[:min(len(chat.Messages), prefixBytes)]
 	return dispatch.Submission{
 		Route:       chat.Model,
 		Method:      http.MethodPost,
 		Path:        chatPath,
 		ContentType: "application/json",
 		Body:        body,
-		Prefix:      xxhash.Sum64(prefix),
+		Prefix:      xxhash.Sum64(chat.Messages),
 		Tokens:      len(body)/bytesPerToken + output,
 		Buffered:    !chat.Stream,
 	}, chat.Stream, nil
--- a/internal/entry/dispatch/effects.go
+++ b/internal/entry/dispatch/effects.go
@@ -29,6 +29,8 @@
 		Conn    ConnID
 		Attempt int
 		Params  mulberryspool.StartParams
+		// Held is the memory of the body; nil if it is not accounted for.
+		Held Held
 	}
 	// CallResolve asks an agent for the state of a request. The result is
 	// ResolveAnswered or ResolveFailed.
@@ -82,6 +84,8 @@
 		Error Error
 	}
 
+	// ReleaseBody returns the memory of a body that the reducer does not use any more.
+	ReleaseBody struct{ Held Held }
 	// RecordEvent adds an event to the timeline.
 	RecordEvent struct{ Event mulberryspool.Event }
 	// SetTimer asks for a TimerFired event at the given time and replaces the
@@ -103,6 +107,7 @@
 func (CallerReset) isEffect()       {}
 func (CallerEnd) isEffect()         {}
 func (CallerError) isEffect()       {}
+func (ReleaseBody) isEffect()       {}
 func (RecordEvent) isEffect()       {}
 func (SetTimer) isEffect()          {}
 func (Stopped) isEffect()           {}
--- a/internal/entry/dispatch/events.go
+++ b/internal/entry/dispatch/events.go
@@ -28,6 +28,13 @@
 type Event interface{ isEvent() }
 
 type (
+	// Held is memory that is accounted for. Release returns it, after as many further calls as
+	// there were of Retain.
+	Held interface {
+		Retain()
+		Release()
+	}
+
 	// Submission is a caller's request.
 	Submission struct {
 		ID          mulberryspool.RequestID
@@ -38,6 +45,8 @@
 		Path        string
 		ContentType string
 		Body        []byte
+		// Held is the memory of Body, until ReleaseBody; nil if it is not accounted for.
+		Held Held
 		// IdempotencyKey is the Idempotency-Key, scoped to route and workspace; empty
 		// for none.
 		IdempotencyKey string
--- a/internal/entry/dispatch/reducer_test.go
+++ b/internal/entry/dispatch/reducer_test.go
@@ -84,7 +84,10 @@
 		submission.Body = []byte(rapid.SampledFrom([]string{"x", "x", "x", "y"}).Draw(t, "body"))
 	}
 	e := s.entries[rapid.IntRange(0, len(s.entries)-1).Draw(t, "entry")]
-	s.requests[id] = &simRequest{submission: submission, entry: e, idempotent: route == "again"}
+	q := &simRequest{entry: e, idempotent: route == "again"}
+	submission.Held = &q.held
+	q.submission = submission
+	s.requests[id] = q
 	e.step(Submitted{Submission: submission})
 }
 
@@ -274,6 +277,9 @@
 }
 
 func (s *simulation) checkRequest(id mulberryspool.RequestID, q *simRequest) {
+	if q.submission.Held != nil && q.held.released != 1 {
+		s.t.Fatalf("the memory of the body of request %s was released %d times, want once", id, q.held.released)
+	}
 	if !q.idempotent && s.executionCounts[id] > 1 {
 		s.t.Fatalf("request %s ran %d times, want at most once", id, s.executionCounts[id])
 	}
--- a/internal/entry/dispatch/requests.go
+++ b/internal/entry/dispatch/requests.go
@@ -15,12 +15,14 @@
 // control of its pool.
 func (r *Reducer) handleSubmission(submission Submission) {
 	refuse := func(code Code, message string, retryAfter time.Duration) {
+		r.releaseBody(submission)
 		r.emit(CallerError{ID: submission.ID, Error: Error{Outcome: mulberryspool.OutcomeNotRun, Code: code, Message: message, RetryAfter: retryAfter}})
 	}
 	if q := r.requests[submission.ID]; q != nil {
 		// The callers package rejects a request ID that is in progress, unless
 		// the caller of the first request has disconnected.
 		r.reattachCaller(q, submission)
+		r.releaseBody(submission)
 		return
 	}
 	if r.tablesView.Tables == nil {
@@ -158,7 +160,7 @@
 	q.servedVersion, q.servedDigest = a.status.ServedVersion, a.status.Served
 	q.tried = append(q.tried, triedAgent{q.agent, q.incarnation})
 	r.bind(q, a)
-	r.emit(CallStart{ID: q.submission.ID, Conn: q.conn, Attempt: q.attempt, Params: mulberryspool.StartParams{
+	r.emit(CallStart{ID: q.submission.ID, Conn: q.conn, Attempt: q.attempt, Held: q.submission.Held, Params: mulberryspool.StartParams{
 		RequestID:   q.agentRequestID,
 		Incarnation: q.incarnation,
 		AgentTime:   q.agentTime,
@@ -332,6 +334,7 @@
 	}
 	q.phase = phaseEnded
 	delete(r.requests, q.submission.ID)
+	r.releaseBody(q.submission)
 	q.pool.admission.Release(q.submission.ID, r.now)
 	event := r.newEvent(q, mulberryspool.EventRequestEnded, string(q.agent))
 	event.Detail = string(outcome) + " " + detail
@@ -339,6 +342,13 @@
 	r.processQueue(q.pool)
 }
 
+// releaseBody emits an effect for a submission whose body is not used any more.
+func (r *Reducer) releaseBody(submission Submission) {
+	if submission.Held != nil {
+		r.emit(ReleaseBody{Held: submission.Held})
+	}
+}
+
 // notifyCaller emits an effect for the caller unless it has disconnected.
 func (r *Reducer) notifyCaller(q *request, e Effect) {
 	if !q.callerGone {
--- a/internal/entry/dispatch/simulation_test.go
+++ b/internal/entry/dispatch/simulation_test.go
@@ -95,9 +95,20 @@
 		received   strings.Builder
 		end        *CallerEnd
 		err        *Error
+		// held is the memory of the body.
+		held simHeld
 	}
+
+	// simHeld counts the calls for the memory of a body.
+	simHeld struct{ retained, released int }
 )
 
+// Retain implements Held.
+func (h *simHeld) Retain() { h.retained++ }
+
+// Release implements Held.
+func (h *simHeld) Release() { h.released++ }
+
 func newSimulation(t fataler) *simulation {
 	s := &simulation{
 		t: t, now: time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC),
@@ -172,6 +183,8 @@
 		s.enqueue(pendingDelivery{name: "endClaim", deliver: func() { s.compareAndSwapClaim(&f.Expected, f.Next) }})
 	case SetTimer:
 		e.timerAt = f.At
+	case ReleaseBody:
+		f.Held.Release()
 	default:
 		e.checkCallerEffect(effect)
 	}
--- a/internal/entry/process/effects.go
+++ b/internal/entry/process/effects.go
@@ -23,7 +23,13 @@
 	case dispatch.CloseConnection:
 		p.conns.close(e.Conn)
 	case dispatch.CallStart:
-		p.runAsync(func(ctx context.Context) { p.callStart(ctx, e) })
+		release := retain(e.Held)
+		p.runAsync(func(ctx context.Context) {
+			defer release()
+			p.callStart(ctx, e)
+		})
+	case dispatch.ReleaseBody:
+		e.Held.Release()
 	case dispatch.CallResolve:
 		p.runAsync(func(ctx context.Context) { p.callResolve(ctx, e) })
 	case dispatch.CallCancel:
@@ -60,6 +66,16 @@
 
 func (p *Process) callStart(ctx context.Context, e dispatch.CallStart) {
 	var result mulberryspool.StartResult
+	ctx, cancel := p.withTimeout(ctx, p.StartTimeout)
+	defer cancel()
+	release, err := p.encoding.acquire(ctx, len(e.Params.Body))
+	if err != nil {
+		p.Logger.Info().Err(err).Str("step", mulberryspool.MethodStart).Str("requestID", string(e.ID)).Int("bodyBytes", len(e.Params.Body)).
+			Msg("no memory to send a body to an agent")
+		p.inbox.post(dispatch.StartFailed{ID: e.ID, Conn: e.Conn, Attempt: e.Attempt})
+		return
+	}
+	defer release()
 	if !p.callAgent(ctx, e.Conn, mulberryspool.MethodStart, e.ID, e.Params, &result) {
 		p.inbox.post(dispatch.StartFailed{ID: e.ID, Conn: e.Conn, Attempt: e.Attempt})
 		return
--- a/internal/entry/process/process.go
+++ b/internal/entry/process/process.go
@@ -23,11 +23,13 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/mulberryspool/mulberryspool"
+	"github.com/mulberryspool/mulberryspool/internal/entry/bodybudget"
 	"github.com/mulberryspool/mulberryspool/internal/entry/callerconns"
 	"github.com/mulberryspool/mulberryspool/internal/entry/callers"
 	"github.com/mulberryspool/mulberryspool/internal/entry/claims"
 	"github.com/mulberryspool/mulberryspool/internal/entry/deferred"
 	"github.com/mulberryspool/mulberryspool/internal/entry/dispatch"
+	"github.com/mulberryspool/mulberryspool/internal/peer/httpguard"
 	"github.com/mulberryspool/mulberryspool/internal/peer/rpc"
 )
 
@@ -52,8 +54,8 @@
 	// outcomePollInterval is how often a stopping process checks whether
 	// outcomes are still being recorded.
 	outcomePollInterval = 20 * time.Millisecond
-	// readHeaderTimeout limits the time in which a caller must send its headers.
-	readHeaderTimeout = 10 * time.Second
+	// callersDescriptors is the share of the descriptors that connections of callers may use.
+	callersDescriptors = 0.5
 )
 
 type (
@@ -75,6 +77,9 @@
 		Endpoint *rpc.Endpoint
 		// CallerListener accepts the callers' HTTP connections; Run closes it.
 		CallerListener net.Listener
+		// Guard bounds what callers take, with its Budget; nil for no bounds. The caller of Run
+		// runs it.
+		Guard *httpguard.Guard
 		// Claims is a claims.ShardedLog on Store if it is nil.
 		Claims claims.Store
 		// DispatchSettings holds the limits and timeouts of the reducer.
@@ -121,6 +126,7 @@
 		conns           agentConns
 		delays          delayEstimator
 		queue           *deferred.Queue
+		encoding        encodingLimit
 		timer           tickTimer
 		prepared        atomic.Bool
 		tablesConfirmed atomic.Bool
@@ -161,10 +167,13 @@
 		p.inbox.post(dispatch.TablesChanged{View: view})
 	})
 
-	connections := &callerconns.Tracker{Listener: p.CallerListener, Clock: p.Clock}
-	server := &http.Server{Handler: p.closeWhenStopping(p.newServer().Handler()), ReadHeaderTimeout: readHeaderTimeout, ConnState: connections.Record}
+	// The guard enforces the time limits of heads and idle connections.
+	connections := &callerconns.Tracker{Listener: p.CallerListener, Clock: p.Clock, NoOvertime: true}
+	listener := p.Guard.Listen(connections, "callers", callersDescriptors)
+	server := &http.Server{Handler: p.closeWhenStopping(p.newServer().Handler()), ConnState: connections.Record}
+	httpguard.Attach(server, listener)
 	served := make(chan error, 1)
-	go func() { served <- server.Serve(connections) }()
+	go func() { served <- server.Serve(listener) }()
 	p.recordEvent(mulberryspool.EventProcessStarted, "")
 
 	var failure error
@@ -257,6 +266,10 @@
 	if p.Metrics == nil {
 		p.Metrics = tally.NoopScope
 	}
+	if p.Guard == nil {
+		p.Guard = &httpguard.Guard{Clock: p.Clock, Budget: &bodybudget.Budget{}, Logger: p.Logger, Metrics: p.Metrics}
+	}
+	p.encoding = newEncodingLimit(p.Guard.Budget.Limit)
 	if p.Claims == nil {
 		p.Claims = &claims.ShardedLog{Objects: p.Store, Clock: p.Clock}
 	}
@@ -284,6 +297,7 @@
 		OnBufferFull:        func(id mulberryspool.RequestID) { p.inbox.post(dispatch.CallerTooSlow{ID: id}) },
 		Tables:              p.Tables.Current,
 		Deferred:            p.queue,
+		Bodies:              p.Guard.Budget,
 		Clock:               p.Clock,
 		Metrics:             p.Metrics,
 		MaxBody:             p.MaxBody,
--- a/internal/integration/clientload/uploads_test.go
+++ b/internal/integration/clientload/uploads_test.go
@@ -35,6 +35,9 @@
 `
 )
 
+// uploadLimits are those of the machine, in the settings of entries and agents.
+var uploadLimits = []string{fmt.Sprintf("memory: %d MiB", uploadMemory), fmt.Sprintf("descriptors: %d", crowdDescriptors)}
+
 // uploadLoads are crowds of clients that send large bodies, most of which stop just before their
 // end and leave their connections open.
 var uploadLoads = []clientLoad{
@@ -76,7 +79,7 @@
 		sendAll(conn, d.head("POST", fmt.Sprintf("Content-Length: %d\r\n", uploadMaxBody))+"\r\n"+strings.Repeat("b", uploadMaxBody))
 		drain(ctx, conn)
 	}},
-	{"complete, connection closed", uploads, func(ctx context.Context, conn net.Conn, d endpoint) {
+	{"complete, connection closed", uploads, func(_ context.Context, conn net.Conn, d endpoint) {
 		sendAll(conn, d.head("POST", fmt.Sprintf("Idempotency-Key: %s\r\nContent-Length: %d\r\n", conn.LocalAddr(), uploadMaxBody))+"\r\n"+strings.Repeat("b", uploadMaxBody))
 		conn.Close()
 	}},
@@ -119,7 +122,7 @@
 func TestUploadsToOwnAgent(t *testing.T) {
 	check := func(load clientLoad, name string, address func(m *system.Member) endpoint) {
 		t.Run(load.name+" "+name, func(t *testing.T) {
-			s := &system.System{Builder: &builder}
+			s := &system.System{Builder: &builder, AgentLimits: uploadLimits}
 			s.Start(t)
 			m := s.AddEngineAgent(t, "chat")
 			checkCrowd(t, m.Process, load, address(m), uploadMemory, crowdDescriptors)
@@ -188,7 +191,7 @@
 
 func startOwnEntry(t *testing.T) (*system.System, *system.Member) {
 	t.Helper()
-	s := &system.System{Builder: &builder, EntryLimits: []string{fmt.Sprintf("maxBodySize: %d B", uploadMaxBody)}}
+	s := &system.System{Builder: &builder, EntryLimits: append([]string{fmt.Sprintf("maxBodySize: %d B", uploadMaxBody)}, uploadLimits...), AgentLimits: uploadLimits}
 	s.Start(t)
 	s.AddPlainAgent(t, "lookup")
 	e := s.AddEntry(t)
--- a/internal/operator/local/deployment.go
+++ b/internal/operator/local/deployment.go
@@ -16,7 +16,9 @@
 	originclient "github.com/mulberryspool/mulberryspool/internal/platform/origin"
 	agentrole "github.com/mulberryspool/mulberryspool/internal/role/agent"
 	entryrole "github.com/mulberryspool/mulberryspool/internal/role/entry"
+	"github.com/mulberryspool/mulberryspool/internal/role/platform"
 	agentsettings "github.com/mulberryspool/mulberryspool/internal/settings/agent"
+	"github.com/mulberryspool/mulberryspool/internal/settings/decode"
 	entrysettings "github.com/mulberryspool/mulberryspool/internal/settings/entry"
 	"github.com/mulberryspool/mulberryspool/internal/settings/shared"
 	"github.com/mulberryspool/mulberryspool/internal/standin/engine"
@@ -48,6 +50,9 @@
 		list         *instancelist.Client
 		originReader *originclient.Client
 		roles        errgroup.Group
+		// roleMemory is the part of the machine's memory for each agent and entry; 0 if that isn't
+		// known.
+		roleMemory decode.Size
 		// onRoleFailure is called if a role ends before its context does.
 		onRoleFailure func(error)
 	}
@@ -64,6 +69,9 @@
 		Random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}
 	d.list = &instancelist.Client{BaseURL: d.listURL, Caller: "operator", Clock: d.clock}
+	if memory, err := platform.MachineMemory(); err == nil {
+		d.roleMemory = decode.Size(memory / (agentCount + entryCount))
+	}
 	d.originReader = &originclient.Client{BaseURL: d.originURL, Caller: "operator", Clock: d.clock}
 	for i := range agentCount {
 		if err := d.startAgent(ctx, i, logs); err != nil {
@@ -118,6 +126,7 @@
 	s.Weights.Origin, s.Weights.OriginRate = d.originURL, originRate
 	s.Weights.MachineRate, s.Weights.RegionRate = machineRate, regionRate
 	s.Telemetry.LogLevel = logLevel
+	s.Limits.Memory = d.roleMemory
 	s.Listen = agentsettings.Listen{Control: d.addresses.Address(), Chunks: d.addresses.Address(), Admin: d.addresses.Address()}
 	d.instances.Register(s.Identity())
 	d.run(ctx, s.Instance, func() error { return agentrole.Run(ctx, s, logs) })
@@ -130,6 +139,7 @@
 	s.Region, s.FailureDomain = location(number)
 	s.ObjectAPI.URL, s.InstanceList.URL = d.objectURL, d.listURL
 	s.Telemetry.LogLevel = logLevel
+	s.Limits.Memory = d.roleMemory
 	s.Listen = entrysettings.Listen{Callers: d.addresses.Address(), Admin: d.addresses.Address()}
 	d.entryURLs = append(d.entryURLs, "http://"+s.Listen.Callers)
 	d.instances.Register(s.Identity())
--- a/internal/role/agent/agent.go
+++ b/internal/role/agent/agent.go
@@ -28,6 +28,7 @@
 	clients, err := platform.New(platform.Options{
 		Identity: s.Identity(), ObjectAPI: s.ObjectAPI, Instances: s.InstanceList,
 		Tables: s.Tables, Telemetry: s.Telemetry, Logs: logs,
+		Memory: s.Limits.Memory, Descriptors: s.Limits.Descriptors,
 	})
 	if err != nil {
 		return err
--- a/internal/role/entry/entry.go
+++ b/internal/role/entry/entry.go
@@ -23,6 +23,7 @@
 	clients, err := platform.New(platform.Options{
 		Identity: s.Identity(), ObjectAPI: s.ObjectAPI, Instances: s.InstanceList,
 		Tables: s.Tables, Telemetry: s.Telemetry, AlwaysWatch: true, Logs: logs,
+		Memory: s.Limits.Memory, Descriptors: s.Limits.Descriptors,
 	})
 	if err != nil {
 		return err
@@ -34,7 +35,7 @@
 	p := &process.Process{
 		Identity: clients.Identity, Clock: clients.Clock, Store: clients.Store, Instances: clients.Instances,
 		Tables: clients.Tables, Recorder: clients.Events, Logger: clients.Logger, Metrics: clients.Metrics,
-		Endpoint: clients.Endpoint, CallerListener: listeners[0],
+		Endpoint: clients.Endpoint, CallerListener: listeners[0], Guard: clients.Guard,
 		NewRouter: func(string) mulberryspool.Router {
 			return routing.New(rand.New(rand.NewPCG(clients.Random.Uint64(), clients.Random.Uint64())))
 		},
--- a/internal/role/platform/platform.go
+++ b/internal/role/platform/platform.go
@@ -11,6 +11,7 @@
 	"net"
 	"time"
 
+	"github.com/KimMachineGun/automemlimit/memlimit"
 	"github.com/cockroachdb/errors"
 	"github.com/google/uuid"
 	"github.com/jonboulle/clockwork"
@@ -19,14 +20,18 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/mulberryspool/mulberryspool"
+	"github.com/mulberryspool/mulberryspool/internal/entry/bodybudget"
+	"github.com/mulberryspool/mulberryspool/internal/entry/callers"
 	"github.com/mulberryspool/mulberryspool/internal/observe/admin"
 	"github.com/mulberryspool/mulberryspool/internal/observe/hlc"
 	"github.com/mulberryspool/mulberryspool/internal/observe/logging"
 	"github.com/mulberryspool/mulberryspool/internal/observe/timeline"
+	"github.com/mulberryspool/mulberryspool/internal/peer/httpguard"
 	"github.com/mulberryspool/mulberryspool/internal/peer/rpc"
 	"github.com/mulberryspool/mulberryspool/internal/platform/instancelist"
 	"github.com/mulberryspool/mulberryspool/internal/platform/objectapi"
 	"github.com/mulberryspool/mulberryspool/internal/platform/tables"
+	"github.com/mulberryspool/mulberryspool/internal/settings/decode"
 	"github.com/mulberryspool/mulberryspool/internal/settings/shared"
 )
 
@@ -37,6 +42,10 @@
 	// watchGrace is the time allowed for the response to a watch to arrive after
 	// its deadline.
 	watchGrace = 3 * time.Second
+	// clientMemoryShare is the share of the memory that clients of all listeners may take.
+	clientMemoryShare = 0.3
+	// adminDescriptors is the share of the descriptors for connections to the admin server.
+	adminDescriptors = 0.1
 )
 
 type (
@@ -48,6 +57,10 @@
 		Instances shared.InstanceList
 		Tables    shared.Tables
 		Telemetry shared.Telemetry
+		// Memory and Descriptors are the settings of this name; 0 for what the operating system
+		// allows.
+		Memory      decode.Size
+		Descriptors int
 		// AlwaysWatch keeps a watch on the tables open; see tables.Follower.
 		AlwaysWatch bool
 		Logs        io.Writer
@@ -66,6 +79,8 @@
 		Events    *timeline.Ring
 		Logger    zerolog.Logger
 		Metrics   tally.Scope
+		// Guard bounds what clients of all listeners take.
+		Guard *httpguard.Guard
 		// Admin lacks Ready and Status, which the role sets.
 		Admin *admin.Server
 
@@ -108,16 +123,46 @@
 		WatchDeadline: options.ObjectAPI.WatchDeadline + watchGrace,
 	}
 	c.Admin = &admin.Server{Metrics: metricsHandler, Events: c.Events}
+	c.Guard = newGuard(options, clock, logger, metrics)
 	return c, nil
 }
 
+// MachineMemory returns the memory in bytes that the control group of the process or, without a
+// limit there, its machine has.
+func MachineMemory() (uint64, error) {
+	return memlimit.ApplyFallback(memlimit.FromCgroup, memlimit.FromSystem)()
+}
+
+// newGuard returns a guard whose budget is a share of the memory.
+func newGuard(options Options, clock mulberryspool.Clock, logger zerolog.Logger, metrics tally.Scope) *httpguard.Guard {
+	memory := uint64(options.Memory)
+	if memory == 0 {
+		var err error
+		if memory, err = MachineMemory(); err != nil {
+			logger.Warn().Err(err).Str(logging.FieldStep, "start").Msg("memory of the machine is not known, what clients take is not bounded")
+		}
+	}
+	budget := &bodybudget.Budget{Limit: int64(clientMemoryShare * float64(memory))}
+	guard := &httpguard.Guard{
+		Clock: clock, Budget: budget, Logger: logger, Metrics: metrics, SetRefusal: callers.SetRefusal, Descriptors: options.Descriptors,
+	}
+	budget.MakeRoom = guard.MakeRoom
+	return guard
+}
+
 // Run runs the role and returns its error. It serves the admin listener and
 // follows the tables until the role has returned, so that a stopping process can
 // still be observed.
 func (c *Clients) Run(ctx context.Context, adminListener net.Listener, role func(ctx context.Context) error) error {
 	background, stop := context.WithCancel(context.WithoutCancel(ctx))
 	var group errgroup.Group
-	group.Go(func() error { return c.Admin.Serve(background, adminListener) })
+	group.Go(func() error {
+		return c.Admin.Serve(background, c.Guard.Listen(adminListener, "admin", adminDescriptors))
+	})
+	group.Go(func() error {
+		c.Guard.Run(background)
+		return nil
+	})
 	group.Go(func() error { return c.Tables.Run(background) })
 	c.Logger.Info().Str(logging.FieldStep, "start").Msg("process started")
 	err := role(ctx)
--- a/internal/settings/agent/agent.go
+++ b/internal/settings/agent/agent.go
@@ -82,6 +82,12 @@
 	Limits struct {
 		// MaxInFlight limits the requests that are at the backend server at one time.
 		MaxInFlight int `yaml:"maxInFlight" validate:"gt=0"`
+		// Memory is that of the machine; 0 for what the operating system and the control group
+		// allow. Clients of all listeners together may take a part of it.
+		Memory decode.Size `yaml:"memory" validate:"gte=0"`
+		// Descriptors is the number of files and sockets that the process may open; 0 for the
+		// limit of the operating system. Connections to each listener may use a part of them.
+		Descriptors int `yaml:"descriptors" validate:"gte=0"`
 	}
 
 	// Timeouts contains the intervals and timeouts of an agent.
--- a/internal/settings/entry/entry.go
+++ b/internal/settings/entry/entry.go
@@ -2,6 +2,7 @@
 package entry
 
 import (
+	"fmt"
 	"time"
 
 	"github.com/mulberryspool/mulberryspool"
@@ -9,6 +10,10 @@
 	"github.com/mulberryspool/mulberryspool/internal/settings/shared"
 )
 
+// bodiesInMemory is how many bodies of the largest size must fit into the memory, so that one of them
+// fits into the part for callers with its copies in messages.
+const bodiesInMemory = 24
+
 type (
 	// Settings is the content of an entry's settings file.
 	Settings struct {
@@ -38,6 +43,12 @@
 		MaxBodySize decode.Size `yaml:"maxBodySize" validate:"gt=0"`
 		// MaxInFlight limits the requests in flight in the whole process.
 		MaxInFlight int `yaml:"maxInFlight" validate:"gt=0"`
+		// Memory is that of the machine; 0 for what the operating system and the control group
+		// allow. Clients of all listeners together may take a part of it.
+		Memory decode.Size `yaml:"memory" validate:"gte=0"`
+		// Descriptors is the number of files and sockets that the process may open; 0 for the
+		// limit of the operating system. Connections to each listener may use a part of them.
+		Descriptors int `yaml:"descriptors" validate:"gte=0"`
 		// MaxQueuedTokens limits the estimated tokens of the queued requests per pool.
 		MaxQueuedTokens int `yaml:"maxQueuedTokens" validate:"gt=0"`
 		// SubsetSize limits the agents per pool that this entry connects to.
@@ -118,6 +129,10 @@
 	shared.CheckListeners(report,
 		shared.Listener{Key: "listen.callers", Address: s.Listen.Callers},
 		shared.Listener{Key: "listen.admin", Address: s.Listen.Admin})
+	if least := bodiesInMemory * s.Limits.MaxBodySize; s.Limits.Memory > 0 && s.Limits.Memory < least {
+		report.Add("limits.memory", fmt.Sprintf("%d bytes are too few to send a body of limits.maxBodySize, %d bytes, to an agent", s.Limits.Memory, s.Limits.MaxBodySize),
+			fmt.Sprintf("%d bytes or more", least))
+	}
 	shared.CheckLonger(report, "timeouts.gracefulStop", s.Timeouts.GracefulStop,
 		"timeouts.requestTimeout", s.Timeouts.RequestTimeout)
 }
--- a/internal/testkit/system/system.go
+++ b/internal/testkit/system/system.go
@@ -49,8 +49,9 @@
 		// the settings, such as "leaseDuration: 2s".
 		AgentTimeouts []string
 		EntryTimeouts []string
-		// EntryLimits are those of the limits section of entries.
+		// EntryLimits and AgentLimits are those for the limits section.
 		EntryLimits []string
+		AgentLimits []string
 		// DefaultIntervals keeps the default poll intervals and call budgets of the
 		// settings. Without it they are set for faster tests.
 		DefaultIntervals bool
@@ -169,7 +170,7 @@
 backend:
   kind: %s
   url: %s
-%s%s`, pool, control, m.Identity.Chunks, m.Identity.Admin, kind, url, s.unlessDefault("  reportInterval: 200ms\n"), weights), s.AgentTimeouts)
+%s%s`, pool, control, m.Identity.Chunks, m.Identity.Admin, kind, url, s.unlessDefault("  reportInterval: 200ms\n"), weights)+section("limits", s.AgentLimits), s.AgentTimeouts)
 	s.Agents = append(s.Agents, m)
 	s.startAgent(t, m)
 	return m
