Bound what clients make an agent take

Seen: 32 connections to the address for calls of an agent of the product's own, each with a message that announces 1 GiB and sends 16 MiB of it, made it take 1,053 MB; 520 messages of 120,000 bytes without their last byte took 129 MB, and 520 connections 537 descriptors, also at its other addresses.

Hosted agents bound a message and the connections, but not what all messages together take while they arrive; the product's own agents bounded none of these.

Change: the listeners of an agent are guarded by httpguard. An rpc endpoint reserves four times the length of a message from the budget of all clients before it reads it (its buffer, and the copies of its parameters and its body), waits if there is no room, and closes a connection whose message doesn't arrive within 10 s. Both hold for hosted agents too, which take up to 128 KiB as before; the limit of a message is a setting of the product's own agents (limits.maxMessageSize, 16 MiB by default, twice the default limit of a body).

--- a/internal/peer/rpc/codec.go
+++ b/internal/peer/rpc/codec.go
@@ -3,30 +3,77 @@
 import (
 	"bufio"
 	"encoding/binary"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/sourcegraph/jsonrpc2"
+
+	"github.com/mulberryspool/mulberryspool/internal/entry/bodybudget"
+)
+
+const (
+	// decodedCopies is how many times its size a message takes while it is read and decoded.
+	decodedCopies = 4
+	// memoryPollInterval is how often a message looks whether there is memory for it.
+	memoryPollInterval = 10 * time.Millisecond
+	// maxReserved keeps an announced length from exceeding the range of its copies.
+	maxReserved = 1 << 40
 )
 
-// limitedCodec refuses messages that are too long before it reads them.
+// limitedCodec bounds the messages that are received, together and each. It refuses one that is too
+// long before it reads it.
 type limitedCodec struct {
 	jsonrpc2.VarintObjectCodec
-	// maxBytes is the limit; 0 for none.
+	// maxBytes is the limit of a message; 0 for none.
 	maxBytes uint64
+	// memory is that for messages that are being read; nil for no bound.
+	memory *bodybudget.Budget
+	conn   *Conn
+	stream *countedStream
+	// timeout is that for memory, and that for the message itself.
+	timeout time.Duration
 }
 
 // ReadObject implements jsonrpc2.ObjectCodec.
 func (c limitedCodec) ReadObject(stream *bufio.Reader, v any) error {
-	if c.maxBytes > 0 {
-		length, err := peekLength(stream)
-		if err != nil {
-			return err
+	length, err := peekLength(stream)
+	if err != nil {
+		return err
+	}
+	if c.maxBytes > 0 && length > c.maxBytes {
+		return errors.Newf("message has %d bytes, more than %d", length, c.maxBytes)
+	}
+	if c.memory != nil {
+		bytes := int64(min(length, maxReserved)) * decodedCopies
+		if !c.reserve(bytes) {
+			return errors.Newf("no memory for a message of %d bytes", length)
+		}
+		defer c.memory.Release(bytes)
+	}
+	// Real time, because the operating system enforces it.
+	if err := c.stream.SetReadDeadline(time.Now().Add(c.timeout)); err != nil {
+		return err
+	}
+	if err := c.VarintObjectCodec.ReadObject(stream, v); err != nil {
+		return err
+	}
+	return c.stream.SetReadDeadline(time.Time{})
+}
+
+// reserve waits until there is memory for a message. It returns false if there is none in time.
+func (c limitedCodec) reserve(bytes int64) bool {
+	clock := c.conn.endpoint.Clock
+	for deadline := clock.Now().Add(c.timeout); !c.memory.Reserve(0, bytes); {
+		if !clock.Now().Before(deadline) {
+			return false
 		}
-		if length > c.maxBytes {
-			return errors.Newf("message has %d bytes, more than %d", length, c.maxBytes)
+		select {
+		case <-clock.After(memoryPollInterval):
+		case <-c.conn.ctx.Done():
+			return false
 		}
 	}
-	return c.VarintObjectCodec.ReadObject(stream, v)
+	return true
 }
 
 // peekLength returns the length that a message begins with.
--- a/internal/peer/rpc/endpoint.go
+++ b/internal/peer/rpc/endpoint.go
@@ -9,6 +9,7 @@
 package rpc
 
 import (
+	"cmp"
 	"context"
 	"net"
 	"sync"
@@ -19,12 +20,15 @@
 	"github.com/sourcegraph/jsonrpc2"
 
 	"github.com/mulberryspool/mulberryspool"
+	"github.com/mulberryspool/mulberryspool/internal/entry/bodybudget"
 	"github.com/mulberryspool/mulberryspool/internal/observe/hlc"
 )
 
 const (
 	// DefaultWriteTimeout limits one write to a connection.
 	DefaultWriteTimeout = 5 * time.Second
+	// DefaultMessageTimeout is longer than DefaultWriteTimeout, after which a sender gives up.
+	DefaultMessageTimeout = 10 * time.Second
 	// outboundMessages is the capacity of a connection's queue of replies and
 	// notifications.
 	outboundMessages = 4096
@@ -48,6 +52,13 @@
 		// MaxMessageBytes limits a received message; 0 for no limit. A connection with a longer
 		// one is closed.
 		MaxMessageBytes uint64
+		// Memory is that for messages that are being received; nil for no bound. They wait for
+		// it, and each connection for its own message.
+		Memory *bodybudget.Budget
+		// MessageTimeout limits the time in which a message must arrive, from its length on, and
+		// the time for which it may wait for memory; DefaultMessageTimeout when it is 0. The
+		// connection is closed then.
+		MessageTimeout time.Duration
 
 		traffic traffic
 		mu      sync.Mutex
@@ -131,7 +142,9 @@
 	c.ctx, c.cancel = context.WithCancel(context.Background())
 	// The handler waits for ready, because the read loop starts before c.rpc is set.
 	ready := make(chan struct{})
-	c.rpc = jsonrpc2.NewConn(c.ctx, jsonrpc2.NewBufferedStream(counted, limitedCodec{maxBytes: e.MaxMessageBytes}), handler{conn: c, ready: ready},
+	c.rpc = jsonrpc2.NewConn(c.ctx, jsonrpc2.NewBufferedStream(counted, limitedCodec{
+		maxBytes: e.MaxMessageBytes, memory: e.Memory, conn: c, stream: counted, timeout: cmp.Or(e.MessageTimeout, DefaultMessageTimeout),
+	}), handler{conn: c, ready: ready},
 		jsonrpc2.SetLogger(discardLogger{}))
 	close(ready)
 	// The connection is registered only now, so that Endpoint.Close does not see
--- a/internal/role/agent/agent.go
+++ b/internal/role/agent/agent.go
@@ -23,6 +23,9 @@
 	settings "github.com/mulberryspool/mulberryspool/internal/settings/agent"
 )
 
+// Shares of the descriptors that the connections to each listener may use.
+const callsDescriptors, chunksDescriptors = 0.4, 0.3
+
 // Run runs an agent until the context ends and its requests have ended.
 func Run(ctx context.Context, s settings.Settings, logs io.Writer) error {
 	clients, err := platform.New(platform.Options{
@@ -37,10 +40,12 @@
 	if err != nil {
 		return err
 	}
+	clients.Endpoint.MaxMessageBytes, clients.Endpoint.Memory = uint64(s.Limits.MaxMessageSize), clients.Guard.Budget
 	p := &process.Process{
 		Identity: clients.Identity, Clock: clients.Clock, Backend: newBackend(s, clients.Clock),
 		Store: clients.Store, Instances: clients.Instances, Tables: clients.Tables, Recorder: clients.Events,
-		Logger: clients.Logger, Metrics: clients.Metrics, Endpoint: clients.Endpoint, Control: listeners[0],
+		Logger: clients.Logger, Metrics: clients.Metrics, Endpoint: clients.Endpoint,
+		Control:         clients.Guard.ListenRaw(listeners[0], "calls", callsDescriptors),
 		AnswerRetention: s.Timeouts.AnswerRetention, StartFreshness: s.Timeouts.StartFreshness,
 		MaxInFlight: s.Limits.MaxInFlight, LeaseDuration: s.Timeouts.LeaseDuration,
 		MaxOrderDelay: s.Timeouts.MaxOrderDelay, HeartbeatInterval: s.Timeouts.HeartbeatInterval,
@@ -59,7 +64,7 @@
 		listeners[1].Close()
 		return clients.Run(ctx, listeners[2], run)
 	}
-	fetcher := newFetcher(s, clients, listeners[1])
+	fetcher := newFetcher(s, clients, clients.Guard.Listen(listeners[1], "chunks", chunksDescriptors))
 	p.Stager = fetcher
 	return clients.Run(ctx, listeners[2], func(ctx context.Context) error {
 		return runFetcherAndAgent(ctx, fetcher.Run, run)
--- a/internal/role/hosted/agent.go
+++ b/internal/role/hosted/agent.go
@@ -236,7 +236,7 @@
 		Self: heartbeat.Message{Role: mulberryspool.RoleAgent, Sender: s.Instance, FailureDomain: s.FailureDomain, Boot: p.boot},
 	}
 	hybridClock := &hlc.Clock{Wall: p.clock}
-	endpoint := &rpc.Endpoint{Clock: p.clock, HLC: hybridClock, Handle: a.handle, MaxMessageBytes: maxCallBytes}
+	endpoint := &rpc.Endpoint{Clock: p.clock, HLC: hybridClock, Handle: a.handle, MaxMessageBytes: maxCallBytes, Memory: p.memory}
 	a.endpoint = endpoint
 	a.fetcher = &fetch.Fetcher{
 		Identity: p.identity, Clock: p.clock, Origin: a.origin, Instances: a, Endpoint: endpoint, Listener: content,
--- a/internal/settings/agent/agent.go
+++ b/internal/settings/agent/agent.go
@@ -82,6 +82,9 @@
 	Limits struct {
 		// MaxInFlight limits the requests that are at the backend server at one time.
 		MaxInFlight int `yaml:"maxInFlight" validate:"gt=0"`
+		// MaxMessageSize limits a message of another process. A request's body takes 4/3 of its
+		// size there.
+		MaxMessageSize decode.Size `yaml:"maxMessageSize" validate:"gt=0"`
 		// Memory is that of the machine; 0 for what the operating system and the control group
 		// allow. Clients of all listeners together may take a part of it.
 		Memory decode.Size `yaml:"memory" validate:"gte=0"`
@@ -133,7 +136,7 @@
 			DownloadSlots:  shared.DefaultDownloadSlots,
 			ChunkDeadline:  shared.DefaultChunkDeadline,
 		},
-		Limits: Limits{MaxInFlight: shared.DefaultMaxInFlight},
+		Limits: Limits{MaxInFlight: shared.DefaultMaxInFlight, MaxMessageSize: shared.DefaultMaxMessageSize},
 		Timeouts: Timeouts{
 			HeartbeatInterval: shared.DefaultHeartbeatInterval,
 			StartFreshness:    shared.DefaultStartFreshness,
--- a/internal/settings/shared/defaults.go
+++ b/internal/settings/shared/defaults.go
@@ -39,8 +39,10 @@
 	DefaultStartFreshness = 10 * time.Second
 	// DefaultAnswerRetention is longer than the minute during which an entry
 	// accepts an agent's report that it has never seen a request.
-	DefaultAnswerRetention  = 2 * time.Minute
-	DefaultMaxBodySize      = 8 << 20
+	DefaultAnswerRetention = 2 * time.Minute
+	DefaultMaxBodySize     = 8 << 20
+	// DefaultMaxMessageSize is twice DefaultMaxBodySize, which base64 lengthens by a third.
+	DefaultMaxMessageSize   = 16 << 20
 	DefaultMaxInFlight      = 256
 	DefaultEntryMaxInFlight = 4096
 	// DefaultGracefulStop is longer than DefaultRequestTimeout, so that a
