Read from peers that a backend server is cold again

Cause: entries that don't watch the servers read them from others when a hash of the list changes, which doesn't cover for how long a server is cold.

Change: heartbeats have a hash of the cold servers, which entries compare if the settings name bounds for cold servers. Agents ignore it. A build without it sends 0, and is read like one that knows of no cold server.

TestServerThatBecomesColdAgainGetsFewRequests: with the comparison switched off 116 requests in a second, 14 allowed; passes with it.

--- a/internal/integration/hostedcold_test.go
+++ b/internal/integration/hostedcold_test.go
@@ -46,23 +46,7 @@
 	if len(runs) == 0 {
 		t.Fatal("the server that has started got no request")
 	}
-	inSecond := func(from, until time.Time) (total, most int) {
-		var in []backendserver.Run
-		for _, r := range runs {
-			if !r.StartedAt.Before(from) && r.StartedAt.Before(until) {
-				in = append(in, r)
-			}
-		}
-		start := 0
-		for i, r := range in {
-			for r.StartedAt.Sub(in[start].StartedAt) >= time.Second {
-				start++
-			}
-			most = max(most, i-start+1)
-		}
-		return len(in), most
-	}
-	cold, most := inSecond(began, began.Add(coldTime))
+	cold, most := runsIn(runs, began, began.Add(coldTime))
 	t.Logf("%d requests while the server was cold, at most %d in a second", cold, most)
 	if most > bound {
 		t.Errorf("cold server got %d requests in a second, want at most %.0f", most, float64(bound))
@@ -71,7 +55,64 @@
 	if least := rate / 2; cold < least {
 		t.Errorf("cold server got %d requests in %v, want at least %d", cold, coldTime, least)
 	}
-	if warm, _ := inSecond(began.Add(coldTime+newsTime), began.Add(coldTime+newsTime+time.Second)); warm <= bound {
+	if warm, _ := runsIn(runs, began.Add(coldTime+newsTime), began.Add(coldTime+newsTime+time.Second)); warm <= bound {
 		t.Errorf("server got %d requests in a second after it was cold, want more than %.0f", warm, float64(bound))
 	}
 }
+
+// runsIn returns how many runs began in a span of time, and at most in a second of it.
+func runsIn(runs []backendserver.Run, from, until time.Time) (total, most int) {
+	var in []backendserver.Run
+	for _, r := range runs {
+		if !r.StartedAt.Before(from) && r.StartedAt.Before(until) {
+			in = append(in, r)
+		}
+	}
+	start := 0
+	for i, r := range in {
+		for r.StartedAt.Sub(in[start].StartedAt) >= time.Second {
+			start++
+		}
+		most = max(most, i-start+1)
+	}
+	return len(in), most
+}
+
+// Guards against a server that becomes cold again while it serves, and gets more requests per
+// second than it can handle from the entries that read the servers from others.
+func TestServerThatBecomesColdAgainGetsFewRequests(t *testing.T) {
+	t.Parallel()
+	const (
+		rate, overshoot, slack = 8, 1.5, 2
+		bound                  = rate*overshoot + slack
+		coldTime               = 3 * time.Second
+		interval               = 20 * time.Millisecond
+		// newsTime is how old the information that a server is cold may be.
+		newsTime = time.Second
+	)
+	s := &hostedsystem.System{
+		Builder: &builder, RepeatSlack: 200, GracefulStop: 8 * time.Second, Timeout: 2 * time.Second, Entries: 6, Backends: 2,
+		EntryDomains: []string{"a", "b", "c"}, ColdTime: coldTime, ColdRate: rate, ColdOvershoot: overshoot, ColdSlack: slack,
+	}
+	s.Start(t)
+	time.Sleep(watchersSettle)
+	caller := hostedsystem.NewCaller(s.Timeout, true)
+	call := func(length time.Duration) {
+		for began := time.Now(); time.Since(began) < length; time.Sleep(interval) {
+			for _, e := range s.Members {
+				caller.Go(hostedsystem.Call{URL: e.URL, Prefix: hostedsystem.LookupPrefix, Take: 20 * time.Millisecond})
+			}
+		}
+	}
+	call(time.Second)
+	s.SetCold(0, coldTime)
+	began := time.Now()
+	call(coldTime)
+	caller.Wait()
+	if _, most := runsIn(s.Servers[0].Runs(), began.Add(newsTime), began.Add(coldTime)); most > bound {
+		t.Errorf("server that is cold again got %d requests in a second, want at most %.0f", most, float64(bound))
+	}
+	if before, _ := runsIn(s.Servers[0].Runs(), began.Add(-time.Second), began); before <= bound {
+		t.Errorf("server got %d requests in the second before, want more than %.0f", before, float64(bound))
+	}
+}
--- a/internal/platform/fleet/fleet.go
+++ b/internal/platform/fleet/fleet.go
@@ -95,6 +95,8 @@
 		// AssumedAge is the assumed age, at its first sight, of a version that was
 		// already named then, until a peer reports the age.
 		AssumedAge time.Duration
+		// FollowCold is set if changes of how long servers are cold are read from peers, too.
+		FollowCold bool
 		// EraChanged is called when the store is known to have been restored, with the last
 		// era before it and its new one; nil for no call.
 		EraChanged func(before, era mulberryspool.Era)
@@ -116,9 +118,10 @@
 		// configAnsweredAt is when the store last answered a call for the configuration.
 		configAnsweredAt time.Time
 		servers          membership.View
-		serversHash      uint64
-		named            namedversion.History
-		delays           messagedelay.Estimator
+		// serversHash and coldHash are those of Summary.
+		serversHash, coldHash uint64
+		named                 namedversion.History
+		delays                messagedelay.Estimator
 		// clockStart is the zero of Summary.SentMillis.
 		clockStart time.Time
 	}
@@ -238,7 +241,7 @@
 	snapshot := f.servers.Snapshot()
 	s := Summary{
 		SentMillis: now.Sub(f.clockStart).Milliseconds(), Config: f.configVersion(), ConfigEra: f.configEra, ConfigHash: f.configHash,
-		ServersAt: snapshot.ExactAt.Revision, ServersEra: snapshot.ExactAt.Era, Servers: f.serversHash, Era: f.era, Named: f.named.Reports(now),
+		ServersAt: snapshot.ExactAt.Revision, ServersEra: snapshot.ExactAt.Era, Servers: f.serversHash, Cold: f.coldHash, Era: f.era, Named: f.named.Reports(now),
 	}
 	if snapshot.Assumed {
 		s.CompleteAt, s.CompleteEra = snapshot.CompleteAt.Revision, snapshot.CompleteAt.Era
@@ -270,7 +273,7 @@
 		// After a restore, no process has an exact list until the grace period is over.
 		newer = true
 	}
-	return newer && peer.Servers != f.serversHash
+	return newer && (peer.Servers != f.serversHash || f.FollowCold && peer.Cold != f.coldHash)
 }
 
 // configVersion requires the mutex.
@@ -361,7 +364,7 @@
 // requires the mutex.
 func (f *Fleet) publishServers(before Servers, list serverList) {
 	servers, at := f.servers.Servers(), f.servers.Snapshot().ExactAt
-	f.serversHash = hashServers(f.servers.Snapshot().Servers)
+	f.serversHash, f.coldHash = hashServers(f.servers.Snapshot().Servers), hashCold(f.servers.Snapshot().Servers)
 	for id, b := range servers {
 		old, known := before[id]
 		if known && old.Leaving == b.Leaving && old.Born == b.Born && old.Address == b.Address && maps.Equal(loadedVersions(old), loadedVersions(b)) {
--- a/internal/platform/fleet/fleet_test.go
+++ b/internal/platform/fleet/fleet_test.go
@@ -350,3 +350,41 @@
 		t.Errorf("servers after the read are %v, want a and d", reader.State().Servers)
 	}
 }
+
+// Guards against an entry that takes a server for warm because it reads the servers from a peer,
+// and only how long the server is cold has changed.
+func TestColdServersAreReadFromPeers(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	peer, entry, agent := newFleet(clock), newFleet(clock), newFleet(clock)
+	entry.FollowCold = true
+	read := func(f *Fleet) bool {
+		if !f.Lacks(peer.Summary(), PartServers) {
+			return false
+		}
+		f.Merge(peer.State().Part(PartServers, f.Summary()), "peer")
+		return true
+	}
+	change := func(revision mulberryspool.Revision, coldFor time.Duration) {
+		servers := newServers(5, false, "a", "b")
+		changed := newServers(revision, false, "a")["a"]
+		changed.ColdFor = coldFor
+		servers["a"] = changed
+		peer.setServers(servers, listwatch.Delta{At: mulberryspool.Position{Revision: revision}})
+	}
+	change(10, 0)
+	if !read(entry) || !read(agent) {
+		t.Fatal("the first list was not read")
+	}
+	for i, coldFor := range []time.Duration{3 * time.Second, 500 * time.Millisecond, 3 * time.Second, 0} {
+		change(mulberryspool.Revision(11+i), coldFor)
+		if !read(entry) || entry.State().Servers["a"].ColdFor != coldFor {
+			t.Errorf("server is cold for %v at an entry, want %v", entry.State().Servers["a"].ColdFor, coldFor)
+		}
+		if read(agent) {
+			t.Error("an agent reads for how long a server is cold")
+		}
+		if read(entry) {
+			t.Error("the same servers are read again")
+		}
+	}
+}
--- a/internal/platform/fleet/state.go
+++ b/internal/platform/fleet/state.go
@@ -52,6 +52,9 @@
 		// ServersAt is State.ServersAt; Servers is a hash of State.Servers.
 		ServersAt mulberryspool.Revision `json:"serversAt,omitempty"`
 		Servers   uint64                 `json:"servers,omitempty"`
+		// Cold is a hash of the servers that are cold and for how long; 0 if none is, and from a
+		// build that does not send it.
+		Cold uint64 `json:"cold,omitempty" msgpack:",omitempty"`
 		// CompleteAt and CompleteEra are those of State if they are past ServersAt.
 		CompleteAt  mulberryspool.Revision `json:"completeAt,omitempty" msgpack:",omitempty"`
 		CompleteEra mulberryspool.Era      `json:"completeEra,omitempty" msgpack:",omitempty"`
@@ -144,6 +147,17 @@
 	return sum
 }
 
+// hashCold returns a hash of the servers that are cold and for how long; 0 if none is.
+func hashCold(servers Servers) uint64 {
+	var sum uint64
+	for id, b := range servers {
+		if b.ColdFor > 0 {
+			sum += xxhash.Sum64String(fmt.Sprint(id, b.Born, b.ColdFor))
+		}
+	}
+	return sum
+}
+
 // loadedVersions returns the loaded version of each model.
 func loadedVersions(b mulberryspool.BackendServer) map[string]int64 {
 	loaded := make(map[string]int64, len(b.Models))
--- a/internal/role/hosted/entry.go
+++ b/internal/role/hosted/entry.go
@@ -248,6 +248,7 @@
 	e.fleet.ServersWatchTimeout = e.fleet.ConfigWatchTimeout
 	e.fleet.ConfigPaused = func() bool { return !e.watchesConfig() }
 	e.fleet.ServersPaused = e.fleet.ConfigPaused
+	e.fleet.FollowCold = b.ColdOvershoot > 0
 	e.fleet.AssumedAge = b.NamedVersion - versionEndMargin - unknownAgeGrace
 	e.fleet.IngressChanged = func(i mulberryspool.Ingress) {
 		e.scheduler.SetIngress(i)
--- a/internal/testkit/hostedsystem/system.go
+++ b/internal/testkit/hostedsystem/system.go
@@ -121,6 +121,8 @@
 		// addresses holds those of Servers, and running what serves them.
 		addresses []string
 		running   []*serve.Server
+		// cold holds for how long servers are listed as cold.
+		cold map[int]time.Duration
 	}
 
 	// Entry is a running entry.
@@ -330,10 +332,19 @@
 	s.Store.Put(platform.KindVersions, model, map[string]any{"model": model, "version": version})
 }
 
+// SetCold lists a backend server as cold for a time, as one that has become cold again does.
+func (s *System) SetCold(i int, d time.Duration) {
+	s.cold = map[int]time.Duration{i: d}
+	s.putServer(i, "ready", s.Version)
+}
+
 func (s *System) putServer(i int, state string, version int64) {
 	specification := map[string]any{
 		"service": pool, "address": s.addresses[i], "zone": s.domain(i), "version": "v1", "slots": s.slots(), "state": state, "sequence": 1, "born": 1,
 	}
+	if d := s.cold[i]; d > 0 {
+		specification["cold-remaining-ms"] = d.Milliseconds()
+	}
 	if version != 0 {
 		specification["models"] = []any{map[string]any{"name": model, "version": version}}
 	}
