Take the reset of a connection from the write of a long request, too

Cause: the operating system reports a reset to either the write or the read. If the write in the background gets it, the read gets the end of the connection, which is that of the answer. The error of the write was looked at only to decide on the reuse of the connection.

Change: at the end of such an answer the write is interrupted, and an error other than the interruption makes the answer a lost one. That is exact: a read that gets the end because of a reset does so after the write has consumed it.

--- a/internal/backend/httpconn/conn.go
+++ b/internal/backend/httpconn/conn.go
@@ -91,6 +91,8 @@
 	answerBody struct {
 		io.Reader
 		conn *Conn
+		// endsWithConnection is Answer.EndsWithConnection.
+		endsWithConnection bool
 	}
 )
 
@@ -199,8 +201,9 @@
 		if head.ID == "" && !c.reused || head.ID != "" && head.ID == id {
 			c.applyKeepAlive(response)
 			c.answerRead = response.Body == http.NoBody
-			response.Body = &answerBody{Reader: response.Body, conn: c}
-			return &Answer{Response: response, Head: head}, nil
+			answer := &Answer{Response: response, Head: head}
+			response.Body = &answerBody{Reader: response.Body, conn: c, endsWithConnection: answer.EndsWithConnection()}
+			return answer, nil
 		}
 		c.unusable = true
 		if response.Close || response.ContentLength > maxSkippedBytes {
@@ -239,6 +242,11 @@
 func (b *answerBody) Read(buffer []byte) (int, error) {
 	n, err := b.Reader.Read(buffer)
 	if errors.Is(err, io.EOF) {
+		if b.endsWithConnection {
+			if writeErr := b.conn.endWrite(); writeErr != nil {
+				return n, b.conn.readError(writeErr)
+			}
+		}
 		b.conn.answerRead = true
 		return n, err
 	}
@@ -318,6 +326,22 @@
 	}
 }
 
+// endWrite interrupts the background write of a request, after the backend server has closed the
+// connection, and returns its error; nil if it had none before. The operating system reports a
+// reset to either the write or the read, and the other one gets the end of the connection.
+func (c *Conn) endWrite() error {
+	if c.written == nil {
+		return nil
+	}
+	// Fails only if the connection is closed, which ends the write as well.
+	_ = c.netConn.SetWriteDeadline(time.Unix(1, 0))
+	<-c.written
+	if errors.Is(c.writeErr, os.ErrDeadlineExceeded) {
+		return nil
+	}
+	return c.writeErr
+}
+
 // applyKeepAlive reads from the answer how long the backend server keeps the
 // connection open.
 func (c *Conn) applyKeepAlive(response *http.Response) {
