Doubt a backend server whose connections are lost until it is listed again

Cause: entries take the next incarnation for the warm one before it until it is listed, and don't count for it what they wrote meanwhile.

Change: after the loss of a connection, or one that can't be opened, a server of a pool with cold servers gets an entry's share of a cold one for 1.5 s. A response on a connection that is older than the loss ends that: a crash ends all connections. The next incarnation under an ID takes over the count of requests of the last one.

--- a/internal/backend/httpconn/conn.go
+++ b/internal/backend/httpconn/conn.go
@@ -53,8 +53,9 @@
 		reader    *bufio.Reader
 		// reused is set if the connection has carried a request before.
 		reused bool
-		// openTook is how long it took to open the connection.
+		// openTook is how long it took to open the connection, until openedAt.
 		openTook time.Duration
+		openedAt time.Time
 		// unusable is set if the connection must be closed after the current request.
 		unusable bool
 		// interrupted is set once the context of InterruptOnDone is done.
@@ -125,6 +126,9 @@
 	return c.openTook, !c.reused
 }
 
+// OpenedAt returns when the connection was opened.
+func (c *Conn) OpenedAt() time.Time { return c.openedAt }
+
 // Abort resets the connection of a request that is given up. Bytes that have not
 // reached the backend server are dropped, and it does not mistake the end for that
 // of the request only.
--- a/internal/backend/httpconn/pool.go
+++ b/internal/backend/httpconn/pool.go
@@ -98,12 +98,12 @@
 	if err != nil {
 		return nil, errors.Mark(err, ErrNotSent)
 	}
-	took := p.Clock.Since(startedAt)
+	openedAt := p.Clock.Now()
 	if p.OnOpen != nil {
 		p.OnOpen(target)
 	}
 	c := newConn(netConn, target, p)
-	c.openTook = took
+	c.openTook, c.openedAt = openedAt.Sub(startedAt), openedAt
 	return c, nil
 }
 
--- a/internal/entry/coldstart/coldstart_test.go
+++ b/internal/entry/coldstart/coldstart_test.go
@@ -189,3 +189,56 @@
 		t.Errorf("server is available in %v, want in %v", at.Sub(now), want.Sub(now))
 	}
 }
+
+// Guards against an incarnation that gets a full share in addition to what was written to its
+// predecessor, or may have been written to itself before it was listed.
+func TestRequestsToPredecessorCount(t *testing.T) {
+	s := &Servers{Entries: newEntries(0, 0)}
+	s.SetPool(mulberryspool.IngressPool{ColdRate: 4, ColdTime: time.Second}, 1, 0)
+	b := mulberryspool.BackendServer{Instance: "i-0", Born: 1, Revision: 1}
+	s.SetList([]mulberryspool.BackendServer{b}, start)
+	now := start.Add(time.Minute)
+	for range 4 {
+		s.Server("i-0", 1).Write(now)
+	}
+	b.Born, b.Revision = 2, 2
+	s.SetList([]mulberryspool.BackendServer{b}, now)
+	if server := s.Server("i-0", 2); server.Write(now) || !server.Write(now.Add(window)) {
+		t.Error("the next incarnation got a request beyond the share, or none after it")
+	}
+}
+
+// Guards against a server that has crashed and gets requests as if it were warm until its next
+// incarnation is listed, and against one that runs and is held back although it responds.
+func TestServerMayHaveStartedAgainAfterLostConnection(t *testing.T) {
+	const share = 4
+	now := start.Add(time.Minute)
+	writes := func(play func(s *Server)) int {
+		s := &Servers{Entries: newEntries(0, 0)}
+		s.SetPool(mulberryspool.IngressPool{ColdRate: share, ColdTime: time.Second}, 1, 0)
+		s.SetList([]mulberryspool.BackendServer{{Instance: "i-0", Revision: 1}}, start)
+		server := s.Server("i-0", 0)
+		play(server)
+		n := 0
+		for server.Write(now) && n < 10*share {
+			n++
+		}
+		return n
+	}
+	earlier := now.Add(-time.Second)
+	for name, c := range map[string]struct {
+		play func(s *Server)
+		held bool
+	}{
+		"nothing lost":                         {func(*Server) {}, false},
+		"connection lost":                      {func(s *Server) { s.RecordLost(now) }, true},
+		"lost long ago":                        {func(s *Server) { s.RecordLost(now.Add(-doubtTime)) }, false},
+		"response on an earlier connection":    {func(s *Server) { s.RecordLost(now); s.RecordAlive(earlier) }, false},
+		"response on a later connection":       {func(s *Server) { s.RecordLost(earlier); s.RecordAlive(now) }, true},
+		"lost again after an earlier response": {func(s *Server) { s.RecordLost(now); s.RecordAlive(earlier); s.RecordLost(now) }, true},
+	} {
+		if n := writes(c.play); c.held != (n == share) {
+			t.Errorf("%s: %d requests are written at once, want the share of %d: %t", name, n, share, c.held)
+		}
+	}
+}
--- a/internal/entry/coldstart/server.go
+++ b/internal/entry/coldstart/server.go
@@ -12,6 +12,10 @@
 // tenth of a second, and its requests would reach the server together with the next ones.
 const window = 1100 * time.Millisecond
 
+// doubtTime is how long after the loss of a connection the server may have started again without
+// being listed yet.
+const doubtTime = 1500 * time.Millisecond
+
 // Server is what is known of one incarnation of a backend server. A nil one is never cold.
 type Server struct {
 	servers       *Servers
@@ -35,6 +39,10 @@
 	evacuationEndedAt time.Time
 	evacuationEnd     mulberryspool.Position
 
+	// lostAt is when a connection to the server was last lost or could not be opened; zero if
+	// a response on an earlier one has shown since that the incarnation runs.
+	lostAt time.Time
+
 	// written holds the times of the last requests that this entry has written, reserved
 	// those of the placements that may still be written.
 	written, reserved []time.Time
@@ -55,8 +63,20 @@
 	}
 )
 
-// Until returns until when the server is cold; zero if it is not.
+// Until returns until when the server is cold, or may have started again; zero if it is neither.
 func (s *Server) Until(now time.Time) time.Time {
+	until := s.knownUntil(now)
+	if s == nil || !s.servers.enabled || s.lostAt.IsZero() {
+		return until
+	}
+	if end := s.lostAt.Add(doubtTime); end.After(now) && end.After(until) {
+		return end
+	}
+	return until
+}
+
+// knownUntil returns until when the server is known to be cold; zero if it is not.
+func (s *Server) knownUntil(now time.Time) time.Time {
 	if s == nil || !s.servers.enabled {
 		return time.Time{}
 	}
@@ -156,6 +176,22 @@
 	s.answerSentAt, s.answerUntil = sentAt, now.Add(coldFor)
 }
 
+// RecordLost records that a connection to the server was lost, or could not be opened. The server
+// may have crashed, and the next incarnation starts at the same address.
+func (s *Server) RecordLost(now time.Time) {
+	if s != nil {
+		s.lostAt = now
+	}
+}
+
+// RecordAlive records a response on a connection that was opened at a time. One that was opened
+// before the loss of another one shows that the incarnation still runs.
+func (s *Server) RecordAlive(openedAt time.Time) {
+	if s != nil && openedAt.Before(s.lostAt) {
+		s.lostAt = time.Time{}
+	}
+}
+
 // observe records the server's object.
 func (s *Server) observe(b mulberryspool.BackendServer, now time.Time) {
 	row := rowState{b.Position(), b.ColdFor}
--- a/internal/entry/coldstart/servers.go
+++ b/internal/entry/coldstart/servers.go
@@ -19,6 +19,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"github.com/mulberryspool/mulberryspool"
@@ -86,7 +87,7 @@
 		key := incarnation{b.Instance, b.Born}
 		known := s.known[key]
 		if known == nil {
-			known = &Server{servers: s, instance: b.Instance}
+			known = &Server{servers: s, instance: b.Instance, written: s.writtenToPredecessor(b.Instance, now)}
 			if s.listed {
 				known.startedAt = now
 			}
@@ -103,6 +104,23 @@
 	}
 }
 
+// writtenToPredecessor returns the times of the last requests to the listed incarnation of an
+// instance, or to the last one that was. The next one may have got them: it was there before it was
+// listed, at the same address.
+func (s *Servers) writtenToPredecessor(id mulberryspool.InstanceID, now time.Time) []time.Time {
+	var last *Server
+	for key, known := range s.known {
+		if key.instance == id && (last == nil || known.leftAt.After(last.leftAt)) {
+			last = known
+		}
+	}
+	if last == nil {
+		return nil
+	}
+	last.prune(now)
+	return slices.Clone(last.written)
+}
+
 // Server returns a listed incarnation; nil if it is not known.
 func (s *Servers) Server(id mulberryspool.InstanceID, born int64) *Server {
 	return s.known[incarnation{id, born}]
@@ -123,7 +141,7 @@
 func (s *Servers) Cold(now time.Time) int {
 	n := 0
 	for _, known := range s.known {
-		if known.listed && !known.Until(now).IsZero() {
+		if known.listed && !known.knownUntil(now).IsZero() {
 			n++
 		}
 	}
@@ -135,7 +153,7 @@
 func (s *Servers) Changes(now time.Time) []Change {
 	var changes []Change
 	for key, known := range s.known {
-		until := known.Until(now)
+		until := known.knownUntil(now)
 		cold := known.listed && !until.IsZero()
 		if cold == known.reportedCold {
 			continue
--- a/internal/entry/forward/announcement.go
+++ b/internal/entry/forward/announcement.go
@@ -37,6 +37,7 @@
 	if head.Instance != "" && head.Instance != server.Instance {
 		return
 	}
+	a.handler.Scheduler.RecordAlive(a.pool.Name, server, a.conn.OpenedAt())
 	if head.Load != nil {
 		a.handler.Scheduler.RecordLoad(a.pool.Name, server, *head.Load)
 	}
--- a/internal/entry/placement/cold.go
+++ b/internal/entry/placement/cold.go
@@ -34,6 +34,11 @@
 	p.cold.Server(id, born).RecordAnswer(coldFor, sentAt, now)
 }
 
+// RecordAlive records a response of a backend server on a connection that was opened at a time.
+func (p *Placer) RecordAlive(b mulberryspool.BackendServer, openedAt time.Time) {
+	p.cold.Server(b.Instance, b.Born).RecordAlive(openedAt)
+}
+
 // EvacuationEnded records that the backend servers of a failure domain get requests again
 // since a change of the store; zero if its position is not known.
 func (p *Placer) EvacuationEnded(failureDomain string, at mulberryspool.Position, now time.Time) {
--- a/internal/entry/placement/placer.go
+++ b/internal/entry/placement/placer.go
@@ -248,6 +248,8 @@
 		s.fullUntil = now.Add(fullBackoff)
 	case Misdirected:
 		s.misdirectedUntil = now.Add(misdirectedBackoff)
+	case Broken, Unreachable:
+		s.cold.RecordLost(now)
 	}
 	s.silence.Ended()
 	switch o {
--- a/internal/entry/scheduler/cold.go
+++ b/internal/entry/scheduler/cold.go
@@ -55,6 +55,18 @@
 	}
 }
 
+// RecordAlive records a response of a backend server on a connection that was opened at a time.
+func (s *Scheduler) RecordAlive(name string, server mulberryspool.BackendServer, openedAt time.Time) {
+	if s.Placement.Entries == nil {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if p := s.pools[name]; p != nil {
+		p.placer.RecordAlive(server, openedAt)
+	}
+}
+
 // RecordWrite counts a request that is about to be written to a backend server. It reports
 // false if the request must not be written, as the server is cold and has got this entry's
 // share.
--- a/internal/integration/hostedcold_test.go
+++ b/internal/integration/hostedcold_test.go
@@ -82,37 +82,75 @@
 // second than it can handle from the entries that read the servers from others.
 func TestServerThatBecomesColdAgainGetsFewRequests(t *testing.T) {
 	t.Parallel()
-	const (
-		rate, overshoot, slack = 8, 1.5, 2
-		bound                  = rate*overshoot + slack
-		coldTime               = 3 * time.Second
-		interval               = 20 * time.Millisecond
-		// newsTime is how old the information that a server is cold may be.
-		newsTime = time.Second
-	)
+	s, caller := startColdAgain(t, 2)
+	s.SetCold(0, againTime)
+	began := time.Now()
+	callAll(s, caller, againTime)
+	caller.Wait()
+	// Entries may learn of it a second later.
+	checkColdAgain(t, s, began.Add(time.Second), began.Add(againTime))
+}
+
+// Guards against a server that crashes and starts again under its ID, and gets more requests per
+// second than it can handle until all entries know its next incarnation.
+func TestServerThatStartsAgainUnderItsIDGetsFewRequests(t *testing.T) {
+	t.Parallel()
+	s, caller := startColdAgain(t, 1)
+	for range 2 {
+		s.StopServer(0)
+		callAll(s, caller, 300*time.Millisecond)
+		began := time.Now()
+		s.RestartServer(t, 0, againTime)
+		callAll(s, caller, againTime)
+		checkColdAgain(t, s, began, began.Add(againTime))
+		callAll(s, caller, 2*time.Second)
+	}
+	caller.Wait()
+}
+
+// Figures of the servers that are cold again.
+const (
+	againRate, againOvershoot, againSlack = 8, 1.5, 2
+	againBound                            = againRate*againOvershoot + againSlack
+	againTime                             = 3 * time.Second
+)
+
+// startColdAgain starts entries of several failure domains and sends requests for a second.
+func startColdAgain(t *testing.T, servers int) (*hostedsystem.System, *hostedsystem.Caller) {
+	t.Helper()
 	s := &hostedsystem.System{
-		Builder: &builder, RepeatSlack: 200, GracefulStop: 8 * time.Second, Timeout: 2 * time.Second, Entries: 6, Backends: 2,
-		EntryDomains: []string{"a", "b", "c"}, ColdTime: coldTime, ColdRate: rate, ColdOvershoot: overshoot, ColdSlack: slack,
+		Builder: &builder, RepeatSlack: 200, GracefulStop: 8 * time.Second, Timeout: 2 * time.Second, Entries: 6, Backends: servers,
+		EntryDomains: []string{"a", "b", "c"}, ColdTime: againTime, ColdRate: againRate, ColdOvershoot: againOvershoot, ColdSlack: againSlack,
 	}
 	s.Start(t)
 	time.Sleep(watchersSettle)
 	caller := hostedsystem.NewCaller(s.Timeout, true)
-	call := func(length time.Duration) {
-		for began := time.Now(); time.Since(began) < length; time.Sleep(interval) {
-			for _, e := range s.Members {
-				caller.Go(hostedsystem.Call{URL: e.URL, Prefix: hostedsystem.LookupPrefix, Take: 20 * time.Millisecond})
-			}
+	began := time.Now()
+	callAll(s, caller, time.Second)
+	if before, _ := runsIn(s.Servers[0].Runs(), began, time.Now()); before <= againBound {
+		t.Errorf("server got %d requests in a second while it was warm, want more than %.0f", before, float64(againBound))
+	}
+	return s, caller
+}
+
+// callAll sends requests to all entries for a time.
+func callAll(s *hostedsystem.System, caller *hostedsystem.Caller, length time.Duration) {
+	for began := time.Now(); time.Since(began) < length; time.Sleep(20 * time.Millisecond) {
+		for _, e := range s.Members {
+			caller.Go(hostedsystem.Call{URL: e.URL, Prefix: hostedsystem.LookupPrefix, Take: 20 * time.Millisecond})
 		}
 	}
-	call(time.Second)
-	s.SetCold(0, coldTime)
-	began := time.Now()
-	call(coldTime)
-	caller.Wait()
-	if _, most := runsIn(s.Servers[0].Runs(), began.Add(newsTime), began.Add(coldTime)); most > bound {
-		t.Errorf("server that is cold again got %d requests in a second, want at most %.0f", most, float64(bound))
+}
+
+// checkColdAgain checks that the first server gets at most the requests of a cold one, and some.
+func checkColdAgain(t *testing.T, s *hostedsystem.System, from, until time.Time) {
+	t.Helper()
+	total, most := runsIn(s.Servers[0].Runs(), from, until)
+	t.Logf("%d requests while the server was cold, at most %d in a second", total, most)
+	if most > againBound {
+		t.Errorf("cold server got %d requests in a second, want at most %.0f", most, float64(againBound))
 	}
-	if before, _ := runsIn(s.Servers[0].Runs(), began.Add(-time.Second), began); before <= bound {
-		t.Errorf("server got %d requests in the second before, want more than %.0f", before, float64(bound))
+	if total == 0 {
+		t.Error("cold server got no request")
 	}
 }
--- a/internal/testkit/hostedsystem/system.go
+++ b/internal/testkit/hostedsystem/system.go
@@ -123,6 +123,8 @@
 		running   []*serve.Server
 		// cold holds for how long servers are listed as cold.
 		cold map[int]time.Duration
+		// restarts counts those of RestartServer.
+		restarts map[int]int
 	}
 
 	// Entry is a running entry.
@@ -312,6 +314,18 @@
 // StopServer closes a backend server's listener and connections. It stays listed.
 func (s *System) StopServer(i int) { s.running[i].Close() }
 
+// RestartServer starts a stopped backend server at the same address and lists it as its next
+// incarnation, which is cold for a time.
+func (s *System) RestartServer(t testing.TB, i int, cold time.Duration) {
+	t.Helper()
+	s.StartServer(t, i)
+	if s.restarts == nil {
+		s.restarts = make(map[int]int)
+	}
+	s.restarts[i]++
+	s.SetCold(i, cold)
+}
+
 // StartServer starts a stopped backend server at the same address.
 func (s *System) StartServer(t testing.TB, i int) {
 	t.Helper()
@@ -340,7 +354,7 @@
 
 func (s *System) putServer(i int, state string, version int64) {
 	specification := map[string]any{
-		"service": pool, "address": s.addresses[i], "zone": s.domain(i), "version": "v1", "slots": s.slots(), "state": state, "sequence": 1, "born": 1,
+		"service": pool, "address": s.addresses[i], "zone": s.domain(i), "version": "v1", "slots": s.slots(), "state": state, "sequence": 1, "born": 1 + s.restarts[i],
 	}
 	if d := s.cold[i]; d > 0 {
 		specification["cold-remaining-ms"] = d.Milliseconds()
