--- a/internal/backend/httpconn/reset_test.go
+++ b/internal/backend/httpconn/reset_test.go
@@ -48,7 +48,7 @@
 						_, _ = io.WriteString(stream, answerHead+"\r\npart")
 						c.end(stream)
 					}
-					stream.Close()
+					conn.Close()
 				}
 			}()
 			p := newPool(t, clockwork.NewRealClock())
