--- a/internal/entry/coldstart/server.go
+++ b/internal/entry/coldstart/server.go
@@ -7,14 +7,15 @@
 	"github.com/mulberryspool/mulberryspool"
 )
 
-// window is the time in which an entry sends at most its share. It is longer than the second
-// of the bound: an entry that has used up its share of the processor is not scheduled for up to a
-// tenth of a second, and its requests would reach the server together with the next ones.
-const window = 1100 * time.Millisecond
-
-// doubtTime is how long after the loss of a connection the server may have started again without
-// being listed yet.
-const doubtTime = 1500 * time.Millisecond
+const (
+	// window is the time in which an entry sends at most its share. It is longer than the second
+	// of the bound: an entry that has used up its share of the processor is not scheduled for up
+	// to a tenth of a second, and its requests would reach the server together with the next ones.
+	window = 1100 * time.Millisecond
+	// doubtTime is how long after the loss of a connection the server may have started again
+	// without being listed yet.
+	doubtTime = 1500 * time.Millisecond
+)
 
 // Server is what is known of one incarnation of a backend server. A nil one is never cold.
 type Server struct {
--- a/internal/entry/process/encoding.go
+++ b/internal/entry/process/encoding.go
@@ -9,8 +9,8 @@
 )
 
 const (
-	// encodedCopies is how many times the size of a body the messages take in which it is sent:
-	// encoded in base64, with the buffers of the encoder.
+	// encodedCopies is the memory that it takes to send a body, as a multiple of its size: base64
+	// in JSON, and the buffers of the encoder.
 	encodedCopies = 8
 	// shortBodyBytes is the size up to which bodies don't wait for longer ones to be sent.
 	shortBodyBytes = 32 << 10
--- a/internal/integration/clientload/clientload_test.go
+++ b/internal/integration/clientload/clientload_test.go
@@ -217,15 +217,7 @@
 	d := endpoint{"route", strings.TrimPrefix(e.URL, "http://"), hostedsystem.LookupPrefix + "x?take=10ms"}
 	head := d.head("POST", fmt.Sprintf("Content-Length: %d\r\n", crowdMaxBody))
 	head += manyFields(int(s.Limits.MaxHeadBytes)-len(head)-20) + "\r\n"
-	conn, err := net.Dial("tcp", d.address)
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer conn.Close()
-	if err := conn.SetDeadline(time.Now().Add(20 * time.Second)); err != nil {
-		t.Fatal(err)
-	}
-	answers := bufio.NewReader(conn)
+	conn, answers := connect(t, d)
 	for range 3 {
 		if !sendAll(conn, head+strings.Repeat("b", crowdMaxBody)) {
 			t.Fatal("request could not be sent")
@@ -241,15 +233,7 @@
 	s, e := startSmallEntry(t)
 	d := endpoint{"route", strings.TrimPrefix(e.URL, "http://"), hostedsystem.LookupPrefix + "x?take=10ms"}
 	open := func() (net.Conn, *bufio.Reader) {
-		conn, err := net.Dial("tcp", d.address)
-		if err != nil {
-			t.Fatal(err)
-		}
-		t.Cleanup(func() { conn.Close() })
-		if err := conn.SetDeadline(time.Now().Add(10 * time.Second)); err != nil {
-			t.Fatal(err)
-		}
-		answers := bufio.NewReader(conn)
+		conn, answers := connect(t, d)
 		sendAll(conn, d.head("GET", "")+"\r\n")
 		if status, _, err := hostedsystem.ReadAnswer(answers); status != http.StatusOK {
 			t.Fatalf("status %d, %v", status, err)
@@ -275,6 +259,20 @@
 	}
 }
 
+// connect opens a connection that ends with the test, or fails after some time.
+func connect(t *testing.T, d endpoint) (net.Conn, *bufio.Reader) {
+	t.Helper()
+	conn, err := net.Dial("tcp", d.address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { conn.Close() })
+	if err := conn.SetDeadline(time.Now().Add(20 * time.Second)); err != nil {
+		t.Fatal(err)
+	}
+	return conn, bufio.NewReader(conn)
+}
+
 func startSmallEntry(t *testing.T) (*hostedsystem.System, *hostedsystem.Entry) {
 	t.Helper()
 	s := &hostedsystem.System{
--- a/internal/integration/clientload/uploads_test.go
+++ b/internal/integration/clientload/uploads_test.go
@@ -1,7 +1,6 @@
 package clientload
 
 import (
-	"bufio"
 	"context"
 	"fmt"
 	"net"
@@ -166,15 +165,7 @@
 func TestLargestBodiesAreServedByOwnEntry(t *testing.T) {
 	_, e := startOwnEntry(t)
 	d := endpoint{"plain route", strings.TrimPrefix(e.CallersURL, "http://"), "/lookup/x"}
-	conn, err := net.Dial("tcp", d.address)
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer conn.Close()
-	if err := conn.SetDeadline(time.Now().Add(20 * time.Second)); err != nil {
-		t.Fatal(err)
-	}
-	answers := bufio.NewReader(conn)
+	conn, answers := connect(t, d)
 	body := strings.Repeat("b", uploadMaxBody)
 	for name, request := range map[string]string{
 		"with a length": d.head("POST", fmt.Sprintf("Content-Length: %d\r\n", uploadMaxBody)) + "\r\n" + body,
--- a/internal/integration/hostedcold_test.go
+++ b/internal/integration/hostedcold_test.go
@@ -8,6 +8,13 @@
 	"github.com/mulberryspool/mulberryspool/internal/testkit/hostedsystem"
 )
 
+// Figures of the servers that are cold again.
+const (
+	againRate, againOvershoot, againSlack = 8, 1.5, 2
+	againBound                            = againRate*againOvershoot + againSlack
+	againTime                             = 3 * time.Second
+)
+
 // Guards against a server that starts under load and gets more requests per second than it can
 // handle while it is cold, from entries of which one can't read the store and one has just
 // started, and against one that is left idle meanwhile or afterwards.
@@ -108,13 +115,6 @@
 	caller.Wait()
 }
 
-// Figures of the servers that are cold again.
-const (
-	againRate, againOvershoot, againSlack = 8, 1.5, 2
-	againBound                            = againRate*againOvershoot + againSlack
-	againTime                             = 3 * time.Second
-)
-
 // startColdAgain starts entries of several failure domains and sends requests for a second.
 func startColdAgain(t *testing.T, servers int) (*hostedsystem.System, *hostedsystem.Caller) {
 	t.Helper()
--- a/internal/integration/hostedwatchers_test.go
+++ b/internal/integration/hostedwatchers_test.go
@@ -24,8 +24,8 @@
 type watchersLoss func(t *testing.T, s *restoredSystem, watchers []*hostedsystem.Entry) (end func())
 
 // Guards against a key that is accepted, or a server that gets requests, after the bound of its
-// removal at entries that nothing happens to, because those that watch the store for them don't
-// hear from it, are refused by it or are paused.
+// removal at undisturbed entries, because those that watch the store for them get no answers from
+// it, are refused by it or are paused.
 func TestChangesAreInForceWithoutWatchers(t *testing.T) {
 	t.Parallel()
 	runConcurrently(t, map[string]watchersLoss{
