--- a/internal/testkit/hostedsystem/system.go
+++ b/internal/testkit/hostedsystem/system.go
@@ -12,6 +12,7 @@
 	"os"
 	"path/filepath"
 	"slices"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -116,8 +117,9 @@
 
 		// storeDelay is that of SlowStore in nanoseconds.
 		storeDelay atomic.Int64
-		// partition is that of Partition; nil for none.
-		partition atomic.Pointer[partition]
+		// partitions holds, by the address of an entry's store, what is closed at the end of its
+		// partition.
+		partitions sync.Map
 		// addresses holds those of Servers, and running what serves them.
 		addresses []string
 		running   []*serve.Server
@@ -144,12 +146,6 @@
 		Process       *process.Process
 		SettingsFile  string
 	}
-
-	// partition holds back all answers of the store to some entries until it ends.
-	partition struct {
-		entries []*Entry
-		ended   chan struct{}
-	}
 )
 
 // Start starts the system and waits until all entries are ready. Everything ends with the
@@ -185,24 +181,28 @@
 }
 
 // Partition cuts some entries off from the store, without a reset of their connections, until the
-// function that it returns is called.
+// function that it returns is called. None of them may be in a partition.
 func (s *System) Partition(entries ...*Entry) (end func()) {
-	p := &partition{entries: entries, ended: make(chan struct{})}
-	s.partition.Store(p)
+	ended := make(chan struct{})
+	for _, e := range entries {
+		s.partitions.Store(e.StoreAddress, ended)
+	}
 	return func() {
-		s.partition.Store(nil)
-		close(p.ended)
+		for _, e := range entries {
+			s.partitions.Delete(e.StoreAddress)
+		}
+		close(ended)
 	}
 }
 
 // awaitPath waits until the store's answer to a call may pass.
 func (s *System) awaitPath(r *http.Request) {
-	p := s.partition.Load()
-	if p == nil || !slices.ContainsFunc(p.entries, func(e *Entry) bool { return e.StoreAddress == r.Host }) {
+	ended, partitioned := s.partitions.Load(r.Host)
+	if !partitioned {
 		return
 	}
 	select {
-	case <-p.ended:
+	case <-ended.(chan struct{}):
 	case <-r.Context().Done():
 	}
 }
