Serve a request that has arrived on a connection to be closed as idle

Cause: the entry was busy with a configuration of 4,218 routes while the request arrived. Shown by the log of the entry and, in a trial, by a line with the idle time.

Change: instead of closing an idle connection under its reader, the guard interrupts the read. If a part of a request was read or waits to be read, the connection goes on. The same where it has to make room for another.

--- a/internal/peer/httpguard/conn.go
+++ b/internal/peer/httpguard/conn.go
@@ -66,8 +66,10 @@
 		overdueSince time.Time
 		// reserved is the part of the budget that the connection and its head take.
 		reserved int64
-		// failed is why the connection is being closed, or nil.
-		failed error
+		// failed is why the connection is being closed, or nil. idleFailed is set if it was idle
+		// then.
+		failed     error
+		idleFailed bool
 		// refused is set once a request whose head was not passed on was answered.
 		refused, closed bool
 	}
@@ -92,6 +94,9 @@
 			return n, nil
 		}
 		if !ok {
+			if c.resume() {
+				continue
+			}
 			return 0, c.cause(nil)
 		}
 		c.beginRead()
@@ -100,6 +105,9 @@
 			return n, nil
 		}
 		if err != nil {
+			if c.resume() {
+				continue
+			}
 			return 0, c.cause(err)
 		}
 	}
@@ -139,6 +147,47 @@
 	return readError(failed)
 }
 
+// resume reports whether a request has arrived on a connection that is being closed because it was
+// idle, and makes it be served. The process may have had no processor since it arrived.
+func (c *conn) resume() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.idleFailed || c.closed || c.headAt.IsZero() && !c.arrived() {
+		return false
+	}
+	c.failed, c.idleFailed, c.overdueSince = nil, false, time.Time{}
+	if c.Conn.SetReadDeadline(time.Time{}) != nil {
+		return false
+	}
+	c.guard.Metrics.Tagged(map[string]string{"listener": c.listener.name}).Counter("guarded_connections_resumed").Inc(1)
+	return true
+}
+
+// arrived reports whether bytes have arrived that were not read.
+func (c *conn) arrived() bool {
+	arrived := false
+	c.control(func(descriptor int) {
+		var buffer [1]byte
+		n, _, err := unix.Recvfrom(descriptor, buffer[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		arrived = err == nil && n > 0
+	})
+	return arrived
+}
+
+// control calls a function with the descriptor of the connection, if it has one.
+func (c *conn) control(call func(descriptor int)) {
+	stream, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return
+	}
+	raw, err := stream.SyscallConn()
+	if err != nil {
+		return
+	}
+	// Fails only if the connection is closed.
+	_ = raw.Control(func(descriptor uintptr) { call(int(descriptor)) })
+}
+
 // readError returns an error after which net/http writes nothing.
 func readError(cause error) error { return &net.OpError{Op: "read", Net: "tcp", Err: cause} }
 
@@ -368,17 +417,8 @@
 // unsent returns how many bytes the operating system holds that the caller's has not
 // acknowledged.
 func (c *conn) unsent() (n int) {
-	stream, ok := c.Conn.(syscall.Conn)
-	if !ok {
-		return 0
-	}
-	raw, err := stream.SyscallConn()
-	if err != nil {
-		return 0
-	}
-	// Fails only if the connection is closed.
-	_ = raw.Control(func(descriptor uintptr) {
-		if queued, err := unix.IoctlGetInt(int(descriptor), unix.TIOCOUTQ); err == nil {
+	c.control(func(descriptor int) {
+		if queued, err := unix.IoctlGetInt(descriptor, unix.TIOCOUTQ); err == nil {
 			n = queued
 		}
 	})
@@ -476,11 +516,12 @@
 		// What the operating system holds of the response is dropped.
 		_ = c.SetLinger(0)
 		_ = c.Conn.Close()
-	case c.listener.raw || c.headAt.IsZero() && !c.inRequest:
+	case c.listener.raw:
 		_ = c.Conn.Close()
 	default:
-		// The read in progress ends, and the request is refused. Fails only if the connection
-		// is closed already.
+		// The read in progress ends, and the request is refused, if there is one. Fails only if
+		// the connection is closed already.
+		c.idleFailed = c.headAt.IsZero() && !c.inRequest
 		_ = c.Conn.SetReadDeadline(time.Unix(1, 0))
 	}
 	return true
