Give each entry of the tests addresses of its own

Addresses also ran into those of the agents' tests. Now 64 IP addresses are used again with other ports.

--- a/internal/testkit/hostedsystem/system.go
+++ b/internal/testkit/hostedsystem/system.go
@@ -43,11 +43,14 @@
 	// pool is the name of the only pool, model that of its model, and failureDomain that of
 	// all processes.
 	pool, model, failureDomain = "pool", "model", "a"
-	// Ports of an entry, on its own IP address.
+	// Ports of an entry, on its own IP address, without the offset of its block.
 	callersPort, readinessPort, firstInternalPort, metricsPort = 7100, 7101, 7110, 7120
+	// ipCount is the number of IP addresses of entries. The next ones use them again with other
+	// ports, blockSize apart.
+	ipCount, blockSize = 64, 30
 )
 
-// lastEntry is the number of entries so far, each of which has its own IP address.
+// lastEntry is the number of entries so far, no two of which have the same addresses.
 var lastEntry atomic.Int64
 
 type (
@@ -399,13 +402,14 @@
 
 func (s *System) newEntry(t testing.TB, i int) *Entry {
 	t.Helper()
-	// The IP addresses of other tests end with the process ID, too, behind smaller numbers.
-	ip := fmt.Sprintf("127.%d.%d.%d", 128+lastEntry.Add(1)%127, os.Getpid()>>8&255, os.Getpid()&255)
+	// The IP addresses of other tests end with the process ID, too, behind other numbers.
+	number := int(lastEntry.Add(1))
+	ip, offset := fmt.Sprintf("127.%d.%d.%d", 128+number%ipCount, os.Getpid()>>8&255, os.Getpid()&255), number/ipCount*blockSize
 	e := &Entry{
 		FailureDomain: failureDomain,
 		StoreAddress:  listen(t, http.HandlerFunc(s.serveStore), loopback.Shared.Address()).Address, Registration: fmt.Sprintf("entry-%d", i),
-		URL: fmt.Sprintf("http://%s:%d", ip, callersPort), ReadinessURL: fmt.Sprintf("http://%s:%d%s", ip, readinessPort, platform.ReadinessPath),
-		StateAddress: fmt.Sprintf("%s:%d", ip, firstInternalPort), MetricsAddress: fmt.Sprintf("%s:%d", ip, metricsPort),
+		URL: fmt.Sprintf("http://%s:%d", ip, callersPort+offset), ReadinessURL: fmt.Sprintf("http://%s:%d%s", ip, readinessPort+offset, platform.ReadinessPath),
+		StateAddress: fmt.Sprintf("%s:%d", ip, firstInternalPort+offset), MetricsAddress: fmt.Sprintf("%s:%d", ip, metricsPort+offset),
 		SettingsFile: filepath.Join(t.TempDir(), "entry.yaml"),
 	}
 	if len(s.EntryDomains) > 0 {
@@ -432,7 +436,7 @@
 limits: {memory: %d MB, link: 700 Mbit/s, descriptors: %d}
 logSample: 1
 metricsPort: %d
-`, e.Registration, e.FailureDomain, Region(e.FailureDomain), ip, firstInternalPort, firstInternalPort+5, regions, ip, callersPort, ip, readinessPort, e.StoreAddress, s.GracefulStop, s.RepeatSlack, s.ColdOvershoot, s.ColdSlack, evacuation, cmp.Or(s.MegabytesOfMemory, 206), s.Descriptors, metricsPort)
+`, e.Registration, e.FailureDomain, Region(e.FailureDomain), ip, firstInternalPort+offset, firstInternalPort+offset+5, regions, ip, callersPort+offset, ip, readinessPort+offset, e.StoreAddress, s.GracefulStop, s.RepeatSlack, s.ColdOvershoot, s.ColdSlack, evacuation, cmp.Or(s.MegabytesOfMemory, 206), s.Descriptors, metricsPort+offset)
 	if err := os.WriteFile(e.SettingsFile, []byte(text), 0o600); err != nil {
 		t.Fatal(err)
 	}
