--- a/internal/integration/watcherssoak_test.go
+++ b/internal/integration/watcherssoak_test.go
@@ -24,7 +24,7 @@
 )
 
 type (
-	// watcherSoak is a system of which some entries lose the store, or stand still, at any time.
+	// watcherSoak is a system of which some entries lose the store, or are paused, at any time.
 	watcherSoak struct {
 		*hostedsystem.System
 		random *rand.Rand
