Use a server after a second restore although the first copy lacked it

Cause: a removal was remembered by its position only. The server was removed at the end of the first restore's grace period, in an era in which its object never was, and each row of the next era with a smaller revision than the removal counted as one of the copy and was withheld for 6 s. Revisions of two eras were compared.

Evidence: an entry's log has the server in era 1, its removal as of revision 71 of era 2, and its row at revision 11 of era 3 as leaving.

Fix: a removal keeps the position of the last known row. If that is of an earlier era than the removal, only a row of just that revision is taken for one of a copy.

--- a/internal/integration/hostedrestore_test.go
+++ b/internal/integration/hostedrestore_test.go
@@ -30,6 +30,9 @@
 	lostBefore = 100 * time.Millisecond
 	// awayBefore is how long before a restore the store refuses calls.
 	awayBefore = 300 * time.Millisecond
+	// awayPastGrace is how long the store refuses calls if the time that backend servers have to
+	// write themselves again ends meanwhile.
+	awayPastGrace = 2500 * time.Millisecond
 	// changedAfter is how long after a restore changes are made, or those that were lost made
 	// again, listedAfter the same for what all entries know, and droppedAfter how long the
 	// restored store lists servers that are gone.
@@ -116,6 +119,13 @@
 	runRestoreModes(t, changedJustBefore)
 }
 
+// Guards against a server that gets no requests after a second restore because the copy of the first
+// one lacked it, and entries have removed it before they could learn that it is listed again.
+func TestServerLostInTwoRestoresIsUsed(t *testing.T) {
+	t.Parallel()
+	checkRestore(t, restoreMode{lost: 60, revisions: ahead, twice: true, away: awayPastGrace}, changedLongBefore)
+}
+
 // Guards against entries that go back to the copy of a restored store: a route that is gone, a
 // key that works again, requests to a server that has left or none to one that the copy lacks.
 func TestEntriesDoNotGoBackToRestoredCopy(t *testing.T) {
@@ -204,12 +214,18 @@
 		s.checkConfiguration(i, bound(inForceAt))
 		s.checkUnused(e, leavingServer, bound(inForceAt))
 		s.checkUnused(e, removedServer, bound(removedAt))
+		usedAt := inForceAt
+		if s.away > 0 {
+			// Without the store, the entries remove what the first copy lacks after the grace
+			// period.
+			usedAt = againAt.Add(restoreBound)
+		}
 		for _, server := range []int{added, replacement} {
-			s.checkUsed(e, server, bound(inForceAt))
+			s.checkUsed(e, server, bound(usedAt))
 		}
 		s.checkUsed(e, keptServer, bound(s.restoredAt))
 	}
-	if m == changedLongBefore {
+	if m == changedLongBefore && s.away == 0 {
 		s.checkUsedByAny(added, s.restoredAt.Add(200*time.Millisecond), againAt)
 		s.checkUsedByAny(replacement, s.restoredAt.Add(200*time.Millisecond), againAt)
 	}
--- a/internal/integration/restoredsystem_test.go
+++ b/internal/integration/restoredsystem_test.go
@@ -40,6 +40,9 @@
 		betweenPages bool
 		// twice restores the same copy once more, after changes.
 		twice bool
+		// away is how long the store refuses calls from before the changes between two
+		// restores; 0 if entries may learn of these.
+		away time.Duration
 		// none only keeps the store away for a while, and omitEra is set for a store that
 		// names no era.
 		none, omitEra bool
@@ -193,10 +196,13 @@
 		s.RefuseEntries(refused...)
 		time.Sleep(changedAfter)
 		s.loseOther()
+		if s.away > 0 {
+			s.RefuseEntries(s.Members...)
+		}
 		between()
 		time.Sleep(lostBefore)
 		s.RefuseEntries(s.Members...)
-		time.Sleep(awayBefore)
+		time.Sleep(max(s.away, awayBefore))
 		s.restoreCopy(&s.Store, s.copied, options)
 	}
 	s.restoredAt = time.Now()
--- a/internal/platform/membership/era_test.go
+++ b/internal/platform/membership/era_test.go
@@ -106,6 +106,33 @@
 	}
 }
 
+// Guards against a server that gets no requests after a second restore because the copy of the first
+// one lacked it, and against one that is used again through a copy that has it.
+func TestServerLackingInEarlierCopyIsUsedAfterSecondRestore(t *testing.T) {
+	for _, c := range []struct {
+		name     string
+		revision mulberryspool.Revision
+		leaving  bool
+	}{
+		{"has registered again", 8, false},
+		{"is listed by the copy as it was", 45, true},
+	} {
+		var v View
+		v.Merge(listed(1, 40, row{"a", 7, 10, false}))
+		v.Merge(listed(1, 50, row{"a", 7, 10, false}, row{"b", 7, 45, false}))
+		v.BeginGrace(2)
+		v.Merge(listed(2, 70, row{"a", 7, 10, false}))
+		if !v.EndGrace(2) {
+			t.Fatalf("%s: the server is kept after the grace period", c.name)
+		}
+		v.BeginGrace(3)
+		v.Merge(listed(3, 60, row{"a", 7, 10, false}, row{"b", 7, c.revision, false}))
+		if b, ok := v.Servers()["b"]; !ok || b.Leaving != c.leaving {
+			t.Errorf("%s: listed %t, leaving %t, want %t", c.name, ok, b.Leaving, c.leaving)
+		}
+	}
+}
+
 // Guards against an incarnation that is replaced by the previous one, which the copy lists.
 func TestIncarnationIsNotReplacedByThatOfCopy(t *testing.T) {
 	var v View
--- a/internal/platform/membership/membership.go
+++ b/internal/platform/membership/membership.go
@@ -64,12 +64,21 @@
 		leaving map[incarnation]struct{}
 		// marked holds the keys of leaving, the first marked first.
 		marked []incarnation
-		// removed holds as of when incarnations were removed.
-		removed map[incarnation]mulberryspool.Position
+		// removed holds the removals of incarnations.
+		removed map[incarnation]removal
 		// withheld holds the position of the object of each server that is withheld.
 		withheld map[incarnation]mulberryspool.Position
 	}
 
+	// removal is the removal of an incarnation.
+	removal struct {
+		// at is the position as of which it was removed.
+		at mulberryspool.Position
+		// changedAt is the position of its object's last known change. It is of an earlier
+		// era than at if the copy of a restored store lacked the object.
+		changedAt mulberryspool.Position
+	}
+
 	incarnation struct {
 		instance mulberryspool.InstanceID
 		// born is the start of the incarnation in Unix milliseconds, by its own clock.
@@ -190,10 +199,18 @@
 
 // maybeRemoved reports whether a row may come from the copy of a restored store although its
 // incarnation was removed afterwards. Objects of the copy have smaller revisions than the
-// removal. One that was written again may have, too, as revisions are given out again.
+// removal. One that was written again may have, too, as revisions are given out again. An
+// incarnation that was removed because an earlier copy lacked it has no object in the era of its
+// removal, so that only a row with the revision of the last known one comes from a copy.
 func (v *View) maybeRemoved(b mulberryspool.BackendServer) bool {
-	at, ok := v.removed[incarnation{b.Instance, b.Born}]
-	return ok && at.Era < b.Era && b.Revision <= at.Revision
+	r, ok := v.removed[incarnation{b.Instance, b.Born}]
+	if !ok || r.at.Era >= b.Era {
+		return false
+	}
+	if r.changedAt.Era < r.at.Era {
+		return b.Revision == r.changedAt.Revision
+	}
+	return b.Revision <= r.at.Revision
 }
 
 // recordRemoved records which servers are about to be removed, as of a position.
@@ -203,9 +220,9 @@
 			continue
 		}
 		if v.removed == nil || len(v.removed) >= maxMarks {
-			v.removed = make(map[incarnation]mulberryspool.Position)
+			v.removed = make(map[incarnation]removal)
 		}
-		v.removed[incarnation{id, b.Born}] = at
+		v.removed[incarnation{id, b.Born}] = removal{at: at, changedAt: b.Position()}
 	}
 }
 
