Read a change from the store if no peer delivers what it announced

Seen: a removed key or a missing route for more than the bound of 2 s at an entry that the store answers, if the watcher of its failure domain has lost the store and the peer that it reads from instead falls silent after its announcement.

Cause: an entry that doesn't watch depends on its peers alone, whatever the store would answer. It waits 0.4 s and 0.6 s for each entry of its domain before it reads from another one, and 1 s for a silent peer.

Evidence: log of such an entry: the silent peer is recognized 1 s after the read began, and another one has delivered 0.3 s later, 2.7 s after the change.

Fix: newer state that was announced 0.35 to 0.5 of the bound ago, by rank, and that no peer is sending, is read from the store; the entry watches for a second. The same for the list of servers.

--- a/internal/platform/configwatch/election.go
+++ b/internal/platform/configwatch/election.go
@@ -41,6 +41,12 @@
 	// not report the loss of the store. It is longer than MaxWait and the time that the answer
 	// may take.
 	answerTimeout = 2200 * time.Millisecond
+	// overdueShare is the share of a bound after which an entry reads from the store what its
+	// peers have announced and not delivered, overdueRankShare is added for each entry of the
+	// failure domain that does so earlier, up to maxOverdueShare.
+	overdueShare, overdueRankShare, maxOverdueShare = 0.35, 0.025, 0.5
+	// overdueTime is how long an entry watches at least that lacks what its peers have.
+	overdueTime = time.Second
 	// extraTime is how long an entry watches at least that replaces others.
 	extraTime = 5 * time.Second
 	// peerTimeout is how long after its last heartbeat a peer counts. They come at least twice
@@ -138,6 +144,20 @@
 	return now.Before(e.extraUntil)
 }
 
+// OverdueAfter returns how long after a peer has announced a change that must be in force
+// everywhere within bound this entry reads the store instead, if no peer delivers it.
+func (e *Election) OverdueAfter(bound time.Duration, now time.Time) time.Duration {
+	share := min(maxOverdueShare, overdueShare+overdueRankShare*float64(e.rank(now)))
+	return time.Duration(share * float64(bound))
+}
+
+// WatchOverdue makes this entry watch for a short time, whoever else does.
+func (e *Election) WatchOverdue(now time.Time) {
+	if until := now.Add(overdueTime); until.After(e.extraUntil) {
+		e.extraUntil = until
+	}
+}
+
 // RemoteDelay returns how long this entry waits before it reads a configuration from
 // another failure domain, so that the entries of its own do not all do so.
 func (e *Election) RemoteDelay(reachable bool, now time.Time) time.Duration {
--- a/internal/platform/configwatch/election_test.go
+++ b/internal/platform/configwatch/election_test.go
@@ -226,3 +226,31 @@
 		}
 	}
 }
+
+// Guards against a configuration that is read late because the peers that announced it are silent,
+// and against all entries of a failure domain that read it from the store at once.
+func TestEntryWatchesForChangeThatPeersDoNotDeliver(t *testing.T) {
+	const bound = 2 * time.Second
+	elections := newElections(func(string) time.Duration { return time.Second })
+	after := make(map[time.Duration]int)
+	for _, e := range elections {
+		d := e.OverdueAfter(bound, start)
+		if e.FailureDomain == "0" {
+			after[d]++
+		}
+		if d > bound/2 {
+			t.Errorf("%s reads from the store %v after the announcement, want %v at most", e.Self, d, bound/2)
+		}
+	}
+	if len(after) < 6 {
+		t.Errorf("eight entries of a failure domain read from the store after %v, want different times", after)
+	}
+	e := elections["entry-0"]
+	if e.Watches(start) {
+		e = elections["entry-3"]
+	}
+	e.WatchOverdue(start)
+	if !e.Watches(start) || e.Watches(start.Add(overdueTime)) {
+		t.Errorf("%s does not watch, or still does after %v", e.Self, overdueTime)
+	}
+}
--- a/internal/role/hosted/entry.go
+++ b/internal/role/hosted/entry.go
@@ -242,7 +242,7 @@
 	e.fleet = e.process.newFleet()
 	e.configWatch = configwatch.Election{Self: e.settings.Instance, FailureDomain: e.identity.FailureDomain}
 	e.fleet.WatchTimeout = func() time.Duration { return watchWait(1 + len(e.heartbeats.ActivePeers(mulberryspool.RoleEntry))) }
-	e.fleet.ConfigWatchTimeout = func() time.Duration { return configwatch.Wait(min(b.Configuration, b.LeavingServer)) }
+	e.fleet.ConfigWatchTimeout = func() time.Duration { return configwatch.Wait(e.watchBound()) }
 	e.fleet.StoreAnswers = e.storeClient.Answers
 	e.storeClient.HealthChanged = e.reportStoreHealth
 	e.fleet.ServersWatchTimeout = e.fleet.ConfigWatchTimeout
@@ -274,7 +274,7 @@
 	e.handler.ServerLeaving = e.fleet.MarkLeaving
 	e.stateSync = &stateSync{
 		fleet: e.fleet, clock: e.clock, fetch: e.stateFetcher(e.fleet, statePath), logger: e.logger, failureDomain: e.identity.FailureDomain,
-		remoteConfigDelay: e.remoteConfigDelay,
+		remoteConfigDelay: e.remoteConfigDelay, overdueAfter: e.overdueAfter, checkOverdue: e.checkOverdue,
 	}
 }
 
@@ -300,14 +300,18 @@
 
 // watchesConfig reports whether this entry reads the configuration from the store.
 func (e *entryRole) watchesConfig() bool {
+	overdue := e.stateSync.overdue()
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	now := e.clock.Now()
+	if overdue {
+		e.configWatch.WatchOverdue(now)
+	}
 	watches := e.configWatch.Watches(now)
 	if watches != e.watching {
 		e.watching = watches
 		rank, watchers := e.configWatch.Standing(now)
-		e.logger.Info().Str(logging.FieldStep, "watch configuration").Bool("watches", watches).Int("rank", rank).Int("otherWatchers", watchers).
+		e.logger.Info().Str(logging.FieldStep, "watch configuration").Bool("watches", watches).Int("rank", rank).Int("otherWatchers", watchers).Bool("overdue", overdue).
 			Msg("entry began or stopped to watch the configuration and the servers")
 	}
 	return watches
@@ -336,6 +340,25 @@
 	return e.configWatch.RemoteDelay(reachable, e.clock.Now())
 }
 
+// watchBound returns the bound of what is watched together with the configuration.
+func (e *entryRole) watchBound() time.Duration {
+	return min(e.settings.Bounds.Configuration, e.settings.Bounds.LeavingServer)
+}
+
+// overdueAfter returns how long after a peer has announced newer state it counts as overdue.
+func (e *entryRole) overdueAfter() time.Duration {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.configWatch.OverdueAfter(e.watchBound(), e.clock.Now())
+}
+
+// checkOverdue begins to watch if this entry still lacks what a peer has announced.
+func (e *entryRole) checkOverdue() {
+	if e.watchesConfig() {
+		e.fleet.WakeWatches()
+	}
+}
+
 // signalStateChange makes runHeartbeats announce the state.
 func (e *entryRole) signalStateChange() { wake(e.stateChanged) }
 
--- a/internal/role/hosted/statesync.go
+++ b/internal/role/hosted/statesync.go
@@ -51,8 +51,17 @@
 		// remoteConfigDelay returns how long to wait before the configuration is read
 		// from another failure domain; nil for remotePeerFetchDelay.
 		remoteConfigDelay func() time.Duration
+		// overdueAfter returns how long after a peer has announced newer state it counts as
+		// overdue, and checkOverdue is called then; nil if the store is not read instead.
+		overdueAfter func() time.Duration
+		checkOverdue func()
 
 		mu sync.Mutex
+		// lacked holds what this process lacked when a peer announced it first, until it has
+		// that or something newer.
+		lacked map[fleet.Part]lack
+		// receivedAt is when a part of a response last arrived.
+		receivedAt map[fleet.Part]time.Time
 		// inProgress is set from the heartbeat that shows a peer with newer state until
 		// minInterval after its state was read.
 		inProgress map[readSlot]bool
@@ -66,6 +75,12 @@
 		stalled map[readSlot]*openRead
 	}
 
+	// lack is newer state of a peer.
+	lack struct {
+		summary fleet.Summary
+		since   time.Time
+	}
+
 	// stateRead is a read of a part of a peer's state.
 	stateRead struct {
 		entry netip.AddrPort
@@ -108,12 +123,51 @@
 	}
 	for _, part := range []fleet.Part{fleet.PartServers, fleet.PartConfig} {
 		if s.fleet.Lacks(m.Summary.Summary, part) {
+			s.recordLack(m.Summary.Summary, part)
 			s.schedule(m, from, part)
 		}
 	}
 	return delay
 }
 
+// recordLack records that a peer has newer state, unless something older is lacked already.
+func (s *stateSync) recordLack(peer fleet.Summary, part fleet.Part) {
+	if s.overdueAfter == nil {
+		return
+	}
+	after := s.overdueAfter()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if l, ok := s.lacked[part]; ok && s.fleet.Lacks(l.summary, part) {
+		return
+	}
+	if s.lacked == nil {
+		s.lacked = make(map[fleet.Part]lack)
+	}
+	s.lacked[part] = lack{summary: peer, since: s.clock.Now()}
+	s.clock.AfterFunc(after, s.checkOverdue)
+}
+
+// overdue reports whether this process lacks state that a peer announced overdueAfter ago or
+// earlier, and no peer is sending it.
+func (s *stateSync) overdue() bool {
+	if s.overdueAfter == nil {
+		return false
+	}
+	after := s.overdueAfter()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for part, l := range s.lacked {
+		switch {
+		case !s.fleet.Lacks(l.summary, part):
+			delete(s.lacked, part)
+		case s.clock.Since(l.since) >= after && s.clock.Since(s.receivedAt[part]) >= peerStallTimeout:
+			return true
+		}
+	}
+	return false
+}
+
 func (s *stateSync) schedule(m heartbeat.Message, from netip.AddrPort, part fleet.Part) {
 	slot := readSlot{part: part, local: m.FailureDomain == s.failureDomain}
 	if !s.begin(slot, from) {
@@ -226,6 +280,10 @@
 func (s *stateSync) resume(r *openRead) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.receivedAt == nil {
+		s.receivedAt = make(map[fleet.Part]time.Time)
+	}
+	s.receivedAt[r.slot.part] = s.clock.Now()
 	if s.stalled[r.slot] == r {
 		delete(s.stalled, r.slot)
 	}
--- a/internal/role/hosted/statesync_test.go
+++ b/internal/role/hosted/statesync_test.go
@@ -145,6 +145,42 @@
 	})
 }
 
+// Guards against newer state that is waited for while no peer delivers it, and against reads from the
+// store while a peer does.
+func TestStateThatNoPeerDeliversIsOverdue(t *testing.T) {
+	const after = 700 * time.Millisecond
+	for _, receiving := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			var fetched atomic.Int32
+			s := newStateSync(clockwork.NewRealClock(), &fetched)
+			checked := make(chan bool, 1)
+			s.overdueAfter = func() time.Duration { return after }
+			s.checkOverdue = func() { checked <- s.overdue() }
+			s.fetch = func(ctx context.Context, r stateRead) (fleet.State, error) {
+				for receiving && ctx.Err() == nil {
+					r.progress()
+					time.Sleep(peerStallTimeout / 5)
+				}
+				<-ctx.Done()
+				return fleet.State{}, ctx.Err()
+			}
+			began := time.Now()
+			s.handleHeartbeat(heartbeatOf("silent", 5), netip.MustParseAddrPort("10.0.0.1:1"))
+			if s.overdue() {
+				t.Error("newer state is overdue at once")
+			}
+			if overdue := <-checked; overdue == receiving || time.Since(began) != after {
+				t.Errorf("receiving %t: overdue %t after %v, want %t after %v", receiving, overdue, time.Since(began), !receiving, after)
+			}
+			s.fleet.Merge(fleet.State{Ingress: &mulberryspool.Ingress{Version: 5}}, "store")
+			time.Sleep(2 * peerReadTimeout)
+			if s.overdue() {
+				t.Error("state is overdue although this process has it")
+			}
+		})
+	}
+}
+
 // Guards against a read of a sound peer's state that is given up while the peer is silent for
 // a short time, so that the state arrives seconds after the peer has gone on.
 func TestSilentPeerIsReadWhenItGoesOn(t *testing.T) {
