--- a/internal/entry/forward/outdated_test.go
+++ b/internal/entry/forward/outdated_test.go
@@ -264,14 +264,32 @@
 	}
 }
 
-// slowLink is a connection whose bytes and end reach the server after a delay.
+// slowLink is a connection whose bytes and end reach the server, in order, after a delay.
 type slowLink struct {
 	net.Conn
-	delay time.Duration
+	delay func() time.Duration
 	sent  chan func()
 }
 
-func newSlowLink(conn net.Conn, delay time.Duration) *slowLink {
+// dialSlowly makes the entry's connections take the delay to open, and their bytes to reach the
+// server.
+func (e *entry) dialSlowly(delay func() time.Duration) {
+	dial := e.handler.ConnPool.Dial
+	e.handler.ConnPool.Dial = func(ctx context.Context, network, address string) (net.Conn, error) {
+		select {
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		case <-time.After(delay()):
+		}
+		conn, err := dial(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return newSlowLink(conn, delay), nil
+	}
+}
+
+func newSlowLink(conn net.Conn, delay func() time.Duration) *slowLink {
 	l := &slowLink{Conn: conn, delay: delay, sent: make(chan func(), 100)}
 	go func() {
 		for deliver := range l.sent {
@@ -282,7 +300,7 @@
 }
 
 func (l *slowLink) send(deliver func()) {
-	at := time.Now().Add(l.delay)
+	at := time.Now().Add(l.delay())
 	l.sent <- func() { time.Sleep(time.Until(at)); deliver() }
 }
 
@@ -313,15 +331,7 @@
 		return false
 	})
 	e, _ := newVersionedEntry(t, outdated)
-	dial := e.handler.ConnPool.Dial
-	e.handler.ConnPool.Dial = func(ctx context.Context, network, address string) (net.Conn, error) {
-		time.Sleep(pathDelay)
-		conn, err := dial(ctx, network, address)
-		if err != nil {
-			return nil, err
-		}
-		return newSlowLink(conn, pathDelay), nil
-	}
+	e.dialSlowly(func() time.Duration { return pathDelay })
 	e.scheduler.SetNamedVersion("m", 2, named)
 	e.call(t, http.MethodPost, "/once/1", "x")
 	select {
@@ -334,6 +344,37 @@
 	}
 }
 
+// Guards against a request that an outdated server begins after the bound of the newer version,
+// because the path to it has filled up since the last connection was opened.
+func TestOutdatedServerGetsNoRequestOnPathThatHasFilledUp(t *testing.T) {
+	const fullDelay = 700 * time.Millisecond
+	var delay atomic.Int64
+	arrived := make(chan time.Time, 2)
+	outdated := newBackend(t, "i-1", func(w *bufio.Writer, r *http.Request, _ int) bool {
+		arrived <- time.Now()
+		writeEvents(w, r, 1, 2, true)
+		return true
+	})
+	e, _ := newVersionedEntry(t, outdated)
+	e.dialSlowly(func() time.Duration { return time.Duration(delay.Load()) })
+	if response, _, _ := e.call(t, http.MethodPost, "/stream/1", "x"); response.StatusCode != http.StatusOK {
+		t.Fatalf("response is %d while the path is empty", response.StatusCode)
+	}
+	<-arrived
+	delay.Store(int64(fullDelay))
+	named := time.Now().Add(-versionAge)
+	e.scheduler.SetNamedVersion("m", 2, named)
+	response, _, _ := e.call(t, http.MethodPost, "/stream/1", "x")
+	select {
+	case at := <-arrived:
+		if late := at.Sub(named.Add(versionGrace)); late > 0 {
+			t.Errorf("the request reached the outdated server %v after the grace; its caller got %d", late, response.StatusCode)
+		}
+	case <-time.After(2 * fullDelay):
+		// The request was not sent.
+	}
+}
+
 // Guards against a response that has begun in time on an old version and is given up after the
 // version's grace, because its server is silent inside its body for a while.
 func TestResponseBegunInTimeOutlastsSilenceAfterGrace(t *testing.T) {
