--- a/internal/platform/fleet/fleet.go
+++ b/internal/platform/fleet/fleet.go
@@ -95,6 +95,9 @@
 		// AssumedAge is the assumed age, at its first sight, of a version that was
 		// already named then, until a peer reports the age.
 		AssumedAge time.Duration
+		// VersionBound is how long an older version may be served after a newer one was named;
+		// 0 if that is not known.
+		VersionBound time.Duration
 		// FollowCold is set if changes of how long servers are cold are read from peers, too.
 		FollowCold bool
 		// EraChanged is called when the store is known to have been restored, with the last
--- a/internal/platform/fleet/fleet_test.go
+++ b/internal/platform/fleet/fleet_test.go
@@ -154,6 +154,8 @@
 func TestNamedVersionsKeepTheirTimes(t *testing.T) {
 	clock := clockwork.NewFakeClock()
 	f, peer := newFleet(clock), newFleet(clock)
+	// The bound of version 3 has just ended, so that versions 1 and 2 are irrelevant.
+	f.VersionBound, peer.VersionBound = 4*time.Second, 4*time.Second
 	for version := range int64(6) {
 		watch(f, version+1)
 		clock.Advance(time.Second)
--- a/internal/platform/fleet/versions.go
+++ b/internal/platform/fleet/versions.go
@@ -13,7 +13,7 @@
 func (f *Fleet) MergeNamedVersions(s Summary, peer string, boot int64) time.Duration {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.named.AssumedAge = f.AssumedAge
+	f.named.AssumedAge, f.named.Bound = f.AssumedAge, f.VersionBound
 	now := f.Clock.Now()
 	var delay namedversion.Delay
 	if s.SentMillis > 0 {
@@ -50,7 +50,7 @@
 func (f *Fleet) setVersions(items map[string]mulberryspool.NamedVersion, d listwatch.Delta) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.named.AssumedAge = f.AssumedAge
+	f.named.AssumedAge, f.named.Bound = f.AssumedAge, f.VersionBound
 	for _, name := range d.Updated {
 		v, ok := items[name]
 		if !ok {
--- a/internal/platform/namedversion/history.go
+++ b/internal/platform/namedversion/history.go
@@ -12,6 +12,9 @@
 // smaller revision, of any process, and ends with the first sight of any process.
 // Bounds count from its beginning.
 //
+// The bound of a served version counts from the first newer one. So a version is kept until
+// that of an even newer one has ended, which makes it irrelevant.
+//
 // A store that is restored from a copy lacks the last versions until they are named again.
 // So its answers don't date a version until settleTime after the restore, and revisions
 // of different eras are not compared.
@@ -26,9 +29,9 @@
 )
 
 const (
-	// maxVersions is the number of versions of a model that are kept. A third version
-	// makes the first one irrelevant in any case.
-	maxVersions = 4
+	// maxVersions is the number of versions of a model that are kept. If more are named
+	// within a bound, the oldest ones are merged.
+	maxVersions = 64
 	// maxAnswers is the number of recent answers of the store that are kept.
 	maxAnswers = 64
 	// minCorrection is the smallest correction that is reported to the caller. Each one
@@ -54,6 +57,9 @@
 		// UnnamedMillis is the time since the store's last answer to the sender at a
 		// smaller revision; 0 if there was none.
 		UnnamedMillis int64 `json:"unnamedMillis,omitempty"`
+		// MergedMillis is the time since the first of the versions was named that were
+		// merged into this one; 0 if there are none.
+		MergedMillis int64 `json:"mergedMillis,omitempty" msgpack:",omitempty"`
 	}
 
 	// Delay is how much longer a report was on its way than the fastest message of its
@@ -67,18 +73,22 @@
 	Change struct {
 		Model   string
 		Version int64
-		// Since is when the version was named at the earliest, Seen at the latest.
+		// Since is when the version, or one that was merged into it, was named at the
+		// earliest. Seen is when the version was named at the latest.
 		Since, Seen time.Time
 		// Before is the previous Since; zero if the version was added.
 		Before time.Time
 	}
 
-	// History holds the newest named versions of each model. Set the exported fields
-	// before the first call. It does no I/O, and is not safe for concurrent use.
+	// History holds the named versions of each model. Set the exported fields before the
+	// first call. It does no I/O, and is not safe for concurrent use.
 	History struct {
 		// AssumedAge is the assumed age at its first sight of a version that may have
 		// been named long before; it also limits the length of an interval.
 		AssumedAge time.Duration
+		// Bound is how long an older version may be served after a newer one was named; 0 if
+		// that is not known.
+		Bound time.Duration
 
 		// answers holds the recent answers of the store, the oldest first.
 		answers []answer
@@ -111,6 +121,9 @@
 		unnamed map[string]time.Time
 		// undated holds the same by reports whose delay is not known.
 		undated map[string]time.Time
+		// merged is when the first of the older versions was named that were merged into this
+		// one; zero if there are none.
+		merged time.Time
 		// reported is the last Since that was returned in a Change.
 		reported time.Time
 	}
@@ -149,7 +162,7 @@
 // RecordVersion records that the store has a named version, whose object was last
 // changed at a position.
 func (h *History) RecordVersion(model string, number int64, at mulberryspool.Position, now time.Time) (Change, bool) {
-	return h.update(model, version{number: number, at: at, seen: now})
+	return h.update(model, version{number: number, at: at, seen: now}, now)
 }
 
 // Merge adopts a report of a peer that arrived after a delay, which may not be known.
@@ -157,6 +170,9 @@
 	sentAt := now.Add(-delay.Beyond)
 	before := func(millis int64) time.Time { return sentAt.Add(-time.Duration(millis) * time.Millisecond) }
 	learned := version{number: r.Version, at: mulberryspool.Position{Era: r.Era, Revision: r.Revision}, seen: before(cmp.Or(r.SeenMillis, r.AgeMillis))}
+	if r.MergedMillis > 0 {
+		learned.merged = before(r.MergedMillis)
+	}
 	unnamed := make(map[string]time.Time, 1)
 	switch {
 	case r.UnnamedMillis > 0:
@@ -170,42 +186,70 @@
 	} else {
 		learned.undated = unnamed
 	}
-	return h.update(model, learned)
+	return h.update(model, learned, now)
 }
 
 // update adds a version, or what was learned of a known one.
-func (h *History) update(model string, learned version) (Change, bool) {
+func (h *History) update(model string, learned version, now time.Time) (Change, bool) {
 	versions := h.models[model]
 	i, known := slices.BinarySearchFunc(versions, learned.number, func(a version, number int64) int { return cmp.Compare(a.number, number) })
-	switch {
-	case known:
-		v := &versions[i]
-		v.merge(learned)
-		h.addOwn(v)
-		since := h.since(*v)
-		if difference := since.Sub(v.reported).Abs(); difference < minCorrection {
-			return Change{}, false
+	if !known {
+		if learned.unnamed == nil {
+			learned.unnamed = make(map[string]time.Time)
 		}
-		change := Change{Model: model, Version: v.number, Since: since, Seen: v.seen, Before: v.reported}
-		v.reported = since
-		return change, true
-	case i == 0 && len(versions) == maxVersions:
-		return Change{}, false
-	}
-	if learned.unnamed == nil {
-		learned.unnamed = make(map[string]time.Time)
+		if learned.undated == nil {
+			learned.undated = make(map[string]time.Time)
+		}
+		h.addOwn(&learned)
+		versions = slices.Insert(versions, i, learned)
+	} else {
+		versions[i].merge(learned)
+		h.addOwn(&versions[i])
 	}
-	if learned.undated == nil {
-		learned.undated = make(map[string]time.Time)
+	dropped := h.irrelevant(versions, now)
+	if dropped == 0 && len(versions) > maxVersions {
+		versions[1].addMerged(h.since(versions[0]))
+		dropped = 1
 	}
-	h.addOwn(&learned)
-	learned.reported = h.since(learned)
-	versions = slices.Insert(versions, i, learned)
+	versions, i = slices.Delete(versions, 0, dropped), max(0, i-dropped)
 	if h.models == nil {
 		h.models = make(map[string][]version)
 	}
-	h.models[model] = versions[max(0, len(versions)-maxVersions):]
-	return Change{Model: model, Version: learned.number, Since: learned.reported, Seen: learned.seen}, true
+	h.models[model] = versions
+	return h.change(model, &versions[i])
+}
+
+// irrelevant returns the number of the oldest versions that are irrelevant: a newer one was seen
+// so long ago that all versions before it are out of date.
+func (h *History) irrelevant(versions []version, now time.Time) int {
+	if h.Bound <= 0 {
+		return 0
+	}
+	for i := len(versions) - 1; i > 0; i-- {
+		if now.Sub(versions[i].seen) >= h.Bound {
+			return i
+		}
+	}
+	return 0
+}
+
+// change returns the change of a version since the last one that was returned, and false if
+// there is none.
+func (h *History) change(model string, v *version) (Change, bool) {
+	since := h.since(*v)
+	if !v.reported.IsZero() && since.Sub(v.reported).Abs() < minCorrection {
+		return Change{}, false
+	}
+	change := Change{Model: model, Version: v.number, Since: since, Seen: v.seen, Before: v.reported}
+	v.reported = since
+	return change, true
+}
+
+// addMerged records that a version which was named at a time is merged into this one.
+func (v *version) addMerged(named time.Time) {
+	if !named.IsZero() && (v.merged.IsZero() || named.Before(v.merged)) {
+		v.merged = named
+	}
 }
 
 // merge adopts what was learned of the same version.
@@ -220,6 +264,7 @@
 	}
 	keepEarliest(v.unnamed, learned.unnamed)
 	keepEarliest(v.undated, learned.undated)
+	v.addMerged(learned.merged)
 }
 
 // keepEarliest adds the times to those known, of which the earliest of each sender counts.
@@ -247,9 +292,18 @@
 	}
 }
 
-// since returns when a version was named at the earliest. A report whose delay is not
-// known may make the version younger than it is, so it counts only if nothing else does.
+// since returns when a version, or one that was merged into it, was named at the earliest.
 func (h *History) since(v version) time.Time {
+	since := h.ownSince(v)
+	if !v.merged.IsZero() && v.merged.Before(since) {
+		return v.merged
+	}
+	return since
+}
+
+// ownSince returns when a version itself was named at the earliest. A report whose delay is not
+// known may make the version younger than it is, so it counts only if nothing else does.
+func (h *History) ownSince(v version) time.Time {
 	if at, ok := h.latest(v, v.unnamed); ok {
 		return at
 	}
@@ -275,7 +329,7 @@
 	return latest, !latest.IsZero()
 }
 
-// Since returns when each of the newest versions of a model was named at the earliest.
+// Since returns when each version of a model that is kept was named at the earliest.
 func (h *History) Since(model string) map[int64]time.Time {
 	known := make(map[int64]time.Time, len(h.models[model]))
 	for _, v := range h.models[model] {
@@ -299,11 +353,14 @@
 func (h *History) Reports(now time.Time) map[string][]Report {
 	reports := make(map[string][]Report, len(h.models))
 	for model, versions := range h.models {
-		for _, v := range versions {
-			r := Report{Version: v.number, Revision: v.at.Revision, Era: v.at.Era, AgeMillis: now.Sub(h.since(v)).Milliseconds(), SeenMillis: max(1, now.Sub(v.seen).Milliseconds())}
+		for _, v := range versions[h.irrelevant(versions, now):] {
+			r := Report{Version: v.number, Revision: v.at.Revision, Era: v.at.Era, AgeMillis: now.Sub(h.ownSince(v)).Milliseconds(), SeenMillis: max(1, now.Sub(v.seen).Milliseconds())}
 			if at, ok := v.unnamed[""]; ok {
 				r.UnnamedMillis = max(1, now.Sub(at).Milliseconds())
 			}
+			if !v.merged.IsZero() {
+				r.MergedMillis = max(1, now.Sub(v.merged).Milliseconds())
+			}
 			reports[model] = append(reports[model], r)
 		}
 	}
--- a/internal/role/hosted/hosted.go
+++ b/internal/role/hosted/hosted.go
@@ -185,6 +185,7 @@
 		IngressChanged:      func(mulberryspool.Ingress) {},
 		ServersChanged:      func(fleet.Servers) {},
 		NamedVersionChanged: func(string, int64, time.Time) {},
+		VersionBound:        p.settings.Bounds.NamedVersion,
 		EraChanged:          func(mulberryspool.Era, mulberryspool.Era) { p.metrics.Counter("store_restores").Inc(1) },
 	}
 }
