--- a/internal/entry/forward/send.go
+++ b/internal/entry/forward/send.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/jonboulle/clockwork"
 
 	"github.com/mulberryspool/mulberryspool/internal/backend/httpconn"
 	"github.com/mulberryspool/mulberryspool/internal/entry/placement"
@@ -18,8 +19,15 @@
 	maxIdleNonRetryable = 500 * time.Millisecond
 	// maxTrialWait is how long a request waits for the trial of a part of its prompt.
 	maxTrialWait = time.Second
+	// newConnTime is how long before the end of a version's grace requests to it are sent on
+	// new connections only, because opening one measures the path.
+	newConnTime = 2 * time.Second
 )
 
+// errSlowPath means that the path to a backend server takes too long for its response to start
+// before its version is out of date.
+var errSlowPath = errors.New("path to the backend server is too slow")
+
 // run makes the attempt.
 func (a *attempt) run() {
 	for {
@@ -131,13 +139,18 @@
 	var err error
 	a.conn, err = a.connect(targetOf(a.decision))
 	if err != nil {
+		outcome, code := a.attributeOutcome(placement.Unreachable), "unreached"
+		if errors.Is(err, errSlowPath) {
+			outcome, code = placement.Cancelled, outcomeOutdated
+		}
 		a.err = err
-		a.reportEnded(a.attributeOutcome(placement.Unreachable), 0)
-		a.logFailed("unreached")
+		a.reportEnded(outcome, 0)
+		a.logFailed(code)
 		return resultNotSent
 	}
-	if took, opened := a.conn.OpenTook(); opened {
-		a.handler.Scheduler.RecordPathDelay(a.decision.Server.FailureDomain, took)
+	took, opened := a.conn.OpenTook()
+	if opened {
+		a.handler.Scheduler.RecordPathDelay(a.decision.Server.Instance, took)
 	}
 	result, code := resultWithheld, a.withheld()
 	by := a.startBy()
@@ -145,6 +158,9 @@
 	case !by.IsZero() && !a.handler.Clock.Now().Before(by):
 		a.err = errors.Newf("version %d is out of date since the connection was opened", a.decision.Version)
 		result, code = resultNotSent, outcomeOutdated
+	case opened && !a.handler.Scheduler.StartsInTime(a.pool.Name, a.decision):
+		a.err = errors.Newf("version %d is out of date before the response starts: the connection took %v to open", a.decision.Version, took)
+		result, code = resultNotSent, outcomeOutdated
 	case code != "":
 		a.err = withheldError(code)
 	case !a.handler.Scheduler.RecordWrite(a.pool.Name, a.decision.Server):
@@ -181,6 +197,9 @@
 
 // connect returns a connection that the request may use.
 func (a *attempt) connect(target httpconn.Target) (*httpconn.Conn, error) {
+	if by := a.startBy(); !by.IsZero() && a.handler.Clock.Until(by) < newConnTime {
+		return a.openBefore(by, target)
+	}
 	switch {
 	case a.head.ID == "":
 		return a.handler.ConnPool.Open(a.ctx, target)
@@ -190,6 +209,20 @@
 	return a.handler.ConnPool.Acquire(a.ctx, target, 0)
 }
 
+// openBefore opens a connection on which a request can reach the backend server by the time.
+// It gives up with errSlowPath once the request, which takes as long, would be late.
+func (a *attempt) openBefore(by time.Time, target httpconn.Target) (*httpconn.Conn, error) {
+	began := a.handler.Clock.Now()
+	ctx, cancel := clockwork.WithDeadline(a.ctx, a.handler.Clock, began.Add(by.Sub(began)/2))
+	defer cancel()
+	conn, err := a.handler.ConnPool.Open(ctx, target)
+	if err != nil && ctx.Err() != nil && a.ctx.Err() == nil {
+		a.handler.Scheduler.RecordPathDelay(target.Instance, a.handler.Clock.Since(began))
+		return nil, errors.Mark(errors.Wrapf(err, "version %d is out of date before a request can reach it", a.decision.Version), errSlowPath)
+	}
+	return conn, err
+}
+
 func targetOf(d placement.Decision) httpconn.Target {
 	return httpconn.Target{Instance: d.Server.Instance, Born: d.Server.Born, Address: d.Server.Address}
 }
--- a/internal/entry/pathdelay/pathdelay.go
+++ b/internal/entry/pathdelay/pathdelay.go
@@ -1,14 +1,17 @@
-// Package pathdelay measures how long messages to the backend servers of a failure
-// domain take at most.
+// Package pathdelay measures how long messages to a backend server take at most.
 //
 //	opened connections --> Record --> Delays --> Max
 //
-// A link between regions that is full delays a request, and after it the end of its
-// connection, by up to seconds. What must reach a server by a given time is sent earlier
-// by that much.
+// A full link, of the server's machine or between regions, delays a request, and after it the
+// end of its connection, by up to seconds. What must reach a server by a given time is sent
+// earlier by that much.
 package pathdelay
 
-import "time"
+import (
+	"time"
+
+	"github.com/mulberryspool/mulberryspool"
+)
 
 // window is how long a measured delay counts at least; it counts for twice that long at
 // most.
@@ -18,7 +21,9 @@
 	// Delays holds the recent delays. It reads no clock and is not safe for concurrent
 	// use.
 	Delays struct {
-		domains map[string]recent
+		servers map[mulberryspool.InstanceID]recent
+		// sweptAt is when delays that no longer count were last removed.
+		sweptAt time.Time
 	}
 
 	// recent holds the largest delays of the current window, which began at since, and
@@ -29,20 +34,34 @@
 	}
 )
 
-// Record records that a connection to a backend server of the failure domain was opened
-// at a time and took that long, which includes the way to the server and back.
-func (d *Delays) Record(domain string, took time.Duration, now time.Time) {
-	if d.domains == nil {
-		d.domains = make(map[string]recent)
+// Record records that a connection to a backend server took that long to open until now, which
+// includes the way to the server and back.
+func (d *Delays) Record(server mulberryspool.InstanceID, took time.Duration, now time.Time) {
+	if d.servers == nil {
+		d.servers = make(map[mulberryspool.InstanceID]recent)
 	}
-	r := d.domains[domain].at(now)
+	r := d.servers[server].at(now)
 	r.current = max(r.current, took)
-	d.domains[domain] = r
+	d.servers[server] = r
+	d.sweep(now)
+}
+
+// sweep removes the delays that no longer count. Servers may be gone for good.
+func (d *Delays) sweep(now time.Time) {
+	if now.Sub(d.sweptAt) < 2*window {
+		return
+	}
+	d.sweptAt = now
+	for server, r := range d.servers {
+		if now.Sub(r.since) >= 2*window {
+			delete(d.servers, server)
+		}
+	}
 }
 
 // Max returns the largest recent delay, 0 if there is none.
-func (d *Delays) Max(domain string, now time.Time) time.Duration {
-	r := d.domains[domain].at(now)
+func (d *Delays) Max(server mulberryspool.InstanceID, now time.Time) time.Duration {
+	r := d.servers[server].at(now)
 	return max(r.current, r.previous)
 }
 
--- a/internal/entry/pathdelay/pathdelay_test.go
+++ b/internal/entry/pathdelay/pathdelay_test.go
@@ -20,7 +20,7 @@
 			}
 		}
 		if got := d.Max("b", start.Add(recordedAt)); got != 0 {
-			t.Errorf("the delay of another failure domain is %v, want 0", got)
+			t.Errorf("the delay of another server is %v, want 0", got)
 		}
 	}
 }
--- a/internal/entry/placement/grace.go
+++ b/internal/entry/placement/grace.go
@@ -1,6 +1,10 @@
 package placement
 
-import "time"
+import (
+	"time"
+
+	"github.com/mulberryspool/mulberryspool"
+)
 
 // SetNamedVersions replaces the named versions, with the time at which each was
 // named. The caller must not change the map before the next call.
@@ -14,32 +18,50 @@
 	if p.pool.Model == "" {
 		return time.Time{}
 	}
-	return p.startBy(d.Server.FailureDomain, d.Version, now)
+	return p.startBy(d.Server.Instance, d.Version, now)
 }
 
-// startsWithinGrace reports whether the response starts before the version grace
-// of every newer named version ends.
-func (p *Placer) startsWithinGrace(s *server, r Request, now time.Time) bool {
-	end := p.startBy(s.FailureDomain, s.version, now)
+// StartsInTime reports whether the response to a request that was placed before, and is sent
+// now, is still expected to start by StartBy.
+func (p *Placer) StartsInTime(d Decision, now time.Time) bool {
+	end := p.StartBy(d, now)
 	if end.IsZero() {
 		return true
 	}
-	startsAt := now.Add(firstEventFactor*(2*p.passTime()+p.prefillTime(s.pendingPromptTokens()+r.PromptTokens)) + firstEventMargin)
-	if s.inFlight() >= s.slots() {
+	s := p.servers[d.Server.Instance]
+	if s == nil {
+		return now.Before(end)
+	}
+	// What is in flight includes the request.
+	return p.startsBefore(end, s.pendingPromptTokens(), s.inFlight() > s.slots(), now)
+}
+
+// startsWithinGrace reports whether the response starts before the version grace
+// of every newer named version ends.
+func (p *Placer) startsWithinGrace(s *server, r Request, now time.Time) bool {
+	end := p.startBy(s.Instance, s.version, now)
+	return end.IsZero() || p.startsBefore(end, s.pendingPromptTokens()+r.PromptTokens, s.inFlight() >= s.slots(), now)
+}
+
+// startsBefore reports whether a response is expected to start before a time, after its server
+// has processed prompt tokens, and waited for a slot if it is queued.
+func (p *Placer) startsBefore(end time.Time, promptTokens int, queued bool, now time.Time) bool {
+	startsAt := now.Add(firstEventFactor*(2*p.passTime()+p.prefillTime(promptTokens)) + firstEventMargin)
+	if queued {
 		startsAt = startsAt.Add(queuedSlotDelay)
 	}
 	return startsAt.Before(end)
 }
 
-// startBy returns when requests to a server of the failure domain are given up that run on
-// the version and have not started; zero if no newer version is named. The end of their
-// connections takes as long to reach the server as they do.
-func (p *Placer) startBy(domain string, version int64, now time.Time) time.Time {
+// startBy returns when requests to a server are given up that run on the version and have not
+// started; zero if no newer version is named. The end of their connections takes as long to
+// reach the server as they do.
+func (p *Placer) startBy(server mulberryspool.InstanceID, version int64, now time.Time) time.Time {
 	end := p.graceEnd(version)
 	if end.IsZero() || p.Config.PathDelays == nil {
 		return end
 	}
-	return end.Add(-p.Config.PathDelays.Max(domain, now))
+	return end.Add(-p.Config.PathDelays.Max(server, now))
 }
 
 // graceEnd returns when the first version grace of the versions that are newer
--- a/internal/entry/placement/placement.go
+++ b/internal/entry/placement/placement.go
@@ -109,8 +109,8 @@
 		VersionGrace time.Duration
 		// RegionOf returns the region of a failure domain, empty if it is not known.
 		RegionOf func(failureDomain string) string
-		// PathDelays holds how long messages to the backend servers of each failure
-		// domain take; nil if that is not known.
+		// PathDelays holds how long messages to each backend server take; nil if that is
+		// not known.
 		PathDelays *pathdelay.Delays
 		// Entries are those that share the limits of cold backend servers; nil if there are
 		// no cold ones. A cold server may get at most its rate times ColdOvershoot, plus
--- a/internal/entry/scheduler/grace.go
+++ b/internal/entry/scheduler/grace.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/mulberryspool/mulberryspool"
 	"github.com/mulberryspool/mulberryspool/internal/entry/placement"
 )
 
@@ -82,10 +83,18 @@
 	}
 }
 
-// RecordPathDelay records how long it took to open a connection to a backend server of a
-// failure domain.
-func (s *Scheduler) RecordPathDelay(domain string, took time.Duration) {
+// StartsInTime reports whether the response to a request that was placed before, and is sent
+// now, is still expected to start by StartBy.
+func (s *Scheduler) StartsInTime(name string, d placement.Decision) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.pathDelays.Record(domain, took, s.Clock.Now())
+	p := s.pools[name]
+	return p == nil || p.placer.StartsInTime(d, s.Clock.Now())
+}
+
+// RecordPathDelay records how long it took to open a connection to a backend server.
+func (s *Scheduler) RecordPathDelay(server mulberryspool.InstanceID, took time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.pathDelays.Record(server, took, s.Clock.Now())
 }
