--- a/internal/agent/fetch/effects.go
+++ b/internal/agent/fetch/effects.go
@@ -88,7 +88,9 @@
 	if e.Source.Kind == swarm.FromRegion && f.RegionLink != nil {
 		request.Limiter = f.RegionLink(listed.Region)
 	}
+	arrived := f.LinkDelay.Begin(f.Clock.Now())
 	answer, err := f.client.Fetch(ctx, request)
+	arrived(f.Clock.Now(), err == nil)
 	if answer.Have != nil {
 		f.trySend(swarm.Have{Instance: e.Source.Instance, Manifest: e.Manifest, Held: bitset.Set(answer.Have.Have), Announced: held})
 	}
--- a/internal/agent/fetch/fetcher.go
+++ b/internal/agent/fetch/fetcher.go
@@ -24,6 +24,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/mulberryspool/mulberryspool"
+	"github.com/mulberryspool/mulberryspool/internal/agent/linkdelay"
 	"github.com/mulberryspool/mulberryspool/internal/agent/staging"
 	"github.com/mulberryspool/mulberryspool/internal/agent/swarm"
 	"github.com/mulberryspool/mulberryspool/internal/peer/chunks"
@@ -95,6 +96,8 @@
 		// Uplink and Downlink limit the rate of transfers on the machine's link; nil
 		// means no limit.
 		Uplink, Downlink chunks.Limiter
+		// LinkDelay observes the fetches from other agents.
+		LinkDelay linkdelay.Delay
 		// Urgent reports whether other agents should serve this one first; nil for never.
 		Urgent func() bool
 		// RegionLink returns the rate limit of fetches from another region to the local
--- a/internal/peer/heartbeat/heartbeat.go
+++ b/internal/peer/heartbeat/heartbeat.go
@@ -4,7 +4,7 @@
 //	                    parts of prompts that crash backend servers, rate limits and silence of these,
 //	                    evacuated failure domains
 //	entry  --> agents:  its address, named versions, parts of prompts
-//	agent  --> entries: the version that its backend server serves, parts of prompts
+//	agent  --> entries: the version that its backend server serves, the delay of its link, parts of prompts
 //
 // The named version of a model is the one that the platform's operators want
 // served.
@@ -104,6 +104,9 @@
 		// LeftMillis is the time until the server stops accepting requests; 0 if
 		// not known.
 		LeftMillis int64
+		// LinkDelayMillis is how long data takes to reach the server's machine; 0 if that
+		// is not unusually long.
+		LinkDelayMillis int64 `msgpack:",omitempty"`
 	}
 
 	// Transport sends and receives heartbeats. Set the exported fields before Run.
--- a/internal/role/hosted/agent.go
+++ b/internal/role/hosted/agent.go
@@ -84,6 +84,8 @@
 	// agentHeartbeatInterval is the interval between two heartbeats while the report does
 	// not change. Rounds of the loop are four times as frequent during a transfer.
 	agentHeartbeatInterval = 700 * time.Millisecond
+	// linkDelayStep is the smallest change of the delay of the machine's link that is reported.
+	linkDelayStep = 100 * time.Millisecond
 	// findingsReportInterval is the interval between two heartbeats with rejected
 	// parts of prompts.
 	findingsReportInterval = 2 * time.Second
--- a/internal/role/hosted/agentloop.go
+++ b/internal/role/hosted/agentloop.go
@@ -403,12 +403,17 @@
 		report.Version = 0
 	}
 	now := a.clock.Now()
+	report.LinkDelayMillis = a.fetcher.LinkDelay.At(now).Truncate(linkDelayStep).Milliseconds()
+	linkDelayBefore := a.lastReport.LinkDelayMillis
 	if report.Instance == "" || report == a.lastReport && hasDeadline == a.deadlineReported && now.Sub(a.reportedAt) < agentHeartbeatInterval {
 		return
 	}
-	if report != a.lastReport {
+	if a.lastReport.LinkDelayMillis = report.LinkDelayMillis; report != a.lastReport {
 		a.logger.Info().Str(logging.FieldStep, "report served version").Int64("before", a.lastReport.Version).Int64("takes", report.Version).Msg("version for which the backend server accepts requests has changed")
 	}
+	if (report.LinkDelayMillis > 0) != (linkDelayBefore > 0) {
+		a.logger.Info().Str(logging.FieldStep, "report link delay").Int64("linkDelay", report.LinkDelayMillis).Msg("link to the backend server has become full, or is no longer")
+	}
 	a.lastReport, a.reportedAt, a.deadlineReported = report, now, hasDeadline
 	if hasDeadline {
 		report.LeftMillis = max(1, a.clock.Until(until).Milliseconds())
--- a/internal/role/hosted/entryheartbeats.go
+++ b/internal/role/hosted/entryheartbeats.go
@@ -52,6 +52,9 @@
 			report.AcceptsUntil = e.clock.Now().Add(time.Duration(m.Report.LeftMillis) * time.Millisecond)
 		}
 		e.scheduler.SetAgentReport(m.Report.Instance, report)
+		if m.Report.LinkDelayMillis > 0 {
+			e.scheduler.RecordPathDelay(m.Report.Instance, time.Duration(m.Report.LinkDelayMillis)*time.Millisecond)
+		}
 	}
 	delay := e.stateSync.handleHeartbeat(m, from)
 	if m.Summary != nil {
