--- a/internal/entry/forward/outdated_test.go
+++ b/internal/entry/forward/outdated_test.go
@@ -436,3 +436,42 @@
 		t.Errorf("%d read deadlines were set", n)
 	}
 }
+
+// Guards against a request in flight that an outdated server begins after the bound of the newer
+// version, because the path to it has filled up since the request was sent.
+func TestRequestInFlightFollowsGrownPathDelay(t *testing.T) {
+	const (
+		fullDelay = 200 * time.Millisecond
+		// boundMargin is how much longer the bound is than the grace.
+		boundMargin = 100 * time.Millisecond
+	)
+	var (
+		e        *entry
+		outdated *backend
+		delay    atomic.Int64
+	)
+	named := time.Now().Add(-versionAge)
+	open, measured := make(chan bool, 1), make(chan struct{})
+	outdated = newBackend(t, "i-1", func(w *bufio.Writer, r *http.Request, count int) bool {
+		if count > 1 {
+			writeEvents(w, r, 1, 2, true)
+			return true
+		}
+		delay.Store(int64(fullDelay))
+		go func() {
+			// Another request measures the path as it is now.
+			defer close(measured)
+			e.call(t, http.MethodPost, "/once/1", "x")
+		}()
+		open <- outdated.isOpenAt(named.Add(versionGrace + boundMargin))
+		return false
+	})
+	e, _ = newVersionedEntry(t, outdated)
+	e.dialSlowly(func() time.Duration { return time.Duration(delay.Load()) })
+	e.scheduler.SetNamedVersion("m", 2, named)
+	e.call(t, http.MethodPost, "/once/1", "x")
+	if <-open {
+		t.Errorf("the server may begin the request after the bound: the path takes %v since another connection was opened %v before the end of the grace", fullDelay, versionGrace-versionAge-fullDelay)
+	}
+	<-measured
+}
