--- a/internal/entry/forward/outdated_test.go
+++ b/internal/entry/forward/outdated_test.go
@@ -475,3 +475,52 @@
 	}
 	<-measured
 }
+
+// Guards against requests that an outdated server begins after the bound of the newer version,
+// because it has been silent since before they were sent. The kernel accepts their connections and
+// keeps what was sent on them.
+func TestSilentOutdatedServerGetsNoRequestBeforeEndOfGrace(t *testing.T) {
+	const (
+		// silentFor is how long the server has been silent when the last request is sent.
+		silentFor = 300 * time.Millisecond
+		// boundMargin is how much longer the bound is than the grace.
+		boundMargin = 100 * time.Millisecond
+	)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer listener.Close()
+	outdated := &backend{T: t, id: "i-1", address: listener.Addr().String(), listener: listener}
+	e, _ := newVersionedEntry(t, outdated)
+	named := time.Now().Add(-versionAge)
+	e.scheduler.SetNamedVersion("m", 2, named)
+	first := make(chan struct{})
+	go func() {
+		defer close(first)
+		e.call(t, http.MethodPost, "/once/1", "x")
+	}()
+	time.Sleep(silentFor)
+	response, _, _ := e.call(t, http.MethodPost, "/once/2", "x")
+	<-first
+	time.Sleep(time.Until(named.Add(versionGrace + boundMargin)))
+	for {
+		if err := listener.(*net.TCPListener).SetDeadline(time.Now().Add(50 * time.Millisecond)); err != nil {
+			t.Fatal(err)
+		}
+		conn, err := listener.Accept()
+		if err != nil {
+			break
+		}
+		r, err := http.ReadRequest(bufio.NewReader(conn))
+		conn.Close()
+		if err != nil {
+			t.Logf("request can't be read: %v", err)
+			continue
+		}
+		t.Logf("%s is begun", r.URL.Path)
+		if r.URL.Path == "/once/2" {
+			t.Errorf("the server begins a request %v after the grace that was sent when it had been silent for %v; its caller got %d", time.Since(named.Add(versionGrace)), silentFor, response.StatusCode)
+		}
+	}
+}
