--- a/internal/agent/fetch/faults_test.go
+++ b/internal/agent/fetch/faults_test.go
@@ -273,3 +273,25 @@
 		t.Errorf("answer for a wanted manifest is %v, want %d zero bytes", got.Have, (len(manifest.Chunks)+7)/8)
 	}
 }
+
+// Guards against chunks of an almost complete transfer that are dropped because two newer versions
+// have replaced it one after the other, so that it can't be resumed if neither can be read.
+func TestTransferReplacedTwiceKeepsItsChunks(t *testing.T) {
+	f, manifest := newFaultFleet(t)
+	f.configure = func(x *Fetcher) { x.KeepSuperseded = true }
+	agent := f.start(1)[0]
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go func() { _ = agent.Stage(ctx, manifest) }()
+	waitFor(func() bool { return agent.Progress().Chunks > len(manifest.Chunks)/2 })
+	f.origin.down.Store(true)
+	for i, version := range []string{"v2", "v3"} {
+		next := manifestOf(version, version, newContent(uint64(5+i), int(manifest.Size)), faultChunkBytes)
+		go func() { _ = agent.Stage(ctx, next) }()
+		waitFor(func() bool { return agent.Progress().Manifest == next.Digest })
+		held := bitset.Set(agent.ExchangeHave(mulberryspool.ChunksHaveParams{Manifest: manifest.Digest}).Have).Count()
+		if want := len(manifest.Chunks) / 2; held < want {
+			t.Errorf("after %s: %d of %d chunks of the first transfer are held, want at least %d", version, held, len(manifest.Chunks), want)
+		}
+	}
+}
