--- a/internal/platform/fleet/withheld_test.go
+++ b/internal/platform/fleet/withheld_test.go
@@ -62,3 +62,22 @@
 		t.Errorf("%d reads from a peer with the same objects, want 0", reads)
 	}
 }
+
+// Guards against a process that starts after a restore and uses a server which the others withhold,
+// because only they know that it was removed before.
+func TestProcessStartedAfterRestoreWithholdsRemovedServer(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	withholding, started := newFleet(clock), newFleet(clock)
+	listAt(withholding, 1, 10, "a", "b")
+	listAt(withholding, 1, 12, "a")
+	listAt(withholding, 2, 9, "a", "b")
+	if !withholding.servers.Servers()["b"].Leaving {
+		t.Fatal("the removed server is not withheld")
+	}
+	if !read(started, withholding) {
+		t.Fatal("the process that has just started reads nothing")
+	}
+	if b, ok := started.servers.Servers()["b"]; ok && !b.Leaving {
+		t.Error("the process that has just started uses the removed server")
+	}
+}
