--- a/internal/entry/scheduler/grace.go
+++ b/internal/entry/scheduler/grace.go
@@ -1,12 +1,18 @@
 package scheduler
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/mulberryspool/mulberryspool"
 	"github.com/mulberryspool/mulberryspool/internal/entry/placement"
 )
 
+// minDelayGrowth is by how much the delay of a path must grow for requests in flight to be given up
+// earlier. Each time, all of them are looked at.
+const minDelayGrowth = 20 * time.Millisecond
+
 // SetNamedVersion records when a version became the named version of a model.
 func (s *Scheduler) SetNamedVersion(model string, version int64, at time.Time) {
 	for _, changed := range s.setNamedVersion(model, version, at) {
@@ -26,11 +32,13 @@
 	for name, p := range s.pools {
 		s.syncServers(name, p)
 	}
-	callbacks := make([]func(), 0, len(s.graceChanged))
-	for _, changed := range s.graceChanged {
-		callbacks = append(callbacks, changed)
-	}
-	return callbacks
+	return s.graceCallbacks()
+}
+
+// graceCallbacks returns the callbacks of OnGraceChange. It requires the mutex, which they must
+// not be called with.
+func (s *Scheduler) graceCallbacks() []func() {
+	return slices.Collect(maps.Values(s.graceChanged))
 }
 
 // FirstNewerVersion returns that named version of the pool's model that was named
@@ -92,9 +100,23 @@
 	return p == nil || p.placer.StartsInTime(d, s.Clock.Now())
 }
 
-// RecordPathDelay records how long it took to open a connection to a backend server.
+// RecordPathDelay records how long messages to a backend server take. If that is considerably
+// longer than before, requests in flight there are given up earlier.
 func (s *Scheduler) RecordPathDelay(server mulberryspool.InstanceID, took time.Duration) {
+	for _, changed := range s.recordPathDelay(server, took) {
+		changed()
+	}
+}
+
+// recordPathDelay returns the callbacks of requests in flight, if they have to be given up earlier.
+func (s *Scheduler) recordPathDelay(server mulberryspool.InstanceID, took time.Duration) []func() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.pathDelays.Record(server, took, s.Clock.Now())
+	now := s.Clock.Now()
+	before := s.pathDelays.Max(server, now)
+	s.pathDelays.Record(server, took, now)
+	if took < before+minDelayGrowth {
+		return nil
+	}
+	return s.graceCallbacks()
 }
