--- a/internal/entry/placement/grace.go
+++ b/internal/entry/placement/grace.go
@@ -33,20 +33,22 @@
 		return now.Before(end)
 	}
 	// What is in flight includes the request.
-	return p.startsBefore(end, s.pendingPromptTokens(), s.inFlight() > s.slots(), now)
+	return p.startsBefore(end, s, s.pendingPromptTokens(), s.inFlight() > s.slots(), now)
 }
 
 // startsWithinGrace reports whether the response starts before the version grace
 // of every newer named version ends.
 func (p *Placer) startsWithinGrace(s *server, r Request, now time.Time) bool {
 	end := p.startBy(s.Instance, s.version, now)
-	return end.IsZero() || p.startsBefore(end, s.pendingPromptTokens()+r.PromptTokens, s.inFlight() >= s.slots(), now)
+	return end.IsZero() || p.startsBefore(end, s, s.pendingPromptTokens()+r.PromptTokens, s.inFlight() >= s.slots(), now)
 }
 
 // startsBefore reports whether a response is expected to start before a time, after its server
-// has processed prompt tokens, and waited for a slot if it is queued.
-func (p *Placer) startsBefore(end time.Time, promptTokens int, queued bool, now time.Time) bool {
-	startsAt := now.Add(firstEventFactor*(2*p.passTime()+p.prefillTime(promptTokens)) + firstEventMargin)
+// has processed prompt tokens, and waited for a slot if it is queued. A server that has sent
+// nothing for a while is expected to be silent for as long again.
+func (p *Placer) startsBefore(end time.Time, s *server, promptTokens int, queued bool, now time.Time) bool {
+	p.updateHeard(s)
+	startsAt := now.Add(firstEventFactor*(2*p.passTime()+p.prefillTime(promptTokens)) + firstEventMargin + s.silence.Unheard(now))
 	if queued {
 		startsAt = startsAt.Add(queuedSlotDelay)
 	}
--- a/internal/entry/silence/silence.go
+++ b/internal/entry/silence/silence.go
@@ -95,14 +95,20 @@
 // Waits returns whether this entry waits for the server, and whether it has waited for so
 // long without a byte that the server seems to be silent.
 func (s *Silence) Waits(now time.Time) (waits, silent bool) {
+	return s.outstanding > 0, s.Unheard(now) >= silentAfter
+}
+
+// Unheard returns how long this entry has waited for the server without a byte; 0 if it has no
+// requests there.
+func (s *Silence) Unheard(now time.Time) time.Duration {
 	if s.outstanding == 0 {
-		return false, false
+		return 0
 	}
 	since := s.waitingSince
 	if s.ownHeard.After(since) {
 		since = s.ownHeard
 	}
-	return true, now.Sub(since) >= silentAfter
+	return now.Sub(since)
 }
 
 // Excuse begins the wait again, because this entry itself has been delayed.
