--- a/internal/backend/httpconn/pool.go
+++ b/internal/backend/httpconn/pool.go
@@ -107,6 +107,15 @@
 	return c, nil
 }
 
+// Replace opens a new connection in place of an idle one, if there is one, so that the server
+// has no more connections than before.
+func (p *Pool) Replace(ctx context.Context, target Target) (*Conn, error) {
+	if c := p.pop(target); c != nil {
+		c.close()
+	}
+	return p.Open(ctx, target)
+}
+
 // CloseIdle closes the idle connections to a backend server that no longer
 // exists.
 func (p *Pool) CloseIdle(target Target) {
--- a/internal/entry/forward/outdated_test.go
+++ b/internal/entry/forward/outdated_test.go
@@ -524,3 +524,45 @@
 		}
 	}
 }
+
+// Guards against requests that are lost at the connection limit of an outdated server, because
+// each one opens a connection although the entry keeps idle ones to it.
+func TestRequestsAtEndOfGraceNeedNoFurtherConnections(t *testing.T) {
+	const limit = 6
+	var open, most atomic.Int32
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { listener.Close() })
+	b := &limitedBackend{backend: &backend{T: t, id: "i-1", address: listener.Addr().String(), listener: listener}}
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			n := open.Add(1)
+			most.Store(max(most.Load(), n))
+			if n > limit {
+				open.Add(-1)
+				b.reset(conn)
+				continue
+			}
+			go func() {
+				defer open.Add(-1)
+				b.serve(conn, func(w *bufio.Writer, r *http.Request, _ int) bool { writeEvents(w, r, 1, 2, true); return true })
+			}()
+		}
+	}()
+	e, _ := newVersionedEntry(t, b.backend)
+	e.scheduler.SetNamedVersion("m", 2, time.Now().Add(-200*time.Millisecond))
+	statuses := map[int]int{}
+	for range 12 {
+		response, _, _ := e.call(t, http.MethodPost, "/once/1", "x")
+		statuses[response.StatusCode]++
+	}
+	if statuses[http.StatusOK] != 12 {
+		t.Errorf("of 12 requests, one after the other, the statuses are %v; up to %d connections at once (limit %d), %d reset", statuses, most.Load(), limit, b.resets.Load())
+	}
+}
--- a/internal/entry/forward/send.go
+++ b/internal/entry/forward/send.go
@@ -215,7 +215,7 @@
 	began := a.handler.Clock.Now()
 	ctx, cancel := clockwork.WithDeadline(a.ctx, a.handler.Clock, began.Add(by.Sub(began)/2))
 	defer cancel()
-	conn, err := a.handler.ConnPool.Open(ctx, target)
+	conn, err := a.handler.ConnPool.Replace(ctx, target)
 	if err != nil && ctx.Err() != nil && a.ctx.Err() == nil {
 		a.handler.Scheduler.RecordPathDelay(target.Instance, a.handler.Clock.Since(began))
 		return nil, errors.Mark(errors.Wrapf(err, "version %d is out of date before a request can reach it", a.decision.Version), errSlowPath)
