--- a/internal/entry/forward/outdated_test.go
+++ b/internal/entry/forward/outdated_test.go
@@ -566,3 +566,56 @@
 		t.Errorf("of 12 requests, one after the other, the statuses are %v; up to %d connections at once (limit %d), %d reset", statuses, most.Load(), limit, b.resets.Load())
 	}
 }
+
+// Guards against a request on a kept connection whose end arrives late, although connections to
+// other servers of the failure domain show that the link to it is full.
+func TestDelayOfFailureDomainCountsForKeptConnection(t *testing.T) {
+	const (
+		fullDelay = 700 * time.Millisecond
+		margin    = 150 * time.Millisecond
+	)
+	var delay atomic.Int64
+	var outdated *backend
+	open := make(chan bool, 1)
+	named := time.Now().Add(time.Hour)
+	outdated = newBackend(t, "i-1", func(w *bufio.Writer, r *http.Request, n int) bool {
+		if n == 1 {
+			writeEvents(w, r, 1, 2, true)
+			return true
+		}
+		open <- outdated.isOpenAt(named.Add(versionGrace + margin))
+		return false
+	})
+	e, _ := newVersionedEntry(t, outdated)
+	e.dialSlowly(func() time.Duration { return time.Duration(delay.Load()) })
+	if response, _, _ := e.call(t, http.MethodPost, "/stream/1", "x"); response.StatusCode != http.StatusOK {
+		t.Fatalf("response is %d while the path is empty", response.StatusCode)
+	}
+	delay.Store(int64(fullDelay))
+	// Connections to another server of the domain show the full link, all the while.
+	stop := make(chan struct{})
+	defer close(stop)
+	go func() {
+		for {
+			e.scheduler.RecordConnection(mulberryspool.BackendServer{Instance: "i-2", FailureDomain: "a"}, fullDelay)
+			select {
+			case <-stop:
+				return
+			case <-time.After(300 * time.Millisecond):
+			}
+		}
+	}()
+	time.Sleep(50 * time.Millisecond)
+	// On the kept connection, more than newConnTime before the request is given up.
+	named = time.Now().Add(newConnTime + fullDelay + 100*time.Millisecond - versionGrace)
+	e.scheduler.SetNamedVersion("m", 2, named)
+	response, _, _ := e.call(t, http.MethodPost, "/stream/1", "x", "X-Deadline-Ms", "6000")
+	select {
+	case stillOpen := <-open:
+		if stillOpen {
+			t.Errorf("the server may begin the request %v after the grace; its caller got %d %v after it", margin, response.StatusCode, time.Since(named.Add(versionGrace)))
+		}
+	case <-time.After(5 * time.Second):
+		t.Errorf("not sent, the caller got %d", response.StatusCode)
+	}
+}
--- a/internal/entry/forward/send.go
+++ b/internal/entry/forward/send.go
@@ -150,7 +150,7 @@
 	}
 	took, opened := a.conn.OpenTook()
 	if opened {
-		a.handler.Scheduler.RecordPathDelay(a.decision.Server.Instance, took)
+		a.handler.Scheduler.RecordConnection(a.decision.Server, took)
 	}
 	result, code := resultWithheld, a.withheld()
 	by := a.startBy()
@@ -217,7 +217,7 @@
 	defer cancel()
 	conn, err := a.handler.ConnPool.Replace(ctx, target)
 	if err != nil && ctx.Err() != nil && a.ctx.Err() == nil {
-		a.handler.Scheduler.RecordPathDelay(target.Instance, a.handler.Clock.Since(began))
+		a.handler.Scheduler.RecordConnection(a.decision.Server, a.handler.Clock.Since(began))
 		return nil, errors.Mark(errors.Wrapf(err, "version %d is out of date before a request can reach it", a.decision.Version), errSlowPath)
 	}
 	return conn, err
--- a/internal/entry/pathdelay/pathdelay.go
+++ b/internal/entry/pathdelay/pathdelay.go
@@ -1,8 +1,9 @@
-// Package pathdelay measures how long messages to a backend server take at most.
+// Package pathdelay holds how long messages to a backend server take at most.
 //
-//	opened connections --> Record --> Delays --> Max
+//	opened connections --> RecordConnection --\
+//	reports of agents ---> RecordLink ---------> Delays --> Max
 //
-// A full link, of the server's machine or between regions, delays a request, and after it the
+// A full link, between regions or of the server's machine, delays a request, and after it the
 // end of its connection, by up to seconds. What must reach a server by a given time is sent
 // earlier by that much.
 package pathdelay
@@ -22,6 +23,9 @@
 	// use.
 	Delays struct {
 		servers map[mulberryspool.InstanceID]recent
+		// domains holds the delays of connections to any server of a failure domain. They
+		// have the link between regions in common.
+		domains map[string]recent
 		// sweptAt is when delays that no longer count were last removed.
 		sweptAt time.Time
 	}
@@ -34,15 +38,23 @@
 	}
 )
 
-// Record records that a connection to a backend server took that long to open until now, which
-// includes the way to the server and back.
-func (d *Delays) Record(server mulberryspool.InstanceID, took time.Duration, now time.Time) {
+// RecordConnection records that a connection to a backend server of the failure domain took
+// that long to open until now, which includes the way to the server and back.
+func (d *Delays) RecordConnection(domain string, server mulberryspool.InstanceID, took time.Duration, now time.Time) {
+	if d.domains == nil {
+		d.domains = make(map[string]recent)
+	}
+	d.domains[domain] = d.domains[domain].with(took, now)
+	d.RecordLink(server, took, now)
+}
+
+// RecordLink records that data now takes that long to reach a backend server's machine, of which
+// nothing follows for other servers.
+func (d *Delays) RecordLink(server mulberryspool.InstanceID, delay time.Duration, now time.Time) {
 	if d.servers == nil {
 		d.servers = make(map[mulberryspool.InstanceID]recent)
 	}
-	r := d.servers[server].at(now)
-	r.current = max(r.current, took)
-	d.servers[server] = r
+	d.servers[server] = d.servers[server].with(delay, now)
 	d.sweep(now)
 }
 
@@ -59,9 +71,21 @@
 	}
 }
 
-// Max returns the largest recent delay, 0 if there is none.
-func (d *Delays) Max(server mulberryspool.InstanceID, now time.Time) time.Duration {
-	r := d.servers[server].at(now)
+// Max returns the largest recent delay to a backend server of the failure domain, 0 if there is
+// none.
+func (d *Delays) Max(domain string, server mulberryspool.InstanceID, now time.Time) time.Duration {
+	return max(d.domains[domain].max(now), d.servers[server].max(now))
+}
+
+// with returns the delays with a further one.
+func (r recent) with(delay time.Duration, now time.Time) recent {
+	r = r.at(now)
+	r.current = max(r.current, delay)
+	return r
+}
+
+func (r recent) max(now time.Time) time.Duration {
+	r = r.at(now)
 	return max(r.current, r.previous)
 }
 
--- a/internal/entry/placement/grace.go
+++ b/internal/entry/placement/grace.go
@@ -18,7 +18,7 @@
 	if p.pool.Model == "" {
 		return time.Time{}
 	}
-	return p.startBy(d.Server.Instance, d.Version, now)
+	return p.startBy(d.Server.FailureDomain, d.Server.Instance, d.Version, now)
 }
 
 // StartsInTime reports whether the response to a request that was placed before, and is sent
@@ -39,7 +39,7 @@
 // startsWithinGrace reports whether the response starts before the version grace
 // of every newer named version ends.
 func (p *Placer) startsWithinGrace(s *server, r Request, now time.Time) bool {
-	end := p.startBy(s.Instance, s.version, now)
+	end := p.startBy(s.FailureDomain, s.Instance, s.version, now)
 	return end.IsZero() || p.startsBefore(end, s, s.pendingPromptTokens()+r.PromptTokens, s.inFlight() >= s.slots(), now)
 }
 
@@ -58,12 +58,12 @@
 // startBy returns when requests to a server are given up that run on the version and have not
 // started; zero if no newer version is named. The end of their connections takes as long to
 // reach the server as they do.
-func (p *Placer) startBy(server mulberryspool.InstanceID, version int64, now time.Time) time.Time {
+func (p *Placer) startBy(domain string, server mulberryspool.InstanceID, version int64, now time.Time) time.Time {
 	end := p.graceEnd(version)
 	if end.IsZero() || p.Config.PathDelays == nil {
 		return end
 	}
-	return end.Add(-p.Config.PathDelays.Max(server, now))
+	return end.Add(-p.Config.PathDelays.Max(domain, server, now))
 }
 
 // graceEnd returns when the first version grace of the versions that are newer
--- a/internal/entry/placement/placer.go
+++ b/internal/entry/placement/placer.go
@@ -344,7 +344,7 @@
 		InFlight: s.inFlight(), Capacity: p.capacity(s), PendingPromptTokens: s.pendingPromptTokens(),
 	}
 	if p.pool.Model != "" {
-		d.StartBy = p.startBy(s.Instance, s.version, now)
+		d.StartBy = p.startBy(s.FailureDomain, s.Instance, s.version, now)
 	}
 	if s.activity == nil {
 		s.activity = &Activity{base: now}
--- a/internal/entry/scheduler/grace.go
+++ b/internal/entry/scheduler/grace.go
@@ -100,23 +100,33 @@
 	return p == nil || p.placer.StartsInTime(d, s.Clock.Now())
 }
 
-// RecordPathDelay records how long messages to a backend server take. If that is considerably
-// longer than before, requests in flight there are given up earlier.
-func (s *Scheduler) RecordPathDelay(server mulberryspool.InstanceID, took time.Duration) {
-	for _, changed := range s.recordPathDelay(server, took) {
-		changed()
-	}
+// RecordConnection records how long a connection to a backend server took to open. If that is
+// considerably longer than usual, requests in flight there are given up earlier.
+func (s *Scheduler) RecordConnection(b mulberryspool.BackendServer, took time.Duration) {
+	s.recordPathDelay(b.FailureDomain, b.Instance, took, func(now time.Time) {
+		s.pathDelays.RecordConnection(b.FailureDomain, b.Instance, took, now)
+	})
+}
+
+// RecordLinkDelay records how long data takes to reach the machine of a backend server, as the
+// agent beside it reports. It has the effect of RecordConnection, for this server only.
+func (s *Scheduler) RecordLinkDelay(server mulberryspool.InstanceID, delay time.Duration) {
+	s.recordPathDelay("", server, delay, func(now time.Time) { s.pathDelays.RecordLink(server, delay, now) })
 }
 
-// recordPathDelay returns the callbacks of requests in flight, if they have to be given up earlier.
-func (s *Scheduler) recordPathDelay(server mulberryspool.InstanceID, took time.Duration) []func() {
+// recordPathDelay calls record, and the callbacks of requests in flight if they have to be given
+// up earlier.
+func (s *Scheduler) recordPathDelay(domain string, server mulberryspool.InstanceID, delay time.Duration, record func(now time.Time)) {
 	s.mu.Lock()
-	defer s.mu.Unlock()
 	now := s.Clock.Now()
-	before := s.pathDelays.Max(server, now)
-	s.pathDelays.Record(server, took, now)
-	if took < before+minDelayGrowth {
-		return nil
+	before := s.pathDelays.Max(domain, server, now)
+	record(now)
+	var callbacks []func()
+	if delay >= before+minDelayGrowth {
+		callbacks = s.graceCallbacks()
+	}
+	s.mu.Unlock()
+	for _, changed := range callbacks {
+		changed()
 	}
-	return s.graceCallbacks()
 }
--- a/internal/role/hosted/entryheartbeats.go
+++ b/internal/role/hosted/entryheartbeats.go
@@ -53,7 +53,7 @@
 		}
 		e.scheduler.SetAgentReport(m.Report.Instance, report)
 		if m.Report.LinkDelayMillis > 0 {
-			e.scheduler.RecordPathDelay(m.Report.Instance, time.Duration(m.Report.LinkDelayMillis)*time.Millisecond)
+			e.scheduler.RecordLinkDelay(m.Report.Instance, time.Duration(m.Report.LinkDelayMillis)*time.Millisecond)
 		}
 	}
 	delay := e.stateSync.handleHeartbeat(m, from)
