--- a/internal/entry/forward/send.go
+++ b/internal/entry/forward/send.go
@@ -158,7 +158,7 @@
 	case !by.IsZero() && !a.handler.Clock.Now().Before(by):
 		a.err = errors.Newf("version %d is out of date since the connection was opened", a.decision.Version)
 		result, code = resultNotSent, outcomeOutdated
-	case opened && !a.handler.Scheduler.StartsInTime(a.pool.Name, a.decision):
+	case opened && !a.handler.Scheduler.StartsInTime(a.pool.Name, a.decision, a.head.PromptTokens):
 		a.err = errors.Newf("version %d is out of date before the response starts: the connection took %v to open", a.decision.Version, took)
 		result, code = resultNotSent, outcomeOutdated
 	case code != "":
--- a/internal/entry/placement/grace.go
+++ b/internal/entry/placement/grace.go
@@ -21,9 +21,10 @@
 	return p.startBy(d.Server.FailureDomain, d.Server.Instance, d.Version, now)
 }
 
-// StartsInTime reports whether the response to a request that was placed before, and is sent
-// now, is still expected to start by StartBy.
-func (p *Placer) StartsInTime(d Decision, now time.Time) bool {
+// StartsInTime reports whether the response to a request with prompt tokens that was placed
+// before, and is sent now, is still expected to start by StartBy. Requests that were placed after
+// it don't delay it.
+func (p *Placer) StartsInTime(d Decision, promptTokens int, now time.Time) bool {
 	end := p.StartBy(d, now)
 	if end.IsZero() {
 		return true
@@ -32,8 +33,7 @@
 	if s == nil {
 		return now.Before(end)
 	}
-	// What is in flight includes the request.
-	return p.startsBefore(end, s, s.pendingPromptTokens(), s.inFlight() > s.slots(), now)
+	return p.startsBefore(end, s, d.PendingPromptTokens+promptTokens, d.InFlight >= s.slots(), now)
 }
 
 // startsWithinGrace reports whether the response starts before the version grace
--- a/internal/entry/placement/placer_test.go
+++ b/internal/entry/placement/placer_test.go
@@ -514,3 +514,42 @@
 		t.Errorf("request that was placed before got %+v, want placed", d)
 	}
 }
+
+// Guards against a request that is given up before it is sent, because of requests that were
+// placed after it while its connection was opened.
+func TestLaterRequestsDoNotDelayEarlierOnes(t *testing.T) {
+	const opening = 20 * time.Millisecond
+	for _, count := range []int{3, 4, 5, 6} {
+		end := start.Add(7 * time.Second)
+		for now := end.Add(-2 * time.Second); now.Before(end); now = now.Add(5 * time.Millisecond) {
+			p := newPlacer(1)
+			p.SetNamedVersions(map[int64]time.Time{2: start})
+			var placed []Decision
+			for range count {
+				if d := p.Offer(request(now), now); d.Verdict == Placed {
+					placed = append(placed, d)
+				}
+			}
+			if len(placed) < count {
+				// All of them would start in time 5 ms earlier.
+				t.Logf("%d requests: %d are placed %v before the end", count, len(placed), end.Sub(now))
+				break
+			}
+			given := 0
+			first := p.StartsInTime(placed[0], request(now).PromptTokens, now.Add(opening))
+			for _, d := range placed {
+				if !p.StartsInTime(d, request(now).PromptTokens, now.Add(opening)) {
+					given++
+					p.RecordEnd(d.Server.Instance, 900, false, Cancelled, 0, now.Add(opening))
+				}
+			}
+			alone := newPlacer(1)
+			alone.SetNamedVersions(map[int64]time.Time{2: start})
+			fits := alone.Offer(request(now.Add(opening+100*time.Millisecond)), now.Add(opening+100*time.Millisecond)).Verdict == Placed
+			if !first && fits {
+				t.Errorf("%d requests placed %v before the end: the first is not sent, although it would be placed still 100 ms later; %d of %d are given up", count, end.Sub(now), given, count)
+				break
+			}
+		}
+	}
+}
--- a/internal/entry/scheduler/grace.go
+++ b/internal/entry/scheduler/grace.go
@@ -91,13 +91,13 @@
 	}
 }
 
-// StartsInTime reports whether the response to a request that was placed before, and is sent
-// now, is still expected to start by StartBy.
-func (s *Scheduler) StartsInTime(name string, d placement.Decision) bool {
+// StartsInTime reports whether the response to a request with prompt tokens that was placed
+// before, and is sent now, is still expected to start by StartBy.
+func (s *Scheduler) StartsInTime(name string, d placement.Decision, promptTokens int) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	p := s.pools[name]
-	return p == nil || p.placer.StartsInTime(d, s.Clock.Now())
+	return p == nil || p.placer.StartsInTime(d, promptTokens, s.Clock.Now())
 }
 
 // RecordConnection records how long a connection to a backend server took to open. If that is
