--- a/internal/entry/forward/send.go
+++ b/internal/entry/forward/send.go
@@ -209,15 +209,18 @@
 	return a.handler.ConnPool.Acquire(a.ctx, target, 0)
 }
 
-// openBefore opens a connection on which a request can reach the backend server by the time.
-// It gives up with errSlowPath once the request, which takes as long, would be late.
+// openBefore opens a connection on which a request can reach the backend server by the time. It
+// gives up with errSlowPath after half of the time that is left, because the request takes as long
+// as the connection.
 func (a *attempt) openBefore(by time.Time, target httpconn.Target) (*httpconn.Conn, error) {
 	began := a.handler.Clock.Now()
-	ctx, cancel := clockwork.WithDeadline(a.ctx, a.handler.Clock, began.Add(by.Sub(began)/2))
+	until := began.Add(by.Sub(began) / 2)
+	ctx, cancel := clockwork.WithDeadline(a.ctx, a.handler.Clock, until)
 	defer cancel()
 	conn, err := a.handler.ConnPool.Replace(ctx, target)
-	if err != nil && ctx.Err() != nil && a.ctx.Err() == nil {
-		a.handler.Scheduler.RecordConnection(a.decision.Server, a.handler.Clock.Since(began))
+	// The dialer times out by the same deadline, perhaps just before the context.
+	if now := a.handler.Clock.Now(); err != nil && !now.Before(until) && a.ctx.Err() == nil {
+		a.handler.Scheduler.RecordConnection(a.decision.Server, now.Sub(began))
 		return nil, errors.Mark(errors.Wrapf(err, "version %d is out of date before a request can reach it", a.decision.Version), errSlowPath)
 	}
 	return conn, err
