--- a/internal/entry/forward/outdated_test.go
+++ b/internal/entry/forward/outdated_test.go
@@ -9,6 +9,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -619,3 +620,21 @@
 		t.Errorf("not sent, the caller got %d", response.StatusCode)
 	}
 }
+
+// Guards against a request that is sent to an outdated server although its connection took so long
+// to open that the response can't start in time.
+func TestOutdatedServerGetsNoRequestIfConnectionOpensSlowly(t *testing.T) {
+	// It takes less than half of the time that is left, and more than leaves time for the response.
+	const openTime = 220 * time.Millisecond
+	outdated := newBackend(t, "i-1", func(w *bufio.Writer, r *http.Request, _ int) bool { writeEvents(w, r, 1, 2, true); return true })
+	e, log := newVersionedEntry(t, outdated)
+	e.dialSlowly(func() time.Duration { return openTime })
+	e.scheduler.SetNamedVersion("m", 2, time.Now().Add(-versionAge))
+	response, _, _ := e.call(t, http.MethodPost, "/once/1", "x")
+	if n := outdated.requests.Load(); n != 0 || response.StatusCode != http.StatusServiceUnavailable {
+		t.Errorf("the outdated server got %d requests and the caller %d, want none and 503: %s", n, response.StatusCode, log)
+	}
+	if !strings.Contains(log.String(), "before the response starts") {
+		t.Errorf("the log doesn't say why the request was not sent: %s", log)
+	}
+}
--- a/internal/platform/fleet/state.go
+++ b/internal/platform/fleet/state.go
@@ -65,7 +65,7 @@
 		ConfigEra  mulberryspool.Era `json:"configEra,omitempty" msgpack:",omitempty"`
 		ConfigHash uint64            `json:"configHash,omitempty" msgpack:",omitempty"`
 		Era        mulberryspool.Era `json:"era,omitempty" msgpack:",omitempty"`
-		// Named holds the newest named versions of each model, oldest first.
+		// Named holds the named versions of each model that still decide something, oldest first.
 		Named map[string][]NamedVersionAge `json:"named,omitempty"`
 		// ConfigAnsweredMillis is the time since the store last answered the process's
 		// call for the configuration; 0 if the process does not watch it.
--- a/internal/platform/fleet/versions.go
+++ b/internal/platform/fleet/versions.go
@@ -39,7 +39,7 @@
 	return f.named.Newest(model)
 }
 
-// NamedVersions returns when each of the newest versions of a model was named at the
+// NamedVersions returns when each version of a model that is kept was named at the
 // earliest.
 func (f *Fleet) NamedVersions(model string) map[int64]time.Time {
 	f.mu.Lock()
--- a/internal/platform/namedversion/history.go
+++ b/internal/platform/namedversion/history.go
@@ -206,7 +206,7 @@
 		versions[i].merge(learned)
 		h.addOwn(&versions[i])
 	}
-	dropped := h.irrelevant(versions, now)
+	dropped := h.countOutdated(versions, now)
 	if dropped == 0 && len(versions) > maxVersions {
 		versions[1].addMerged(h.since(versions[0]))
 		dropped = 1
@@ -219,9 +219,9 @@
 	return h.change(model, &versions[i])
 }
 
-// irrelevant returns the number of the oldest versions that are irrelevant: a newer one was seen
-// so long ago that all versions before it are out of date.
-func (h *History) irrelevant(versions []version, now time.Time) int {
+// countOutdated returns the number of the oldest versions that decide nothing any more, because all
+// versions before a newer one are out of date.
+func (h *History) countOutdated(versions []version, now time.Time) int {
 	if h.Bound <= 0 {
 		return 0
 	}
@@ -353,7 +353,7 @@
 func (h *History) Reports(now time.Time) map[string][]Report {
 	reports := make(map[string][]Report, len(h.models))
 	for model, versions := range h.models {
-		for _, v := range versions[h.irrelevant(versions, now):] {
+		for _, v := range versions[h.countOutdated(versions, now):] {
 			r := Report{Version: v.number, Revision: v.at.Revision, Era: v.at.Era, AgeMillis: now.Sub(h.ownSince(v)).Milliseconds(), SeenMillis: max(1, now.Sub(v.seen).Milliseconds())}
 			if at, ok := v.unnamed[""]; ok {
 				r.UnnamedMillis = max(1, now.Sub(at).Milliseconds())
--- a/internal/platform/namedversion/many_test.go
+++ b/internal/platform/namedversion/many_test.go
@@ -29,6 +29,7 @@
 func TestFirstNewerVersionIsKnownAfterRestart(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		newest := rapid.Int64Range(2, 100).Draw(t, "newest")
+		maxInterval := rapid.SampledFrom([]int{300, 3000}).Draw(t, "longest interval")
 		startsAfter := rapid.Int64Range(1, newest).Draw(t, "starts after version")
 		names := []string{"kept", "restarted", "late"}
 		processes := map[string]*History{}
@@ -38,7 +39,7 @@
 		named := map[int64]time.Time{}
 		now := start
 		for version := int64(2); version <= newest; version++ {
-			now = now.Add(time.Duration(rapid.IntRange(50, 300).Draw(t, "interval")) * time.Millisecond)
+			now = now.Add(time.Duration(rapid.IntRange(50, maxInterval).Draw(t, "interval")) * time.Millisecond)
 			named[version] = now
 			at := mulberryspool.Position{Revision: mulberryspool.Revision(10 * version)}
 			for _, name := range names {
