--- a/internal/agent/linkdelay/delay.go
+++ b/internal/agent/linkdelay/delay.go
@@ -58,8 +58,9 @@
 	}
 }
 
-// At returns how long data takes to arrive, 0 if not unusually long. Only one long fetch does not
-// count, because a slow sender would explain it.
+// At returns how long data is expected to take to arrive, 0 if not unusually long. Only one long
+// fetch does not count, because a slow sender would explain it. One that is still running is
+// expected to take as long again.
 func (d *Delay) At(now time.Time) time.Duration {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -72,10 +73,9 @@
 		count(f.took)
 	}
 	for _, began := range d.running {
-		count(now.Sub(began))
-	}
-	if second < minDelay {
-		return 0
+		if elapsed := now.Sub(began); elapsed >= minDelay {
+			count(2 * elapsed)
+		}
 	}
 	return second
 }
--- a/internal/agent/linkdelay/delay_test.go
+++ b/internal/agent/linkdelay/delay_test.go
@@ -18,10 +18,11 @@
 	}
 	slow, slower, fast := d.Begin(at(0)), d.Begin(at(100)), d.Begin(at(150))
 	check("running", 250, 0)
-	check("running", 500, 400*time.Millisecond)
+	check("one long", 350, 0)
+	check("both long", 500, 800*time.Millisecond)
 	fast(at(200), true)
 	slow(at(600), true)
-	check("one ended", 650, 550*time.Millisecond)
+	check("one ended", 650, 600*time.Millisecond)
 	slower(at(900), true)
 	check("both ended", 950, 600*time.Millisecond)
 	check("after the window", 1700, 0)
