--- a/internal/entry/forward/send.go
+++ b/internal/entry/forward/send.go
@@ -19,8 +19,8 @@
 	maxIdleNonRetryable = 500 * time.Millisecond
 	// maxTrialWait is how long a request waits for the trial of a part of its prompt.
 	maxTrialWait = time.Second
-	// newConnTime is how long before the end of a version's grace requests to it are sent on
-	// new connections only, because opening one measures the path.
+	// newConnTime is how long before the end of a version's grace requests to its servers are
+	// sent on new connections only, because opening one measures the path.
 	newConnTime = 2 * time.Second
 )
 
--- a/internal/platform/namedversion/history.go
+++ b/internal/platform/namedversion/history.go
@@ -12,8 +12,8 @@
 // smaller revision, of any process, and ends with the first sight of any process.
 // Bounds count from its beginning.
 //
-// The bound of a served version counts from the first newer one. So a version is kept until
-// that of an even newer one has ended, which makes it irrelevant.
+// The bound of a served version counts from the first newer one. So a version is kept until a
+// newer one has been named for the whole bound: then all versions before that are out of date.
 //
 // A store that is restored from a copy lacks the last versions until they are named again.
 // So its answers don't date a version until settleTime after the restore, and revisions
--- a/internal/role/hosted/agentloop.go
+++ b/internal/role/hosted/agentloop.go
@@ -404,14 +404,14 @@
 	}
 	now := a.clock.Now()
 	report.LinkDelayMillis = a.fetcher.LinkDelay.At(now).Truncate(linkDelayStep).Milliseconds()
-	linkDelayBefore := a.lastReport.LinkDelayMillis
-	if report.Instance == "" || report == a.lastReport && hasDeadline == a.deadlineReported && now.Sub(a.reportedAt) < agentHeartbeatInterval {
+	before := a.lastReport
+	if report.Instance == "" || report == before && hasDeadline == a.deadlineReported && now.Sub(a.reportedAt) < agentHeartbeatInterval {
 		return
 	}
-	if a.lastReport.LinkDelayMillis = report.LinkDelayMillis; report != a.lastReport {
-		a.logger.Info().Str(logging.FieldStep, "report served version").Int64("before", a.lastReport.Version).Int64("takes", report.Version).Msg("version for which the backend server accepts requests has changed")
+	if report.Instance != before.Instance || report.Born != before.Born || report.Version != before.Version {
+		a.logger.Info().Str(logging.FieldStep, "report served version").Int64("before", before.Version).Int64("takes", report.Version).Msg("version for which the backend server accepts requests has changed")
 	}
-	if (report.LinkDelayMillis > 0) != (linkDelayBefore > 0) {
+	if (report.LinkDelayMillis > 0) != (before.LinkDelayMillis > 0) {
 		a.logger.Info().Str(logging.FieldStep, "report link delay").Int64("linkDelay", report.LinkDelayMillis).Msg("link to the backend server has become full, or is no longer")
 	}
 	a.lastReport, a.reportedAt, a.deadlineReported = report, now, hasDeadline
